--- a/ctl/session.h
+++ b/ctl/session.h
@@ -9,7 +9,7 @@
 #include "base/history.h"
 #include "base/rng.h"
 #include "fleet/instance.h"
-#include "platform/client.h"
+#include "native/client.h"
 
 typedef struct {
     uv_loop_t *loop;
--- a/entry/node.h
+++ b/entry/node.h
@@ -32,7 +32,7 @@
 #include "http/server.h"
 #include "lookup/steer.h"
 #include "peer/link.h"
-#include "platform/client.h"
+#include "native/client.h"
 #include "region/gate.h"
 #include "region/plan.h"
 #include "request/budget.h"
--- /dev/null
+++ b/gateway/choice.h
@@ -0,0 +1,46 @@
+/*
+ * Which upstream a request goes to.
+ *
+ * Requests about one object go to the same few upstreams, which have it in memory: weighted
+ * rendezvous hashing within a region, the first in that order that has room (bounded load). The
+ * region is the plan's for the object. Large answers stay in the caller's zone, then its region.
+ * All instances make the same choice from the same list. Pure but for the cold upstreams' buckets.
+ */
+#pragma once
+
+#include "gateway/backends.h"
+#include "gateway/cold.h"
+#include "gateway/plan.h"
+
+enum { CHOICE_TRIED_MAX = 6 };
+
+typedef enum {
+    CHOICE_FIRST,   /* the first of the object's order in the planned region */
+    CHOICE_LATER,   /* a later one there */
+    CHOICE_ELSEWHERE, /* another region, since the planned one has no room */
+    CHOICE_QUEUED,  /* has to wait at the upstream */
+    CHOICE_FULL,    /* none: every upstream has too many waiting */
+    CHOICE_NONE,    /* none: no upstream may get requests */
+} choice_reason_t;
+
+typedef struct {
+    const backends_t *backends;
+    const topology_t *topology;
+    const config_route_t *route;
+    str_t service;
+    const plan_t *plan;
+    str_t own_zone;
+    size_t own_region;
+    uint64_t object; /* hash of the object, or a random number */
+    uint64_t now_ms;
+    /* Told cold upstreams' users. */
+    uint64_t own_key;
+    const cold_peer_t *peers;
+    size_t peer_count;
+    bool peers_settled; /* the list of peers can be relied on */
+    backend_t *const *tried;
+    size_t tried_count;
+} choice_input_t;
+
+backend_t *choice_pick(const choice_input_t *input, choice_reason_t *reason);
+const char *choice_reason_name(choice_reason_t reason);
--- /dev/null
+++ b/gateway/config.c
@@ -0,0 +1,119 @@
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "base/xmalloc.h"
+#include "gateway/config.h"
+
+enum { HOST_SEED = 11, PREFIX_SEED = 12, HOST_MAX = 255 };
+
+config_t *
+config_new(size_t route_count, size_t service_count)
+{
+    config_t *config = xcalloc(1, sizeof(*config));
+    config->refs = 1;
+    config->routes = xcalloc(route_count > 0 ? route_count : 1, sizeof(*config->routes));
+    config->route_count = route_count;
+    config->services = xcalloc(service_count > 0 ? service_count : 1, sizeof(*config->services));
+    config->service_count = service_count;
+    return config;
+}
+
+config_t *
+config_ref(config_t *config)
+{
+    config->refs++;
+    return config;
+}
+
+void
+config_unref(config_t *config)
+{
+    if (config == NULL || --config->refs > 0)
+        return;
+    for (size_t i = 0; i < config->route_count; i++) {
+        free(config->routes[i].host);
+        free(config->routes[i].prefix);
+        free(config->routes[i].targets);
+        free(config->routes[i].homes);
+    }
+    free(config->routes);
+    free(config->services);
+    free(config);
+}
+
+static uint64_t
+host_hash(str_t host)
+{
+    char lower[HOST_MAX];
+    size_t len = 0;
+    while (len < host.len && len < sizeof(lower) && host.ptr[len] != ':') {
+        const char c = host.ptr[len];
+        lower[len++] = c >= 'A' && c <= 'Z' ? (char)(c - 'A' + 'a') : c;
+    }
+    return str_hash((str_t){lower, len}, HOST_SEED);
+}
+
+static int
+by_key(const void *left, const void *right)
+{
+    const uint64_t a = ((const config_route_t *)left)->key;
+    const uint64_t b = ((const config_route_t *)right)->key;
+    return (a > b) - (a < b);
+}
+
+void
+config_seal(config_t *config)
+{
+    for (size_t i = 0; i < config->route_count; i++) {
+        config_route_t *route = &config->routes[i];
+        route->key = str_hash(str_from(route->prefix), PREFIX_SEED ^ host_hash(str_from(route->host)));
+    }
+    qsort(config->routes, config->route_count, sizeof(*config->routes), by_key);
+}
+
+static const config_route_t *
+find_route(const config_t *config, uint64_t key, str_t prefix)
+{
+    const config_route_t wanted = {.key = key};
+    const config_route_t *route = bsearch(&wanted, config->routes, config->route_count,
+                                          sizeof(*config->routes), by_key);
+    return route != NULL && str_eq(str_from(route->prefix), prefix) ? route : NULL;
+}
+
+const config_route_t *
+config_route(const config_t *config, str_t host, str_t path)
+{
+    const uint64_t seed = PREFIX_SEED ^ host_hash(host);
+    for (size_t len = path.len; len > 0; len--) {
+        if (path.ptr[len - 1] != '/')
+            continue;
+        const str_t prefix = {path.ptr, len};
+        const config_route_t *route = find_route(config, str_hash(prefix, seed), prefix);
+        if (route != NULL)
+            return route;
+    }
+    return NULL;
+}
+
+const config_service_t *
+config_service(const config_t *config, str_t name)
+{
+    for (size_t i = 0; i < config->service_count; i++) {
+        if (name_eq(&config->services[i].name, name))
+            return &config->services[i];
+    }
+    return NULL;
+}
+
+bool
+config_allows_region(const config_route_t *route, str_t region)
+{
+    if (route->home_count == 0)
+        return true;
+    for (size_t i = 0; i < route->home_count; i++) {
+        if (name_eq(&route->homes[i], region))
+            return true;
+    }
+    return false;
+}
--- /dev/null
+++ b/gateway/config.h
@@ -0,0 +1,74 @@
+/*
+ * One version of the operator's configuration: routes, services and the bounds on what callers
+ * send. Immutable once built and reference-counted, so that a request is decided by one version
+ * from its arrival to its answer.
+ */
+#pragma once
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/str.h"
+
+enum { CONFIG_HOMES_MAX = 8, CONFIG_TARGETS_MAX = 8, CONFIG_VERSION_MAX = 15 };
+
+typedef struct {
+    name_t service;
+    double weight;
+} config_target_t;
+
+typedef struct {
+    name_t name;
+    char *host;
+    char *prefix; /* begins and ends with a slash */
+    uint64_t key; /* hash over host and prefix */
+    bool repeatable;
+    bool large; /* answers are large: keep them near the caller */
+    bool sticky;
+    int priority; /* 0 is the most urgent */
+    uint32_t timeout_ms;
+    uint32_t aim_ms;
+    uint32_t max_attempts;
+    size_t target_count;
+    size_t home_count;
+    config_target_t *targets;
+    name_t *homes; /* regions that may serve it; none means all */
+} config_route_t;
+
+typedef struct {
+    name_t name;
+    uint32_t max_connections; /* an upstream accepts this many from all instances together */
+    uint32_t cold_ms;         /* how long a started upstream stays cold */
+    double cold_per_s;        /* requests a second that a cold upstream bears, 0 for no bound */
+} config_service_t;
+
+typedef struct {
+    size_t max_head_bytes;
+    size_t max_body_bytes;
+    uint32_t head_timeout_ms;
+    uint32_t idle_timeout_ms;
+} config_limits_t;
+
+typedef struct {
+    size_t refs;
+    uint64_t revision; /* of the store's object */
+    char version[CONFIG_VERSION_MAX + 1];
+    config_limits_t limits;
+    config_route_t *routes; /* sorted by key once sealed */
+    size_t route_count;
+    config_service_t *services;
+    size_t service_count;
+} config_t;
+
+config_t *config_new(size_t route_count, size_t service_count);
+/* Makes look-ups possible; call once when all routes are filled in. */
+void config_seal(config_t *config);
+config_t *config_ref(config_t *config);
+void config_unref(config_t *config);
+
+/* The route with the longest prefix that begins `path`; NULL if there is none. A port in `host`
+ * is ignored. */
+const config_route_t *config_route(const config_t *config, str_t host, str_t path);
+const config_service_t *config_service(const config_t *config, str_t name);
+/* True if the route may be served in that region. */
+bool config_allows_region(const config_route_t *route, str_t region);
--- /dev/null
+++ b/gateway/directory.c
@@ -0,0 +1,42 @@
+#include "gateway/directory.h"
+
+/* An instance that has missed this many milliseconds of heartbeats is not named any more, though
+ * it may still come back. */
+enum { NAMED_AFTER_SILENCE_MS = 1300 };
+
+static bool
+may_name(const member_t *member, uint64_t now_ms)
+{
+    return member->heard && member->ready && !member->leaving &&
+           now_ms - member->heard_ms <= NAMED_AFTER_SILENCE_MS;
+}
+
+static size_t
+collect(const members_t *members, const str_t *place, size_t region, uint64_t now_ms,
+        addr_t out[DIRECTORY_MAX])
+{
+    size_t count = 0;
+    for (size_t i = 0; i < members->count && count < DIRECTORY_MAX; i++) {
+        const member_t *member = &members->items[i];
+        if (!may_name(member, now_ms))
+            continue;
+        if (place != NULL && !name_eq(&member->place, *place))
+            continue;
+        if (region != TOPOLOGY_NO_REGION && member->region != region)
+            continue;
+        out[count++] = member->callers;
+    }
+    return count;
+}
+
+size_t
+directory_pick(const members_t *members, const topology_t *topology, str_t region, str_t place,
+               uint64_t now_ms, addr_t out[DIRECTORY_MAX])
+{
+    size_t count = collect(members, &place, TOPOLOGY_NO_REGION, now_ms, out);
+    if (count == 0)
+        count = collect(members, NULL, topology_region(topology, region), now_ms, out);
+    if (count == 0)
+        count = collect(members, NULL, TOPOLOGY_NO_REGION, now_ms, out);
+    return count;
+}
--- /dev/null
+++ b/gateway/directory.h
@@ -0,0 +1,11 @@
+/* Which instances a caller is told to use. Pure. */
+#pragma once
+
+#include "gateway/members.h"
+
+enum { DIRECTORY_MAX = 64 };
+
+/* Ready, living instances of the caller's place if there are any, else of its region, else all;
+ * returns their number. */
+size_t directory_pick(const members_t *members, const topology_t *topology, str_t region,
+                      str_t place, uint64_t now_ms, addr_t out[DIRECTORY_MAX]);
--- /dev/null
+++ b/gateway/gateway.c
@@ -0,0 +1,375 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include <http_parser.h>
+
+#define LOG_MODULE "gateway"
+#include "base/counter.h"
+#include "base/log.h"
+#include "base/xmalloc.h"
+#include "gateway/directory.h"
+#include "gateway/exchange.h"
+#include "gateway/gateway.h"
+#include "gateway/heartbeat.h"
+
+enum {
+    TICK_MS = 200,
+    HEARTBEAT_TICKS = 2,          /* ticks between two heartbeats */
+    STALLED_MS = 1500,            /* peer connections without progress are closed */
+    LOST_ENTRY_GRACE_MS = 2200,   /* upstreams missing after trouble with the store */
+    SWEEP_IDLE_MS = 9000,         /* idle upstream connections are closed */
+    STOP_LISTEN_MS = 2000,        /* a stopping instance still accepts for this time */
+    STOP_LEAST_MS = 2400,         /* and stays this long at least */
+    STOP_LAST_MS = 200,           /* it ends this long before it would be killed */
+    ANNOUNCE_RETRY_MS = 2000,
+    SMALL_HEAD_MAX = 8192,
+    SMALL_CONNECTIONS_MAX = 512,
+    CALLER_CONNECTIONS_MAX = 3000,
+    HEAD_TIMEOUT_MS = 3000,
+    IDLE_TIMEOUT_MS = 15000,
+};
+
+struct gateway {
+    uv_loop_t *loop;
+    const gateway_settings_t *settings;
+    const gateway_ports_t *ports;
+    router_t router;
+    exchanges_t exchanges;
+    members_t members;
+    sync_t sync;
+    heartbeat_t heartbeat;
+    peer_hub_t *hub;
+    wire_listener_t *callers;
+    wire_listener_t *readiness;
+    wire_listener_t *directory;
+    wire_listener_t *metrics;
+    uv_timer_t tick;
+    unsigned ticks;
+    bool stopping;
+    uint64_t stop_ms;
+    bool announced;
+    uint64_t announce_at_ms;
+};
+
+static void
+on_caller_request(void *ctx, wire_request_t *req)
+{
+    gateway_t *gateway = ctx;
+    exchange_start(&gateway->exchanges, req);
+}
+
+static void
+on_ready_question(void *ctx, wire_request_t *req)
+{
+    gateway_t *gateway = ctx;
+    if (!gateway->ports->directory->is_ready_question(&req->head))
+        wire_respond(req, HTTP_STATUS_NOT_FOUND, STR(""), STR(""));
+    else if (gateway->heartbeat.ready && !gateway->stopping)
+        wire_respond(req, HTTP_STATUS_OK, STR(""), STR(""));
+    else
+        wire_respond(req, HTTP_STATUS_SERVICE_UNAVAILABLE, STR(""), STR(""));
+}
+
+static void
+on_directory_question(void *ctx, wire_request_t *req)
+{
+    gateway_t *gateway = ctx;
+    directory_question_t question;
+    addr_t addrs[DIRECTORY_MAX];
+    if (!gateway->ports->directory->read_question(&req->head, &question)) {
+        wire_respond(req, HTTP_STATUS_NOT_FOUND, STR(""), STR(""));
+        return;
+    }
+    const size_t count =
+        directory_pick(&gateway->members, &gateway->settings->topology, question.region,
+                       question.place, uv_now(gateway->loop), addrs);
+    if (count == 0) {
+        wire_respond(req, HTTP_STATUS_SERVICE_UNAVAILABLE, STR(""), STR(""));
+        return;
+    }
+    wire_text_t fields = {0};
+    wire_text_t body = {0};
+    gateway->ports->directory->write_addresses(addrs, count, gateway->settings->directory_ttl_s,
+                                               &fields, &body);
+    wire_respond(req, HTTP_STATUS_OK, (str_t){fields.ptr, fields.len},
+                 (str_t){body.ptr, body.len});
+    free(fields.ptr);
+    free(body.ptr);
+}
+
+static void
+set_gauge(const char *name, const char *help, int64_t value)
+{
+    counter_set(counter_get(name, NULL, help), value);
+}
+
+static void
+on_metrics_question(void *ctx, wire_request_t *req)
+{
+    gateway_t *gateway = ctx;
+    const router_t *router = &gateway->router;
+    set_gauge("irisstall_config_revision", "Store revision of the configuration in force.",
+              router->config != NULL ? (int64_t)router->config->revision : 0);
+    set_gauge("irisstall_instances_living", "Instances heard of, this one too.", router->living);
+    set_gauge("irisstall_upstreams", "Upstreams known.", (int64_t)router->backends.count);
+    set_gauge("irisstall_requests_active", "Requests under way.",
+              (int64_t)gateway->exchanges.active);
+    set_gauge("irisstall_caller_connections", "Open connections of callers.",
+              (int64_t)wire_listener_connections(gateway->callers));
+    size_t len;
+    char *text = counter_expose(&len);
+    wire_respond(req, HTTP_STATUS_OK, STR("Content-Type: text/plain; version=0.0.4\r\n"),
+                 (str_t){text, len});
+    free(text);
+}
+
+static void
+apply_caller_limits(gateway_t *gateway)
+{
+    const config_t *config = gateway->router.config;
+    if (config == NULL)
+        return;
+    const wire_limits_t limits = {
+        .max_head = config->limits.max_head_bytes,
+        .max_body = config->limits.max_body_bytes,
+        .head_timeout_ms = config->limits.head_timeout_ms,
+        .idle_timeout_ms = config->limits.idle_timeout_ms,
+        .max_connections = CALLER_CONNECTIONS_MAX,
+    };
+    wire_listener_set_limits(gateway->callers, &limits);
+}
+
+static void
+on_view(void *ctx, view_kind_t kind)
+{
+    gateway_t *gateway = ctx;
+    const view_t *view = &gateway->sync.views[kind];
+    const uint64_t grace = sync_store_trouble(&gateway->sync) ? LOST_ENTRY_GRACE_MS : 0;
+    switch (kind) {
+    case VIEW_CONFIG:
+        router_take_config(&gateway->router, view);
+        apply_caller_limits(gateway);
+        break;
+    case VIEW_BACKENDS:
+        router_take_backends(&gateway->router, view, grace);
+        router_take_closures(&gateway->router, &gateway->sync.views[VIEW_CLOSURES]);
+        break;
+    case VIEW_CLOSURES:
+        router_take_closures(&gateway->router, view);
+        break;
+    case VIEW_INSTANCES:
+        break;
+    }
+}
+
+static void
+on_peer_message(void *ctx, peer_conn_t *conn, const Iris__Envelope *message)
+{
+    gateway_t *gateway = ctx;
+    switch (message->body_case) {
+    case IRIS__ENVELOPE__BODY_GATEWAY:
+        heartbeat_receive(&gateway->heartbeat, message->gateway, uv_now(gateway->loop));
+        break;
+    case IRIS__ENVELOPE__BODY_VIEW_UPDATE:
+        sync_on_update(&gateway->sync, message->view_update);
+        break;
+    case IRIS__ENVELOPE__BODY_VIEW_REQUEST:
+        sync_on_request(&gateway->sync, conn, message->view_request);
+        break;
+    default:
+        LOG_WARN("message of an unknown kind: kind=%d", (int)message->body_case);
+        break;
+    }
+}
+
+/* ---- finding the others ---- */
+
+static void
+on_instances(void *ctx, const store_answer_t *answer)
+{
+    gateway_t *gateway = ctx;
+    if (answer->outcome != STORE_OK)
+        return;
+    for (size_t i = 0; i < answer->item_count; i++) {
+        addr_t addr;
+        err_t err = {0};
+        if (gateway->ports->decoder->instance(answer->items[i].body, &addr, &err))
+            members_at(&gateway->members, &addr);
+    }
+    heartbeat_send(&gateway->heartbeat, uv_now(gateway->loop));
+}
+
+static void
+on_announced(void *ctx, const store_answer_t *answer)
+{
+    gateway_t *gateway = ctx;
+    const store_port_t *store = gateway->ports->store;
+    gateway->announced = answer->outcome == STORE_OK || answer->outcome == STORE_CONFLICT;
+    if (gateway->announced)
+        store->list(store->ctx, VIEW_INSTANCES, STR(""), on_instances, gateway);
+    else
+        LOG_WARN("not announced in the store: detail=\"%s\"", answer->err.detail);
+}
+
+static void
+announce(gateway_t *gateway)
+{
+    const store_port_t *store = gateway->ports->store;
+    const uint64_t now = uv_now(gateway->loop);
+    if (gateway->announced || now < gateway->announce_at_ms || gateway->stopping)
+        return;
+    char text[ADDR_TEXT_MAX];
+    gateway->announce_at_ms = now + ANNOUNCE_RETRY_MS;
+    addr_format(&gateway->settings->peer, text);
+    store->announce(store->ctx, name_str(&gateway->settings->name), str_from(text), on_announced,
+                    gateway);
+}
+
+/* ---- stopping ---- */
+
+static void
+advance_stop(gateway_t *gateway)
+{
+    const uint64_t age = uv_now(gateway->loop) - gateway->stop_ms;
+    if (age >= STOP_LISTEN_MS) {
+        wire_listener_close(gateway->callers);
+        wire_listener_close_idle(gateway->callers);
+    }
+    const bool done = age >= STOP_LEAST_MS && gateway->exchanges.active == 0 &&
+                      wire_listener_connections(gateway->callers) == 0;
+    if (!done && age + STOP_LAST_MS < gateway->settings->grace_ms)
+        return;
+    LOG_INFO("stopped: after_ms=%llu requests_left=%zu", (unsigned long long)age,
+             gateway->exchanges.active);
+    uv_stop(gateway->loop);
+}
+
+void
+gateway_stop(gateway_t *gateway)
+{
+    if (gateway->stopping)
+        return;
+    LOG_INFO("stopping: requests=%zu connections=%zu", gateway->exchanges.active,
+             wire_listener_connections(gateway->callers));
+    gateway->stopping = true;
+    gateway->stop_ms = uv_now(gateway->loop);
+    gateway->heartbeat.leaving = true;
+    wire_listener_drain(gateway->callers);
+    sync_stop(&gateway->sync);
+    heartbeat_send(&gateway->heartbeat, uv_now(gateway->loop));
+}
+
+static void
+sweep(gateway_t *gateway)
+{
+    for (size_t i = 0; i < gateway->router.backends.count; i++)
+        wire_pool_sweep(gateway->router.backends.items[i]->pool, SWEEP_IDLE_MS);
+    peer_hub_sweep_stalled(gateway->hub, STALLED_MS);
+}
+
+static void
+on_tick(uv_timer_t *timer)
+{
+    gateway_t *gateway = timer->data;
+    const uint64_t now = uv_now(gateway->loop);
+    gateway->heartbeat.ready = router_ready(&gateway->router);
+    heartbeat_update_self(&gateway->heartbeat, now);
+    router_tick(&gateway->router, &gateway->members);
+    sync_tick(&gateway->sync);
+    announce(gateway);
+    sweep(gateway);
+    if (gateway->ticks++ % HEARTBEAT_TICKS == 0)
+        heartbeat_send(&gateway->heartbeat, now);
+    if (gateway->stopping)
+        advance_stop(gateway);
+}
+
+static wire_listener_t *
+listen_small(gateway_t *gateway, const addr_t *addr, wire_handler_t handler, err_t *err)
+{
+    static const wire_limits_t limits = {
+        .max_head = SMALL_HEAD_MAX,
+        .max_body = SMALL_HEAD_MAX,
+        .head_timeout_ms = HEAD_TIMEOUT_MS,
+        .idle_timeout_ms = IDLE_TIMEOUT_MS,
+        .max_connections = SMALL_CONNECTIONS_MAX,
+    };
+    return wire_listener_start(gateway->loop, addr, &limits, handler, gateway, err);
+}
+
+static bool
+listen_all(gateway_t *gateway, err_t *err)
+{
+    const gateway_settings_t *settings = gateway->settings;
+    static const wire_limits_t first_limits = {
+        .max_head = SMALL_HEAD_MAX * 2,
+        .max_body = 1 << 20,
+        .head_timeout_ms = HEAD_TIMEOUT_MS,
+        .idle_timeout_ms = IDLE_TIMEOUT_MS,
+        .max_connections = CALLER_CONNECTIONS_MAX,
+    };
+    gateway->callers = wire_listener_start(gateway->loop, &settings->callers, &first_limits,
+                                           on_caller_request, gateway, err);
+    if (gateway->callers == NULL)
+        return false;
+    gateway->readiness = listen_small(gateway, &settings->readiness, on_ready_question, err);
+    if (gateway->readiness == NULL)
+        return false;
+    gateway->directory = listen_small(gateway, &settings->directory, on_directory_question, err);
+    if (gateway->directory == NULL)
+        return false;
+    if (settings->has_metrics) {
+        gateway->metrics = listen_small(gateway, &settings->metrics, on_metrics_question, err);
+        if (gateway->metrics == NULL)
+            return false;
+    }
+    gateway->hub = peer_hub_start(gateway->loop, &settings->peer, on_peer_message, gateway, err);
+    return gateway->hub != NULL;
+}
+
+void
+gateway_reload(gateway_t *gateway, const gateway_settings_t *settings)
+{
+    for (size_t i = 0; i < settings->seed_count; i++)
+        members_at(&gateway->members, &settings->seeds[i]);
+}
+
+gateway_t *
+gateway_start(uv_loop_t *loop, const gateway_settings_t *settings, const gateway_ports_t *ports,
+              err_t *err)
+{
+    gateway_t *gateway = xcalloc(1, sizeof(*gateway));
+    gateway->loop = loop;
+    gateway->settings = settings;
+    gateway->ports = ports;
+    router_init(&gateway->router, loop, &settings->topology, ports->decoder,
+                name_str(&settings->name), name_str(&settings->place));
+    gateway->router.bounds = (router_bounds_t){
+        .retry_ratio = settings->retry_ratio,
+        .retry_constant = settings->retry_constant,
+        .retry_window_ms = settings->retry_window_ms,
+    };
+    gateway->exchanges = (exchanges_t){.router = &gateway->router, .dialect = ports->dialect};
+    if (!listen_all(gateway, err)) {
+        free(gateway);
+        return NULL;
+    }
+    const sync_cbs_t cbs = {.on_view = on_view, .ctx = gateway};
+    sync_init(&gateway->sync, loop, ports->store, &gateway->members, name_str(&settings->name),
+              gateway->router.region, &cbs);
+    gateway->sync.hub = gateway->hub;
+    gateway->heartbeat = (heartbeat_t){
+        .settings = settings,
+        .members = &gateway->members,
+        .router = &gateway->router,
+        .sync = &gateway->sync,
+        .hub = gateway->hub,
+        .incarnation = rng_next(&gateway->router.rng),
+    };
+    heartbeat_update_self(&gateway->heartbeat, uv_now(loop));
+    gateway_reload(gateway, settings);
+    uv_timer_init(loop, &gateway->tick);
+    gateway->tick.data = gateway;
+    uv_timer_start(&gateway->tick, on_tick, 0, TICK_MS);
+    return gateway;
+}
--- /dev/null
+++ b/gateway/heartbeat.c
@@ -0,0 +1,200 @@
+#include <string.h>
+
+#define LOG_MODULE "members"
+#include "base/log.h"
+#include "base/xmalloc.h"
+#include "gateway/heartbeat.h"
+
+enum {
+    RETRY_SILENT_MS = 1200,  /* how often a silent instance is tried */
+    PEERS_EVERY = 8,         /* rounds between two lists of known addresses */
+    PEERS_MAX = 64,
+    VIEWS_MAX = VIEW_WATCHED,
+};
+
+void
+heartbeat_update_self(heartbeat_t *heartbeat, uint64_t now_ms)
+{
+    member_t *self = members_at(heartbeat->members, &heartbeat->settings->peer);
+    self->heard = true;
+    self->heard_ms = now_ms;
+    self->instance = heartbeat->settings->name;
+    self->place = heartbeat->settings->place;
+    self->region = heartbeat->router->region;
+    self->callers = heartbeat->settings->callers;
+    self->incarnation = heartbeat->incarnation;
+    self->ready = heartbeat->ready;
+    self->leaving = heartbeat->leaving;
+    self->demand_count = 0;
+    for (size_t i = 0; i < heartbeat->router->service_count; i++) {
+        const router_service_t *service = &heartbeat->router->services[i];
+        if (self->demand_count < MEMBER_DEMANDS_MAX)
+            self->demands[self->demand_count++] = (member_demand_t){service->name, service->demand};
+    }
+}
+
+typedef struct {
+    Iris__GatewayHeartbeat message;
+    Iris__ViewState views[VIEWS_MAX];
+    Iris__ViewState *view_list[VIEWS_MAX];
+    Iris__Demand demands[MEMBER_DEMANDS_MAX];
+    Iris__Demand *demand_list[MEMBER_DEMANDS_MAX];
+    char peers[PEERS_MAX][ADDR_TEXT_MAX];
+    char *peer_list[PEERS_MAX];
+    char own_peer[ADDR_TEXT_MAX];
+    char own_callers[ADDR_TEXT_MAX];
+} packed_t;
+
+static void
+pack_views(const heartbeat_t *heartbeat, packed_t *packed)
+{
+    for (size_t kind = 0; kind < VIEWS_MAX; kind++) {
+        const view_t *view = &heartbeat->sync->views[kind];
+        iris__view_state__init(&packed->views[kind]);
+        packed->views[kind].at = view->at;
+        packed->views[kind].digest = view->digest;
+        packed->views[kind].known = view->known;
+        packed->view_list[kind] = &packed->views[kind];
+    }
+    packed->message.n_views = VIEWS_MAX;
+    packed->message.views = packed->view_list;
+}
+
+static void
+pack_demands(const member_t *self, packed_t *packed)
+{
+    for (size_t i = 0; i < self->demand_count; i++) {
+        iris__demand__init(&packed->demands[i]);
+        packed->demands[i].service = (char *)(uintptr_t)self->demands[i].service.ptr;
+        packed->demands[i].slots = (float)self->demands[i].slots;
+        packed->demand_list[i] = &packed->demands[i];
+    }
+    packed->message.n_demands = self->demand_count;
+    packed->message.demands = packed->demand_list;
+}
+
+static void
+pack_peers(const members_t *members, packed_t *packed)
+{
+    size_t count = 0;
+    for (size_t i = 0; i < members->count && count < PEERS_MAX; i++) {
+        if (!members->items[i].heard)
+            continue;
+        addr_format(&members->items[i].peer, packed->peers[count]);
+        packed->peer_list[count] = packed->peers[count];
+        count++;
+    }
+    packed->message.n_peers = count;
+    packed->message.peers = packed->peer_list;
+}
+
+static void
+pack(const heartbeat_t *heartbeat, packed_t *packed)
+{
+    Iris__GatewayHeartbeat *message = &packed->message;
+    const gateway_settings_t *settings = heartbeat->settings;
+    iris__gateway_heartbeat__init(message);
+    message->instance = (char *)(uintptr_t)settings->name.ptr;
+    message->place = (char *)(uintptr_t)settings->place.ptr;
+    message->incarnation = heartbeat->incarnation;
+    message->peer_address = packed->own_peer;
+    message->caller_address = packed->own_callers;
+    addr_format(&settings->peer, packed->own_peer);
+    addr_format(&settings->callers, packed->own_callers);
+    message->ready = heartbeat->ready;
+    message->leaving = heartbeat->leaving;
+    message->store_age_ms = sync_store_age(heartbeat->sync);
+    message->store_trouble = sync_store_failed(heartbeat->sync);
+    pack_views(heartbeat, packed);
+    pack_demands(members_at(heartbeat->members, &settings->peer), packed);
+    if (heartbeat->round % PEERS_EVERY < 2)
+        pack_peers(heartbeat->members, packed);
+}
+
+void
+heartbeat_send(heartbeat_t *heartbeat, uint64_t now_ms)
+{
+    packed_t packed = {0};
+    Iris__Envelope envelope = IRIS__ENVELOPE__INIT;
+    heartbeat_update_self(heartbeat, now_ms);
+    pack(heartbeat, &packed);
+    heartbeat->round++;
+    envelope.schema = PEER_SCHEMA;
+    envelope.body_case = IRIS__ENVELOPE__BODY_GATEWAY;
+    envelope.gateway = &packed.message;
+    for (size_t i = 0; i < heartbeat->members->count; i++) {
+        member_t *member = &heartbeat->members->items[i];
+        if (addr_eq(&member->peer, &heartbeat->settings->peer))
+            continue;
+        if (!member_alive(member, now_ms)) {
+            if (member->tried_ms != 0 && now_ms - member->tried_ms < RETRY_SILENT_MS)
+                continue;
+            member->tried_ms = now_ms;
+        }
+        peer_send(heartbeat->hub, &member->peer, &envelope);
+    }
+}
+
+static void
+take_lists(member_t *member, const Iris__GatewayHeartbeat *message)
+{
+    for (size_t i = 0; i < VIEWS_MAX; i++) {
+        const bool there = i < message->n_views;
+        member->views[i] = (member_view_t){
+            .at = there ? message->views[i]->at : 0,
+            .digest = there ? message->views[i]->digest : 0,
+            .known = there && message->views[i]->known,
+        };
+    }
+    member->demand_count = 0;
+    for (size_t i = 0; i < message->n_demands && i < MEMBER_DEMANDS_MAX; i++) {
+        member_demand_t *demand = &member->demands[member->demand_count];
+        if (!name_set(&demand->service, str_from(message->demands[i]->service)))
+            continue;
+        demand->slots = message->demands[i]->slots;
+        member->demand_count++;
+    }
+}
+
+void
+heartbeat_receive(heartbeat_t *heartbeat, const Iris__GatewayHeartbeat *message, uint64_t now_ms)
+{
+    addr_t peer;
+    addr_t callers;
+    name_t instance;
+    name_t place;
+    if (!addr_parse(str_from(message->peer_address), &peer) ||
+        !addr_parse(str_from(message->caller_address), &callers) ||
+        !name_set(&instance, str_from(message->instance)) ||
+        !name_set(&place, str_from(message->place))) {
+        LOG_WARN("heartbeat not usable: instance=%s", message->instance);
+        return;
+    }
+    for (size_t i = 0; i < message->n_peers; i++) {
+        addr_t other;
+        if (addr_parse(str_from(message->peers[i]), &other))
+            members_at(heartbeat->members, &other);
+    }
+    member_t *member = members_at(heartbeat->members, &peer);
+    if (member == NULL || addr_eq(&peer, &heartbeat->settings->peer))
+        return;
+    if (!member_alive(member, now_ms) || member->incarnation != message->incarnation)
+        LOG_INFO("instance heard: instance=%s place=%s silent_ms=%llu restarted=%d", instance.ptr,
+                 place.ptr, (unsigned long long)(member->heard ? now_ms - member->heard_ms : 0),
+                 member->heard && member->incarnation != message->incarnation);
+    if (message->leaving && !member->leaving)
+        LOG_INFO("instance leaving: instance=%s", instance.ptr);
+    member->heard = true;
+    member->heard_ms = now_ms;
+    member->instance = instance;
+    member->place = place;
+    member->region = topology_region_of(&heartbeat->settings->topology, name_str(&place));
+    member->callers = callers;
+    member->incarnation = message->incarnation;
+    member->ready = message->ready;
+    member->leaving = message->leaving;
+    member->store_age_ms = message->store_age_ms;
+    member->store_trouble = message->store_trouble;
+    take_lists(member, message);
+    sync_compare(heartbeat->sync, member);
+}
--- /dev/null
+++ b/gateway/members.h
@@ -0,0 +1,71 @@
+/*
+ * Membership: the instances this one knows, from their heartbeats. No agreement and no leader:
+ * each instance judges for itself. Pure state; time is passed in.
+ *
+ * Members are kept by the address their peers use; one that fell silent is kept and tried now
+ * and then, since a restarted instance comes back at its address.
+ */
+#pragma once
+
+#include "base/addr.h"
+#include "gateway/cold.h"
+#include "gateway/ports.h"
+#include "gateway/topology.h"
+
+enum {
+    MEMBERS_MAX = 512,
+    MEMBER_DEMANDS_MAX = 16,
+    MEMBER_ALIVE_MS = 1800,   /* silence after which an instance counts as lost */
+    STORE_AGE_NONE = 0xffffffff,
+};
+
+typedef struct {
+    name_t service;
+    double slots;
+} member_demand_t;
+
+typedef struct {
+    uint64_t at;
+    uint64_t digest;
+    bool known;
+} member_view_t;
+
+typedef struct {
+    addr_t peer;
+    bool heard; /* at least one heartbeat; the fields below are unset before */
+    name_t instance;
+    name_t place;
+    size_t region;
+    addr_t callers;
+    uint64_t incarnation;
+    uint64_t heard_ms;
+    uint64_t tried_ms;
+    bool ready;
+    bool leaving;
+    uint32_t store_age_ms; /* as told at heard_ms */
+    bool store_trouble;
+    member_view_t views[VIEW_WATCHED];
+    member_demand_t demands[MEMBER_DEMANDS_MAX];
+    size_t demand_count;
+} member_t;
+
+typedef struct {
+    member_t *items;
+    size_t count;
+    size_t size;
+} members_t;
+
+/* The member at that address, made if it is new; NULL if there are too many. */
+member_t *members_at(members_t *members, const addr_t *peer);
+bool member_alive(const member_t *member, uint64_t now_ms);
+/* True if no living member comes before `own` in its region, by name. */
+bool members_first_in_region(const members_t *members, str_t own, size_t region, uint64_t now_ms);
+/* True if a living member got an answer from the store within `age_ms`. */
+bool members_follow_store(const members_t *members, uint32_t age_ms, uint64_t now_ms);
+bool members_store_trouble(const members_t *members, uint64_t now_ms);
+/* Slots that the callers of a region keep busy at a service, over the living members. */
+double members_demand(const members_t *members, str_t service, size_t region, uint64_t now_ms);
+/* All members ever heard, for the pacing of cold upstreams; returns their number. */
+size_t members_cold_peers(const members_t *members, cold_peer_t *out, size_t max);
+uint64_t member_key(str_t instance);
+void members_free(members_t *members);
--- /dev/null
+++ b/gateway/plan.h
@@ -0,0 +1,28 @@
+/*
+ * The share of a region's requests that each region serves, for one service.
+ *
+ * A region that has less room than its callers need sends a steady share elsewhere. The shares
+ * follow room and demand slowly: no caller region's mix may move by more than a step a second,
+ * so that a change of traffic does not swing between regions. Pure state; time is passed in.
+ */
+#pragma once
+
+#include "gateway/topology.h"
+
+typedef struct {
+    double room[TOPOLOGY_REGIONS_MAX];   /* slots of usable upstreams */
+    double demand[TOPOLOGY_REGIONS_MAX]; /* slots that the region's callers keep busy */
+} plan_input_t;
+
+typedef struct {
+    double share[TOPOLOGY_REGIONS_MAX]; /* sums to 1 */
+    size_t region_count;
+    size_t own;
+    uint64_t updated_ms;
+    bool started;
+} plan_t;
+
+void plan_update(plan_t *plan, const plan_input_t *input, size_t region_count, size_t own,
+                 uint64_t now_ms);
+/* The region for a point in [0, 1); neighbouring points stay where they are when shares move. */
+size_t plan_region(const plan_t *plan, double point);
--- /dev/null
+++ b/gateway/ports.h
@@ -0,0 +1,126 @@
+/*
+ * What the gateway asks of the platform it runs on. platform/ implements these for the users'
+ * platform, the tests for themselves; the gateway knows no header, kind or field of a platform.
+ */
+#pragma once
+
+#include "base/addr.h"
+#include "base/error.h"
+#include "gateway/config.h"
+#include "wire/head.h"
+
+/* ---- the store ---- */
+
+typedef enum {
+    VIEW_CONFIG,    /* the operator's configuration */
+    VIEW_BACKENDS,  /* the list of upstreams */
+    VIEW_CLOSURES,  /* zones whose upstreams get nothing */
+    VIEW_INSTANCES, /* the instances of this system */
+    VIEW_WATCHED = VIEW_INSTANCES, /* kinds below this one are followed all the time */
+} view_kind_t;
+
+typedef struct {
+    str_t name;
+    uint64_t revision;
+    bool gone;
+    str_t body; /* the object as the store's decoder reads it */
+} store_item_t;
+
+typedef enum {
+    STORE_OK,
+    STORE_HISTORY_GONE, /* the watch must start again from a list */
+    STORE_CONFLICT,     /* the object is there already or was changed */
+    STORE_REFUSED,      /* not done: over the rate, or turned away */
+    STORE_FAILED,       /* no usable answer; a write may have been done or be done later */
+} store_outcome_t;
+
+typedef struct {
+    store_outcome_t outcome;
+    err_t err;
+    const store_item_t *items;
+    size_t item_count;
+    bool more;   /* a list goes on after its last item */
+    uint64_t at; /* the store's revision */
+} store_answer_t;
+
+typedef void (*store_cb_t)(void *ctx, const store_answer_t *answer);
+
+/* The callbacks are never called before the call has returned. */
+typedef struct {
+    void (*list)(void *ctx, view_kind_t kind, str_t after, store_cb_t cb, void *cb_ctx);
+    void (*watch)(void *ctx, view_kind_t kind, uint64_t from, uint32_t wait_ms, store_cb_t cb,
+                  void *cb_ctx);
+    /* Makes or replaces an object of VIEW_INSTANCES. */
+    void (*announce)(void *ctx, str_t name, str_t address, store_cb_t cb, void *cb_ctx);
+    void *ctx;
+} store_port_t;
+
+/* ---- the objects ---- */
+
+typedef struct {
+    name_t id;
+    name_t service;
+    name_t zone;
+    addr_t addr;
+    uint32_t capacity; /* requests it works on at once */
+    bool leaving;
+    uint32_t cold_ms; /* how much longer it is cold, from when this was written */
+} backend_info_t;
+
+typedef struct {
+    config_t *(*config)(str_t body, err_t *err); /* NULL if it breaks a rule */
+    bool (*backend)(str_t name, str_t body, backend_info_t *out, err_t *err);
+    bool (*instance)(str_t body, addr_t *out, err_t *err); /* the address for its peers */
+} decoder_port_t;
+
+/* ---- requests and answers ---- */
+
+typedef struct {
+    str_t id;       /* of this attempt of the caller's */
+    str_t object;   /* what the request is about; empty if not told */
+    bool has_deadline;
+    uint32_t deadline_ms;
+} caller_terms_t;
+
+typedef enum {
+    VERDICT_ANSWER,  /* the upstream's answer, to be passed on */
+    VERDICT_NOT_RUN, /* the upstream says that it did not run the request */
+    VERDICT_MISDIRECTED, /* another upstream has the address; not run */
+    VERDICT_BAD,     /* not an answer of the protocol */
+} answer_verdict_t;
+
+typedef struct {
+    uint32_t running;
+    uint32_t waiting;
+    uint32_t slots;
+} reported_load_t;
+
+typedef struct {
+    void (*read_request)(const wire_head_t *head, caller_terms_t *out);
+    /* Appends the request's fields for an upstream; the body's framing is added by the gateway. */
+    void (*write_request)(const wire_head_t *head, str_t backend_id, uint32_t left_ms,
+                          wire_text_t *out);
+    /* True if the answer belongs to the request with that id. */
+    bool (*answers)(const wire_head_t *head, str_t id);
+    answer_verdict_t (*judge)(const wire_head_t *head);
+    bool (*load)(const wire_head_t *head, reported_load_t *out);
+    /* Appends the answer's fields for the caller. */
+    void (*write_answer)(const wire_head_t *head, wire_text_t *out);
+    /* Appends the fields of an answer of the gateway's own; `retry_ms` 0 leaves it out. */
+    void (*write_own_answer)(str_t id, uint32_t retry_ms, wire_text_t *out);
+} dialect_port_t;
+
+/* ---- the directory and readiness ---- */
+
+typedef struct {
+    str_t service;
+    str_t region;
+    str_t place;
+} directory_question_t;
+
+typedef struct {
+    bool (*is_ready_question)(const wire_head_t *head);
+    bool (*read_question)(const wire_head_t *head, directory_question_t *out);
+    void (*write_addresses)(const addr_t *addrs, size_t count, double ttl_s, wire_text_t *fields,
+                            wire_text_t *body);
+} directory_port_t;
--- /dev/null
+++ b/gateway/retry_budget.c
@@ -0,0 +1,43 @@
+#include "gateway/retry_budget.h"
+
+/* Below the bound, because other instances' windows are not aligned with ours. */
+#define RETRY_SHARE 0.75
+
+static void
+advance(retry_budget_t *budget, const retry_terms_t *terms, uint64_t now_ms)
+{
+    budget->slice_ms = terms->window_ms / RETRY_SLICES;
+    const uint64_t slice = now_ms / budget->slice_ms;
+    const uint64_t passed = slice - budget->newest;
+    for (uint64_t i = 0; i < passed && i < RETRY_SLICES; i++) {
+        const uint64_t index = (slice - i) % RETRY_SLICES;
+        budget->requests[index] = 0;
+        budget->extra[index] = 0;
+    }
+    budget->newest = slice;
+}
+
+void
+retry_budget_request(retry_budget_t *budget, const retry_terms_t *terms, uint64_t now_ms)
+{
+    advance(budget, terms, now_ms);
+    budget->requests[budget->newest % RETRY_SLICES]++;
+}
+
+bool
+retry_budget_take(retry_budget_t *budget, const retry_terms_t *terms, uint64_t now_ms)
+{
+    advance(budget, terms, now_ms);
+    uint32_t requests = 0;
+    uint32_t extra = 0;
+    for (int i = 0; i < RETRY_SLICES; i++) {
+        requests += budget->requests[i];
+        extra += budget->extra[i];
+    }
+    const double constant = terms->constant / (terms->instances > 0 ? terms->instances : 1);
+    const double allowed = RETRY_SHARE * (terms->ratio * requests + constant);
+    if (extra + 1 > allowed)
+        return false;
+    budget->extra[budget->newest % RETRY_SLICES]++;
+    return true;
+}
--- /dev/null
+++ b/gateway/router.c
@@ -0,0 +1,327 @@
+#include <math.h>
+#include <stdlib.h>
+
+#define LOG_MODULE "router"
+#include "base/log.h"
+#include "base/xmalloc.h"
+#include "gateway/router.h"
+
+enum {
+    SERVICES_MAX = 256,
+    OBJECT_SEED = 61,
+    DEMAND_TIME_MS = 2000,     /* time constant of the demand's moving average */
+    SETTLED_AFTER_MS = 2500,   /* uptime after which the list of instances can be relied on */
+    COLD_MARGIN_MS = 500,
+};
+
+void
+router_init(router_t *router, uv_loop_t *loop, const topology_t *topology,
+            const decoder_port_t *decoder, str_t instance, str_t place)
+{
+    *router = (router_t){
+        .loop = loop,
+        .topology = topology,
+        .decoder = decoder,
+        .rng = rng_system(),
+        .key = member_key(instance),
+        .region = topology_region_of(topology, place),
+        .started_ms = uv_now(loop),
+        .living = 1,
+    };
+    name_set(&router->instance, instance);
+    name_set(&router->place, place);
+}
+
+static void
+apply_service_bounds(router_t *router, backend_t *backend)
+{
+    const config_service_t *service =
+        router->config != NULL ? config_service(router->config, name_str(&backend->info.service))
+                               : NULL;
+    if (service == NULL)
+        return;
+    const unsigned instances = router->peer_count > 0 ? (unsigned)router->peer_count : 1;
+    const size_t part = service->max_connections / instances;
+    wire_pool_set_max(backend->pool, part > 0 ? part : 1);
+}
+
+void
+router_take_config(router_t *router, const view_t *view)
+{
+    if (view->count == 0)
+        return;
+    const view_item_t *item = &view->items[0];
+    if (router->config != NULL && item->revision <= router->config->revision)
+        return;
+    err_t err = {0};
+    config_t *config = router->decoder->config((str_t){item->body, item->body_len}, &err);
+    if (config == NULL) {
+        LOG_ERR("configuration not usable: revision=%llu err=%s detail=%s",
+                (unsigned long long)item->revision, err_name(err.code), err.detail);
+        return;
+    }
+    config->revision = item->revision;
+    LOG_INFO("configuration in force: version=%s revision=%llu routes=%zu services=%zu",
+             config->version, (unsigned long long)config->revision, config->route_count,
+             config->service_count);
+    config_unref(router->config);
+    router->config = config;
+    for (size_t i = 0; i < router->backends.count; i++)
+        apply_service_bounds(router, router->backends.items[i]);
+}
+
+static void
+pace_cold(router_t *router, backend_t *backend, uint64_t now)
+{
+    const config_service_t *service =
+        router->config != NULL ? config_service(router->config, name_str(&backend->info.service))
+                               : NULL;
+    const double per_s = service != NULL ? service->cold_per_s : 1;
+    cold_start(backend, per_s > 0 ? per_s : 1e6, now);
+}
+
+static void
+take_backend(router_t *router, const view_item_t *item, uint64_t now)
+{
+    backend_t *known = backends_find(&router->backends, str_from(item->name));
+    if (known != NULL && known->revision == item->revision) {
+        known->unlist_at_ms = 0;
+        return;
+    }
+    backend_info_t info;
+    err_t err = {0};
+    if (!router->decoder->backend(str_from(item->name), (str_t){item->body, item->body_len}, &info,
+                                  &err)) {
+        LOG_WARN("upstream entry not usable: id=%s err=%s detail=%s", item->name,
+                 err_name(err.code), err.detail);
+        return;
+    }
+    const bool was_leaving = known != NULL && known->info.leaving;
+    const bool was_cold = known != NULL && backend_is_cold(known, now);
+    backend_t *backend =
+        backends_put(&router->backends, &info, router->topology, router->loop, now);
+    backend->revision = item->revision;
+    if (!was_cold)
+        pace_cold(router, backend, now);
+    if (known == NULL) {
+        apply_service_bounds(router, backend);
+        LOG_INFO("upstream known: id=%s service=%s zone=%s capacity=%u cold_ms=%u leaving=%d",
+                 info.id.ptr, info.service.ptr, info.zone.ptr, info.capacity, info.cold_ms,
+                 info.leaving);
+    } else if (info.leaving && !was_leaving) {
+        LOG_INFO("upstream leaving: id=%s revision=%llu", info.id.ptr,
+                 (unsigned long long)item->revision);
+    }
+}
+
+void
+router_take_backends(router_t *router, const view_t *view, uint64_t grace_ms)
+{
+    const uint64_t now = uv_now(router->loop);
+    for (size_t i = 0; i < view->count; i++)
+        take_backend(router, &view->items[i], now);
+    for (size_t i = 0; i < router->backends.count; i++) {
+        backend_t *backend = router->backends.items[i];
+        if (backend->unlist_at_ms != 0 || view_find(view, name_str(&backend->info.id)) != NULL)
+            continue;
+        backend->unlist_at_ms = now + grace_ms;
+        LOG_INFO("upstream not listed any more: id=%s grace_ms=%llu", backend->info.id.ptr,
+                 (unsigned long long)grace_ms);
+    }
+    backends_drop_unlisted(&router->backends, now);
+    router->backends_known = true;
+}
+
+/* Upstreams of a zone that opens again may have lost their memory meanwhile. */
+static void
+reopen(router_t *router, backend_t *backend, uint64_t now)
+{
+    const config_service_t *service =
+        router->config != NULL ? config_service(router->config, name_str(&backend->info.service))
+                               : NULL;
+    const uint64_t cold_ms = service != NULL ? service->cold_ms : 0;
+    if (now + cold_ms + COLD_MARGIN_MS > backend->cold_until_ms)
+        backend->cold_until_ms = now + cold_ms + COLD_MARGIN_MS;
+    pace_cold(router, backend, now);
+}
+
+void
+router_take_closures(router_t *router, const view_t *view)
+{
+    const uint64_t now = uv_now(router->loop);
+    for (size_t i = 0; i < router->backends.count; i++) {
+        backend_t *backend = router->backends.items[i];
+        const bool closed = view_find(view, name_str(&backend->info.zone)) != NULL;
+        if (backend->zone_closed && !closed)
+            reopen(router, backend, now);
+        if (backend->zone_closed != closed)
+            LOG_INFO("upstream's zone %s: id=%s zone=%s at=%llu", closed ? "closed" : "open",
+                     backend->info.id.ptr, backend->info.zone.ptr, (unsigned long long)view->at);
+        backend->zone_closed = closed;
+    }
+}
+
+router_service_t *
+router_service(router_t *router, str_t name)
+{
+    for (size_t i = 0; i < router->service_count; i++) {
+        if (name_eq(&router->services[i].name, name))
+            return &router->services[i];
+    }
+    if (router->services == NULL)
+        router->services = xcalloc(SERVICES_MAX, sizeof(*router->services));
+    if (router->service_count == SERVICES_MAX)
+        return NULL;
+    router_service_t *service = &router->services[router->service_count];
+    if (!name_set(&service->name, name))
+        return NULL;
+    router->service_count++;
+    return service;
+}
+
+static void
+update_demand(router_t *router, router_service_t *service)
+{
+    const uint64_t now = uv_now(router->loop);
+    const double age = (double)(now - service->demand_ms);
+    const double keep = exp(-age / DEMAND_TIME_MS);
+    service->demand = keep * service->demand + (1 - keep) * service->in_flight;
+    service->demand_ms = now;
+}
+
+static void
+update_plan(router_t *router, router_service_t *service, const members_t *members)
+{
+    const uint64_t now = uv_now(router->loop);
+    plan_input_t input = {0};
+    for (size_t i = 0; i < router->backends.count; i++) {
+        const backend_t *backend = router->backends.items[i];
+        if (backend->region < router->topology->region_count &&
+            name_eq(&backend->info.service, name_str(&service->name)) &&
+            backend_is_usable(backend, now))
+            input.room[backend->region] += backend->info.capacity;
+    }
+    for (size_t i = 0; i < router->topology->region_count; i++)
+        input.demand[i] = members_demand(members, name_str(&service->name), i, now);
+    plan_update(&service->plan, &input, router->topology->region_count, router->region, now);
+}
+
+void
+router_tick(router_t *router, const members_t *members)
+{
+    const uint64_t now = uv_now(router->loop);
+    const size_t peers_before = router->peer_count;
+    router->peer_count = members_cold_peers(members, router->peers, MEMBERS_MAX);
+    router->peers_settled = now - router->started_ms > SETTLED_AFTER_MS;
+    router->living = 0;
+    for (size_t i = 0; i < members->count; i++)
+        router->living += member_alive(&members->items[i], now);
+    for (size_t i = 0; i < router->service_count; i++) {
+        update_demand(router, &router->services[i]);
+        update_plan(router, &router->services[i], members);
+    }
+    backends_drop_unlisted(&router->backends, now);
+    if (router->peer_count != peers_before) {
+        for (size_t i = 0; i < router->backends.count; i++)
+            apply_service_bounds(router, router->backends.items[i]);
+    }
+}
+
+bool
+router_ready(const router_t *router)
+{
+    return router->config != NULL && router->backends_known;
+}
+
+str_t
+router_target(router_t *router, const config_route_t *route)
+{
+    double total = 0;
+    for (size_t i = 0; i < route->target_count; i++)
+        total += route->targets[i].weight;
+    double point = rng_unit(&router->rng) * total;
+    for (size_t i = 0; i < route->target_count; i++) {
+        point -= route->targets[i].weight;
+        if (point < 0)
+            return name_str(&route->targets[i].service);
+    }
+    return name_str(&route->targets[route->target_count - 1].service);
+}
+
+uint64_t
+router_object(router_t *router, const config_route_t *route, str_t object)
+{
+    if (!route->sticky || object.len == 0)
+        return rng_next(&router->rng);
+    return str_hash(object, OBJECT_SEED ^ route->key);
+}
+
+backend_t *
+router_pick(router_t *router, const config_route_t *route, router_service_t *service,
+            uint64_t object, backend_t *const *tried, size_t tried_count, choice_reason_t *reason)
+{
+    const uint64_t now = uv_now(router->loop);
+    const choice_input_t input = {
+        .backends = &router->backends,
+        .topology = router->topology,
+        .route = route,
+        .service = name_str(&service->name),
+        .plan = &service->plan,
+        .own_zone = name_str(&router->place),
+        .own_region = router->region,
+        .object = object,
+        .now_ms = now,
+        .own_key = router->key,
+        .peers = router->peers,
+        .peer_count = router->peer_count,
+        .peers_settled = router->peers_settled,
+        .tried = tried,
+        .tried_count = tried_count,
+    };
+    backend_t *backend = choice_pick(&input, reason);
+    if (backend != NULL && backend_is_cold(backend, now))
+        cold_take(backend, now);
+    return backend;
+}
+
+void
+router_begin(router_t *router, router_service_t *service, backend_t *backend)
+{
+    update_demand(router, service);
+    service->in_flight++;
+    backend->in_flight++;
+    backend->probing = backend->failures > 0 && backend->suspended_until_ms > 0;
+}
+
+void
+router_end(router_t *router, router_service_t *service, backend_t *backend)
+{
+    update_demand(router, service);
+    service->in_flight--;
+    backend->in_flight--;
+}
+
+static retry_terms_t
+retry_terms(const router_t *router)
+{
+    return (retry_terms_t){
+        .ratio = router->bounds.retry_ratio,
+        .constant = router->bounds.retry_constant,
+        .window_ms = router->bounds.retry_window_ms,
+        .instances = (unsigned)router->peer_count,
+    };
+}
+
+void
+router_count_request(router_t *router, router_service_t *service)
+{
+    const retry_terms_t terms = retry_terms(router);
+    retry_budget_request(&service->budget, &terms, uv_now(router->loop));
+}
+
+bool
+router_take_retry(router_t *router, router_service_t *service)
+{
+    const retry_terms_t terms = retry_terms(router);
+    return retry_budget_take(&service->budget, &terms, uv_now(router->loop));
+}
--- /dev/null
+++ b/gateway/router.h
@@ -0,0 +1,76 @@
+/*
+ * What requests are decided by: the configuration in force, the upstreams, the plans, the
+ * budgets. Answers the questions of the request path and knows nothing of connections to callers.
+ */
+#pragma once
+
+#include "base/rng.h"
+#include "gateway/backends.h"
+#include "gateway/choice.h"
+#include "gateway/members.h"
+#include "gateway/plan.h"
+#include "gateway/retry_budget.h"
+#include "gateway/views.h"
+
+typedef struct {
+    double retry_ratio;
+    double retry_constant;
+    uint64_t retry_window_ms;
+} router_bounds_t;
+
+typedef struct {
+    name_t name;
+    plan_t plan;
+    retry_budget_t budget;
+    uint32_t in_flight; /* attempts of this instance's callers */
+    double demand;      /* moving average of in_flight */
+    uint64_t demand_ms;
+} router_service_t;
+
+typedef struct {
+    uv_loop_t *loop;
+    const topology_t *topology;
+    const decoder_port_t *decoder;
+    router_bounds_t bounds;
+    name_t instance;
+    name_t place;
+    size_t region;
+    uint64_t key;
+    rng_t rng;
+    uint64_t started_ms;
+    config_t *config; /* NULL until one is known */
+    bool backends_known;
+    backends_t backends;
+    router_service_t *services;
+    size_t service_count;
+    cold_peer_t peers[MEMBERS_MAX];
+    size_t peer_count;
+    bool peers_settled;
+    unsigned living; /* instances, this one too */
+} router_t;
+
+void router_init(router_t *router, uv_loop_t *loop, const topology_t *topology,
+                 const decoder_port_t *decoder, str_t instance, str_t place);
+/* Take in what is newer in the views. `grace_ms` is how long an upstream that is gone from the
+ * list is still used: above 0 after trouble with the store, which may have lost entries. */
+void router_take_config(router_t *router, const view_t *view);
+void router_take_backends(router_t *router, const view_t *view, uint64_t grace_ms);
+void router_take_closures(router_t *router, const view_t *view);
+/* Regular work: plans, membership, upstreams that are gone. */
+void router_tick(router_t *router, const members_t *members);
+bool router_ready(const router_t *router);
+
+/* The state kept for a service; NULL if there are too many. */
+router_service_t *router_service(router_t *router, str_t name);
+/* The service that serves this request: one of the route's targets by weight. */
+str_t router_target(router_t *router, const config_route_t *route);
+/* The number by which a request's upstream is chosen: the object's hash, or random. */
+uint64_t router_object(router_t *router, const config_route_t *route, str_t object);
+backend_t *router_pick(router_t *router, const config_route_t *route, router_service_t *service,
+                       uint64_t object, backend_t *const *tried, size_t tried_count,
+                       choice_reason_t *reason);
+/* An attempt begins and ends at a backend. */
+void router_begin(router_t *router, router_service_t *service, backend_t *backend);
+void router_end(router_t *router, router_service_t *service, backend_t *backend);
+void router_count_request(router_t *router, router_service_t *service);
+bool router_take_retry(router_t *router, router_service_t *service);
--- /dev/null
+++ b/gateway/settings.c
@@ -0,0 +1,185 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cyaml/cyaml.h>
+
+#include "base/xmalloc.h"
+#include "gateway/settings.h"
+
+enum { TEXT_MAX = 255, MS_PER_S = 1000 };
+
+/* The file as libcyaml reads it; values are checked afterwards. */
+typedef struct {
+    char *place;
+    char *region;
+} raw_place_t;
+
+typedef struct {
+    char *name;
+    char *place;
+    char *callers;
+    char *readiness;
+    char *directory;
+    char *peer;
+    char *metrics;
+    char *store;
+    char **seeds;
+    unsigned seeds_count;
+    raw_place_t *places;
+    unsigned places_count;
+    double directory_ttl_s;
+    double grace_s;
+    double retry_ratio;
+    double retry_constant;
+    double retry_window_s;
+} raw_t;
+
+#define TEXT(key, flags)                                                                           \
+    CYAML_FIELD_STRING_PTR(#key, CYAML_FLAG_POINTER | (flags), raw_t, key, 0, TEXT_MAX)
+#define NUMBER(key) CYAML_FIELD_FLOAT(#key, CYAML_FLAG_DEFAULT, raw_t, key)
+
+static const cyaml_schema_value_t seed_schema = {
+    CYAML_VALUE_STRING(CYAML_FLAG_POINTER, char, 0, TEXT_MAX)};
+
+static const cyaml_schema_field_t place_fields[] = {
+    CYAML_FIELD_STRING_PTR("place", CYAML_FLAG_POINTER, raw_place_t, place, 0, TEXT_MAX),
+    CYAML_FIELD_STRING_PTR("region", CYAML_FLAG_POINTER, raw_place_t, region, 0, TEXT_MAX),
+    CYAML_FIELD_END};
+
+static const cyaml_schema_value_t place_schema = {
+    CYAML_VALUE_MAPPING(CYAML_FLAG_DEFAULT, raw_place_t, place_fields)};
+
+static const cyaml_schema_field_t fields[] = {
+    TEXT(name, 0),
+    TEXT(place, 0),
+    TEXT(callers, 0),
+    TEXT(readiness, 0),
+    TEXT(directory, 0),
+    TEXT(peer, 0),
+    TEXT(metrics, CYAML_FLAG_OPTIONAL),
+    TEXT(store, 0),
+    CYAML_FIELD_SEQUENCE("seeds", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, raw_t, seeds,
+                         &seed_schema, 0, SETTINGS_SEEDS),
+    CYAML_FIELD_SEQUENCE("places", CYAML_FLAG_POINTER, raw_t, places, &place_schema, 1,
+                         TOPOLOGY_PLACES_MAX),
+    NUMBER(directory_ttl_s),
+    NUMBER(grace_s),
+    NUMBER(retry_ratio),
+    NUMBER(retry_constant),
+    NUMBER(retry_window_s),
+    CYAML_FIELD_END};
+
+static const cyaml_schema_value_t schema = {CYAML_VALUE_MAPPING(CYAML_FLAG_POINTER, raw_t, fields)};
+
+static bool
+bad(err_t *err, const char *key, const char *value, const char *expected)
+{
+    err_set(err, ERR_INVALID, "%s: '%s': expected %s", key, value, expected);
+    return false;
+}
+
+static bool
+read_addr(const char *key, const char *text, addr_t *out, err_t *err)
+{
+    return addr_parse(str_from(text), out) || bad(err, key, text, "IP:PORT");
+}
+
+static bool
+read_name(const char *key, const char *text, name_t *out, err_t *err)
+{
+    return name_set(out, str_from(text)) || bad(err, key, text, "a name");
+}
+
+static bool
+read_number(const char *key, double value, double least, err_t *err)
+{
+    if (value >= least)
+        return true;
+    err_set(err, ERR_INVALID, "%s: '%g': expected at least %g", key, value, least);
+    return false;
+}
+
+static bool
+read_places(const raw_t *raw, gateway_settings_t *out, err_t *err)
+{
+    for (unsigned i = 0; i < raw->places_count; i++) {
+        const raw_place_t *place = &raw->places[i];
+        if (!topology_add(&out->topology, str_from(place->place), str_from(place->region)))
+            return bad(err, "places", place->place, "a name, and a region's name");
+    }
+    if (topology_region_of(&out->topology, name_str(&out->place)) == TOPOLOGY_NO_REGION)
+        return bad(err, "place", out->place.ptr, "one of places");
+    return true;
+}
+
+static bool
+read_seeds(const raw_t *raw, gateway_settings_t *out, err_t *err)
+{
+    for (unsigned i = 0; i < raw->seeds_count; i++) {
+        if (!read_addr("seeds", raw->seeds[i], &out->seeds[i], err))
+            return false;
+    }
+    out->seed_count = raw->seeds_count;
+    return true;
+}
+
+static bool
+check(const raw_t *raw, gateway_settings_t *out, err_t *err)
+{
+    *out = (gateway_settings_t){
+        .directory_ttl_s = raw->directory_ttl_s,
+        .grace_ms = (uint64_t)(raw->grace_s * MS_PER_S),
+        .retry_ratio = raw->retry_ratio,
+        .retry_constant = raw->retry_constant,
+        .retry_window_ms = (uint64_t)(raw->retry_window_s * MS_PER_S),
+        .has_metrics = raw->metrics != NULL,
+    };
+    if (raw->metrics != NULL && !read_addr("metrics", raw->metrics, &out->metrics, err))
+        return false;
+    return read_name("name", raw->name, &out->name, err) &&
+           read_name("place", raw->place, &out->place, err) &&
+           read_addr("callers", raw->callers, &out->callers, err) &&
+           read_addr("readiness", raw->readiness, &out->readiness, err) &&
+           read_addr("directory", raw->directory, &out->directory, err) &&
+           read_addr("peer", raw->peer, &out->peer, err) &&
+           read_addr("store", raw->store, &out->store, err) &&
+           read_number("directory_ttl_s", raw->directory_ttl_s, 0.1, err) &&
+           read_number("grace_s", raw->grace_s, 0, err) &&
+           read_number("retry_ratio", raw->retry_ratio, 0, err) &&
+           read_number("retry_constant", raw->retry_constant, 0, err) &&
+           read_number("retry_window_s", raw->retry_window_s, 1, err) && read_seeds(raw, out, err) &&
+           read_places(raw, out, err);
+}
+
+/* Keeps the library's first message: it names the key. */
+static void
+on_log(cyaml_log_t level, void *ctx, const char *fmt, va_list args)
+{
+    char *text = ctx;
+    if (level < CYAML_LOG_ERROR || text[0] != '\0')
+        return;
+    vsnprintf(text, TEXT_MAX, fmt, args);
+    text[strcspn(text, "\n")] = '\0';
+}
+
+bool
+gateway_settings_load(const char *path, gateway_settings_t *out, err_t *err)
+{
+    char message[TEXT_MAX] = "";
+    const cyaml_config_t config = {
+        .log_fn = on_log,
+        .log_ctx = message,
+        .log_level = CYAML_LOG_ERROR,
+        .mem_fn = cyaml_mem,
+    };
+    raw_t *raw = NULL;
+    const cyaml_err_t rc = cyaml_load_file(path, &config, &schema, (cyaml_data_t **)&raw, NULL);
+    if (rc != CYAML_OK) {
+        err_set(err, ERR_PARSE, "%s: %s: %s", path, cyaml_strerror(rc), message);
+        return false;
+    }
+    const bool valid = check(raw, out, err);
+    cyaml_free(&config, &schema, raw, 0);
+    return valid;
+}
--- /dev/null
+++ b/gateway/views.h
@@ -0,0 +1,42 @@
+/*
+ * A view: what this instance knows of one kind of the store's objects, and how old it is.
+ *
+ * `at` is the store's revision up to which the view is complete. A view only moves forward: a
+ * whole list replaces it if it is newer, changes are applied object by object. Two views with
+ * the same digest hold the same objects. Pure state: no input or output.
+ */
+#pragma once
+
+#include "gateway/ports.h"
+
+typedef struct {
+    char *name;
+    uint64_t revision;
+    char *body;
+    size_t body_len;
+} view_item_t;
+
+typedef struct {
+    uint64_t at;
+    bool known; /* a whole list was taken in once */
+    view_item_t *items; /* sorted by name */
+    size_t count;
+    size_t size;
+    uint64_t digest;
+} view_t;
+
+typedef enum {
+    VIEW_UNCHANGED, /* nothing new, though `at` may have risen */
+    VIEW_CHANGED,
+    VIEW_GAP, /* changes between are missing: ask for the whole view */
+} view_result_t;
+
+/* Takes in a whole list. */
+view_result_t view_replace(view_t *view, const store_item_t *items, size_t count, uint64_t at);
+/* Takes in the changes after `from` up to `at`. */
+view_result_t view_apply(view_t *view, const store_item_t *items, size_t count, uint64_t from,
+                         uint64_t at);
+/* Another view that is complete up to `at` has this digest: if it is ours, ours is as new. */
+void view_confirm(view_t *view, uint64_t digest, uint64_t at);
+const view_item_t *view_find(const view_t *view, str_t name);
+void view_free(view_t *view);
--- a/platform/client.c
+++ b/native/client.c
@@ -7,7 +7,7 @@
 #include "base/log.h"
 #include "base/xmalloc.h"
 #include "http/fetch.h"
-#include "platform/client.h"
+#include "native/client.h"
 
 enum {
     CONNECTIONS = 8,
--- a/peer/link.c
+++ b/peer/link.c
@@ -1,5 +1,8 @@
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #define LOG_MODULE "peer"
 #include "base/counter.h"
@@ -7,7 +10,13 @@
 #include "base/xmalloc.h"
 #include "peer/link.h"
 
-enum { HEADER_SIZE = 4, READ_CHUNK = 65536, BACKLOG = 256, INCOMING_MAX = 4096 };
+enum {
+    HEADER_SIZE = 4,
+    READ_CHUNK = 65536,
+    BACKLOG = 256,
+    INCOMING_MAX = 4096,
+    USER_TIMEOUT_MS = 1500, /* unacknowledged bytes break a connection after this time */
+};
 
 struct peer_conn {
     uv_tcp_t tcp;
@@ -17,6 +26,7 @@
     bool connected;
     bool closing;
     uint64_t used_ms;
+    uint64_t progress_ms; /* when output last moved, or began to wait */
     char *in;
     size_t in_len;
     size_t in_size;
@@ -83,6 +93,7 @@
     free(write->bytes);
     free(write);
     conn->writing = false;
+    conn->progress_ms = uv_now(conn->hub->loop);
     if (status != 0)
         close_conn(conn);
     else
@@ -118,6 +129,8 @@
         counter_add(conn->hub->dropped, 1);
         return;
     }
+    if (conn->out_len == 0 && !conn->writing)
+        conn->progress_ms = uv_now(conn->hub->loop);
     conn->out = xrealloc(conn->out, conn->out_len + HEADER_SIZE + len);
     uint8_t *at = (uint8_t *)conn->out + conn->out_len;
     at[0] = (uint8_t)(len >> 24);
@@ -224,7 +237,12 @@
         return;
     }
     conn->connected = true;
+    conn->progress_ms = uv_now(conn->hub->loop);
     uv_tcp_nodelay(&conn->tcp, 1);
+    uv_os_fd_t fd;
+    const int user_timeout = USER_TIMEOUT_MS;
+    if (uv_fileno((uv_handle_t *)&conn->tcp, &fd) == 0)
+        setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout, sizeof(user_timeout));
     uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
     flush(conn);
 }
@@ -344,3 +362,17 @@
         conn = next;
     }
 }
+
+void
+peer_hub_sweep_stalled(peer_hub_t *hub, uint64_t stalled_ms)
+{
+    const uint64_t now = uv_now(hub->loop);
+    peer_conn_t *conn = hub->outgoing;
+    while (conn != NULL) {
+        peer_conn_t *next = conn->next;
+        const bool waiting = conn->out_len > 0 || conn->writing || !conn->connected;
+        if (waiting && now - conn->progress_ms > stalled_ms)
+            close_conn(conn);
+        conn = next;
+    }
+}
--- a/peer/link.h
+++ b/peer/link.h
@@ -36,3 +36,5 @@
 void peer_reply(peer_conn_t *conn, const Iris__Envelope *message);
 /* Closes outgoing connections unused for `idle_ms`. */
 void peer_hub_sweep(peer_hub_t *hub, uint64_t idle_ms);
+/* Closes outgoing connections whose output has not moved for `stalled_ms`. */
+void peer_hub_sweep_stalled(peer_hub_t *hub, uint64_t stalled_ms);
--- a/peer/peer.pb-c.c
+++ b/peer/peer.pb-c.c
@@ -322,6 +322,276 @@
   assert(message->base.descriptor == &iris__borrow_answer__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   iris__view_state__init
+                     (Iris__ViewState         *message)
+{
+  static const Iris__ViewState init_value = IRIS__VIEW_STATE__INIT;
+  *message = init_value;
+}
+size_t iris__view_state__get_packed_size
+                     (const Iris__ViewState *message)
+{
+  assert(message->base.descriptor == &iris__view_state__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t iris__view_state__pack
+                     (const Iris__ViewState *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &iris__view_state__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t iris__view_state__pack_to_buffer
+                     (const Iris__ViewState *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &iris__view_state__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Iris__ViewState *
+       iris__view_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Iris__ViewState *)
+     protobuf_c_message_unpack (&iris__view_state__descriptor,
+                                allocator, len, data);
+}
+void   iris__view_state__free_unpacked
+                     (Iris__ViewState *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &iris__view_state__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   iris__demand__init
+                     (Iris__Demand         *message)
+{
+  static const Iris__Demand init_value = IRIS__DEMAND__INIT;
+  *message = init_value;
+}
+size_t iris__demand__get_packed_size
+                     (const Iris__Demand *message)
+{
+  assert(message->base.descriptor == &iris__demand__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t iris__demand__pack
+                     (const Iris__Demand *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &iris__demand__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t iris__demand__pack_to_buffer
+                     (const Iris__Demand *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &iris__demand__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Iris__Demand *
+       iris__demand__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Iris__Demand *)
+     protobuf_c_message_unpack (&iris__demand__descriptor,
+                                allocator, len, data);
+}
+void   iris__demand__free_unpacked
+                     (Iris__Demand *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &iris__demand__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   iris__gateway_heartbeat__init
+                     (Iris__GatewayHeartbeat         *message)
+{
+  static const Iris__GatewayHeartbeat init_value = IRIS__GATEWAY_HEARTBEAT__INIT;
+  *message = init_value;
+}
+size_t iris__gateway_heartbeat__get_packed_size
+                     (const Iris__GatewayHeartbeat *message)
+{
+  assert(message->base.descriptor == &iris__gateway_heartbeat__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t iris__gateway_heartbeat__pack
+                     (const Iris__GatewayHeartbeat *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &iris__gateway_heartbeat__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t iris__gateway_heartbeat__pack_to_buffer
+                     (const Iris__GatewayHeartbeat *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &iris__gateway_heartbeat__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Iris__GatewayHeartbeat *
+       iris__gateway_heartbeat__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Iris__GatewayHeartbeat *)
+     protobuf_c_message_unpack (&iris__gateway_heartbeat__descriptor,
+                                allocator, len, data);
+}
+void   iris__gateway_heartbeat__free_unpacked
+                     (Iris__GatewayHeartbeat *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &iris__gateway_heartbeat__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   iris__view_item__init
+                     (Iris__ViewItem         *message)
+{
+  static const Iris__ViewItem init_value = IRIS__VIEW_ITEM__INIT;
+  *message = init_value;
+}
+size_t iris__view_item__get_packed_size
+                     (const Iris__ViewItem *message)
+{
+  assert(message->base.descriptor == &iris__view_item__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t iris__view_item__pack
+                     (const Iris__ViewItem *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &iris__view_item__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t iris__view_item__pack_to_buffer
+                     (const Iris__ViewItem *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &iris__view_item__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Iris__ViewItem *
+       iris__view_item__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Iris__ViewItem *)
+     protobuf_c_message_unpack (&iris__view_item__descriptor,
+                                allocator, len, data);
+}
+void   iris__view_item__free_unpacked
+                     (Iris__ViewItem *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &iris__view_item__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   iris__view_update__init
+                     (Iris__ViewUpdate         *message)
+{
+  static const Iris__ViewUpdate init_value = IRIS__VIEW_UPDATE__INIT;
+  *message = init_value;
+}
+size_t iris__view_update__get_packed_size
+                     (const Iris__ViewUpdate *message)
+{
+  assert(message->base.descriptor == &iris__view_update__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t iris__view_update__pack
+                     (const Iris__ViewUpdate *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &iris__view_update__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t iris__view_update__pack_to_buffer
+                     (const Iris__ViewUpdate *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &iris__view_update__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Iris__ViewUpdate *
+       iris__view_update__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Iris__ViewUpdate *)
+     protobuf_c_message_unpack (&iris__view_update__descriptor,
+                                allocator, len, data);
+}
+void   iris__view_update__free_unpacked
+                     (Iris__ViewUpdate *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &iris__view_update__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   iris__view_request__init
+                     (Iris__ViewRequest         *message)
+{
+  static const Iris__ViewRequest init_value = IRIS__VIEW_REQUEST__INIT;
+  *message = init_value;
+}
+size_t iris__view_request__get_packed_size
+                     (const Iris__ViewRequest *message)
+{
+  assert(message->base.descriptor == &iris__view_request__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t iris__view_request__pack
+                     (const Iris__ViewRequest *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &iris__view_request__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t iris__view_request__pack_to_buffer
+                     (const Iris__ViewRequest *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &iris__view_request__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Iris__ViewRequest *
+       iris__view_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Iris__ViewRequest *)
+     protobuf_c_message_unpack (&iris__view_request__descriptor,
+                                allocator, len, data);
+}
+void   iris__view_request__free_unpacked
+                     (Iris__ViewRequest *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &iris__view_request__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   iris__envelope__init
                      (Iris__Envelope         *message)
 {
@@ -977,103 +1247,656 @@
   (ProtobufCMessageInit) iris__borrow_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor iris__envelope__field_descriptors[6] =
+static const ProtobufCFieldDescriptor iris__view_state__field_descriptors[3] =
 {
   {
-    "schema",
+    "at",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Iris__Envelope, schema),
+    offsetof(Iris__ViewState, at),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "heartbeat",
+    "digest",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Iris__Envelope, body_case),
-    offsetof(Iris__Envelope, heartbeat),
-    &iris__heartbeat__descriptor,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Iris__ViewState, digest),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "versions",
+    "known",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Iris__Envelope, body_case),
-    offsetof(Iris__Envelope, versions),
-    &iris__version_list__descriptor,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Iris__ViewState, known),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "push",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Iris__Envelope, body_case),
-    offsetof(Iris__Envelope, push),
-    &iris__object_push__descriptor,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned iris__view_state__field_indices_by_name[] = {
+  0,   /* field[0] = at */
+  1,   /* field[1] = digest */
+  2,   /* field[2] = known */
+};
+static const ProtobufCIntRange iris__view_state__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor iris__view_state__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "iris.ViewState",
+  "ViewState",
+  "Iris__ViewState",
+  "iris",
+  sizeof(Iris__ViewState),
+  3,
+  iris__view_state__field_descriptors,
+  iris__view_state__field_indices_by_name,
+  1,  iris__view_state__number_ranges,
+  (ProtobufCMessageInit) iris__view_state__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor iris__demand__field_descriptors[2] =
+{
   {
-    "borrow",
-    5,
+    "service",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Iris__Envelope, body_case),
-    offsetof(Iris__Envelope, borrow),
-    &iris__borrow_request__descriptor,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Iris__Demand, service),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    &protobuf_c_empty_string,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "lend",
-    6,
+    "slots",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Iris__Envelope, body_case),
-    offsetof(Iris__Envelope, lend),
-    &iris__borrow_answer__descriptor,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Iris__Demand, slots),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned iris__envelope__field_indices_by_name[] = {
-  4,   /* field[4] = borrow */
-  1,   /* field[1] = heartbeat */
-  5,   /* field[5] = lend */
-  3,   /* field[3] = push */
-  0,   /* field[0] = schema */
-  2,   /* field[2] = versions */
+static const unsigned iris__demand__field_indices_by_name[] = {
+  0,   /* field[0] = service */
+  1,   /* field[1] = slots */
 };
-static const ProtobufCIntRange iris__envelope__number_ranges[1 + 1] =
+static const ProtobufCIntRange iris__demand__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor iris__envelope__descriptor =
+const ProtobufCMessageDescriptor iris__demand__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "iris.Envelope",
-  "Envelope",
-  "Iris__Envelope",
+  "iris.Demand",
+  "Demand",
+  "Iris__Demand",
   "iris",
-  sizeof(Iris__Envelope),
-  6,
+  sizeof(Iris__Demand),
+  2,
+  iris__demand__field_descriptors,
+  iris__demand__field_indices_by_name,
+  1,  iris__demand__number_ranges,
+  (ProtobufCMessageInit) iris__demand__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor iris__gateway_heartbeat__field_descriptors[12] =
+{
+  {
+    "instance",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Iris__GatewayHeartbeat, instance),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "place",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Iris__GatewayHeartbeat, place),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Iris__GatewayHeartbeat, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "peer_address",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Iris__GatewayHeartbeat, peer_address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "caller_address",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Iris__GatewayHeartbeat, caller_address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ready",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Iris__GatewayHeartbeat, ready),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Iris__GatewayHeartbeat, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "store_age_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Iris__GatewayHeartbeat, store_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "store_trouble",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Iris__GatewayHeartbeat, store_trouble),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "views",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Iris__GatewayHeartbeat, n_views),
+    offsetof(Iris__GatewayHeartbeat, views),
+    &iris__view_state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "demands",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Iris__GatewayHeartbeat, n_demands),
+    offsetof(Iris__GatewayHeartbeat, demands),
+    &iris__demand__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "peers",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Iris__GatewayHeartbeat, n_peers),
+    offsetof(Iris__GatewayHeartbeat, peers),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned iris__gateway_heartbeat__field_indices_by_name[] = {
+  4,   /* field[4] = caller_address */
+  10,   /* field[10] = demands */
+  2,   /* field[2] = incarnation */
+  0,   /* field[0] = instance */
+  6,   /* field[6] = leaving */
+  3,   /* field[3] = peer_address */
+  11,   /* field[11] = peers */
+  1,   /* field[1] = place */
+  5,   /* field[5] = ready */
+  7,   /* field[7] = store_age_ms */
+  8,   /* field[8] = store_trouble */
+  9,   /* field[9] = views */
+};
+static const ProtobufCIntRange iris__gateway_heartbeat__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 12 }
+};
+const ProtobufCMessageDescriptor iris__gateway_heartbeat__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "iris.GatewayHeartbeat",
+  "GatewayHeartbeat",
+  "Iris__GatewayHeartbeat",
+  "iris",
+  sizeof(Iris__GatewayHeartbeat),
+  12,
+  iris__gateway_heartbeat__field_descriptors,
+  iris__gateway_heartbeat__field_indices_by_name,
+  1,  iris__gateway_heartbeat__number_ranges,
+  (ProtobufCMessageInit) iris__gateway_heartbeat__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor iris__view_item__field_descriptors[4] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Iris__ViewItem, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Iris__ViewItem, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gone",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Iris__ViewItem, gone),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Iris__ViewItem, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned iris__view_item__field_indices_by_name[] = {
+  3,   /* field[3] = body */
+  2,   /* field[2] = gone */
+  0,   /* field[0] = name */
+  1,   /* field[1] = revision */
+};
+static const ProtobufCIntRange iris__view_item__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor iris__view_item__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "iris.ViewItem",
+  "ViewItem",
+  "Iris__ViewItem",
+  "iris",
+  sizeof(Iris__ViewItem),
+  4,
+  iris__view_item__field_descriptors,
+  iris__view_item__field_indices_by_name,
+  1,  iris__view_item__number_ranges,
+  (ProtobufCMessageInit) iris__view_item__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor iris__view_update__field_descriptors[6] =
+{
+  {
+    "kind",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Iris__ViewUpdate, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "from",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Iris__ViewUpdate, from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "at",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Iris__ViewUpdate, at),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "whole",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Iris__ViewUpdate, whole),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "items",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Iris__ViewUpdate, n_items),
+    offsetof(Iris__ViewUpdate, items),
+    &iris__view_item__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "base_digest",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Iris__ViewUpdate, base_digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned iris__view_update__field_indices_by_name[] = {
+  2,   /* field[2] = at */
+  5,   /* field[5] = base_digest */
+  1,   /* field[1] = from */
+  4,   /* field[4] = items */
+  0,   /* field[0] = kind */
+  3,   /* field[3] = whole */
+};
+static const ProtobufCIntRange iris__view_update__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor iris__view_update__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "iris.ViewUpdate",
+  "ViewUpdate",
+  "Iris__ViewUpdate",
+  "iris",
+  sizeof(Iris__ViewUpdate),
+  6,
+  iris__view_update__field_descriptors,
+  iris__view_update__field_indices_by_name,
+  1,  iris__view_update__number_ranges,
+  (ProtobufCMessageInit) iris__view_update__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor iris__view_request__field_descriptors[1] =
+{
+  {
+    "kind",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Iris__ViewRequest, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned iris__view_request__field_indices_by_name[] = {
+  0,   /* field[0] = kind */
+};
+static const ProtobufCIntRange iris__view_request__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor iris__view_request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "iris.ViewRequest",
+  "ViewRequest",
+  "Iris__ViewRequest",
+  "iris",
+  sizeof(Iris__ViewRequest),
+  1,
+  iris__view_request__field_descriptors,
+  iris__view_request__field_indices_by_name,
+  1,  iris__view_request__number_ranges,
+  (ProtobufCMessageInit) iris__view_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor iris__envelope__field_descriptors[9] =
+{
+  {
+    "schema",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Iris__Envelope, schema),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "heartbeat",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Iris__Envelope, body_case),
+    offsetof(Iris__Envelope, heartbeat),
+    &iris__heartbeat__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "versions",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Iris__Envelope, body_case),
+    offsetof(Iris__Envelope, versions),
+    &iris__version_list__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "push",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Iris__Envelope, body_case),
+    offsetof(Iris__Envelope, push),
+    &iris__object_push__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "borrow",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Iris__Envelope, body_case),
+    offsetof(Iris__Envelope, borrow),
+    &iris__borrow_request__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lend",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Iris__Envelope, body_case),
+    offsetof(Iris__Envelope, lend),
+    &iris__borrow_answer__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gateway",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Iris__Envelope, body_case),
+    offsetof(Iris__Envelope, gateway),
+    &iris__gateway_heartbeat__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "view_update",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Iris__Envelope, body_case),
+    offsetof(Iris__Envelope, view_update),
+    &iris__view_update__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "view_request",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Iris__Envelope, body_case),
+    offsetof(Iris__Envelope, view_request),
+    &iris__view_request__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned iris__envelope__field_indices_by_name[] = {
+  4,   /* field[4] = borrow */
+  6,   /* field[6] = gateway */
+  1,   /* field[1] = heartbeat */
+  5,   /* field[5] = lend */
+  3,   /* field[3] = push */
+  0,   /* field[0] = schema */
+  2,   /* field[2] = versions */
+  8,   /* field[8] = view_request */
+  7,   /* field[7] = view_update */
+};
+static const ProtobufCIntRange iris__envelope__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor iris__envelope__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "iris.Envelope",
+  "Envelope",
+  "Iris__Envelope",
+  "iris",
+  sizeof(Iris__Envelope),
+  9,
   iris__envelope__field_descriptors,
   iris__envelope__field_indices_by_name,
   1,  iris__envelope__number_ranges,
--- a/peer/peer.pb-c.h
+++ b/peer/peer.pb-c.h
@@ -22,6 +22,12 @@
 typedef struct Iris__ObjectPush Iris__ObjectPush;
 typedef struct Iris__BorrowRequest Iris__BorrowRequest;
 typedef struct Iris__BorrowAnswer Iris__BorrowAnswer;
+typedef struct Iris__ViewState Iris__ViewState;
+typedef struct Iris__Demand Iris__Demand;
+typedef struct Iris__GatewayHeartbeat Iris__GatewayHeartbeat;
+typedef struct Iris__ViewItem Iris__ViewItem;
+typedef struct Iris__ViewUpdate Iris__ViewUpdate;
+typedef struct Iris__ViewRequest Iris__ViewRequest;
 typedef struct Iris__Envelope Iris__Envelope;
 typedef struct Iris__BlockChunk Iris__BlockChunk;
 
@@ -155,13 +161,132 @@
     , (char *)protobuf_c_empty_string, 0, 0 }
 
 
+/*
+ * One kind of the store's objects as an instance of the gateway knows it.
+ */
+struct  Iris__ViewState
+{
+  ProtobufCMessage base;
+  /*
+   * the store's revision up to which it is complete
+   */
+  uint64_t at;
+  uint64_t digest;
+  protobuf_c_boolean known;
+};
+#define IRIS__VIEW_STATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&iris__view_state__descriptor) \
+    , 0, 0, 0 }
+
+
+/*
+ * Slots of one service that the callers of an instance keep busy.
+ */
+struct  Iris__Demand
+{
+  ProtobufCMessage base;
+  char *service;
+  float slots;
+};
+#define IRIS__DEMAND__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&iris__demand__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * The state of one gateway instance, sent several times a second to the others.
+ */
+struct  Iris__GatewayHeartbeat
+{
+  ProtobufCMessage base;
+  char *instance;
+  char *place;
+  uint64_t incarnation;
+  char *peer_address;
+  char *caller_address;
+  /*
+   * may be named to callers
+   */
+  protobuf_c_boolean ready;
+  protobuf_c_boolean leaving;
+  /*
+   * since the store last answered it; 0xffffffff if it does not follow it
+   */
+  uint32_t store_age_ms;
+  /*
+   * the store failed it within the last seconds
+   */
+  protobuf_c_boolean store_trouble;
+  size_t n_views;
+  Iris__ViewState **views;
+  size_t n_demands;
+  Iris__Demand **demands;
+  /*
+   * addresses of instances it knows, from time to time
+   */
+  size_t n_peers;
+  char **peers;
+};
+#define IRIS__GATEWAY_HEARTBEAT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&iris__gateway_heartbeat__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL }
+
+
+struct  Iris__ViewItem
+{
+  ProtobufCMessage base;
+  char *name;
+  uint64_t revision;
+  protobuf_c_boolean gone;
+  ProtobufCBinaryData body;
+};
+#define IRIS__VIEW_ITEM__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&iris__view_item__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, {0,NULL} }
+
+
+/*
+ * Changes of a view after `from` up to `at`, or the whole view.
+ */
+struct  Iris__ViewUpdate
+{
+  ProtobufCMessage base;
+  uint32_t kind;
+  uint64_t from;
+  uint64_t at;
+  protobuf_c_boolean whole;
+  size_t n_items;
+  Iris__ViewItem **items;
+  /*
+   * of the view before these changes
+   */
+  uint64_t base_digest;
+};
+#define IRIS__VIEW_UPDATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&iris__view_update__descriptor) \
+    , 0, 0, 0, 0, 0,NULL, 0 }
+
+
+struct  Iris__ViewRequest
+{
+  ProtobufCMessage base;
+  uint32_t kind;
+};
+#define IRIS__VIEW_REQUEST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&iris__view_request__descriptor) \
+    , 0 }
+
+
 typedef enum {
   IRIS__ENVELOPE__BODY__NOT_SET = 0,
   IRIS__ENVELOPE__BODY_HEARTBEAT = 2,
   IRIS__ENVELOPE__BODY_VERSIONS = 3,
   IRIS__ENVELOPE__BODY_PUSH = 4,
   IRIS__ENVELOPE__BODY_BORROW = 5,
-  IRIS__ENVELOPE__BODY_LEND = 6
+  IRIS__ENVELOPE__BODY_LEND = 6,
+  IRIS__ENVELOPE__BODY_GATEWAY = 7,
+  IRIS__ENVELOPE__BODY_VIEW_UPDATE = 8,
+  IRIS__ENVELOPE__BODY_VIEW_REQUEST = 9
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(IRIS__ENVELOPE__BODY__CASE)
 } Iris__Envelope__BodyCase;
 
@@ -176,6 +301,9 @@
     Iris__ObjectPush *push;
     Iris__BorrowRequest *borrow;
     Iris__BorrowAnswer *lend;
+    Iris__GatewayHeartbeat *gateway;
+    Iris__ViewUpdate *view_update;
+    Iris__ViewRequest *view_request;
   };
 };
 #define IRIS__ENVELOPE__INIT \
@@ -344,6 +472,120 @@
 void   iris__borrow_answer__free_unpacked
                      (Iris__BorrowAnswer *message,
                       ProtobufCAllocator *allocator);
+/* Iris__ViewState methods */
+void   iris__view_state__init
+                     (Iris__ViewState         *message);
+size_t iris__view_state__get_packed_size
+                     (const Iris__ViewState   *message);
+size_t iris__view_state__pack
+                     (const Iris__ViewState   *message,
+                      uint8_t             *out);
+size_t iris__view_state__pack_to_buffer
+                     (const Iris__ViewState   *message,
+                      ProtobufCBuffer     *buffer);
+Iris__ViewState *
+       iris__view_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   iris__view_state__free_unpacked
+                     (Iris__ViewState *message,
+                      ProtobufCAllocator *allocator);
+/* Iris__Demand methods */
+void   iris__demand__init
+                     (Iris__Demand         *message);
+size_t iris__demand__get_packed_size
+                     (const Iris__Demand   *message);
+size_t iris__demand__pack
+                     (const Iris__Demand   *message,
+                      uint8_t             *out);
+size_t iris__demand__pack_to_buffer
+                     (const Iris__Demand   *message,
+                      ProtobufCBuffer     *buffer);
+Iris__Demand *
+       iris__demand__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   iris__demand__free_unpacked
+                     (Iris__Demand *message,
+                      ProtobufCAllocator *allocator);
+/* Iris__GatewayHeartbeat methods */
+void   iris__gateway_heartbeat__init
+                     (Iris__GatewayHeartbeat         *message);
+size_t iris__gateway_heartbeat__get_packed_size
+                     (const Iris__GatewayHeartbeat   *message);
+size_t iris__gateway_heartbeat__pack
+                     (const Iris__GatewayHeartbeat   *message,
+                      uint8_t             *out);
+size_t iris__gateway_heartbeat__pack_to_buffer
+                     (const Iris__GatewayHeartbeat   *message,
+                      ProtobufCBuffer     *buffer);
+Iris__GatewayHeartbeat *
+       iris__gateway_heartbeat__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   iris__gateway_heartbeat__free_unpacked
+                     (Iris__GatewayHeartbeat *message,
+                      ProtobufCAllocator *allocator);
+/* Iris__ViewItem methods */
+void   iris__view_item__init
+                     (Iris__ViewItem         *message);
+size_t iris__view_item__get_packed_size
+                     (const Iris__ViewItem   *message);
+size_t iris__view_item__pack
+                     (const Iris__ViewItem   *message,
+                      uint8_t             *out);
+size_t iris__view_item__pack_to_buffer
+                     (const Iris__ViewItem   *message,
+                      ProtobufCBuffer     *buffer);
+Iris__ViewItem *
+       iris__view_item__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   iris__view_item__free_unpacked
+                     (Iris__ViewItem *message,
+                      ProtobufCAllocator *allocator);
+/* Iris__ViewUpdate methods */
+void   iris__view_update__init
+                     (Iris__ViewUpdate         *message);
+size_t iris__view_update__get_packed_size
+                     (const Iris__ViewUpdate   *message);
+size_t iris__view_update__pack
+                     (const Iris__ViewUpdate   *message,
+                      uint8_t             *out);
+size_t iris__view_update__pack_to_buffer
+                     (const Iris__ViewUpdate   *message,
+                      ProtobufCBuffer     *buffer);
+Iris__ViewUpdate *
+       iris__view_update__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   iris__view_update__free_unpacked
+                     (Iris__ViewUpdate *message,
+                      ProtobufCAllocator *allocator);
+/* Iris__ViewRequest methods */
+void   iris__view_request__init
+                     (Iris__ViewRequest         *message);
+size_t iris__view_request__get_packed_size
+                     (const Iris__ViewRequest   *message);
+size_t iris__view_request__pack
+                     (const Iris__ViewRequest   *message,
+                      uint8_t             *out);
+size_t iris__view_request__pack_to_buffer
+                     (const Iris__ViewRequest   *message,
+                      ProtobufCBuffer     *buffer);
+Iris__ViewRequest *
+       iris__view_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   iris__view_request__free_unpacked
+                     (Iris__ViewRequest *message,
+                      ProtobufCAllocator *allocator);
 /* Iris__Envelope methods */
 void   iris__envelope__init
                      (Iris__Envelope         *message);
@@ -405,6 +647,24 @@
 typedef void (*Iris__BorrowAnswer_Closure)
                  (const Iris__BorrowAnswer *message,
                   void *closure_data);
+typedef void (*Iris__ViewState_Closure)
+                 (const Iris__ViewState *message,
+                  void *closure_data);
+typedef void (*Iris__Demand_Closure)
+                 (const Iris__Demand *message,
+                  void *closure_data);
+typedef void (*Iris__GatewayHeartbeat_Closure)
+                 (const Iris__GatewayHeartbeat *message,
+                  void *closure_data);
+typedef void (*Iris__ViewItem_Closure)
+                 (const Iris__ViewItem *message,
+                  void *closure_data);
+typedef void (*Iris__ViewUpdate_Closure)
+                 (const Iris__ViewUpdate *message,
+                  void *closure_data);
+typedef void (*Iris__ViewRequest_Closure)
+                 (const Iris__ViewRequest *message,
+                  void *closure_data);
 typedef void (*Iris__Envelope_Closure)
                  (const Iris__Envelope *message,
                   void *closure_data);
@@ -424,6 +684,12 @@
 extern const ProtobufCMessageDescriptor iris__object_push__descriptor;
 extern const ProtobufCMessageDescriptor iris__borrow_request__descriptor;
 extern const ProtobufCMessageDescriptor iris__borrow_answer__descriptor;
+extern const ProtobufCMessageDescriptor iris__view_state__descriptor;
+extern const ProtobufCMessageDescriptor iris__demand__descriptor;
+extern const ProtobufCMessageDescriptor iris__gateway_heartbeat__descriptor;
+extern const ProtobufCMessageDescriptor iris__view_item__descriptor;
+extern const ProtobufCMessageDescriptor iris__view_update__descriptor;
+extern const ProtobufCMessageDescriptor iris__view_request__descriptor;
 extern const ProtobufCMessageDescriptor iris__envelope__descriptor;
 extern const ProtobufCMessageDescriptor iris__block_chunk__descriptor;
 
--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -2,7 +2,7 @@
 # Installs what building, testing and linting need, on Debian; does nothing where all is there.
 set -eu
 PACKAGES="build-essential pkg-config meson ninja-build libuv1-dev libh2o-dev libprotobuf-c-dev
-liblog4c-dev check libcyaml-dev libyaml-dev libjansson-dev libxxhash-dev libssl-dev zlib1g-dev
+liblog4c-dev check libcyaml-dev libyaml-dev libjansson-dev libxxhash-dev libhttp-parser-dev libssl-dev zlib1g-dev
 curl jq gawk clang-format clang-tidy scdoc"
 missing=""
 for package in $PACKAGES; do
--- /dev/null
+++ b/wire/client.h
@@ -0,0 +1,71 @@
+/*
+ * HTTP/1.1 calls to numeric addresses over kept connections, with the http-parser library.
+ *
+ * The end of a call tells what the other side can have seen: before WIRE_SENT no byte of the
+ * request was handed to a connection, so the request has certainly not run. Bytes after a whole
+ * answer close the connection; an answer that belongs to another request is skipped, and the
+ * connection is not used again.
+ */
+#pragma once
+
+#include <uv.h>
+
+#include "base/addr.h"
+#include "base/error.h"
+#include "wire/head.h"
+
+typedef struct wire_pool wire_pool_t;
+typedef struct wire_call wire_call_t;
+
+typedef enum {
+    WIRE_UNSENT,   /* nothing was sent */
+    WIRE_SENT,     /* bytes may have gone out */
+    WIRE_HEAD,     /* the answer's head has arrived */
+    WIRE_COMPLETE, /* the answer is whole */
+} wire_stage_t;
+
+typedef struct {
+    wire_stage_t stage;
+    err_t err;      /* ERR_NONE when whole */
+    bool unframed;  /* whole only because the connection ended */
+} wire_end_t;
+
+typedef struct {
+    /* True if the answer belongs to this call; optional. */
+    bool (*matches)(void *ctx, const wire_head_t *head);
+    /* `content_length` is below 0 when unknown. */
+    void (*on_head)(void *ctx, const wire_head_t *head, int64_t content_length);
+    void (*on_data)(void *ctx, const char *ptr, size_t len);
+    void (*on_end)(void *ctx, const wire_end_t *end); /* last; the call is gone after it */
+} wire_call_cbs_t;
+
+typedef struct {
+    char *request; /* head and body from malloc; the call frees it */
+    size_t request_len;
+    uint64_t connect_timeout_ms;
+    uint64_t timeout_ms;  /* for the whole call; 0 leaves it to the caller */
+    uint64_t idle_max_ms; /* a kept connection that has rested longer is not used */
+    bool head_method;     /* the request's method is HEAD */
+} wire_call_conf_t;
+
+wire_pool_t *wire_pool_new(uv_loop_t *loop, const addr_t *addr, size_t max_connections);
+/* Closes idle connections; the pool is freed once its calls have ended. */
+void wire_pool_free(wire_pool_t *pool);
+void wire_pool_set_max(wire_pool_t *pool, size_t max_connections);
+size_t wire_pool_idle(const wire_pool_t *pool);
+size_t wire_pool_busy(const wire_pool_t *pool);
+/* Connections opened so far. */
+uint64_t wire_pool_opened(const wire_pool_t *pool);
+const addr_t *wire_pool_addr(const wire_pool_t *pool);
+/* Closes idle connections that have rested for `idle_ms`. */
+void wire_pool_sweep(wire_pool_t *pool, uint64_t idle_ms);
+
+/* The callbacks are never called before wire_call_start() has returned. */
+wire_call_t *wire_call_start(wire_pool_t *pool, const wire_call_conf_t *conf,
+                             const wire_call_cbs_t *cbs, void *ctx);
+/* Ends the call without on_end and closes its connection. */
+void wire_call_cancel(wire_call_t *call);
+/* Stops and restarts reading of the answer, for back-pressure. */
+void wire_call_pause(wire_call_t *call);
+void wire_call_resume(wire_call_t *call);
+wire_stage_t wire_call_stage(const wire_call_t *call);
--- /dev/null
+++ b/wire/fetch.h
@@ -0,0 +1,24 @@
+/* Small calls whose whole answer is collected in memory. */
+#pragma once
+
+#include "wire/client.h"
+
+typedef struct {
+    err_t err; /* ERR_NONE when the answer is whole */
+    int status;
+    str_t body; /* valid during the callback */
+} wire_answer_t;
+
+typedef void (*wire_fetch_cb_t)(void *ctx, const wire_answer_t *answer);
+
+typedef struct {
+    const char *method;
+    const char *target;
+    str_t body;
+    uint64_t timeout_ms;
+    size_t max_body;
+    bool fresh; /* never on a kept connection */
+} wire_fetch_conf_t;
+
+/* The callback is never called before wire_fetch() has returned. */
+void wire_fetch(wire_pool_t *pool, const wire_fetch_conf_t *conf, wire_fetch_cb_t cb, void *ctx);
--- /dev/null
+++ b/wire/head.c
@@ -0,0 +1,227 @@
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include <http_parser.h>
+
+#include "base/xmalloc.h"
+#include "wire/head.h"
+
+enum { TEXT_START = 512, FIELDS_START = 16 };
+
+void
+wire_head_reset(wire_head_t *head)
+{
+    head->len = 0;
+    head->target_len = 0;
+    head->field_count = 0;
+    head->in_value = false;
+    head->too_large = false;
+    head->status = 0;
+}
+
+void
+wire_head_free(wire_head_t *head)
+{
+    free(head->text);
+    free(head->fields);
+    *head = (wire_head_t){0};
+}
+
+static void
+append(wire_head_t *head, const char *ptr, size_t len)
+{
+    if (head->len + len > head->size) {
+        size_t size = head->size > 0 ? head->size : TEXT_START;
+        while (size < head->len + len)
+            size *= 2;
+        head->text = xrealloc(head->text, size);
+        head->size = size;
+    }
+    memcpy(head->text + head->len, ptr, len);
+    head->len += len;
+}
+
+void
+wire_head_add_target(wire_head_t *head, const char *ptr, size_t len)
+{
+    append(head, ptr, len);
+    head->target_len += (uint32_t)len;
+}
+
+static wire_field_t *
+new_field(wire_head_t *head)
+{
+    if (head->field_count == WIRE_HEADERS_MAX) {
+        head->too_large = true;
+        return NULL;
+    }
+    if (head->field_count == head->field_size) {
+        head->field_size = head->field_size > 0 ? head->field_size * 2 : FIELDS_START;
+        head->fields = xrealloc(head->fields, head->field_size * sizeof(*head->fields));
+    }
+    wire_field_t *field = &head->fields[head->field_count++];
+    *field = (wire_field_t){.name_at = (uint32_t)head->len, .value_at = (uint32_t)head->len};
+    return field;
+}
+
+void
+wire_head_add_name(wire_head_t *head, const char *ptr, size_t len)
+{
+    if (head->too_large)
+        return;
+    if ((head->field_count == 0 || head->in_value) && new_field(head) == NULL)
+        return;
+    head->in_value = false;
+    append(head, ptr, len);
+    wire_field_t *field = &head->fields[head->field_count - 1];
+    field->name_len += (uint32_t)len;
+    field->value_at = (uint32_t)head->len;
+}
+
+void
+wire_head_add_value(wire_head_t *head, const char *ptr, size_t len)
+{
+    if (head->too_large || head->field_count == 0)
+        return;
+    head->in_value = true;
+    append(head, ptr, len);
+    head->fields[head->field_count - 1].value_len += (uint32_t)len;
+}
+
+str_t
+wire_head_target(const wire_head_t *head)
+{
+    return (str_t){head->text, head->target_len};
+}
+
+str_t
+wire_head_path(const wire_head_t *head)
+{
+    const char *query =
+        head->target_len > 0 ? memchr(head->text, '?', head->target_len) : NULL;
+    return (str_t){head->text, query != NULL ? (size_t)(query - head->text) : head->target_len};
+}
+
+str_t
+wire_head_query(const wire_head_t *head, str_t name)
+{
+    const str_t path = wire_head_path(head);
+    const char *at = head->text + path.len;
+    const char *const end = head->text + head->target_len;
+    while (at < end) {
+        at++; /* '?' or '&' */
+        const char *stop = memchr(at, '&', (size_t)(end - at));
+        if (stop == NULL)
+            stop = end;
+        const char *equals = memchr(at, '=', (size_t)(stop - at));
+        if (equals != NULL && str_eq((str_t){at, (size_t)(equals - at)}, name))
+            return (str_t){equals + 1, (size_t)(stop - equals - 1)};
+        at = stop;
+    }
+    return STR("");
+}
+
+str_t
+wire_head_name(const wire_head_t *head, size_t index)
+{
+    const wire_field_t *field = &head->fields[index];
+    return (str_t){head->text + field->name_at, field->name_len};
+}
+
+str_t
+wire_head_value(const wire_head_t *head, size_t index)
+{
+    const wire_field_t *field = &head->fields[index];
+    return (str_t){head->text + field->value_at, field->value_len};
+}
+
+bool
+wire_str_case_eq(str_t a, str_t b)
+{
+    return a.len == b.len && strncasecmp(a.ptr, b.ptr, a.len) == 0;
+}
+
+str_t
+wire_head_find(const wire_head_t *head, str_t name)
+{
+    for (size_t i = 0; i < head->field_count; i++) {
+        if (wire_str_case_eq(wire_head_name(head, i), name))
+            return wire_head_value(head, i);
+    }
+    return STR("");
+}
+
+bool
+wire_is_hop_field(str_t name)
+{
+    static const str_t hop[] = {
+        {"connection", 10}, {"keep-alive", 10}, {"proxy-connection", 16},
+        {"te", 2},          {"trailer", 7},     {"transfer-encoding", 17},
+        {"upgrade", 7},     {"expect", 6},      {"content-length", 14},
+    };
+    for (size_t i = 0; i < ALEN(hop); i++) {
+        if (wire_str_case_eq(name, hop[i]))
+            return true;
+    }
+    return false;
+}
+
+void
+wire_text_add(wire_text_t *text, const char *ptr, size_t len)
+{
+    if (text->len + len + 1 > text->size) {
+        size_t size = text->size > 0 ? text->size : TEXT_START;
+        while (size < text->len + len + 1)
+            size *= 2;
+        text->ptr = xrealloc(text->ptr, size);
+        text->size = size;
+    }
+    if (len > 0)
+        memcpy(text->ptr + text->len, ptr, len);
+    text->len += len;
+    text->ptr[text->len] = '\0';
+}
+
+void
+wire_text_str(wire_text_t *text, str_t s)
+{
+    wire_text_add(text, s.ptr, s.len);
+}
+
+void
+wire_text_printf(wire_text_t *text, const char *fmt, ...)
+{
+    char buf[512];
+    va_list args;
+    va_start(args, fmt);
+    const int n = vsnprintf(buf, sizeof(buf), fmt, args);
+    va_end(args);
+    xassert(n >= 0 && (size_t)n < sizeof(buf));
+    wire_text_add(text, buf, (size_t)n);
+}
+
+void
+wire_text_field(wire_text_t *text, str_t name, str_t value)
+{
+    wire_text_str(text, name);
+    wire_text_add(text, ": ", 2);
+    wire_text_str(text, value);
+    wire_text_add(text, "\r\n", 2);
+}
+
+const char *
+wire_reason(int status)
+{
+    switch (status) {
+#define REASON(num, name, string)                                                                  \
+    case num:                                                                                      \
+        return #string;
+        HTTP_STATUS_MAP(REASON)
+#undef REASON
+    default:
+        return "Unknown";
+    }
+}
--- /dev/null
+++ b/wire/head.h
@@ -0,0 +1,73 @@
+/*
+ * The head of an HTTP/1.1 message: start line and header fields, owned in one buffer.
+ *
+ * Filled by the parser callbacks of listener.c and client.c, which may deliver a field in pieces.
+ */
+#pragma once
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/str.h"
+
+enum { WIRE_HEADERS_MAX = 100 };
+
+typedef struct {
+    uint32_t name_at;
+    uint32_t name_len;
+    uint32_t value_at;
+    uint32_t value_len;
+} wire_field_t;
+
+typedef struct {
+    char *text; /* target, then names and values one after the other */
+    size_t len;
+    size_t size;
+    uint32_t target_len; /* the target starts at 0 */
+    wire_field_t *fields;
+    size_t field_count;
+    size_t field_size;
+    bool in_value; /* the last piece was part of a value */
+    bool too_large;
+    unsigned method; /* enum http_method of the parser library */
+    int status;
+} wire_head_t;
+
+/* Forgets the message and keeps the buffers. */
+void wire_head_reset(wire_head_t *head);
+void wire_head_free(wire_head_t *head);
+
+void wire_head_add_target(wire_head_t *head, const char *ptr, size_t len);
+void wire_head_add_name(wire_head_t *head, const char *ptr, size_t len);
+void wire_head_add_value(wire_head_t *head, const char *ptr, size_t len);
+
+str_t wire_head_target(const wire_head_t *head);
+/* The target without its query. */
+str_t wire_head_path(const wire_head_t *head);
+/* The raw value of a query parameter, empty if absent. */
+str_t wire_head_query(const wire_head_t *head, str_t name);
+str_t wire_head_name(const wire_head_t *head, size_t index);
+str_t wire_head_value(const wire_head_t *head, size_t index);
+/* The value of the first field of that name in any case, empty if absent. */
+str_t wire_head_find(const wire_head_t *head, str_t name);
+/* True for fields that concern one connection only (connection, keep-alive, ...) or the framing. */
+bool wire_is_hop_field(str_t name);
+
+/* A growing text with a bound on nothing but memory; used to build heads. */
+typedef struct {
+    char *ptr;
+    size_t len;
+    size_t size;
+} wire_text_t;
+
+void wire_text_add(wire_text_t *text, const char *ptr, size_t len);
+void wire_text_str(wire_text_t *text, str_t s);
+void wire_text_printf(wire_text_t *text, const char *fmt, ...)
+    __attribute__((format(printf, 2, 3)));
+/* Appends "name: value\r\n". */
+void wire_text_field(wire_text_t *text, str_t name, str_t value);
+
+bool wire_str_case_eq(str_t a, str_t b);
+/* The standard reason phrase of a status. */
+const char *wire_reason(int status);
