Two replicas an object, waits bounded by the aim

Cause: under high load requests went to any upstream with room; they ran cold there, pushed other objects out of its memory and kept every slot busy: a collapse that did not end. Change: an object has two upstreams a region; a request waits at the one expected to end within 0.8 of its aim, or is refused. Answers without a length are passed on without one, and reset if cut. Ruled out: queueing bounded by load alone (1.6 to 2.2 slots), the state before.

--- a/gateway/backends.c
+++ b/gateway/backends.c
@@ -143,12 +143,14 @@
 }
 
 void
-backend_answered(backend_t *backend, double latency_ms)
+backend_answered(backend_t *backend, double latency_ms, bool waited)
 {
     backend->probing = false;
     backend->failures = 0;
     backend->suspended_until_ms = 0;
-    if (backend->latency_ms == 0)
-        backend->latency_ms = latency_ms;
-    backend->latency_ms += LATENCY_GAIN * (latency_ms - backend->latency_ms);
+    if (waited && backend->work_ms > 0)
+        return;
+    if (backend->work_ms == 0)
+        backend->work_ms = latency_ms;
+    backend->work_ms += LATENCY_GAIN * (latency_ms - backend->work_ms);
 }
--- a/gateway/backends.h
+++ b/gateway/backends.h
@@ -30,7 +30,7 @@
     unsigned failures; /* in a row */
     uint64_t suspended_until_ms;
     bool probing;      /* the one request after a suspension is under way */
-    double latency_ms; /* moving average of whole answers */
+    double work_ms; /* moving average of answers that did not have to wait there */
 } backend_t;
 
 typedef struct {
@@ -59,4 +59,5 @@
 bool backend_is_usable(const backend_t *backend, uint64_t now_ms);
 /* No answer, or none of the protocol: it is left alone for a time that doubles. */
 void backend_failed(backend_t *backend, uint64_t now_ms);
-void backend_answered(backend_t *backend, double latency_ms);
+/* `waited` tells that its slots were all taken when the request was sent. */
+void backend_answered(backend_t *backend, double latency_ms, bool waited);
--- a/gateway/choice.c
+++ b/gateway/choice.c
@@ -2,13 +2,18 @@
 
 #include "gateway/choice.h"
 
-/* Load, in slots, up to which an upstream takes requests without waiting. */
-#define LOAD_FREE 1.0
-/* Load up to which requests may wait there, by urgency. */
-#define LOAD_WAIT_URGENT 2.2
-#define LOAD_WAIT 1.6
-
-enum { URGENT_PRIORITY = 1, CANDIDATES_MAX = 512 };
+/* Room kept free for urgent requests, as a share of an upstream's slots. */
+#define RESERVED_SHARE 0.1
+/* A request may wait at an upstream if it is still expected to end within this share of its aim. */
+#define AIM_SHARE 0.8
+/* The most load, in slots, that may be made to wait there. */
+#define LOAD_MAX 2.0
+
+enum {
+    URGENT_PRIORITY = 1,
+    CANDIDATES_MAX = 512,
+    REPLICAS = 2, /* upstreams of a region that share an object */
+};
 
 typedef struct {
     backend_t *backend;
@@ -81,50 +86,50 @@
     return !area->own_zone_only || name_eq(&backend->info.zone, input->own_zone);
 }
 
-/* The best-scored candidate of an area with room; `first` tells if it is the very first. */
-static backend_t *
-first_with_room(const choice_input_t *input, const candidate_t *candidates, size_t count,
-                const area_t *area, bool *first)
+/* The object's replicas in an area, the first in its order first; returns their number. */
+static size_t
+find_replicas(const choice_input_t *input, const candidate_t *candidates, size_t count,
+              const area_t *area, candidate_t out[REPLICAS])
 {
-    const candidate_t *best = NULL;
-    double top = 0;
+    size_t found = 0;
     for (size_t i = 0; i < count; i++) {
-        const candidate_t *candidate = &candidates[i];
-        if (!in_area(input, candidate->backend, area))
+        if (!in_area(input, candidates[i].backend, area))
             continue;
-        if (candidate->score > top)
-            top = candidate->score;
-        const double load = backend_load(candidate->backend, input->now_ms);
-        if (load + 1 > LOAD_FREE * candidate->backend->info.capacity)
+        size_t at = found;
+        while (at > 0 && out[at - 1].score < candidates[i].score)
+            at--;
+        if (at == REPLICAS)
             continue;
-        if (best == NULL || candidate->score > best->score)
-            best = candidate;
+        if (found < REPLICAS)
+            found++;
+        for (size_t k = found - 1; k > at; k--)
+            out[k] = out[k - 1];
+        out[at] = candidates[i];
     }
-    *first = best != NULL && best->score >= top;
-    return best != NULL ? best->backend : NULL;
+    return found;
 }
 
-/* The least loaded candidate of a region that may still queue one more. */
-static backend_t *
-shortest_queue(const choice_input_t *input, const candidate_t *candidates, size_t count,
-               size_t region)
+static bool
+has_room(const choice_input_t *input, const backend_t *backend)
 {
-    const double bound =
-        input->route->priority <= URGENT_PRIORITY ? LOAD_WAIT_URGENT : LOAD_WAIT;
-    backend_t *best = NULL;
-    double least = bound;
-    for (size_t i = 0; i < count; i++) {
-        backend_t *backend = candidates[i].backend;
-        if (region != TOPOLOGY_NO_REGION && backend->region != region)
-            continue;
-        const double load =
-            (backend_load(backend, input->now_ms) + 1) / backend->info.capacity;
-        if (load < least) {
-            least = load;
-            best = backend;
-        }
-    }
-    return best;
+    const double slots = backend->info.capacity;
+    const double reserved = input->route->priority <= URGENT_PRIORITY ? 0 : RESERVED_SHARE * slots;
+    return backend_load(backend, input->now_ms) + 1 <= slots - reserved;
+}
+
+/* Expected time until a request sent now would be answered, in milliseconds. */
+static double
+expected_ms(const choice_input_t *input, const backend_t *backend)
+{
+    const double load = (backend_load(backend, input->now_ms) + 1) / backend->info.capacity;
+    return backend->work_ms * (load > 1 ? load : 1);
+}
+
+static bool
+may_wait(const choice_input_t *input, const backend_t *backend)
+{
+    const double load = (backend_load(backend, input->now_ms) + 1) / backend->info.capacity;
+    return load <= LOAD_MAX && expected_ms(input, backend) <= AIM_SHARE * input->route->aim_ms;
 }
 
 static size_t
@@ -147,33 +152,42 @@
     return count;
 }
 
+static backend_t *
+pick_free(const choice_input_t *input, const candidate_t *replicas, size_t count, size_t area,
+          choice_reason_t *reason)
+{
+    for (size_t i = 0; i < count; i++) {
+        if (!has_room(input, replicas[i].backend))
+            continue;
+        *reason = area > 0 ? CHOICE_ELSEWHERE : i > 0 ? CHOICE_LATER : CHOICE_FIRST;
+        return replicas[i].backend;
+    }
+    return NULL;
+}
+
 backend_t *
 choice_pick(const choice_input_t *input, choice_reason_t *reason)
 {
     static candidate_t candidates[CANDIDATES_MAX];
     area_t areas[TOPOLOGY_REGIONS_MAX + 2];
+    candidate_t replicas[REPLICAS];
+    backend_t *waiting = NULL;
     const size_t count = collect(input, candidates);
-    *reason = CHOICE_NONE;
-    if (count == 0)
-        return NULL;
     const size_t area_count = list_areas(input, areas);
     for (size_t i = 0; i < area_count; i++) {
-        bool first;
-        backend_t *backend = first_with_room(input, candidates, count, &areas[i], &first);
-        if (backend == NULL)
-            continue;
-        *reason = areas[i].region != areas[0].region ? CHOICE_ELSEWHERE
-                  : first && i == 0                  ? CHOICE_FIRST
-                                                     : CHOICE_LATER;
-        return backend;
+        const size_t found = find_replicas(input, candidates, count, &areas[i], replicas);
+        backend_t *backend = pick_free(input, replicas, found, i, reason);
+        if (backend != NULL)
+            return backend;
+        for (size_t k = 0; k < found; k++) {
+            backend_t *other = replicas[k].backend;
+            if (may_wait(input, other) &&
+                (waiting == NULL || expected_ms(input, other) < expected_ms(input, waiting)))
+                waiting = other;
+        }
     }
-    *reason = CHOICE_QUEUED;
-    backend_t *backend = shortest_queue(input, candidates, count, areas[0].region);
-    if (backend == NULL)
-        backend = shortest_queue(input, candidates, count, TOPOLOGY_NO_REGION);
-    if (backend == NULL)
-        *reason = CHOICE_FULL;
-    return backend;
+    *reason = waiting != NULL ? CHOICE_QUEUED : count > 0 ? CHOICE_FULL : CHOICE_NONE;
+    return waiting;
 }
 
 const char *
--- a/gateway/choice.h
+++ b/gateway/choice.h
@@ -2,8 +2,11 @@
  * Which upstream a request goes to.
  *
  * Requests about one object go to the same few upstreams, which have it in memory: weighted
- * rendezvous hashing within a region, the first in that order that has room (bounded load). The
- * region is the plan's for the object. Large answers stay in the caller's zone, then its region.
+ * rendezvous hashing within a region, the first of the object's replicas there that has room
+ * (bounded load). The region is the plan's for the object, then the caller's, then the others.
+ * Further upstreams are not used: they would work on the object for longer and forget others for
+ * it, which makes an overload worse. If no replica has room, the request waits at the one that is
+ * expected to end within its aim, or is refused. Large answers stay in the caller's region.
  * All instances make the same choice from the same list. Pure but for the cold upstreams' buckets.
  */
 #pragma once
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -267,7 +267,8 @@
 {
     const int status = ex->status;
     if (!ex->streaming) {
-        ex->length = (int64_t)ex->body.len;
+        if (ex->length != WIRE_UNTIL_CLOSE)
+            ex->length = (int64_t)ex->body.len;
         start_streaming(ex);
     }
     log_end(ex, status, status < 500 ? "answered" : "upstream failed");
@@ -281,7 +282,7 @@
 {
     switch (ex->verdict) {
     case VERDICT_ANSWER:
-        backend_answered(backend, (double)(now_ms(ex) - ex->sent_ms));
+        backend_answered(backend, (double)(now_ms(ex) - ex->sent_ms), ex->reason == CHOICE_QUEUED);
         if (is_failure_worth_retry(ex)) {
             ex->unknown = true;
             if (may_send_again(ex)) {
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -20,7 +20,7 @@
     SWEEP_IDLE_MS = 9000,         /* idle upstream connections are closed */
     STOP_LISTEN_MS = 2000,        /* a stopping instance still accepts for this time */
     STOP_LEAST_MS = 2400,         /* and stays this long at least */
-    STOP_LAST_MS = 200,           /* it ends this long before it would be killed */
+    STOP_LAST_MS = 600,           /* it ends this long before it would be killed */
     ANNOUNCE_RETRY_MS = 2000,
     SMALL_HEAD_MAX = 8192,
     SMALL_CONNECTIONS_MAX = 512,
--- a/wire/client.c
+++ b/wire/client.c
@@ -195,6 +195,18 @@
     return 0;
 }
 
+static int64_t
+body_length(const http_parser *parser, bool head_method)
+{
+    if (head_method || parser->status_code == HTTP_STATUS_NO_CONTENT ||
+        parser->status_code == HTTP_STATUS_NOT_MODIFIED)
+        return 0;
+    if ((parser->flags & F_CHUNKED) != 0)
+        return WIRE_CHUNKED;
+    return parser->content_length != UINT64_MAX ? (int64_t)parser->content_length
+                                                : WIRE_UNTIL_CLOSE;
+}
+
 static int
 on_head_done(http_parser *parser)
 {
@@ -212,10 +224,7 @@
     }
     conn->keep_ms = keep_alive_ms(&conn->head);
     call->end.stage = WIRE_HEAD;
-    const bool known = parser->content_length != UINT64_MAX || call->conf.head_method;
-    const int64_t length = !known || (parser->flags & F_CHUNKED) != 0 ? -1
-                           : call->conf.head_method ? 0
-                                                    : (int64_t)parser->content_length;
+    const int64_t length = body_length(parser, call->conf.head_method);
     call->cbs.on_head(call->ctx, &conn->head, length);
     if (conn->call == NULL)
         return -1;
--- a/wire/client.h
+++ b/wire/client.h
@@ -33,8 +33,8 @@
 typedef struct {
     /* True if the answer belongs to this call; optional. */
     bool (*matches)(void *ctx, const wire_head_t *head);
-    /* `content_length` is below 0 when unknown. */
-    void (*on_head)(void *ctx, const wire_head_t *head, int64_t content_length);
+    /* `length` of the body, or WIRE_CHUNKED or WIRE_UNTIL_CLOSE. */
+    void (*on_head)(void *ctx, const wire_head_t *head, int64_t length);
     void (*on_data)(void *ctx, const char *ptr, size_t len);
     void (*on_end)(void *ctx, const wire_end_t *end); /* last; the call is gone after it */
 } wire_call_cbs_t;
--- a/wire/head.h
+++ b/wire/head.h
@@ -11,7 +11,12 @@
 
 #include "base/str.h"
 
-enum { WIRE_HEADERS_MAX = 100 };
+enum {
+    WIRE_HEADERS_MAX = 100,
+    /* Lengths of a body that are not told beforehand. */
+    WIRE_CHUNKED = -1,
+    WIRE_UNTIL_CLOSE = -2, /* ends with its connection */
+};
 
 typedef struct {
     uint32_t name_at;
--- a/wire/listener.c
+++ b/wire/listener.c
@@ -60,6 +60,7 @@
     bool keep;        /* the connection goes on after this answer */
     bool started;
     bool chunked;
+    bool until_close; /* the answer ends with the connection */
     bool head_only; /* HEAD: no body */
     bool dead;
     bool whole; /* the parser has the whole request */
@@ -88,18 +89,34 @@
 }
 
 static void
-close_conn(conn_t *conn)
+forget_conn(conn_t *conn)
 {
-    if (conn->dead)
-        return;
     conn->dead = true;
     *conn->slot = conn->next;
     if (conn->next != NULL)
         conn->next->slot = conn->slot;
     conn->listener->conn_count--;
+}
+
+static void
+close_conn(conn_t *conn)
+{
+    if (conn->dead)
+        return;
+    forget_conn(conn);
     uv_close((uv_handle_t *)&conn->tcp, on_conn_closed);
 }
 
+static void
+reset_conn(conn_t *conn)
+{
+    if (conn->dead)
+        return;
+    forget_conn(conn);
+    if (uv_tcp_close_reset(&conn->tcp, on_conn_closed) != 0)
+        uv_close((uv_handle_t *)&conn->tcp, on_conn_closed);
+}
+
 /* The caller has left or the connection broke. */
 static void
 lose_conn(conn_t *conn)
@@ -223,20 +240,19 @@
 }
 
 void
-wire_respond_head(wire_request_t *req, int status, str_t fields, int64_t content_length)
+wire_respond_head(wire_request_t *req, int status, str_t fields, int64_t length)
 {
     conn_t *conn = (conn_t *)req;
     xassert(conn->state == STATE_ANSWERING && !conn->started);
     conn->started = true;
-    if (conn->listener->draining)
-        conn->keep = false;
-    conn->chunked = content_length < 0 && conn->parser.http_minor >= 1;
-    if (content_length < 0 && !conn->chunked)
+    conn->chunked = length == WIRE_CHUNKED && conn->parser.http_minor >= 1;
+    conn->until_close = length < 0 && !conn->chunked;
+    if (conn->listener->draining || conn->until_close)
         conn->keep = false;
     wire_text_printf(&conn->out, "HTTP/1.1 %d %s\r\n", status, wire_reason(status));
     wire_text_str(&conn->out, fields);
-    if (content_length >= 0)
-        wire_text_printf(&conn->out, "Content-Length: %lld\r\n", (long long)content_length);
+    if (length >= 0)
+        wire_text_printf(&conn->out, "Content-Length: %lld\r\n", (long long)length);
     else if (conn->chunked)
         wire_text_str(&conn->out, STR("Transfer-Encoding: chunked\r\n"));
     wire_text_str(&conn->out, conn->keep ? STR("\r\n") : STR("Connection: close\r\n\r\n"));
@@ -285,7 +301,10 @@
     conn_t *conn = (conn_t *)req;
     conn->req.on_gone = NULL;
     flush(conn);
-    close_conn(conn);
+    if (conn->until_close)
+        reset_conn(conn); /* an ordinary close would make the answer look whole */
+    else
+        close_conn(conn);
 }
 
 void
--- a/wire/listener.h
+++ b/wire/listener.h
@@ -57,8 +57,9 @@
 /* Closes the connections on which no request is waiting. */
 void wire_listener_close_idle(wire_listener_t *listener);
 
-/* Starts an answer. `fields` are whole header lines; `content_length` below 0 means unknown. */
-void wire_respond_head(wire_request_t *req, int status, str_t fields, int64_t content_length);
+/* Starts an answer. `fields` are whole header lines; `length` may be WIRE_CHUNKED or
+ * WIRE_UNTIL_CLOSE. */
+void wire_respond_head(wire_request_t *req, int status, str_t fields, int64_t length);
 void wire_respond_data(wire_request_t *req, const char *ptr, size_t len);
 /* Hands what is buffered to the socket. */
 void wire_respond_flush(wire_request_t *req);
