Later replicas only while lightly loaded; retry hint 400 ms

Cause: in the cold phase requests that found their first replica full ran cold at the second one and took its slots from its own objects, so that the phase lasted 14 s. Change: a later replica takes requests up to 0.6 of its slots.

--- a/gateway/choice.c
+++ b/gateway/choice.c
@@ -4,6 +4,9 @@
 
 /* Room kept free for urgent requests, as a share of an upstream's slots. */
 #define RESERVED_SHARE 0.1
+/* Share of its slots up to which an upstream takes requests for which it is not the first: they
+ * run longer there, and its own objects come first. */
+#define LATER_SHARE 0.6
 /* A request may wait at an upstream if it is still expected to end within this share of its aim. */
 #define AIM_SHARE 0.8
 /* The most load, in slots, that may be made to wait there. */
@@ -109,12 +112,17 @@
     return found;
 }
 
+/* `rank` is the replica's place in the object's order over all areas. */
 static bool
-has_room(const choice_input_t *input, const backend_t *backend)
+has_room(const choice_input_t *input, const backend_t *backend, size_t rank)
 {
     const double slots = backend->info.capacity;
-    const double reserved = input->route->priority <= URGENT_PRIORITY ? 0 : RESERVED_SHARE * slots;
-    return backend_load(backend, input->now_ms) + 1 <= slots - reserved;
+    double usable = slots;
+    if (rank > 0)
+        usable = LATER_SHARE * slots;
+    else if (input->route->priority > URGENT_PRIORITY)
+        usable = (1 - RESERVED_SHARE) * slots;
+    return backend_load(backend, input->now_ms) + 1 <= usable;
 }
 
 /* Expected time until a request sent now would be answered, in milliseconds. */
@@ -152,42 +160,33 @@
     return count;
 }
 
-static backend_t *
-pick_free(const choice_input_t *input, const candidate_t *replicas, size_t count, size_t area,
-          choice_reason_t *reason)
-{
-    for (size_t i = 0; i < count; i++) {
-        if (!has_room(input, replicas[i].backend))
-            continue;
-        *reason = area > 0 ? CHOICE_ELSEWHERE : i > 0 ? CHOICE_LATER : CHOICE_FIRST;
-        return replicas[i].backend;
-    }
-    return NULL;
-}
-
 backend_t *
 choice_pick(const choice_input_t *input, choice_reason_t *reason)
 {
     static candidate_t candidates[CANDIDATES_MAX];
     area_t areas[TOPOLOGY_REGIONS_MAX + 2];
     candidate_t replicas[REPLICAS];
-    backend_t *waiting = NULL;
     const size_t count = collect(input, candidates);
     const size_t area_count = list_areas(input, areas);
+    size_t rank = 0;
+    *reason = CHOICE_FULL;
     for (size_t i = 0; i < area_count; i++) {
         const size_t found = find_replicas(input, candidates, count, &areas[i], replicas);
-        backend_t *backend = pick_free(input, replicas, found, i, reason);
-        if (backend != NULL)
+        for (size_t k = 0; k < found; k++, rank++) {
+            backend_t *backend = replicas[k].backend;
+            const bool room = has_room(input, backend, rank);
+            if (!room && !may_wait(input, backend))
+                continue;
+            *reason = !room ? CHOICE_QUEUED
+                      : i > 0 ? CHOICE_ELSEWHERE
+                      : k > 0 ? CHOICE_LATER
+                              : CHOICE_FIRST;
             return backend;
-        for (size_t k = 0; k < found; k++) {
-            backend_t *other = replicas[k].backend;
-            if (may_wait(input, other) &&
-                (waiting == NULL || expected_ms(input, other) < expected_ms(input, waiting)))
-                waiting = other;
         }
     }
-    *reason = waiting != NULL ? CHOICE_QUEUED : count > 0 ? CHOICE_FULL : CHOICE_NONE;
-    return waiting;
+    if (count == 0)
+        *reason = CHOICE_NONE;
+    return NULL;
 }
 
 const char *
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -18,7 +18,7 @@
     BACKLOG_MAX = 262144,        /* unsent bytes to a caller that stop the reading of more */
     RETRY_LEFT_MIN_MS = 60,      /* time that a further attempt must have */
     GIVE_UP_MARGIN_MS = 15,      /* before the caller's deadline, for the answer's way back */
-    RETRY_AFTER_MS = 250,
+    RETRY_AFTER_MS = 400,
     DEFAULT_TIMEOUT_MS = 30000,
     LOG_EVERY = 64,              /* of the requests that went without trouble */
 };
