Plan of regions: peak demand, equal use under overload; spill limited; grace only after a whole outage

Causes: (1) SHIFT broken in calm times: overload spilled to other regions without a bound while upstreams were cold, and stopped when they were warm. (2) DRAIN broken: upstreams gone from the list were kept 2.2 s although the store had only turned some instances away. (3) the weak region refused half of its requests: demand counted only what was admitted, and a plan without spare room elsewhere kept everything at home. Ruled out: a fast symmetric plan (moved objects run cold where they go).

--- a/gateway/choice.c
+++ b/gateway/choice.c
@@ -172,13 +172,16 @@
     *reason = CHOICE_FULL;
     for (size_t i = 0; i < area_count; i++) {
         const size_t found = find_replicas(input, candidates, count, &areas[i], replicas);
+        const bool spills = areas[i].region != areas[0].region && rank > 0;
+        if (spills && !input->may_spill)
+            break;
         for (size_t k = 0; k < found; k++, rank++) {
             backend_t *backend = replicas[k].backend;
             const bool room = has_room(input, backend, rank);
             if (!room && !may_wait(input, backend))
                 continue;
-            *reason = !room ? CHOICE_QUEUED
-                      : i > 0 ? CHOICE_ELSEWHERE
+            *reason = spills  ? CHOICE_ELSEWHERE
+                      : !room ? CHOICE_QUEUED
                       : k > 0 ? CHOICE_LATER
                               : CHOICE_FIRST;
             return backend;
--- a/gateway/choice.h
+++ b/gateway/choice.h
@@ -43,6 +43,7 @@
     bool peers_settled; /* the list of peers can be relied on */
     backend_t *const *tried;
     size_t tried_count;
+    bool may_spill; /* to a region that is not the planned one, if that has no room */
 } choice_input_t;
 
 backend_t *choice_pick(const choice_input_t *input, choice_reason_t *reason);
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -282,6 +282,7 @@
 {
     switch (ex->verdict) {
     case VERDICT_ANSWER:
+        router_answered(ex->service, (double)(now_ms(ex) - ex->sent_ms));
         backend_answered(backend, (double)(now_ms(ex) - ex->sent_ms), ex->reason == CHOICE_QUEUED);
         if (is_failure_worth_retry(ex)) {
             ex->unknown = true;
@@ -378,6 +379,7 @@
     backend_t *backend = router_pick(router, ex->route, ex->service, ex->object, ex->tried,
                                      ex->tried_count, &ex->reason);
     if (backend == NULL) {
+        router_refused(router, ex->service);
         answer_not_run(ex, ex->reason == CHOICE_FULL ? "no room" : "no upstream");
         return;
     }
--- a/gateway/plan.c
+++ b/gateway/plan.c
@@ -3,12 +3,23 @@
 
 #include "gateway/plan.h"
 
-/* Use of the own region's slots above which requests go elsewhere. */
-#define PLAN_TARGET_USE 0.65
-/* Use of all slots assumed before any demand was measured, spread evenly over the regions. */
-#define PLAN_FIRST_USE 0.4
-/* The most of the mix that moves in a second. */
-#define PLAN_STEP_PER_S 0.03
+/* Use of the own region's slots, at the highest demand lately seen, above which requests go
+ * elsewhere. */
+#define PLAN_TARGET_USE 0.55
+/* Use of all slots assumed before any demand was measured, spread evenly over the regions: high,
+ * since upstreams that have no object in memory yet work on each request for longer. */
+#define PLAN_FIRST_USE 0.7
+/* The most of the mix that moves away in a second, comes back, and moves when room was lost. */
+#define PLAN_AWAY_PER_S 0.03
+#define PLAN_BACK_PER_S 0.004
+#define PLAN_LOST_PER_S 0.25
+/* A distance from the target below which nothing moves: a moved object is cold where it goes. */
+#define PLAN_DEAD_BAND 0.08
+/* Time constant with which a past peak of the demand is forgotten. */
+#define PLAN_PEAK_MS 40000.0
+/* Loss of a region's room, as a share, that counts as sudden. */
+#define PLAN_LOSS 0.15
+enum { PLAN_LOST_MS = 4000 };
 #define MS_PER_S 1000.0
 
 static double
@@ -22,35 +33,51 @@
 
 /* Where the shares should be, leaving out how they are. */
 static void
-target_shares(const plan_input_t *input, size_t count, size_t own, double *target)
+target_shares(const plan_input_t *input, const double *peak, size_t count, size_t own,
+              double *target)
 {
     double demand[TOPOLOGY_REGIONS_MAX];
     const double all_room = sum(input->room, count);
-    const double measured = sum(input->demand, count);
     memset(target, 0, sizeof(double) * TOPOLOGY_REGIONS_MAX);
     for (size_t i = 0; i < count; i++)
-        demand[i] = measured > 0 ? input->demand[i] : PLAN_FIRST_USE * all_room / (double)count;
+        demand[i] = peak != NULL ? peak[i] : PLAN_FIRST_USE * all_room / (double)count;
 
-    const double bearable = PLAN_TARGET_USE * input->room[own];
-    double local = demand[own] > bearable ? bearable / demand[own] : 1;
+    /* If all regions together are over the target, all of them are over it alike. */
+    const double use = all_room > 0 ? fmax(PLAN_TARGET_USE, sum(demand, count) / all_room) : 0;
+    const double bearable = use * input->room[own];
+    const double local = demand[own] > bearable ? bearable / demand[own] : 1;
     double spare[TOPOLOGY_REGIONS_MAX] = {0};
     for (size_t i = 0; i < count; i++) {
-        const double free_room = PLAN_TARGET_USE * input->room[i] - demand[i];
+        const double free_room = use * input->room[i] - demand[i];
         if (i != own && free_room > 0)
             spare[i] = free_room;
     }
     const double all_spare = sum(spare, count);
-    if (all_spare <= 0)
-        local = input->room[own] > 0 ? 1 : local;
-    /* What the others can't bear either stays at home. */
-    const double away = (1 - local) * demand[own];
-    if (all_spare > 0 && away > all_spare && input->room[own] > 0)
-        local = 1 - all_spare / demand[own];
     for (size_t i = 0; i < count; i++)
         target[i] = all_spare > 0 ? (1 - local) * spare[i] / all_spare : 0;
     target[own] = all_spare > 0 ? local : 1;
 }
 
+/* Notes a sudden loss of room anywhere. */
+static void
+watch_room(plan_t *plan, const plan_input_t *input, size_t region_count, uint64_t now_ms)
+{
+    for (size_t i = 0; i < region_count; i++) {
+        if (input->room[i] < (1 - PLAN_LOSS) * plan->room[i])
+            plan->lost_until_ms = now_ms + PLAN_LOST_MS;
+        plan->room[i] = input->room[i];
+    }
+}
+
+/* The highest demand of each region, slowly forgotten. */
+static void
+follow_peak(plan_t *plan, const plan_input_t *input, size_t region_count, uint64_t now_ms)
+{
+    const double keep = exp(-(double)(now_ms - plan->updated_ms) / PLAN_PEAK_MS);
+    for (size_t i = 0; i < region_count; i++)
+        plan->peak[i] = fmax(keep * plan->peak[i], input->demand[i]);
+}
+
 void
 plan_update(plan_t *plan, const plan_input_t *input, size_t region_count, size_t own,
             uint64_t now_ms)
@@ -58,24 +85,35 @@
     double target[TOPOLOGY_REGIONS_MAX];
     if (region_count == 0 || own >= region_count)
         return;
-    target_shares(input, region_count, own, target);
+    target_shares(input, plan->started ? plan->peak : NULL, region_count, own, target);
     plan->own = own;
     plan->region_count = region_count;
+    watch_room(plan, input, region_count, now_ms);
     if (!plan->started) {
         if (sum(input->room, region_count) <= 0)
             return;
         memcpy(plan->share, target, sizeof(target));
+        for (size_t i = 0; i < region_count; i++)
+            plan->peak[i] = PLAN_FIRST_USE * sum(input->room, region_count) / (double)region_count;
         plan->started = true;
         plan->updated_ms = now_ms;
         return;
     }
+    follow_peak(plan, input, region_count, now_ms);
     double distance = 0;
     for (size_t i = 0; i < region_count; i++)
         distance += fabs(target[i] - plan->share[i]) / 2;
-    const double step = PLAN_STEP_PER_S * (double)(now_ms - plan->updated_ms) / MS_PER_S;
+    const bool lost = now_ms < plan->lost_until_ms;
+    const double per_s = lost                              ? PLAN_LOST_PER_S
+                         : target[own] > plan->share[own] ? PLAN_BACK_PER_S
+                                                          : PLAN_AWAY_PER_S;
+    const double step = per_s * (double)(now_ms - plan->updated_ms) / MS_PER_S;
     plan->updated_ms = now_ms;
-    if (distance <= 0)
+    if (distance <= (plan->moving || lost ? 0 : PLAN_DEAD_BAND)) {
+        plan->moving = false;
         return;
+    }
+    plan->moving = distance > step;
     const double part = distance > step ? step / distance : 1;
     for (size_t i = 0; i < region_count; i++)
         plan->share[i] += part * (target[i] - plan->share[i]);
--- a/gateway/router.c
+++ b/gateway/router.c
@@ -14,6 +14,14 @@
     COLD_MARGIN_MS = 500,
 };
 
+/* Share of the requests that may leave their planned region because it has no room, and how many
+ * of them may be saved up. */
+#define SPILL_SHARE 0.05
+#define SPILL_MAX 4.0
+#define LATENCY_GAIN 0.05
+/* A change of the own region's share that is logged. */
+#define PLAN_LOG_STEP 0.05
+
 void
 router_init(router_t *router, uv_loop_t *loop, const topology_t *topology,
             const decoder_port_t *decoder, str_t instance, str_t place)
@@ -204,6 +212,13 @@
     for (size_t i = 0; i < router->topology->region_count; i++)
         input.demand[i] = members_demand(members, name_str(&service->name), i, now);
     plan_update(&service->plan, &input, router->topology->region_count, router->region, now);
+    const double share = service->plan.share[router->region];
+    if (fabs(share - service->plan.logged) < PLAN_LOG_STEP)
+        return;
+    service->plan.logged = share;
+    LOG_INFO("plan: service=%s own_share=%.2f room=%.0f demand=%.1f peak=%.1f", service->name.ptr,
+             share, input.room[router->region], input.demand[router->region],
+             service->plan.peak[router->region]);
 }
 
 void
@@ -277,8 +292,11 @@
         .peers_settled = router->peers_settled,
         .tried = tried,
         .tried_count = tried_count,
+        .may_spill = service->spill >= 1,
     };
     backend_t *backend = choice_pick(&input, reason);
+    if (*reason == CHOICE_ELSEWHERE)
+        service->spill -= 1;
     if (backend != NULL && backend_is_cold(backend, now))
         cold_take(backend, now);
     return backend;
@@ -301,6 +319,21 @@
     backend->in_flight--;
 }
 
+void
+router_answered(router_service_t *service, double latency_ms)
+{
+    if (service->latency_ms == 0)
+        service->latency_ms = latency_ms;
+    service->latency_ms += LATENCY_GAIN * (latency_ms - service->latency_ms);
+}
+
+void
+router_refused(router_t *router, router_service_t *service)
+{
+    update_demand(router, service);
+    service->demand += service->latency_ms / DEMAND_TIME_MS;
+}
+
 static retry_terms_t
 retry_terms(const router_t *router)
 {
@@ -317,6 +350,7 @@
 {
     const retry_terms_t terms = retry_terms(router);
     retry_budget_request(&service->budget, &terms, uv_now(router->loop));
+    service->spill = fmin(service->spill + SPILL_SHARE, SPILL_MAX);
 }
 
 bool
--- a/gateway/router.h
+++ b/gateway/router.h
@@ -23,8 +23,10 @@
     plan_t plan;
     retry_budget_t budget;
     uint32_t in_flight; /* attempts of this instance's callers */
-    double demand;      /* moving average of in_flight */
+    double demand;      /* moving average of in_flight, with what was refused */
     uint64_t demand_ms;
+    double latency_ms; /* moving average of whole answers */
+    double spill; /* requests that may go to a region that is not the planned one */
 } router_service_t;
 
 typedef struct {
@@ -72,5 +74,9 @@
 /* An attempt begins and ends at a backend. */
 void router_begin(router_t *router, router_service_t *service, backend_t *backend);
 void router_end(router_t *router, router_service_t *service, backend_t *backend);
+/* A whole answer came after `latency_ms`. */
+void router_answered(router_service_t *service, double latency_ms);
+/* A request found no room: it counts as demand all the same. */
+void router_refused(router_t *router, router_service_t *service);
 void router_count_request(router_t *router, router_service_t *service);
 bool router_take_retry(router_t *router, router_service_t *service);
--- a/gateway/sync.c
+++ b/gateway/sync.c
@@ -12,6 +12,7 @@
     RETRY_MAX_MS = 1000,
     TROUBLE_MS = 5000,           /* how long a failure of the store is remembered */
     PEER_STORE_AGE_MAX_MS = 3900, /* a peer with an older answer is not relied on */
+    PEER_STORE_FRESH_MS = 3400,  /* younger answers show that the store serves that peer */
     REQUEST_EVERY_MS = 300,
     START_ALONE_MS = 250,        /* time that peers have to bring the views at start */
     PEER_RELAY_MAX = 60000,      /* bytes of a view's changes that are sent on */
@@ -227,7 +228,10 @@
     if (sync->store_failures++ == 0)
         LOG_WARN("store lost: kind=%d outcome=%d detail=\"%s\"", follower->kind, answer->outcome,
                  answer->err.detail);
-    sync->trouble_until_ms = now + TROUBLE_MS;
+    /* Only if it fails everybody has it been down, and may have lost entries. */
+    if (!members_follow_store(sync->members, PEER_STORE_FRESH_MS, now) &&
+        sync->store_failures > 1)
+        sync->trouble_until_ms = now + TROUBLE_MS;
     uint64_t pause = (uint64_t)RETRY_MIN_MS * sync->store_failures;
     follower->retry_at_ms = now + (pause < RETRY_MAX_MS ? pause : RETRY_MAX_MS);
 }
--- a/gateway/sync.h
+++ b/gateway/sync.h
@@ -64,9 +64,9 @@
 void sync_on_request(sync_t *sync, peer_conn_t *conn, const Iris__ViewRequest *request);
 /* Time since the store last answered, STORE_AGE_NONE if this instance does not follow it. */
 uint32_t sync_store_age(const sync_t *sync);
-/* The store failed this instance within the last seconds. */
+/* The store was down for all instances, as far as this one knows, within the last seconds. */
 bool sync_store_failed(const sync_t *sync);
-/* The same, or it failed a peer. */
+/* The same, or a peer says so. */
 bool sync_store_trouble(const sync_t *sync);
 /* No further calls to the store. */
 void sync_stop(sync_t *sync);
