A store that failed is probed at once; mass loss of entries has a short grace; callers that came back may wait

Change: while the store fails, a watch asks for an answer at once; lost is told at one bound, 3.9 s.

--- a/gateway/choice.c
+++ b/gateway/choice.c
@@ -7,10 +7,6 @@
 /* Share of its slots up to which an upstream takes requests for which it is not the first: they
  * run longer there, and its own objects come first. */
 #define LATER_SHARE 0.6
-/* A request may wait at an upstream if it is still expected to end within this share of its aim. */
-#define AIM_SHARE 0.8
-/* The most load, in slots, that may be made to wait there. */
-#define LOAD_MAX 2.0
 
 enum {
     URGENT_PRIORITY = 1,
@@ -137,7 +133,7 @@
 may_wait(const choice_input_t *input, const backend_t *backend)
 {
     const double load = (backend_load(backend, input->now_ms) + 1) / backend->info.capacity;
-    return load <= LOAD_MAX && expected_ms(input, backend) <= AIM_SHARE * input->route->aim_ms;
+    return load <= input->load_max && expected_ms(input, backend) <= input->wait_ms;
 }
 
 static size_t
--- a/gateway/choice.h
+++ b/gateway/choice.h
@@ -6,7 +6,7 @@
  * (bounded load). The region is the plan's for the object, then the caller's, then the others.
  * Further upstreams are not used: they would work on the object for longer and forget others for
  * it, which makes an overload worse. If no replica has room, the request waits at the one that is
- * expected to end within its aim, or is refused. Large answers stay in the caller's region.
+ * expected to end in time, or is refused. Large answers stay in the caller's region.
  * All instances make the same choice from the same list. Pure but for the cold upstreams' buckets.
  */
 #pragma once
@@ -43,6 +43,8 @@
     bool peers_settled; /* the list of peers can be relied on */
     backend_t *const *tried;
     size_t tried_count;
+    uint32_t wait_ms; /* a request may wait if it is expected to be answered within this time */
+    double load_max;  /* and if the upstream has at most this load, in its slots */
     bool may_spill; /* to a region that is not the planned one, if that has no room */
 } choice_input_t;
 
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -376,8 +376,11 @@
         .on_end = on_answer_end,
     };
     router_t *router = ex->all->router;
-    backend_t *backend = router_pick(router, ex->route, ex->service, ex->object, ex->tried,
-                                     ex->tried_count, &ex->reason);
+    const uint64_t now = now_ms(ex);
+    const uint32_t left = ex->end_ms > now ? (uint32_t)(ex->end_ms - now) : 1;
+    const uint32_t patience = ex->terms.has_deadline ? ex->terms.deadline_ms : left;
+    backend_t *backend = router_pick(router, ex->route, ex->service, ex->object, patience,
+                                     ex->tried, ex->tried_count, &ex->reason);
     if (backend == NULL) {
         router_refused(router, ex->service);
         answer_not_run(ex, ex->reason == CHOICE_FULL ? "no room" : "no upstream");
@@ -395,8 +398,6 @@
         .idle_max_ms = ex->route->repeatable ? IDLE_MAX_REPEATABLE_MS : IDLE_MAX_ONCE_MS,
         .head_method = ex->req->head.method == HTTP_HEAD,
     };
-    const uint64_t now = now_ms(ex);
-    const uint32_t left = ex->end_ms > now ? (uint32_t)(ex->end_ms - now) : 1;
     conf.request = build_request(ex, left, &conf.request_len);
     ex->call = wire_call_start(backend->pool, &conf, &cbs, ex);
 }
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -16,7 +16,8 @@
     TICK_MS = 200,
     HEARTBEAT_TICKS = 2,          /* ticks between two heartbeats */
     STALLED_MS = 1500,            /* peer connections without progress are closed */
-    LOST_ENTRY_GRACE_MS = 2200,   /* upstreams missing after trouble with the store */
+    LOST_ENTRY_GRACE_MS = 2200,   /* upstreams missing after the store was down for all */
+    MASS_LOSS_GRACE_MS = 1400,    /* upstreams missing together with most others */
     SWEEP_IDLE_MS = 9000,         /* idle upstream connections are closed */
     STOP_LISTEN_MS = 2000,        /* a stopping instance still accepts for this time */
     STOP_LEAST_MS = 2400,         /* and stays this long at least */
@@ -144,7 +145,10 @@
 {
     gateway_t *gateway = ctx;
     const view_t *view = &gateway->sync.views[kind];
-    const uint64_t grace = sync_store_trouble(&gateway->sync) ? LOST_ENTRY_GRACE_MS : 0;
+    const bool mass_loss = view->count < gateway->router.backends.count / 2;
+    const uint64_t grace = sync_store_trouble(&gateway->sync) ? LOST_ENTRY_GRACE_MS
+                           : mass_loss                        ? MASS_LOSS_GRACE_MS
+                                                              : 0;
     switch (kind) {
     case VIEW_CONFIG:
         router_take_config(&gateway->router, view);
--- a/gateway/router.c
+++ b/gateway/router.c
@@ -19,6 +19,16 @@
 #define SPILL_SHARE 0.05
 #define SPILL_MAX 4.0
 #define LATENCY_GAIN 0.05
+/* The most load, in slots, that an upstream may have for a request that has to wait there, and how
+ * long the wait may last, as a share of the request's aim. */
+#define LOAD_MAX 2.0
+#define AIM_SHARE 0.8
+/* The same for a request with less than this share of its route's usual patience, and as a share of
+ * the time left. */
+#define LAST_CHANCE_SHARE 0.9
+#define PATIENCE_GAIN 0.02
+#define LOAD_MAX_LAST 3.0
+#define LEFT_SHARE 0.6
 /* A change of the own region's share that is logged. */
 #define PLAN_LOG_STEP 0.05
 
@@ -271,11 +281,25 @@
     return str_hash(object, OBJECT_SEED ^ route->key);
 }
 
+/* A caller with its whole time left can come back later; one that has come back is served late
+ * rather than refused again. */
+static bool
+has_come_back(router_t *router, const config_route_t *route, uint32_t left_ms)
+{
+    router_patience_t *patience = &router->patience[route->key % ROUTER_PATIENCE_SLOTS];
+    if (patience->route_key != route->key)
+        *patience = (router_patience_t){route->key, left_ms};
+    patience->average_ms += PATIENCE_GAIN * (left_ms - patience->average_ms);
+    return left_ms < LAST_CHANCE_SHARE * patience->average_ms;
+}
+
 backend_t *
 router_pick(router_t *router, const config_route_t *route, router_service_t *service,
-            uint64_t object, backend_t *const *tried, size_t tried_count, choice_reason_t *reason)
+            uint64_t object, uint32_t left_ms, backend_t *const *tried, size_t tried_count,
+            choice_reason_t *reason)
 {
     const uint64_t now = uv_now(router->loop);
+    const bool last_chance = has_come_back(router, route, left_ms);
     const choice_input_t input = {
         .backends = &router->backends,
         .topology = router->topology,
@@ -292,6 +316,8 @@
         .peers_settled = router->peers_settled,
         .tried = tried,
         .tried_count = tried_count,
+        .wait_ms = (uint32_t)(last_chance ? LEFT_SHARE * left_ms : AIM_SHARE * route->aim_ms),
+        .load_max = last_chance ? LOAD_MAX_LAST : LOAD_MAX,
         .may_spill = service->spill >= 1,
     };
     backend_t *backend = choice_pick(&input, reason);
--- a/gateway/router.h
+++ b/gateway/router.h
@@ -29,6 +29,14 @@
     double spill; /* requests that may go to a region that is not the planned one */
 } router_service_t;
 
+enum { ROUTER_PATIENCE_SLOTS = 512 };
+
+/* How long the callers of a route are usually ready to wait. */
+typedef struct {
+    uint64_t route_key;
+    double average_ms;
+} router_patience_t;
+
 typedef struct {
     uv_loop_t *loop;
     const topology_t *topology;
@@ -45,6 +53,7 @@
     backends_t backends;
     router_service_t *services;
     size_t service_count;
+    router_patience_t patience[ROUTER_PATIENCE_SLOTS];
     cold_peer_t peers[MEMBERS_MAX];
     size_t peer_count;
     bool peers_settled;
@@ -68,9 +77,10 @@
 str_t router_target(router_t *router, const config_route_t *route);
 /* The number by which a request's upstream is chosen: the object's hash, or random. */
 uint64_t router_object(router_t *router, const config_route_t *route, str_t object);
+/* `left_ms` is the time that the caller still waits. */
 backend_t *router_pick(router_t *router, const config_route_t *route, router_service_t *service,
-                       uint64_t object, backend_t *const *tried, size_t tried_count,
-                       choice_reason_t *reason);
+                       uint64_t object, uint32_t left_ms, backend_t *const *tried,
+                       size_t tried_count, choice_reason_t *reason);
 /* An attempt begins and ends at a backend. */
 void router_begin(router_t *router, router_service_t *service, backend_t *backend);
 void router_end(router_t *router, router_service_t *service, backend_t *backend);
--- a/gateway/sync.c
+++ b/gateway/sync.c
@@ -8,11 +8,11 @@
 
 enum {
     WATCH_WAIT_MS = 3000,
+    WATCH_WAIT_FAILING_MS = 20, /* asks for an answer now: is the store back? */
     RETRY_MIN_MS = 200,
     RETRY_MAX_MS = 1000,
     TROUBLE_MS = 5000,           /* how long a failure of the store is remembered */
     PEER_STORE_AGE_MAX_MS = 3900, /* a peer with an older answer is not relied on */
-    PEER_STORE_FRESH_MS = 3400,  /* younger answers show that the store serves that peer */
     REQUEST_EVERY_MS = 300,
     START_ALONE_MS = 250,        /* time that peers have to bring the views at start */
     PEER_RELAY_MAX = 60000,      /* bytes of a view's changes that are sent on */
@@ -229,7 +229,7 @@
         LOG_WARN("store lost: kind=%d outcome=%d detail=\"%s\"", follower->kind, answer->outcome,
                  answer->err.detail);
     /* Only if it fails everybody has it been down, and may have lost entries. */
-    if (!members_follow_store(sync->members, PEER_STORE_FRESH_MS, now) &&
+    if (!members_follow_store(sync->members, PEER_STORE_AGE_MAX_MS, now) &&
         sync->store_failures > 1)
         sync->trouble_until_ms = now + TROUBLE_MS;
     uint64_t pause = (uint64_t)RETRY_MIN_MS * sync->store_failures;
@@ -335,8 +335,9 @@
     }
     follower->state = FOLLOW_WATCHING;
     follower->asked_from = sync->views[follower->kind].at;
-    sync->store->watch(sync->store->ctx, follower->kind, follower->asked_from, WATCH_WAIT_MS,
-                       on_watch, follower);
+    const uint32_t wait = sync->store_failures > 0 ? WATCH_WAIT_FAILING_MS : WATCH_WAIT_MS;
+    sync->store->watch(sync->store->ctx, follower->kind, follower->asked_from, wait, on_watch,
+                       follower);
 }
 
 void
