--- a/gateway/backends.c
+++ b/gateway/backends.c
@@ -7,8 +7,8 @@
 enum {
     KEY_SEED = 41,
     ITEMS_START = 16,
-    POOL_MAX = 32,              /* until the service's own bound is known */
-    OTHERS_HALF_LIFE_MS = 400,  /* how fast a reported load loses its meaning */
+    POOL_MAX = 32,             /* until the service's own bound is known */
+    OTHERS_HALF_LIFE_MS = 400, /* how fast a reported load loses its meaning */
     FAILURES_BEFORE_PAUSE = 2,
     PAUSE_MIN_MS = 300,
     PAUSE_DOUBLINGS_MAX = 4,
--- a/gateway/backends.h
+++ b/gateway/backends.h
@@ -17,10 +17,10 @@
     uint64_t key;
     wire_pool_t *pool;
     size_t refs;
-    uint64_t revision;  /* of the object it was read from */
-    bool listed;        /* in the newest list of the store */
-    bool zone_closed;   /* its zone gets nothing */
-    bool departed;      /* said itself that it is not the listed one */
+    uint64_t revision;     /* of the object it was read from */
+    bool listed;           /* in the newest list of the store */
+    bool zone_closed;      /* its zone gets nothing */
+    bool departed;         /* said itself that it is not the listed one */
     uint64_t unlist_at_ms; /* when its absence from the list takes effect, 0 if it is there */
     uint64_t cold_until_ms;
     bucket_t cold; /* this instance's part of what it bears while cold */
@@ -29,7 +29,7 @@
     uint64_t others_ms;
     unsigned failures; /* in a row */
     uint64_t suspended_until_ms;
-    bool probing;      /* the one request after a suspension is under way */
+    bool probing;   /* the one request after a suspension is under way */
     double work_ms; /* moving average of answers that did not have to wait there */
 } backend_t;
 
--- a/gateway/choice.c
+++ b/gateway/choice.c
@@ -50,8 +50,7 @@
         !backend_is_usable(backend, input->now_ms) || was_tried(input, backend))
         return false;
     if (backend->region < input->topology->region_count &&
-        !config_allows_region(input->route,
-                              name_str(&input->topology->regions[backend->region])))
+        !config_allows_region(input->route, name_str(&input->topology->regions[backend->region])))
         return false;
     if (!backend_is_cold(backend, input->now_ms))
         return true;
--- a/gateway/choice.h
+++ b/gateway/choice.h
@@ -18,12 +18,12 @@
 enum { CHOICE_TRIED_MAX = 6 };
 
 typedef enum {
-    CHOICE_FIRST,   /* the first of the object's order in the planned region */
-    CHOICE_LATER,   /* a later one there */
+    CHOICE_FIRST,     /* the first of the object's order in the planned region */
+    CHOICE_LATER,     /* a later one there */
     CHOICE_ELSEWHERE, /* another region, since the planned one has no room */
-    CHOICE_QUEUED,  /* has to wait at the upstream */
-    CHOICE_FULL,    /* none: every upstream has too many waiting */
-    CHOICE_NONE,    /* none: no upstream may get requests */
+    CHOICE_QUEUED,    /* has to wait at the upstream */
+    CHOICE_FULL,      /* none: every upstream has too many waiting */
+    CHOICE_NONE,      /* none: no upstream may get requests */
 } choice_reason_t;
 
 typedef struct {
@@ -45,7 +45,7 @@
     size_t tried_count;
     uint32_t wait_ms; /* a request may wait if it is expected to be answered within this time */
     double load_max;  /* and if the upstream has at most this load, in its slots */
-    bool may_spill; /* to a region that is not the planned one, if that has no room */
+    bool may_spill;   /* to a region that is not the planned one, if that has no room */
 } choice_input_t;
 
 backend_t *choice_pick(const choice_input_t *input, choice_reason_t *reason);
--- a/gateway/config.c
+++ b/gateway/config.c
@@ -67,7 +67,8 @@
 {
     for (size_t i = 0; i < config->route_count; i++) {
         config_route_t *route = &config->routes[i];
-        route->key = str_hash(str_from(route->prefix), PREFIX_SEED ^ host_hash(str_from(route->host)));
+        route->key =
+            str_hash(str_from(route->prefix), PREFIX_SEED ^ host_hash(str_from(route->host)));
     }
     qsort(config->routes, config->route_count, sizeof(*config->routes), by_key);
 }
@@ -76,8 +77,8 @@
 find_route(const config_t *config, uint64_t key, str_t prefix)
 {
     const config_route_t wanted = {.key = key};
-    const config_route_t *route = bsearch(&wanted, config->routes, config->route_count,
-                                          sizeof(*config->routes), by_key);
+    const config_route_t *route =
+        bsearch(&wanted, config->routes, config->route_count, sizeof(*config->routes), by_key);
     return route != NULL && str_eq(str_from(route->prefix), prefix) ? route : NULL;
 }
 
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -11,16 +11,16 @@
 
 enum {
     CONNECT_TIMEOUT_MS = 400,
-    CONNECT_TRIES = 4,           /* upstreams tried without having sent anything */
+    CONNECT_TRIES = 4, /* upstreams tried without having sent anything */
     IDLE_MAX_REPEATABLE_MS = 6000,
-    IDLE_MAX_ONCE_MS = 3000,     /* a request that may not be repeated wants a fresher connection */
-    BUFFER_MAX = 16384,          /* answers up to this size are collected before passing them on */
-    BACKLOG_MAX = 262144,        /* unsent bytes to a caller that stop the reading of more */
-    RETRY_LEFT_MIN_MS = 60,      /* time that a further attempt must have */
-    GIVE_UP_MARGIN_MS = 15,      /* before the caller's deadline, for the answer's way back */
+    IDLE_MAX_ONCE_MS = 3000, /* a request that may not be repeated wants a fresher connection */
+    BUFFER_MAX = 16384,      /* answers up to this size are collected before passing them on */
+    BACKLOG_MAX = 262144,    /* unsent bytes to a caller that stop the reading of more */
+    RETRY_LEFT_MIN_MS = 60,  /* time that a further attempt must have */
+    GIVE_UP_MARGIN_MS = 15,  /* before the caller's deadline, for the answer's way back */
     RETRY_AFTER_MS = 400,
     DEFAULT_TIMEOUT_MS = 30000,
-    LOG_EVERY = 64,              /* of the requests that went without trouble */
+    LOG_EVERY = 64, /* of the requests that went without trouble */
 };
 
 typedef struct {
@@ -49,8 +49,8 @@
     /* all attempts */
     backend_t *tried[CHOICE_TRIED_MAX];
     size_t tried_count;
-    uint32_t sends;   /* attempts of which bytes may have gone out */
-    bool unknown;     /* one of them may have run */
+    uint32_t sends; /* attempts of which bytes may have gone out */
+    bool unknown;   /* one of them may have run */
     bool done;
 } exchange_t;
 
@@ -325,8 +325,8 @@
              STR_ARG(ex->terms.id), backend->info.id.ptr, end->stage, err_name(end->err.code),
              end->err.detail);
     backend_failed(backend, now_ms(ex));
-    const bool said_not_run = ex->head_seen && (ex->verdict == VERDICT_NOT_RUN ||
-                                                ex->verdict == VERDICT_MISDIRECTED);
+    const bool said_not_run =
+        ex->head_seen && (ex->verdict == VERDICT_NOT_RUN || ex->verdict == VERDICT_MISDIRECTED);
     if (end->stage >= WIRE_SENT && !said_not_run)
         ex->unknown = true;
     if (ex->streaming) {
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -14,14 +14,14 @@
 
 enum {
     TICK_MS = 200,
-    HEARTBEAT_TICKS = 2,          /* ticks between two heartbeats */
-    STALLED_MS = 1500,            /* peer connections without progress are closed */
-    LOST_ENTRY_GRACE_MS = 2200,   /* upstreams missing after the store was down for all */
-    MASS_LOSS_GRACE_MS = 1400,    /* upstreams missing together with most others */
-    SWEEP_IDLE_MS = 9000,         /* idle upstream connections are closed */
-    STOP_LISTEN_MS = 2000,        /* a stopping instance still accepts for this time */
-    STOP_LEAST_MS = 2400,         /* and stays this long at least */
-    STOP_LAST_MS = 600,           /* it ends this long before it would be killed */
+    HEARTBEAT_TICKS = 2,        /* ticks between two heartbeats */
+    STALLED_MS = 1500,          /* peer connections without progress are closed */
+    LOST_ENTRY_GRACE_MS = 2200, /* upstreams missing after the store was down for all */
+    MASS_LOSS_GRACE_MS = 1400,  /* upstreams missing together with most others */
+    SWEEP_IDLE_MS = 9000,       /* idle upstream connections are closed */
+    STOP_LISTEN_MS = 2000,      /* a stopping instance still accepts for this time */
+    STOP_LEAST_MS = 2400,       /* and stays this long at least */
+    STOP_LAST_MS = 600,         /* it ends this long before it would be killed */
     ANNOUNCE_RETRY_MS = 2000,
     SMALL_HEAD_MAX = 8192,
     SMALL_CONNECTIONS_MAX = 512,
@@ -32,7 +32,7 @@
 
 struct gateway {
     uv_loop_t *loop;
-    const gateway_settings_t *settings;
+    gateway_settings_t settings; /* with the ports that the system chose */
     const gateway_ports_t *ports;
     router_t router;
     exchanges_t exchanges;
@@ -82,7 +82,7 @@
         return;
     }
     const size_t count =
-        directory_pick(&gateway->members, &gateway->settings->topology, question.region,
+        directory_pick(&gateway->members, &gateway->settings.topology, question.region,
                        question.place, uv_now(gateway->loop), addrs);
     if (count == 0) {
         wire_respond(req, HTTP_STATUS_SERVICE_UNAVAILABLE, STR(""), STR(""));
@@ -90,10 +90,9 @@
     }
     wire_text_t fields = {0};
     wire_text_t body = {0};
-    gateway->ports->directory->write_addresses(addrs, count, gateway->settings->directory_ttl_s,
+    gateway->ports->directory->write_addresses(addrs, count, gateway->settings.directory_ttl_s,
                                                &fields, &body);
-    wire_respond(req, HTTP_STATUS_OK, (str_t){fields.ptr, fields.len},
-                 (str_t){body.ptr, body.len});
+    wire_respond(req, HTTP_STATUS_OK, (str_t){fields.ptr, fields.len}, (str_t){body.ptr, body.len});
     free(fields.ptr);
     free(body.ptr);
 }
@@ -224,8 +223,8 @@
         return;
     char text[ADDR_TEXT_MAX];
     gateway->announce_at_ms = now + ANNOUNCE_RETRY_MS;
-    addr_format(&gateway->settings->peer, text);
-    store->announce(store->ctx, name_str(&gateway->settings->name), str_from(text), on_announced,
+    addr_format(&gateway->settings.peer, text);
+    store->announce(store->ctx, name_str(&gateway->settings.name), str_from(text), on_announced,
                     gateway);
 }
 
@@ -241,7 +240,7 @@
     }
     const bool done = age >= STOP_LEAST_MS && gateway->exchanges.active == 0 &&
                       wire_listener_connections(gateway->callers) == 0;
-    if (!done && age + STOP_LAST_MS < gateway->settings->grace_ms)
+    if (!done && age + STOP_LAST_MS < gateway->settings.grace_ms)
         return;
     LOG_INFO("stopped: after_ms=%llu requests_left=%zu", (unsigned long long)age,
              gateway->exchanges.active);
@@ -301,10 +300,19 @@
     return wire_listener_start(gateway->loop, addr, &limits, handler, gateway, err);
 }
 
+static void
+set_port(addr_t *addr, uint16_t port)
+{
+    if (addr->sa.sa_family == AF_INET6)
+        addr->v6.sin6_port = htons(port);
+    else
+        addr->v4.sin_port = htons(port);
+}
+
 static bool
 listen_all(gateway_t *gateway, err_t *err)
 {
-    const gateway_settings_t *settings = gateway->settings;
+    gateway_settings_t *settings = &gateway->settings;
     static const wire_limits_t first_limits = {
         .max_head = SMALL_HEAD_MAX * 2,
         .max_body = 1 << 20,
@@ -316,19 +324,38 @@
                                            on_caller_request, gateway, err);
     if (gateway->callers == NULL)
         return false;
+    set_port(&settings->callers, wire_listener_port(gateway->callers));
     gateway->readiness = listen_small(gateway, &settings->readiness, on_ready_question, err);
     if (gateway->readiness == NULL)
         return false;
+    set_port(&settings->readiness, wire_listener_port(gateway->readiness));
     gateway->directory = listen_small(gateway, &settings->directory, on_directory_question, err);
     if (gateway->directory == NULL)
         return false;
+    set_port(&settings->directory, wire_listener_port(gateway->directory));
     if (settings->has_metrics) {
         gateway->metrics = listen_small(gateway, &settings->metrics, on_metrics_question, err);
         if (gateway->metrics == NULL)
             return false;
+        set_port(&settings->metrics, wire_listener_port(gateway->metrics));
     }
     gateway->hub = peer_hub_start(gateway->loop, &settings->peer, on_peer_message, gateway, err);
-    return gateway->hub != NULL;
+    if (gateway->hub == NULL)
+        return false;
+    set_port(&settings->peer, peer_hub_port(gateway->hub));
+    return true;
+}
+
+const gateway_settings_t *
+gateway_settings(const gateway_t *gateway)
+{
+    return &gateway->settings;
+}
+
+size_t
+gateway_active(const gateway_t *gateway)
+{
+    return gateway->exchanges.active;
 }
 
 void
@@ -344,9 +371,9 @@
 {
     gateway_t *gateway = xcalloc(1, sizeof(*gateway));
     gateway->loop = loop;
-    gateway->settings = settings;
+    gateway->settings = *settings;
     gateway->ports = ports;
-    router_init(&gateway->router, loop, &settings->topology, ports->decoder,
+    router_init(&gateway->router, loop, &gateway->settings.topology, ports->decoder,
                 name_str(&settings->name), name_str(&settings->place));
     gateway->router.bounds = (router_bounds_t){
         .retry_ratio = settings->retry_ratio,
@@ -363,7 +390,7 @@
               gateway->router.region, &cbs);
     gateway->sync.hub = gateway->hub;
     gateway->heartbeat = (heartbeat_t){
-        .settings = settings,
+        .settings = &gateway->settings,
         .members = &gateway->members,
         .router = &gateway->router,
         .sync = &gateway->sync,
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -20,10 +20,14 @@
 
 typedef struct gateway gateway_t;
 
-/* The settings and the ports must outlive the gateway. */
+/* The ports must outlive the gateway. */
 gateway_t *gateway_start(uv_loop_t *loop, const gateway_settings_t *settings,
                          const gateway_ports_t *ports, err_t *err);
 /* Takes over what may change while running: the seeds. */
 void gateway_reload(gateway_t *gateway, const gateway_settings_t *settings);
 /* Planned stop: out of the directory at once, what was read is answered, then the loop stops. */
 void gateway_stop(gateway_t *gateway);
+/* The settings in use, with the ports that the system chose where they said 0. */
+const gateway_settings_t *gateway_settings(const gateway_t *gateway);
+/* Requests under way. */
+size_t gateway_active(const gateway_t *gateway);
--- a/gateway/heartbeat.c
+++ b/gateway/heartbeat.c
@@ -6,8 +6,8 @@
 #include "gateway/heartbeat.h"
 
 enum {
-    RETRY_SILENT_MS = 1200,  /* how often a silent instance is tried */
-    PEERS_EVERY = 8,         /* rounds between two lists of known addresses */
+    RETRY_SILENT_MS = 1200, /* how often a silent instance is tried */
+    PEERS_EVERY = 8,        /* rounds between two lists of known addresses */
     PEERS_MAX = 64,
     VIEWS_MAX = VIEW_WATCHED,
 };
--- a/gateway/members.h
+++ b/gateway/members.h
@@ -15,7 +15,7 @@
 enum {
     MEMBERS_MAX = 512,
     MEMBER_DEMANDS_MAX = 16,
-    MEMBER_ALIVE_MS = 1800,   /* silence after which an instance counts as lost */
+    MEMBER_ALIVE_MS = 1800, /* silence after which an instance counts as lost */
     STORE_AGE_NONE = 0xffffffff,
 };
 
--- a/gateway/plan.c
+++ b/gateway/plan.c
@@ -104,7 +104,7 @@
     for (size_t i = 0; i < region_count; i++)
         distance += fabs(target[i] - plan->share[i]) / 2;
     const bool lost = now_ms < plan->lost_until_ms;
-    const double per_s = lost                              ? PLAN_LOST_PER_S
+    const double per_s = lost                             ? PLAN_LOST_PER_S
                          : target[own] > plan->share[own] ? PLAN_BACK_PER_S
                                                           : PLAN_AWAY_PER_S;
     const double step = per_s * (double)(now_ms - plan->updated_ms) / MS_PER_S;
--- a/gateway/plan.h
+++ b/gateway/plan.h
@@ -3,7 +3,8 @@
  *
  * A region that has less room than its callers need sends a steady share elsewhere. The shares
  * follow room and demand slowly: no caller region's mix may move by more than a step a second,
- * so that a change of traffic does not swing between regions. Room that is lost is made up fast. Pure state; time is passed in.
+ * so that a change of traffic does not swing between regions. Room that is lost is made up fast.
+ * Pure state; time is passed in.
  */
 #pragma once
 
@@ -23,7 +24,7 @@
     bool moving;
     double room[TOPOLOGY_REGIONS_MAX]; /* at the last update */
     double peak[TOPOLOGY_REGIONS_MAX]; /* highest demand, slowly forgotten */
-    double logged; /* own share when it was last logged by the router */
+    double logged;                     /* own share when it was last logged by the router */
     uint64_t lost_until_ms;            /* room was lost shortly before */
 } plan_t;
 
--- a/gateway/ports.h
+++ b/gateway/ports.h
@@ -12,10 +12,10 @@
 /* ---- the store ---- */
 
 typedef enum {
-    VIEW_CONFIG,    /* the operator's configuration */
-    VIEW_BACKENDS,  /* the list of upstreams */
-    VIEW_CLOSURES,  /* zones whose upstreams get nothing */
-    VIEW_INSTANCES, /* the instances of this system */
+    VIEW_CONFIG,                   /* the operator's configuration */
+    VIEW_BACKENDS,                 /* the list of upstreams */
+    VIEW_CLOSURES,                 /* zones whose upstreams get nothing */
+    VIEW_INSTANCES,                /* the instances of this system */
     VIEW_WATCHED = VIEW_INSTANCES, /* kinds below this one are followed all the time */
 } view_kind_t;
 
@@ -76,17 +76,17 @@
 /* ---- requests and answers ---- */
 
 typedef struct {
-    str_t id;       /* of this attempt of the caller's */
-    str_t object;   /* what the request is about; empty if not told */
+    str_t id;     /* of this attempt of the caller's */
+    str_t object; /* what the request is about; empty if not told */
     bool has_deadline;
     uint32_t deadline_ms;
 } caller_terms_t;
 
 typedef enum {
-    VERDICT_ANSWER,  /* the upstream's answer, to be passed on */
-    VERDICT_NOT_RUN, /* the upstream says that it did not run the request */
+    VERDICT_ANSWER,      /* the upstream's answer, to be passed on */
+    VERDICT_NOT_RUN,     /* the upstream says that it did not run the request */
     VERDICT_MISDIRECTED, /* another upstream has the address; not run */
-    VERDICT_BAD,     /* not an answer of the protocol */
+    VERDICT_BAD,         /* not an answer of the protocol */
 } answer_verdict_t;
 
 typedef struct {
--- a/gateway/router.c
+++ b/gateway/router.c
@@ -9,8 +9,8 @@
 enum {
     SERVICES_MAX = 256,
     OBJECT_SEED = 61,
-    DEMAND_TIME_MS = 2000,     /* time constant of the demand's moving average */
-    SETTLED_AFTER_MS = 2500,   /* uptime after which the list of instances can be relied on */
+    DEMAND_TIME_MS = 2000,   /* time constant of the demand's moving average */
+    SETTLED_AFTER_MS = 2500, /* uptime after which the list of instances can be relied on */
     COLD_MARGIN_MS = 500,
 };
 
--- a/gateway/router.h
+++ b/gateway/router.h
@@ -26,7 +26,7 @@
     double demand;      /* moving average of in_flight, with what was refused */
     uint64_t demand_ms;
     double latency_ms; /* moving average of whole answers */
-    double spill; /* requests that may go to a region that is not the planned one */
+    double spill;      /* requests that may go to a region that is not the planned one */
 } router_service_t;
 
 enum { ROUTER_PATIENCE_SLOTS = 512 };
--- a/gateway/settings.c
+++ b/gateway/settings.c
@@ -148,8 +148,8 @@
            read_number("grace_s", raw->grace_s, 0, err) &&
            read_number("retry_ratio", raw->retry_ratio, 0, err) &&
            read_number("retry_constant", raw->retry_constant, 0, err) &&
-           read_number("retry_window_s", raw->retry_window_s, 1, err) && read_seeds(raw, out, err) &&
-           read_places(raw, out, err);
+           read_number("retry_window_s", raw->retry_window_s, 1, err) &&
+           read_seeds(raw, out, err) && read_places(raw, out, err);
 }
 
 /* Keeps the library's first message: it names the key. */
--- a/gateway/sync.c
+++ b/gateway/sync.c
@@ -11,11 +11,11 @@
     WATCH_WAIT_FAILING_MS = 20, /* asks for an answer now: is the store back? */
     RETRY_MIN_MS = 200,
     RETRY_MAX_MS = 1000,
-    TROUBLE_MS = 5000,           /* how long a failure of the store is remembered */
+    TROUBLE_MS = 5000,            /* how long a failure of the store is remembered */
     PEER_STORE_AGE_MAX_MS = 3900, /* a peer with an older answer is not relied on */
     REQUEST_EVERY_MS = 300,
-    START_ALONE_MS = 250,        /* time that peers have to bring the views at start */
-    PEER_RELAY_MAX = 60000,      /* bytes of a view's changes that are sent on */
+    START_ALONE_MS = 250,   /* time that peers have to bring the views at start */
+    PEER_RELAY_MAX = 60000, /* bytes of a view's changes that are sent on */
 };
 
 void
@@ -70,8 +70,8 @@
 }
 
 static void
-send_changes(sync_t *sync, view_kind_t kind, const store_item_t *items, size_t count,
-             uint64_t from, uint64_t at, uint64_t base_digest)
+send_changes(sync_t *sync, view_kind_t kind, const store_item_t *items, size_t count, uint64_t from,
+             uint64_t at, uint64_t base_digest)
 {
     size_t bytes = 0;
     for (size_t i = 0; i < count; i++)
@@ -186,9 +186,8 @@
     if (!update->whole)
         view_confirm(view, update->base_digest, update->from);
     const view_result_t result =
-        update->whole
-            ? view_replace(view, items, update->n_items, update->at)
-            : view_apply(view, items, update->n_items, update->from, update->at);
+        update->whole ? view_replace(view, items, update->n_items, update->at)
+                      : view_apply(view, items, update->n_items, update->from, update->at);
     free(items);
     if (result == VIEW_CHANGED)
         view_changed(sync, update->kind, "peer");
@@ -313,12 +312,11 @@
     }
     store_answered(follower);
     const uint64_t base_digest = sync->views[follower->kind].digest;
-    const view_result_t result =
-        view_apply(&sync->views[follower->kind], answer->items, answer->item_count,
-                   follower->asked_from, answer->at);
+    const view_result_t result = view_apply(&sync->views[follower->kind], answer->items,
+                                            answer->item_count, follower->asked_from, answer->at);
     if (result == VIEW_CHANGED) {
-        send_changes(sync, follower->kind, answer->items, answer->item_count,
-                     follower->asked_from, answer->at, base_digest);
+        send_changes(sync, follower->kind, answer->items, answer->item_count, follower->asked_from,
+                     answer->at, base_digest);
         view_changed(sync, follower->kind, "watch");
     }
     sync_tick(sync);
--- a/gateway/views.h
+++ b/gateway/views.h
@@ -18,7 +18,7 @@
 
 typedef struct {
     uint64_t at;
-    bool known; /* a whole list was taken in once */
+    bool known;         /* a whole list was taken in once */
     view_item_t *items; /* sorted by name */
     size_t count;
     size_t size;
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -8,11 +8,18 @@
 out=$(mktemp)
 trap 'rm -f "$out"' EXIT
 
-"$BUILD/unit-tests" | tee "$out"
-passed=$(awk '/ passed, /{print $1}' "$out")
-failed=$(awk '/ passed, /{print $3}' "$out")
-passed=${passed:-0}
-failed=${failed:-1}
+passed=0
+failed=0
+
+# A program that closes with "N passed, N failed".
+program() { # COMMAND...
+    "$@" | tee "$out"
+    passed=$((passed + $(awk '/ passed, /{n = $1} END {print n + 0}' "$out")))
+    failed=$((failed + $(awk '/ passed, /{n = $3; seen = 1} END {print seen ? n : 1}' "$out")))
+}
+
+program "$BUILD/unit-tests"
+program "$BUILD/gateway-tests"
 
 campaign() { # NAME COMMAND...
     local name=$1
@@ -30,6 +37,7 @@
 campaign "faults, bureau" env DURATION="${TEST_SECONDS:-25}" SEED=11 SHAPE=bureau scripts/faults.sh
 campaign "planned stop, padana" scripts/test-stop.sh
 campaign "operators" scripts/test-ctl.sh
+campaign "names of the platform" scripts/test-border.sh
 
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
--- /dev/null
+++ b/standin/store.c
@@ -0,0 +1,366 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <http_parser.h>
+
+#include "base/xmalloc.h"
+#include "standin/store.h"
+#include "wire/listener.h"
+
+enum { KIND_MAX = 64, PAGE_DEFAULT = 500 };
+
+static const char *const path_prefix = "/v1/objects/";
+
+typedef struct object {
+    char kind[KIND_MAX];
+    json_t *value;
+    uint64_t revision;
+    bool gone; /* kept as an event */
+    struct object *next;
+} object_t;
+
+typedef struct watch {
+    standin_store_t *store;
+    wire_request_t *req;
+    uv_timer_t timer;
+    char kind[KIND_MAX];
+    uint64_t from;
+    struct watch *next;
+} watch_t;
+
+struct standin_store {
+    uv_loop_t *loop;
+    wire_listener_t *listener;
+    addr_t addr;
+    standin_store_mode_t mode;
+    object_t *objects; /* newest change first; one entry an object */
+    watch_t *watches;
+    uint64_t revision;
+    uint64_t oldest; /* watches from before get 410 */
+    uint64_t calls;
+    size_t page;
+};
+
+static const char *
+name_of(const object_t *object)
+{
+    return json_string_value(json_object_get(json_object_get(object->value, "metadata"), "name"));
+}
+
+static object_t *
+find(const standin_store_t *store, const char *kind, const char *name)
+{
+    for (object_t *object = store->objects; object != NULL; object = object->next) {
+        if (strcmp(object->kind, kind) == 0 && strcmp(name_of(object), name) == 0)
+            return object;
+    }
+    return NULL;
+}
+
+static void
+respond_json(wire_request_t *req, int status, json_t *body)
+{
+    char *text = json_dumps(body, JSON_COMPACT);
+    wire_respond(req, status, STR("Content-Type: application/json\r\n"), str_from(text));
+    free(text);
+    json_decref(body);
+}
+
+/* The events of a kind after `from`; NULL if there are none. */
+static json_t *
+events_after(const standin_store_t *store, const char *kind, uint64_t from)
+{
+    json_t *events = json_array();
+    for (const object_t *object = store->objects; object != NULL; object = object->next) {
+        if (object->revision <= from || strcmp(object->kind, kind) != 0)
+            continue;
+        json_array_insert_new(
+            events, 0, json_pack("{s:b, s:O}", "gone", object->gone, "object", object->value));
+    }
+    if (json_array_size(events) > 0)
+        return events;
+    json_decref(events);
+    return NULL;
+}
+
+static void
+on_watch_closed(uv_handle_t *handle)
+{
+    free(handle->data);
+}
+
+static void
+drop_watch(watch_t *watch)
+{
+    watch_t **slot = &watch->store->watches;
+    while (*slot != watch)
+        slot = &(*slot)->next;
+    *slot = watch->next;
+    uv_close((uv_handle_t *)&watch->timer, on_watch_closed);
+}
+
+static void
+answer_watch(watch_t *watch, json_t *events)
+{
+    wire_request_t *req = watch->req;
+    const uint64_t at = watch->store->revision;
+    drop_watch(watch);
+    respond_json(req, HTTP_STATUS_OK,
+                 json_pack("{s:o, s:I}", "events", events != NULL ? events : json_array(), "at",
+                           (json_int_t)at));
+}
+
+static void
+wake_watches(standin_store_t *store)
+{
+    watch_t *next;
+    for (watch_t *watch = store->watches; watch != NULL; watch = next) {
+        next = watch->next;
+        json_t *events = events_after(store, watch->kind, watch->from);
+        if (events != NULL)
+            answer_watch(watch, events);
+    }
+}
+
+static void
+on_watch_timeout(uv_timer_t *timer)
+{
+    answer_watch(timer->data, NULL);
+}
+
+static void
+on_watcher_gone(void *ctx)
+{
+    drop_watch(ctx);
+}
+
+static void
+change(standin_store_t *store, const char *kind, const char *name, json_t *spec, json_t *status,
+       bool gone)
+{
+    object_t *object = find(store, kind, name);
+    if (object == NULL) {
+        object = xcalloc(1, sizeof(*object));
+        snprintf(object->kind, sizeof(object->kind), "%s", kind);
+    } else {
+        object_t **slot = &store->objects;
+        while (*slot != object)
+            slot = &(*slot)->next;
+        *slot = object->next;
+        json_decref(object->value);
+    }
+    object->revision = ++store->revision;
+    object->gone = gone;
+    object->value = json_pack("{s:{s:s, s:I, s:[], s:b}, s:o, s:o}", "metadata", "name", name,
+                              "revision", (json_int_t)object->revision, "finalizers", "deleting",
+                              false, "spec", spec, "status", status != NULL ? status : json_null());
+    object->next = store->objects;
+    store->objects = object;
+    wake_watches(store);
+}
+
+void
+standin_store_put(standin_store_t *store, const char *kind, const char *name, json_t *spec,
+                  json_t *status)
+{
+    change(store, kind, name, spec, status, false);
+}
+
+void
+standin_store_remove(standin_store_t *store, const char *kind, const char *name)
+{
+    change(store, kind, name, json_object(), NULL, true);
+}
+
+static int
+by_name(const void *left, const void *right)
+{
+    return strcmp(name_of(*(object_t *const *)left), name_of(*(object_t *const *)right));
+}
+
+static void
+answer_list(standin_store_t *store, wire_request_t *req, const char *kind)
+{
+    size_t count = 0;
+    object_t *found[1024];
+    char after[KIND_MAX * 2];
+    const str_t query = wire_head_query(&req->head, STR("after"));
+    snprintf(after, sizeof(after), "%.*s", STR_ARG(query));
+    for (object_t *object = store->objects; object != NULL; object = object->next) {
+        if (!object->gone && strcmp(object->kind, kind) == 0 && count < ALEN(found) &&
+            strcmp(name_of(object), after) > 0)
+            found[count++] = object;
+    }
+    qsort(found, count, sizeof(found[0]), by_name);
+    json_t *items = json_array();
+    for (size_t i = 0; i < count && i < store->page; i++)
+        json_array_append(items, found[i]->value);
+    respond_json(req, HTTP_STATUS_OK,
+                 json_pack("{s:o, s:b, s:I}", "items", items, "more", count > store->page, "at",
+                           (json_int_t)store->revision));
+}
+
+static void
+start_watch(standin_store_t *store, wire_request_t *req, const char *kind, uint64_t from)
+{
+    uint64_t wait_ms = 0;
+    str_to_u64(wire_head_query(&req->head, STR("waitMs")), &wait_ms);
+    if (from < store->oldest) {
+        wire_respond(req, HTTP_STATUS_GONE, STR(""), STR(""));
+        return;
+    }
+    watch_t *watch = xcalloc(1, sizeof(*watch));
+    watch->store = store;
+    watch->req = req;
+    watch->from = from;
+    snprintf(watch->kind, sizeof(watch->kind), "%s", kind);
+    watch->next = store->watches;
+    store->watches = watch;
+    uv_timer_init(store->loop, &watch->timer);
+    watch->timer.data = watch;
+    req->ctx = watch;
+    req->on_gone = on_watcher_gone;
+    json_t *events = events_after(store, kind, from);
+    if (events != NULL)
+        answer_watch(watch, events);
+    else
+        uv_timer_start(&watch->timer, on_watch_timeout, wait_ms, 0);
+}
+
+static void
+answer_post(standin_store_t *store, wire_request_t *req, const char *kind)
+{
+    json_t *root = json_loadb(req->body, req->body_len, 0, NULL);
+    const char *name =
+        json_string_value(json_object_get(json_object_get(root, "metadata"), "name"));
+    if (name == NULL) {
+        wire_respond(req, HTTP_STATUS_BAD_REQUEST, STR(""), STR(""));
+    } else if (find(store, kind, name) != NULL && !find(store, kind, name)->gone) {
+        wire_respond(req, HTTP_STATUS_CONFLICT, STR(""), STR("{}"));
+    } else {
+        json_t *spec = json_object_get(root, "spec");
+        change(store, kind, name, json_incref(spec), NULL, false);
+        if (store->mode == STANDIN_STORE_LOSES)
+            wire_respond_abort(req);
+        else
+            wire_respond(req, HTTP_STATUS_OK, STR(""), STR("{}"));
+    }
+    json_decref(root);
+}
+
+static void
+serve(standin_store_t *store, wire_request_t *req)
+{
+    char kind[KIND_MAX];
+    const str_t path = wire_head_path(&req->head);
+    const size_t skip = strlen(path_prefix);
+    if (path.len <= skip || memcmp(path.ptr, path_prefix, skip) != 0) {
+        wire_respond(req, HTTP_STATUS_NOT_FOUND, STR(""), STR(""));
+        return;
+    }
+    snprintf(kind, sizeof(kind), "%.*s", (int)(path.len - skip), path.ptr + skip);
+    uint64_t from;
+    if (req->head.method == HTTP_POST)
+        answer_post(store, req, kind);
+    else if (str_to_u64(wire_head_query(&req->head, STR("watch")), &from))
+        start_watch(store, req, kind, from);
+    else
+        answer_list(store, req, kind);
+}
+
+static void
+on_request(void *ctx, wire_request_t *req)
+{
+    standin_store_t *store = ctx;
+    store->calls++;
+    switch (store->mode) {
+    case STANDIN_STORE_BUSY:
+        wire_respond(req, HTTP_STATUS_SERVICE_UNAVAILABLE, STR(""), STR(""));
+        break;
+    case STANDIN_STORE_MANY:
+        wire_respond(req, HTTP_STATUS_TOO_MANY_REQUESTS, STR(""), STR(""));
+        break;
+    case STANDIN_STORE_SILENT:
+        break;
+    case STANDIN_STORE_RESETS:
+        wire_respond_abort(req);
+        break;
+    case STANDIN_STORE_GARBLES:
+        wire_respond(req, HTTP_STATUS_OK, STR(""), STR("{\"items\":[{\"metadata\":7}"));
+        break;
+    case STANDIN_STORE_SERVES:
+    case STANDIN_STORE_LOSES:
+        serve(store, req);
+        break;
+    }
+}
+
+standin_store_t *
+standin_store_start(uv_loop_t *loop, const addr_t *addr)
+{
+    static const wire_limits_t limits = {
+        .max_head = 16384,
+        .max_body = 4 << 20,
+        .head_timeout_ms = 60000,
+        .idle_timeout_ms = 60000,
+        .max_connections = 1000,
+    };
+    standin_store_t *store = xcalloc(1, sizeof(*store));
+    err_t err = {0};
+    store->loop = loop;
+    store->page = PAGE_DEFAULT;
+    store->listener = wire_listener_start(loop, addr, &limits, on_request, store, &err);
+    xassert(store->listener != NULL);
+    store->addr = *addr;
+    store->addr.v4.sin_port = htons(wire_listener_port(store->listener));
+    return store;
+}
+
+addr_t
+standin_store_addr(const standin_store_t *store)
+{
+    return store->addr;
+}
+
+void
+standin_store_set_mode(standin_store_t *store, standin_store_mode_t mode)
+{
+    store->mode = mode;
+    while (mode != STANDIN_STORE_SERVES && mode != STANDIN_STORE_LOSES && store->watches != NULL) {
+        wire_request_t *req = store->watches->req;
+        drop_watch(store->watches);
+        wire_respond_abort(req);
+    }
+}
+
+void
+standin_store_forget(standin_store_t *store)
+{
+    store->oldest = store->revision + 1;
+    store->revision++;
+    while (store->watches != NULL) {
+        wire_request_t *req = store->watches->req;
+        drop_watch(store->watches);
+        wire_respond_abort(req);
+    }
+}
+
+void
+standin_store_set_page(standin_store_t *store, size_t items)
+{
+    store->page = items;
+}
+
+uint64_t
+standin_store_calls(const standin_store_t *store)
+{
+    return store->calls;
+}
+
+bool
+standin_store_has(const standin_store_t *store, const char *kind, const char *name)
+{
+    const object_t *object = find(store, kind, name);
+    return object != NULL && !object->gone;
+}
--- /dev/null
+++ b/standin/store.h
@@ -0,0 +1,36 @@
+/*
+ * A stand-in for the platform's metadata store: objects by kind and name, lists, watches and
+ * conditional writes over HTTP, with the troubles that the real one has. For tests and the demo.
+ */
+#pragma once
+
+#include <jansson.h>
+#include <uv.h>
+
+#include "base/addr.h"
+
+typedef struct standin_store standin_store_t;
+
+typedef enum {
+    STANDIN_STORE_SERVES,
+    STANDIN_STORE_BUSY,    /* 503 */
+    STANDIN_STORE_MANY,    /* 429 */
+    STANDIN_STORE_SILENT,  /* no answer */
+    STANDIN_STORE_RESETS,  /* closes the connection */
+    STANDIN_STORE_GARBLES, /* answers with what is no JSON */
+    STANDIN_STORE_LOSES,   /* writes are done and not answered */
+} standin_store_mode_t;
+
+standin_store_t *standin_store_start(uv_loop_t *loop, const addr_t *addr);
+addr_t standin_store_addr(const standin_store_t *store);
+void standin_store_set_mode(standin_store_t *store, standin_store_mode_t mode);
+/* Makes or replaces an object; takes over `spec` and `status`. Watches hear of it. */
+void standin_store_put(standin_store_t *store, const char *kind, const char *name, json_t *spec,
+                       json_t *status);
+void standin_store_remove(standin_store_t *store, const char *kind, const char *name);
+/* Forgets which changes there were: watches from before get 410. */
+void standin_store_forget(standin_store_t *store);
+/* The most items of a list that are given at once. */
+void standin_store_set_page(standin_store_t *store, size_t items);
+uint64_t standin_store_calls(const standin_store_t *store);
+bool standin_store_has(const standin_store_t *store, const char *kind, const char *name);
--- /dev/null
+++ b/standin/upstream.h
@@ -0,0 +1,33 @@
+/*
+ * A scripted backend server: reads requests and answers with whatever bytes its script chooses, so
+ * that tests can make every kind of wrong answer.
+ */
+#pragma once
+
+#include <uv.h>
+
+#include "base/addr.h"
+#include "base/str.h"
+
+typedef struct standin_upstream standin_upstream_t;
+typedef struct standin_conn standin_conn_t;
+
+/* A whole request has arrived; `text` is its head and body. */
+typedef void (*standin_script_t)(void *ctx, standin_conn_t *conn, str_t text);
+
+standin_upstream_t *standin_upstream_start(uv_loop_t *loop, const addr_t *addr,
+                                           standin_script_t script, void *ctx);
+addr_t standin_upstream_addr(const standin_upstream_t *upstream);
+/* Requests read, connections accepted, and connections that the other side has ended. */
+size_t standin_upstream_requests(const standin_upstream_t *upstream);
+size_t standin_upstream_accepted(const standin_upstream_t *upstream);
+size_t standin_upstream_ended(const standin_upstream_t *upstream);
+/* Stops listening and closes all connections. */
+void standin_upstream_stop(standin_upstream_t *upstream);
+
+void standin_send(standin_conn_t *conn, str_t bytes);
+/* Closes the connection after what was sent. */
+void standin_close(standin_conn_t *conn);
+void standin_reset(standin_conn_t *conn);
+/* The value of a header of a request's text, empty if absent. */
+str_t standin_field(str_t text, const char *name);
--- a/test/suites.h
+++ b/test/suites.h
@@ -1,4 +1,4 @@
-/* The unit tests' suites, one a folder of the source. */
+/* The unit tests' suites. The gateway's have a program of their own. */
 #pragma once
 
 #include <check.h>
@@ -12,3 +12,6 @@
 Suite *suite_fleet(void);
 Suite *suite_network(void);
 Suite *suite_check(void);
+Suite *suite_gateway(void);
+Suite *suite_platform(void);
+Suite *suite_whole(void);
--- /dev/null
+++ b/test/test_gateway.c
@@ -0,0 +1,546 @@
+/* The gateway's decisions: pure state, no sockets. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/xmalloc.h"
+#include "gateway/choice.h"
+#include "gateway/directory.h"
+#include "gateway/members.h"
+#include "gateway/plan.h"
+#include "gateway/retry_budget.h"
+#include "gateway/views.h"
+#include "test/suites.h"
+
+static topology_t
+three_regions(void)
+{
+    topology_t topology = {0};
+    ck_assert(topology_add(&topology, STR("a1"), STR("a")));
+    ck_assert(topology_add(&topology, STR("a2"), STR("a")));
+    ck_assert(topology_add(&topology, STR("b1"), STR("b")));
+    ck_assert(topology_add(&topology, STR("c1"), STR("c")));
+    return topology;
+}
+
+/* ---- configuration ---- */
+
+static void
+fill_route(config_route_t *route, const char *host, const char *prefix)
+{
+    name_set(&route->name, STR("r"));
+    route->host = xmemdup0(host, strlen(host));
+    route->prefix = xmemdup0(prefix, strlen(prefix));
+    route->targets = xcalloc(1, sizeof(*route->targets));
+    route->target_count = 1;
+    route->aim_ms = 400;
+    route->max_attempts = 2;
+    name_set(&route->targets[0].service, STR("svc"));
+}
+
+START_TEST(longest_prefix_wins)
+{
+    config_t *config = config_new(3, 0);
+    fill_route(&config->routes[0], "h.example", "/a/");
+    fill_route(&config->routes[1], "h.example", "/a/b/");
+    fill_route(&config->routes[2], "other.example", "/");
+    config_seal(config);
+    ck_assert_str_eq(config_route(config, STR("h.example"), STR("/a/b/c"))->prefix, "/a/b/");
+    ck_assert_str_eq(config_route(config, STR("H.Example:80"), STR("/a/x"))->prefix, "/a/");
+    ck_assert_str_eq(config_route(config, STR("other.example"), STR("/q"))->prefix, "/");
+    ck_assert_ptr_null(config_route(config, STR("h.example"), STR("/a")));
+    ck_assert_ptr_null(config_route(config, STR("h.example"), STR("/b/")));
+    ck_assert_ptr_null(config_route(config, STR(""), STR("")));
+    config_unref(config);
+}
+END_TEST
+
+/* ---- views ---- */
+
+static store_item_t
+item(const char *name, uint64_t revision, bool gone)
+{
+    return (store_item_t){
+        .name = str_from(name), .revision = revision, .gone = gone, .body = STR("{}")};
+}
+
+START_TEST(view_moves_forward_only)
+{
+    view_t view = {0};
+    const store_item_t first[] = {item("a", 3, false), item("b", 5, false)};
+    const store_item_t older[] = {item("a", 2, false)};
+    const store_item_t changes[] = {item("b", 8, true), item("c", 9, false)};
+    ck_assert_int_eq(view_apply(&view, first, 2, 0, 5), VIEW_GAP);
+    ck_assert_int_eq(view_replace(&view, first, 2, 5), VIEW_CHANGED);
+    ck_assert_int_eq(view_replace(&view, older, 1, 4), VIEW_UNCHANGED);
+    ck_assert_uint_eq(view.count, 2);
+    ck_assert_int_eq(view_apply(&view, changes, 2, 7, 9), VIEW_GAP);
+    ck_assert_int_eq(view_apply(&view, changes, 2, 5, 9), VIEW_CHANGED);
+    ck_assert_int_eq(view_apply(&view, changes, 2, 5, 9), VIEW_UNCHANGED);
+    ck_assert_ptr_null(view_find(&view, STR("b")));
+    ck_assert_ptr_nonnull(view_find(&view, STR("c")));
+    ck_assert_uint_eq(view.at, 9);
+    view_free(&view);
+}
+END_TEST
+
+START_TEST(view_gone_is_not_undone_by_an_older_change)
+{
+    view_t view = {0};
+    const store_item_t first[] = {item("a", 3, false)};
+    const store_item_t again[] = {item("a", 12, false)};
+    const store_item_t gone[] = {item("a", 10, true)};
+    view_replace(&view, first, 1, 5);
+    view_apply(&view, again, 1, 5, 12);
+    /* The same object was removed and made again: the removal comes late. */
+    view_apply(&view, gone, 1, 5, 13);
+    ck_assert_ptr_nonnull(view_find(&view, STR("a")));
+    view_free(&view);
+}
+END_TEST
+
+START_TEST(view_digests_agree_on_any_path)
+{
+    view_t listed = {0};
+    view_t followed = {0};
+    const store_item_t start[] = {item("a", 1, false), item("b", 2, false)};
+    const store_item_t change[] = {item("a", 7, false), item("b", 6, true), item("d", 5, false)};
+    const store_item_t end[] = {item("a", 7, false), item("d", 5, false)};
+    view_replace(&followed, start, 2, 3);
+    view_apply(&followed, change, 3, 3, 7);
+    view_replace(&listed, end, 2, 7);
+    ck_assert_uint_eq(listed.digest, followed.digest);
+    view_confirm(&followed, listed.digest, 20);
+    ck_assert_uint_eq(followed.at, 20);
+    view_confirm(&followed, listed.digest + 1, 30);
+    ck_assert_uint_eq(followed.at, 20);
+    view_free(&listed);
+    view_free(&followed);
+}
+END_TEST
+
+/* ---- plan ---- */
+
+static plan_input_t
+weak_region(double demand)
+{
+    return (plan_input_t){.room = {100, 18, 90}, .demand = {demand, demand, demand}};
+}
+
+START_TEST(plan_sends_a_steady_share_away)
+{
+    plan_t plan = {0};
+    plan_input_t input = weak_region(0);
+    plan_update(&plan, &input, 3, 1, 1000);
+    const double first = plan.share[1];
+    ck_assert(first < 0.5);
+    double total = 0;
+    for (int i = 0; i < 3; i++)
+        total += plan.share[i];
+    ck_assert(total > 0.999 && total < 1.001);
+    /* A burst of demand and its end move the mix by little in any two seconds. */
+    double before[3];
+    for (uint64_t at = 1200; at < 60000; at += 200) {
+        input = weak_region(at > 10000 && at < 13000 ? 90 : 25);
+        if (at % 2000 == 0) {
+            double moved = 0;
+            for (int i = 0; i < 3 && at > 2000; i++)
+                moved += plan.share[i] > before[i] ? plan.share[i] - before[i] : 0;
+            ck_assert(moved <= 0.07);
+            memcpy(before, plan.share, sizeof(before));
+        }
+        plan_update(&plan, &input, 3, 1, at);
+    }
+}
+END_TEST
+
+START_TEST(plan_shares_an_overload_alike)
+{
+    /* No region has room under the target: the weak one must not keep everything at home. */
+    plan_t plan = {0};
+    plan_input_t input = weak_region(110);
+    plan_update(&plan, &input, 3, 1, 1000);
+    for (uint64_t at = 1200; at < 40000; at += 200)
+        plan_update(&plan, &input, 3, 1, at);
+    ck_assert(plan.share[1] < 0.35);
+}
+END_TEST
+
+START_TEST(plan_makes_up_lost_room_fast)
+{
+    plan_t plan = {0};
+    plan_input_t input = {.room = {100, 100, 100}, .demand = {50, 50, 50}};
+    plan_update(&plan, &input, 3, 0, 1000);
+    for (uint64_t at = 1200; at < 5000; at += 200)
+        plan_update(&plan, &input, 3, 0, at);
+    ck_assert(plan.share[0] > 0.95);
+    input.room[0] = 0;
+    for (uint64_t at = 5000; at < 9000; at += 200)
+        plan_update(&plan, &input, 3, 0, at);
+    ck_assert(plan.share[0] < 0.2);
+}
+END_TEST
+
+START_TEST(plan_keeps_points_in_place)
+{
+    plan_t before = {.share = {0.5, 0.3, 0.2}, .region_count = 3, .own = 0, .started = true};
+    plan_t after = {.share = {0.45, 0.33, 0.22}, .region_count = 3, .own = 0, .started = true};
+    int moved = 0;
+    for (int i = 0; i < 1000; i++)
+        moved += plan_region(&before, i / 1000.0) != plan_region(&after, i / 1000.0);
+    ck_assert_int_le(moved, 101);
+    ck_assert_uint_eq(plan_region(&before, 0.9999), 2);
+}
+END_TEST
+
+/* ---- choice ---- */
+
+typedef struct {
+    topology_t topology;
+    backends_t backends;
+    plan_t plan;
+    config_t *config;
+    choice_input_t input;
+} choice_fixture_t;
+
+static backend_t *
+add_backend(choice_fixture_t *fixture, const char *id, const char *zone)
+{
+    backend_info_t info = {.capacity = 4};
+    name_set(&info.id, str_from(id));
+    name_set(&info.service, STR("svc"));
+    name_set(&info.zone, str_from(zone));
+    return backends_put(&fixture->backends, &info, &fixture->topology, NULL, 1000);
+}
+
+static choice_fixture_t *
+new_choice(void)
+{
+    choice_fixture_t *fixture = xcalloc(1, sizeof(*fixture));
+    fixture->topology = three_regions();
+    fixture->config = config_new(1, 0);
+    fill_route(&fixture->config->routes[0], "h", "/");
+    fixture->config->routes[0].priority = 1;
+    fixture->plan = (plan_t){.share = {1}, .region_count = 3, .started = true};
+    fixture->input = (choice_input_t){
+        .backends = &fixture->backends,
+        .topology = &fixture->topology,
+        .route = &fixture->config->routes[0],
+        .service = STR("svc"),
+        .plan = &fixture->plan,
+        .own_zone = STR("a1"),
+        .own_region = 0,
+        .object = 0x1234567890abcdefULL,
+        .now_ms = 5000,
+        .peers_settled = true,
+        .wait_ms = 300,
+        .load_max = 2,
+        .may_spill = true,
+    };
+    return fixture;
+}
+
+static void
+free_choice(choice_fixture_t *fixture)
+{
+    backends_free(&fixture->backends);
+    config_unref(fixture->config);
+    free(fixture);
+}
+
+START_TEST(choice_is_the_same_on_every_instance)
+{
+    choice_fixture_t *one = new_choice();
+    choice_fixture_t *two = new_choice();
+    static const char *const ids[] = {"u1", "u2", "u3", "u4", "u5", "u6"};
+    for (size_t i = 0; i < ALEN(ids); i++) {
+        add_backend(one, ids[i], "a1");
+        add_backend(two, ids[ALEN(ids) - 1 - i], "a1");
+    }
+    for (uint64_t object = 1; object < 200; object++) {
+        choice_reason_t reason;
+        one->input.object = two->input.object = object * 0x9e3779b97f4a7c15ULL;
+        const backend_t *left = choice_pick(&one->input, &reason);
+        const backend_t *right = choice_pick(&two->input, &reason);
+        ck_assert_str_eq(left->info.id.ptr, right->info.id.ptr);
+        ck_assert_int_eq(reason, CHOICE_FIRST);
+    }
+    free_choice(one);
+    free_choice(two);
+}
+END_TEST
+
+START_TEST(choice_moves_few_objects_when_one_leaves)
+{
+    choice_fixture_t *fixture = new_choice();
+    backend_t *all[6];
+    static const char *const ids[] = {"u1", "u2", "u3", "u4", "u5", "u6"};
+    for (size_t i = 0; i < ALEN(ids); i++)
+        all[i] = add_backend(fixture, ids[i], "a1");
+    for (uint64_t object = 1; object < 300; object++) {
+        choice_reason_t reason;
+        fixture->input.object = object * 0x9e3779b97f4a7c15ULL;
+        const backend_t *before = choice_pick(&fixture->input, &reason);
+        all[2]->info.leaving = true;
+        const backend_t *after = choice_pick(&fixture->input, &reason);
+        all[2]->info.leaving = false;
+        ck_assert_ptr_ne(after, all[2]);
+        if (before != all[2])
+            ck_assert_ptr_eq(before, after);
+    }
+    free_choice(fixture);
+}
+END_TEST
+
+START_TEST(choice_keeps_to_the_replicas)
+{
+    /* Objects are not spread over more upstreams when these are busy: they would run cold there. */
+    choice_fixture_t *fixture = new_choice();
+    static const char *const ids[] = {"u1", "u2", "u3", "u4", "u5", "u6"};
+    for (size_t i = 0; i < ALEN(ids); i++)
+        add_backend(fixture, ids[i], "a1")->work_ms = 200;
+    choice_reason_t reason;
+    backend_t *first = choice_pick(&fixture->input, &reason);
+    first->in_flight = 6;
+    backend_t *second = choice_pick(&fixture->input, &reason);
+    ck_assert_int_eq(reason, CHOICE_LATER);
+    ck_assert_ptr_ne(first, second);
+    second->in_flight = 6;
+    ck_assert_ptr_null(choice_pick(&fixture->input, &reason));
+    ck_assert_int_eq(reason, CHOICE_FULL);
+    /* With a shorter queue the request waits at the first. */
+    first->in_flight = 4;
+    ck_assert_ptr_eq(choice_pick(&fixture->input, &reason), first);
+    ck_assert_int_eq(reason, CHOICE_QUEUED);
+    free_choice(fixture);
+}
+END_TEST
+
+START_TEST(choice_spills_only_when_allowed)
+{
+    choice_fixture_t *fixture = new_choice();
+    add_backend(fixture, "u1", "a1")->in_flight = 20;
+    backend_t *far = add_backend(fixture, "u2", "b1");
+    choice_reason_t reason;
+    ck_assert_ptr_eq(choice_pick(&fixture->input, &reason), far);
+    ck_assert_int_eq(reason, CHOICE_ELSEWHERE);
+    fixture->input.may_spill = false;
+    ck_assert_ptr_null(choice_pick(&fixture->input, &reason));
+    /* Without any usable upstream in the region, another one serves all the same. */
+    fixture->backends.items[0]->zone_closed = true;
+    ck_assert_ptr_eq(choice_pick(&fixture->input, &reason), far);
+    free_choice(fixture);
+}
+END_TEST
+
+START_TEST(choice_keeps_large_answers_near)
+{
+    choice_fixture_t *fixture = new_choice();
+    fixture->config->routes[0].large = true;
+    add_backend(fixture, "u1", "a2");
+    backend_t *near = add_backend(fixture, "u2", "a1");
+    add_backend(fixture, "u3", "b1");
+    choice_reason_t reason;
+    for (uint64_t object = 1; object < 50; object++) {
+        fixture->input.object = object * 0x9e3779b97f4a7c15ULL;
+        ck_assert_ptr_eq(choice_pick(&fixture->input, &reason), near);
+    }
+    near->in_flight = 20;
+    ck_assert_str_eq(choice_pick(&fixture->input, &reason)->info.id.ptr, "u1");
+    free_choice(fixture);
+}
+END_TEST
+
+START_TEST(choice_respects_homes_and_what_was_tried)
+{
+    choice_fixture_t *fixture = new_choice();
+    backend_t *near = add_backend(fixture, "u1", "a1");
+    backend_t *far = add_backend(fixture, "u2", "c1");
+    config_route_t *route = &fixture->config->routes[0];
+    route->homes = xcalloc(1, sizeof(*route->homes));
+    route->home_count = 1;
+    name_set(&route->homes[0], STR("c"));
+    choice_reason_t reason;
+    ck_assert_ptr_eq(choice_pick(&fixture->input, &reason), far);
+    fixture->input.tried = &far;
+    fixture->input.tried_count = 1;
+    ck_assert_ptr_null(choice_pick(&fixture->input, &reason));
+    ck_assert_int_eq(reason, CHOICE_NONE);
+    ck_assert_ptr_nonnull(near);
+    free_choice(fixture);
+}
+END_TEST
+
+START_TEST(choice_paces_cold_upstreams)
+{
+    choice_fixture_t *fixture = new_choice();
+    backend_t *cold = add_backend(fixture, "u1", "a1");
+    const cold_peer_t self = {.key = 7, .region = 0};
+    cold->cold_until_ms = 9000;
+    cold_start(cold, 10, 5000);
+    fixture->input.own_key = 7;
+    fixture->input.peers = &self;
+    fixture->input.peer_count = 1;
+    choice_reason_t reason;
+    ck_assert_ptr_eq(choice_pick(&fixture->input, &reason), cold);
+    cold_take(cold, 5000);
+    ck_assert_ptr_null(choice_pick(&fixture->input, &reason));
+    fixture->input.now_ms = 5300;
+    ck_assert_ptr_eq(choice_pick(&fixture->input, &reason), cold);
+    fixture->input.peers_settled = false;
+    ck_assert_ptr_null(choice_pick(&fixture->input, &reason));
+    free_choice(fixture);
+}
+END_TEST
+
+/* ---- cold upstreams ---- */
+
+START_TEST(cold_has_few_users_even_with_different_lists)
+{
+    enum { PEERS = 9 };
+    cold_peer_t all[PEERS];
+    for (size_t i = 0; i < PEERS; i++)
+        all[i] = (cold_peer_t){.key = 1000 + 77 * i, .region = i % 3};
+    for (uint64_t backend = 1; backend < 300; backend++) {
+        size_t users = 0;
+        size_t split_users = 0;
+        for (size_t i = 0; i < PEERS; i++) {
+            users += cold_is_user(backend * 31, 1, all[i].key, all, PEERS);
+            /* Half of the instances have never heard of the last four. */
+            split_users += cold_is_user(backend * 31, 1, all[i].key, all, i < 5 ? 5 : PEERS);
+        }
+        ck_assert_uint_ge(users, 1);
+        ck_assert_uint_le(users, COLD_USERS);
+        ck_assert_uint_le(split_users, 2 * COLD_USERS);
+    }
+}
+END_TEST
+
+START_TEST(cold_rate_of_all_users_stays_in_bound)
+{
+    /* 3.5 a second, counted over any second and all users: at most 3.5 x 1.5 + 5. */
+    enum { STEP_MS = 10, SPAN_MS = 4000 };
+    unsigned sent[SPAN_MS / STEP_MS] = {0};
+    for (int user = 0; user < COLD_USERS; user++) {
+        backend_t backend = {0};
+        cold_start(&backend, 3.5, 0);
+        for (uint64_t at = 0; at < SPAN_MS; at += STEP_MS) {
+            while (cold_may_take(&backend, at)) {
+                cold_take(&backend, at);
+                sent[at / STEP_MS]++;
+            }
+        }
+    }
+    for (size_t from = 0; from + 100 <= ALEN(sent); from++) {
+        unsigned in_second = 0;
+        for (size_t i = 0; i < 100; i++)
+            in_second += sent[from + i];
+        ck_assert_uint_le(in_second, 5);
+    }
+}
+END_TEST
+
+/* ---- retry budget ---- */
+
+START_TEST(retry_budget_bounds_every_window)
+{
+    retry_budget_t budget = {0};
+    const retry_terms_t terms = {.ratio = 0.2, .constant = 58, .window_ms = 10000, .instances = 9};
+    unsigned taken = 0;
+    for (int i = 0; i < 1000; i++)
+        retry_budget_request(&budget, &terms, 50000 + i);
+    for (int i = 0; i < 1000; i++)
+        taken += retry_budget_take(&budget, &terms, 52000);
+    ck_assert_uint_ge(taken, 100);
+    ck_assert_uint_le(taken, 200 + 58 / 9);
+    ck_assert(!retry_budget_take(&budget, &terms, 58000));
+    ck_assert(retry_budget_take(&budget, &terms, 75000)); /* the part of the constant */
+}
+END_TEST
+
+/* ---- members and directory ---- */
+
+static member_t *
+add_member(members_t *members, const char *name, const char *place, size_t region, uint16_t port)
+{
+    char text[ADDR_TEXT_MAX];
+    addr_t addr;
+    snprintf(text, sizeof(text), "10.0.0.1:%u", port);
+    ck_assert(addr_parse(str_from(text), &addr));
+    member_t *member = members_at(members, &addr);
+    member->heard = true;
+    member->heard_ms = 10000;
+    member->ready = true;
+    member->region = region;
+    member->callers = addr;
+    name_set(&member->instance, str_from(name));
+    name_set(&member->place, str_from(place));
+    return member;
+}
+
+START_TEST(members_judge_by_silence)
+{
+    members_t members = {0};
+    add_member(&members, "a-1", "a1", 0, 1);
+    add_member(&members, "a-2", "a1", 0, 2);
+    ck_assert(members_first_in_region(&members, STR("a-1"), 0, 10500));
+    ck_assert(!members_first_in_region(&members, STR("a-2"), 0, 10500));
+    members.items[1].heard_ms = 14000;
+    ck_assert(members_first_in_region(&members, STR("a-2"), 0, 14000));
+    members.items[1].store_age_ms = 500;
+    ck_assert(members_follow_store(&members, 3000, 14000));
+    ck_assert(!members_follow_store(&members, 400, 14000));
+    ck_assert(!members_follow_store(&members, 1800, 15500));
+    members_free(&members);
+}
+END_TEST
+
+START_TEST(directory_names_the_living_and_near)
+{
+    topology_t topology = three_regions();
+    members_t members = {0};
+    addr_t out[DIRECTORY_MAX];
+    add_member(&members, "a-1", "a1", 0, 1);
+    add_member(&members, "a-2", "a2", 0, 2);
+    add_member(&members, "b-1", "b1", 1, 3);
+    ck_assert_uint_eq(directory_pick(&members, &topology, STR("a"), STR("a2"), 10100, out), 1);
+    ck_assert_uint_eq(addr_port(&out[0]), 2);
+    members.items[1].leaving = true;
+    ck_assert_uint_eq(directory_pick(&members, &topology, STR("a"), STR("a2"), 10100, out), 1);
+    ck_assert_uint_eq(addr_port(&out[0]), 1);
+    members.items[0].ready = false;
+    ck_assert_uint_eq(directory_pick(&members, &topology, STR("a"), STR("a2"), 10100, out), 1);
+    ck_assert_uint_eq(addr_port(&out[0]), 3);
+    ck_assert_uint_eq(directory_pick(&members, &topology, STR("x"), STR("y"), 13000, out), 0);
+    members_free(&members);
+}
+END_TEST
+
+Suite *
+suite_gateway(void)
+{
+    Suite *suite = suite_create("gateway");
+    TCase *tests = tcase_create("decisions");
+    tcase_add_test(tests, longest_prefix_wins);
+    tcase_add_test(tests, view_moves_forward_only);
+    tcase_add_test(tests, view_gone_is_not_undone_by_an_older_change);
+    tcase_add_test(tests, view_digests_agree_on_any_path);
+    tcase_add_test(tests, plan_sends_a_steady_share_away);
+    tcase_add_test(tests, plan_shares_an_overload_alike);
+    tcase_add_test(tests, plan_makes_up_lost_room_fast);
+    tcase_add_test(tests, plan_keeps_points_in_place);
+    tcase_add_test(tests, choice_is_the_same_on_every_instance);
+    tcase_add_test(tests, choice_moves_few_objects_when_one_leaves);
+    tcase_add_test(tests, choice_keeps_to_the_replicas);
+    tcase_add_test(tests, choice_spills_only_when_allowed);
+    tcase_add_test(tests, choice_keeps_large_answers_near);
+    tcase_add_test(tests, choice_respects_homes_and_what_was_tried);
+    tcase_add_test(tests, choice_paces_cold_upstreams);
+    tcase_add_test(tests, cold_has_few_users_even_with_different_lists);
+    tcase_add_test(tests, cold_rate_of_all_users_stays_in_bound);
+    tcase_add_test(tests, retry_budget_bounds_every_window);
+    tcase_add_test(tests, members_judge_by_silence);
+    tcase_add_test(tests, directory_names_the_living_and_near);
+    suite_add_tcase(suite, tests);
+    return suite;
+}
--- /dev/null
+++ b/test/test_platform.c
@@ -0,0 +1,267 @@
+/* The adapter to the users' platform: its requests, answers and objects, and the settings. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "base/xmalloc.h"
+#include "gateway/settings.h"
+#include "platform/dialect.h"
+#include "platform/objects.h"
+#include "test/suites.h"
+
+static void
+add_field(wire_head_t *head, const char *name, const char *value)
+{
+    wire_head_add_name(head, name, strlen(name));
+    wire_head_add_value(head, value, strlen(value));
+}
+
+static wire_head_t
+answer_head(int status)
+{
+    wire_head_t head = {.status = status};
+    return head;
+}
+
+START_TEST(judges_answers)
+{
+    wire_head_t plain = answer_head(200);
+    ck_assert_int_eq(platform_dialect.judge(&plain), VERDICT_BAD);
+    add_field(&plain, "response-signature", "x");
+    ck_assert_int_eq(platform_dialect.judge(&plain), VERDICT_ANSWER);
+    wire_head_t failed = answer_head(500);
+    ck_assert_int_eq(platform_dialect.judge(&failed), VERDICT_ANSWER);
+    /* A 503 alone is no promise that the request has not run. */
+    wire_head_t busy = answer_head(503);
+    ck_assert_int_eq(platform_dialect.judge(&busy), VERDICT_ANSWER);
+    add_field(&busy, "Not-Executed", "1");
+    ck_assert_int_eq(platform_dialect.judge(&busy), VERDICT_NOT_RUN);
+    wire_head_t other = answer_head(421);
+    ck_assert_int_eq(platform_dialect.judge(&other), VERDICT_MISDIRECTED);
+    wire_head_free(&plain);
+    wire_head_free(&failed);
+    wire_head_free(&busy);
+    wire_head_free(&other);
+}
+END_TEST
+
+START_TEST(rewrites_a_request)
+{
+    wire_head_t head = {0};
+    caller_terms_t terms;
+    add_field(&head, "Host", "h.example");
+    add_field(&head, "Attempt-Id", "abc");
+    add_field(&head, "Deadline-Ms", "2500");
+    add_field(&head, "Expect-Instance", "forged");
+    add_field(&head, "Connection", "keep-alive");
+    add_field(&head, "Transfer-Encoding", "chunked");
+    add_field(&head, "X-Other", "kept");
+    platform_dialect.read_request(&head, &terms);
+    ck_assert(str_eq(terms.id, STR("abc")));
+    ck_assert(terms.has_deadline);
+    ck_assert_uint_eq(terms.deadline_ms, 2500);
+    wire_text_t out = {0};
+    platform_dialect.write_request(&head, STR("i-1"), 1200, &out);
+    ck_assert_str_eq(out.ptr, "Host: h.example\r\nAttempt-Id: abc\r\nX-Other: kept\r\n"
+                              "Deadline-Ms: 1200\r\nExpect-Instance: i-1\r\n");
+    ck_assert(platform_dialect.answers(&head, STR("abc")));
+    ck_assert(!platform_dialect.answers(&head, STR("abd")));
+    free(out.ptr);
+    wire_head_free(&head);
+}
+END_TEST
+
+START_TEST(reads_reported_load)
+{
+    static const char *const bad[] = {"", "1", "1,2", "a,2,3", "1,,3", "-1,2,3"};
+    wire_head_t head = {0};
+    reported_load_t load;
+    add_field(&head, "Server-Load", "3,1,8");
+    ck_assert(platform_dialect.load(&head, &load));
+    ck_assert(load.running == 3 && load.waiting == 1 && load.slots == 8);
+    wire_head_free(&head);
+    for (size_t i = 0; i < ALEN(bad); i++) {
+        wire_head_t other = {0};
+        add_field(&other, "Server-Load", bad[i]);
+        ck_assert(!platform_dialect.load(&other, &load));
+        wire_head_free(&other);
+    }
+}
+END_TEST
+
+START_TEST(own_answers_say_when_to_come_back)
+{
+    wire_text_t out = {0};
+    platform_dialect.write_own_answer(STR("q"), 1400, &out);
+    ck_assert_str_eq(out.ptr, "Attempt-Id: q\r\nRetry-After: 1.400\r\n");
+    free(out.ptr);
+}
+END_TEST
+
+START_TEST(directory_speaks_the_protocol)
+{
+    wire_head_t head = {0};
+    directory_question_t question;
+    const char *target = "/v1/resolve?name=h.example&region=a&zone=a1";
+    wire_head_add_target(&head, target, strlen(target));
+    ck_assert(platform_directory.read_question(&head, &question));
+    ck_assert(str_eq(question.service, STR("h.example")));
+    ck_assert(str_eq(question.region, STR("a")));
+    ck_assert(str_eq(question.place, STR("a1")));
+    wire_text_t fields = {0};
+    wire_text_t body = {0};
+    addr_t addrs[2];
+    ck_assert(addr_parse(STR("10.0.0.1:80"), &addrs[0]));
+    ck_assert(addr_parse(STR("10.0.0.2:80"), &addrs[1]));
+    platform_directory.write_addresses(addrs, 2, 2, &fields, &body);
+    ck_assert_str_eq(body.ptr, "{\"addresses\":[\"10.0.0.1:80\",\"10.0.0.2:80\"],\"ttlS\":2}");
+    free(fields.ptr);
+    free(body.ptr);
+    wire_head_free(&head);
+}
+END_TEST
+
+static const char *const config_text =
+    "{\"metadata\":{\"name\":\"main\",\"revision\":9},\"spec\":{\"version\":\"0000000c\","
+    "\"routes\":{\"r1\":{\"host\":\"h.example\",\"pathPrefix\":\"/p/\",\"routeType\":\"unsafe\","
+    "\"timeoutMs\":2000,\"targetLatencyMs\":500,\"priority\":1,\"service\":\"s1\","
+    "\"maxAttempts\":2,\"sticky\":true,\"allowedRegions\":[\"a\"]},"
+    "\"r2\":{\"host\":\"h.example\",\"pathPrefix\":\"/d/\",\"routeType\":\"download\","
+    "\"trafficSplit\":[{\"service\":\"s1\",\"weight\":90},{\"service\":\"s2\",\"weight\":10}],"
+    "\"maxAttempts\":3,\"unknownField\":[1]}},"
+    "\"services\":{\"s1\":{\"maxConns\":330,\"coldStartS\":3.5,\"coldPerS\":14.0}},"
+    "\"limits\":{\"maxHeaderBytes\":1000,\"idleTimeoutMs\":9000}}}";
+
+START_TEST(decodes_a_configuration)
+{
+    err_t err = {0};
+    config_t *config = platform_decoder.config(str_from(config_text), &err);
+    ck_assert_ptr_nonnull(config);
+    ck_assert_str_eq(config->version, "0000000c");
+    const config_route_t *once = config_route(config, STR("h.example"), STR("/p/x"));
+    ck_assert(!once->repeatable && once->sticky && once->home_count == 1);
+    ck_assert_uint_eq(once->aim_ms, 500);
+    const config_route_t *large = config_route(config, STR("h.example"), STR("/d/"));
+    ck_assert(large->repeatable && large->large && large->target_count == 2);
+    ck_assert(large->targets[0].weight == 90);
+    ck_assert_uint_eq(config_service(config, STR("s1"))->cold_ms, 3500);
+    ck_assert_uint_eq(config->limits.max_head_bytes, 1000);
+    ck_assert_uint_eq(config->limits.head_timeout_ms, 3000);
+    config_unref(config);
+}
+END_TEST
+
+START_TEST(refuses_a_broken_configuration)
+{
+    static const char *const bad[] = {
+        "",
+        "{",
+        "[]",
+        "{\"spec\":7}",
+        "{\"spec\":{\"routes\":{\"r\":{\"host\":\"h\",\"pathPrefix\":\"/\"}}}}",
+        "{\"spec\":{\"routes\":{\"r\":{\"host\":\"\",\"pathPrefix\":\"/\",\"service\":\"s\"}}}}",
+        "{\"spec\":{\"routes\":{\"r\":{\"host\":\"h\",\"pathPrefix\":\"/\",\"trafficSplit\":"
+        "[{\"service\":\"s\",\"weight\":-1}]}}}}",
+    };
+    for (size_t i = 0; i < ALEN(bad); i++) {
+        err_t err = {0};
+        ck_assert_ptr_null(platform_decoder.config(str_from(bad[i]), &err));
+        ck_assert_int_ne(err.code, ERR_NONE);
+    }
+}
+END_TEST
+
+START_TEST(decodes_an_upstream)
+{
+    static const char *const text =
+        "{\"metadata\":{\"name\":\"i-1\",\"revision\":4},\"spec\":{\"address\":\"10.1.0.9:8080\","
+        "\"info\":{\"service\":\"s1\",\"version\":\"v1\",\"zone\":\"a1\",\"capacity\":9}},"
+        "\"status\":{\"state\":\"draining\",\"callSeq\":4,\"coldRemainingMs\":700}}";
+    backend_info_t info;
+    err_t err = {0};
+    ck_assert(platform_decoder.backend(STR("i-1"), str_from(text), &info, &err));
+    ck_assert(info.leaving && info.capacity == 9 && info.cold_ms == 700);
+    ck_assert_uint_eq(addr_port(&info.addr), 8080);
+    ck_assert(!platform_decoder.backend(STR("i-1"), STR("{\"spec\":{}}"), &info, &err));
+    ck_assert_int_eq(err.code, ERR_INVALID);
+}
+END_TEST
+
+/* ---- settings ---- */
+
+static const char *const good_settings = "name: front-1\nplace: a1\ncallers: 10.0.0.1:1\n"
+                                         "readiness: 10.0.0.1:2\ndirectory: 10.0.0.1:3\n"
+                                         "peer: 10.0.0.1:4\nstore: 10.0.0.9:1\nseeds: []\n"
+                                         "places:\n  - place: a1\n    region: a\n"
+                                         "directory_ttl_s: 2\ngrace_s: 6\nretry_ratio: 0.2\n"
+                                         "retry_constant: 58\nretry_window_s: 10\n";
+
+static bool
+load_settings(const char *text, gateway_settings_t *out, err_t *err)
+{
+    char path[] = "/tmp/irisstall-test-XXXXXX";
+    const int fd = mkstemp(path);
+    ck_assert_int_ge(fd, 0);
+    ck_assert_int_eq(write(fd, text, strlen(text)), (ssize_t)strlen(text));
+    close(fd);
+    const bool loaded = gateway_settings_load(path, out, err);
+    unlink(path);
+    return loaded;
+}
+
+/* The good settings with one text replaced by another. */
+static char *
+changed_settings(const char *from, const char *to)
+{
+    const char *at = strstr(good_settings, from);
+    ck_assert_ptr_nonnull(at);
+    return xasprintf("%.*s%s%s", (int)(at - good_settings), good_settings, to, at + strlen(from));
+}
+
+START_TEST(settings_are_checked)
+{
+    static const struct {
+        const char *from;
+        const char *to;
+        const char *named; /* what the error must name */
+    } cases[] = {
+        {"10.0.0.1:2", "10.0.0.1", "readiness: '10.0.0.1'"},
+        {"place: a1\ncall", "place: zz\ncall", "place: 'zz'"},
+        {"grace_s: 6", "grace_s: -1", "grace_s: '-1'"},
+        {"retry_window_s: 10", "retry_window_s: 0.5", "retry_window_s: '0.5'"},
+        {"name: front-1", "name: \"a b\"", "name: 'a b'"},
+        {"seeds: []", "seeds: [\"x\"]", "seeds: 'x'"},
+        {"grace_s: 6", "grace_seconds: 6", "grace_seconds"},
+    };
+    static gateway_settings_t settings;
+    err_t err = {0};
+    ck_assert_msg(load_settings(good_settings, &settings, &err), "%s", err.detail);
+    ck_assert_uint_eq(settings.grace_ms, 6000);
+    for (size_t i = 0; i < ALEN(cases); i++) {
+        char *text = changed_settings(cases[i].from, cases[i].to);
+        err = (err_t){0};
+        ck_assert(!load_settings(text, &settings, &err));
+        ck_assert_msg(strstr(err.detail, cases[i].named) != NULL, "%s", err.detail);
+        free(text);
+    }
+}
+END_TEST
+
+Suite *
+suite_platform(void)
+{
+    Suite *suite = suite_create("platform");
+    TCase *tests = tcase_create("adapter");
+    tcase_add_test(tests, judges_answers);
+    tcase_add_test(tests, rewrites_a_request);
+    tcase_add_test(tests, reads_reported_load);
+    tcase_add_test(tests, own_answers_say_when_to_come_back);
+    tcase_add_test(tests, directory_speaks_the_protocol);
+    tcase_add_test(tests, decodes_a_configuration);
+    tcase_add_test(tests, refuses_a_broken_configuration);
+    tcase_add_test(tests, decodes_an_upstream);
+    tcase_add_test(tests, settings_are_checked);
+    suite_add_tcase(suite, tests);
+    return suite;
+}
--- a/wire/client.c
+++ b/wire/client.c
@@ -12,7 +12,7 @@
 
 enum {
     READ_SIZE = 65536,
-    USER_TIMEOUT_MS = 1200,  /* unacknowledged bytes break the connection after this time */
+    USER_TIMEOUT_MS = 1200,     /* unacknowledged bytes break the connection after this time */
     KEEP_ALIVE_MARGIN_MS = 800, /* taken off the other side's announced idle time */
     MS_PER_S = 1000,
 };
@@ -46,7 +46,7 @@
     char *request;
     bool dead;
     bool writing;
-    bool skip;     /* the answer being read belongs to another request */
+    bool skip; /* the answer being read belongs to another request */
     bool reusable;
 };
 
@@ -279,9 +279,24 @@
         fail(conn, ERR_PROTOCOL, http_errno_description(HTTP_PARSER_ERRNO(&conn->parser)));
 }
 
+/* libuv tells a reset as an end when bytes came before it: ask the socket itself. */
+static bool
+was_reset(const conn_t *conn)
+{
+    uv_os_fd_t fd;
+    char byte;
+    if (uv_fileno((const uv_handle_t *)&conn->tcp, &fd) != 0)
+        return true;
+    return recv(fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) != 0;
+}
+
 static void
 on_eof(conn_t *conn)
 {
+    if (was_reset(conn)) {
+        fail(conn, ERR_UNAVAILABLE, "reset before the answer was whole");
+        return;
+    }
     /* An answer without a length ends with its connection. */
     conn->reusable = false;
     http_parser_execute(&conn->parser, &parser_settings, NULL, 0);
--- a/wire/client.h
+++ b/wire/client.h
@@ -26,8 +26,8 @@
 
 typedef struct {
     wire_stage_t stage;
-    err_t err;      /* ERR_NONE when whole */
-    bool unframed;  /* whole only because the connection ended */
+    err_t err;     /* ERR_NONE when whole */
+    bool unframed; /* whole only because the connection ended */
 } wire_end_t;
 
 typedef struct {
--- a/wire/head.c
+++ b/wire/head.c
@@ -100,8 +100,7 @@
 str_t
 wire_head_path(const wire_head_t *head)
 {
-    const char *query =
-        head->target_len > 0 ? memchr(head->text, '?', head->target_len) : NULL;
+    const char *query = head->target_len > 0 ? memchr(head->text, '?', head->target_len) : NULL;
     return (str_t){head->text, query != NULL ? (size_t)(query - head->text) : head->target_len};
 }
 
--- a/wire/listener.c
+++ b/wire/listener.c
@@ -61,7 +61,7 @@
     bool started;
     bool chunked;
     bool until_close; /* the answer ends with the connection */
-    bool head_only; /* HEAD: no body */
+    bool head_only;   /* HEAD: no body */
     bool dead;
     bool whole; /* the parser has the whole request */
 };
@@ -398,8 +398,8 @@
     if (req->body_len + len > conn->listener->limits.max_body)
         return -1;
     if (req->body_len + len > conn->body_size) {
-        conn->body_size = conn->body_size * 2 > req->body_len + len ? conn->body_size * 2
-                                                                   : req->body_len + len;
+        conn->body_size =
+            conn->body_size * 2 > req->body_len + len ? conn->body_size * 2 : req->body_len + len;
         req->body = xrealloc(req->body, conn->body_size);
     }
     memcpy(req->body + req->body_len, ptr, len);
--- a/wire/listener.h
+++ b/wire/listener.h
@@ -21,11 +21,11 @@
 typedef struct wire_request wire_request_t;
 
 typedef struct {
-    size_t max_head;           /* bytes; larger ones get 431 */
-    size_t max_body;           /* bytes; larger ones get 413 */
-    uint64_t head_timeout_ms;  /* from a request's first byte to its last */
-    uint64_t idle_timeout_ms;  /* between requests */
-    size_t max_connections;    /* further ones are closed at once */
+    size_t max_head;          /* bytes; larger ones get 431 */
+    size_t max_body;          /* bytes; larger ones get 413 */
+    uint64_t head_timeout_ms; /* from a request's first byte to its last */
+    uint64_t idle_timeout_ms; /* between requests */
+    size_t max_connections;   /* further ones are closed at once */
 } wire_limits_t;
 
 typedef void (*wire_handler_t)(void *ctx, wire_request_t *req);
@@ -44,8 +44,8 @@
 };
 
 wire_listener_t *wire_listener_start(uv_loop_t *loop, const addr_t *addr,
-                                     const wire_limits_t *limits, wire_handler_t handler,
-                                     void *ctx, err_t *err);
+                                     const wire_limits_t *limits, wire_handler_t handler, void *ctx,
+                                     err_t *err);
 uint16_t wire_listener_port(const wire_listener_t *listener);
 /* New limits, also for connections that are open. */
 void wire_listener_set_limits(wire_listener_t *listener, const wire_limits_t *limits);
