--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -154,15 +154,17 @@
 
 START_TEST(refuses_a_broken_configuration)
 {
-    static const char *const bad[] = {
+    static const char *const negative =
+        "{\"spec\":{\"routes\":{\"r\":{\"host\":\"h\",\"pathPrefix\":\"/\","
+        "\"trafficSplit\":[{\"service\":\"s\",\"weight\":-1}]}}}}";
+    const char *const bad[] = {
         "",
         "{",
         "[]",
         "{\"spec\":7}",
         "{\"spec\":{\"routes\":{\"r\":{\"host\":\"h\",\"pathPrefix\":\"/\"}}}}",
         "{\"spec\":{\"routes\":{\"r\":{\"host\":\"\",\"pathPrefix\":\"/\",\"service\":\"s\"}}}}",
-        "{\"spec\":{\"routes\":{\"r\":{\"host\":\"h\",\"pathPrefix\":\"/\",\"trafficSplit\":"
-        "[{\"service\":\"s\",\"weight\":-1}]}}}}",
+        negative,
     };
     for (size_t i = 0; i < ALEN(bad); i++) {
         err_t err = {0};
