Structured log lines on standard output through a bounded ring

Cause: on-call engineers have only logs; the old sink wrote and flushed each line and could block. Change: key=value lines, a token bucket a module, a ring of 32 kB, non-blocking writes on the tick; dropped lines are counted and told.

--- a/base/log.c
+++ b/base/log.c
@@ -5,15 +5,25 @@
 #include <string.h>
 #include <strings.h>
 #include <time.h>
+#include <unistd.h>
 
 #include <log4c.h>
 
 #define LOG_MODULE "log"
+#include "base/clock.h"
 #include "base/log.h"
+#include "base/log_ring.h"
 #include "base/xmalloc.h"
 
+enum { RING_SIZE = 32768, LINE_MAX_LEN = 1200 };
+
+/* Lines a second and burst of each module on standard output. */
+#define LINES_PER_S 60
+#define LINES_BURST 300
+
 static log4c_category_t *category;
 static FILE *out;
+static log_ring_t *ring;
 static char *out_path;
 
 static const int priorities[] = {
@@ -23,38 +33,67 @@
     [LOG_LEVEL_DBG] = LOG4C_PRIORITY_DEBUG,
 };
 
+static void
+format_time(const log4c_logging_event_t *event, char *when, size_t size)
+{
+    struct tm tm;
+    const time_t sec = event->evt_timestamp.tv_sec;
+    char text[24];
+    gmtime_r(&sec, &tm);
+    strftime(text, sizeof(text), "%Y-%m-%dT%H:%M:%S", &tm);
+    const unsigned ms = (unsigned)(event->evt_timestamp.tv_usec / 1000) % 1000;
+    snprintf(when, size, "%s.%03uZ", text, ms);
+}
+
+/* "what happened: a=1 b=2" becomes event="what happened" a=1 b=2. */
+static void
+append_to_ring(const log4c_logging_event_t *event, const char *when, const char *priority)
+{
+    char line[LINE_MAX_LEN];
+    const char *module = event->evt_msg;
+    const char *text = strchr(module, '\t');
+    if (text == NULL)
+        return;
+    const int module_len = (int)(text - module);
+    text++;
+    const char *rest = strstr(text, ": ");
+    const int event_len = rest != NULL ? (int)(rest - text) : (int)strlen(text);
+    char name[32];
+    snprintf(name, sizeof(name), "%.*s", module_len, module);
+    snprintf(line, sizeof(line), "v=1 ts=%s level=%s module=%s event=\"%.*s\"%s%s", when, priority,
+             name, event_len, text, rest != NULL ? " " : "", rest != NULL ? rest + 2 : "");
+    log_ring_add(ring, name, line, clock_steady_ms(clock_system()));
+    if (event->evt_priority <= LOG4C_PRIORITY_WARN)
+        log_ring_flush(ring);
+}
+
 static int
 append(log4c_appender_t *appender, const log4c_logging_event_t *event)
 {
     (void)appender;
+    char when[48];
+    format_time(event, when, sizeof(when));
+    const char *priority = log4c_priority_to_string(event->evt_priority);
+    if (ring != NULL) {
+        append_to_ring(event, when, priority);
+        return 0;
+    }
     if (out == NULL)
         return -1;
-    struct tm tm;
-    const time_t sec = event->evt_timestamp.tv_sec;
-    char when[32];
-    gmtime_r(&sec, &tm);
-    strftime(when, sizeof(when), "%Y-%m-%dT%H:%M:%S", &tm);
-    fprintf(out, "ts=%s.%03ldZ level=%s %s\n", when, (long)event->evt_timestamp.tv_usec / 1000,
-            log4c_priority_to_string(event->evt_priority), event->evt_msg);
+    const char *text = strchr(event->evt_msg, '\t');
+    if (text == NULL)
+        return -1;
+    fprintf(out, "ts=%s level=%s module=%.*s msg=\"%s\"\n", when, priority,
+            (int)(text - event->evt_msg), event->evt_msg, text + 1);
     fflush(out);
     return 0;
 }
 
 static const log4c_appender_type_t appender_type = {.name = "irisstall", .append = append};
 
-bool
-log_open(const char *path, log_level_t level, err_t *err)
+static bool
+start_library(log_level_t level, err_t *err)
 {
-    if (path != NULL && path[0] != '\0') {
-        out = fopen(path, "ae");
-        if (out == NULL) {
-            err_set(err, ERR_SYSTEM, "cannot open log %s: %s", path, strerror(errno));
-            return false;
-        }
-        out_path = xmemdup0(path, strlen(path));
-    } else {
-        out = stderr;
-    }
     if (log4c_init() != 0) {
         err_set(err, ERR_SYSTEM, "log4c_init failed");
         return false;
@@ -69,6 +108,48 @@
     return true;
 }
 
+bool
+log_open_stdout(log_level_t level, err_t *err)
+{
+    const log_ring_conf_t conf = {
+        .fd = STDOUT_FILENO,
+        .size = RING_SIZE,
+        .lines_per_s = LINES_PER_S,
+        .burst = LINES_BURST,
+    };
+    ring = log_ring_new(&conf);
+    return start_library(level, err);
+}
+
+void
+log_flush(void)
+{
+    if (ring != NULL)
+        log_ring_flush(ring);
+}
+
+uint64_t
+log_dropped(void)
+{
+    return ring != NULL ? log_ring_dropped(ring) : 0;
+}
+
+bool
+log_open(const char *path, log_level_t level, err_t *err)
+{
+    if (path != NULL && path[0] != '\0') {
+        out = fopen(path, "ae");
+        if (out == NULL) {
+            err_set(err, ERR_SYSTEM, "cannot open log %s: %s", path, strerror(errno));
+            return false;
+        }
+        out_path = xmemdup0(path, strlen(path));
+    } else {
+        out = stderr;
+    }
+    return start_library(level, err);
+}
+
 void
 log_reopen(void)
 {
@@ -90,6 +171,9 @@
     if (category != NULL)
         log4c_fini();
     category = NULL;
+    log_flush();
+    log_ring_free(ring);
+    ring = NULL;
     if (out != NULL && out != stderr)
         fclose(out);
     out = NULL;
@@ -120,5 +204,5 @@
     va_start(args, fmt);
     vsnprintf(text, sizeof(text), fmt, args);
     va_end(args);
-    log4c_category_log(category, priorities[level], "module=%s msg=\"%s\"", module, text);
+    log4c_category_log(category, priorities[level], "%s\t%s", module, text);
 }
--- a/base/log.h
+++ b/base/log.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <stdbool.h>
+#include <stdint.h>
 
 #include "base/error.h"
 
@@ -14,6 +15,13 @@
 
 /* `path` NULL or empty logs to standard error. */
 bool log_open(const char *path, log_level_t level, err_t *err);
+/* Logs structured lines to standard output through a bounded ring that never blocks: key=value
+ * pairs, the text before the first ": " as the event. docs/OPERATIONS.md lists the events. */
+bool log_open_stdout(log_level_t level, err_t *err);
+/* Writes waiting lines; the caller's loop does so regularly. */
+void log_flush(void);
+/* Lines dropped because they were too many or nobody read them. */
+uint64_t log_dropped(void);
 /* Opens the file anew, for log rotation. */
 void log_reopen(void);
 void log_close(void);
--- a/bin/gateway.c
+++ b/bin/gateway.c
@@ -111,8 +111,9 @@
         LOG_ERR("cannot start: err=%s detail=%s", err_name(err.code), err.detail);
         return EXIT_FAILURE;
     }
-    LOG_INFO("started: version=%s name=%s place=%s seeds=%zu", IRISSTALL_VERSION,
-             settings->name.ptr, settings->place.ptr, settings->seed_count);
+    LOG_INFO("started: version=%s name=%s place=%s seeds=%zu settings=%016llx", IRISSTALL_VERSION,
+             settings->name.ptr, settings->place.ptr, settings->seed_count,
+             (unsigned long long)str_hash((str_t){(const char *)settings, sizeof(*settings)}, 0));
     watch_signal(&process, &on_term, on_stop_signal, SIGTERM);
     watch_signal(&process, &on_int, on_stop_signal, SIGINT);
     watch_signal(&process, &on_hup, on_hangup, SIGHUP);
@@ -172,9 +173,11 @@
     }
     if (only_test)
         return EXIT_SUCCESS;
-    if (!log_open(NULL, level, &err)) {
+    if (!log_open_stdout(level, &err)) {
         fprintf(stderr, "irisstall-gateway: %s: %s\n", err_name(err.code), err.detail);
         return EXIT_FAILURE;
     }
-    return run(path, &settings);
+    const int status = run(path, &settings);
+    log_close();
+    return status;
 }
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -115,7 +115,8 @@
              choice_reason_name(ex->reason),
              ex->tried_count > 0 ? ex->tried[ex->tried_count - 1]->info.id.ptr : "-",
              (unsigned long long)(now_ms(ex) - ex->req->begun_ms),
-             (long long)(ex->end_ms - now_ms(ex)), ex->config != NULL ? ex->config->version : "-");
+             ex->end_ms > now_ms(ex) ? (long long)(ex->end_ms - now_ms(ex)) : 0,
+             ex->config != NULL ? ex->config->version : "-");
 }
 
 /* An answer of our own; ends the exchange. */
@@ -147,7 +148,7 @@
     if (ex->call != NULL)
         wire_call_cancel(ex->call);
     leave_backend(ex);
-    log_end(ex, 0, "caller left");
+    log_end(ex, 0, "caller_left");
     count_outcome("caller_left");
     release(ex);
 }
@@ -162,7 +163,7 @@
     }
     leave_backend(ex);
     if (ex->streaming) {
-        log_end(ex, ex->status, "cut at deadline");
+        log_end(ex, ex->status, "cut_at_deadline");
         count_outcome("cut");
         wire_respond_abort(ex->req);
         release(ex);
@@ -171,7 +172,7 @@
     if (ex->unknown)
         answer_own(ex, HTTP_STATUS_GATEWAY_TIMEOUT, 0, "timeout");
     else
-        answer_not_run(ex, "timeout before sending");
+        answer_not_run(ex, "timeout_unsent");
 }
 
 static bool
@@ -194,7 +195,7 @@
     if (may_send_again(ex))
         start_attempt(ex);
     else
-        answer_not_run(ex, "not run");
+        answer_not_run(ex, "not_run");
 }
 
 static void
@@ -271,7 +272,7 @@
             ex->length = (int64_t)ex->body.len;
         start_streaming(ex);
     }
-    log_end(ex, status, status < 500 ? "answered" : "upstream failed");
+    log_end(ex, status, status < 500 ? "answered" : "upstream_failed");
     count_outcome("answered");
     wire_respond_end(ex->req);
     release(ex);
@@ -330,7 +331,7 @@
     if (end->stage >= WIRE_SENT && !said_not_run)
         ex->unknown = true;
     if (ex->streaming) {
-        log_end(ex, ex->status, "cut by upstream");
+        log_end(ex, ex->status, "cut_by_upstream");
         count_outcome("cut");
         wire_respond_abort(ex->req);
         release(ex);
@@ -383,7 +384,7 @@
                                      ex->tried, ex->tried_count, &ex->reason);
     if (backend == NULL) {
         router_refused(router, ex->service);
-        answer_not_run(ex, ex->reason == CHOICE_FULL ? "no room" : "no upstream");
+        answer_not_run(ex, ex->reason == CHOICE_FULL ? "no_room" : "no_upstream");
         return;
     }
     ex->tried[ex->tried_count++] = backend_ref(backend);
@@ -428,19 +429,19 @@
     ex->timer.data = ex;
     exchanges->dialect->read_request(&req->head, &ex->terms);
     if (!router_ready(router)) {
-        answer_own(ex, HTTP_STATUS_SERVICE_UNAVAILABLE, RETRY_AFTER_MS, "no configuration");
+        answer_own(ex, HTTP_STATUS_SERVICE_UNAVAILABLE, RETRY_AFTER_MS, "no_configuration");
         return;
     }
     ex->config = config_ref(router->config);
     ex->route = config_route(ex->config, wire_head_find(&req->head, STR("host")),
                              wire_head_path(&req->head));
     if (ex->route == NULL) {
-        answer_own(ex, HTTP_STATUS_NOT_FOUND, 0, "no route");
+        answer_own(ex, HTTP_STATUS_NOT_FOUND, 0, "no_route");
         return;
     }
     ex->service = router_service(router, router_target(router, ex->route));
     if (ex->service == NULL) {
-        answer_own(ex, HTTP_STATUS_SERVICE_UNAVAILABLE, RETRY_AFTER_MS, "too many services");
+        answer_own(ex, HTTP_STATUS_SERVICE_UNAVAILABLE, RETRY_AFTER_MS, "too_many_services");
         return;
     }
     router_count_request(router, ex->service);
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -116,6 +116,8 @@
               (int64_t)gateway->exchanges.active);
     set_gauge("irisstall_caller_connections", "Open connections of callers.",
               (int64_t)wire_listener_connections(gateway->callers));
+    set_gauge("irisstall_log_lines_dropped", "Log lines that were dropped.",
+              (int64_t)log_dropped());
     size_t len;
     char *text = counter_expose(&len);
     wire_respond(req, HTTP_STATUS_OK, STR("Content-Type: text/plain; version=0.0.4\r\n"),
@@ -283,6 +285,7 @@
     sweep(gateway);
     if (gateway->ticks++ % HEARTBEAT_TICKS == 0)
         heartbeat_send(&gateway->heartbeat, now);
+    log_flush();
     if (gateway->stopping)
         advance_stop(gateway);
 }
