--- a/bin/irisctl.c
+++ b/bin/irisctl.c
@@ -6,8 +6,10 @@
 #include <string.h>
 
 #include "base/xmalloc.h"
+#include "ctl/instance_cmd.h"
 #include "ctl/status_cmd.h"
 #include "ctl/table_cmd.h"
+#include "ctl/trace_cmd.h"
 
 static void
 print_help(void)
@@ -23,7 +25,11 @@
          "  status                             every entry: versions, credits, shifts\n"
          "  explain SERVICE CLIENT             why a client's requests go where they go\n"
          "  check FILE...                      check tables and regions, offline\n"
+         "  trace ID FILE...                   the story of a request, an upstream or a version\n"
+         "                                     from the logs of several instances\n"
          "\n"
+         "  -i, --instance=IP:PORT  a gateway's admin address: 'table show', 'status' and\n"
+         "                          'explain HOST PATH [OBJECT]' ask that instance\n"
          "  -p, --platform=IP:PORT  the platform's object API [$IRISSTALL_PLATFORM]\n"
          "  -j, --json              machine-readable output\n"
          "      --history=FILE      record edits and their outcomes\n"
@@ -66,20 +72,27 @@
 int
 main(int argc, char *argv[])
 {
-    static const struct option options[] = {
-        {"platform", required_argument, NULL, 'p'}, {"json", no_argument, NULL, 'j'},
-        {"history", required_argument, NULL, 'y'},  {"help", no_argument, NULL, 'h'},
-        {"version", no_argument, NULL, 'V'},        {NULL, 0, NULL, 0}};
+    static const struct option options[] = {{"platform", required_argument, NULL, 'p'},
+                                            {"json", no_argument, NULL, 'j'},
+                                            {"instance", required_argument, NULL, 'i'},
+                                            {"history", required_argument, NULL, 'y'},
+                                            {"help", no_argument, NULL, 'h'},
+                                            {"version", no_argument, NULL, 'V'},
+                                            {NULL, 0, NULL, 0}};
     session_t session = {0};
     const char *platform = getenv("IRISSTALL_PLATFORM");
+    const char *instance = NULL;
     const char *history = "";
     err_t err = {0};
     int opt;
-    while ((opt = getopt_long(argc, argv, "+p:jhV", options, NULL)) != -1) {
+    while ((opt = getopt_long(argc, argv, "+p:i:jhV", options, NULL)) != -1) {
         switch (opt) {
         case 'p':
             platform = optarg;
             break;
+        case 'i':
+            instance = optarg;
+            break;
         case 'j':
             session.json = true;
             break;
@@ -104,6 +117,10 @@
     }
     if (strcmp(argv[0], "check") == 0)
         return table_cmd_check(argc - 1, argv + 1);
+    if (strcmp(argv[0], "trace") == 0)
+        return trace_cmd(argc - 1, argv + 1);
+    if (instance != NULL)
+        return instance_cmd(instance, argc, argv);
     addr_t addr;
     if (platform == NULL || !addr_parse(str_from(platform), &addr)) {
         fprintf(stderr, "irisctl: --platform: '%s': expected IP:PORT\n",
--- /dev/null
+++ b/ctl/instance_cmd.c
@@ -0,0 +1,48 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/xmalloc.h"
+#include "ctl/instance_cmd.h"
+#include "ctl/session.h"
+#include "ctl/table_cmd.h"
+
+static char *
+build_path(int argc, char **argv)
+{
+    if (strcmp(argv[0], "table") == 0 && argc >= 2 && strcmp(argv[1], "show") == 0)
+        return xasprintf("/table?service=%s", argc > 2 ? argv[2] : "");
+    if (strcmp(argv[0], "status") == 0)
+        return xasprintf("/status");
+    if (strcmp(argv[0], "explain") == 0 && argc >= 3)
+        return xasprintf("/explain?host=%s&path=%s&object=%s", argv[1], argv[2],
+                         argc > 3 ? argv[3] : "");
+    return NULL;
+}
+
+int
+instance_cmd(const char *instance, int argc, char **argv)
+{
+    addr_t addr;
+    session_t session = {0};
+    if (!addr_parse(str_from(instance), &addr)) {
+        fprintf(stderr, "irisctl: --instance: '%s': expected IP:PORT\n", instance);
+        return CTL_USAGE;
+    }
+    char *path = build_path(argc, argv);
+    if (path == NULL) {
+        fprintf(stderr, "irisctl: '%s' is not asked of an instance, see irisctl --help\n", argv[0]);
+        return CTL_USAGE;
+    }
+    session_start(&session, &addr);
+    const reply_t reply = session_fetch(&session, &addr, path);
+    free(path);
+    if (reply.err.code != ERR_NONE) {
+        fprintf(stderr, "irisctl: %s: %s\n", err_name(reply.err.code), reply.err.detail);
+        free(reply.body);
+        return CTL_NOT_APPLIED;
+    }
+    fwrite(reply.body, 1, reply.len, stdout);
+    free(reply.body);
+    return CTL_OK;
+}
--- /dev/null
+++ b/ctl/instance_cmd.h
@@ -0,0 +1,5 @@
+/* Commands that ask a running gateway at its admin address. */
+#pragma once
+
+/* `argv` holds the command and its arguments; returns the exit status. */
+int instance_cmd(const char *instance, int argc, char **argv);
--- /dev/null
+++ b/ctl/trace_cmd.c
@@ -0,0 +1,119 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/xmalloc.h"
+#include "ctl/table_cmd.h"
+#include "ctl/trace_cmd.h"
+
+enum { LINE_MAX_LEN = 4096 };
+
+typedef struct {
+    char *source; /* the file, or the instance that stands before the line */
+    char *text;   /* from "v=" on */
+    char when[32];
+    size_t order; /* keeps lines of the same time as they came */
+} line_t;
+
+typedef struct {
+    line_t *items;
+    size_t count;
+} lines_t;
+
+/* True if `id` stands in the line as a whole value. */
+static bool
+mentions(const char *text, const char *id)
+{
+    const size_t len = strlen(id);
+    for (const char *at = strstr(text, id); at != NULL; at = strstr(at + 1, id)) {
+        const char after = at[len];
+        const bool whole = after == '\0' || after == ' ' || after == '\n' || after == '"';
+        if (at > text && at[-1] == '=' && whole)
+            return true;
+    }
+    return false;
+}
+
+static void
+add_line(lines_t *lines, const char *file, const char *line, const char *text)
+{
+    static const char *const key = "ts=";
+    lines->items = xrealloc(lines->items, (lines->count + 1) * sizeof(*lines->items));
+    line_t *item = &lines->items[lines->count];
+    *item = (line_t){.order = lines->count};
+    lines->count++;
+    const char *when = strstr(text, key);
+    if (when != NULL)
+        snprintf(item->when, sizeof(item->when), "%.*s", (int)strcspn(when + strlen(key), " "),
+                 when + strlen(key));
+    /* Some collectors put the instance's name before each line. */
+    const char *end = text;
+    while (end > line && end[-1] == ' ')
+        end--;
+    const char *start = end;
+    while (start > line && start[-1] != ' ')
+        start--;
+    item->source =
+        end > start ? xmemdup0(start, (size_t)(end - start)) : xmemdup0(file, strlen(file));
+    item->text = xmemdup0(text, strcspn(text, "\n"));
+}
+
+static bool
+read_file(lines_t *lines, const char *path, const char *id)
+{
+    char line[LINE_MAX_LEN];
+    FILE *file = strcmp(path, "-") == 0 ? stdin : fopen(path, "re");
+    if (file == NULL)
+        return false;
+    while (fgets(line, sizeof(line), file) != NULL) {
+        const char *text = strstr(line, "v=1 ");
+        if (text != NULL && mentions(text, id))
+            add_line(lines, path, line, text);
+    }
+    if (file != stdin)
+        fclose(file);
+    return true;
+}
+
+static int
+by_time(const void *left, const void *right)
+{
+    const line_t *a = left;
+    const line_t *b = right;
+    const int order = strcmp(a->when, b->when);
+    return order != 0 ? order : (a->order > b->order) - (a->order < b->order);
+}
+
+static void
+print_line(const line_t *line)
+{
+    const char *level = strstr(line->text, "level=");
+    printf("%s %-24s %s\n", line->when, line->source, level != NULL ? level : line->text);
+}
+
+int
+trace_cmd(int argc, char **argv)
+{
+    lines_t lines = {0};
+    if (argc < 2) {
+        fputs("irisctl: trace needs an id and files with logs\n", stderr);
+        return CTL_USAGE;
+    }
+    for (int i = 1; i < argc; i++) {
+        if (!read_file(&lines, argv[i], argv[0])) {
+            fprintf(stderr, "irisctl: cannot read %s\n", argv[i]);
+            return CTL_USAGE;
+        }
+    }
+    if (lines.count > 0)
+        qsort(lines.items, lines.count, sizeof(*lines.items), by_time);
+    for (size_t i = 0; i < lines.count; i++) {
+        print_line(&lines.items[i]);
+        free(lines.items[i].source);
+        free(lines.items[i].text);
+    }
+    free(lines.items);
+    if (lines.count == 0)
+        fprintf(stderr, "irisctl: nothing about %s\n", argv[0]);
+    return lines.count > 0 ? CTL_OK : CTL_REFUSED;
+}
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -11,6 +11,7 @@
 #include "gateway/exchange.h"
 #include "gateway/gateway.h"
 #include "gateway/heartbeat.h"
+#include "gateway/inspect.h"
 
 enum {
     TICK_MS = 200,
@@ -43,7 +44,7 @@
     wire_listener_t *callers;
     wire_listener_t *readiness;
     wire_listener_t *directory;
-    wire_listener_t *metrics;
+    wire_listener_t *admin;
     uv_timer_t tick;
     unsigned ticks;
     bool stopping;
@@ -104,9 +105,8 @@
 }
 
 static void
-on_metrics_question(void *ctx, wire_request_t *req)
+answer_metrics(gateway_t *gateway, wire_request_t *req)
 {
-    gateway_t *gateway = ctx;
     const router_t *router = &gateway->router;
     set_gauge("irisstall_config_revision", "Store revision of the configuration in force.",
               router->config != NULL ? (int64_t)router->config->revision : 0);
@@ -125,6 +125,30 @@
     free(text);
 }
 
+static void
+on_admin_question(void *ctx, wire_request_t *req)
+{
+    gateway_t *gateway = ctx;
+    const str_t path = wire_head_path(&req->head);
+    wire_text_t text = {0};
+    if (str_eq(path, STR("/metrics"))) {
+        answer_metrics(gateway, req);
+        return;
+    }
+    if (str_eq(path, STR("/table")))
+        inspect_table(&gateway->router, wire_head_query(&req->head, STR("service")), &text);
+    else if (str_eq(path, STR("/status")))
+        inspect_status(&gateway->router, &gateway->sync, gateway->heartbeat.ready,
+                       gateway->stopping, &text);
+    else if (str_eq(path, STR("/explain")))
+        inspect_explain(&gateway->router, wire_head_query(&req->head, STR("host")),
+                        wire_head_query(&req->head, STR("path")),
+                        wire_head_query(&req->head, STR("object")), &text);
+    const int status = text.len > 0 ? HTTP_STATUS_OK : HTTP_STATUS_NOT_FOUND;
+    wire_respond(req, status, STR("Content-Type: text/plain\r\n"), (str_t){text.ptr, text.len});
+    free(text.ptr);
+}
+
 static void
 apply_caller_limits(gateway_t *gateway)
 {
@@ -336,11 +360,11 @@
     if (gateway->directory == NULL)
         return false;
     set_port(&settings->directory, wire_listener_port(gateway->directory));
-    if (settings->has_metrics) {
-        gateway->metrics = listen_small(gateway, &settings->metrics, on_metrics_question, err);
-        if (gateway->metrics == NULL)
+    if (settings->has_admin) {
+        gateway->admin = listen_small(gateway, &settings->admin, on_admin_question, err);
+        if (gateway->admin == NULL)
             return false;
-        set_port(&settings->metrics, wire_listener_port(gateway->metrics));
+        set_port(&settings->admin, wire_listener_port(gateway->admin));
     }
     gateway->hub = peer_hub_start(gateway->loop, &settings->peer, on_peer_message, gateway, err);
     if (gateway->hub == NULL)
--- /dev/null
+++ b/gateway/inspect.c
@@ -0,0 +1,194 @@
+#include <stdio.h>
+
+#include "gateway/inspect.h"
+
+enum { CELL_MAX = 48 };
+
+typedef struct {
+    unsigned upstreams;
+    unsigned ready;
+    unsigned leaving;
+    unsigned cold;
+    unsigned paused;
+    unsigned slots;
+    double load;
+    bool closed;
+} row_t;
+
+static row_t
+sum_row(const router_t *router, const name_t *service, const name_t *place, uint64_t now)
+{
+    row_t row = {0};
+    for (size_t i = 0; i < router->backends.count; i++) {
+        const backend_t *backend = router->backends.items[i];
+        if (!name_eq(&backend->info.service, name_str(service)) ||
+            !name_eq(&backend->info.zone, name_str(place)))
+            continue;
+        row.upstreams++;
+        row.ready += backend_is_usable(backend, now);
+        row.leaving += backend->info.leaving || !backend->listed;
+        row.cold += backend_is_cold(backend, now);
+        row.paused += now < backend->suspended_until_ms;
+        row.slots += backend->info.capacity;
+        row.load += backend_load(backend, now);
+        row.closed |= backend->zone_closed;
+    }
+    return row;
+}
+
+static const router_service_t *
+find_service(const router_t *router, str_t name)
+{
+    for (size_t i = 0; i < router->service_count; i++) {
+        if (name_eq(&router->services[i].name, name))
+            return &router->services[i];
+    }
+    return NULL;
+}
+
+static void
+print_rows(const router_t *router, const config_service_t *config, uint64_t now, wire_text_t *out)
+{
+    const router_service_t *service = find_service(router, name_str(&config->name));
+    for (size_t i = 0; i < router->topology->place_count; i++) {
+        const topology_place_t *place = &router->topology->places[i];
+        const row_t row = sum_row(router, &config->name, &place->name, now);
+        if (row.upstreams == 0)
+            continue;
+        const double share =
+            service != NULL && service->plan.started ? service->plan.share[place->region] : 0;
+        wire_text_printf(out, "%-16s %-16s %-16s %5.1f%% %9u %5u %7u %4u %6u %5u %6.1f  %s\n",
+                         config->name.ptr, place->name.ptr,
+                         router->topology->regions[place->region].ptr, 100 * share, row.upstreams,
+                         row.ready, row.leaving, row.cold, row.paused, row.slots, row.load,
+                         row.closed ? "closed" : "open");
+    }
+}
+
+void
+inspect_table(const router_t *router, str_t service, wire_text_t *out)
+{
+    const uint64_t now = uv_now(router->loop);
+    if (router->config == NULL) {
+        wire_text_str(out, STR("no configuration yet\n"));
+        return;
+    }
+    wire_text_printf(out, "version %s, as seen by %s\n", router->config->version,
+                     router->instance.ptr);
+    wire_text_printf(out, "%-16s %-16s %-16s %6s %9s %5s %7s %4s %6s %5s %6s  %s\n", "SERVICE",
+                     "PLACE", "REGION", "SHARE", "UPSTREAMS", "READY", "LEAVING", "COLD", "PAUSED",
+                     "SLOTS", "LOAD", "STATE");
+    for (size_t i = 0; i < router->config->service_count; i++) {
+        const config_service_t *config = &router->config->services[i];
+        if (service.len == 0 || name_eq(&config->name, service))
+            print_rows(router, config, now, out);
+    }
+}
+
+void
+inspect_status(const router_t *router, const sync_t *sync, bool ready, bool leaving,
+               wire_text_t *out)
+{
+    const uint64_t now = uv_now(router->loop);
+    const uint32_t age = sync_store_age(sync);
+    wire_text_printf(out, "instance %s place %s state %s\n", router->instance.ptr,
+                     router->place.ptr,
+                     leaving ? "leaving"
+                     : ready ? "ready"
+                             : "waiting");
+    wire_text_printf(out, "configuration %s revision %llu\n",
+                     router->config != NULL ? router->config->version : "-",
+                     (unsigned long long)(router->config != NULL ? router->config->revision : 0));
+    if (age == STORE_AGE_NONE)
+        wire_text_str(out, STR("store followed by peers\n"));
+    else
+        wire_text_printf(out, "store followed here, last answer %u ms ago\n", age);
+    for (size_t i = 0; i < sync->members->count; i++) {
+        const member_t *member = &sync->members->items[i];
+        if (!member->heard)
+            continue;
+        wire_text_printf(out, "member %-24s %-16s %-7s heard %llu ms ago\n", member->instance.ptr,
+                         member->place.ptr,
+                         !member_alive(member, now) ? "lost"
+                         : member->leaving          ? "leaving"
+                         : member->ready            ? "ready"
+                                                    : "waiting",
+                         (unsigned long long)(now - member->heard_ms));
+    }
+}
+
+static const char *
+why_not(const backend_t *backend, uint64_t now)
+{
+    if (!backend->listed || backend->departed)
+        return "gone";
+    if (backend->info.leaving)
+        return "leaving";
+    if (backend->zone_closed)
+        return "zone closed";
+    if (now < backend->suspended_until_ms)
+        return "paused after failures";
+    if (backend_is_cold(backend, now))
+        return "cold, paced";
+    return "usable";
+}
+
+static void
+explain_service(const router_t *router, const config_route_t *route, const name_t *name,
+                uint64_t object, wire_text_t *out)
+{
+    const uint64_t now = uv_now(router->loop);
+    const router_service_t *service = find_service(router, name_str(name));
+    static const plan_t no_plan;
+    const choice_input_t input = {
+        .backends = &router->backends,
+        .topology = router->topology,
+        .route = route,
+        .service = name_str(name),
+        .plan = service != NULL ? &service->plan : &no_plan,
+        .own_zone = name_str(&router->place),
+        .own_region = router->region,
+        .object = object,
+        .now_ms = now,
+        .own_key = router->key,
+        .peers = router->peers,
+        .peer_count = router->peer_count,
+        .peers_settled = router->peers_settled,
+        .wait_ms = route->aim_ms,
+        .load_max = 1,
+        .may_spill = true,
+    };
+    choice_reason_t reason;
+    const backend_t *picked = choice_pick(&input, &reason);
+    wire_text_printf(out, "  would go to %s, reason %s\n",
+                     picked != NULL ? picked->info.id.ptr : "none", choice_reason_name(reason));
+    for (size_t i = 0; i < router->backends.count; i++) {
+        const backend_t *backend = router->backends.items[i];
+        if (name_eq(&backend->info.service, name_str(name)))
+            wire_text_printf(out, "  %-24s %-16s load %.1f of %u, work %.0f ms, %s\n",
+                             backend->info.id.ptr, backend->info.zone.ptr,
+                             backend_load(backend, now), backend->info.capacity, backend->work_ms,
+                             why_not(backend, now));
+    }
+}
+
+void
+inspect_explain(const router_t *router, str_t host, str_t path, str_t object, wire_text_t *out)
+{
+    const config_route_t *route =
+        router->config != NULL ? config_route(router->config, host, path) : NULL;
+    if (route == NULL) {
+        wire_text_str(out, STR("no route\n"));
+        return;
+    }
+    wire_text_printf(out, "route %s, prefix %.200s, %s, aim %u ms, limit %u ms, attempts %u\n",
+                     route->name.ptr, route->prefix,
+                     route->repeatable ? "may be repeated" : "runs at most once", route->aim_ms,
+                     route->timeout_ms, route->max_attempts);
+    for (size_t i = 0; i < route->target_count; i++) {
+        wire_text_printf(out, "service %s, weight %g\n", route->targets[i].service.ptr,
+                         route->targets[i].weight);
+        explain_service(router, route, &route->targets[i].service,
+                        router_object_hash(route, object), out);
+    }
+}
--- a/gateway/router.c
+++ b/gateway/router.c
@@ -273,12 +273,18 @@
     return name_str(&route->targets[route->target_count - 1].service);
 }
 
+uint64_t
+router_object_hash(const config_route_t *route, str_t object)
+{
+    return str_hash(object, OBJECT_SEED ^ route->key);
+}
+
 uint64_t
 router_object(router_t *router, const config_route_t *route, str_t object)
 {
     if (!route->sticky || object.len == 0)
         return rng_next(&router->rng);
-    return str_hash(object, OBJECT_SEED ^ route->key);
+    return router_object_hash(route, object);
 }
 
 /* A caller with its whole time left can come back later; one that has come back is served late
--- a/gateway/router.h
+++ b/gateway/router.h
@@ -75,6 +75,8 @@
 router_service_t *router_service(router_t *router, str_t name);
 /* The service that serves this request: one of the route's targets by weight. */
 str_t router_target(router_t *router, const config_route_t *route);
+/* The hash of an object on a route, the same on every instance. */
+uint64_t router_object_hash(const config_route_t *route, str_t object);
 /* The number by which a request's upstream is chosen: the object's hash, or random. */
 uint64_t router_object(router_t *router, const config_route_t *route, str_t object);
 /* `left_ms` is the time that the caller still waits. */
--- a/gateway/settings.c
+++ b/gateway/settings.c
@@ -22,7 +22,7 @@
     char *readiness;
     char *directory;
     char *peer;
-    char *metrics;
+    char *admin;
     char *store;
     char **seeds;
     unsigned seeds_count;
@@ -57,7 +57,7 @@
     TEXT(readiness, 0),
     TEXT(directory, 0),
     TEXT(peer, 0),
-    TEXT(metrics, CYAML_FLAG_OPTIONAL),
+    TEXT(admin, CYAML_FLAG_OPTIONAL),
     TEXT(store, 0),
     CYAML_FIELD_SEQUENCE("seeds", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, raw_t, seeds,
                          &seed_schema, 0, SETTINGS_SEEDS),
@@ -133,9 +133,9 @@
         .retry_ratio = raw->retry_ratio,
         .retry_constant = raw->retry_constant,
         .retry_window_ms = (uint64_t)(raw->retry_window_s * MS_PER_S),
-        .has_metrics = raw->metrics != NULL,
+        .has_admin = raw->admin != NULL,
     };
-    if (raw->metrics != NULL && !read_addr("metrics", raw->metrics, &out->metrics, err))
+    if (raw->admin != NULL && !read_addr("admin", raw->admin, &out->admin, err))
         return false;
     return read_name("name", raw->name, &out->name, err) &&
            read_name("place", raw->place, &out->place, err) &&
--- a/gateway/settings.h
+++ b/gateway/settings.h
@@ -14,8 +14,8 @@
     addr_t readiness;
     addr_t directory;
     addr_t peer;
-    addr_t metrics;
-    bool has_metrics;
+    addr_t admin;
+    bool has_admin;
     addr_t store;
     addr_t seeds[SETTINGS_SEEDS];
     size_t seed_count;
