--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # A thin front to meson and ninja.
 BUILD ?= build
 
-.PHONY: all deps build test unit lint format sanitize run run-padana faults mutations bench slopes clean
+.PHONY: all deps build test unit lint format sanitize run run-padana run-platform faults mutations bench slopes clean
 
 all: build
 
@@ -36,6 +36,9 @@
 run-padana: build
 	BUILD=$(BUILD) scripts/demo.sh padana
 
+run-platform: build
+	BUILD=$(BUILD) scripts/run-platform.sh
+
 mutations: deps
 	scripts/mutations.sh
 
