One served instance a region follows the store; upstreams that fail most attempts are avoided

Change: heartbeats tell that the store fails an instance; the next in its region follows, and goes on for 3 s if it had to. Whole outage: all living instances are failed.

--- a/gateway/choice.c
+++ b/gateway/choice.c
@@ -8,6 +8,11 @@
  * run longer there, and its own objects come first. */
 #define LATER_SHARE 0.6
 
+/* The most upstreams of a region, as a share, that are avoided for their failures. */
+#define IMPAIRED_MAX_SHARE 0.6
+/* Brings an impaired upstream's score below that of every other. */
+#define IMPAIRED_FACTOR 1e-9
+
 enum {
     URGENT_PRIORITY = 1,
     CANDIDATES_MAX = 512,
@@ -59,6 +64,26 @@
                         input->peer_count);
 }
 
+/* Puts impaired upstreams behind all others of their region, unless most there are impaired: then
+ * the fault lies elsewhere, or nothing would be left to carry the load. */
+static void
+demote_impaired(const choice_input_t *input, candidate_t *candidates, size_t count)
+{
+    unsigned total[TOPOLOGY_REGIONS_MAX + 1] = {0};
+    unsigned impaired[TOPOLOGY_REGIONS_MAX + 1] = {0};
+    for (size_t i = 0; i < count; i++) {
+        const backend_t *backend = candidates[i].backend;
+        total[backend->region]++;
+        impaired[backend->region] += backend_is_impaired(backend, input->now_ms);
+    }
+    for (size_t i = 0; i < count; i++) {
+        const backend_t *backend = candidates[i].backend;
+        if (impaired[backend->region] <= IMPAIRED_MAX_SHARE * total[backend->region] &&
+            backend_is_impaired(backend, input->now_ms))
+            candidates[i].score *= IMPAIRED_FACTOR;
+    }
+}
+
 static size_t
 collect(const choice_input_t *input, candidate_t *out)
 {
@@ -68,6 +93,7 @@
         if (may_use(input, backend))
             out[count++] = (candidate_t){backend, rendezvous_score(input, backend)};
     }
+    demote_impaired(input, out, count);
     return count;
 }
 
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -9,7 +9,11 @@
 #include "base/xmalloc.h"
 #include "gateway/exchange.h"
 
+/* An attempt is overdue after this many times the upstream's usual time, and a fixed time more. */
+#define OVERDUE_TIMES 4.0
+
 enum {
+    OVERDUE_LEAST_MS = 500,
     CONNECT_TIMEOUT_MS = 400,
     CONNECT_TRIES = 4, /* upstreams tried without having sent anything */
     IDLE_MAX_REPEATABLE_MS = 6000,
@@ -37,6 +41,7 @@
     backend_t *backend;
     wire_call_t *call;
     uint64_t sent_ms;
+    uint64_t overdue_ms; /* loop time at which the attempt takes far longer than usual; 0: passed */
     choice_reason_t reason;
     answer_verdict_t verdict;
     int status;
@@ -55,6 +60,7 @@
 } exchange_t;
 
 static void start_attempt(exchange_t *ex);
+static void on_timer(uv_timer_t *timer);
 
 static uint64_t
 now_ms(const exchange_t *ex)
@@ -154,11 +160,12 @@
 }
 
 static void
-on_deadline(uv_timer_t *timer)
+give_up(exchange_t *ex)
 {
-    exchange_t *ex = timer->data;
     if (ex->call != NULL) {
         ex->unknown |= wire_call_stage(ex->call) != WIRE_UNSENT;
+        if (ex->overdue_ms != 0)
+            backend_record(ex->backend, true, now_ms(ex));
         wire_call_cancel(ex->call);
     }
     leave_backend(ex);
@@ -189,6 +196,52 @@
     return router_take_retry(ex->all->router, ex->service);
 }
 
+/* The attempt takes far longer than usual. If its upstream fails others too and the request may be
+ * repeated, another upstream gets it. */
+static void
+on_overdue(exchange_t *ex)
+{
+    ex->overdue_ms = 0;
+    if (ex->call == NULL || ex->head_seen)
+        return;
+    backend_record(ex->backend, true, now_ms(ex));
+    if (!ex->route->repeatable || !backend_is_impaired(ex->backend, now_ms(ex)))
+        return;
+    ex->unknown |= wire_call_stage(ex->call) != WIRE_UNSENT;
+    ex->sends += wire_call_stage(ex->call) != WIRE_UNSENT;
+    if (!may_send_again(ex)) {
+        ex->sends -= wire_call_stage(ex->call) != WIRE_UNSENT;
+        return;
+    }
+    LOG_INFO("attempt abandoned: id=%.*s backend=%s after_ms=%llu", STR_ARG(ex->terms.id),
+             ex->backend->info.id.ptr, (unsigned long long)(now_ms(ex) - ex->sent_ms));
+    wire_call_cancel(ex->call);
+    leave_backend(ex);
+    start_attempt(ex);
+}
+
+static void
+set_timer(exchange_t *ex)
+{
+    const uint64_t now = now_ms(ex);
+    const uint64_t next =
+        ex->overdue_ms != 0 && ex->overdue_ms < ex->end_ms ? ex->overdue_ms : ex->end_ms;
+    uv_timer_start(&ex->timer, on_timer, next > now ? next - now : 0, 0);
+}
+
+static void
+on_timer(uv_timer_t *timer)
+{
+    exchange_t *ex = timer->data;
+    if (now_ms(ex) >= ex->end_ms) {
+        give_up(ex);
+        return;
+    }
+    on_overdue(ex);
+    if (!ex->done)
+        set_timer(ex);
+}
+
 static void
 retry_or_give_up(exchange_t *ex)
 {
@@ -285,6 +338,7 @@
     case VERDICT_ANSWER:
         router_answered(ex->service, (double)(now_ms(ex) - ex->sent_ms));
         backend_answered(backend, (double)(now_ms(ex) - ex->sent_ms), ex->reason == CHOICE_QUEUED);
+        backend_record(backend, ex->status >= 500, now_ms(ex));
         if (is_failure_worth_retry(ex)) {
             ex->unknown = true;
             if (may_send_again(ex)) {
@@ -303,6 +357,7 @@
         return;
     case VERDICT_BAD:
         ex->unknown = true;
+        backend_record(backend, true, now_ms(ex));
         backend_failed(backend, now_ms(ex));
         retry_or_give_up(ex);
         return;
@@ -325,6 +380,7 @@
     LOG_INFO("attempt failed: id=%.*s backend=%s stage=%d err=%s detail=\"%s\"",
              STR_ARG(ex->terms.id), backend->info.id.ptr, end->stage, err_name(end->err.code),
              end->err.detail);
+    backend_record(backend, true, now_ms(ex));
     backend_failed(backend, now_ms(ex));
     const bool said_not_run =
         ex->head_seen && (ex->verdict == VERDICT_NOT_RUN || ex->verdict == VERDICT_MISDIRECTED);
@@ -401,6 +457,9 @@
     };
     conf.request = build_request(ex, left, &conf.request_len);
     ex->call = wire_call_start(backend->pool, &conf, &cbs, ex);
+    const double usual = backend->work_ms > 0 ? backend->work_ms : ex->route->aim_ms;
+    ex->overdue_ms = now + OVERDUE_LEAST_MS + (uint64_t)(OVERDUE_TIMES * usual);
+    set_timer(ex);
 }
 
 static void
@@ -412,8 +471,6 @@
                       ? ex->terms.deadline_ms - GIVE_UP_MARGIN_MS
                       : 1;
     ex->end_ms = ex->req->begun_ms + allowed;
-    const uint64_t now = now_ms(ex);
-    uv_timer_start(&ex->timer, on_deadline, ex->end_ms > now ? ex->end_ms - now : 0, 0);
 }
 
 void
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -171,9 +171,9 @@
     gateway_t *gateway = ctx;
     const view_t *view = &gateway->sync.views[kind];
     const bool mass_loss = view->count < gateway->router.backends.count / 2;
-    const uint64_t grace = sync_store_trouble(&gateway->sync) ? LOST_ENTRY_GRACE_MS
-                           : mass_loss                        ? MASS_LOSS_GRACE_MS
-                                                              : 0;
+    const uint64_t grace = sync_store_was_down(&gateway->sync) ? LOST_ENTRY_GRACE_MS
+                           : mass_loss                         ? MASS_LOSS_GRACE_MS
+                                                               : 0;
     switch (kind) {
     case VIEW_CONFIG:
         router_take_config(&gateway->router, view);
--- a/gateway/heartbeat.c
+++ b/gateway/heartbeat.c
@@ -104,7 +104,7 @@
     message->ready = heartbeat->ready;
     message->leaving = heartbeat->leaving;
     message->store_age_ms = sync_store_age(heartbeat->sync);
-    message->store_trouble = sync_store_failed(heartbeat->sync);
+    message->store_failing = sync_store_failing(heartbeat->sync);
     pack_views(heartbeat, packed);
     pack_demands(members_at(heartbeat->members, &settings->peer), packed);
     if (heartbeat->round % PEERS_EVERY < 2)
@@ -194,7 +194,7 @@
     member->ready = message->ready;
     member->leaving = message->leaving;
     member->store_age_ms = message->store_age_ms;
-    member->store_trouble = message->store_trouble;
+    member->store_failing = message->store_failing;
     take_lists(member, message);
     sync_compare(heartbeat->sync, member);
 }
--- a/gateway/members.c
+++ b/gateway/members.c
@@ -35,7 +35,8 @@
 {
     for (size_t i = 0; i < members->count; i++) {
         const member_t *member = &members->items[i];
-        if (!member_alive(member, now_ms) || member->leaving || member->region != region)
+        if (!member_alive(member, now_ms) || member->leaving || member->store_failing ||
+            member->region != region)
             continue;
         const str_t name = name_str(&member->instance);
         const int order = memcmp(name.ptr, own.ptr, name.len < own.len ? name.len : own.len);
@@ -59,13 +60,15 @@
 }
 
 bool
-members_store_trouble(const members_t *members, uint64_t now_ms)
+members_store_fails_all(const members_t *members, str_t own, uint64_t now_ms)
 {
     for (size_t i = 0; i < members->count; i++) {
-        if (member_alive(&members->items[i], now_ms) && members->items[i].store_trouble)
-            return true;
+        const member_t *member = &members->items[i];
+        if (member_alive(member, now_ms) && !member->store_failing &&
+            !name_eq(&member->instance, own))
+            return false;
     }
-    return false;
+    return true;
 }
 
 double
--- a/gateway/members.h
+++ b/gateway/members.h
@@ -43,7 +43,7 @@
     bool ready;
     bool leaving;
     uint32_t store_age_ms; /* as told at heard_ms */
-    bool store_trouble;
+    bool store_failing;    /* the store fails it */
     member_view_t views[VIEW_WATCHED];
     member_demand_t demands[MEMBER_DEMANDS_MAX];
     size_t demand_count;
@@ -58,11 +58,12 @@
 /* The member at that address, made if it is new; NULL if there are too many. */
 member_t *members_at(members_t *members, const addr_t *peer);
 bool member_alive(const member_t *member, uint64_t now_ms);
-/* True if no living member comes before `own` in its region, by name. */
+/* True if no living member that the store serves comes before `own` in its region, by name. */
 bool members_first_in_region(const members_t *members, str_t own, size_t region, uint64_t now_ms);
 /* True if a living member got an answer from the store within `age_ms`. */
 bool members_follow_store(const members_t *members, uint32_t age_ms, uint64_t now_ms);
-bool members_store_trouble(const members_t *members, uint64_t now_ms);
+/* True if the store fails all living members but the one named `own`. */
+bool members_store_fails_all(const members_t *members, str_t own, uint64_t now_ms);
 /* Slots that the callers of a region keep busy at a service, over the living members. */
 double members_demand(const members_t *members, str_t service, size_t region, uint64_t now_ms);
 /* All members ever heard, for the pacing of cold upstreams; returns their number. */
--- a/gateway/sync.c
+++ b/gateway/sync.c
@@ -11,7 +11,9 @@
     WATCH_WAIT_FAILING_MS = 20, /* asks for an answer now: is the store back? */
     RETRY_MIN_MS = 200,
     RETRY_MAX_MS = 1000,
-    TROUBLE_MS = 5000,            /* how long a failure of the store is remembered */
+    DOWN_REMEMBERED_MS = 5000,    /* how long a whole outage of the store is remembered */
+    FAILURES_FAILING = 2,         /* in a row, after which the store fails this instance */
+    NEEDED_MS = 3000,             /* an instance that had to follow goes on for this time */
     PEER_STORE_AGE_MAX_MS = 3900, /* a peer with an older answer is not relied on */
     REQUEST_EVERY_MS = 300,
     START_ALONE_MS = 250,   /* time that peers have to bring the views at start */
@@ -196,7 +198,7 @@
 /* ---- the store ---- */
 
 static bool
-should_follow(const sync_t *sync)
+should_follow(sync_t *sync)
 {
     const uint64_t now = uv_now(sync->loop);
     if (sync->stopped)
@@ -206,7 +208,9 @@
         return true;
     if (now - sync->started_ms < 2 * START_ALONE_MS)
         return false;
-    return !members_follow_store(sync->members, PEER_STORE_AGE_MAX_MS, now);
+    if (!members_follow_store(sync->members, PEER_STORE_AGE_MAX_MS, now))
+        sync->needed_until_ms = now + NEEDED_MS;
+    return now < sync->needed_until_ms;
 }
 
 static void
@@ -219,6 +223,16 @@
     sync->store_failures = 0;
 }
 
+/* Only if it fails everybody is it down, and may lose entries. */
+static void
+note_outage(sync_t *sync)
+{
+    const uint64_t now = uv_now(sync->loop);
+    if (sync_store_failing(sync) &&
+        members_store_fails_all(sync->members, name_str(&sync->instance), now))
+        sync->down_until_ms = now + DOWN_REMEMBERED_MS;
+}
+
 static void
 store_failed(follower_t *follower, const store_answer_t *answer)
 {
@@ -227,10 +241,7 @@
     if (sync->store_failures++ == 0)
         LOG_WARN("store lost: kind=%d outcome=%d detail=\"%s\"", follower->kind, answer->outcome,
                  answer->err.detail);
-    /* Only if it fails everybody has it been down, and may have lost entries. */
-    if (!members_follow_store(sync->members, PEER_STORE_AGE_MAX_MS, now) &&
-        sync->store_failures > 1)
-        sync->trouble_until_ms = now + TROUBLE_MS;
+    note_outage(sync);
     uint64_t pause = (uint64_t)RETRY_MIN_MS * sync->store_failures;
     follower->retry_at_ms = now + (pause < RETRY_MAX_MS ? pause : RETRY_MAX_MS);
 }
@@ -375,13 +386,13 @@
 }
 
 bool
-sync_store_failed(const sync_t *sync)
+sync_store_failing(const sync_t *sync)
 {
-    return uv_now(sync->loop) < sync->trouble_until_ms;
+    return sync->store_failures >= FAILURES_FAILING;
 }
 
 bool
-sync_store_trouble(const sync_t *sync)
+sync_store_was_down(const sync_t *sync)
 {
-    return sync_store_failed(sync) || members_store_trouble(sync->members, uv_now(sync->loop));
+    return uv_now(sync->loop) < sync->down_until_ms;
 }
--- a/gateway/sync.h
+++ b/gateway/sync.h
@@ -1,7 +1,8 @@
 /*
  * Keeps the views up to date: from the store by list and watch, and between instances.
  *
- * One instance of each region follows the store; what it learns it sends to all others at once.
+ * One instance of each region follows the store, the first that the store serves; what it learns
+ * it sends to all others at once.
  * Heartbeats carry each view's revision and digest, so that an instance that missed something
  * asks a peer for the whole view. An instance that hears of no peer that follows the store does
  * it itself, so no instance depends on another.
@@ -47,8 +48,9 @@
     sync_cbs_t cbs;
     view_t views[VIEW_WATCHED];
     follower_t followers[VIEW_WATCHED];
-    unsigned store_failures; /* in a row */
-    uint64_t trouble_until_ms;
+    unsigned store_failures;  /* in a row */
+    uint64_t down_until_ms;   /* how long a whole outage is remembered */
+    uint64_t needed_until_ms; /* followed because no peer seemed to */
     uint64_t started_ms;
     bool following;
     bool stopped;
@@ -64,9 +66,9 @@
 void sync_on_request(sync_t *sync, peer_conn_t *conn, const Iris__ViewRequest *request);
 /* Time since the store last answered, STORE_AGE_NONE if this instance does not follow it. */
 uint32_t sync_store_age(const sync_t *sync);
+/* The store fails this instance now. */
+bool sync_store_failing(const sync_t *sync);
 /* The store was down for all instances, as far as this one knows, within the last seconds. */
-bool sync_store_failed(const sync_t *sync);
-/* The same, or a peer says so. */
-bool sync_store_trouble(const sync_t *sync);
+bool sync_store_was_down(const sync_t *sync);
 /* No further calls to the store. */
 void sync_stop(sync_t *sync);
--- a/peer/peer.pb-c.c
+++ b/peer/peer.pb-c.c
@@ -1461,12 +1461,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "store_trouble",
+    "store_failing",
     9,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Iris__GatewayHeartbeat, store_trouble),
+    offsetof(Iris__GatewayHeartbeat, store_failing),
     NULL,
     NULL,
     0,             /* flags */
@@ -1520,7 +1520,7 @@
   1,   /* field[1] = place */
   5,   /* field[5] = ready */
   7,   /* field[7] = store_age_ms */
-  8,   /* field[8] = store_trouble */
+  8,   /* field[8] = store_failing */
   9,   /* field[9] = views */
 };
 static const ProtobufCIntRange iris__gateway_heartbeat__number_ranges[1 + 1] =
--- a/peer/peer.pb-c.h
+++ b/peer/peer.pb-c.h
@@ -214,9 +214,9 @@
    */
   uint32_t store_age_ms;
   /*
-   * the store failed it within the last seconds
+   * the store fails it now
    */
-  protobuf_c_boolean store_trouble;
+  protobuf_c_boolean store_failing;
   size_t n_views;
   Iris__ViewState **views;
   size_t n_demands;
--- a/test/test_gateway.c
+++ b/test/test_gateway.c
@@ -373,6 +373,41 @@
 }
 END_TEST
 
+static void
+fail_often(backend_t *backend, uint64_t now_ms)
+{
+    for (int i = 0; i < 6; i++)
+        backend_record(backend, true, now_ms);
+}
+
+START_TEST(choice_avoids_what_fails)
+{
+    choice_fixture_t *fixture = new_choice();
+    static const char *const ids[] = {"u1", "u2", "u3", "u4"};
+    for (size_t i = 0; i < ALEN(ids); i++)
+        add_backend(fixture, ids[i], "a1");
+    choice_reason_t reason;
+    backend_t *first = choice_pick(&fixture->input, &reason);
+    /* One failure, or two, do not move its objects: they would run cold elsewhere. */
+    backend_record(first, true, 5000);
+    backend_record(first, true, 5000);
+    ck_assert_ptr_eq(choice_pick(&fixture->input, &reason), first);
+    fail_often(first, 5000);
+    ck_assert_ptr_ne(choice_pick(&fixture->input, &reason), first);
+    /* Tried again after a while. */
+    fixture->input.now_ms = 7000;
+    ck_assert_ptr_ne(choice_pick(&fixture->input, &reason), first);
+    fixture->input.now_ms = 13000;
+    ck_assert_ptr_eq(choice_pick(&fixture->input, &reason), first);
+    /* Where most fail, all are used as usual. */
+    fixture->input.now_ms = 13100;
+    for (size_t i = 0; i < 3; i++)
+        fail_often(fixture->backends.items[i], 13100);
+    ck_assert_ptr_eq(choice_pick(&fixture->input, &reason), first);
+    free_choice(fixture);
+}
+END_TEST
+
 START_TEST(choice_paces_cold_upstreams)
 {
     choice_fixture_t *fixture = new_choice();
@@ -497,6 +532,25 @@
 }
 END_TEST
 
+START_TEST(the_next_instance_follows_when_the_store_fails_the_first)
+{
+    members_t members = {0};
+    add_member(&members, "a-1", "a1", 0, 1);
+    add_member(&members, "a-2", "a1", 0, 2);
+    add_member(&members, "a-3", "a1", 0, 3);
+    members.items[0].store_failing = true;
+    ck_assert(members_first_in_region(&members, STR("a-1"), 0, 10500)); /* goes on trying */
+    ck_assert(members_first_in_region(&members, STR("a-2"), 0, 10500));
+    ck_assert(!members_first_in_region(&members, STR("a-3"), 0, 10500));
+    /* Turned away is not down: others are served. */
+    ck_assert(!members_store_fails_all(&members, STR("a-1"), 10500));
+    members.items[1].store_failing = true;
+    members.items[2].store_failing = true;
+    ck_assert(members_store_fails_all(&members, STR("a-1"), 10500));
+    members_free(&members);
+}
+END_TEST
+
 START_TEST(directory_names_the_living_and_near)
 {
     topology_t topology = three_regions();
@@ -586,11 +640,13 @@
     tcase_add_test(tests, choice_spills_only_when_allowed);
     tcase_add_test(tests, choice_keeps_large_answers_near);
     tcase_add_test(tests, choice_respects_homes_and_what_was_tried);
+    tcase_add_test(tests, choice_avoids_what_fails);
     tcase_add_test(tests, choice_paces_cold_upstreams);
     tcase_add_test(tests, cold_has_few_users_even_with_different_lists);
     tcase_add_test(tests, cold_rate_of_all_users_stays_in_bound);
     tcase_add_test(tests, retry_budget_bounds_every_window);
     tcase_add_test(tests, members_judge_by_silence);
+    tcase_add_test(tests, the_next_instance_follows_when_the_store_fails_the_first);
     tcase_add_test(tests, directory_names_the_living_and_near);
     tcase_add_test(tests, a_log_that_nobody_reads_costs_nothing);
     tcase_add_test(tests, a_noisy_module_leaves_the_others_their_lines);
--- a/test/test_whole.c
+++ b/test/test_whole.c
@@ -464,6 +464,19 @@
 }
 END_TEST
 
+START_TEST(an_upstream_that_loses_answers_is_left)
+{
+    /* It takes requests and answers none: others serve its objects after some of that. */
+    enum { LOST = 6 };
+    site_t *site = new_ready_site(3);
+    first_upstream(site, "/safe/x")->behaviour = DOES_HOLD;
+    for (int i = 0; i < LOST; i++)
+        ask(site, "GET", "/safe/x");
+    for (int i = 0; i < 5; i++)
+        ck_assert_int_eq(ask(site, "GET", "/safe/x").status, 200);
+}
+END_TEST
+
 START_TEST(answers_never_mix)
 {
     site_t *site = new_ready_site(1);
@@ -730,6 +743,7 @@
     tcase_add_test(tests, what_did_not_run_goes_to_another);
     tcase_add_test(tests, what_may_have_run_is_not_sent_again);
     tcase_add_test(tests, what_may_be_repeated_is_sent_again);
+    tcase_add_test(tests, an_upstream_that_loses_answers_is_left);
     tcase_add_test(tests, answers_never_mix);
     tcase_add_test(tests, an_answer_without_length_is_passed_on_without);
     tcase_add_test(tests, a_large_answer_is_streamed_whole);
