--- a/completions/irisctl.bash
+++ b/completions/irisctl.bash
@@ -1,12 +1,12 @@
 # bash completion for irisctl
 _irisctl() {
     local cur=${COMP_WORDS[COMP_CWORD]}
-    local commands="table set export import drain undrain put status explain check"
-    local options="--platform= --json --history= --help --version"
+    local commands="table set export import drain undrain put status explain check trace"
+    local options="--instance= --platform= --json --history= --help --version"
     case ${COMP_WORDS[COMP_CWORD - 1]} in
     table) mapfile -t COMPREPLY < <(compgen -W "show" -- "$cur") ;;
     put) mapfile -t COMPREPLY < <(compgen -W "table region topology blocks" -- "$cur") ;;
-    check | import) mapfile -t COMPREPLY < <(compgen -f -- "$cur") ;;
+    check | import | trace) mapfile -t COMPREPLY < <(compgen -f -- "$cur") ;;
     *)
         if [[ $cur == -* ]]; then
             mapfile -t COMPREPLY < <(compgen -W "$options" -- "$cur")
@@ -22,3 +22,4 @@
 complete -W "--config= --check --help --version" irisstall-entry
 complete -W "-c --seconds= --rate= --seed= --history= --tsv= --experiment= --variant= --quiet" irisstall-load
 complete -f irisstall-check
+complete -W "--config= --log= --test --help --version" irisstall-gateway
