Heartbeats scale with the region: all of the own region, a few of each other in turn

Cause: everybody told everybody; 1,400 instances would not bear it. Regions tell their demand and size in each heartbeat; rounds get longer with the region (10 ms a member). Up to 16 instances as before.

--- a/gateway/directory.c
+++ b/gateway/directory.c
@@ -1,14 +1,10 @@
 #include "gateway/directory.h"
 
-/* An instance that has missed this many milliseconds of heartbeats is not named any more, though
- * it may still come back. */
-enum { NAMED_AFTER_SILENCE_MS = 1300 };
-
 static bool
 may_name(const member_t *member, uint64_t now_ms)
 {
     return member->heard && member->ready && !member->leaving &&
-           now_ms - member->heard_ms <= NAMED_AFTER_SILENCE_MS;
+           now_ms - member->heard_ms <= member_unnamed_after_ms(member);
 }
 
 static size_t
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -15,7 +15,6 @@
 
 enum {
     TICK_MS = 200,
-    HEARTBEAT_TICKS = 2,        /* ticks between two heartbeats */
     STALLED_MS = 1500,          /* peer connections without progress are closed */
     LOST_ENTRY_GRACE_MS = 2200, /* upstreams missing after the store was down for all */
     MASS_LOSS_GRACE_MS = 1400,  /* upstreams missing together with most others */
@@ -46,7 +45,6 @@
     wire_listener_t *directory;
     wire_listener_t *admin;
     uv_timer_t tick;
-    unsigned ticks;
     bool stopping;
     uint64_t stop_ms;
     bool announced;
@@ -221,9 +219,10 @@
         return;
     for (size_t i = 0; i < answer->item_count; i++) {
         addr_t addr;
+        name_t place;
         err_t err = {0};
-        if (gateway->ports->decoder->instance(answer->items[i].body, &addr, &err))
-            members_at(&gateway->members, &addr);
+        if (gateway->ports->decoder->instance(answer->items[i].body, &addr, &place, &err))
+            heartbeat_know(&gateway->heartbeat, &addr, &place);
     }
     heartbeat_send(&gateway->heartbeat, uv_now(gateway->loop));
 }
@@ -250,8 +249,8 @@
     char text[ADDR_TEXT_MAX];
     gateway->announce_at_ms = now + ANNOUNCE_RETRY_MS;
     addr_format(&gateway->settings.peer, text);
-    store->announce(store->ctx, name_str(&gateway->settings.name), str_from(text), on_announced,
-                    gateway);
+    store->announce(store->ctx, name_str(&gateway->settings.name), str_from(text),
+                    name_str(&gateway->settings.place), on_announced, gateway);
 }
 
 /* ---- stopping ---- */
@@ -307,7 +306,8 @@
     sync_tick(&gateway->sync);
     announce(gateway);
     sweep(gateway);
-    if (gateway->ticks++ % HEARTBEAT_TICKS == 0)
+    const uint32_t interval = members_interval_ms(&gateway->members, gateway->router.region, now);
+    if (now - gateway->heartbeat.sent_ms + TICK_MS / 2 >= interval)
         heartbeat_send(&gateway->heartbeat, now);
     log_flush();
     if (gateway->stopping)
--- a/gateway/heartbeat.c
+++ b/gateway/heartbeat.c
@@ -6,8 +6,7 @@
 #include "gateway/heartbeat.h"
 
 enum {
-    RETRY_SILENT_MS = 1200, /* how often a silent instance is tried */
-    PEERS_EVERY = 8,        /* rounds between two lists of known addresses */
+    PEERS_EVERY = 8, /* rounds between two lists of known addresses */
     PEERS_MAX = 64,
     VIEWS_MAX = VIEW_WATCHED,
 };
@@ -25,6 +24,7 @@
     self->incarnation = heartbeat->incarnation;
     self->ready = heartbeat->ready;
     self->leaving = heartbeat->leaving;
+    self->interval_ms = members_interval_ms(heartbeat->members, self->region, now_ms);
     self->demand_count = 0;
     for (size_t i = 0; i < heartbeat->router->service_count; i++) {
         const router_service_t *service = &heartbeat->router->services[i];
@@ -39,8 +39,11 @@
     Iris__ViewState *view_list[VIEWS_MAX];
     Iris__Demand demands[MEMBER_DEMANDS_MAX];
     Iris__Demand *demand_list[MEMBER_DEMANDS_MAX];
-    char peers[PEERS_MAX][ADDR_TEXT_MAX];
-    char *peer_list[PEERS_MAX];
+    Iris__Demand region_demands[MEMBER_DEMANDS_MAX];
+    Iris__Demand *region_demand_list[MEMBER_DEMANDS_MAX];
+    Iris__PeerAddress peers[PEERS_MAX];
+    Iris__PeerAddress *peer_list[PEERS_MAX];
+    char peer_texts[PEERS_MAX][ADDR_TEXT_MAX];
     char own_peer[ADDR_TEXT_MAX];
     char own_callers[ADDR_TEXT_MAX];
 } packed_t;
@@ -73,15 +76,41 @@
     packed->message.demands = packed->demand_list;
 }
 
+/* The own region's demand, for instances of other regions. */
 static void
-pack_peers(const members_t *members, packed_t *packed)
+pack_region(const heartbeat_t *heartbeat, const member_t *self, uint64_t now_ms, packed_t *packed)
+{
+    for (size_t i = 0; i < self->demand_count; i++) {
+        Iris__Demand *demand = &packed->region_demands[i];
+        iris__demand__init(demand);
+        demand->service = (char *)(uintptr_t)self->demands[i].service.ptr;
+        demand->slots =
+            (float)members_demand(heartbeat->members, name_str(&self->demands[i].service),
+                                  self->region, self->region, now_ms);
+        packed->region_demand_list[i] = demand;
+    }
+    packed->message.n_region_demands = self->demand_count;
+    packed->message.region_demands = packed->region_demand_list;
+    packed->message.region_members =
+        (uint32_t)members_living(heartbeat->members, self->region, now_ms);
+    packed->message.interval_ms = self->interval_ms;
+}
+
+/* A part of the known instances, another one each time. */
+static void
+pack_peers(const members_t *members, unsigned round, packed_t *packed)
 {
     size_t count = 0;
+    const size_t start = (size_t)round * PEERS_MAX / PEERS_EVERY;
     for (size_t i = 0; i < members->count && count < PEERS_MAX; i++) {
-        if (!members->items[i].heard)
+        const member_t *member = &members->items[(start + i) % members->count];
+        if (!member->heard)
             continue;
-        addr_format(&members->items[i].peer, packed->peers[count]);
-        packed->peer_list[count] = packed->peers[count];
+        iris__peer_address__init(&packed->peers[count]);
+        addr_format(&member->peer, packed->peer_texts[count]);
+        packed->peers[count].address = packed->peer_texts[count];
+        packed->peers[count].place = (char *)(uintptr_t)member->place.ptr;
+        packed->peer_list[count] = &packed->peers[count];
         count++;
     }
     packed->message.n_peers = count;
@@ -89,7 +118,7 @@
 }
 
 static void
-pack(const heartbeat_t *heartbeat, packed_t *packed)
+pack(const heartbeat_t *heartbeat, uint64_t now_ms, packed_t *packed)
 {
     Iris__GatewayHeartbeat *message = &packed->message;
     const gateway_settings_t *settings = heartbeat->settings;
@@ -106,9 +135,11 @@
     message->store_age_ms = sync_store_age(heartbeat->sync);
     message->store_failing = sync_store_failing(heartbeat->sync);
     pack_views(heartbeat, packed);
-    pack_demands(members_at(heartbeat->members, &settings->peer), packed);
+    const member_t *self = members_at(heartbeat->members, &settings->peer);
+    pack_demands(self, packed);
+    pack_region(heartbeat, self, now_ms, packed);
     if (heartbeat->round % PEERS_EVERY < 2)
-        pack_peers(heartbeat->members, packed);
+        pack_peers(heartbeat->members, heartbeat->round, packed);
 }
 
 void
@@ -117,8 +148,9 @@
     packed_t packed = {0};
     Iris__Envelope envelope = IRIS__ENVELOPE__INIT;
     heartbeat_update_self(heartbeat, now_ms);
-    pack(heartbeat, &packed);
+    pack(heartbeat, now_ms, &packed);
     heartbeat->round++;
+    heartbeat->sent_ms = now_ms;
     envelope.schema = PEER_SCHEMA;
     envelope.body_case = IRIS__ENVELOPE__BODY_GATEWAY;
     envelope.gateway = &packed.message;
@@ -126,15 +158,27 @@
         member_t *member = &heartbeat->members->items[i];
         if (addr_eq(&member->peer, &heartbeat->settings->peer))
             continue;
-        if (!member_alive(member, now_ms)) {
-            if (member->tried_ms != 0 && now_ms - member->tried_ms < RETRY_SILENT_MS)
-                continue;
-            member->tried_ms = now_ms;
-        }
+        if (!members_is_target(heartbeat->members, i, heartbeat->router->region, heartbeat->round,
+                               now_ms))
+            continue;
+        member->told_ms = now_ms;
         peer_send(heartbeat->hub, &member->peer, &envelope);
     }
 }
 
+static size_t
+take_demands(Iris__Demand *const *demands, size_t count, member_demand_t *out)
+{
+    size_t taken = 0;
+    for (size_t i = 0; i < count && taken < MEMBER_DEMANDS_MAX; i++) {
+        if (!name_set(&out[taken].service, str_from(demands[i]->service)))
+            continue;
+        out[taken].slots = demands[i]->slots;
+        taken++;
+    }
+    return taken;
+}
+
 static void
 take_lists(member_t *member, const Iris__GatewayHeartbeat *message)
 {
@@ -146,14 +190,19 @@
             .known = there && message->views[i]->known,
         };
     }
-    member->demand_count = 0;
-    for (size_t i = 0; i < message->n_demands && i < MEMBER_DEMANDS_MAX; i++) {
-        member_demand_t *demand = &member->demands[member->demand_count];
-        if (!name_set(&demand->service, str_from(message->demands[i]->service)))
-            continue;
-        demand->slots = message->demands[i]->slots;
-        member->demand_count++;
-    }
+    member->demand_count = take_demands(message->demands, message->n_demands, member->demands);
+    member->region_demand_count =
+        take_demands(message->region_demands, message->n_region_demands, member->region_demands);
+}
+
+void
+heartbeat_know(heartbeat_t *heartbeat, const addr_t *peer, const name_t *place)
+{
+    member_t *member = members_at(heartbeat->members, peer);
+    if (member == NULL || member->heard)
+        return;
+    member->place = *place;
+    member->region = topology_region_of(&heartbeat->settings->topology, name_str(place));
 }
 
 void
@@ -172,8 +221,10 @@
     }
     for (size_t i = 0; i < message->n_peers; i++) {
         addr_t other;
-        if (addr_parse(str_from(message->peers[i]), &other))
-            members_at(heartbeat->members, &other);
+        name_t other_place;
+        if (addr_parse(str_from(message->peers[i]->address), &other) &&
+            name_set(&other_place, str_from(message->peers[i]->place)))
+            heartbeat_know(heartbeat, &other, &other_place);
     }
     member_t *member = members_at(heartbeat->members, &peer);
     if (member == NULL || addr_eq(&peer, &heartbeat->settings->peer))
@@ -195,6 +246,8 @@
     member->leaving = message->leaving;
     member->store_age_ms = message->store_age_ms;
     member->store_failing = message->store_failing;
+    member->interval_ms = message->interval_ms;
+    member->region_members = message->region_members;
     take_lists(member, message);
     sync_compare(heartbeat->sync, member);
 }
--- a/gateway/heartbeat.h
+++ b/gateway/heartbeat.h
@@ -13,13 +13,16 @@
     peer_hub_t *hub;
     uint64_t incarnation;
     unsigned round;
+    uint64_t sent_ms; /* when the last round was sent */
     bool ready;
     bool leaving;
 } heartbeat_t;
 
-/* Tells all living members, and from time to time the others that are known. */
+/* Tells the members whose turn it is. */
 void heartbeat_send(heartbeat_t *heartbeat, uint64_t now_ms);
 void heartbeat_receive(heartbeat_t *heartbeat, const Iris__GatewayHeartbeat *message,
                        uint64_t now_ms);
+/* Takes in that there is an instance at that address. */
+void heartbeat_know(heartbeat_t *heartbeat, const addr_t *peer, const name_t *place);
 /* Keeps the instance's own entry among the members up to date. */
 void heartbeat_update_self(heartbeat_t *heartbeat, uint64_t now_ms);
--- a/gateway/members.c
+++ b/gateway/members.c
@@ -4,7 +4,15 @@
 #include "base/xmalloc.h"
 #include "gateway/members.h"
 
-enum { KEY_SEED = 51, ITEMS_START = 16 };
+enum {
+    KEY_SEED = 51,
+    ITEMS_START = 16,
+    RETRY_SILENT_MS = 1200, /* how often a silent instance is tried */
+};
+
+/* Intervals without a heartbeat after which an instance counts as lost, and is not named. */
+#define LOST_INTERVALS 4.5
+#define UNNAMED_INTERVALS 3.25
 
 member_t *
 members_at(members_t *members, const addr_t *peer)
@@ -20,14 +28,33 @@
         members->items = xrealloc(members->items, members->size * sizeof(*members->items));
     }
     member_t *member = &members->items[members->count++];
-    *member = (member_t){.peer = *peer, .store_age_ms = STORE_AGE_NONE};
+    *member =
+        (member_t){.peer = *peer, .region = TOPOLOGY_NO_REGION, .store_age_ms = STORE_AGE_NONE};
     return member;
 }
 
+static double
+interval_of(const member_t *member)
+{
+    return member->interval_ms > 0 ? member->interval_ms : HEARTBEAT_MIN_MS;
+}
+
+uint64_t
+member_lost_after_ms(const member_t *member)
+{
+    return (uint64_t)(LOST_INTERVALS * interval_of(member));
+}
+
+uint64_t
+member_unnamed_after_ms(const member_t *member)
+{
+    return (uint64_t)(UNNAMED_INTERVALS * interval_of(member));
+}
+
 bool
 member_alive(const member_t *member, uint64_t now_ms)
 {
-    return member->heard && now_ms - member->heard_ms <= MEMBER_ALIVE_MS;
+    return member->heard && now_ms - member->heard_ms <= member_lost_after_ms(member);
 }
 
 bool
@@ -71,22 +98,115 @@
     return true;
 }
 
-double
-members_demand(const members_t *members, str_t service, size_t region, uint64_t now_ms)
+static double
+find_demand(const member_demand_t *demands, size_t count, str_t service)
+{
+    for (size_t i = 0; i < count; i++) {
+        if (name_eq(&demands[i].service, service))
+            return demands[i].slots;
+    }
+    return 0;
+}
+
+static double
+own_region_demand(const members_t *members, str_t service, size_t region, uint64_t now_ms)
 {
     double slots = 0;
     for (size_t i = 0; i < members->count; i++) {
         const member_t *member = &members->items[i];
-        if (!member_alive(member, now_ms) || member->region != region)
-            continue;
-        for (size_t k = 0; k < member->demand_count; k++) {
-            if (name_eq(&member->demands[k].service, service))
-                slots += member->demands[k].slots;
-        }
+        if (member_alive(member, now_ms) && member->region == region)
+            slots += find_demand(member->demands, member->demand_count, service);
     }
     return slots;
 }
 
+/* The member of a region that was heard last. */
+static const member_t *
+latest_of(const members_t *members, size_t region)
+{
+    const member_t *latest = NULL;
+    for (size_t i = 0; i < members->count; i++) {
+        const member_t *member = &members->items[i];
+        if (member->heard && member->region == region &&
+            (latest == NULL || member->heard_ms > latest->heard_ms))
+            latest = member;
+    }
+    return latest;
+}
+
+double
+members_demand(const members_t *members, str_t service, size_t region, size_t own_region,
+               uint64_t now_ms)
+{
+    if (region == own_region)
+        return own_region_demand(members, service, region, now_ms);
+    const member_t *latest = latest_of(members, region);
+    if (latest == NULL || !member_alive(latest, now_ms))
+        return 0;
+    return find_demand(latest->region_demands, latest->region_demand_count, service);
+}
+
+size_t
+members_living(const members_t *members, size_t region, uint64_t now_ms)
+{
+    size_t count = 0;
+    for (size_t i = 0; i < members->count; i++)
+        count += member_alive(&members->items[i], now_ms) && members->items[i].region == region;
+    return count;
+}
+
+size_t
+members_total(const members_t *members, size_t own_region)
+{
+    size_t heard[TOPOLOGY_REGIONS_MAX + 1] = {0};
+    size_t total = 0;
+    for (size_t i = 0; i < members->count; i++) {
+        if (members->items[i].heard)
+            heard[members->items[i].region]++;
+    }
+    for (size_t region = 0; region <= TOPOLOGY_REGIONS_MAX; region++) {
+        const member_t *latest = region != own_region ? latest_of(members, region) : NULL;
+        const size_t told = latest != NULL ? latest->region_members : 0;
+        total += told > heard[region] ? told : heard[region];
+    }
+    return total;
+}
+
+uint32_t
+members_interval_ms(const members_t *members, size_t region, uint64_t now_ms)
+{
+    const size_t scaled = HEARTBEAT_MEMBER_MS * members_living(members, region, now_ms);
+    return scaled > HEARTBEAT_MIN_MS ? (uint32_t)scaled : HEARTBEAT_MIN_MS;
+}
+
+/* The member's place among the members of its region, and the number of these. */
+static size_t
+index_in_region(const members_t *members, size_t index, size_t *count)
+{
+    size_t place = 0;
+    *count = 0;
+    for (size_t i = 0; i < members->count; i++) {
+        if (members->items[i].region != members->items[index].region)
+            continue;
+        place += i < index;
+        (*count)++;
+    }
+    return place;
+}
+
+bool
+members_is_target(const members_t *members, size_t index, size_t own_region, unsigned round,
+                  uint64_t now_ms)
+{
+    const member_t *member = &members->items[index];
+    if (members->count <= MEMBERS_MESH || member->region == own_region)
+        return member_alive(member, now_ms) || now_ms - member->told_ms >= RETRY_SILENT_MS;
+    size_t count;
+    const size_t place = index_in_region(members, index, &count);
+    const size_t turn = (size_t)round * MEMBERS_OTHER_REGION % count;
+    return (place + count - turn) % count < MEMBERS_OTHER_REGION;
+}
+
 uint64_t
 member_key(str_t instance)
 {
--- a/gateway/members.h
+++ b/gateway/members.h
@@ -4,6 +4,10 @@
  *
  * Members are kept by the address their peers use; one that fell silent is kept and tried now
  * and then, since a restarted instance comes back at its address.
+ *
+ * Up to MEMBERS_MESH instances all tell each other everything. In a larger fleet an instance tells
+ * all of its region, and of each other region a few in turn; what a region needs of another, the
+ * sum of its demand and its size, is in every heartbeat.
  */
 #pragma once
 
@@ -13,9 +17,12 @@
 #include "gateway/topology.h"
 
 enum {
-    MEMBERS_MAX = 512,
+    MEMBERS_MAX = 2048,
+    MEMBERS_MESH = 16,
+    MEMBERS_OTHER_REGION = 2, /* told in a round, of each other region of a large fleet */
     MEMBER_DEMANDS_MAX = 16,
-    MEMBER_ALIVE_MS = 1800, /* silence after which an instance counts as lost */
+    HEARTBEAT_MIN_MS = 400,
+    HEARTBEAT_MEMBER_MS = 10, /* longer rounds for each instance of a large region */
     STORE_AGE_NONE = 0xffffffff,
 };
 
@@ -39,7 +46,6 @@
     addr_t callers;
     uint64_t incarnation;
     uint64_t heard_ms;
-    uint64_t tried_ms;
     bool ready;
     bool leaving;
     uint32_t store_age_ms; /* as told at heard_ms */
@@ -47,6 +53,11 @@
     member_view_t views[VIEW_WATCHED];
     member_demand_t demands[MEMBER_DEMANDS_MAX];
     size_t demand_count;
+    member_demand_t region_demands[MEMBER_DEMANDS_MAX]; /* of its whole region */
+    size_t region_demand_count;
+    uint32_t region_members;
+    uint32_t interval_ms; /* between its heartbeats, 0 if not told */
+    uint64_t told_ms;     /* when it was last sent a heartbeat */
 } member_t;
 
 typedef struct {
@@ -64,8 +75,23 @@
 bool members_follow_store(const members_t *members, uint32_t age_ms, uint64_t now_ms);
 /* True if the store fails all living members but the one named `own`. */
 bool members_store_fails_all(const members_t *members, str_t own, uint64_t now_ms);
-/* Slots that the callers of a region keep busy at a service, over the living members. */
-double members_demand(const members_t *members, str_t service, size_t region, uint64_t now_ms);
+/* Silence, in milliseconds, after which an instance counts as lost, and after which it is not named
+ * to callers any more. */
+uint64_t member_lost_after_ms(const member_t *member);
+uint64_t member_unnamed_after_ms(const member_t *member);
+/* Slots that the callers of a region keep busy at a service: for the own region over its living
+ * members, for another as the member last heard of there says. */
+double members_demand(const members_t *members, str_t service, size_t region, size_t own_region,
+                      uint64_t now_ms);
+/* Living members of a region. */
+size_t members_living(const members_t *members, size_t region, uint64_t now_ms);
+/* Instances of all regions: those ever heard of, or more if other regions say so. */
+size_t members_total(const members_t *members, size_t own_region);
+/* Time between two heartbeats of an instance of that region. */
+uint32_t members_interval_ms(const members_t *members, size_t region, uint64_t now_ms);
+/* True if the member is to be told in this round. */
+bool members_is_target(const members_t *members, size_t index, size_t own_region, unsigned round,
+                       uint64_t now_ms);
 /* All members ever heard, for the pacing of cold upstreams; returns their number. */
 size_t members_cold_peers(const members_t *members, cold_peer_t *out, size_t max);
 uint64_t member_key(str_t instance);
--- a/gateway/ports.h
+++ b/gateway/ports.h
@@ -51,7 +51,8 @@
     void (*watch)(void *ctx, view_kind_t kind, uint64_t from, uint32_t wait_ms, store_cb_t cb,
                   void *cb_ctx);
     /* Makes or replaces an object of VIEW_INSTANCES. */
-    void (*announce)(void *ctx, str_t name, str_t address, store_cb_t cb, void *cb_ctx);
+    void (*announce)(void *ctx, str_t name, str_t address, str_t place, store_cb_t cb,
+                     void *cb_ctx);
     void *ctx;
 } store_port_t;
 
@@ -70,7 +71,8 @@
 typedef struct {
     config_t *(*config)(str_t body, err_t *err); /* NULL if it breaks a rule */
     bool (*backend)(str_t name, str_t body, backend_info_t *out, err_t *err);
-    bool (*instance)(str_t body, addr_t *out, err_t *err); /* the address for its peers */
+    /* The address for its peers, and its place. */
+    bool (*instance)(str_t body, addr_t *out, name_t *place, err_t *err);
 } decoder_port_t;
 
 /* ---- requests and answers ---- */
--- a/gateway/router.c
+++ b/gateway/router.c
@@ -58,8 +58,7 @@
                                : NULL;
     if (service == NULL)
         return;
-    const unsigned instances = router->peer_count > 0 ? (unsigned)router->peer_count : 1;
-    const size_t part = service->max_connections / instances;
+    const size_t part = service->max_connections / (router->instances > 0 ? router->instances : 1);
     wire_pool_set_max(backend->pool, part > 0 ? part : 1);
 }
 
@@ -220,7 +219,7 @@
             input.room[backend->region] += backend->info.capacity;
     }
     for (size_t i = 0; i < router->topology->region_count; i++)
-        input.demand[i] = members_demand(members, name_str(&service->name), i, now);
+        input.demand[i] = members_demand(members, name_str(&service->name), i, router->region, now);
     plan_update(&service->plan, &input, router->topology->region_count, router->region, now);
     const double share = service->plan.share[router->region];
     if (fabs(share - service->plan.logged) < PLAN_LOG_STEP)
@@ -235,7 +234,8 @@
 router_tick(router_t *router, const members_t *members)
 {
     const uint64_t now = uv_now(router->loop);
-    const size_t peers_before = router->peer_count;
+    const unsigned instances_before = router->instances;
+    router->instances = (unsigned)members_total(members, router->region);
     router->peer_count = members_cold_peers(members, router->peers, MEMBERS_MAX);
     router->peers_settled = now - router->started_ms > SETTLED_AFTER_MS;
     router->living = 0;
@@ -246,7 +246,7 @@
         update_plan(router, &router->services[i], members);
     }
     backends_drop_unlisted(&router->backends, now);
-    if (router->peer_count != peers_before) {
+    if (router->instances != instances_before) {
         for (size_t i = 0; i < router->backends.count; i++)
             apply_service_bounds(router, router->backends.items[i]);
     }
@@ -373,7 +373,7 @@
         .ratio = router->bounds.retry_ratio,
         .constant = router->bounds.retry_constant,
         .window_ms = router->bounds.retry_window_ms,
-        .instances = (unsigned)router->peer_count,
+        .instances = router->instances,
     };
 }
 
--- a/gateway/router.h
+++ b/gateway/router.h
@@ -57,7 +57,8 @@
     cold_peer_t peers[MEMBERS_MAX];
     size_t peer_count;
     bool peers_settled;
-    unsigned living; /* instances, this one too */
+    unsigned living;    /* instances heard of lately, this one too */
+    unsigned instances; /* of the whole fleet */
 } router_t;
 
 void router_init(router_t *router, uv_loop_t *loop, const topology_t *topology,
--- a/gateway/sync.c
+++ b/gateway/sync.c
@@ -94,7 +94,9 @@
     const uint64_t now = uv_now(sync->loop);
     for (size_t i = 0; i < sync->members->count; i++) {
         const member_t *member = &sync->members->items[i];
-        if (member_alive(member, now) && !name_eq(&member->instance, name_str(&sync->instance)))
+        const bool near = member->region == sync->region || sync->members->count <= MEMBERS_MESH;
+        if (near && member_alive(member, now) &&
+            !name_eq(&member->instance, name_str(&sync->instance)))
             peer_send(sync->hub, &member->peer, &envelope);
     }
     free_items(packed, update.items, count);
--- a/peer/peer.pb-c.c
+++ b/peer/peer.pb-c.c
@@ -412,6 +412,51 @@
   assert(message->base.descriptor == &iris__demand__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   iris__peer_address__init
+                     (Iris__PeerAddress         *message)
+{
+  static const Iris__PeerAddress init_value = IRIS__PEER_ADDRESS__INIT;
+  *message = init_value;
+}
+size_t iris__peer_address__get_packed_size
+                     (const Iris__PeerAddress *message)
+{
+  assert(message->base.descriptor == &iris__peer_address__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t iris__peer_address__pack
+                     (const Iris__PeerAddress *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &iris__peer_address__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t iris__peer_address__pack_to_buffer
+                     (const Iris__PeerAddress *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &iris__peer_address__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Iris__PeerAddress *
+       iris__peer_address__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Iris__PeerAddress *)
+     protobuf_c_message_unpack (&iris__peer_address__descriptor,
+                                allocator, len, data);
+}
+void   iris__peer_address__free_unpacked
+                     (Iris__PeerAddress *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &iris__peer_address__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   iris__gateway_heartbeat__init
                      (Iris__GatewayHeartbeat         *message)
 {
@@ -1362,7 +1407,58 @@
   (ProtobufCMessageInit) iris__demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor iris__gateway_heartbeat__field_descriptors[12] =
+static const ProtobufCFieldDescriptor iris__peer_address__field_descriptors[2] =
+{
+  {
+    "address",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Iris__PeerAddress, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "place",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Iris__PeerAddress, place),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned iris__peer_address__field_indices_by_name[] = {
+  0,   /* field[0] = address */
+  1,   /* field[1] = place */
+};
+static const ProtobufCIntRange iris__peer_address__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor iris__peer_address__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "iris.PeerAddress",
+  "PeerAddress",
+  "Iris__PeerAddress",
+  "iris",
+  sizeof(Iris__PeerAddress),
+  2,
+  iris__peer_address__field_descriptors,
+  iris__peer_address__field_indices_by_name,
+  1,  iris__peer_address__number_ranges,
+  (ProtobufCMessageInit) iris__peer_address__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor iris__gateway_heartbeat__field_descriptors[15] =
 {
   {
     "instance",
@@ -1500,11 +1596,47 @@
     "peers",
     12,
     PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_MESSAGE,
     offsetof(Iris__GatewayHeartbeat, n_peers),
     offsetof(Iris__GatewayHeartbeat, peers),
+    &iris__peer_address__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "region_members",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Iris__GatewayHeartbeat, region_members),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "region_demands",
+    14,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Iris__GatewayHeartbeat, n_region_demands),
+    offsetof(Iris__GatewayHeartbeat, region_demands),
+    &iris__demand__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "interval_ms",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Iris__GatewayHeartbeat, interval_ms),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
@@ -1514,11 +1646,14 @@
   10,   /* field[10] = demands */
   2,   /* field[2] = incarnation */
   0,   /* field[0] = instance */
+  14,   /* field[14] = interval_ms */
   6,   /* field[6] = leaving */
   3,   /* field[3] = peer_address */
   11,   /* field[11] = peers */
   1,   /* field[1] = place */
   5,   /* field[5] = ready */
+  13,   /* field[13] = region_demands */
+  12,   /* field[12] = region_members */
   7,   /* field[7] = store_age_ms */
   8,   /* field[8] = store_failing */
   9,   /* field[9] = views */
@@ -1526,7 +1661,7 @@
 static const ProtobufCIntRange iris__gateway_heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor iris__gateway_heartbeat__descriptor =
 {
@@ -1536,7 +1671,7 @@
   "Iris__GatewayHeartbeat",
   "iris",
   sizeof(Iris__GatewayHeartbeat),
-  12,
+  15,
   iris__gateway_heartbeat__field_descriptors,
   iris__gateway_heartbeat__field_indices_by_name,
   1,  iris__gateway_heartbeat__number_ranges,
--- a/peer/peer.pb-c.h
+++ b/peer/peer.pb-c.h
@@ -24,6 +24,7 @@
 typedef struct Iris__BorrowAnswer Iris__BorrowAnswer;
 typedef struct Iris__ViewState Iris__ViewState;
 typedef struct Iris__Demand Iris__Demand;
+typedef struct Iris__PeerAddress Iris__PeerAddress;
 typedef struct Iris__GatewayHeartbeat Iris__GatewayHeartbeat;
 typedef struct Iris__ViewItem Iris__ViewItem;
 typedef struct Iris__ViewUpdate Iris__ViewUpdate;
@@ -193,6 +194,17 @@
     , (char *)protobuf_c_empty_string, 0 }
 
 
+struct  Iris__PeerAddress
+{
+  ProtobufCMessage base;
+  char *address;
+  char *place;
+};
+#define IRIS__PEER_ADDRESS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&iris__peer_address__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+
+
 /*
  * The state of one gateway instance, sent several times a second to the others.
  */
@@ -222,14 +234,27 @@
   size_t n_demands;
   Iris__Demand **demands;
   /*
-   * addresses of instances it knows, from time to time
+   * instances it knows, from time to time
    */
   size_t n_peers;
-  char **peers;
+  Iris__PeerAddress **peers;
+  /*
+   * living instances of its region
+   */
+  uint32_t region_members;
+  /*
+   * the same of its whole region
+   */
+  size_t n_region_demands;
+  Iris__Demand **region_demands;
+  /*
+   * between two of its heartbeats to its region
+   */
+  uint32_t interval_ms;
 };
 #define IRIS__GATEWAY_HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&iris__gateway_heartbeat__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0 }
 
 
 struct  Iris__ViewItem
@@ -510,6 +535,25 @@
 void   iris__demand__free_unpacked
                      (Iris__Demand *message,
                       ProtobufCAllocator *allocator);
+/* Iris__PeerAddress methods */
+void   iris__peer_address__init
+                     (Iris__PeerAddress         *message);
+size_t iris__peer_address__get_packed_size
+                     (const Iris__PeerAddress   *message);
+size_t iris__peer_address__pack
+                     (const Iris__PeerAddress   *message,
+                      uint8_t             *out);
+size_t iris__peer_address__pack_to_buffer
+                     (const Iris__PeerAddress   *message,
+                      ProtobufCBuffer     *buffer);
+Iris__PeerAddress *
+       iris__peer_address__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   iris__peer_address__free_unpacked
+                     (Iris__PeerAddress *message,
+                      ProtobufCAllocator *allocator);
 /* Iris__GatewayHeartbeat methods */
 void   iris__gateway_heartbeat__init
                      (Iris__GatewayHeartbeat         *message);
@@ -653,6 +697,9 @@
 typedef void (*Iris__Demand_Closure)
                  (const Iris__Demand *message,
                   void *closure_data);
+typedef void (*Iris__PeerAddress_Closure)
+                 (const Iris__PeerAddress *message,
+                  void *closure_data);
 typedef void (*Iris__GatewayHeartbeat_Closure)
                  (const Iris__GatewayHeartbeat *message,
                   void *closure_data);
@@ -686,6 +733,7 @@
 extern const ProtobufCMessageDescriptor iris__borrow_answer__descriptor;
 extern const ProtobufCMessageDescriptor iris__view_state__descriptor;
 extern const ProtobufCMessageDescriptor iris__demand__descriptor;
+extern const ProtobufCMessageDescriptor iris__peer_address__descriptor;
 extern const ProtobufCMessageDescriptor iris__gateway_heartbeat__descriptor;
 extern const ProtobufCMessageDescriptor iris__view_item__descriptor;
 extern const ProtobufCMessageDescriptor iris__view_update__descriptor;
--- a/test/test_gateway.c
+++ b/test/test_gateway.c
@@ -532,6 +532,56 @@
 }
 END_TEST
 
+START_TEST(a_large_fleet_talks_little_between_regions)
+{
+    enum { A_REGION = 50, ROUNDS = 40 };
+    members_t members = {0};
+    bool told[2 * A_REGION] = {false};
+    for (uint16_t i = 0; i < 2 * A_REGION; i++) {
+        char name[16];
+        snprintf(name, sizeof(name), "g-%u", i);
+        member_t *member = add_member(&members, name, "a1", i % 2, (uint16_t)(i + 1));
+        member->region_members = A_REGION;
+        member->heard = i % 2 == 0 || i < 4; /* few of the other region have been heard */
+    }
+    ck_assert_uint_eq(members_total(&members, 0), 2 * A_REGION);
+    ck_assert_uint_eq(members_interval_ms(&members, 0, 10100), A_REGION * HEARTBEAT_MEMBER_MS);
+    for (unsigned round = 0; round < ROUNDS; round++) {
+        size_t near = 0;
+        size_t far = 0;
+        for (size_t i = 0; i < members.count; i++) {
+            if (!members_is_target(&members, i, 0, round, 10100))
+                continue;
+            told[i] = true;
+            *(i % 2 == 0 ? &near : &far) += 1;
+        }
+        ck_assert_uint_eq(near, A_REGION);
+        ck_assert_uint_eq(far, MEMBERS_OTHER_REGION);
+    }
+    for (size_t i = 0; i < ALEN(told); i++)
+        ck_assert(told[i]);
+    members_free(&members);
+}
+END_TEST
+
+START_TEST(another_regions_demand_is_as_it_says)
+{
+    members_t members = {0};
+    member_t *own = add_member(&members, "a-1", "a1", 0, 1);
+    own->demand_count = 1;
+    name_set(&own->demands[0].service, STR("svc"));
+    own->demands[0].slots = 4;
+    member_t *other = add_member(&members, "b-1", "b1", 1, 2);
+    other->region_demand_count = 1;
+    name_set(&other->region_demands[0].service, STR("svc"));
+    other->region_demands[0].slots = 70;
+    ck_assert(members_demand(&members, STR("svc"), 0, 0, 10100) == 4);
+    ck_assert(members_demand(&members, STR("svc"), 1, 0, 10100) == 70);
+    ck_assert(members_demand(&members, STR("svc"), 1, 0, 30000) == 0);
+    members_free(&members);
+}
+END_TEST
+
 START_TEST(the_next_instance_follows_when_the_store_fails_the_first)
 {
     members_t members = {0};
@@ -646,6 +696,8 @@
     tcase_add_test(tests, cold_rate_of_all_users_stays_in_bound);
     tcase_add_test(tests, retry_budget_bounds_every_window);
     tcase_add_test(tests, members_judge_by_silence);
+    tcase_add_test(tests, a_large_fleet_talks_little_between_regions);
+    tcase_add_test(tests, another_regions_demand_is_as_it_says);
     tcase_add_test(tests, the_next_instance_follows_when_the_store_fails_the_first);
     tcase_add_test(tests, directory_names_the_living_and_near);
     tcase_add_test(tests, a_log_that_nobody_reads_costs_nothing);
