--- a/wire/client.c
+++ b/wire/client.c
@@ -8,57 +8,14 @@
 #include <http_parser.h>
 
 #include "base/xmalloc.h"
-#include "wire/client.h"
+#include "wire/client_conn.h"
 
 enum {
     READ_SIZE = 65536,
-    USER_TIMEOUT_MS = 1200,     /* unacknowledged bytes break the connection after this time */
-    KEEP_ALIVE_MARGIN_MS = 800, /* taken off the other side's announced idle time */
+    USER_TIMEOUT_MS = 1200, /* unacknowledged bytes break the connection after this time */
     MS_PER_S = 1000,
 };
 
-typedef struct conn conn_t;
-
-struct wire_pool {
-    uv_loop_t *loop;
-    addr_t addr;
-    size_t max;
-    size_t idle_count;
-    size_t busy_count;
-    uint64_t opened;
-    conn_t *idle; /* the most recently used first */
-    bool freed;
-};
-
-struct conn {
-    uv_tcp_t tcp;
-    uv_connect_t connect;
-    uv_write_t write;
-    uv_timer_t timer; /* connect and call timeouts, deferred failures */
-    int open_handles;
-    wire_pool_t *pool;
-    conn_t *next;
-    http_parser parser;
-    wire_head_t head;
-    wire_call_t *call;
-    uint64_t idle_since_ms;
-    uint64_t keep_ms; /* announced idle time, 0 if none */
-    char *request;
-    bool dead;
-    bool writing;
-    bool skip; /* the answer being read belongs to another request */
-    bool reusable;
-};
-
-struct wire_call {
-    conn_t *conn;
-    wire_call_cbs_t cbs;
-    void *ctx;
-    wire_call_conf_t conf;
-    wire_end_t end;
-    bool done;
-};
-
 static char read_buffer[READ_SIZE];
 
 static void on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf);
@@ -71,58 +28,9 @@
     *buf = uv_buf_init(read_buffer, sizeof(read_buffer));
 }
 
-static void
-release_pool(wire_pool_t *pool)
-{
-    if (pool->freed && pool->busy_count == 0 && pool->idle_count == 0)
-        free(pool);
-}
-
-static void
-on_handle_closed(uv_handle_t *handle)
-{
-    conn_t *conn = handle->data;
-    if (--conn->open_handles > 0)
-        return;
-    wire_head_free(&conn->head);
-    free(conn->request);
-    free(conn);
-}
-
-/* The connection no longer counts in its pool. */
-static void
-close_conn(conn_t *conn)
-{
-    if (conn->dead)
-        return;
-    conn->dead = true;
-    uv_close((uv_handle_t *)&conn->tcp, on_handle_closed);
-    uv_close((uv_handle_t *)&conn->timer, on_handle_closed);
-}
-
-static void
-remove_idle(conn_t *conn)
-{
-    conn_t **slot = &conn->pool->idle;
-    while (*slot != conn)
-        slot = &(*slot)->next;
-    *slot = conn->next;
-    conn->next = NULL;
-    conn->pool->idle_count--;
-}
-
-static void
-close_idle(conn_t *conn)
-{
-    wire_pool_t *pool = conn->pool;
-    remove_idle(conn);
-    close_conn(conn);
-    release_pool(pool);
-}
-
 /* Ends the call of a busy connection, which is closed or goes back to the pool. */
 static void
-end_call(conn_t *conn, bool reuse)
+end_call(client_conn_t *conn, bool reuse)
 {
     wire_call_t *call = conn->call;
     wire_pool_t *pool = conn->pool;
@@ -137,18 +45,18 @@
         pool->idle = conn;
         pool->idle_count++;
     } else {
-        close_conn(conn);
+        client_conn_close(conn);
     }
     if (!call->done) {
         call->done = true;
         call->cbs.on_end(call->ctx, &call->end);
     }
     free(call);
-    release_pool(pool);
+    wire_pool_release(pool);
 }
 
 static void
-fail(conn_t *conn, err_code_t code, const char *what)
+fail(client_conn_t *conn, err_code_t code, const char *what)
 {
     char text[ADDR_TEXT_MAX];
     wire_call_t *call = conn->call;
@@ -162,7 +70,7 @@
 static int
 on_field(http_parser *parser, const char *ptr, size_t len)
 {
-    conn_t *conn = parser->data;
+    client_conn_t *conn = parser->data;
     wire_head_add_name(&conn->head, ptr, len);
     return 0;
 }
@@ -170,7 +78,7 @@
 static int
 on_value(http_parser *parser, const char *ptr, size_t len)
 {
-    conn_t *conn = parser->data;
+    client_conn_t *conn = parser->data;
     wire_head_add_value(&conn->head, ptr, len);
     return 0;
 }
@@ -210,7 +118,7 @@
 static int
 on_head_done(http_parser *parser)
 {
-    conn_t *conn = parser->data;
+    client_conn_t *conn = parser->data;
     wire_call_t *call = conn->call;
     conn->head.status = parser->status_code;
     if (conn->head.too_large)
@@ -234,7 +142,7 @@
 static int
 on_body(http_parser *parser, const char *ptr, size_t len)
 {
-    conn_t *conn = parser->data;
+    client_conn_t *conn = parser->data;
     if (conn->skip)
         return 0;
     conn->call->cbs.on_data(conn->call->ctx, ptr, len);
@@ -244,7 +152,7 @@
 static int
 on_complete(http_parser *parser)
 {
-    conn_t *conn = parser->data;
+    client_conn_t *conn = parser->data;
     if (conn->skip) {
         wire_head_reset(&conn->head);
         return 0;
@@ -265,7 +173,7 @@
 };
 
 static void
-on_answer_bytes(conn_t *conn, const char *ptr, size_t len)
+on_answer_bytes(client_conn_t *conn, const char *ptr, size_t len)
 {
     const size_t used = http_parser_execute(&conn->parser, &parser_settings, ptr, len);
     if (conn->call == NULL)
@@ -281,7 +189,7 @@
 
 /* libuv tells a reset as an end when bytes came before it: ask the socket itself. */
 static bool
-was_reset(const conn_t *conn)
+was_reset(const client_conn_t *conn)
 {
     uv_os_fd_t fd;
     char byte;
@@ -291,7 +199,7 @@
 }
 
 static void
-on_eof(conn_t *conn)
+on_eof(client_conn_t *conn)
 {
     if (was_reset(conn)) {
         fail(conn, ERR_UNAVAILABLE, "reset before the answer was whole");
@@ -313,11 +221,11 @@
 static void
 on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
 {
-    conn_t *conn = stream->data;
+    client_conn_t *conn = stream->data;
     if (conn->dead || n == 0)
         return;
     if (conn->call == NULL) {
-        close_idle(conn);
+        client_conn_close_idle(conn);
         return;
     }
     if (n == UV_EOF)
@@ -331,14 +239,14 @@
 static void
 on_call_timeout(uv_timer_t *timer)
 {
-    conn_t *conn = timer->data;
+    client_conn_t *conn = timer->data;
     fail(conn, ERR_TIMEOUT, "no whole answer in time");
 }
 
 static void
 on_written(uv_write_t *req, int status)
 {
-    conn_t *conn = req->data;
+    client_conn_t *conn = req->data;
     conn->writing = false;
     free(conn->request);
     conn->request = NULL;
@@ -347,7 +255,7 @@
 }
 
 static void
-send_request(conn_t *conn)
+send_request(client_conn_t *conn)
 {
     wire_call_t *call = conn->call;
     http_parser_init(&conn->parser, HTTP_RESPONSE);
@@ -382,14 +290,14 @@
 static void
 on_connect_timeout(uv_timer_t *timer)
 {
-    conn_t *conn = timer->data;
+    client_conn_t *conn = timer->data;
     fail(conn, ERR_UNAVAILABLE, "not connected in time");
 }
 
 static void
 on_connected(uv_connect_t *req, int status)
 {
-    conn_t *conn = req->data;
+    client_conn_t *conn = req->data;
     if (conn->dead || conn->call == NULL)
         return;
     if (status != 0) {
@@ -406,45 +314,6 @@
     send_request(conn);
 }
 
-/* A kept connection that is young enough; older ones are closed on the way. */
-static conn_t *
-take_idle(wire_pool_t *pool, uint64_t idle_max_ms)
-{
-    const uint64_t now = uv_now(pool->loop);
-    conn_t *next;
-    for (conn_t *conn = pool->idle; conn != NULL; conn = next) {
-        next = conn->next;
-        uint64_t max = idle_max_ms;
-        if (conn->keep_ms > 0) {
-            const uint64_t announced =
-                conn->keep_ms > KEEP_ALIVE_MARGIN_MS ? conn->keep_ms - KEEP_ALIVE_MARGIN_MS : 0;
-            max = announced < max ? announced : max;
-        }
-        if (now - conn->idle_since_ms <= max) {
-            remove_idle(conn);
-            return conn;
-        }
-        if (conn->keep_ms > 0 && now - conn->idle_since_ms > conn->keep_ms)
-            close_idle(conn);
-    }
-    return NULL;
-}
-
-static conn_t *
-open_conn(wire_pool_t *pool)
-{
-    conn_t *conn = xcalloc(1, sizeof(*conn));
-    conn->pool = pool;
-    uv_tcp_init(pool->loop, &conn->tcp);
-    uv_timer_init(pool->loop, &conn->timer);
-    conn->open_handles = 2;
-    conn->tcp.data = conn;
-    conn->timer.data = conn;
-    conn->connect.data = conn;
-    pool->opened++;
-    return conn;
-}
-
 wire_call_t *
 wire_call_start(wire_pool_t *pool, const wire_call_conf_t *conf, const wire_call_cbs_t *cbs,
                 void *ctx)
@@ -453,10 +322,10 @@
     call->cbs = *cbs;
     call->ctx = ctx;
     call->conf = *conf;
-    conn_t *conn = take_idle(pool, conf->idle_max_ms);
+    client_conn_t *conn = client_conn_take(pool, conf->idle_max_ms);
     const bool kept = conn != NULL;
     if (!kept)
-        conn = open_conn(pool);
+        conn = client_conn_open(pool);
     pool->busy_count++;
     conn->call = call;
     call->conn = conn;
@@ -499,66 +368,3 @@
 {
     return call->end.stage;
 }
-
-wire_pool_t *
-wire_pool_new(uv_loop_t *loop, const addr_t *addr, size_t max_connections)
-{
-    wire_pool_t *pool = xcalloc(1, sizeof(*pool));
-    pool->loop = loop;
-    pool->addr = *addr;
-    pool->max = max_connections;
-    return pool;
-}
-
-void
-wire_pool_free(wire_pool_t *pool)
-{
-    pool->freed = true;
-    pool->busy_count++; /* keeps the pool until the loop below has ended */
-    while (pool->idle != NULL)
-        close_idle(pool->idle);
-    pool->busy_count--;
-    release_pool(pool);
-}
-
-void
-wire_pool_set_max(wire_pool_t *pool, size_t max_connections)
-{
-    pool->max = max_connections;
-}
-
-size_t
-wire_pool_idle(const wire_pool_t *pool)
-{
-    return pool->idle_count;
-}
-
-size_t
-wire_pool_busy(const wire_pool_t *pool)
-{
-    return pool->busy_count;
-}
-
-uint64_t
-wire_pool_opened(const wire_pool_t *pool)
-{
-    return pool->opened;
-}
-
-const addr_t *
-wire_pool_addr(const wire_pool_t *pool)
-{
-    return &pool->addr;
-}
-
-void
-wire_pool_sweep(wire_pool_t *pool, uint64_t idle_ms)
-{
-    const uint64_t now = uv_now(pool->loop);
-    conn_t *next;
-    for (conn_t *conn = pool->idle; conn != NULL; conn = next) {
-        next = conn->next;
-        if (now - conn->idle_since_ms > idle_ms)
-            close_idle(conn);
-    }
-}
--- /dev/null
+++ b/wire/client_conn.h
@@ -0,0 +1,61 @@
+/* Inside of the client: a connection to a server, and its pool. Used by client.c and pool.c only.
+ */
+#pragma once
+
+#include <http_parser.h>
+
+#include "wire/client.h"
+
+typedef struct client_conn client_conn_t;
+
+struct wire_pool {
+    uv_loop_t *loop;
+    addr_t addr;
+    size_t max;
+    size_t idle_count;
+    size_t busy_count;
+    uint64_t opened;
+    client_conn_t *idle; /* the most recently used first */
+    bool freed;
+};
+
+struct client_conn {
+    uv_tcp_t tcp;
+    uv_connect_t connect;
+    uv_write_t write;
+    uv_timer_t timer; /* connect and call timeouts, deferred failures */
+    int open_handles;
+    wire_pool_t *pool;
+    client_conn_t *next;
+    http_parser parser;
+    wire_head_t head;
+    wire_call_t *call;
+    uint64_t idle_since_ms;
+    uint64_t keep_ms; /* announced idle time, 0 if none */
+    char *request;
+    bool dead;
+    bool writing;
+    bool skip; /* the answer being read belongs to another request */
+    bool reusable;
+};
+
+struct wire_call {
+    client_conn_t *conn;
+    wire_call_cbs_t cbs;
+    void *ctx;
+    wire_call_conf_t conf;
+    wire_end_t end;
+    bool done;
+};
+
+/* Closes the connection, which no longer counts in its pool. */
+void client_conn_close(client_conn_t *conn);
+/* Closes a connection that lies in its pool. */
+void client_conn_close_idle(client_conn_t *conn);
+/* A new connection, not connected yet. */
+client_conn_t *client_conn_open(wire_pool_t *pool);
+/* A kept connection that is young enough, NULL if there is none; older ones are closed on the way.
+ */
+client_conn_t *client_conn_take(wire_pool_t *pool, uint64_t idle_max_ms);
+/* Frees a pool that is given up once nothing of it is left. */
+void wire_pool_release(wire_pool_t *pool);
--- /dev/null
+++ b/wire/pool.c
@@ -0,0 +1,155 @@
+#include <stdlib.h>
+
+#include "base/xmalloc.h"
+#include "wire/client_conn.h"
+
+enum { KEEP_ALIVE_MARGIN_MS = 800 }; /* taken off the other side's announced idle time */
+
+void
+wire_pool_release(wire_pool_t *pool)
+{
+    if (pool->freed && pool->busy_count == 0 && pool->idle_count == 0)
+        free(pool);
+}
+
+static void
+on_handle_closed(uv_handle_t *handle)
+{
+    client_conn_t *conn = handle->data;
+    if (--conn->open_handles > 0)
+        return;
+    wire_head_free(&conn->head);
+    free(conn->request);
+    free(conn);
+}
+
+void
+client_conn_close(client_conn_t *conn)
+{
+    if (conn->dead)
+        return;
+    conn->dead = true;
+    uv_close((uv_handle_t *)&conn->tcp, on_handle_closed);
+    uv_close((uv_handle_t *)&conn->timer, on_handle_closed);
+}
+
+static void
+remove_idle(client_conn_t *conn)
+{
+    client_conn_t **slot = &conn->pool->idle;
+    while (*slot != conn)
+        slot = &(*slot)->next;
+    *slot = conn->next;
+    conn->next = NULL;
+    conn->pool->idle_count--;
+}
+
+void
+client_conn_close_idle(client_conn_t *conn)
+{
+    wire_pool_t *pool = conn->pool;
+    remove_idle(conn);
+    client_conn_close(conn);
+    wire_pool_release(pool);
+}
+
+client_conn_t *
+client_conn_take(wire_pool_t *pool, uint64_t idle_max_ms)
+{
+    const uint64_t now = uv_now(pool->loop);
+    client_conn_t *next;
+    for (client_conn_t *conn = pool->idle; conn != NULL; conn = next) {
+        next = conn->next;
+        uint64_t max = idle_max_ms;
+        if (conn->keep_ms > 0) {
+            const uint64_t announced =
+                conn->keep_ms > KEEP_ALIVE_MARGIN_MS ? conn->keep_ms - KEEP_ALIVE_MARGIN_MS : 0;
+            max = announced < max ? announced : max;
+        }
+        if (now - conn->idle_since_ms <= max) {
+            remove_idle(conn);
+            return conn;
+        }
+        if (conn->keep_ms > 0 && now - conn->idle_since_ms > conn->keep_ms)
+            client_conn_close_idle(conn);
+    }
+    return NULL;
+}
+
+client_conn_t *
+client_conn_open(wire_pool_t *pool)
+{
+    client_conn_t *conn = xcalloc(1, sizeof(*conn));
+    conn->pool = pool;
+    uv_tcp_init(pool->loop, &conn->tcp);
+    uv_timer_init(pool->loop, &conn->timer);
+    conn->open_handles = 2;
+    conn->tcp.data = conn;
+    conn->timer.data = conn;
+    conn->connect.data = conn;
+    pool->opened++;
+    return conn;
+}
+
+wire_pool_t *
+wire_pool_new(uv_loop_t *loop, const addr_t *addr, size_t max_connections)
+{
+    wire_pool_t *pool = xcalloc(1, sizeof(*pool));
+    pool->loop = loop;
+    pool->addr = *addr;
+    pool->max = max_connections;
+    return pool;
+}
+
+void
+wire_pool_free(wire_pool_t *pool)
+{
+    pool->freed = true;
+    pool->busy_count++; /* keeps the pool until the loop below has ended */
+    while (pool->idle != NULL)
+        client_conn_close_idle(pool->idle);
+    pool->busy_count--;
+    wire_pool_release(pool);
+}
+
+void
+wire_pool_set_max(wire_pool_t *pool, size_t max_connections)
+{
+    pool->max = max_connections;
+}
+
+size_t
+wire_pool_idle(const wire_pool_t *pool)
+{
+    return pool->idle_count;
+}
+
+size_t
+wire_pool_busy(const wire_pool_t *pool)
+{
+    return pool->busy_count;
+}
+
+uint64_t
+wire_pool_opened(const wire_pool_t *pool)
+{
+    return pool->opened;
+}
+
+const addr_t *
+wire_pool_addr(const wire_pool_t *pool)
+{
+    return &pool->addr;
+}
+
+void
+wire_pool_sweep(wire_pool_t *pool, uint64_t idle_ms)
+{
+    const uint64_t now = uv_now(pool->loop);
+    client_conn_t *next;
+    for (client_conn_t *conn = pool->idle; conn != NULL; conn = next) {
+        next = conn->next;
+        if (now - conn->idle_since_ms > idle_ms)
+            client_conn_close_idle(conn);
+    }
+}
