--- /dev/null
+++ b/gateway/attempt.c
@@ -0,0 +1,207 @@
+#include <stdlib.h>
+
+#include <http_parser.h>
+
+#define LOG_MODULE "attempt"
+#include "base/log.h"
+#include "base/xmalloc.h"
+#include "gateway/attempt.h"
+
+enum {
+    CONNECT_TIMEOUT_MS = 400,
+    IDLE_MAX_REPEATABLE_MS = 6000,
+    IDLE_MAX_ONCE_MS = 3000, /* a request that may not be repeated wants a fresher connection */
+    BUFFER_MAX = 16384,      /* answers up to this size are collected before passing them on */
+    BACKLOG_MAX = 262144,    /* unsent bytes to a caller that stop the reading of more */
+};
+
+static void
+start_streaming(attempt_t *attempt)
+{
+    attempt->streaming = true;
+    wire_respond_head(attempt->req, attempt->status,
+                      (str_t){attempt->fields.ptr, attempt->fields.len}, attempt->length);
+    wire_respond_data(attempt->req, attempt->body.ptr, attempt->body.len);
+    attempt->body.len = 0;
+}
+
+static bool
+on_match(void *ctx, const wire_head_t *head)
+{
+    const attempt_t *attempt = ctx;
+    return attempt->dialect->answers(head, attempt->id);
+}
+
+static void
+on_head(void *ctx, const wire_head_t *head, int64_t length)
+{
+    attempt_t *attempt = ctx;
+    reported_load_t load;
+    attempt->head_seen = true;
+    attempt->verdict = attempt->dialect->judge(head);
+    attempt->status = head->status;
+    attempt->length = length;
+    if (attempt->dialect->load(head, &load))
+        backend_report_load(attempt->backend, &load, uv_now(attempt->loop));
+    attempt->fields.len = 0;
+    attempt->dialect->write_answer(head, &attempt->fields);
+    if (attempt->verdict == VERDICT_ANSWER && length > BUFFER_MAX)
+        start_streaming(attempt);
+}
+
+static void
+on_data(void *ctx, const char *ptr, size_t len)
+{
+    attempt_t *attempt = ctx;
+    if (attempt->verdict != VERDICT_ANSWER)
+        return;
+    if (!attempt->streaming && attempt->body.len + len <= BUFFER_MAX) {
+        wire_text_add(&attempt->body, ptr, len);
+        return;
+    }
+    if (!attempt->streaming)
+        start_streaming(attempt);
+    wire_respond_data(attempt->req, ptr, len);
+    wire_respond_flush(attempt->req);
+    if (!attempt->paused && wire_respond_backlog(attempt->req) > BACKLOG_MAX) {
+        attempt->paused = true;
+        wire_call_pause(attempt->call);
+    }
+}
+
+/* The outcome of a whole answer. */
+static attempt_outcome_t
+judge_whole(attempt_t *attempt, backend_t *backend)
+{
+    const uint64_t now = uv_now(attempt->loop);
+    switch (attempt->verdict) {
+    case VERDICT_ANSWER:
+        backend_answered(backend, (double)(now - attempt->sent_ms), attempt->waited);
+        backend_record(backend, attempt->status >= HTTP_STATUS_INTERNAL_SERVER_ERROR, now);
+        return ATTEMPT_ANSWERED;
+    case VERDICT_MISDIRECTED:
+        backend->departed = true;
+        return ATTEMPT_NOT_RUN;
+    case VERDICT_NOT_RUN:
+        return ATTEMPT_NOT_RUN;
+    case VERDICT_BAD:
+        backend_record(backend, true, now);
+        backend_failed(backend, now);
+        return ATTEMPT_UNKNOWN;
+    }
+    BUG("verdict");
+}
+
+/* The outcome of an attempt that broke. */
+static attempt_outcome_t
+judge_broken(attempt_t *attempt, backend_t *backend, const wire_end_t *end)
+{
+    const uint64_t now = uv_now(attempt->loop);
+    LOG_INFO("attempt failed: id=%.*s backend=%s stage=%d err=%s detail=\"%s\"",
+             STR_ARG(attempt->id), backend->info.id.ptr, end->stage, err_name(end->err.code),
+             end->err.detail);
+    backend_record(backend, true, now);
+    backend_failed(backend, now);
+    if (attempt->streaming)
+        return ATTEMPT_CUT;
+    const bool said_so = attempt->head_seen && (attempt->verdict == VERDICT_NOT_RUN ||
+                                                attempt->verdict == VERDICT_MISDIRECTED);
+    return end->stage == WIRE_UNSENT || said_so ? ATTEMPT_NOT_RUN : ATTEMPT_UNKNOWN;
+}
+
+static void
+on_end(void *ctx, const wire_end_t *end)
+{
+    attempt_t *attempt = ctx;
+    backend_t *backend = attempt->backend;
+    attempt->backend = NULL;
+    attempt->call = NULL;
+    attempt->sent = end->stage != WIRE_UNSENT;
+    const attempt_outcome_t outcome = end->err.code == ERR_NONE
+                                          ? judge_whole(attempt, backend)
+                                          : judge_broken(attempt, backend, end);
+    attempt->cb(attempt->ctx, outcome);
+}
+
+static char *
+build_request(const attempt_t *attempt, uint32_t left_ms, size_t *len)
+{
+    const wire_head_t *head = &attempt->req->head;
+    wire_text_t text = {0};
+    wire_text_str(&text, str_from(http_method_str((enum http_method)head->method)));
+    wire_text_str(&text, STR(" "));
+    wire_text_str(&text, wire_head_target(head));
+    wire_text_str(&text, STR(" HTTP/1.1\r\n"));
+    attempt->dialect->write_request(head, name_str(&attempt->backend->info.id), left_ms, &text);
+    const bool framed = wire_head_find(head, STR("content-length")).len > 0 ||
+                        wire_head_find(head, STR("transfer-encoding")).len > 0;
+    if (framed)
+        wire_text_printf(&text, "Content-Length: %zu\r\n", attempt->req->body_len);
+    wire_text_str(&text, STR("\r\n"));
+    wire_text_add(&text, attempt->req->body, attempt->req->body_len);
+    *len = text.len;
+    return text.ptr;
+}
+
+void
+attempt_start(attempt_t *attempt, const attempt_conf_t *conf)
+{
+    static const wire_call_cbs_t cbs = {
+        .matches = on_match,
+        .on_head = on_head,
+        .on_data = on_data,
+        .on_end = on_end,
+    };
+    attempt->backend = conf->backend;
+    attempt->waited = conf->waited;
+    attempt->sent_ms = uv_now(attempt->loop);
+    attempt->sent = false;
+    attempt->head_seen = false;
+    attempt->paused = false;
+    attempt->body.len = 0;
+    wire_call_conf_t call = {
+        .connect_timeout_ms = CONNECT_TIMEOUT_MS,
+        .idle_max_ms = conf->repeatable ? IDLE_MAX_REPEATABLE_MS : IDLE_MAX_ONCE_MS,
+        .head_method = attempt->req->head.method == HTTP_HEAD,
+    };
+    call.request = build_request(attempt, conf->left_ms, &call.request_len);
+    attempt->call = wire_call_start(conf->backend->pool, &call, &cbs, attempt);
+}
+
+void
+attempt_cancel(attempt_t *attempt)
+{
+    if (attempt->call == NULL)
+        return;
+    attempt->sent = wire_call_stage(attempt->call) != WIRE_UNSENT;
+    wire_call_cancel(attempt->call);
+    attempt->call = NULL;
+    attempt->backend = NULL;
+}
+
+void
+attempt_caller_drained(attempt_t *attempt)
+{
+    if (!attempt->paused || attempt->call == NULL)
+        return;
+    attempt->paused = false;
+    wire_call_resume(attempt->call);
+}
+
+void
+attempt_pass_on(attempt_t *attempt)
+{
+    if (!attempt->streaming) {
+        if (attempt->length != WIRE_UNTIL_CLOSE)
+            attempt->length = (int64_t)attempt->body.len;
+        start_streaming(attempt);
+    }
+    wire_respond_end(attempt->req);
+}
+
+void
+attempt_free(attempt_t *attempt)
+{
+    free(attempt->fields.ptr);
+    free(attempt->body.ptr);
+}
