--- /dev/null
+++ b/gateway/admin.c
@@ -0,0 +1,58 @@
+#include <stdlib.h>
+
+#include <http_parser.h>
+
+#include "base/counter.h"
+#include "base/log.h"
+#include "gateway/admin.h"
+#include "gateway/inspect.h"
+
+static void
+set_gauge(const char *name, const char *help, int64_t value)
+{
+    counter_set(counter_get(name, NULL, help), value);
+}
+
+static void
+answer_metrics(const admin_t *admin, wire_request_t *req)
+{
+    const router_t *router = admin->router;
+    set_gauge("irisstall_config_revision", "Store revision of the configuration in force.",
+              router->config != NULL ? (int64_t)router->config->revision : 0);
+    set_gauge("irisstall_instances_living", "Instances heard of, this one too.", router->living);
+    set_gauge("irisstall_upstreams", "Upstreams known.", (int64_t)router->backends.count);
+    set_gauge("irisstall_requests_active", "Requests under way.",
+              (int64_t)admin->exchanges->active);
+    set_gauge("irisstall_caller_connections", "Open connections of callers.",
+              (int64_t)wire_listener_connections(admin->callers));
+    set_gauge("irisstall_log_lines_dropped", "Log lines that were dropped.",
+              (int64_t)log_dropped());
+    size_t len;
+    char *text = counter_expose(&len);
+    wire_respond(req, HTTP_STATUS_OK, STR("Content-Type: text/plain; version=0.0.4\r\n"),
+                 (str_t){text, len});
+    free(text);
+}
+
+void
+admin_answer(const admin_t *admin, wire_request_t *req)
+{
+    const str_t path = wire_head_path(&req->head);
+    wire_text_t text = {0};
+    if (str_eq(path, STR("/metrics"))) {
+        answer_metrics(admin, req);
+        return;
+    }
+    if (str_eq(path, STR("/table")))
+        inspect_table(admin->router, wire_head_query(&req->head, STR("service")), &text);
+    else if (str_eq(path, STR("/status")))
+        inspect_status(admin->router, admin->sync, admin->heartbeat->ready,
+                       admin->heartbeat->leaving, &text);
+    else if (str_eq(path, STR("/explain")))
+        inspect_explain(admin->router, wire_head_query(&req->head, STR("host")),
+                        wire_head_query(&req->head, STR("path")),
+                        wire_head_query(&req->head, STR("object")), &text);
+    const int status = text.len > 0 ? HTTP_STATUS_OK : HTTP_STATUS_NOT_FOUND;
+    wire_respond(req, status, STR("Content-Type: text/plain\r\n"), (str_t){text.ptr, text.len});
+    free(text.ptr);
+}
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -4,14 +4,13 @@
 #include <http_parser.h>
 
 #define LOG_MODULE "gateway"
-#include "base/counter.h"
 #include "base/log.h"
 #include "base/xmalloc.h"
+#include "gateway/admin.h"
 #include "gateway/directory.h"
 #include "gateway/exchange.h"
 #include "gateway/gateway.h"
 #include "gateway/heartbeat.h"
-#include "gateway/inspect.h"
 
 enum {
     TICK_MS = 200,
@@ -96,55 +95,18 @@
     free(body.ptr);
 }
 
-static void
-set_gauge(const char *name, const char *help, int64_t value)
-{
-    counter_set(counter_get(name, NULL, help), value);
-}
-
-static void
-answer_metrics(gateway_t *gateway, wire_request_t *req)
-{
-    const router_t *router = &gateway->router;
-    set_gauge("irisstall_config_revision", "Store revision of the configuration in force.",
-              router->config != NULL ? (int64_t)router->config->revision : 0);
-    set_gauge("irisstall_instances_living", "Instances heard of, this one too.", router->living);
-    set_gauge("irisstall_upstreams", "Upstreams known.", (int64_t)router->backends.count);
-    set_gauge("irisstall_requests_active", "Requests under way.",
-              (int64_t)gateway->exchanges.active);
-    set_gauge("irisstall_caller_connections", "Open connections of callers.",
-              (int64_t)wire_listener_connections(gateway->callers));
-    set_gauge("irisstall_log_lines_dropped", "Log lines that were dropped.",
-              (int64_t)log_dropped());
-    size_t len;
-    char *text = counter_expose(&len);
-    wire_respond(req, HTTP_STATUS_OK, STR("Content-Type: text/plain; version=0.0.4\r\n"),
-                 (str_t){text, len});
-    free(text);
-}
-
 static void
 on_admin_question(void *ctx, wire_request_t *req)
 {
-    gateway_t *gateway = ctx;
-    const str_t path = wire_head_path(&req->head);
-    wire_text_t text = {0};
-    if (str_eq(path, STR("/metrics"))) {
-        answer_metrics(gateway, req);
-        return;
-    }
-    if (str_eq(path, STR("/table")))
-        inspect_table(&gateway->router, wire_head_query(&req->head, STR("service")), &text);
-    else if (str_eq(path, STR("/status")))
-        inspect_status(&gateway->router, &gateway->sync, gateway->heartbeat.ready,
-                       gateway->stopping, &text);
-    else if (str_eq(path, STR("/explain")))
-        inspect_explain(&gateway->router, wire_head_query(&req->head, STR("host")),
-                        wire_head_query(&req->head, STR("path")),
-                        wire_head_query(&req->head, STR("object")), &text);
-    const int status = text.len > 0 ? HTTP_STATUS_OK : HTTP_STATUS_NOT_FOUND;
-    wire_respond(req, status, STR("Content-Type: text/plain\r\n"), (str_t){text.ptr, text.len});
-    free(text.ptr);
+    const gateway_t *gateway = ctx;
+    const admin_t admin = {
+        .router = &gateway->router,
+        .sync = &gateway->sync,
+        .heartbeat = &gateway->heartbeat,
+        .exchanges = &gateway->exchanges,
+        .callers = gateway->callers,
+    };
+    admin_answer(&admin, req);
 }
 
 static void
