--- a/test/test_gateway.c
+++ b/test/test_gateway.c
@@ -570,7 +570,7 @@
     enum { A_REGION = 50, ROUNDS = 40 };
     members_t members = {0};
     bool told[2 * A_REGION] = {false};
-    for (uint16_t i = 0; i < 2 * A_REGION; i++) {
+    for (unsigned i = 0; i < 2 * A_REGION; i++) {
         char name[16];
         snprintf(name, sizeof(name), "g-%u", i);
         member_t *member = add_member(&members, name, "a1", i % 2, (uint16_t)(i + 1));
