Watches start again at the tick, so that changes come together

Also: instances of other regions of a large fleet are heard now and then and no longer logged as lost.

--- a/gateway/heartbeat.c
+++ b/gateway/heartbeat.c
@@ -229,10 +229,14 @@
     member_t *member = members_at(heartbeat->members, &peer);
     if (member == NULL || addr_eq(&peer, &heartbeat->settings->peer))
         return;
-    if (!member_alive(member, now_ms) || member->incarnation != message->incarnation)
+    const bool restarted = member->heard && member->incarnation != message->incarnation;
+    /* Of another region of a large fleet, each instance is heard only now and then. */
+    const bool expected = heartbeat->members->count <= MEMBERS_MESH ||
+                          member->region == heartbeat->router->region || !member->heard;
+    if (restarted || (expected && !member_alive(member, now_ms)))
         LOG_INFO("instance heard: instance=%s place=%s silent_ms=%llu restarted=%d", instance.ptr,
                  place.ptr, (unsigned long long)(member->heard ? now_ms - member->heard_ms : 0),
-                 member->heard && member->incarnation != message->incarnation);
+                 restarted);
     if (message->leaving && !member->leaving)
         LOG_INFO("instance leaving: instance=%s", instance.ptr);
     member->heard = true;
--- a/gateway/sync.c
+++ b/gateway/sync.c
@@ -184,7 +184,7 @@
                       answer->at, base_digest);
         sync_view_changed(sync, follower->kind, "watch");
     }
-    sync_tick(sync);
+    /* The next watch starts at the next tick, so that changes in quick succession come together. */
 }
 
 static void
