Large views are read from the store; upstreams compared side by side

Change: above 200 kB a peer sends to the store instead, unless that fails the asking instance; the ring holds 512 changes.

--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -8,6 +8,7 @@
     BEHIND_MS = 450,       /* a view that stays older than a peer's for this time is asked for */
     START_PEERS_MS = 700,  /* time that the store has to give the views at start */
     RELAY_FAR_MAX = 60000, /* bytes of a view's changes that are sent to other regions */
+    WHOLE_MAX = 200000, /* bytes of a view that a peer gets; larger ones it reads from the store */
 };
 
 static Iris__ViewItem *
@@ -96,6 +97,15 @@
     free(items);
 }
 
+static size_t
+view_bytes(const view_t *view)
+{
+    size_t bytes = 0;
+    for (size_t i = 0; i < view->count; i++)
+        bytes += view->items[i].body_len;
+    return bytes;
+}
+
 void
 sync_on_request(sync_t *sync, peer_conn_t *conn, const Iris__ViewRequest *request)
 {
@@ -113,7 +123,12 @@
         reply_view(conn, &update, changes, count);
         return;
     }
-    reply_whole(conn, view, &update);
+    if (request->whole || view_bytes(view) <= WHOLE_MAX) {
+        reply_whole(conn, view, &update);
+        return;
+    }
+    update.at = 0;
+    reply_view(conn, &update, NULL, 0);
 }
 
 static void
@@ -132,6 +147,7 @@
     request.kind = kind;
     request.have = sync->views[kind].known ? sync->views[kind].at : 0;
     request.digest = sync->views[kind].digest;
+    request.whole = sync_store_failing(sync);
     peer_send(sync->hub, peer, &envelope);
 }
 
@@ -174,6 +190,10 @@
 {
     if (update->kind >= VIEW_WATCHED)
         return;
+    if (update->at == 0) {
+        sync->followers[update->kind].must_read = true;
+        return;
+    }
     store_item_t *items = xcalloc(update->n_items + 1, sizeof(*items));
     for (size_t i = 0; i < update->n_items; i++) {
         const Iris__ViewItem *item = update->items[i];
--- a/gateway/router.c
+++ b/gateway/router.c
@@ -101,10 +101,6 @@
 take_backend(router_t *router, const view_item_t *item, uint64_t now)
 {
     backend_t *known = backends_find(&router->backends, str_from(item->name));
-    if (known != NULL && known->revision == item->revision) {
-        known->unlist_at_ms = 0;
-        return;
-    }
     backend_info_t info;
     err_t err = {0};
     if (!router->decoder->backend(str_from(item->name), (str_t){item->body, item->body_len}, &info,
@@ -131,20 +127,53 @@
     }
 }
 
+static void
+unlist(backend_t *backend, uint64_t now, uint64_t grace_ms)
+{
+    if (backend->unlist_at_ms != 0)
+        return;
+    backend->unlist_at_ms = now + grace_ms;
+    LOG_INFO("upstream not listed any more: id=%s grace_ms=%llu", backend->info.id.ptr,
+             (unsigned long long)grace_ms);
+}
+
+/* Walks the view and the upstreams side by side, both sorted by id: notes which upstreams are gone
+ * and returns the number of entries that are new or changed, by their index in the view. */
+static size_t
+compare_backends(router_t *router, const view_t *view, uint64_t now, uint64_t grace_ms,
+                 size_t *changed)
+{
+    size_t count = 0;
+    size_t at = 0;
+    for (size_t i = 0; i < view->count; i++) {
+        const view_item_t *item = &view->items[i];
+        const str_t name = str_from(item->name);
+        while (at < router->backends.count &&
+               str_order(name_str(&router->backends.items[at]->info.id), name) < 0)
+            unlist(router->backends.items[at++], now, grace_ms);
+        backend_t *backend =
+            at < router->backends.count && name_eq(&router->backends.items[at]->info.id, name)
+                ? router->backends.items[at++]
+                : NULL;
+        if (backend != NULL && backend->revision == item->revision)
+            backend->unlist_at_ms = 0;
+        else
+            changed[count++] = i;
+    }
+    while (at < router->backends.count)
+        unlist(router->backends.items[at++], now, grace_ms);
+    return count;
+}
+
 void
 router_take_backends(router_t *router, const view_t *view, uint64_t grace_ms)
 {
     const uint64_t now = uv_now(router->loop);
-    for (size_t i = 0; i < view->count; i++)
-        take_backend(router, &view->items[i], now);
-    for (size_t i = 0; i < router->backends.count; i++) {
-        backend_t *backend = router->backends.items[i];
-        if (backend->unlist_at_ms != 0 || view_find(view, name_str(&backend->info.id)) != NULL)
-            continue;
-        backend->unlist_at_ms = now + grace_ms;
-        LOG_INFO("upstream not listed any more: id=%s grace_ms=%llu", backend->info.id.ptr,
-                 (unsigned long long)grace_ms);
-    }
+    size_t *changed = xcalloc(view->count + 1, sizeof(*changed));
+    const size_t count = compare_backends(router, view, now, grace_ms, changed);
+    for (size_t i = 0; i < count; i++)
+        take_backend(router, &view->items[changed[i]], now);
+    free(changed);
     backends_drop_unlisted(&router->backends, now);
     router->backends_known = true;
 }
--- a/gateway/sync.c
+++ b/gateway/sync.c
@@ -152,6 +152,7 @@
                                               follower->page_count, follower->list_at);
     free_pages(follower);
     follower->must_list = false;
+    follower->must_read = false;
     if (result == VIEW_CHANGED)
         sync_view_changed(sync, follower->kind, "list");
     sync_tick(sync);
@@ -191,7 +192,7 @@
 follow(follower_t *follower)
 {
     sync_t *sync = follower->sync;
-    if (follower->must_list || !sync->views[follower->kind].known) {
+    if (follower->must_list || follower->must_read || !sync->views[follower->kind].known) {
         follower->state = FOLLOW_LISTING;
         sync->store->list(sync->store->ctx, follower->kind, STR(""), on_list, follower);
         return;
@@ -214,7 +215,8 @@
     for (view_kind_t kind = 0; kind < VIEW_WATCHED; kind++) {
         follower_t *follower = &sync->followers[kind];
         /* A started instance reads each view once, whoever follows. */
-        const bool wanted = following || (!sync->views[kind].known && !sync->stopped);
+        const bool once = follower->must_read || !sync->views[kind].known;
+        const bool wanted = following || (once && !sync->stopped);
         if (wanted && follower->state == FOLLOW_IDLE && now >= follower->retry_at_ms)
             follow(follower);
         if (sync->store_failures > 0)
--- a/gateway/sync.h
+++ b/gateway/sync.h
@@ -28,6 +28,7 @@
     view_kind_t kind;
     follow_state_t state;
     bool must_list;
+    bool must_read; /* list once, though this instance does not follow the store */
     uint64_t retry_at_ms;
     uint64_t answered_ms;
     uint64_t asked_from; /* revision that the running watch started from */
--- a/gateway/views.h
+++ b/gateway/views.h
@@ -16,7 +16,7 @@
     size_t body_len;
 } view_item_t;
 
-enum { VIEW_CHANGES = 128 }; /* changes kept for peers that missed some */
+enum { VIEW_CHANGES = 512 }; /* changes kept for peers that missed some */
 
 typedef struct {
     char *name;
--- a/peer/peer.pb-c.c
+++ b/peer/peer.pb-c.c
@@ -1858,7 +1858,7 @@
   (ProtobufCMessageInit) iris__view_update__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor iris__view_request__field_descriptors[3] =
+static const ProtobufCFieldDescriptor iris__view_request__field_descriptors[4] =
 {
   {
     "kind",
@@ -1896,16 +1896,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "whole",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Iris__ViewRequest, whole),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned iris__view_request__field_indices_by_name[] = {
   2,   /* field[2] = digest */
   1,   /* field[1] = have */
   0,   /* field[0] = kind */
+  3,   /* field[3] = whole */
 };
 static const ProtobufCIntRange iris__view_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor iris__view_request__descriptor =
 {
@@ -1915,7 +1928,7 @@
   "Iris__ViewRequest",
   "iris",
   sizeof(Iris__ViewRequest),
-  3,
+  4,
   iris__view_request__field_descriptors,
   iris__view_request__field_indices_by_name,
   1,  iris__view_request__number_ranges,
--- a/peer/peer.pb-c.h
+++ b/peer/peer.pb-c.h
@@ -271,7 +271,8 @@
 
 
 /*
- * Changes of a view after `from` up to `at`, or the whole view.
+ * Changes of a view after `from` up to `at`, or the whole view; `at` 0 says that the view is
+ * large and should be read from the store.
  */
 struct  Iris__ViewUpdate
 {
@@ -304,10 +305,14 @@
    * of its view
    */
   uint64_t digest;
+  /*
+   * it cannot read the store and needs the view however large
+   */
+  protobuf_c_boolean whole;
 };
 #define IRIS__VIEW_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&iris__view_request__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 typedef enum {
--- a/standin/store.c
+++ b/standin/store.c
@@ -183,7 +183,7 @@
 answer_list(standin_store_t *store, wire_request_t *req, const char *kind)
 {
     size_t count = 0;
-    object_t *found[1024];
+    static object_t *found[4096];
     char after[KIND_MAX * 2];
     const str_t query = wire_head_query(&req->head, STR("after"));
     snprintf(after, sizeof(after), "%.*s", STR_ARG(query));
--- a/test/test_whole.c
+++ b/test/test_whole.c
@@ -734,6 +734,32 @@
 }
 END_TEST
 
+START_TEST(a_large_view_is_read_from_the_store_or_else_from_a_peer)
+{
+    /* 1,500 upstreams, and more changes at once than peers keep. */
+    enum { MANY = 1500 };
+    site_t *site = new_ready_site(1);
+    gateway_t *second =
+        start_gateway(site, "g-2", &site->store_port, &gateway_settings(site->gateway)->peer);
+    use_gateway(site, second);
+    RUN_UNTIL(site, is_ready(site));
+    standin_store_set_mode(site->store, STANDIN_STORE_RESETS);
+    for (int i = 0; i < MANY; i++) {
+        char id[16];
+        snprintf(id, sizeof(id), "other-%04d", i);
+        standin_store_put(site->store, "servers", id,
+                          json_pack("{s:s, s:{s:s, s:s, s:s, s:i}}", "address", "127.0.0.1:9",
+                                    "info", "service", "another", "version", "v1", "zone", "a1",
+                                    "capacity", 4),
+                          json_pack("{s:s}", "state", "ready"));
+    }
+    put_upstream(site, &site->upstreams[0], "draining");
+    standin_store_forget(site->store);
+    standin_store_set_mode(site->store, STANDIN_STORE_SERVES);
+    RUN_UNTIL(site, ask(site, "GET", "/safe/x").status == 503);
+}
+END_TEST
+
 START_TEST(a_reply_lost_by_the_store_is_no_second_announcement)
 {
     site_t *site = new_site(1);
@@ -817,6 +843,7 @@
     tcase_add_test(tests, an_instance_without_the_store_learns_from_its_peer);
     tcase_add_test(tests, instances_that_are_behind_do_not_keep_each_other_there);
     tcase_add_test(tests, a_large_configuration_reaches_the_peer);
+    tcase_add_test(tests, a_large_view_is_read_from_the_store_or_else_from_a_peer);
     tcase_add_test(tests, a_reply_lost_by_the_store_is_no_second_announcement);
     tcase_add_test(tests, a_planned_stop_cuts_nothing);
     suite_add_tcase(suite, tests);
