--- a/gateway/members.c
+++ b/gateway/members.c
@@ -174,7 +174,9 @@
 members_interval_ms(const members_t *members, size_t region, uint64_t now_ms)
 {
     const size_t scaled = HEARTBEAT_MEMBER_MS * members_living(members, region, now_ms);
-    return scaled > HEARTBEAT_MIN_MS ? (uint32_t)scaled : HEARTBEAT_MIN_MS;
+    if (scaled < HEARTBEAT_MIN_MS)
+        return HEARTBEAT_MIN_MS;
+    return scaled < HEARTBEAT_MAX_MS ? (uint32_t)scaled : HEARTBEAT_MAX_MS;
 }
 
 /* The member's place among the members of its region, and the number of these. */
--- a/gateway/members.h
+++ b/gateway/members.h
@@ -19,10 +19,11 @@
 enum {
     MEMBERS_MAX = 2048,
     MEMBERS_MESH = 16,
-    MEMBERS_OTHER_REGION = 2, /* told in a round, of each other region of a large fleet */
+    MEMBERS_OTHER_REGION = 1, /* told in a round, of each other region of a large fleet */
     MEMBER_DEMANDS_MAX = 16,
     HEARTBEAT_MIN_MS = 400,
-    HEARTBEAT_MEMBER_MS = 10, /* longer rounds for each instance of a large region */
+    HEARTBEAT_MEMBER_MS = 20, /* longer rounds for each instance of a large region */
+    HEARTBEAT_MAX_MS = 1200,
     STORE_AGE_NONE = 0xffffffff,
 };
 
