Settings' errors in one place, without the parser's backtrace; standard reason phrases

Both settings files are read by base/yaml.c, which names file, line, key and value. Answers of the library's listener had OK or Error as their reason for every status.

--- a/entry/settings.c
+++ b/entry/settings.c
@@ -5,9 +5,9 @@
 #include <string.h>
 
 #include <cyaml/cyaml.h>
-#include <yaml.h>
 
 #include "base/xmalloc.h"
+#include "base/yaml.h"
 #include "entry/settings.h"
 
 enum { TEXT_MAX = 255, MAX_BODY_KB_LIMIT = 1 << 16, RATE_LIMIT = 2000 };
@@ -75,34 +75,6 @@
 
 static const cyaml_schema_value_t schema = {CYAML_VALUE_MAPPING(CYAML_FLAG_POINTER, raw_t, fields)};
 
-/* Line (from 1) of the last place of a key in the file, 0 if it is not there. */
-static size_t
-line_of(const char *path, const char *key)
-{
-    FILE *file = fopen(path, "re");
-    if (file == NULL)
-        return 0;
-    yaml_parser_t parser;
-    yaml_token_t token;
-    size_t line = 0;
-    bool key_next = false;
-    yaml_parser_initialize(&parser);
-    yaml_parser_set_input_file(&parser, file);
-    for (bool more = true; more;) {
-        if (!yaml_parser_scan(&parser, &token))
-            break;
-        if (key_next && token.type == YAML_SCALAR_TOKEN &&
-            strcmp((const char *)token.data.scalar.value, key) == 0)
-            line = token.start_mark.line + 1;
-        key_next = token.type == YAML_KEY_TOKEN;
-        more = token.type != YAML_STREAM_END_TOKEN;
-        yaml_token_delete(&token);
-    }
-    yaml_parser_delete(&parser);
-    fclose(file);
-    return line;
-}
-
 typedef struct {
     const char *path;
     err_t *err;
@@ -112,7 +84,7 @@
 bad_value(const reader_t *reader, const char *key, const char *value, const char *expected)
 {
     err_set(reader->err, ERR_INVALID, "%s:%zu: %s: '%s': expected %s", reader->path,
-            line_of(reader->path, key), key, value, expected);
+            yaml_line_of(reader->path, key), key, value, expected);
     return false;
 }
 
@@ -220,61 +192,15 @@
     return true;
 }
 
-typedef struct {
-    char text[200];
-    size_t len;
-} messages_t;
-
-static void
-collect_message(cyaml_log_t level, void *ctx, const char *fmt, va_list args)
-{
-    messages_t *messages = ctx;
-    if (level < CYAML_LOG_ERROR || messages->len >= sizeof(messages->text) - 1)
-        return;
-    char line[160];
-    vsnprintf(line, sizeof(line), fmt, args);
-    line[strcspn(line, "\n")] = '\0';
-    const int n = snprintf(messages->text + messages->len, sizeof(messages->text) - messages->len,
-                           "%s%s", messages->len > 0 ? "; " : "", line);
-    messages->len += n > 0 ? (size_t)n : 0;
-}
-
-/* The library's message, led by file, line and key where it names a key. */
-static void
-report_parse_error(const char *path, cyaml_err_t rc, const char *text, err_t *err)
-{
-    static const char *const leads[] = {"Unexpected key: ", "already seen: ", "mapping field '"};
-    for (size_t i = 0; i < ALEN(leads); i++) {
-        const char *at = strstr(text, leads[i]);
-        if (at == NULL)
-            continue;
-        at += strlen(leads[i]);
-        char key[64];
-        snprintf(key, sizeof(key), "%.*s", (int)strcspn(at, ";' "), at);
-        err_set(err, ERR_PARSE, "%s:%zu: %s: %s: %s", path, line_of(path, key), key,
-                cyaml_strerror(rc), text);
-        return;
-    }
-    err_set(err, ERR_PARSE, "%s: %s: %s", path, cyaml_strerror(rc), text);
-}
-
 bool
 settings_load(const char *path, settings_t *settings, err_t *err)
 {
-    messages_t messages = {.len = 0};
-    const cyaml_config_t config = {.log_fn = collect_message,
-                                   .log_ctx = &messages,
-                                   .mem_fn = cyaml_mem,
-                                   .log_level = CYAML_LOG_ERROR};
     raw_t *raw = NULL;
-    const cyaml_err_t rc = cyaml_load_file(path, &config, &schema, (cyaml_data_t **)&raw, NULL);
-    if (rc != CYAML_OK) {
-        report_parse_error(path, rc, messages.text, err);
+    if (!yaml_load(path, &schema, (void **)&raw, err))
         return false;
-    }
     const reader_t reader = {.path = path, .err = err};
     *settings = (settings_t){0};
     const bool ok = read_raw(&reader, raw, settings);
-    cyaml_free(&config, &schema, raw, 0);
+    yaml_unload(&schema, raw);
     return ok;
 }
--- a/gateway/settings.c
+++ b/gateway/settings.c
@@ -2,9 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <cyaml/cyaml.h>
-
-#include "base/xmalloc.h"
+#include "base/yaml.h"
 #include "gateway/settings.h"
 
 enum { TEXT_MAX = 255, MS_PER_S = 1000 };
@@ -152,34 +150,13 @@
            read_seeds(raw, out, err) && read_places(raw, out, err);
 }
 
-/* Keeps the library's first message: it names the key. */
-static void
-on_log(cyaml_log_t level, void *ctx, const char *fmt, va_list args)
-{
-    char *text = ctx;
-    if (level < CYAML_LOG_ERROR || text[0] != '\0')
-        return;
-    vsnprintf(text, TEXT_MAX, fmt, args);
-    text[strcspn(text, "\n")] = '\0';
-}
-
 bool
 gateway_settings_load(const char *path, gateway_settings_t *out, err_t *err)
 {
-    char message[TEXT_MAX] = "";
-    const cyaml_config_t config = {
-        .log_fn = on_log,
-        .log_ctx = message,
-        .log_level = CYAML_LOG_ERROR,
-        .mem_fn = cyaml_mem,
-    };
     raw_t *raw = NULL;
-    const cyaml_err_t rc = cyaml_load_file(path, &config, &schema, (cyaml_data_t **)&raw, NULL);
-    if (rc != CYAML_OK) {
-        err_set(err, ERR_PARSE, "%s: %s: %s", path, cyaml_strerror(rc), message);
+    if (!yaml_load(path, &schema, (void **)&raw, err))
         return false;
-    }
     const bool valid = check(raw, out, err);
-    cyaml_free(&config, &schema, raw, 0);
+    yaml_unload(&schema, raw);
     return valid;
 }
--- a/http/server.c
+++ b/http/server.c
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 
 #include <h2o.h>
+#include <http_parser.h>
 
 #define LOG_MODULE "http"
 #include "base/log.h"
@@ -155,7 +156,7 @@
     static h2o_generator_t generator = {NULL, NULL};
     h2o_iovec_t buf = h2o_strdup(&req->pool, body, len);
     req->res.status = status;
-    req->res.reason = status < 400 ? "OK" : "Error";
+    req->res.reason = http_status_str((enum http_status)status);
     req->res.content_length = len;
     http_add_header(req, "content-type", str_from(content_type));
     h2o_start_response(req, &generator);
--- a/test/test_base.c
+++ b/test/test_base.c
@@ -153,6 +153,7 @@
     for (size_t i = 0; i < 4 && bad_settings[_i].said[i] != NULL; i++)
         ck_assert_msg(strstr(err.detail, bad_settings[_i].said[i]) != NULL, "'%s' not in: %s",
                       bad_settings[_i].said[i], err.detail);
+    ck_assert_ptr_null(strstr(err.detail, "Backtrace"));
 }
 END_TEST
 
--- a/test/test_network.c
+++ b/test/test_network.c
@@ -22,7 +22,8 @@
     size_t requests;
     size_t messages;
     uint64_t last_version;
-    bool cut; /* the server sends half an answer and closes */
+    bool cut;   /* the server sends half an answer and closes */
+    int status; /* of its answers, 0: 200 */
 } net_t;
 
 static void
@@ -42,7 +43,7 @@
     net_t *net = ctx;
     net->requests++;
     if (!net->cut) {
-        http_reply(req, 200, "text/plain", "hello", 5);
+        http_reply(req, net->status != 0 ? net->status : 200, "text/plain", "hello", 5);
         return;
     }
     h2o_iovec_t buf = h2o_iovec_init(H2O_STRLIT("hel"));
@@ -250,6 +251,18 @@
 }
 END_TEST
 
+START_TEST(answers_have_standard_reasons)
+{
+    net_t *net = new_net();
+    start_server(net);
+    net->status = 404;
+    const int fd = connect_raw(net);
+    send_raw(fd, "GET / HTTP/1.1\r\nhost: a\r\n\r\n", 27);
+    expect_answer(net, fd, "HTTP/1.1 404 Not Found");
+    close(fd);
+}
+END_TEST
+
 START_TEST(too_many_connections_are_closed)
 {
     net_t *net = new_net();
@@ -348,6 +361,7 @@
     tcase_add_test(tcase, garbage_and_large_heads_are_refused);
     tcase_add_test(tcase, a_trickled_head_runs_out_of_time);
     tcase_add_test(tcase, a_large_body_gets_413);
+    tcase_add_test(tcase, answers_have_standard_reasons);
     tcase_add_test(tcase, too_many_connections_are_closed);
     tcase_add_test(tcase, a_whole_answer_is_told_from_a_cut_one);
     tcase_add_test(tcase, a_refused_connection_was_not_sent);
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -235,6 +235,8 @@
         {"name: front-1", "name: \"a b\"", "name: 'a b'"},
         {"seeds: []", "seeds: [\"x\"]", "seeds: 'x'"},
         {"grace_s: 6", "grace_seconds: 6", "grace_seconds"},
+        {"grace_s: 6", "grace_s: many", ":13: grace_s: Invalid value: Load: Invalid"},
+        {"grace_s: 6\n", "", "grace_s"},
     };
     static gateway_settings_t settings;
     err_t err = {0};
--- a/wire/head.c
+++ b/wire/head.c
@@ -214,13 +214,5 @@
 const char *
 wire_reason(int status)
 {
-    switch (status) {
-#define REASON(num, name, string)                                                                  \
-    case num:                                                                                      \
-        return #string;
-        HTTP_STATUS_MAP(REASON)
-#undef REASON
-    default:
-        return "Unknown";
-    }
+    return http_status_str((enum http_status)status);
 }
