Large answers leave a region that has no upstream; requests without an object use any; 8,192 candidates

Causes, found by reading: a download was refused for good where its region had no usable upstream; a request without an object was refused with other upstreams free; of more than 512 upstreams of a service the rest was never used. Tests: choice_keeps_large_answers_near (failed before), choice_without_an_object_uses_any.

--- a/bin/choice_sim.c
+++ b/bin/choice_sim.c
@@ -187,6 +187,7 @@
         .own_zone = name_str(&sim->topology.regions[region]),
         .own_region = region,
         .object = object,
+        .has_object = true,
         .now_ms = sim->now_ms,
         .peers_settled = true,
         .wait_ms = AIM_MS * 8 / 10,
--- a/gateway/choice.c
+++ b/gateway/choice.c
@@ -15,8 +15,9 @@
 
 enum {
     URGENT_PRIORITY = 1,
-    CANDIDATES_MAX = 512,
-    REPLICAS = 2, /* upstreams of a region that share an object */
+    CANDIDATES_MAX = 8192,
+    REPLICAS = 2,     /* upstreams of a region that share an object */
+    REPLICAS_ANY = 8, /* looked at in a region for a request without an object */
 };
 
 typedef struct {
@@ -113,7 +114,7 @@
 /* The object's replicas in an area, the first in its order first; returns their number. */
 static size_t
 find_replicas(const choice_input_t *input, const candidate_t *candidates, size_t count,
-              const area_t *area, candidate_t out[REPLICAS])
+              const area_t *area, candidate_t *out, size_t most)
 {
     size_t found = 0;
     for (size_t i = 0; i < count; i++) {
@@ -122,9 +123,9 @@
         size_t at = found;
         while (at > 0 && out[at - 1].score < candidates[i].score)
             at--;
-        if (at == REPLICAS)
+        if (at == most)
             continue;
-        if (found < REPLICAS)
+        if (found < most)
             found++;
         for (size_t k = found - 1; k > at; k--)
             out[k] = out[k - 1];
@@ -139,7 +140,7 @@
 {
     const double slots = backend->info.capacity;
     double usable = slots;
-    if (rank > 0)
+    if (rank > 0 && input->has_object)
         usable = LATER_SHARE * slots;
     else if (input->route->priority > URGENT_PRIORITY)
         usable = (1 - RESERVED_SHARE) * slots;
@@ -161,16 +162,16 @@
     return load <= input->load_max && expected_ms(input, backend) <= input->wait_ms;
 }
 
+/* Where to look, in this order. */
 static size_t
 list_areas(const choice_input_t *input, area_t *areas)
 {
     size_t count = 0;
-    if (input->route->large) {
-        areas[count++] = (area_t){input->own_region, true};
-        areas[count++] = (area_t){input->own_region, false};
-        return count;
-    }
-    const size_t planned = plan_region(input->plan, unit(input->object));
+    const bool large = input->route->large;
+    const size_t planned =
+        large ? input->own_region : plan_region(input->plan, unit(input->object));
+    if (large)
+        areas[count++] = (area_t){planned, true};
     areas[count++] = (area_t){planned, false};
     if (planned != input->own_region)
         areas[count++] = (area_t){input->own_region, false};
@@ -178,6 +179,32 @@
         if (i != planned && i != input->own_region)
             areas[count++] = (area_t){i, false};
     }
+    /* Upstreams of zones that the settings don't know come last. */
+    areas[count++] = (area_t){TOPOLOGY_NO_REGION, false};
+    return count;
+}
+
+/* The index of the replica to use, `count` if there is none. `rank` is the first one's place in
+ * the order over all areas. */
+static size_t
+pick_replica(const choice_input_t *input, const candidate_t *replicas, size_t count, size_t rank,
+             bool *waits)
+{
+    *waits = false;
+    for (size_t i = 0; i < count; i++) {
+        backend_t *backend = replicas[i].backend;
+        if (has_room(input, backend, rank + i))
+            return i;
+        /* An object's request waits where its object is rather than run cold. */
+        *waits = input->has_object && may_wait(input, backend);
+        if (*waits)
+            return i;
+    }
+    for (size_t i = 0; i < count; i++) {
+        *waits = may_wait(input, replicas[i].backend);
+        if (*waits)
+            return i;
+    }
     return count;
 }
 
@@ -185,31 +212,29 @@
 choice_pick(const choice_input_t *input, choice_reason_t *reason)
 {
     static candidate_t candidates[CANDIDATES_MAX];
-    area_t areas[TOPOLOGY_REGIONS_MAX + 2];
-    candidate_t replicas[REPLICAS];
+    area_t areas[TOPOLOGY_REGIONS_MAX + 3];
+    candidate_t replicas[REPLICAS_ANY];
+    const size_t most = input->has_object ? REPLICAS : REPLICAS_ANY;
     const size_t count = collect(input, candidates);
     const size_t area_count = list_areas(input, areas);
     size_t rank = 0;
-    *reason = CHOICE_FULL;
     for (size_t i = 0; i < area_count; i++) {
-        const size_t found = find_replicas(input, candidates, count, &areas[i], replicas);
+        bool waits;
+        const size_t found = find_replicas(input, candidates, count, &areas[i], replicas, most);
         const bool spills = areas[i].region != areas[0].region && rank > 0;
-        if (spills && !input->may_spill)
+        if (spills && (!input->may_spill || input->route->large))
             break;
-        for (size_t k = 0; k < found; k++, rank++) {
-            backend_t *backend = replicas[k].backend;
-            const bool room = has_room(input, backend, rank);
-            if (!room && !may_wait(input, backend))
-                continue;
-            *reason = spills  ? CHOICE_ELSEWHERE
-                      : !room ? CHOICE_QUEUED
-                      : k > 0 ? CHOICE_LATER
-                              : CHOICE_FIRST;
-            return backend;
-        }
+        const size_t picked = pick_replica(input, replicas, found, rank, &waits);
+        rank += found;
+        if (picked == found)
+            continue;
+        *reason = spills       ? CHOICE_ELSEWHERE
+                  : waits      ? CHOICE_QUEUED
+                  : picked > 0 ? CHOICE_LATER
+                               : CHOICE_FIRST;
+        return replicas[picked].backend;
     }
-    if (count == 0)
-        *reason = CHOICE_NONE;
+    *reason = count == 0 ? CHOICE_NONE : CHOICE_FULL;
     return NULL;
 }
 
--- a/gateway/choice.h
+++ b/gateway/choice.h
@@ -35,6 +35,7 @@
     str_t own_zone;
     size_t own_region;
     uint64_t object; /* hash of the object, or a random number */
+    bool has_object; /* it is an object's */
     uint64_t now_ms;
     /* Told cold upstreams' users. */
     uint64_t own_key;
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -300,7 +300,8 @@
     const uint64_t now = now_ms(ex);
     const uint32_t left = ex->end_ms > now ? (uint32_t)(ex->end_ms - now) : 1;
     const uint32_t patience = ex->terms.has_deadline ? ex->terms.deadline_ms : left;
-    backend_t *backend = router_pick(router, ex->route, ex->service, ex->object, patience,
+    backend_t *backend = router_pick(router, ex->route, ex->service, ex->object,
+                                     router_has_object(ex->route, ex->terms.object), patience,
                                      ex->tried, ex->tried_count, &ex->reason);
     if (backend == NULL) {
         router_refused(router, ex->service);
--- a/gateway/inspect.c
+++ b/gateway/inspect.c
@@ -149,6 +149,7 @@
         .own_zone = name_str(&router->place),
         .own_region = router->region,
         .object = object,
+        .has_object = true,
         .now_ms = now,
         .own_key = router->key,
         .peers = router->peers,
--- a/gateway/router.c
+++ b/gateway/router.c
@@ -308,10 +308,16 @@
     return str_hash(object, OBJECT_SEED ^ route->key);
 }
 
+bool
+router_has_object(const config_route_t *route, str_t object)
+{
+    return route->sticky && object.len > 0;
+}
+
 uint64_t
 router_object(router_t *router, const config_route_t *route, str_t object)
 {
-    if (!route->sticky || object.len == 0)
+    if (!router_has_object(route, object))
         return rng_next(&router->rng);
     return router_object_hash(route, object);
 }
@@ -330,8 +336,8 @@
 
 backend_t *
 router_pick(router_t *router, const config_route_t *route, router_service_t *service,
-            uint64_t object, uint32_t left_ms, backend_t *const *tried, size_t tried_count,
-            choice_reason_t *reason)
+            uint64_t object, bool has_object, uint32_t left_ms, backend_t *const *tried,
+            size_t tried_count, choice_reason_t *reason)
 {
     const uint64_t now = uv_now(router->loop);
     const bool last_chance = has_come_back(router, route, left_ms);
@@ -344,6 +350,7 @@
         .own_zone = name_str(&router->place),
         .own_region = router->region,
         .object = object,
+        .has_object = has_object,
         .now_ms = now,
         .own_key = router->key,
         .peers = router->peers,
--- a/gateway/router.h
+++ b/gateway/router.h
@@ -78,11 +78,13 @@
 str_t router_target(router_t *router, const config_route_t *route);
 /* The hash of an object on a route, the same on every instance. */
 uint64_t router_object_hash(const config_route_t *route, str_t object);
-/* The number by which a request's upstream is chosen: the object's hash, or random. */
+/* The number by which a request's upstream is chosen: the object's hash, or random if there is no
+ * object that upstreams would keep in memory. */
 uint64_t router_object(router_t *router, const config_route_t *route, str_t object);
+bool router_has_object(const config_route_t *route, str_t object);
 /* `left_ms` is the time that the caller still waits. */
 backend_t *router_pick(router_t *router, const config_route_t *route, router_service_t *service,
-                       uint64_t object, uint32_t left_ms, backend_t *const *tried,
+                       uint64_t object, bool has_object, uint32_t left_ms, backend_t *const *tried,
                        size_t tried_count, choice_reason_t *reason);
 /* An attempt begins and ends at a backend. */
 void router_begin(router_t *router, router_service_t *service, backend_t *backend);
--- a/test/test_gateway.c
+++ b/test/test_gateway.c
@@ -266,6 +266,7 @@
         .own_zone = STR("a1"),
         .own_region = 0,
         .object = 0x1234567890abcdefULL,
+        .has_object = true,
         .now_ms = 5000,
         .peers_settled = true,
         .wait_ms = 300,
@@ -351,6 +352,24 @@
 }
 END_TEST
 
+START_TEST(choice_without_an_object_uses_any)
+{
+    /* Nothing is kept in memory for such requests: whoever has room serves them. */
+    choice_fixture_t *fixture = new_choice();
+    static const char *const ids[] = {"u1", "u2", "u3", "u4", "u5", "u6"};
+    for (size_t i = 0; i < ALEN(ids); i++)
+        add_backend(fixture, ids[i], "a1")->in_flight = 6;
+    fixture->backends.items[4]->in_flight = 3;
+    choice_reason_t reason;
+    for (uint64_t request = 1; request < 100; request++) {
+        fixture->input.object = request * 0x9e3779b97f4a7c15ULL;
+        fixture->input.has_object = false;
+        ck_assert_ptr_eq(choice_pick(&fixture->input, &reason), fixture->backends.items[4]);
+    }
+    free_choice(fixture);
+}
+END_TEST
+
 START_TEST(choice_spills_only_when_allowed)
 {
     choice_fixture_t *fixture = new_choice();
@@ -382,6 +401,14 @@
     }
     near->in_flight = 20;
     ck_assert_str_eq(choice_pick(&fixture->input, &reason)->info.id.ptr, "u1");
+    /* Busy is not gone: they do not leave the region for that, but they do if nobody is there. */
+    fixture->backends.items[0]->in_flight = 20;
+    ck_assert_ptr_null(choice_pick(&fixture->input, &reason));
+    fixture->backends.items[0]->info.leaving = true;
+    near->zone_closed = true;
+    const backend_t *far = choice_pick(&fixture->input, &reason);
+    ck_assert_ptr_nonnull(far);
+    ck_assert_str_eq(far->info.id.ptr, "u3");
     free_choice(fixture);
 }
 END_TEST
@@ -721,6 +748,7 @@
     tcase_add_test(tests, choice_is_the_same_on_every_instance);
     tcase_add_test(tests, choice_moves_few_objects_when_one_leaves);
     tcase_add_test(tests, choice_keeps_to_the_replicas);
+    tcase_add_test(tests, choice_without_an_object_uses_any);
     tcase_add_test(tests, choice_spills_only_when_allowed);
     tcase_add_test(tests, choice_keeps_large_answers_near);
     tcase_add_test(tests, choice_respects_homes_and_what_was_tried);
