--- a/bin/fake_site.c
+++ b/bin/fake_site.c
@@ -18,7 +18,7 @@
 #include "wire/fetch.h"
 
 enum {
-    UPSTREAMS_MAX = 64,
+    UPSTREAMS_MAX = 4096,
     SLOTS = 9,
     QUEUE = 27,
     MEMORY_OBJECTS = 66,
@@ -71,6 +71,7 @@
     size_t backend_count;
     wire_pool_t *gateways[CALLERS_MAX];
     size_t gateway_count;
+    unsigned scale; /* times the upstreams of the shape */
     double per_s;
     double due;
     uint64_t start_ms;
@@ -178,7 +179,7 @@
 start_backends(fake_t *fake, const addr_t *any)
 {
     for (size_t zone = 0; zone < ALEN(zones); zone++) {
-        for (unsigned i = 0; i < shape[zone]; i++) {
+        for (unsigned i = 0; i < shape[zone] * fake->scale; i++) {
             char text[ADDR_TEXT_MAX];
             backend_t *backend = &fake->backends[fake->backend_count++];
             backend->fake = fake;
@@ -305,7 +306,8 @@
 static void
 usage(FILE *out)
 {
-    fputs("usage: fake-site [-n GATEWAYS] [-r REQUESTS/S] [-d SECONDS]\n"
+    fputs("usage: fake-site [-n GATEWAYS] [-r REQUESTS/S] [-d SECONDS] [-u TIMES]\n"
+          "  -u: so many times the 24 upstreams\n"
           "  the store listens on 127.0.0.1:18140, gateway I is expected at 127.0.1.I:18141\n",
           out);
 }
@@ -320,7 +322,8 @@
     addr_t any;
     fake.gateway_count = 9;
     fake.per_s = 300;
-    while ((option = getopt(argc, argv, "n:r:d:h")) != -1) {
+    fake.scale = 1;
+    while ((option = getopt(argc, argv, "n:r:d:u:h")) != -1) {
         switch (option) {
         case 'n':
             fake.gateway_count = strtoul(optarg, NULL, 10);
@@ -328,6 +331,9 @@
         case 'r':
             fake.per_s = strtod(optarg, NULL);
             break;
+        case 'u':
+            fake.scale = (unsigned)strtoul(optarg, NULL, 10);
+            break;
         case 'd':
             seconds = strtod(optarg, NULL);
             break;
@@ -336,7 +342,8 @@
             return option == 'h' ? EXIT_SUCCESS : 2;
         }
     }
-    if (fake.gateway_count == 0 || fake.gateway_count > CALLERS_MAX || fake.per_s <= 0) {
+    if (fake.gateway_count == 0 || fake.gateway_count > CALLERS_MAX || fake.per_s <= 0 ||
+        fake.scale == 0 || fake.scale > UPSTREAMS_MAX / 24) {
         usage(stderr);
         return 2;
     }
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -37,6 +37,7 @@
 campaign "faults, bureau" env DURATION="${TEST_SECONDS:-25}" SEED=11 SHAPE=bureau scripts/faults.sh
 campaign "planned stop, padana" scripts/test-stop.sh
 campaign "operators" scripts/test-ctl.sh
+campaign "trace" scripts/test-trace.sh
 campaign "names of the platform" scripts/test-border.sh
 
 echo "$passed passed, $failed failed"
