--- a/test/test_whole.c
+++ b/test/test_whole.c
@@ -666,14 +666,20 @@
 }
 END_TEST
 
-START_TEST(an_instance_without_the_store_learns_from_its_peer)
+/* A store that turns everybody away. */
+static store_port_t
+closed_store(site_t *site)
 {
-    site_t *site = new_ready_site(1);
-    /* The second instance's store is another one, which turns everybody away. */
     standin_store_t *closed = standin_store_start(&site->loop, &site->any);
     standin_store_set_mode(closed, STANDIN_STORE_BUSY);
     const addr_t addr = standin_store_addr(closed);
-    const store_port_t port = platform_store_port(platform_store_new(&site->loop, &addr));
+    return platform_store_port(platform_store_new(&site->loop, &addr));
+}
+
+START_TEST(an_instance_without_the_store_learns_from_its_peer)
+{
+    site_t *site = new_ready_site(1);
+    const store_port_t port = closed_store(site);
     gateway_t *second = start_gateway(site, "g-2", &port, &gateway_settings(site->gateway)->peer);
     use_gateway(site, second);
     RUN_UNTIL(site, is_ready(site));
@@ -688,10 +694,7 @@
 {
     /* Three instances; the change comes by a list, which is not sent on, and two have to ask. */
     site_t *site = new_ready_site(1);
-    standin_store_t *closed = standin_store_start(&site->loop, &site->any);
-    standin_store_set_mode(closed, STANDIN_STORE_BUSY);
-    const addr_t addr = standin_store_addr(closed);
-    const store_port_t port = platform_store_port(platform_store_new(&site->loop, &addr));
+    const store_port_t port = closed_store(site);
     const addr_t *seed = &gateway_settings(site->gateway)->peer;
     gateway_t *behind[] = {start_gateway(site, "g-2", &port, seed),
                            start_gateway(site, "g-3", &port, seed)};
@@ -720,10 +723,7 @@
 {
     /* Above what is sent between regions unasked. */
     site_t *site = new_ready_site(1);
-    standin_store_t *closed = standin_store_start(&site->loop, &site->any);
-    standin_store_set_mode(closed, STANDIN_STORE_BUSY);
-    const addr_t addr = standin_store_addr(closed);
-    const store_port_t port = platform_store_port(platform_store_new(&site->loop, &addr));
+    const store_port_t port = closed_store(site);
     gateway_t *second = start_gateway(site, "g-2", &port, &gateway_settings(site->gateway)->peer);
     use_gateway(site, second);
     RUN_UNTIL(site, is_ready(site));
