--- a/gateway/router.c
+++ b/gateway/router.c
@@ -50,12 +50,19 @@
     name_set(&router->place, place);
 }
 
+/* What the configuration says of an upstream's service; NULL if nothing. */
+static const config_service_t *
+service_of(const router_t *router, const backend_t *backend)
+{
+    if (router->config == NULL)
+        return NULL;
+    return config_service(router->config, name_str(&backend->info.service));
+}
+
 static void
 apply_service_bounds(router_t *router, backend_t *backend)
 {
-    const config_service_t *service =
-        router->config != NULL ? config_service(router->config, name_str(&backend->info.service))
-                               : NULL;
+    const config_service_t *service = service_of(router, backend);
     if (service == NULL)
         return;
     const size_t part = service->max_connections / (router->instances > 0 ? router->instances : 1);
@@ -90,9 +97,7 @@
 static void
 pace_cold(router_t *router, backend_t *backend, uint64_t now)
 {
-    const config_service_t *service =
-        router->config != NULL ? config_service(router->config, name_str(&backend->info.service))
-                               : NULL;
+    const config_service_t *service = service_of(router, backend);
     const double per_s = service != NULL ? service->cold_per_s : 1;
     cold_start(backend, per_s > 0 ? per_s : 1e6, now);
 }
@@ -182,9 +187,7 @@
 static void
 reopen(router_t *router, backend_t *backend, uint64_t now)
 {
-    const config_service_t *service =
-        router->config != NULL ? config_service(router->config, name_str(&backend->info.service))
-                               : NULL;
+    const config_service_t *service = service_of(router, backend);
     const uint64_t cold_ms = service != NULL ? service->cold_ms : 0;
     if (now + cold_ms + COLD_MARGIN_MS > backend->cold_until_ms)
         backend->cold_until_ms = now + cold_ms + COLD_MARGIN_MS;
