--- a/gateway/router.h
+++ b/gateway/router.h
@@ -68,6 +68,8 @@
 void router_take_config(router_t *router, const view_t *view);
 void router_take_backends(router_t *router, const view_t *view, uint64_t grace_ms);
 void router_take_closures(router_t *router, const view_t *view);
+/* Bounds of the configuration on the upstreams' connections, after either has changed. */
+void router_apply_bounds(router_t *router);
 /* Regular work: plans, membership, upstreams that are gone. */
 void router_tick(router_t *router, const members_t *members);
 bool router_ready(const router_t *router);
