The list of instances is asked for until it has come, in all its pages

Cause, found by reading: an announcement that worked was followed by one list; if that failed, or had more than one page, a started instance without living seeds stayed alone. Test: a_failed_list_of_instances_is_asked_again (failed before).

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -22,6 +22,7 @@
     STOP_LEAST_MS = 2400,       /* and stays this long at least */
     STOP_LAST_MS = 600,         /* it ends this long before it would be killed */
     ANNOUNCE_RETRY_MS = 2000,
+    ALONE_AGAIN_MS = 10000,
     SMALL_HEAD_MAX = 8192,
     SMALL_CONNECTIONS_MAX = 512,
     CALLER_CONNECTIONS_MAX = 3000,
@@ -46,7 +47,7 @@
     uv_timer_t tick;
     bool stopping;
     uint64_t stop_ms;
-    bool announced;
+    bool instances_known; /* the store's list of instances was read once */
     uint64_t announce_at_ms;
 };
 
@@ -173,12 +174,23 @@
 
 /* ---- finding the others ---- */
 
+static void on_instances(void *ctx, const store_answer_t *answer);
+
+static void
+list_instances(gateway_t *gateway, str_t after)
+{
+    const store_port_t *store = gateway->ports->store;
+    store->list(store->ctx, VIEW_INSTANCES, after, on_instances, gateway);
+}
+
 static void
 on_instances(void *ctx, const store_answer_t *answer)
 {
     gateway_t *gateway = ctx;
-    if (answer->outcome != STORE_OK)
-        return;
+    if (answer->outcome != STORE_OK) {
+        LOG_WARN("instances not listed: detail=\"%s\"", answer->err.detail);
+        return; /* announced again after a while, and so listed again */
+    }
     for (size_t i = 0; i < answer->item_count; i++) {
         addr_t addr;
         name_t place;
@@ -186,6 +198,11 @@
         if (gateway->ports->decoder->instance(answer->items[i].body, &addr, &place, &err))
             heartbeat_know(&gateway->heartbeat, &addr, &place);
     }
+    if (answer->more && answer->item_count > 0) {
+        list_instances(gateway, answer->items[answer->item_count - 1].name);
+        return;
+    }
+    gateway->instances_known = true;
     heartbeat_send(&gateway->heartbeat, uv_now(gateway->loop));
 }
 
@@ -193,23 +210,24 @@
 on_announced(void *ctx, const store_answer_t *answer)
 {
     gateway_t *gateway = ctx;
-    const store_port_t *store = gateway->ports->store;
-    gateway->announced = answer->outcome == STORE_OK || answer->outcome == STORE_CONFLICT;
-    if (gateway->announced)
-        store->list(store->ctx, VIEW_INSTANCES, STR(""), on_instances, gateway);
+    if (answer->outcome == STORE_OK || answer->outcome == STORE_CONFLICT)
+        list_instances(gateway, STR(""));
     else
         LOG_WARN("not announced in the store: detail=\"%s\"", answer->err.detail);
 }
 
+/* Tells the store of this instance and reads of the others, until that has worked once; an
+ * instance that is alone looks again from time to time. */
 static void
-announce(gateway_t *gateway)
+find_others(gateway_t *gateway)
 {
     const store_port_t *store = gateway->ports->store;
     const uint64_t now = uv_now(gateway->loop);
-    if (gateway->announced || now < gateway->announce_at_ms || gateway->stopping)
+    const bool alone = gateway->router.living <= 1;
+    if ((gateway->instances_known && !alone) || now < gateway->announce_at_ms || gateway->stopping)
         return;
     char text[ADDR_TEXT_MAX];
-    gateway->announce_at_ms = now + ANNOUNCE_RETRY_MS;
+    gateway->announce_at_ms = now + (gateway->instances_known ? ALONE_AGAIN_MS : ANNOUNCE_RETRY_MS);
     addr_format(&gateway->settings.peer, text);
     store->announce(store->ctx, name_str(&gateway->settings.name), str_from(text),
                     name_str(&gateway->settings.place), on_announced, gateway);
@@ -266,7 +284,7 @@
     heartbeat_update_self(&gateway->heartbeat, now);
     router_tick(&gateway->router, &gateway->members);
     sync_tick(&gateway->sync);
-    announce(gateway);
+    find_others(gateway);
     sweep(gateway);
     const uint32_t interval = members_interval_ms(&gateway->members, gateway->router.region, now);
     if (now - gateway->heartbeat.sent_ms + TICK_MS / 2 >= interval)
@@ -341,6 +359,12 @@
     return &gateway->settings;
 }
 
+unsigned
+gateway_living(const gateway_t *gateway)
+{
+    return gateway->router.living;
+}
+
 size_t
 gateway_active(const gateway_t *gateway)
 {
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -29,5 +29,7 @@
 void gateway_stop(gateway_t *gateway);
 /* The settings in use, with the ports that the system chose where they said 0. */
 const gateway_settings_t *gateway_settings(const gateway_t *gateway);
+/* Instances heard of lately, this one too. */
+unsigned gateway_living(const gateway_t *gateway);
 /* Requests under way. */
 size_t gateway_active(const gateway_t *gateway);
--- a/standin/store.c
+++ b/standin/store.c
@@ -40,6 +40,8 @@
     uint64_t oldest; /* watches from before get 410 */
     uint64_t calls;
     size_t page;
+    char refused_kind[KIND_MAX];
+    unsigned refused_lists;
 };
 
 static const char *
@@ -249,6 +251,13 @@
     json_decref(root);
 }
 
+static void
+refuse_list(standin_store_t *store, wire_request_t *req)
+{
+    store->refused_lists--;
+    wire_respond(req, HTTP_STATUS_SERVICE_UNAVAILABLE, STR(""), STR(""));
+}
+
 static void
 serve(standin_store_t *store, wire_request_t *req)
 {
@@ -265,6 +274,8 @@
         answer_post(store, req, kind);
     else if (str_to_u64(wire_head_query(&req->head, STR("watch")), &from))
         start_watch(store, req, kind, from);
+    else if (store->refused_lists > 0 && strcmp(kind, store->refused_kind) == 0)
+        refuse_list(store, req);
     else
         answer_list(store, req, kind);
 }
@@ -352,6 +363,13 @@
     store->page = items;
 }
 
+void
+standin_store_refuse_lists(standin_store_t *store, const char *kind, unsigned count)
+{
+    snprintf(store->refused_kind, sizeof(store->refused_kind), "%s", kind);
+    store->refused_lists = count;
+}
+
 uint64_t
 standin_store_calls(const standin_store_t *store)
 {
--- a/test/test_whole.c
+++ b/test/test_whole.c
@@ -760,6 +760,16 @@
 }
 END_TEST
 
+START_TEST(a_failed_list_of_instances_is_asked_again)
+{
+    /* No seeds: the instances find each other by the store alone. */
+    site_t *site = new_ready_site(1);
+    standin_store_refuse_lists(site->store, "irisstall-instances", 2);
+    use_gateway(site, start_gateway(site, "g-2", &site->store_port, NULL));
+    RUN_UNTIL(site, gateway_living(site->gateway) == 2);
+}
+END_TEST
+
 START_TEST(a_reply_lost_by_the_store_is_no_second_announcement)
 {
     site_t *site = new_site(1);
@@ -844,6 +854,7 @@
     tcase_add_test(tests, instances_that_are_behind_do_not_keep_each_other_there);
     tcase_add_test(tests, a_large_configuration_reaches_the_peer);
     tcase_add_test(tests, a_large_view_is_read_from_the_store_or_else_from_a_peer);
+    tcase_add_test(tests, a_failed_list_of_instances_is_asked_again);
     tcase_add_test(tests, a_reply_lost_by_the_store_is_no_second_announcement);
     tcase_add_test(tests, a_planned_stop_cuts_nothing);
     suite_add_tcase(suite, tests);
