--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -8,6 +8,7 @@
 #include "base/xmalloc.h"
 #include "gateway/admin.h"
 #include "gateway/directory.h"
+#include "gateway/discovery.h"
 #include "gateway/exchange.h"
 #include "gateway/gateway.h"
 #include "gateway/heartbeat.h"
@@ -21,8 +22,6 @@
     STOP_LISTEN_MS = 2000,      /* a stopping instance still accepts for this time */
     STOP_LEAST_MS = 2400,       /* and stays this long at least */
     STOP_LAST_MS = 600,         /* it ends this long before it would be killed */
-    ANNOUNCE_RETRY_MS = 2000,
-    ALONE_AGAIN_MS = 10000,
     SMALL_HEAD_MAX = 8192,
     SMALL_CONNECTIONS_MAX = 512,
     CALLER_CONNECTIONS_MAX = 3000,
@@ -47,8 +46,7 @@
     uv_timer_t tick;
     bool stopping;
     uint64_t stop_ms;
-    bool instances_known; /* the store's list of instances was read once */
-    uint64_t announce_at_ms;
+    discovery_t discovery;
 };
 
 static void
@@ -172,69 +170,6 @@
     }
 }
 
-/* ---- finding the others ---- */
-
-static void on_instances(void *ctx, const store_answer_t *answer);
-
-static void
-list_instances(gateway_t *gateway, str_t after)
-{
-    const store_port_t *store = gateway->ports->store;
-    store->list(store->ctx, VIEW_INSTANCES, after, on_instances, gateway);
-}
-
-static void
-on_instances(void *ctx, const store_answer_t *answer)
-{
-    gateway_t *gateway = ctx;
-    if (answer->outcome != STORE_OK) {
-        LOG_WARN("instances not listed: detail=\"%s\"", answer->err.detail);
-        return; /* announced again after a while, and so listed again */
-    }
-    for (size_t i = 0; i < answer->item_count; i++) {
-        addr_t addr;
-        name_t place;
-        err_t err = {0};
-        if (gateway->ports->decoder->instance(answer->items[i].body, &addr, &place, &err))
-            heartbeat_know(&gateway->heartbeat, &addr, &place);
-    }
-    if (answer->more && answer->item_count > 0) {
-        list_instances(gateway, answer->items[answer->item_count - 1].name);
-        return;
-    }
-    gateway->instances_known = true;
-    heartbeat_send(&gateway->heartbeat, uv_now(gateway->loop));
-}
-
-static void
-on_announced(void *ctx, const store_answer_t *answer)
-{
-    gateway_t *gateway = ctx;
-    if (answer->outcome == STORE_OK || answer->outcome == STORE_CONFLICT)
-        list_instances(gateway, STR(""));
-    else
-        LOG_WARN("not announced in the store: detail=\"%s\"", answer->err.detail);
-}
-
-/* Tells the store of this instance and reads of the others, until that has worked once; an
- * instance that is alone looks again from time to time. */
-static void
-find_others(gateway_t *gateway)
-{
-    const store_port_t *store = gateway->ports->store;
-    const uint64_t now = uv_now(gateway->loop);
-    const bool alone = gateway->router.living <= 1;
-    if ((gateway->instances_known && !alone) || now < gateway->announce_at_ms || gateway->stopping)
-        return;
-    char text[ADDR_TEXT_MAX];
-    gateway->announce_at_ms = now + (gateway->instances_known ? ALONE_AGAIN_MS : ANNOUNCE_RETRY_MS);
-    addr_format(&gateway->settings.peer, text);
-    store->announce(store->ctx, name_str(&gateway->settings.name), str_from(text),
-                    name_str(&gateway->settings.place), on_announced, gateway);
-}
-
-/* ---- stopping ---- */
-
 static void
 advance_stop(gateway_t *gateway)
 {
@@ -284,7 +219,8 @@
     heartbeat_update_self(&gateway->heartbeat, now);
     router_tick(&gateway->router, &gateway->members);
     sync_tick(&gateway->sync);
-    find_others(gateway);
+    if (!gateway->stopping)
+        discovery_tick(&gateway->discovery);
     sweep(gateway);
     const uint32_t interval = members_interval_ms(&gateway->members, gateway->router.region, now);
     if (now - gateway->heartbeat.sent_ms + TICK_MS / 2 >= interval)
@@ -410,6 +346,12 @@
         .hub = gateway->hub,
         .incarnation = rng_next(&gateway->router.rng),
     };
+    gateway->discovery = (discovery_t){
+        .loop = loop,
+        .store = ports->store,
+        .decoder = ports->decoder,
+        .heartbeat = &gateway->heartbeat,
+    };
     heartbeat_update_self(&gateway->heartbeat, uv_now(loop));
     gateway_reload(gateway, settings);
     uv_timer_init(loop, &gateway->tick);
