How old a follower's answer may be grows with the heartbeat's interval

Change: 3.5 s and the region's interval; 3.9 s as before where rounds take 0.4 s. Test: rare_heartbeats_do_not_make_the_store_look_lost.

--- a/gateway/members.c
+++ b/gateway/members.c
@@ -8,6 +8,7 @@
     KEY_SEED = 51,
     ITEMS_START = 16,
     RETRY_SILENT_MS = 1200, /* how often a silent instance is tried */
+    FOLLOWER_AGE_MAX_MS = 3500,
 };
 
 /* Intervals without a heartbeat after which an instance counts as lost, and is not named. */
@@ -231,3 +232,9 @@
     free(members->items);
     *members = (members_t){0};
 }
+
+uint32_t
+members_store_age_max_ms(const members_t *members, size_t region, uint64_t now_ms)
+{
+    return FOLLOWER_AGE_MAX_MS + members_interval_ms(members, region, now_ms);
+}
--- a/gateway/members.h
+++ b/gateway/members.h
@@ -72,6 +72,9 @@
 bool member_alive(const member_t *member, uint64_t now_ms);
 /* True if no living member that the store serves comes before `own` in its region, by name. */
 bool members_first_in_region(const members_t *members, str_t own, size_t region, uint64_t now_ms);
+/* The age of a follower's newest answer from the store up to which its region relies on it: a watch
+ * may rest for 3 s, and the age is told once in a round. */
+uint32_t members_store_age_max_ms(const members_t *members, size_t region, uint64_t now_ms);
 /* True if a living member got an answer from the store within `age_ms`. */
 bool members_follow_store(const members_t *members, uint32_t age_ms, uint64_t now_ms);
 /* True if the store fails all living members but the one named `own`. */
--- a/gateway/sync.c
+++ b/gateway/sync.c
@@ -11,11 +11,10 @@
     WATCH_WAIT_FAILING_MS = 20, /* asks for an answer now: is the store back? */
     RETRY_MIN_MS = 200,
     RETRY_MAX_MS = 1000,
-    DOWN_REMEMBERED_MS = 5000,    /* how long a whole outage of the store is remembered */
-    FAILURES_FAILING = 2,         /* in a row, after which the store fails this instance */
-    NEEDED_MS = 3000,             /* an instance that had to follow goes on for this time */
-    PEER_STORE_AGE_MAX_MS = 3900, /* a peer with an older answer is not relied on */
-    START_ALONE_MS = 250,         /* time that peers have to bring the views at start */
+    DOWN_REMEMBERED_MS = 5000, /* how long a whole outage of the store is remembered */
+    FAILURES_FAILING = 2,      /* in a row, after which the store fails this instance */
+    NEEDED_MS = 3000,          /* an instance that had to follow goes on for this time */
+    START_ALONE_MS = 250,      /* time that peers have to bring the views at start */
 };
 
 void
@@ -62,7 +61,8 @@
         return true;
     if (now - sync->started_ms < 2 * START_ALONE_MS)
         return false;
-    if (!members_follow_store(sync->members, PEER_STORE_AGE_MAX_MS, now))
+    const uint32_t age_max = members_store_age_max_ms(sync->members, sync->region, now);
+    if (!members_follow_store(sync->members, age_max, now))
         sync->needed_until_ms = now + NEEDED_MS;
     return now < sync->needed_until_ms;
 }
--- a/test/test_gateway.c
+++ b/test/test_gateway.c
@@ -642,6 +642,27 @@
 }
 END_TEST
 
+START_TEST(rare_heartbeats_do_not_make_the_store_look_lost)
+{
+    /* In a large region heartbeats come every 1.2 s: what the follower tells is older when read.
+     * Else all instances of the region follow the store, and each sends on what it learns. */
+    enum { A_REGION = 100 };
+    members_t members = {0};
+    member_t *follower = add_member(&members, "g-0", "a1", 0, 1);
+    follower->store_age_ms = 3400;
+    const uint64_t late = 10000 + HEARTBEAT_MIN_MS;
+    ck_assert(members_follow_store(&members, members_store_age_max_ms(&members, 0, late), late));
+    ck_assert(
+        !members_follow_store(&members, members_store_age_max_ms(&members, 0, late), late + 200));
+    for (unsigned i = 1; i < A_REGION; i++)
+        add_member(&members, "g-n", "a1", 0, (uint16_t)(i + 1));
+    members.items[0].interval_ms = HEARTBEAT_MAX_MS;
+    const uint64_t later = 10000 + HEARTBEAT_MAX_MS;
+    ck_assert(members_follow_store(&members, members_store_age_max_ms(&members, 0, later), later));
+    members_free(&members);
+}
+END_TEST
+
 START_TEST(the_next_instance_follows_when_the_store_fails_the_first)
 {
     members_t members = {0};
@@ -760,6 +781,7 @@
     tcase_add_test(tests, members_judge_by_silence);
     tcase_add_test(tests, a_large_fleet_talks_little_between_regions);
     tcase_add_test(tests, another_regions_demand_is_as_it_says);
+    tcase_add_test(tests, rare_heartbeats_do_not_make_the_store_look_lost);
     tcase_add_test(tests, the_next_instance_follows_when_the_store_fails_the_first);
     tcase_add_test(tests, directory_names_the_living_and_near);
     tcase_add_test(tests, a_log_that_nobody_reads_costs_nothing);
