--- a/gateway/members.c
+++ b/gateway/members.c
@@ -58,18 +58,18 @@
     return member->heard && now_ms - member->heard_ms <= member_lost_after_ms(member);
 }
 
-bool
-members_first_in_region(const members_t *members, str_t own, size_t region, uint64_t now_ms)
+size_t
+members_rank_in_region(const members_t *members, str_t own, size_t region, uint64_t now_ms)
 {
+    size_t rank = 0;
     for (size_t i = 0; i < members->count; i++) {
         const member_t *member = &members->items[i];
         if (!member_alive(member, now_ms) || member->leaving || member->store_failing ||
             member->region != region)
             continue;
-        if (str_order(name_str(&member->instance), own) < 0)
-            return false;
+        rank += str_order(name_str(&member->instance), own) < 0;
     }
-    return true;
+    return rank;
 }
 
 bool
--- a/gateway/members.h
+++ b/gateway/members.h
@@ -19,6 +19,7 @@
 enum {
     MEMBERS_MAX = 2048,
     MEMBERS_MESH = 16,
+    MEMBERS_FOLLOWERS = 2,    /* a region: one may be turned away in silence */
     MEMBERS_OTHER_REGION = 1, /* told in a round, of each other region of a large fleet */
     MEMBER_DEMANDS_MAX = 16,
     HEARTBEAT_MIN_MS = 400,
@@ -70,8 +71,9 @@
 /* The member at that address, made if it is new; NULL if there are too many. */
 member_t *members_at(members_t *members, const addr_t *peer);
 bool member_alive(const member_t *member, uint64_t now_ms);
-/* True if no living member that the store serves comes before `own` in its region, by name. */
-bool members_first_in_region(const members_t *members, str_t own, size_t region, uint64_t now_ms);
+/* How many living members of its region that the store serves come before `own`, by name. The first
+ * MEMBERS_FOLLOWERS follow the store. */
+size_t members_rank_in_region(const members_t *members, str_t own, size_t region, uint64_t now_ms);
 /* The age of a follower's newest answer from the store up to which its region relies on it: a watch
  * may rest for 3 s, and the age is told once in a round. */
 uint32_t members_store_age_max_ms(const members_t *members, size_t region, uint64_t now_ms);
--- a/gateway/sync.c
+++ b/gateway/sync.c
@@ -56,8 +56,9 @@
     const uint64_t now = uv_now(sync->loop);
     if (sync->stopped)
         return false;
-    if (members_first_in_region(sync->members, name_str(&sync->instance), sync->region, now) &&
-        now - sync->started_ms >= START_ALONE_MS)
+    const size_t rank =
+        members_rank_in_region(sync->members, name_str(&sync->instance), sync->region, now);
+    if (rank < MEMBERS_FOLLOWERS && now - sync->started_ms >= START_ALONE_MS)
         return true;
     if (now - sync->started_ms < 2 * START_ALONE_MS)
         return false;
--- a/gateway/sync.h
+++ b/gateway/sync.h
@@ -1,8 +1,9 @@
 /*
  * Keeps the views up to date: from the store by list and watch, and between instances.
  *
- * One instance of each region follows the store, the first that the store serves; what it learns
- * it sends to all others at once.
+ * Two instances of each region follow the store, the first that the store serves; what they learn
+ * they send to all others at once. One alone could be turned away in silence, which is noticed only
+ * when its watch runs out.
  * Heartbeats carry each view's revision and digest, so that an instance that missed something
  * asks a peer for the whole view. An instance that hears of no peer that follows the store does
  * it itself, so no instance depends on another.
--- a/test/test_gateway.c
+++ b/test/test_gateway.c
@@ -580,10 +580,10 @@
     members_t members = {0};
     add_member(&members, "a-1", "a1", 0, 1);
     add_member(&members, "a-2", "a1", 0, 2);
-    ck_assert(members_first_in_region(&members, STR("a-1"), 0, 10500));
-    ck_assert(!members_first_in_region(&members, STR("a-2"), 0, 10500));
+    ck_assert_uint_eq(members_rank_in_region(&members, STR("a-1"), 0, 10500), 0);
+    ck_assert_uint_eq(members_rank_in_region(&members, STR("a-2"), 0, 10500), 1);
     members.items[1].heard_ms = 14000;
-    ck_assert(members_first_in_region(&members, STR("a-2"), 0, 14000));
+    ck_assert_uint_eq(members_rank_in_region(&members, STR("a-2"), 0, 14000), 0);
     members.items[1].store_age_ms = 500;
     ck_assert(members_follow_store(&members, 3000, 14000));
     ck_assert(!members_follow_store(&members, 400, 14000));
@@ -642,6 +642,22 @@
 }
 END_TEST
 
+START_TEST(no_region_depends_on_one_follower)
+{
+    /* Turned away in silence, a follower is not known to be for seconds: another follows too. */
+    members_t members = {0};
+    add_member(&members, "a-1", "a1", 0, 1);
+    add_member(&members, "a-2", "a1", 0, 2);
+    add_member(&members, "a-3", "a1", 0, 3);
+    size_t followers = 0;
+    followers += members_rank_in_region(&members, STR("a-1"), 0, 10100) < MEMBERS_FOLLOWERS;
+    followers += members_rank_in_region(&members, STR("a-2"), 0, 10100) < MEMBERS_FOLLOWERS;
+    followers += members_rank_in_region(&members, STR("a-3"), 0, 10100) < MEMBERS_FOLLOWERS;
+    ck_assert_uint_eq(followers, 2);
+    members_free(&members);
+}
+END_TEST
+
 START_TEST(rare_heartbeats_do_not_make_the_store_look_lost)
 {
     /* In a large region heartbeats come every 1.2 s: what the follower tells is older when read.
@@ -670,9 +686,10 @@
     add_member(&members, "a-2", "a1", 0, 2);
     add_member(&members, "a-3", "a1", 0, 3);
     members.items[0].store_failing = true;
-    ck_assert(members_first_in_region(&members, STR("a-1"), 0, 10500)); /* goes on trying */
-    ck_assert(members_first_in_region(&members, STR("a-2"), 0, 10500));
-    ck_assert(!members_first_in_region(&members, STR("a-3"), 0, 10500));
+    ck_assert_uint_eq(members_rank_in_region(&members, STR("a-1"), 0, 10500),
+                      0); /* goes on trying */
+    ck_assert_uint_eq(members_rank_in_region(&members, STR("a-2"), 0, 10500), 0);
+    ck_assert_uint_eq(members_rank_in_region(&members, STR("a-3"), 0, 10500), 1);
     /* Turned away is not down: others are served. */
     ck_assert(!members_store_fails_all(&members, STR("a-1"), 10500));
     members.items[1].store_failing = true;
@@ -781,6 +798,7 @@
     tcase_add_test(tests, members_judge_by_silence);
     tcase_add_test(tests, a_large_fleet_talks_little_between_regions);
     tcase_add_test(tests, another_regions_demand_is_as_it_says);
+    tcase_add_test(tests, no_region_depends_on_one_follower);
     tcase_add_test(tests, rare_heartbeats_do_not_make_the_store_look_lost);
     tcase_add_test(tests, the_next_instance_follows_when_the_store_fails_the_first);
     tcase_add_test(tests, directory_names_the_living_and_near);
