An overdue attempt goes on if no other upstream takes its request

Cause: an attempt that takes far longer than usual, at an upstream that fails others too, was broken off before another upstream had been found. Ruled out: the stop itself (the listener and its time limits play no part; the log shows "attempt abandoned" and the end in the same millisecond), a reset by the upstream (it was at work). Change: the next upstream is chosen first; only then the attempt is broken off. A latency under the clock's millisecond counts as one: 0 meant "never measured", so that an upstream that always answers at once never had an overdue attempt. Test: an_overdue_attempt_goes_on_if_no_other_upstream_takes_it (502 before, 504 at the time limit after).

--- a/gateway/backends.c
+++ b/gateway/backends.c
@@ -13,6 +13,7 @@
     FAILURES_BEFORE_PAUSE = 2,
     PAUSE_MIN_MS = 300,
     PAUSE_DOUBLINGS_MAX = 4,
+    WORK_MIN_MS = 1, /* the loop's clock counts whole milliseconds; 0 would mean not measured */
 };
 
 #define LATENCY_GAIN 0.1
@@ -185,6 +186,8 @@
     backend->suspended_until_ms = 0;
     if (waited && backend->work_ms > 0)
         return;
+    if (latency_ms < WORK_MIN_MS)
+        latency_ms = WORK_MIN_MS;
     if (backend->work_ms == 0)
         backend->work_ms = latency_ms;
     backend->work_ms += LATENCY_GAIN * (latency_ms - backend->work_ms);
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -45,6 +45,7 @@
 } exchange_t;
 
 static void start_attempt(exchange_t *ex);
+static void begin_attempt(exchange_t *ex, backend_t *backend);
 
 static uint64_t
 now_ms(const exchange_t *ex)
@@ -248,8 +249,26 @@
         answer_not_run(ex, "timeout_unsent");
 }
 
+/* Time until the exchange is given up, at least 1 ms. */
+static uint32_t
+left_ms(const exchange_t *ex)
+{
+    const uint64_t now = now_ms(ex);
+    return ex->end_ms > now ? (uint32_t)(ex->end_ms - now) : 1;
+}
+
+static backend_t *
+pick_backend(const exchange_t *ex, choice_reason_t *reason)
+{
+    const uint32_t patience = ex->terms.has_deadline ? ex->terms.deadline_ms : left_ms(ex);
+    return router_pick(ex->all->router, ex->route, ex->service, ex->object,
+                       router_has_object(ex->route, ex->terms.object), patience, ex->tried,
+                       ex->tried_count, reason);
+}
+
 /* The attempt takes far longer than usual. If its upstream fails others too and the request may be
- * repeated, another upstream gets it. */
+ * repeated, another upstream gets it; if none takes it, the attempt goes on: its upstream may still
+ * answer. */
 static void
 on_overdue(exchange_t *ex)
 {
@@ -263,10 +282,16 @@
     if (!ex->route->repeatable || last || !backend_is_impaired(attempt->backend, now_ms(ex)) ||
         !may_send_again(ex))
         return;
-    LOG_INFO("attempt abandoned: id=%.*s backend=%s after_ms=%llu", STR_ARG(ex->terms.id),
-             attempt->backend->info.id.ptr, (unsigned long long)(now_ms(ex) - attempt->sent_ms));
+    choice_reason_t reason;
+    backend_t *other = pick_backend(ex, &reason);
+    if (other == NULL)
+        return;
+    LOG_INFO("attempt abandoned: id=%.*s backend=%s after_ms=%llu for=%s", STR_ARG(ex->terms.id),
+             attempt->backend->info.id.ptr, (unsigned long long)(now_ms(ex) - attempt->sent_ms),
+             other->info.id.ptr);
     cancel_attempt(ex);
-    start_attempt(ex);
+    ex->reason = reason;
+    begin_attempt(ex, other);
 }
 
 static void on_timer(uv_timer_t *timer);
@@ -294,25 +319,14 @@
 }
 
 static void
-start_attempt(exchange_t *ex)
+begin_attempt(exchange_t *ex, backend_t *backend)
 {
-    router_t *router = ex->all->router;
     const uint64_t now = now_ms(ex);
-    const uint32_t left = ex->end_ms > now ? (uint32_t)(ex->end_ms - now) : 1;
-    const uint32_t patience = ex->terms.has_deadline ? ex->terms.deadline_ms : left;
-    backend_t *backend = router_pick(router, ex->route, ex->service, ex->object,
-                                     router_has_object(ex->route, ex->terms.object), patience,
-                                     ex->tried, ex->tried_count, &ex->reason);
-    if (backend == NULL) {
-        router_refused(router, ex->service);
-        answer_not_run(ex, ex->reason == CHOICE_FULL ? "no_room" : "no_upstream");
-        return;
-    }
     ex->tried[ex->tried_count++] = backend_ref(backend);
-    router_begin(router, ex->service, backend);
+    router_begin(ex->all->router, ex->service, backend);
     const attempt_conf_t conf = {
         .backend = backend,
-        .left_ms = left,
+        .left_ms = left_ms(ex),
         .repeatable = ex->route->repeatable,
         .waited = ex->reason == CHOICE_QUEUED,
     };
@@ -322,6 +336,18 @@
     set_timer(ex);
 }
 
+static void
+start_attempt(exchange_t *ex)
+{
+    backend_t *backend = pick_backend(ex, &ex->reason);
+    if (backend != NULL) {
+        begin_attempt(ex, backend);
+        return;
+    }
+    router_refused(ex->all->router, ex->service);
+    answer_not_run(ex, ex->reason == CHOICE_FULL ? "no_room" : "no_upstream");
+}
+
 static void
 set_deadline(exchange_t *ex)
 {
--- a/test/test_whole.c
+++ b/test/test_whole.c
@@ -528,6 +528,29 @@
 }
 END_TEST
 
+/* Found on the users' bench: the work under way was broken off though nobody else could take it. */
+START_TEST(an_overdue_attempt_goes_on_if_no_other_upstream_takes_it)
+{
+    enum { HELD = 6 }; /* the failures of the first make the upstream an impaired one */
+    site_t *site = new_ready_site(1);
+    reply_t replies[HELD];
+    all_do(site, DOES_HOLD);
+    for (size_t i = 0; i < HELD; i++) {
+        char request[256];
+        snprintf(request, sizeof(request),
+                 "GET /safe/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: held-%zu\r\n"
+                 "Affinity-Key: 7\r\nDeadline-Ms: 800\r\n\r\n",
+                 i);
+        call(site, &replies[i], request);
+    }
+    for (size_t i = 0; i < HELD; i++) {
+        RUN_UNTIL(site, replies[i].done);
+        /* Given up at its time limit, and not before. */
+        ck_assert_int_eq(replies[i].status, 504);
+    }
+}
+END_TEST
+
 START_TEST(a_caller_that_leaves_ends_the_work)
 {
     site_t *site = new_ready_site(1);
@@ -842,6 +865,7 @@
     tcase_add_test(tests, an_answer_without_length_is_passed_on_without);
     tcase_add_test(tests, a_large_answer_is_streamed_whole);
     tcase_add_test(tests, a_silent_upstream_ends_at_the_time_limit);
+    tcase_add_test(tests, an_overdue_attempt_goes_on_if_no_other_upstream_takes_it);
     tcase_add_test(tests, a_caller_that_leaves_ends_the_work);
     tcase_add_test(tests, bad_input_is_refused);
     tcase_add_test(tests, a_body_in_chunks_arrives_with_a_length);
