Large answers leave a region for what is beyond 0.88 of its slots

Cause: requests with large answers stayed in their region until it had no usable upstream at all. In a region with less room than its callers need (huron-north: 2 of 28 upstreams for a third of the callers) they were refused, came back and were refused again, beside free upstreams elsewhere: that region had the worst-served zone and downloads were the worst-served class. Change: the plan's share for large answers, at a higher use of the own slots; if the planned region has no room, the own region is tried, no third one. Tests: plan_keeps_large_answers_near_up_to_a_higher_use, choice_sends_large_answers_away_as_planned.

--- a/gateway/choice.c
+++ b/gateway/choice.c
@@ -168,9 +168,10 @@
 {
     size_t count = 0;
     const bool large = input->route->large;
+    const double point = unit(input->object);
     const size_t planned =
-        large ? input->own_region : plan_region(input->plan, unit(input->object));
-    if (large)
+        large ? plan_region_large(input->plan, point) : plan_region(input->plan, point);
+    if (large && planned == input->own_region)
         areas[count++] = (area_t){planned, true};
     areas[count++] = (area_t){planned, false};
     if (planned != input->own_region)
@@ -222,7 +223,8 @@
         bool waits;
         const size_t found = find_replicas(input, candidates, count, &areas[i], replicas, most);
         const bool spills = areas[i].region != areas[0].region && rank > 0;
-        if (spills && (!input->may_spill || input->route->large))
+        const bool too_far = input->route->large && areas[i].region != input->own_region;
+        if (spills && (!input->may_spill || too_far))
             break;
         const size_t picked = pick_replica(input, replicas, found, rank, &waits);
         rank += found;
--- a/gateway/plan.c
+++ b/gateway/plan.c
@@ -6,6 +6,8 @@
 /* Use of the own region's slots, at the highest demand lately seen, above which requests go
  * elsewhere. */
 #define PLAN_TARGET_USE 0.55
+/* The same for requests with large answers. */
+#define PLAN_LARGE_USE 0.88
 /* Use of all slots assumed before any demand was measured, spread evenly over the regions: high,
  * since upstreams that have no object in memory yet work on each request for longer. */
 #define PLAN_FIRST_USE 0.7
@@ -136,3 +138,10 @@
     }
     return last;
 }
+
+size_t
+plan_region_large(const plan_t *plan, double point)
+{
+    const double stays = plan->share[plan->own] * PLAN_LARGE_USE / PLAN_TARGET_USE;
+    return point < stays ? plan->own : plan_region(plan, point);
+}
--- a/gateway/plan.h
+++ b/gateway/plan.h
@@ -32,3 +32,6 @@
                  uint64_t now_ms);
 /* The region for a point in [0, 1); neighbouring points stay where they are when shares move. */
 size_t plan_region(const plan_t *plan, double point);
+/* The same for a large answer, which is dear to carry between regions: it leaves the own region
+ * only for what is beyond a higher use of its slots. */
+size_t plan_region_large(const plan_t *plan, double point);
--- a/test/test_gateway.c
+++ b/test/test_gateway.c
@@ -228,6 +228,31 @@
 }
 END_TEST
 
+/* Found on the users' bench: a region without room for its downloads refused them for good. */
+START_TEST(plan_keeps_large_answers_near_up_to_a_higher_use)
+{
+    static const struct {
+        double own_share;
+        double point;
+        size_t small, large;
+    } rows[] = {
+        {1.0, 0.9999, 0, 0}, {0.7, 0.95, 2, 0}, {0.5, 0.49, 0, 0},
+        {0.5, 0.6, 1, 0},    {0.3, 0.45, 1, 0}, {0.3, 0.6, 1, 1},
+    };
+    for (size_t i = 0; i < ALEN(rows); i++) {
+        const double away = 1 - rows[i].own_share;
+        const plan_t plan = {.share = {rows[i].own_share, away / 2, away / 2},
+                             .region_count = 3,
+                             .own = 0,
+                             .started = true};
+        ck_assert_uint_eq(plan_region(&plan, rows[i].point), rows[i].small);
+        ck_assert_uint_eq(plan_region_large(&plan, rows[i].point), rows[i].large);
+    }
+    const plan_t unknown = {.region_count = 3, .own = 1};
+    ck_assert_uint_eq(plan_region_large(&unknown, 0.5), 1);
+}
+END_TEST
+
 /* ---- choice ---- */
 
 typedef struct {
@@ -413,6 +438,31 @@
 }
 END_TEST
 
+START_TEST(choice_sends_large_answers_away_as_planned)
+{
+    choice_fixture_t *fixture = new_choice();
+    choice_reason_t reason;
+    size_t away = 0;
+    fixture->config->routes[0].large = true;
+    backend_t *near = add_backend(fixture, "u1", "a1");
+    backend_t *far = add_backend(fixture, "u2", "b1");
+    fixture->plan = (plan_t){.share = {0.25, 0.75}, .region_count = 3, .started = true};
+    for (uint64_t object = 1; object <= 1000; object++) {
+        fixture->input.object = object * 0x9e3779b97f4a7c15ULL;
+        away += choice_pick(&fixture->input, &reason) == far;
+    }
+    ck_assert(away > 550 && away < 650);
+    /* The own region is tried if the planned one has no room, no further one is. */
+    fixture->input.object = UINT64_MAX;
+    far->in_flight = 20;
+    ck_assert_ptr_eq(choice_pick(&fixture->input, &reason), near);
+    near->in_flight = 20;
+    add_backend(fixture, "u3", "c1");
+    ck_assert_ptr_null(choice_pick(&fixture->input, &reason));
+    free_choice(fixture);
+}
+END_TEST
+
 START_TEST(choice_respects_homes_and_what_was_tried)
 {
     choice_fixture_t *fixture = new_choice();
@@ -783,12 +833,14 @@
     tcase_add_test(tests, plan_shares_an_overload_alike);
     tcase_add_test(tests, plan_makes_up_lost_room_fast);
     tcase_add_test(tests, plan_keeps_points_in_place);
+    tcase_add_test(tests, plan_keeps_large_answers_near_up_to_a_higher_use);
     tcase_add_test(tests, choice_is_the_same_on_every_instance);
     tcase_add_test(tests, choice_moves_few_objects_when_one_leaves);
     tcase_add_test(tests, choice_keeps_to_the_replicas);
     tcase_add_test(tests, choice_without_an_object_uses_any);
     tcase_add_test(tests, choice_spills_only_when_allowed);
     tcase_add_test(tests, choice_keeps_large_answers_near);
+    tcase_add_test(tests, choice_sends_large_answers_away_as_planned);
     tcase_add_test(tests, choice_respects_homes_and_what_was_tried);
     tcase_add_test(tests, choice_avoids_what_fails);
     tcase_add_test(tests, choice_paces_cold_upstreams);
