Plans start with the configuration, before the first request

Cause: an instance made a service's plan when its first request came, and the plan's first shares at the next tick, up to 0.2 s later. Until then requests went to region 0, whatever the instance's own region: in the first fifth of a second all regions warmed (cold) objects there that were never asked for there again. Change: the plan belongs to its region from the start, exists as soon as a configuration names the service, and follows the room at once until demand is seen; from then on in steps as before. Tests: plan_follows_room_until_demand_is_seen, plans_are_there_before_the_first_request.

--- a/gateway/plan.c
+++ b/gateway/plan.c
@@ -80,6 +80,21 @@
         plan->peak[i] = fmax(keep * plan->peak[i], input->demand[i]);
 }
 
+/* Before any demand was seen the shares follow the room at once: upstreams become known one by one.
+ */
+static void
+start(plan_t *plan, const plan_input_t *input, size_t region_count, uint64_t now_ms)
+{
+    const double room = sum(input->room, region_count);
+    if (room <= 0)
+        return;
+    target_shares(input, NULL, region_count, plan->own, plan->share);
+    for (size_t i = 0; i < region_count; i++)
+        plan->peak[i] = PLAN_FIRST_USE * room / (double)region_count;
+    plan->started = true;
+    plan->updated_ms = now_ms;
+}
+
 void
 plan_update(plan_t *plan, const plan_input_t *input, size_t region_count, size_t own,
             uint64_t now_ms)
@@ -87,20 +102,15 @@
     double target[TOPOLOGY_REGIONS_MAX];
     if (region_count == 0 || own >= region_count)
         return;
-    target_shares(input, plan->started ? plan->peak : NULL, region_count, own, target);
     plan->own = own;
     plan->region_count = region_count;
     watch_room(plan, input, region_count, now_ms);
-    if (!plan->started) {
-        if (sum(input->room, region_count) <= 0)
-            return;
-        memcpy(plan->share, target, sizeof(target));
-        for (size_t i = 0; i < region_count; i++)
-            plan->peak[i] = PLAN_FIRST_USE * sum(input->room, region_count) / (double)region_count;
-        plan->started = true;
-        plan->updated_ms = now_ms;
+    plan->used |= sum(input->demand, region_count) > 0;
+    if (!plan->started || !plan->used) {
+        start(plan, input, region_count, now_ms);
         return;
     }
+    target_shares(input, plan->peak, region_count, own, target);
     follow_peak(plan, input, region_count, now_ms);
     double distance = 0;
     for (size_t i = 0; i < region_count; i++)
--- a/gateway/plan.h
+++ b/gateway/plan.h
@@ -21,6 +21,7 @@
     size_t own;
     uint64_t updated_ms;
     bool started;
+    bool used; /* demand was seen: from then on shares move in steps only */
     bool moving;
     double room[TOPOLOGY_REGIONS_MAX]; /* at the last update */
     double peak[TOPOLOGY_REGIONS_MAX]; /* highest demand, slowly forgotten */
--- a/gateway/router.c
+++ b/gateway/router.c
@@ -63,6 +63,7 @@
     router_service_t *service = &router->services[router->service_count];
     if (!name_set(&service->name, name))
         return NULL;
+    service->plan.own = router->region;
     router->service_count++;
     return service;
 }
--- a/gateway/router_state.c
+++ b/gateway/router_state.c
@@ -54,6 +54,9 @@
              config->service_count);
     config_unref(router->config);
     router->config = config;
+    /* Plans start now, so that they are there when the first requests come. */
+    for (size_t i = 0; i < config->service_count; i++)
+        router_service(router, name_str(&config->services[i].name));
     router_apply_bounds(router);
 }
 
--- a/test/test_gateway.c
+++ b/test/test_gateway.c
@@ -11,6 +11,7 @@
 #include "gateway/members.h"
 #include "gateway/plan.h"
 #include "gateway/retry_budget.h"
+#include "gateway/router.h"
 #include "gateway/views.h"
 #include "test/suites.h"
 
@@ -216,6 +217,60 @@
 }
 END_TEST
 
+/* Found on the users' bench: upstreams become known one by one, long before the first request. */
+START_TEST(plan_follows_room_until_demand_is_seen)
+{
+    plan_t plan = {0};
+    plan_input_t input = {.room = {4, 0, 0}};
+    plan_update(&plan, &input, 3, 1, 1000);
+    ck_assert_double_eq_tol(plan.share[1], 0, 0.001);
+    input = weak_region(0);
+    plan_update(&plan, &input, 3, 1, 1200);
+    const double settled = plan.share[1];
+    ck_assert(settled > 0.2 && settled < 0.5);
+    /* From the first demand on, shares move in steps. */
+    input.demand[0] = 1;
+    input.room[1] = 100;
+    plan_update(&plan, &input, 3, 1, 1400);
+    ck_assert_double_eq_tol(plan.share[1], settled, 0.001);
+}
+END_TEST
+
+static config_t *
+one_service(str_t body, err_t *err)
+{
+    (void)body;
+    (void)err;
+    config_t *config = config_new(0, 1);
+    name_set(&config->services[0].name, STR("svc"));
+    return config;
+}
+
+/* Found on the users' bench: the first requests of all regions went to the first region. */
+START_TEST(plans_are_there_before_the_first_request)
+{
+    static const decoder_port_t decoder = {.config = one_service};
+    const topology_t topology = three_regions();
+    static router_t router;
+    view_t view = {0};
+    uv_loop_t loop;
+    const store_item_t item = {.name = STR("main"), .revision = 1, .body = STR("{}")};
+    uv_loop_init(&loop);
+    router_init(&router, &loop, &topology, &decoder, STR("g-1"), STR("c1"));
+    view_replace(&view, &item, 1, 1);
+    router_take_config(&router, &view);
+    ck_assert_uint_eq(router.service_count, 1);
+    ck_assert_str_eq(router.services[0].name.ptr, "svc");
+    for (double point = 0; point < 1; point += 0.1)
+        ck_assert_uint_eq(plan_region(&router.services[0].plan, point), router.region);
+    ck_assert_uint_eq(router.region, topology_region_of(&topology, STR("c1")));
+    view_free(&view);
+    config_unref(router.config);
+    free(router.services);
+    uv_loop_close(&loop);
+}
+END_TEST
+
 START_TEST(plan_keeps_points_in_place)
 {
     plan_t before = {.share = {0.5, 0.3, 0.2}, .region_count = 3, .own = 0, .started = true};
@@ -832,6 +887,8 @@
     tcase_add_test(tests, plan_sends_a_steady_share_away);
     tcase_add_test(tests, plan_shares_an_overload_alike);
     tcase_add_test(tests, plan_makes_up_lost_room_fast);
+    tcase_add_test(tests, plan_follows_room_until_demand_is_seen);
+    tcase_add_test(tests, plans_are_there_before_the_first_request);
     tcase_add_test(tests, plan_keeps_points_in_place);
     tcase_add_test(tests, plan_keeps_large_answers_near_up_to_a_higher_use);
     tcase_add_test(tests, choice_is_the_same_on_every_instance);
