Instances tell each other how upstreams do; slow answers count

Cause: each instance judged upstreams by its own attempts alone. An answer that came, however late, counted as good. Ruled out: the store (slow at the same time, but the views were current), room (no refusals), the caps of attempts (max_attempts 2, budget free). Change: gateway/health.c; heartbeats carry the outcomes at upstreams that failed some; the rate is averaged over 2 s, or over the last few where they are rare; an answer beyond 3.9 times its route's median, and its aim, speaks against the upstream; no more are avoided than leaves the others below 0.9 of their slots at the highest demand measured. The log says when an upstream is avoided and when no longer. Tests: health_is_judged_by_rate_not_by_chance, health_is_shared_by_reports, choice_keeps_impaired_upstreams_if_the_others_have_no_room, instances_tell_each_other_which_upstreams_fail.

--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -69,6 +69,23 @@
     }
 }
 
+void
+attempt_record(attempt_t *attempt, bool failed)
+{
+    if (attempt->recorded)
+        return;
+    attempt->recorded = true;
+    health_record(&attempt->backend->health, failed, uv_now(attempt->loop));
+}
+
+bool
+attempt_is_slow(const attempt_t *attempt)
+{
+    const uint64_t now = uv_now(attempt->loop);
+    return attempt->slow_ms > 0 && !attempt->waited && !backend_is_cold(attempt->backend, now) &&
+           now - attempt->sent_ms >= attempt->slow_ms;
+}
+
 /* The outcome of a whole answer. */
 static attempt_outcome_t
 judge_whole(attempt_t *attempt, backend_t *backend)
@@ -77,7 +94,8 @@
     switch (attempt->verdict) {
     case VERDICT_ANSWER:
         backend_answered(backend, (double)(now - attempt->sent_ms), attempt->waited);
-        backend_record(backend, attempt->status >= HTTP_STATUS_INTERNAL_SERVER_ERROR, now);
+        attempt_record(attempt, attempt->status >= HTTP_STATUS_INTERNAL_SERVER_ERROR ||
+                                    attempt_is_slow(attempt));
         return ATTEMPT_ANSWERED;
     case VERDICT_MISDIRECTED:
         backend->departed = true;
@@ -85,7 +103,7 @@
     case VERDICT_NOT_RUN:
         return ATTEMPT_NOT_RUN;
     case VERDICT_BAD:
-        backend_record(backend, true, now);
+        attempt_record(attempt, true);
         backend_failed(backend, now);
         return ATTEMPT_UNKNOWN;
     }
@@ -100,7 +118,7 @@
     LOG_INFO("attempt failed: id=%.*s backend=%s stage=%d err=%s detail=\"%s\"",
              STR_ARG(attempt->id), backend->info.id.ptr, end->stage, err_name(end->err.code),
              end->err.detail);
-    backend_record(backend, true, now);
+    attempt_record(attempt, true);
     backend_failed(backend, now);
     if (attempt->streaming)
         return ATTEMPT_CUT;
@@ -114,12 +132,12 @@
 {
     attempt_t *attempt = ctx;
     backend_t *backend = attempt->backend;
-    attempt->backend = NULL;
     attempt->call = NULL;
     attempt->sent = end->stage != WIRE_UNSENT;
     const attempt_outcome_t outcome = end->err.code == ERR_NONE
                                           ? judge_whole(attempt, backend)
                                           : judge_broken(attempt, backend, end);
+    attempt->backend = NULL;
     attempt->cb(attempt->ctx, outcome);
 }
 
@@ -158,6 +176,8 @@
     attempt->sent = false;
     attempt->head_seen = false;
     attempt->paused = false;
+    attempt->recorded = false;
+    attempt->slow_ms = conf->slow_ms;
     attempt->body.len = 0;
     wire_call_conf_t call = {
         .connect_timeout_ms = CONNECT_TIMEOUT_MS,
--- a/gateway/attempt.h
+++ b/gateway/attempt.h
@@ -37,6 +37,8 @@
     bool head_seen;
     bool streaming;
     bool paused;
+    bool recorded;    /* its outcome is in the upstream's health already */
+    uint32_t slow_ms; /* an answer that takes longer counts as failed, 0 for no limit */
     answer_verdict_t verdict;
     int status;
     int64_t length;
@@ -49,10 +51,15 @@
     uint32_t left_ms; /* told to the upstream */
     bool repeatable;  /* else a fresher connection is wanted */
     bool waited;
+    uint32_t slow_ms; /* an answer that takes longer counts as failed, 0 for no limit */
 } attempt_conf_t;
 
 /* `loop` to `ctx` must be set. */
 void attempt_start(attempt_t *attempt, const attempt_conf_t *conf);
+/* Takes how it goes into its upstream's health, once. */
+void attempt_record(attempt_t *attempt, bool failed);
+/* It takes far longer than usual, and not for having to wait or for a cold upstream. */
+bool attempt_is_slow(const attempt_t *attempt);
 /* Ends it without the callback; the connection is closed. */
 void attempt_cancel(attempt_t *attempt);
 /* The caller took all that was waiting. */
--- a/gateway/backends.c
+++ b/gateway/backends.c
@@ -17,16 +17,6 @@
 };
 
 #define LATENCY_GAIN 0.1
-/* Some failures in a row, or well over half of the attempts over a while, make an upstream
- * impaired; it stays so until little of that is left, since moving its objects to and fro costs
- * more. */
-#define FAILURE_GAIN 0.2
-#define FAILURE_LIMIT 0.6
-#define FAILURE_FORGIVEN 0.25
-/* How fast that is forgotten: slowly while in use, so that rare requests can tell as well, and fast
- * while others are preferred. */
-#define FAILURE_HALF_LIFE_MS 20000.0
-#define IMPAIRED_HALF_LIFE_MS 3000.0
 
 static backend_t *
 new_backend(const backend_info_t *info, const topology_t *topology, uv_loop_t *loop)
@@ -192,27 +182,3 @@
         backend->work_ms = latency_ms;
     backend->work_ms += LATENCY_GAIN * (latency_ms - backend->work_ms);
 }
-
-static double
-failure_rate(const backend_t *backend, uint64_t now_ms)
-{
-    const double age = (double)(now_ms - backend->failure_ms);
-    const double half_life = backend->impaired ? IMPAIRED_HALF_LIFE_MS : FAILURE_HALF_LIFE_MS;
-    return backend->failure_rate * exp2(-age / half_life);
-}
-
-void
-backend_record(backend_t *backend, bool failed, uint64_t now_ms)
-{
-    const double rate = failure_rate(backend, now_ms);
-    backend->failure_rate = rate + FAILURE_GAIN * ((failed ? 1 : 0) - rate);
-    backend->failure_ms = now_ms;
-    backend->impaired = backend->failure_rate > FAILURE_LIMIT ||
-                        (backend->impaired && backend->failure_rate > FAILURE_FORGIVEN);
-}
-
-bool
-backend_is_impaired(const backend_t *backend, uint64_t now_ms)
-{
-    return backend->impaired && failure_rate(backend, now_ms) > FAILURE_FORGIVEN;
-}
--- a/gateway/backends.h
+++ b/gateway/backends.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "base/bucket.h"
+#include "gateway/health.h"
 #include "gateway/ports.h"
 #include "gateway/topology.h"
 #include "wire/client.h"
@@ -29,9 +30,8 @@
     uint64_t others_ms;
     unsigned failures; /* in a row */
     uint64_t suspended_until_ms;
-    double failure_rate; /* moving average over attempts, forgotten with time */
-    uint64_t failure_ms;
-    bool impaired;
+    health_t health;
+    bool avoided;   /* impaired at the last tick */
     bool probing;   /* the one request after a suspension is under way */
     double work_ms; /* moving average of answers that did not have to wait there */
 } backend_t;
@@ -64,7 +64,3 @@
 void backend_failed(backend_t *backend, uint64_t now_ms);
 /* `waited` tells that its slots were all taken when the request was sent. */
 void backend_answered(backend_t *backend, double latency_ms, bool waited);
-/* Takes in how an attempt went, or that it takes far longer than usual. */
-void backend_record(backend_t *backend, bool failed, uint64_t now_ms);
-/* So many of its attempts failed lately that others are preferred. */
-bool backend_is_impaired(const backend_t *backend, uint64_t now_ms);
--- a/gateway/choice.c
+++ b/gateway/choice.c
@@ -8,8 +8,10 @@
  * run longer there, and its own objects come first. */
 #define LATER_SHARE 0.6
 
-/* The most upstreams of a region, as a share, that are avoided for their failures. */
+/* The most upstreams of a region, as a share, that are avoided for their failures; and the use of
+ * the others' slots that this may lead to. */
 #define IMPAIRED_MAX_SHARE 0.6
+#define IMPAIRED_MAX_USE 0.9
 /* Brings an impaired upstream's score below that of every other. */
 #define IMPAIRED_FACTOR 1e-9
 
@@ -65,8 +67,8 @@
                         input->peer_count);
 }
 
-/* Puts impaired upstreams behind all others of their region, unless most there are impaired: then
- * the fault lies elsewhere, or nothing would be left to carry the load. */
+/* Puts impaired upstreams behind all others of their region, unless too many there are impaired:
+ * then the fault lies elsewhere, or the others could not carry the load. */
 static void
 demote_impaired(const choice_input_t *input, candidate_t *candidates, size_t count)
 {
@@ -75,12 +77,14 @@
     for (size_t i = 0; i < count; i++) {
         const backend_t *backend = candidates[i].backend;
         total[backend->region]++;
-        impaired[backend->region] += backend_is_impaired(backend, input->now_ms);
+        impaired[backend->region] += health_is_impaired(&backend->health, input->now_ms);
     }
+    const double spare = 1 - plan_use(input->plan) / IMPAIRED_MAX_USE;
+    const double share = spare < IMPAIRED_MAX_SHARE ? spare : IMPAIRED_MAX_SHARE;
     for (size_t i = 0; i < count; i++) {
         const backend_t *backend = candidates[i].backend;
-        if (impaired[backend->region] <= IMPAIRED_MAX_SHARE * total[backend->region] &&
-            backend_is_impaired(backend, input->now_ms))
+        if (impaired[backend->region] <= share * total[backend->region] &&
+            health_is_impaired(&backend->health, input->now_ms))
             candidates[i].score *= IMPAIRED_FACTOR;
     }
 }
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -11,11 +11,7 @@
 #include "gateway/attempt.h"
 #include "gateway/exchange.h"
 
-/* An attempt is overdue after this many times the upstream's usual time, and a fixed time more. */
-#define OVERDUE_TIMES 4.0
-
 enum {
-    OVERDUE_LEAST_MS = 500,
     UNSENT_TRIES = 4,       /* upstreams tried without having sent anything */
     RETRY_LEFT_MIN_MS = 60, /* time that a further attempt must have */
     GIVE_UP_MARGIN_MS = 15, /* before the caller's deadline, for the answer's way back */
@@ -200,7 +196,8 @@
 on_answered(exchange_t *ex)
 {
     const int status = ex->attempt.status;
-    router_answered(ex->service, (double)(now_ms(ex) - ex->attempt.sent_ms));
+    router_answered(ex->all->router, ex->route, ex->service,
+                    (double)(now_ms(ex) - ex->attempt.sent_ms));
     if (is_failure_worth_retry(ex) && may_send_again(ex)) {
         ex->unknown = true;
         start_attempt(ex);
@@ -238,8 +235,8 @@
 static void
 give_up(exchange_t *ex)
 {
-    if (ex->attempt.call != NULL && ex->overdue_ms != 0)
-        backend_record(ex->attempt.backend, true, now_ms(ex));
+    if (ex->attempt.call != NULL)
+        attempt_record(&ex->attempt, true);
     cancel_attempt(ex);
     if (ex->attempt.streaming)
         cut_answer(ex, "cut_at_deadline");
@@ -276,11 +273,12 @@
     ex->overdue_ms = 0;
     if (attempt->call == NULL || attempt->head_seen)
         return;
-    backend_record(attempt->backend, true, now_ms(ex));
+    if (attempt_is_slow(attempt))
+        attempt_record(attempt, true);
     const bool sent = wire_call_stage(attempt->call) != WIRE_UNSENT;
     const bool last = ex->sends + sent >= ex->route->max_attempts;
-    if (!ex->route->repeatable || last || !backend_is_impaired(attempt->backend, now_ms(ex)) ||
-        !may_send_again(ex))
+    if (!ex->route->repeatable || last ||
+        !health_is_impaired(&attempt->backend->health, now_ms(ex)) || !may_send_again(ex))
         return;
     choice_reason_t reason;
     backend_t *other = pick_backend(ex, &reason);
@@ -321,7 +319,6 @@
 static void
 begin_attempt(exchange_t *ex, backend_t *backend)
 {
-    const uint64_t now = now_ms(ex);
     ex->tried[ex->tried_count++] = backend_ref(backend);
     router_begin(ex->all->router, ex->service, backend);
     const attempt_conf_t conf = {
@@ -329,10 +326,10 @@
         .left_ms = left_ms(ex),
         .repeatable = ex->route->repeatable,
         .waited = ex->reason == CHOICE_QUEUED,
+        .slow_ms = router_slow_ms(ex->all->router, ex->route),
     };
     attempt_start(&ex->attempt, &conf);
-    const double usual = backend->work_ms > 0 ? backend->work_ms : ex->route->aim_ms;
-    ex->overdue_ms = now + OVERDUE_LEAST_MS + (uint64_t)(OVERDUE_TIMES * usual);
+    ex->overdue_ms = now_ms(ex) + conf.slow_ms;
     set_timer(ex);
 }
 
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -295,6 +295,13 @@
     return &gateway->settings;
 }
 
+bool
+gateway_avoids(const gateway_t *gateway, str_t backend_id)
+{
+    const backend_t *backend = backends_find(&gateway->router.backends, backend_id);
+    return backend != NULL && backend->avoided;
+}
+
 unsigned
 gateway_living(const gateway_t *gateway)
 {
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -29,6 +29,8 @@
 void gateway_stop(gateway_t *gateway);
 /* The settings in use, with the ports that the system chose where they said 0. */
 const gateway_settings_t *gateway_settings(const gateway_t *gateway);
+/* True if it prefers others to this upstream, for what it or other instances saw of it. */
+bool gateway_avoids(const gateway_t *gateway, str_t backend_id);
 /* Instances heard of lately, this one too. */
 unsigned gateway_living(const gateway_t *gateway);
 /* Requests under way. */
--- a/gateway/heartbeat.c
+++ b/gateway/heartbeat.c
@@ -9,6 +9,7 @@
     PEERS_EVERY = 8, /* rounds between two lists of known addresses */
     PEERS_MAX = 64,
     VIEWS_MAX = VIEW_WATCHED,
+    OUTCOMES_MAX = 64, /* upstreams told of in one heartbeat */
 };
 
 void
@@ -43,6 +44,8 @@
     Iris__Demand *region_demand_list[MEMBER_DEMANDS_MAX];
     Iris__PeerAddress peers[PEERS_MAX];
     Iris__PeerAddress *peer_list[PEERS_MAX];
+    Iris__Outcomes outcomes[OUTCOMES_MAX];
+    Iris__Outcomes *outcome_list[OUTCOMES_MAX];
     char peer_texts[PEERS_MAX][ADDR_TEXT_MAX];
     char own_peer[ADDR_TEXT_MAX];
     char own_callers[ADDR_TEXT_MAX];
@@ -117,6 +120,27 @@
     packed->message.peers = packed->peer_list;
 }
 
+/* Upstreams that failed some attempts since the last heartbeat, or lately. */
+static void
+pack_outcomes(const router_t *router, uint64_t now_ms, packed_t *packed)
+{
+    size_t count = 0;
+    for (size_t i = 0; i < router->backends.count; i++) {
+        backend_t *backend = router->backends.items[i];
+        if (count < OUTCOMES_MAX && health_has_news(&backend->health, now_ms)) {
+            iris__outcomes__init(&packed->outcomes[count]);
+            packed->outcomes[count].backend = backend->info.id.ptr;
+            packed->outcomes[count].good = backend->health.good;
+            packed->outcomes[count].bad = backend->health.bad;
+            packed->outcome_list[count] = &packed->outcomes[count];
+            count++;
+        }
+        health_told(&backend->health);
+    }
+    packed->message.n_outcomes = count;
+    packed->message.outcomes = packed->outcome_list;
+}
+
 static void
 pack(const heartbeat_t *heartbeat, uint64_t now_ms, packed_t *packed)
 {
@@ -138,6 +162,7 @@
     const member_t *self = members_at(heartbeat->members, &settings->peer);
     pack_demands(self, packed);
     pack_region(heartbeat, self, now_ms, packed);
+    pack_outcomes(heartbeat->router, now_ms, packed);
     if (heartbeat->round % PEERS_EVERY < 2)
         pack_peers(heartbeat->members, heartbeat->round, packed);
 }
@@ -195,6 +220,17 @@
         take_demands(message->region_demands, message->n_region_demands, member->region_demands);
 }
 
+static void
+take_outcomes(const router_t *router, const Iris__GatewayHeartbeat *message, uint64_t now_ms)
+{
+    for (size_t i = 0; i < message->n_outcomes; i++) {
+        const Iris__Outcomes *outcomes = message->outcomes[i];
+        backend_t *backend = backends_find(&router->backends, str_from(outcomes->backend));
+        if (backend != NULL)
+            health_take_report(&backend->health, outcomes->good, outcomes->bad, now_ms);
+    }
+}
+
 void
 heartbeat_know(heartbeat_t *heartbeat, const addr_t *peer, const name_t *place)
 {
@@ -253,5 +289,6 @@
     member->interval_ms = message->interval_ms;
     member->region_members = message->region_members;
     take_lists(member, message);
+    take_outcomes(heartbeat->router, message, now_ms);
     sync_compare(heartbeat->sync, member);
 }
--- a/gateway/plan.c
+++ b/gateway/plan.c
@@ -78,6 +78,7 @@
     const double keep = exp(-(double)(now_ms - plan->updated_ms) / PLAN_PEAK_MS);
     for (size_t i = 0; i < region_count; i++)
         plan->peak[i] = fmax(keep * plan->peak[i], input->demand[i]);
+    plan->measured_peak = fmax(keep * plan->measured_peak, sum(input->demand, region_count));
 }
 
 /* Before any demand was seen the shares follow the room at once: upstreams become known one by one.
@@ -155,3 +156,10 @@
     const double stays = plan->share[plan->own] * PLAN_LARGE_USE / PLAN_TARGET_USE;
     return point < stays ? plan->own : plan_region(plan, point);
 }
+
+double
+plan_use(const plan_t *plan)
+{
+    const double room = sum(plan->room, plan->region_count);
+    return room > 0 ? plan->measured_peak / room : 0;
+}
--- a/gateway/plan.h
+++ b/gateway/plan.h
@@ -25,12 +25,15 @@
     bool moving;
     double room[TOPOLOGY_REGIONS_MAX]; /* at the last update */
     double peak[TOPOLOGY_REGIONS_MAX]; /* highest demand, slowly forgotten */
-    double logged;                     /* own share when it was last logged by the router */
-    uint64_t lost_until_ms;            /* room was lost shortly before */
+    double measured_peak;   /* of all regions together, without what was assumed at first */
+    double logged;          /* own share when it was last logged by the router */
+    uint64_t lost_until_ms; /* room was lost shortly before */
 } plan_t;
 
 void plan_update(plan_t *plan, const plan_input_t *input, size_t region_count, size_t own,
                  uint64_t now_ms);
+/* The highest demand lately measured as a share of all slots. */
+double plan_use(const plan_t *plan);
 /* The region for a point in [0, 1); neighbouring points stay where they are when shares move. */
 size_t plan_region(const plan_t *plan, double point);
 /* The same for a large answer, which is dear to carry between regions: it leaves the own region
--- a/gateway/router.c
+++ b/gateway/router.c
@@ -11,6 +11,7 @@
     OBJECT_SEED = 61,
     DEMAND_TIME_MS = 2000,   /* time constant of the demand's moving average */
     SETTLED_AFTER_MS = 2500, /* uptime after which the list of instances can be relied on */
+    SLOW_UNKNOWN_TIMES = 5,  /* the route's aim, before any answer of it was seen */
 };
 
 /* Share of the requests that may leave their planned region because it has no room, and how many
@@ -26,6 +27,12 @@
  * the time left. */
 #define LAST_CHANCE_SHARE 0.9
 #define PATIENCE_GAIN 0.02
+/* An answer that takes this many times a route's median is slow: more than a run without the object
+ * in memory, which takes 3.3 times as long as one with it. Many slow ones speak against an
+ * upstream.
+ */
+#define SLOW_TIMES 3.9
+#define MEDIAN_STEP 0.02
 #define LOAD_MAX_LAST 3.0
 #define LEFT_SHARE 0.6
 /* A change of the own region's share that is logged. */
@@ -102,6 +109,22 @@
              service->plan.peak[router->region]);
 }
 
+/* Tells which upstreams are avoided from now on, and which are no longer. */
+static void
+note_impaired(router_t *router, uint64_t now_ms)
+{
+    for (size_t i = 0; i < router->backends.count; i++) {
+        backend_t *backend = router->backends.items[i];
+        const bool impaired = health_is_impaired(&backend->health, now_ms);
+        if (impaired == backend->avoided)
+            continue;
+        backend->avoided = impaired;
+        LOG_INFO("upstream %s: id=%s service=%s failure_rate=%.2f outcomes=%.1f",
+                 impaired ? "avoided" : "no longer avoided", backend->info.id.ptr,
+                 backend->info.service.ptr, backend->health.failure_rate, backend->health.weight);
+    }
+}
+
 void
 router_tick(router_t *router, const members_t *members)
 {
@@ -118,6 +141,7 @@
         update_plan(router, &router->services[i], members);
     }
     backends_drop_unlisted(&router->backends, now);
+    note_impaired(router, now);
     if (router->instances != instances_before)
         router_apply_bounds(router);
 }
@@ -163,16 +187,25 @@
     return router_object_hash(route, object);
 }
 
+static router_route_t *
+learned_of(router_t *router, const config_route_t *route)
+{
+    router_route_t *learned = &router->routes[route->key % ROUTER_ROUTE_SLOTS];
+    if (learned->route_key != route->key)
+        *learned = (router_route_t){.route_key = route->key};
+    return learned;
+}
+
 /* A caller with its whole time left can come back later; one that has come back is served late
  * rather than refused again. */
 static bool
 has_come_back(router_t *router, const config_route_t *route, uint32_t left_ms)
 {
-    router_patience_t *patience = &router->patience[route->key % ROUTER_PATIENCE_SLOTS];
-    if (patience->route_key != route->key)
-        *patience = (router_patience_t){route->key, left_ms};
-    patience->average_ms += PATIENCE_GAIN * (left_ms - patience->average_ms);
-    return left_ms < LAST_CHANCE_SHARE * patience->average_ms;
+    router_route_t *learned = learned_of(router, route);
+    if (learned->patience_ms == 0)
+        learned->patience_ms = left_ms;
+    learned->patience_ms += PATIENCE_GAIN * (left_ms - learned->patience_ms);
+    return left_ms < LAST_CHANCE_SHARE * learned->patience_ms;
 }
 
 backend_t *
@@ -228,9 +261,31 @@
     backend->in_flight--;
 }
 
+/* Moves the estimate of the median by a small part of it towards the new value. */
+static void
+follow_median(double *median, double value)
+{
+    if (*median == 0)
+        *median = value;
+    else
+        *median *= value > *median ? 1 + MEDIAN_STEP : 1 - MEDIAN_STEP;
+}
+
+uint32_t
+router_slow_ms(router_t *router, const config_route_t *route)
+{
+    const double typical = learned_of(router, route)->typical_ms;
+    const double slow = SLOW_TIMES * typical;
+    if (typical == 0)
+        return SLOW_UNKNOWN_TIMES * route->aim_ms;
+    return slow > route->aim_ms ? (uint32_t)slow : route->aim_ms;
+}
+
 void
-router_answered(router_service_t *service, double latency_ms)
+router_answered(router_t *router, const config_route_t *route, router_service_t *service,
+                double latency_ms)
 {
+    follow_median(&learned_of(router, route)->typical_ms, latency_ms);
     if (service->latency_ms == 0)
         service->latency_ms = latency_ms;
     service->latency_ms += LATENCY_GAIN * (latency_ms - service->latency_ms);
--- a/gateway/router.h
+++ b/gateway/router.h
@@ -29,13 +29,14 @@
     double spill;      /* requests that may go to a region that is not the planned one */
 } router_service_t;
 
-enum { ROUTER_PATIENCE_SLOTS = 512 };
+enum { ROUTER_ROUTE_SLOTS = 512 };
 
-/* How long the callers of a route are usually ready to wait. */
+/* What was learned of a route. */
 typedef struct {
     uint64_t route_key;
-    double average_ms;
-} router_patience_t;
+    double patience_ms; /* how long its callers are usually ready to wait */
+    double typical_ms;  /* median time of its answers, 0 until there was one */
+} router_route_t;
 
 typedef struct {
     uv_loop_t *loop;
@@ -53,7 +54,7 @@
     backends_t backends;
     router_service_t *services;
     size_t service_count;
-    router_patience_t patience[ROUTER_PATIENCE_SLOTS];
+    router_route_t routes[ROUTER_ROUTE_SLOTS]; /* by the route's key; a newer one takes the slot */
     cold_peer_t peers[MEMBERS_MAX];
     size_t peer_count;
     bool peers_settled;
@@ -92,7 +93,10 @@
 void router_begin(router_t *router, router_service_t *service, backend_t *backend);
 void router_end(router_t *router, router_service_t *service, backend_t *backend);
 /* A whole answer came after `latency_ms`. */
-void router_answered(router_service_t *service, double latency_ms);
+void router_answered(router_t *router, const config_route_t *route, router_service_t *service,
+                     double latency_ms);
+/* An answer that takes longer than this speaks against its upstream. */
+uint32_t router_slow_ms(router_t *router, const config_route_t *route);
 /* A request found no room: it counts as demand all the same. */
 void router_refused(router_t *router, router_service_t *service);
 void router_count_request(router_t *router, router_service_t *service);
--- a/peer/peer.pb-c.c
+++ b/peer/peer.pb-c.c
@@ -412,6 +412,51 @@
   assert(message->base.descriptor == &iris__demand__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   iris__outcomes__init
+                     (Iris__Outcomes         *message)
+{
+  static const Iris__Outcomes init_value = IRIS__OUTCOMES__INIT;
+  *message = init_value;
+}
+size_t iris__outcomes__get_packed_size
+                     (const Iris__Outcomes *message)
+{
+  assert(message->base.descriptor == &iris__outcomes__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t iris__outcomes__pack
+                     (const Iris__Outcomes *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &iris__outcomes__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t iris__outcomes__pack_to_buffer
+                     (const Iris__Outcomes *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &iris__outcomes__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Iris__Outcomes *
+       iris__outcomes__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Iris__Outcomes *)
+     protobuf_c_message_unpack (&iris__outcomes__descriptor,
+                                allocator, len, data);
+}
+void   iris__outcomes__free_unpacked
+                     (Iris__Outcomes *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &iris__outcomes__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   iris__peer_address__init
                      (Iris__PeerAddress         *message)
 {
@@ -1407,6 +1452,70 @@
   (ProtobufCMessageInit) iris__demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor iris__outcomes__field_descriptors[3] =
+{
+  {
+    "backend",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Iris__Outcomes, backend),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "good",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Iris__Outcomes, good),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bad",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Iris__Outcomes, bad),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned iris__outcomes__field_indices_by_name[] = {
+  0,   /* field[0] = backend */
+  2,   /* field[2] = bad */
+  1,   /* field[1] = good */
+};
+static const ProtobufCIntRange iris__outcomes__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor iris__outcomes__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "iris.Outcomes",
+  "Outcomes",
+  "Iris__Outcomes",
+  "iris",
+  sizeof(Iris__Outcomes),
+  3,
+  iris__outcomes__field_descriptors,
+  iris__outcomes__field_indices_by_name,
+  1,  iris__outcomes__number_ranges,
+  (ProtobufCMessageInit) iris__outcomes__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor iris__peer_address__field_descriptors[2] =
 {
   {
@@ -1458,7 +1567,7 @@
   (ProtobufCMessageInit) iris__peer_address__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor iris__gateway_heartbeat__field_descriptors[15] =
+static const ProtobufCFieldDescriptor iris__gateway_heartbeat__field_descriptors[16] =
 {
   {
     "instance",
@@ -1640,6 +1749,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "outcomes",
+    16,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Iris__GatewayHeartbeat, n_outcomes),
+    offsetof(Iris__GatewayHeartbeat, outcomes),
+    &iris__outcomes__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned iris__gateway_heartbeat__field_indices_by_name[] = {
   4,   /* field[4] = caller_address */
@@ -1648,6 +1769,7 @@
   0,   /* field[0] = instance */
   14,   /* field[14] = interval_ms */
   6,   /* field[6] = leaving */
+  15,   /* field[15] = outcomes */
   3,   /* field[3] = peer_address */
   11,   /* field[11] = peers */
   1,   /* field[1] = place */
@@ -1661,7 +1783,7 @@
 static const ProtobufCIntRange iris__gateway_heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor iris__gateway_heartbeat__descriptor =
 {
@@ -1671,7 +1793,7 @@
   "Iris__GatewayHeartbeat",
   "iris",
   sizeof(Iris__GatewayHeartbeat),
-  15,
+  16,
   iris__gateway_heartbeat__field_descriptors,
   iris__gateway_heartbeat__field_indices_by_name,
   1,  iris__gateway_heartbeat__number_ranges,
--- a/peer/peer.pb-c.h
+++ b/peer/peer.pb-c.h
@@ -24,6 +24,7 @@
 typedef struct Iris__BorrowAnswer Iris__BorrowAnswer;
 typedef struct Iris__ViewState Iris__ViewState;
 typedef struct Iris__Demand Iris__Demand;
+typedef struct Iris__Outcomes Iris__Outcomes;
 typedef struct Iris__PeerAddress Iris__PeerAddress;
 typedef struct Iris__GatewayHeartbeat Iris__GatewayHeartbeat;
 typedef struct Iris__ViewItem Iris__ViewItem;
@@ -194,6 +195,21 @@
     , (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * How an instance's attempts at one upstream went since its last heartbeat.
+ */
+struct  Iris__Outcomes
+{
+  ProtobufCMessage base;
+  char *backend;
+  uint32_t good;
+  uint32_t bad;
+};
+#define IRIS__OUTCOMES__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&iris__outcomes__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
 struct  Iris__PeerAddress
 {
   ProtobufCMessage base;
@@ -251,10 +267,15 @@
    * between two of its heartbeats to its region
    */
   uint32_t interval_ms;
+  /*
+   * of upstreams that fail some of its attempts
+   */
+  size_t n_outcomes;
+  Iris__Outcomes **outcomes;
 };
 #define IRIS__GATEWAY_HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&iris__gateway_heartbeat__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0,NULL }
 
 
 struct  Iris__ViewItem
@@ -548,6 +569,25 @@
 void   iris__demand__free_unpacked
                      (Iris__Demand *message,
                       ProtobufCAllocator *allocator);
+/* Iris__Outcomes methods */
+void   iris__outcomes__init
+                     (Iris__Outcomes         *message);
+size_t iris__outcomes__get_packed_size
+                     (const Iris__Outcomes   *message);
+size_t iris__outcomes__pack
+                     (const Iris__Outcomes   *message,
+                      uint8_t             *out);
+size_t iris__outcomes__pack_to_buffer
+                     (const Iris__Outcomes   *message,
+                      ProtobufCBuffer     *buffer);
+Iris__Outcomes *
+       iris__outcomes__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   iris__outcomes__free_unpacked
+                     (Iris__Outcomes *message,
+                      ProtobufCAllocator *allocator);
 /* Iris__PeerAddress methods */
 void   iris__peer_address__init
                      (Iris__PeerAddress         *message);
@@ -710,6 +750,9 @@
 typedef void (*Iris__Demand_Closure)
                  (const Iris__Demand *message,
                   void *closure_data);
+typedef void (*Iris__Outcomes_Closure)
+                 (const Iris__Outcomes *message,
+                  void *closure_data);
 typedef void (*Iris__PeerAddress_Closure)
                  (const Iris__PeerAddress *message,
                   void *closure_data);
@@ -746,6 +789,7 @@
 extern const ProtobufCMessageDescriptor iris__borrow_answer__descriptor;
 extern const ProtobufCMessageDescriptor iris__view_state__descriptor;
 extern const ProtobufCMessageDescriptor iris__demand__descriptor;
+extern const ProtobufCMessageDescriptor iris__outcomes__descriptor;
 extern const ProtobufCMessageDescriptor iris__peer_address__descriptor;
 extern const ProtobufCMessageDescriptor iris__gateway_heartbeat__descriptor;
 extern const ProtobufCMessageDescriptor iris__view_item__descriptor;
--- a/test/test_gateway.c
+++ b/test/test_gateway.c
@@ -542,8 +542,73 @@
 fail_often(backend_t *backend, uint64_t now_ms)
 {
     for (int i = 0; i < 6; i++)
-        backend_record(backend, true, now_ms);
+        health_record(&backend->health, true, now_ms);
+}
+
+START_TEST(health_is_judged_by_rate_not_by_chance)
+{
+    /* Rare outcomes: a few in a row decide. */
+    health_t rare = {0};
+    for (uint64_t i = 1; i <= 5; i++)
+        health_record(&rare, true, i * 5000);
+    ck_assert(!health_is_impaired(&rare, 25000));
+    health_record(&rare, true, 26000);
+    ck_assert(health_is_impaired(&rare, 26000));
+    /* Many outcomes, 2 of 5 failed: never impaired, however they fall. */
+    rng_t rng = {.state = 7};
+    health_t many = {0};
+    for (uint64_t at = 50; at < 60000; at += 50) {
+        health_record(&many, rng_unit(&rng) < 0.4, at);
+        ck_assert(!health_is_impaired(&many, at));
+    }
+    /* Nearly all fail: impaired within the averaging time. */
+    for (uint64_t at = 60000; at < 62500; at += 50)
+        health_record(&many, rng_unit(&rng) < 0.95, at);
+    ck_assert(health_is_impaired(&many, 62500));
+    /* Forgiven while it is left alone. */
+    ck_assert(!health_is_impaired(&many, 70000));
+}
+END_TEST
+
+START_TEST(health_is_shared_by_reports)
+{
+    health_t seen = {0};
+    health_t told = {0};
+    ck_assert(!health_has_news(&seen, 1000));
+    health_record(&seen, false, 1000);
+    ck_assert(!health_has_news(&seen, 1000)); /* all is well: nothing to tell */
+    for (int i = 0; i < 10; i++)
+        health_record(&seen, true, 1000);
+    ck_assert(health_has_news(&seen, 1000));
+    health_take_report(&told, seen.good, seen.bad, 1400);
+    health_told(&seen);
+    ck_assert(!health_has_news(&seen, 1400));
+    ck_assert(health_is_impaired(&seen, 1400) && health_is_impaired(&told, 1400));
+    ck_assert(!health_has_news(&told, 1400)); /* what was heard is not told on */
+    /* Successes at a suspect are told as well. */
+    health_record(&seen, false, 1500);
+    ck_assert(health_has_news(&seen, 1500));
+}
+END_TEST
+
+START_TEST(choice_keeps_impaired_upstreams_if_the_others_have_no_room)
+{
+    choice_fixture_t *fixture = new_choice();
+    static const char *const ids[] = {"u1", "u2", "u3", "u4"};
+    for (size_t i = 0; i < ALEN(ids); i++)
+        add_backend(fixture, ids[i], "a1");
+    choice_reason_t reason;
+    backend_t *first = choice_pick(&fixture->input, &reason);
+    fail_often(first, 5000);
+    health_record(&first->health, true, 5000);
+    fixture->plan.room[0] = 16;
+    fixture->plan.measured_peak = 8; /* three quarters of the slots can carry it */
+    ck_assert_ptr_ne(choice_pick(&fixture->input, &reason), first);
+    fixture->plan.measured_peak = 13;
+    ck_assert_ptr_eq(choice_pick(&fixture->input, &reason), first);
+    free_choice(fixture);
 }
+END_TEST
 
 START_TEST(choice_avoids_what_fails)
 {
@@ -554,8 +619,8 @@
     choice_reason_t reason;
     backend_t *first = choice_pick(&fixture->input, &reason);
     /* One failure, or two, do not move its objects: they would run cold elsewhere. */
-    backend_record(first, true, 5000);
-    backend_record(first, true, 5000);
+    health_record(&first->health, true, 5000);
+    health_record(&first->health, true, 5000);
     ck_assert_ptr_eq(choice_pick(&fixture->input, &reason), first);
     fail_often(first, 5000);
     ck_assert_ptr_ne(choice_pick(&fixture->input, &reason), first);
@@ -899,6 +964,9 @@
     tcase_add_test(tests, choice_keeps_large_answers_near);
     tcase_add_test(tests, choice_sends_large_answers_away_as_planned);
     tcase_add_test(tests, choice_respects_homes_and_what_was_tried);
+    tcase_add_test(tests, health_is_judged_by_rate_not_by_chance);
+    tcase_add_test(tests, health_is_shared_by_reports);
+    tcase_add_test(tests, choice_keeps_impaired_upstreams_if_the_others_have_no_room);
     tcase_add_test(tests, choice_avoids_what_fails);
     tcase_add_test(tests, choice_paces_cold_upstreams);
     tcase_add_test(tests, cold_has_few_users_even_with_different_lists);
--- a/test/test_whole.c
+++ b/test/test_whole.c
@@ -713,6 +713,29 @@
 }
 END_TEST
 
+/* Found on the users' bench: with 80 instances each alone sees too little of a slow upstream. */
+START_TEST(instances_tell_each_other_which_upstreams_fail)
+{
+    enum { FAILURES = 12 };
+    site_t *site = new_ready_site(2);
+    upstream_t *failing = &site->upstreams[0];
+    put_upstream(site, &site->upstreams[1], "draining");
+    gateway_t *first = site->gateway;
+    wire_pool_t *first_callers = site->callers;
+    gateway_t *second =
+        start_gateway(site, "g-2", &site->store_port, &gateway_settings(first)->peer);
+    use_gateway(site, second);
+    RUN_UNTIL(site, is_ready(site));
+    RUN_UNTIL(site, gateway_living(first) == 2 && gateway_living(second) == 2);
+    site->callers = first_callers;
+    failing->behaviour = DOES_FAIL;
+    for (int i = 0; i < FAILURES; i++)
+        ask(site, "POST", "/once/x");
+    RUN_UNTIL(site, gateway_avoids(second, str_from(failing->id)));
+    ck_assert(gateway_avoids(first, str_from(failing->id)));
+}
+END_TEST
+
 START_TEST(instances_that_are_behind_do_not_keep_each_other_there)
 {
     /* Three instances; the change comes by a list, which is not sent on, and two have to ask. */
@@ -875,6 +898,7 @@
     tcase_add_test(tests, lists_come_in_pages);
     tcase_add_test(tests, a_store_in_trouble_changes_nothing);
     tcase_add_test(tests, an_instance_without_the_store_learns_from_its_peer);
+    tcase_add_test(tests, instances_tell_each_other_which_upstreams_fail);
     tcase_add_test(tests, instances_that_are_behind_do_not_keep_each_other_there);
     tcase_add_test(tests, a_large_configuration_reaches_the_peer);
     tcase_add_test(tests, a_large_view_is_read_from_the_store_or_else_from_a_peer);
