Gauges of what is believed; what nothing called is gone

Metrics tell upstreams by state, the share planned for the own region, the use of all slots and calls to the store. Test: metrics_tell_what_is_believed.

--- a/gateway/admin.c
+++ b/gateway/admin.c
@@ -1,3 +1,4 @@
+#include <stdio.h>
 #include <stdlib.h>
 
 #include <http_parser.h>
@@ -13,6 +14,55 @@
     counter_set(counter_get(name, NULL, help), value);
 }
 
+static void
+set_state_gauge(const char *state, int64_t value)
+{
+    char labels[32];
+    snprintf(labels, sizeof(labels), "state=\"%s\"", state);
+    counter_set(counter_get("irisstall_upstreams_in_state", labels,
+                            "Upstreams that get no request, few, or only if others can't."),
+                value);
+}
+
+/* What is believed of the upstreams; one may be in several states. */
+static void
+set_upstream_gauges(const router_t *router)
+{
+    const uint64_t now = uv_now(router->loop);
+    int64_t leaving = 0;
+    int64_t cold = 0;
+    int64_t avoided = 0;
+    int64_t suspended = 0;
+    for (size_t i = 0; i < router->backends.count; i++) {
+        const backend_t *backend = router->backends.items[i];
+        leaving += backend->info.leaving || backend->zone_closed || backend->departed;
+        cold += backend_is_cold(backend, now);
+        avoided += health_is_impaired(&backend->health, now);
+        suspended += now < backend->suspended_until_ms;
+    }
+    set_state_gauge("leaving", leaving);
+    set_state_gauge("cold", cold);
+    set_state_gauge("avoided", avoided);
+    set_state_gauge("suspended", suspended);
+}
+
+static void
+set_plan_gauges(const router_t *router)
+{
+    enum { PERCENT = 100 };
+    char labels[NAME_MAX_LEN + 16];
+    for (size_t i = 0; i < router->service_count; i++) {
+        const router_service_t *service = &router->services[i];
+        snprintf(labels, sizeof(labels), "service=\"%s\"", service->name.ptr);
+        counter_set(counter_get("irisstall_own_region_share_percent", labels,
+                                "Share of the callers' requests planned for the own region."),
+                    (int64_t)(PERCENT * service->plan.share[service->plan.own]));
+        counter_set(counter_get("irisstall_slots_use_percent", labels,
+                                "Highest demand lately measured, as a share of all slots."),
+                    (int64_t)(PERCENT * plan_use(&service->plan)));
+    }
+}
+
 static void
 answer_metrics(const admin_t *admin, wire_request_t *req)
 {
@@ -21,6 +71,8 @@
               router->config != NULL ? (int64_t)router->config->revision : 0);
     set_gauge("irisstall_instances_living", "Instances heard of, this one too.", router->living);
     set_gauge("irisstall_upstreams", "Upstreams known.", (int64_t)router->backends.count);
+    set_upstream_gauges(router);
+    set_plan_gauges(router);
     set_gauge("irisstall_requests_active", "Requests under way.",
               (int64_t)admin->exchanges->active);
     set_gauge("irisstall_caller_connections", "Open connections of callers.",
--- a/gateway/heartbeat.c
+++ b/gateway/heartbeat.c
@@ -67,33 +67,35 @@
 }
 
 static void
-pack_demands(const member_t *self, packed_t *packed)
+pack_demand(Iris__Demand *demand, const name_t *service, double slots)
+{
+    iris__demand__init(demand);
+    demand->service = (char *)(uintptr_t)service->ptr;
+    demand->slots = (float)slots;
+}
+
+/* The own demand, and for instances of other regions that of the whole own region. */
+static void
+pack_demands(const heartbeat_t *heartbeat, const member_t *self, uint64_t now_ms, packed_t *packed)
 {
     for (size_t i = 0; i < self->demand_count; i++) {
-        iris__demand__init(&packed->demands[i]);
-        packed->demands[i].service = (char *)(uintptr_t)self->demands[i].service.ptr;
-        packed->demands[i].slots = (float)self->demands[i].slots;
+        const name_t *service = &self->demands[i].service;
+        const double of_region = members_demand(heartbeat->members, name_str(service), self->region,
+                                                self->region, now_ms);
+        pack_demand(&packed->demands[i], service, self->demands[i].slots);
+        pack_demand(&packed->region_demands[i], service, of_region);
         packed->demand_list[i] = &packed->demands[i];
+        packed->region_demand_list[i] = &packed->region_demands[i];
     }
     packed->message.n_demands = self->demand_count;
     packed->message.demands = packed->demand_list;
+    packed->message.n_region_demands = self->demand_count;
+    packed->message.region_demands = packed->region_demand_list;
 }
 
-/* The own region's demand, for instances of other regions. */
 static void
 pack_region(const heartbeat_t *heartbeat, const member_t *self, uint64_t now_ms, packed_t *packed)
 {
-    for (size_t i = 0; i < self->demand_count; i++) {
-        Iris__Demand *demand = &packed->region_demands[i];
-        iris__demand__init(demand);
-        demand->service = (char *)(uintptr_t)self->demands[i].service.ptr;
-        demand->slots =
-            (float)members_demand(heartbeat->members, name_str(&self->demands[i].service),
-                                  self->region, self->region, now_ms);
-        packed->region_demand_list[i] = demand;
-    }
-    packed->message.n_region_demands = self->demand_count;
-    packed->message.region_demands = packed->region_demand_list;
     packed->message.region_members =
         (uint32_t)members_living(heartbeat->members, self->region, now_ms);
     packed->message.interval_ms = self->interval_ms;
@@ -160,7 +162,7 @@
     message->store_failing = sync_store_failing(heartbeat->sync);
     pack_views(heartbeat, packed);
     const member_t *self = members_at(heartbeat->members, &settings->peer);
-    pack_demands(self, packed);
+    pack_demands(heartbeat, self, now_ms, packed);
     pack_region(heartbeat, self, now_ms, packed);
     pack_outcomes(heartbeat->router, now_ms, packed);
     if (heartbeat->round % PEERS_EVERY < 2)
--- a/test/test_whole.c
+++ b/test/test_whole.c
@@ -238,6 +238,8 @@
         .readiness = site->any,
         .directory = site->any,
         .peer = site->any,
+        .admin = site->any,
+        .has_admin = true,
         .directory_ttl_s = 2,
         .grace_ms = 4000,
         .retry_ratio = 0.2,
@@ -841,6 +843,59 @@
     return reply;
 }
 
+typedef struct {
+    char text[8192];
+    bool done;
+} page_t;
+
+static void
+on_page(void *ctx, const wire_answer_t *answer)
+{
+    page_t *page = ctx;
+    page->done = true;
+    if (answer->err.code == ERR_NONE && answer->status == 200)
+        snprintf(page->text, sizeof(page->text), "%.*s", STR_ARG(answer->body));
+}
+
+static void
+read_page(site_t *site, const char *target, page_t *page)
+{
+    wire_pool_t *pool = wire_pool_new(&site->loop, &gateway_settings(site->gateway)->admin, 1);
+    const wire_fetch_conf_t conf = {
+        .method = "GET",
+        .target = target,
+        .timeout_ms = PATIENCE_MS,
+        .max_body = sizeof(page->text),
+    };
+    *page = (page_t){0};
+    wire_fetch(pool, &conf, on_page, page);
+    RUN_UNTIL(site, page->done);
+    wire_pool_free(pool);
+}
+
+START_TEST(metrics_tell_what_is_believed)
+{
+    static page_t page;
+    site_t *site = new_ready_site(3);
+    ask(site, "GET", "/safe/x");
+    put_upstream(site, &site->upstreams[0], "draining");
+    do {
+        read_page(site, "/metrics", &page);
+    } while (strstr(page.text, "irisstall_upstreams_in_state{state=\"leaving\"} 1\n") == NULL);
+    static const char *const lines[] = {
+        "irisstall_upstreams 3\n",
+        "irisstall_upstreams_in_state{state=\"cold\"} 0\n",
+        "irisstall_upstreams_in_state{state=\"avoided\"} 0\n",
+        "irisstall_upstreams_in_state{state=\"suspended\"} 0\n",
+        "irisstall_own_region_share_percent{service=\"svc\"} 100\n",
+        "irisstall_slots_use_percent{service=\"svc\"} ",
+        "irisstall_store_calls_total ",
+    };
+    for (size_t i = 0; i < ALEN(lines); i++)
+        ck_assert_msg(strstr(page.text, lines[i]) != NULL, "missing: %s", lines[i]);
+}
+END_TEST
+
 START_TEST(a_planned_stop_cuts_nothing)
 {
     site_t *site = new_ready_site(1);
@@ -904,6 +959,7 @@
     tcase_add_test(tests, a_large_view_is_read_from_the_store_or_else_from_a_peer);
     tcase_add_test(tests, a_failed_list_of_instances_is_asked_again);
     tcase_add_test(tests, a_reply_lost_by_the_store_is_no_second_announcement);
+    tcase_add_test(tests, metrics_tell_what_is_believed);
     tcase_add_test(tests, a_planned_stop_cuts_nothing);
     suite_add_tcase(suite, tests);
     return suite;
--- a/wire/client.h
+++ b/wire/client.h
@@ -52,10 +52,6 @@
 /* Closes idle connections; the pool is freed once its calls have ended. */
 void wire_pool_free(wire_pool_t *pool);
 void wire_pool_set_max(wire_pool_t *pool, size_t max_connections);
-size_t wire_pool_idle(const wire_pool_t *pool);
-size_t wire_pool_busy(const wire_pool_t *pool);
-/* Connections opened so far. */
-uint64_t wire_pool_opened(const wire_pool_t *pool);
 const addr_t *wire_pool_addr(const wire_pool_t *pool);
 /* Closes idle connections that have rested for `idle_ms`. */
 void wire_pool_sweep(wire_pool_t *pool, uint64_t idle_ms);
--- a/wire/client_conn.h
+++ b/wire/client_conn.h
@@ -14,7 +14,6 @@
     size_t max;
     size_t idle_count;
     size_t busy_count;
-    uint64_t opened;
     client_conn_t *idle; /* the most recently used first */
     bool freed;
 };
--- a/wire/fetch.h
+++ b/wire/fetch.h
@@ -17,7 +17,6 @@
     str_t body;
     uint64_t timeout_ms;
     size_t max_body;
-    bool fresh; /* never on a kept connection */
 } wire_fetch_conf_t;
 
 /* The callback is never called before wire_fetch() has returned. */
--- a/wire/listener.h
+++ b/wire/listener.h
@@ -71,4 +71,3 @@
 void wire_respond(wire_request_t *req, int status, str_t fields, str_t body);
 /* Bytes not yet taken by the socket. */
 size_t wire_respond_backlog(const wire_request_t *req);
-bool wire_respond_started(const wire_request_t *req);
--- a/wire/pool.c
+++ b/wire/pool.c
@@ -87,7 +87,6 @@
     conn->tcp.data = conn;
     conn->timer.data = conn;
     conn->connect.data = conn;
-    pool->opened++;
     return conn;
 }
 
@@ -118,24 +117,6 @@
     pool->max = max_connections;
 }
 
-size_t
-wire_pool_idle(const wire_pool_t *pool)
-{
-    return pool->idle_count;
-}
-
-size_t
-wire_pool_busy(const wire_pool_t *pool)
-{
-    return pool->busy_count;
-}
-
-uint64_t
-wire_pool_opened(const wire_pool_t *pool)
-{
-    return pool->opened;
-}
-
 const addr_t *
 wire_pool_addr(const wire_pool_t *pool)
 {
--- a/wire/respond.c
+++ b/wire/respond.c
@@ -142,12 +142,6 @@
     }
 }
 
-bool
-wire_respond_started(const wire_request_t *req)
-{
-    return ((const wire_conn_t *)req)->started;
-}
-
 void
 wire_respond_head(wire_request_t *req, int status, str_t fields, int64_t length)
 {
