A keyed request that arrives after its deadline ends as unknown

Cause, from the histories: the caller sent it to gary-hall-1, which stood still for 10 s, gave up and sent a copy to gary-hall-2, which handed it to the key's owner, gary-hall-1. On waking the owner first read the copy, past its deadline, and answered *not run* (504); gary-hall-2 passed on 503. 8 ms later it read the first copy, still unread in its connection, and ran it. Ruled out: the record of keys (there was none yet), a second owner (both copies went through the one), the load beside it (the pause alone makes the order). Change: an entry that reads a keyed request past its deadline cannot know of other copies and says *unknown*.

--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -483,6 +483,17 @@
     x->head_method = str_eq((str_t){req->method.base, req->method.len}, STR("HEAD"));
 }
 
+/* It arrived after its deadline, perhaps because this process stood still. Then an earlier copy of
+ * a keyed request may have run, or may still wait unread in another connection and run yet. */
+static void
+refuse_late(exchange_t *x, str_t key)
+{
+    if (key.len > 0 && !x->class_.repeatable)
+        exchange_answer_unknown(x, 504, "deadline");
+    else
+        exchange_refuse(x, 504, "deadline");
+}
+
 void
 exchange_start(node_t *node, h2o_req_t *req)
 {
@@ -511,13 +522,13 @@
     x->class_ = *class_;
     set_deadline(x);
     copy_request(x);
+    const str_t key = http_header(req, STR("idempotency-key"));
     if (x->deadline_ms <= x->started_ms) {
-        exchange_refuse(x, 504, "deadline");
+        refuse_late(x, key);
         return;
     }
     if (x->hop == HOP_CALLER)
         spill_count(service->request_spill, x->started_ms);
-    const str_t key = http_header(req, STR("idempotency-key"));
     if (class_->repeatable || x->hop == HOP_ENTRY)
         route_request(x);
     else
