--- a/gateway/state/view_relay.c
+++ b/gateway/state/view_relay.c
@@ -1,7 +1,11 @@
+#include <stdio.h>
 #include <stdlib.h>
 
 #include <uv.h>
 
+#define LOG_MODULE "sync"
+#include "base/counter.h"
+#include "base/log.h"
 #include "base/xmalloc.h"
 #include "gateway/state/view_relay.h"
 
@@ -32,6 +36,16 @@
     relay->kinds[kind].behind_since_ms = 0;
 }
 
+static void
+count_relayed(const char *reason, size_t bytes, size_t receivers)
+{
+    char labels[32];
+    snprintf(labels, sizeof(labels), "reason=\"%s\"", reason);
+    counter_add(counter_get("irisstall_view_bytes_total", labels,
+                            "Bytes of objects sent to peers, by what made them go."),
+                bytes * receivers);
+}
+
 /* ---- sending ---- */
 
 static Iris__ViewItem *
@@ -95,10 +109,17 @@
     update.at = delta->at;
     update.base_digest = delta->base_digest;
     update.n_items = delta->count;
+    size_t receivers = 0;
     for (size_t i = 0; i < members->count; i++) {
-        if (is_receiver(relay, &members->items[i], all_regions, now_ms))
-            peer_send(relay->conf.hub, &members->items[i].peer, &envelope);
+        if (!is_receiver(relay, &members->items[i], all_regions, now_ms))
+            continue;
+        peer_send(relay->conf.hub, &members->items[i].peer, &envelope);
+        receivers++;
     }
+    const size_t bytes = items_bytes(delta->items, delta->count);
+    count_relayed("change", bytes, receivers);
+    LOG_INFO("change sent on: kind=%d at=%llu bytes=%zu receivers=%zu", delta->kind,
+             (unsigned long long)delta->at, bytes, receivers);
     free_items(encoded, update.items, delta->count);
 }
 
@@ -114,6 +135,10 @@
     envelope.view_update = update;
     update->n_items = count;
     peer_reply(conn, &envelope);
+    const size_t bytes = items_bytes(items, count);
+    count_relayed("request", bytes, 1);
+    LOG_INFO("view request answered: kind=%u from=%llu at=%llu objects=%zu bytes=%zu", update->kind,
+             (unsigned long long)update->from, (unsigned long long)update->at, count, bytes);
     free_items(encoded, update->items, count);
 }
 
@@ -187,6 +212,8 @@
     request.digest = view->digest;
     request.whole = store_watch_is_failing(relay->conf.watch);
     peer_send(relay->conf.hub, peer, &envelope);
+    LOG_INFO("view requested: kind=%d have=%llu whole=%d", kind, (unsigned long long)request.have,
+             request.whole);
 }
 
 /* True if it is time to ask a peer: changes that are on their way get some time to arrive first. */
--- a/peer/link.c
+++ b/peer/link.c
@@ -33,6 +33,7 @@
     char *out; /* frames waiting for the connection or for the running write */
     size_t out_len;
     bool writing;
+    size_t waiting; /* bytes that the socket has not taken: `out` and the running write */
     peer_conn_t *next;
 };
 
@@ -49,20 +50,40 @@
     counter_t *bytes_out;
     counter_t *bytes_in;
     counter_t *messages;
+    counter_t *waiting; /* gauge: sum over the connections */
+    size_t waiting_bytes;
 };
 
 typedef struct {
     uv_write_t req;
     peer_conn_t *conn;
     char *bytes;
+    size_t len;
 } write_t;
 
+static void
+add_waiting(peer_conn_t *conn, size_t len)
+{
+    conn->waiting += len;
+    conn->hub->waiting_bytes += len;
+    counter_set(conn->hub->waiting, (int64_t)conn->hub->waiting_bytes);
+}
+
+static void
+remove_waiting(peer_conn_t *conn, size_t len)
+{
+    conn->waiting -= len;
+    conn->hub->waiting_bytes -= len;
+    counter_set(conn->hub->waiting, (int64_t)conn->hub->waiting_bytes);
+}
+
 static void
 on_closed(uv_handle_t *handle)
 {
     peer_conn_t *conn = handle->data;
     if (!conn->outgoing)
         conn->hub->incoming_count--;
+    remove_waiting(conn, conn->waiting);
     free(conn->in);
     free(conn->out);
     free(conn);
@@ -90,6 +111,7 @@
 {
     write_t *write = (write_t *)req;
     peer_conn_t *conn = write->conn;
+    remove_waiting(conn, write->len);
     free(write->bytes);
     free(write);
     conn->writing = false;
@@ -108,6 +130,7 @@
     write_t *write = xmalloc(sizeof(*write));
     write->conn = conn;
     write->bytes = conn->out;
+    write->len = conn->out_len;
     uv_buf_t buf = uv_buf_init(conn->out, (unsigned)conn->out_len);
     counter_add(conn->hub->bytes_out, conn->out_len);
     conn->out = NULL;
@@ -127,6 +150,7 @@
     const size_t len = iris__envelope__get_packed_size(message);
     if (conn->closing || len > PEER_FRAME_MAX || conn->out_len + len > PEER_BACKLOG_MAX) {
         counter_add(conn->hub->dropped, 1);
+        LOG_WARN("message dropped: bytes=%zu waiting=%zu", len, conn->waiting);
         return;
     }
     if (conn->out_len == 0 && !conn->writing)
@@ -139,6 +163,7 @@
     at[3] = (uint8_t)len;
     iris__envelope__pack(message, at + HEADER_SIZE);
     conn->out_len += HEADER_SIZE + len;
+    add_waiting(conn, HEADER_SIZE + len);
     conn->used_ms = uv_now(conn->hub->loop);
     counter_add(conn->hub->messages, 1);
     flush(conn);
@@ -309,6 +334,8 @@
         counter_get("irisstall_peer_dropped_total", NULL, "Messages dropped before sending.");
     hub->bytes_out = counter_get("irisstall_peer_bytes_total", "dir=\"out\"", "Bytes to peers.");
     hub->bytes_in = counter_get("irisstall_peer_bytes_total", "dir=\"in\"", "Bytes from peers.");
+    hub->waiting = counter_get("irisstall_peer_waiting_bytes", NULL,
+                               "Bytes to peers that the sockets have not taken yet.");
     hub->messages = counter_get("irisstall_peer_messages_total", NULL, "Messages sent to peers.");
     uv_tcp_init(loop, &hub->listener);
     hub->listener.data = hub;
@@ -358,8 +385,11 @@
     while (conn != NULL) {
         peer_conn_t *next = conn->next;
         const bool waiting = conn->out_len > 0 || conn->writing || !conn->connected;
-        if (waiting && now - conn->progress_ms > stalled_ms)
+        if (waiting && now - conn->progress_ms > stalled_ms) {
+            LOG_INFO("peer connection stalled, closing: waiting=%zu stalled_ms=%llu", conn->waiting,
+                     (unsigned long long)(now - conn->progress_ms));
             close_conn(conn);
+        }
         conn = next;
     }
 }
