--- a/peer/link.c
+++ b/peer/link.c
@@ -51,7 +51,6 @@
     counter_t *bytes_in;
     counter_t *messages;
     counter_t *waiting; /* gauge: sum over the connections */
-    size_t waiting_bytes;
 };
 
 typedef struct {
@@ -64,17 +63,17 @@
 static void
 add_waiting(peer_conn_t *conn, size_t len)
 {
+    counter_t *gauge = conn->hub->waiting;
     conn->waiting += len;
-    conn->hub->waiting_bytes += len;
-    counter_set(conn->hub->waiting, (int64_t)conn->hub->waiting_bytes);
+    counter_set(gauge, counter_value(gauge) + (int64_t)len);
 }
 
 static void
 remove_waiting(peer_conn_t *conn, size_t len)
 {
+    counter_t *gauge = conn->hub->waiting;
     conn->waiting -= len;
-    conn->hub->waiting_bytes -= len;
-    counter_set(conn->hub->waiting, (int64_t)conn->hub->waiting_bytes);
+    counter_set(gauge, counter_value(gauge) - (int64_t)len);
 }
 
 static void
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # The whole test run: unit tests, then a short campaign of faults with its history checked.
-# A campaign named at the start of a line of KNOWN-RED.txt may fail: it is printed and not counted.
+# A campaign or a unit test named at the start of a line of KNOWN-RED.txt ("campaign NAME" or "test
+# NAME") may fail: it is printed and not counted.
 # Closes with one line "N passed, N failed".
 set -u
 cd "$(dirname "$0")/.." || exit 2
@@ -12,11 +13,21 @@
 passed=0
 failed=0
 
+# The names of the unit tests that failed, from lines "FILE:LINE:F:GROUP:TEST:NUMBER: MESSAGE".
+failed_tests() {
+    awk -F: '$3 == "F" || $3 == "E" {print $5}' "$out"
+}
+
 # A program that closes with "N passed, N failed".
 program() { # COMMAND...
     "$@" | tee "$out"
     passed=$((passed + $(awk '/ passed, /{n = $1} END {print n + 0}' "$out")))
     failed=$((failed + $(awk '/ passed, /{n = $3; seen = 1} END {print seen ? n : 1}' "$out")))
+    for test in $(failed_tests); do
+        grep -q "^test $test |" KNOWN-RED.txt || continue
+        failed=$((failed - 1))
+        echo "test $test: KNOWN RED"
+    done
 }
 
 program "$BUILD/unit-tests"
