View relay: large changes go along a tree, one version an object, at a bounded pace

Cause: a watcher sent each version of a changed object to every instance of its region, whole and at once. In a storm of configurations of 14.4 kB, ten a second, that is more than a link of 10 Mbit/s carries.

Change: policy/relay decides receivers, pause and patience; state/view_push sends changes on, state/view_message encodes them, state/view_relay keeps asking and answering. No message changes.

Ruled out: choosing watchers by their links (the heartbeat would have to say it, and a watcher of any link is still one of many senders to a slow reader); compressing (a factor, not a bound).

--- a/base/tcp.c
+++ b/base/tcp.c
@@ -38,3 +38,11 @@
     if (setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms)) != 0)
         LOG_WARN("user timeout not set: err=%s", strerror(errno));
 }
+
+void
+tcp_set_send_buffer(uv_tcp_t *tcp, int bytes)
+{
+    const int rc = uv_send_buffer_size((uv_handle_t *)tcp, &bytes);
+    if (rc != 0)
+        LOG_WARN("send buffer not set: err=%s", uv_strerror(rc));
+}
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -30,6 +30,7 @@
     members_t members;
     views_t views;
     store_watch_t store_watch;
+    view_push_t view_push;
     view_relay_t view_relay;
     heartbeat_t heartbeat;
     discovery_t discovery;
@@ -123,7 +124,7 @@
 on_delta(void *ctx, const view_delta_t *delta)
 {
     gateway_t *gateway = ctx;
-    view_relay_send(&gateway->view_relay, delta);
+    view_push_changed(&gateway->view_push, delta);
 }
 
 static void
@@ -135,7 +136,7 @@
         heartbeat_receive(&gateway->heartbeat, message->gateway, uv_now(gateway->loop));
         break;
     case IRIS__ENVELOPE__BODY_VIEW_UPDATE:
-        view_relay_on_update(&gateway->view_relay, message->view_update);
+        view_relay_on_update(&gateway->view_relay, conn, message->view_update);
         break;
     case IRIS__ENVELOPE__BODY_VIEW_REQUEST:
         view_relay_on_request(&gateway->view_relay, conn, message->view_request);
@@ -201,6 +202,7 @@
     heartbeat_set_ready(&gateway->heartbeat, router_is_ready(&gateway->router), now_ms);
     router_tick(&gateway->router, &gateway->members);
     store_watch_tick(&gateway->store_watch);
+    view_push_tick(&gateway->view_push);
     if (!gateway->stopping)
         discovery_tick(&gateway->discovery, gateway->router.living <= 1);
     close_idle_connections(gateway);
@@ -269,15 +271,22 @@
         .ctx = gateway,
     };
     store_watch_init(&gateway->store_watch, &watch_conf);
-    const view_relay_conf_t relay_conf = {
+    const view_push_conf_t push_conf = {
         .loop = gateway->loop,
         .hub = gateway->hub,
         .members = &gateway->members,
         .views = &gateway->views,
-        .watch = &gateway->store_watch,
         .instance = name_str(&gateway->settings.name),
         .region = gateway->router.region,
     };
+    view_push_init(&gateway->view_push, &push_conf);
+    const view_relay_conf_t relay_conf = {
+        .loop = gateway->loop,
+        .hub = gateway->hub,
+        .views = &gateway->views,
+        .watch = &gateway->store_watch,
+        .push = &gateway->view_push,
+    };
     view_relay_init(&gateway->view_relay, &relay_conf);
 }
 
--- a/gateway/state/store_watch.c
+++ b/gateway/state/store_watch.c
@@ -189,13 +189,10 @@
     view_t *view = view_of(kind);
     const view_delta_t delta = {
         .kind = kind->kind,
-        .items = answer->items,
-        .count = answer->item_count,
         .from = kind->watched_from,
-        .at = answer->at,
         .base_digest = view->digest,
     };
-    if (view_apply(view, delta.items, delta.count, delta.from, delta.at) != VIEW_CHANGED)
+    if (view_apply(view, answer->items, answer->item_count, delta.from, answer->at) != VIEW_CHANGED)
         return;
     watch->conf.on_delta(watch->conf.ctx, &delta);
     views_changed(watch->conf.views, kind->kind, "watch");
--- a/gateway/state/store_watch.h
+++ b/gateway/state/store_watch.h
@@ -13,16 +13,15 @@
  */
 #pragma once
 
+#include <uv.h>
+
 #include "gateway/membership/members.h"
 #include "gateway/state/views.h"
 
-/* Changes of one view, as a watch returned them. */
+/* A watch changed one view. */
 typedef struct {
     view_kind_t kind;
-    const store_item_t *items;
-    size_t count;
-    uint64_t from;        /* the changes come after this revision */
-    uint64_t at;          /* and lead up to this one */
+    uint64_t from;        /* the changes came after this revision */
     uint64_t base_digest; /* of the view before them */
 } view_delta_t;
 
--- a/gateway/state/view.c
+++ b/gateway/state/view.c
@@ -108,6 +108,7 @@
     if (there && view->items[index].revision >= item->revision)
         return false;
     put_at(view, index, item);
+    view->items[index].change = view->change_count;
     keep_change(view, item->name, at);
     return true;
 }
@@ -201,6 +202,8 @@
         if (change->at <= have)
             continue;
         const view_item_t *item = view_find(view, str_from(change->name));
+        if (item != NULL && item->change != i)
+            continue; /* it changed again later */
         out[*count] = (store_item_t){
             .name = str_from(change->name),
             .revision = item != NULL ? item->revision : change->at,
--- a/gateway/state/view.h
+++ b/gateway/state/view.h
@@ -17,6 +17,7 @@
     uint64_t revision;
     char *body;
     size_t body_len;
+    uint64_t change; /* number of its latest change, from 0; see view_t */
 } view_item_t;
 
 /* Changes kept for peers that missed some; beyond that they need the whole view (commit 59548b9).
@@ -53,8 +54,9 @@
                          uint64_t at);
 /* Another view that is complete up to `at` has this digest: if it is ours, ours is as new. */
 void view_confirm(view_t *view, uint64_t digest, uint64_t at);
-/* The objects that changed or went after revision `have`, at most VIEW_CHANGES of them (an object
- * may come twice); false if the changes are not known any more. The texts are the view's. */
+/* The objects that changed or went after revision `have`, each once and as it is now, at most
+ * VIEW_CHANGES of them (only one that went may come twice); false if the changes are not known any
+ * more. The texts are the view's. */
 bool view_since(const view_t *view, uint64_t have, store_item_t *out, size_t *count);
 /* NULL if there is none. */
 const view_item_t *view_find(const view_t *view, str_t name);
--- /dev/null
+++ b/gateway/state/view_message.h
@@ -0,0 +1,26 @@
+/*
+ * View message: changes of a view, or a whole one, as instances send them to each other
+ * (ViewUpdate in peer/peer.proto).
+ *
+ * Owns nothing; what is encoded points into the objects, which must live until it is freed. Relies
+ * on protobuf-c.
+ */
+#pragma once
+
+#include "gateway/ports.h"
+#include "peer/link.h"
+
+/* An update ready to be sent. */
+typedef struct {
+    Iris__Envelope envelope;
+    Iris__ViewUpdate update; /* kind, revisions and digest are the caller's to set */
+    size_t bytes;            /* of the objects */
+} view_message_t;
+
+/* In place, since the envelope points into it; free it with view_message_free(). */
+void view_message_fill(view_message_t *out, const store_item_t *items, size_t count);
+void view_message_free(view_message_t *message);
+/* The objects of an update, which point into it; free() the result. */
+store_item_t *view_message_items(const Iris__ViewUpdate *update);
+/* Bytes of the objects of an update. */
+size_t view_update_bytes(const Iris__ViewUpdate *update);
--- a/gateway/state/view_relay.c
+++ b/gateway/state/view_relay.c
@@ -1,4 +1,5 @@
-#include <stdio.h>
+#include "gateway/state/view_relay.h"
+
 #include <stdlib.h>
 
 #include <uv.h>
@@ -7,139 +8,52 @@
 #include "base/counter.h"
 #include "base/log.h"
 #include "base/xmalloc.h"
-#include "gateway/state/view_relay.h"
+#include "gateway/state/view_message.h"
 
 enum {
-    REQUEST_EVERY_MS = 600, /* an instance asks for a view at most this often. Chosen */
-    /* A view that stays older than a peer's for this time is asked for: changes on their way have
-     * arrived by then. Brought in with commit 2b9bd2c, not measured alone. */
-    BEHIND_MS = 450,
+    REQUEST_EVERY_MS = 600,     /* an instance asks for a view at most this often. Chosen */
     START_STORE_FIRST_MS = 700, /* the store has this time to give the views at start. Chosen */
-    /* Bytes of changes that are sent to other regions; larger ones go to the own region only
-     * (commit 2b9bd2c). The figure was chosen. */
-    RELAY_FAR_MAX = 60000,
     /* Bytes of a view that a peer gets; a larger one it reads from the store. In the sweep at 300
      * instances whole views of 1 MB made most of the bytes (commit 59548b9). */
     WHOLE_MAX = 200000,
+    /* A connection with more bytes waiting gets no further answer: the peer asks another one.
+     * Chosen, as WAITING_MAX of view_push.c. */
+    WAITING_MAX = 32000,
 };
 
 void
 view_relay_init(view_relay_t *relay, const view_relay_conf_t *conf)
 {
     *relay = (view_relay_t){.conf = *conf, .started_ms = uv_now(conf->loop)};
-    xassert(name_set(&relay->instance, conf->instance));
 }
 
 void
 view_relay_view_changed(view_relay_t *relay, view_kind_t kind)
 {
-    relay->kinds[kind].behind_since_ms = 0;
-}
-
-static void
-count_relayed(const char *reason, size_t bytes, size_t receivers)
-{
-    char labels[32];
-    snprintf(labels, sizeof(labels), "reason=\"%s\"", reason);
-    counter_add(counter_get("irisstall_view_bytes_total", labels,
-                            "Bytes of objects sent to peers, by what made them go."),
-                bytes * receivers);
-}
-
-/* ---- sending ---- */
-
-static Iris__ViewItem *
-encode_items(const store_item_t *items, size_t count, Iris__ViewItem ***list)
-{
-    Iris__ViewItem *encoded = xcalloc(count + 1, sizeof(*encoded));
-    *list = xcalloc(count + 1, sizeof(**list));
-    for (size_t i = 0; i < count; i++) {
-        iris__view_item__init(&encoded[i]);
-        encoded[i].name = xmemdup0(items[i].name.ptr, items[i].name.len);
-        encoded[i].revision = items[i].revision;
-        encoded[i].gone = items[i].gone;
-        encoded[i].body.data = (uint8_t *)(uintptr_t)items[i].body.ptr;
-        encoded[i].body.len = items[i].gone ? 0 : items[i].body.len;
-        (*list)[i] = &encoded[i];
-    }
-    return encoded;
-}
-
-static void
-free_items(Iris__ViewItem *encoded, Iris__ViewItem **list, size_t count)
-{
-    for (size_t i = 0; i < count; i++)
-        free(encoded[i].name);
-    free(encoded);
-    free(list);
-}
-
-static size_t
-items_bytes(const store_item_t *items, size_t count)
-{
-    size_t bytes = 0;
-    for (size_t i = 0; i < count; i++)
-        bytes += items[i].body.len;
-    return bytes;
-}
-
-static bool
-is_receiver(const view_relay_t *relay, const member_t *member, bool all_regions, uint64_t now_ms)
-{
-    return (all_regions || member->region == relay->conf.region) && member_alive(member, now_ms) &&
-           !name_eq(&member->instance, name_str(&relay->instance));
-}
-
-void
-view_relay_send(view_relay_t *relay, const view_delta_t *delta)
-{
-    const members_t *members = relay->conf.members;
-    const uint64_t now_ms = uv_now(relay->conf.loop);
-    /* Large changes go to the own region only; the others have watchers of their own. */
-    const bool all_regions =
-        members->count <= MEMBERS_MESH && items_bytes(delta->items, delta->count) <= RELAY_FAR_MAX;
-    Iris__Envelope envelope = IRIS__ENVELOPE__INIT;
-    Iris__ViewUpdate update = IRIS__VIEW_UPDATE__INIT;
-    Iris__ViewItem *encoded = encode_items(delta->items, delta->count, &update.items);
-    envelope.schema = PEER_SCHEMA;
-    envelope.body_case = IRIS__ENVELOPE__BODY_VIEW_UPDATE;
-    envelope.view_update = &update;
-    update.kind = delta->kind;
-    update.from = delta->from;
-    update.at = delta->at;
-    update.base_digest = delta->base_digest;
-    update.n_items = delta->count;
-    size_t receivers = 0;
-    for (size_t i = 0; i < members->count; i++) {
-        if (!is_receiver(relay, &members->items[i], all_regions, now_ms))
-            continue;
-        peer_send(relay->conf.hub, &members->items[i].peer, &envelope);
-        receivers++;
-    }
-    const size_t bytes = items_bytes(delta->items, delta->count);
-    count_relayed("change", bytes, receivers);
-    LOG_INFO("change sent on: kind=%d at=%llu bytes=%zu receivers=%zu", delta->kind,
-             (unsigned long long)delta->at, bytes, receivers);
-    free_items(encoded, update.items, delta->count);
+    relay_lag_reached(&relay->kinds[kind].lag, relay->conf.views->items[kind].at);
 }
 
 /* ---- answering a request ---- */
 
 static void
-reply_view(peer_conn_t *conn, Iris__ViewUpdate *update, const store_item_t *items, size_t count)
-{
-    Iris__Envelope envelope = IRIS__ENVELOPE__INIT;
-    Iris__ViewItem *encoded = encode_items(items, count, &update->items);
-    envelope.schema = PEER_SCHEMA;
-    envelope.body_case = IRIS__ENVELOPE__BODY_VIEW_UPDATE;
-    envelope.view_update = update;
-    update->n_items = count;
-    peer_reply(conn, &envelope);
-    const size_t bytes = items_bytes(items, count);
-    count_relayed("request", bytes, 1);
-    LOG_INFO("view request answered: kind=%u from=%llu at=%llu objects=%zu bytes=%zu", update->kind,
-             (unsigned long long)update->from, (unsigned long long)update->at, count, bytes);
-    free_items(encoded, update->items, count);
+reply_view(peer_conn_t *conn, const Iris__ViewUpdate *update, const store_item_t *items,
+           size_t count)
+{
+    view_message_t message;
+    view_message_fill(&message, items, count);
+    message.update.kind = update->kind;
+    message.update.from = update->from;
+    message.update.at = update->at;
+    message.update.whole = update->whole;
+    message.update.base_digest = update->base_digest;
+    peer_reply(conn, &message.envelope);
+    counter_add(counter_get("irisstall_view_bytes_total", "reason=\"request\"",
+                            "Bytes of objects sent to peers, by what made them go."),
+                message.bytes);
+    LOG_INFO("view request answered: kind=%u from=%llu at=%llu whole=%d objects=%zu bytes=%zu",
+             update->kind, (unsigned long long)update->from, (unsigned long long)update->at,
+             update->whole, count, message.bytes);
+    view_message_free(&message);
 }
 
 static void
@@ -174,6 +88,11 @@
     size_t count;
     if (request->kind >= VIEW_WATCHED || !relay->conf.views->items[request->kind].known)
         return; /* a newer kind, or nothing to tell: the peer asks somebody else later */
+    if (peer_reply_waiting(conn) > WAITING_MAX) {
+        LOG_INFO("view request not answered: kind=%u waiting=%zu", request->kind,
+                 peer_reply_waiting(conn));
+        return;
+    }
     const view_t *view = &relay->conf.views->items[request->kind];
     Iris__ViewUpdate update = IRIS__VIEW_UPDATE__INIT;
     update.kind = request->kind;
@@ -216,17 +135,16 @@
              request.whole);
 }
 
-/* True if it is time to ask a peer: changes that are on their way get some time to arrive first. */
+/* True if it is time to ask a peer that holds the view as of revision `at`. */
 static bool
-is_time_to_ask(view_relay_t *relay, view_kind_t kind)
+is_time_to_ask(view_relay_t *relay, view_kind_t kind, uint64_t at)
 {
     const uint64_t now_ms = uv_now(relay->conf.loop);
-    uint64_t *behind_since_ms = &relay->kinds[kind].behind_since_ms;
+    relay_lag_t *lag = &relay->kinds[kind].lag;
     if (!relay->conf.views->items[kind].known)
         return now_ms - relay->started_ms >= START_STORE_FIRST_MS;
-    if (*behind_since_ms == 0)
-        *behind_since_ms = now_ms;
-    return now_ms - *behind_since_ms >= BEHIND_MS;
+    relay_lag_notice(lag, at, now_ms);
+    return relay_lag_is_overdue(lag, relay->kinds[kind].change_bytes, now_ms);
 }
 
 void
@@ -242,35 +160,33 @@
             continue;
         if (ours->known && theirs->digest == ours->digest) {
             view_confirm(ours, theirs->digest, theirs->at);
-            relay->kinds[kind].behind_since_ms = 0;
+            view_relay_view_changed(relay, kind);
             continue;
         }
-        if (is_time_to_ask(relay, kind))
+        if (is_time_to_ask(relay, kind, theirs->at))
             request_view(relay, kind, &member->peer);
     }
 }
 
 /* ---- receiving ---- */
 
-/* Points into the message; the caller frees the array. */
-static store_item_t *
-decode_items(const Iris__ViewUpdate *update)
+static view_result_t
+apply_update(view_t *view, const Iris__ViewUpdate *update)
 {
-    store_item_t *items = xcalloc(update->n_items + 1, sizeof(*items));
-    for (size_t i = 0; i < update->n_items; i++) {
-        const Iris__ViewItem *item = update->items[i];
-        items[i] = (store_item_t){
-            .name = str_from(item->name),
-            .revision = item->revision,
-            .gone = item->gone,
-            .body = {(const char *)item->body.data, item->body.len},
-        };
+    store_item_t *items = view_message_items(update);
+    view_result_t result;
+    if (update->whole) {
+        result = view_replace(view, items, update->n_items, update->at);
+    } else {
+        view_confirm(view, update->base_digest, update->from);
+        result = view_apply(view, items, update->n_items, update->from, update->at);
     }
-    return items;
+    free(items);
+    return result;
 }
 
 void
-view_relay_on_update(view_relay_t *relay, const Iris__ViewUpdate *update)
+view_relay_on_update(view_relay_t *relay, const peer_conn_t *conn, const Iris__ViewUpdate *update)
 {
     if (update->kind >= VIEW_WATCHED)
         return; /* a kind of a newer version */
@@ -278,16 +194,12 @@
         store_watch_read_once(relay->conf.watch, update->kind);
         return;
     }
-    view_t *view = &relay->conf.views->items[update->kind];
-    store_item_t *items = decode_items(update);
-    view_result_t result;
-    if (update->whole) {
-        result = view_replace(view, items, update->n_items, update->at);
-    } else {
-        view_confirm(view, update->base_digest, update->from);
-        result = view_apply(view, items, update->n_items, update->from, update->at);
-    }
-    free(items);
-    if (result == VIEW_CHANGED)
-        views_changed(relay->conf.views, update->kind, "peer");
+    const view_result_t result = apply_update(&relay->conf.views->items[update->kind], update);
+    if (peer_is_unasked(conn))
+        relay->kinds[update->kind].change_bytes = view_update_bytes(update);
+    if (result != VIEW_CHANGED)
+        return;
+    if (peer_is_unasked(conn))
+        view_push_forward(relay->conf.push, update);
+    views_changed(relay->conf.views, update->kind, "peer");
 }
--- a/gateway/state/view_relay.h
+++ b/gateway/state/view_relay.h
@@ -1,48 +1,46 @@
 /*
- * View relay: what instances send each other of their views, so that few of them watch the store.
+ * View relay: how an instance gets what it lacks of the views from its peers, and gives it to them.
  *
- * Changes that a watch brought are sent to the others at once: to all instances, or only to those
- * of the own region if the fleet or the change is large; each region has watchers of its own.
- * Heartbeats carry each view's revision and digest: an instance that stays behind a peer for 0.45 s
- * asks it for what it lacks.
+ * Changes that a watch brought are sent to the others unasked (view_push.h). Heartbeats carry each
+ * view's revision and digest: an instance that stays behind a peer asks it for what it lacks
+ * (policy/relay.h says when), and is sent each object that changed since, as it is now.
  *
  * Owns the pace of its requests. Relies on views.h for what it fills, on store_watch.h for the
  * state of the store, on membership/members.h for the peers, on peer/link.h for the connections.
  */
 #pragma once
 
+#include "gateway/policy/relay.h"
 #include "gateway/state/store_watch.h"
+#include "gateway/state/view_push.h"
 #include "peer/link.h"
 
 typedef struct {
     uv_loop_t *loop;
     peer_hub_t *hub;
-    const members_t *members;
     views_t *views;
     store_watch_t *watch;
-    str_t instance; /* name of this instance */
-    size_t region;
+    view_push_t *push; /* sends on what peers sent */
 } view_relay_conf_t;
 
 typedef struct {
     view_relay_conf_t conf;
-    name_t instance;
     uint64_t started_ms;
     struct {
-        uint64_t behind_since_ms; /* when a peer was first seen to be ahead, 0: none is */
-        uint64_t requested_ms;    /* when a peer was last asked for the view */
+        relay_lag_t lag;
+        size_t change_bytes;   /* of the last changes that a peer sent */
+        uint64_t requested_ms; /* when a peer was last asked for the view */
     } kinds[VIEW_WATCHED];
 } view_relay_t;
 
 void view_relay_init(view_relay_t *relay, const view_relay_conf_t *conf);
-/* Sends changes of a view to the peers that are to have them at once. */
-void view_relay_send(view_relay_t *relay, const view_delta_t *delta);
 /* A view has changed here, from whatever source. */
 void view_relay_view_changed(view_relay_t *relay, view_kind_t kind);
 /* Asks the peer for each view in which it is ahead for long enough. */
 void view_relay_compare(view_relay_t *relay, const member_t *member);
 /* A peer has sent a view or changes of it. */
-void view_relay_on_update(view_relay_t *relay, const Iris__ViewUpdate *update);
+void view_relay_on_update(view_relay_t *relay, const peer_conn_t *conn,
+                          const Iris__ViewUpdate *update);
 /* A peer asks for a view. */
 void view_relay_on_request(view_relay_t *relay, peer_conn_t *conn,
                            const Iris__ViewRequest *request);
--- a/peer/link.c
+++ b/peer/link.c
@@ -16,6 +16,9 @@
     /* Unacknowledged bytes break a connection after this time, so that a peer without power does
      * not hold messages up. Chosen below the 1.8 s after which it counts as lost. */
     USER_TIMEOUT_MS = 1500,
+    /* Bytes that a socket takes beyond what has been read: more than a message in flight over 35 ms
+     * at 10 Mbit/s, little enough that what waits is known here (peer_waiting()). Chosen. */
+    SEND_BUFFER = 65536,
 };
 
 struct peer_conn {
@@ -264,6 +267,7 @@
     conn->progress_ms = uv_now(conn->hub->loop);
     uv_tcp_nodelay(&conn->tcp, 1);
     tcp_set_user_timeout(&conn->tcp, USER_TIMEOUT_MS);
+    tcp_set_send_buffer(&conn->tcp, SEND_BUFFER);
     uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
     flush(conn);
 }
@@ -280,13 +284,22 @@
 }
 
 static peer_conn_t *
-outgoing_to(peer_hub_t *hub, const addr_t *to)
+find_outgoing(const peer_hub_t *hub, const addr_t *to)
 {
     for (peer_conn_t *conn = hub->outgoing; conn != NULL; conn = conn->next) {
         if (addr_eq(&conn->to, to))
             return conn;
     }
-    peer_conn_t *conn = new_conn(hub);
+    return NULL;
+}
+
+static peer_conn_t *
+outgoing_to(peer_hub_t *hub, const addr_t *to)
+{
+    peer_conn_t *conn = find_outgoing(hub, to);
+    if (conn != NULL)
+        return conn;
+    conn = new_conn(hub);
     conn->outgoing = true;
     conn->to = *to;
     conn->next = hub->outgoing;
@@ -317,6 +330,7 @@
     }
     conn->connected = true;
     uv_tcp_nodelay(&conn->tcp, 1);
+    tcp_set_send_buffer(&conn->tcp, SEND_BUFFER);
     uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
 }
 
@@ -357,12 +371,31 @@
         queue_message(conn, message);
 }
 
+size_t
+peer_waiting(const peer_hub_t *hub, const addr_t *to)
+{
+    const peer_conn_t *conn = find_outgoing(hub, to);
+    return conn != NULL ? conn->waiting : 0;
+}
+
 void
 peer_reply(peer_conn_t *conn, const Iris__Envelope *message)
 {
     queue_message(conn, message);
 }
 
+size_t
+peer_reply_waiting(const peer_conn_t *conn)
+{
+    return conn->waiting;
+}
+
+bool
+peer_is_unasked(const peer_conn_t *conn)
+{
+    return !conn->outgoing;
+}
+
 void
 peer_hub_sweep(peer_hub_t *hub, uint64_t idle_ms)
 {
--- a/peer/link.h
+++ b/peer/link.h
@@ -37,8 +37,14 @@
 uint16_t peer_hub_port(const peer_hub_t *hub);
 /* Sends to a peer's listening address; drops the message if too much is waiting. */
 void peer_send(peer_hub_t *hub, const addr_t *to, const Iris__Envelope *message);
+/* Bytes to a peer that the socket has not taken yet. */
+size_t peer_waiting(const peer_hub_t *hub, const addr_t *to);
 /* Answers on the connection that brought the message. */
 void peer_reply(peer_conn_t *conn, const Iris__Envelope *message);
+/* Bytes on that connection that the socket has not taken yet. */
+size_t peer_reply_waiting(const peer_conn_t *conn);
+/* True if the message came on a connection that the peer opened: it is no answer. */
+bool peer_is_unasked(const peer_conn_t *conn);
 /* Closes outgoing connections unused for `idle_ms`. */
 void peer_hub_sweep(peer_hub_t *hub, uint64_t idle_ms);
 /* Closes outgoing connections whose output has not moved for `stalled_ms`. */
--- a/test/gateway/test_view.c
+++ b/test/gateway/test_view.c
@@ -97,6 +97,38 @@
 }
 END_TEST
 
+/* Found on the users' bench: a peer that was behind got 19 versions of one object. */
+START_TEST(view_tells_each_object_once)
+{
+    view_t view = {0};
+    store_item_t out[VIEW_CHANGES];
+    size_t count;
+    const store_item_t first[] = {item("a", 3, false), item("b", 4, false)};
+    view_replace(&view, first, 2, 5);
+    for (uint64_t at = 6; at < 26; at++) {
+        const store_item_t again[] = {item("a", at, false)};
+        view_apply(&view, again, 1, at - 1, at);
+    }
+    ck_assert(view_since(&view, 5, out, &count));
+    ck_assert_uint_eq(count, 1);
+    ck_assert_uint_eq(out[0].revision, 25);
+    ck_assert(view_since(&view, 10, out, &count));
+    ck_assert_uint_eq(count, 1);
+    /* It goes and comes again. */
+    const store_item_t gone[] = {item("a", 26, true)};
+    const store_item_t back[] = {item("a", 27, false)};
+    view_apply(&view, gone, 1, 25, 26);
+    ck_assert(view_since(&view, 24, out, &count));
+    ck_assert_uint_eq(count, 2); /* a removal may come twice */
+    ck_assert(out[0].gone && out[1].gone);
+    view_apply(&view, back, 1, 26, 27);
+    ck_assert(view_since(&view, 24, out, &count));
+    ck_assert_uint_eq(count, 1);
+    ck_assert(!out[0].gone && out[0].revision == 27);
+    view_free(&view);
+}
+END_TEST
+
 Suite *
 suite_gateway_view(void)
 {
@@ -106,6 +138,7 @@
     tcase_add_test(tests, view_gone_is_not_undone_by_an_older_change);
     tcase_add_test(tests, view_digests_agree_on_any_path);
     tcase_add_test(tests, view_tells_what_changed_since);
+    tcase_add_test(tests, view_tells_each_object_once);
     suite_add_tcase(suite, tests);
     return suite;
 }
--- /dev/null
+++ b/test/gateway/test_view_relay.c
@@ -0,0 +1,276 @@
+/* View relay: what an instance sends a peer of its views, and what it asks for. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <sys/socket.h>
+
+#include "base/counter.h"
+#include "base/tcp.h"
+#include "base/xmalloc.h"
+#include "gateway/membership/members.h"
+#include "peer/link.h"
+#include "test/gateway/site.h"
+#include "test/suites.h"
+
+enum {
+    HEARTBEAT_MS = 100,
+    SOCKET_BYTES = 4096, /* that a peer takes which does not read */
+    GATEWAYS_MAX = 16,
+};
+
+/* A scripted instance: it sends heartbeats, and counts what it is asked for. */
+typedef struct {
+    site_t *site;
+    peer_hub_t *hub;
+    addr_t to[GATEWAYS_MAX]; /* the gateways; changes go to the first */
+    size_t to_count;
+    addr_t address; /* where the gateway reaches the peer */
+    uv_timer_t timer;
+    uint64_t at;     /* revision of the configuration that its heartbeats tell */
+    uint64_t late;   /* revision up to which it sends changes, one a heartbeat; 0: none */
+    size_t requests; /* for the configuration, of a view that is known already */
+} peer_t;
+
+static void
+send_heartbeat(peer_t *peer)
+{
+    char address[ADDR_TEXT_MAX];
+    Iris__Envelope envelope = IRIS__ENVELOPE__INIT;
+    Iris__GatewayHeartbeat heartbeat = IRIS__GATEWAY_HEARTBEAT__INIT;
+    Iris__ViewState state = IRIS__VIEW_STATE__INIT;
+    Iris__ViewState *states[] = {&state};
+    envelope.schema = PEER_SCHEMA;
+    envelope.body_case = IRIS__ENVELOPE__BODY_GATEWAY;
+    envelope.gateway = &heartbeat;
+    addr_format(&peer->address, address);
+    heartbeat.instance = "p-1";
+    heartbeat.place = "a1";
+    heartbeat.incarnation = 1;
+    heartbeat.peer_address = address;
+    heartbeat.caller_address = "127.0.0.1:9";
+    heartbeat.store_age_ms = STORE_AGE_NONE;
+    heartbeat.interval_ms = HEARTBEAT_MIN_MS;
+    state.known = peer->at > 0;
+    state.at = peer->at;
+    state.digest = peer->at;
+    heartbeat.n_views = ALEN(states);
+    heartbeat.views = states;
+    for (size_t i = 0; i < peer->to_count; i++)
+        peer_send(peer->hub, &peer->to[i], &envelope);
+}
+
+/* The configuration as of a revision: whole, or as a change since `from`. */
+static void
+fill_update(Iris__ViewUpdate *update, Iris__ViewItem *item, uint64_t from, uint64_t at)
+{
+    iris__view_update__init(update);
+    iris__view_item__init(item);
+    item->name = "main";
+    item->revision = at;
+    item->body.data = (uint8_t *)"{}";
+    item->body.len = 2;
+    update->kind = VIEW_CONFIG;
+    update->whole = from == 0;
+    update->from = from;
+    update->at = at;
+    update->n_items = 1;
+}
+
+static void
+send_change(peer_t *peer, uint64_t from, uint64_t at)
+{
+    Iris__Envelope envelope = IRIS__ENVELOPE__INIT;
+    Iris__ViewUpdate update;
+    Iris__ViewItem item;
+    Iris__ViewItem *items[] = {&item};
+    fill_update(&update, &item, from, at);
+    update.items = items;
+    envelope.schema = PEER_SCHEMA;
+    envelope.body_case = IRIS__ENVELOPE__BODY_VIEW_UPDATE;
+    envelope.view_update = &update;
+    peer_send(peer->hub, &peer->to[0], &envelope);
+}
+
+static void
+on_peer_message(void *ctx, peer_conn_t *conn, const Iris__Envelope *message)
+{
+    (void)conn;
+    peer_t *peer = ctx;
+    if (message->body_case == IRIS__ENVELOPE__BODY_VIEW_REQUEST &&
+        message->view_request->kind == VIEW_CONFIG && message->view_request->have > 0)
+        peer->requests++;
+}
+
+static void
+on_peer_timer(uv_timer_t *timer)
+{
+    peer_t *peer = timer->data;
+    send_heartbeat(peer);
+    if (peer->late == 0)
+        return;
+    send_change(peer, peer->late, peer->late + 1);
+    peer->late++;
+}
+
+static peer_t *
+new_peer(site_t *site, gateway_t *gateway)
+{
+    err_t err = {0};
+    peer_t *peer = xcalloc(1, sizeof(*peer));
+    peer->site = site;
+    peer->to[peer->to_count++] = gateway_settings(gateway)->peer;
+    peer->hub = peer_hub_start(&site->loop, &site->any, on_peer_message, peer, &err);
+    ck_assert_msg(peer->hub != NULL, "%s", err.detail);
+    peer->address = site->any;
+    addr_set_port(&peer->address, peer_hub_port(peer->hub));
+    uv_timer_init(&site->loop, &peer->timer);
+    peer->timer.data = peer;
+    uv_timer_start(&peer->timer, on_peer_timer, 0, HEARTBEAT_MS);
+    return peer;
+}
+
+/* Takes the connection and leaves its bytes in a small socket. */
+static void
+on_accept_and_stall(uv_stream_t *listener, int status)
+{
+    uv_tcp_t *conn = xcalloc(1, sizeof(*conn));
+    ck_assert_int_eq(status, 0);
+    uv_tcp_init(listener->loop, conn);
+    ck_assert_int_eq(uv_accept(listener, (uv_stream_t *)conn), 0);
+}
+
+/* From now on the gateway reaches the peer where nobody reads. */
+static void
+stall(peer_t *peer)
+{
+    static uv_tcp_t listener;
+    err_t err = {0};
+    uint16_t port;
+    int size = SOCKET_BYTES;
+    addr_t addr = peer->site->any;
+    uv_tcp_init_ex(&peer->site->loop, &listener, AF_INET);
+    ck_assert_int_eq(uv_recv_buffer_size((uv_handle_t *)&listener, &size), 0);
+    ck_assert_msg(tcp_listen(&listener, &addr, 8, on_accept_and_stall, &port, &err), "%s",
+                  err.detail);
+    addr_set_port(&peer->address, port);
+}
+
+static int64_t
+waiting_bytes(void)
+{
+    return counter_value(counter_get("irisstall_peer_waiting_bytes", NULL, ""));
+}
+
+static int64_t
+changed_bytes(void)
+{
+    return counter_value(counter_get("irisstall_view_bytes_total", "reason=\"change\"", ""));
+}
+
+static void
+on_time(uv_timer_t *timer)
+{
+    *(bool *)timer->data = true;
+}
+
+/* Runs the loop for that long. */
+static void
+run_for(site_t *site, uint64_t ms)
+{
+    static uv_timer_t timer;
+    bool over = false;
+    uv_timer_init(&site->loop, &timer);
+    timer.data = &over;
+    uv_timer_start(&timer, on_time, ms, 0);
+    while (!over)
+        uv_run(&site->loop, UV_RUN_ONCE);
+}
+
+/* Changes in quick succession, each a version of the one configuration object. */
+START_TEST(changes_do_not_queue_for_a_peer_that_reads_slowly)
+{
+    enum { ROUTES = 500, ROUNDS = 6, BURST = 10, ROUND_MS = 210 };
+    site_t *site = new_ready_site(1);
+    peer_t *peer = new_peer(site, site->gateway);
+    stall(peer);
+    RUN_UNTIL(site, gateway_living(site->gateway) == 2);
+    site->extra_routes = ROUTES;
+    const int64_t before = changed_bytes();
+    put_config(site, NULL);
+    RUN_UNTIL(site, changed_bytes() > before);
+    const int64_t one_change = changed_bytes() - before;
+    int64_t most = 0;
+    for (int round = 0; round < ROUNDS; round++) {
+        for (int i = 0; i < BURST; i++)
+            put_config(site, NULL);
+        run_for(site, ROUND_MS);
+        if (waiting_bytes() > most)
+            most = waiting_bytes();
+    }
+    ck_assert_msg(most <= 3 * one_change, "%lld bytes wait, a change has %lld", (long long)most,
+                  (long long)one_change);
+}
+END_TEST
+
+/* The peer knows revision 1000; what reaches the instance are changes of long ago. */
+START_TEST(late_changes_do_not_keep_an_instance_from_asking)
+{
+    enum { NEWEST = 1000, FIRST = 100 };
+    site_t *site = new_site(1);
+    standin_store_set_mode(site->store, STANDIN_STORE_BUSY);
+    gateway_t *gateway = start_gateway(site, "g-1", &site->store_port, NULL);
+    peer_t *peer = new_peer(site, gateway);
+    send_change(peer, 0, FIRST);
+    peer->late = FIRST;
+    peer->at = NEWEST;
+    RUN_UNTIL(site, peer->requests > 0);
+}
+END_TEST
+
+/* A large configuration travels along a tree of instances. The scripted peer, one of them, sends
+ * nothing on: those behind it ask for what they lack. */
+START_TEST(a_large_change_reaches_all_past_a_silent_instance)
+{
+    enum { INSTANCES = 12, ROUTES = 500 };
+    gateway_t *others[INSTANCES];
+    site_t *site = new_ready_site(1);
+    gateway_t *first = site->gateway;
+    standin_store_t *closed = standin_store_start(&site->loop, &site->any);
+    standin_store_set_mode(closed, STANDIN_STORE_BUSY);
+    const addr_t addr = standin_store_addr(closed);
+    const store_port_t port = platform_store_port(platform_store_new(&site->loop, &addr));
+    for (size_t i = 0; i < ALEN(others); i++) {
+        char name[16];
+        snprintf(name, sizeof(name), "g-%zu", i + 2);
+        others[i] = start_gateway(site, name, &port, &gateway_settings(first)->peer);
+    }
+    peer_t *peer = new_peer(site, first);
+    for (size_t i = 0; i < ALEN(others); i++)
+        peer->to[peer->to_count++] = gateway_settings(others[i])->peer;
+    for (size_t i = 0; i < ALEN(others); i++) {
+        RUN_UNTIL(site, gateway_living(others[i]) == INSTANCES + 2);
+        use_gateway(site, others[i]);
+        RUN_UNTIL(site, is_ready(site));
+    }
+    site->extra_routes = ROUTES;
+    put_config(site, "/new/");
+    for (size_t i = 0; i < ALEN(others); i++) {
+        use_gateway(site, others[i]);
+        RUN_UNTIL(site, ask(site, "GET", "/new/x").status == 200);
+    }
+}
+END_TEST
+
+Suite *
+suite_gateway_view_relay(void)
+{
+    Suite *suite = suite_create("gateway: view relay");
+    TCase *tests = tcase_create("relay");
+    tcase_set_timeout(tests, 60);
+    tcase_add_test(tests, changes_do_not_queue_for_a_peer_that_reads_slowly);
+    tcase_add_test(tests, late_changes_do_not_keep_an_instance_from_asking);
+    tcase_add_test(tests, a_large_change_reaches_all_past_a_silent_instance);
+    suite_add_tcase(suite, tests);
+    return suite;
+}
--- a/test/suites.h
+++ b/test/suites.h
@@ -30,5 +30,6 @@
 Suite *suite_gateway_request_path(void);
 Suite *suite_gateway_store(void);
 Suite *suite_gateway_peers(void);
+Suite *suite_gateway_view_relay(void);
 Suite *suite_gateway_relay(void);
 Suite *suite_gateway_endpoints(void);
