wire: the pool keeps a connection itself

Moved only: the lines that put a connection back into its pool stand in pool.c, beside those that take it out. Same order of steps; the one caller is the call's end.

--- a/wire/client.c
+++ b/wire/client.c
@@ -40,10 +40,7 @@
         uv_timer_stop(&conn->timer);
         /* The call may have paused reading with the answer's last bytes already here. */
         uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
-        conn->idle_since_ms = uv_now(pool->loop);
-        conn->next = pool->idle;
-        pool->idle = conn;
-        pool->idle_count++;
+        client_conn_keep(conn);
     } else {
         client_conn_close(conn);
     }
--- a/wire/client_conn.h
+++ b/wire/client_conn.h
@@ -58,5 +58,7 @@
 /* A kept connection that is young enough, NULL if there is none; older ones are closed on the way.
  */
 client_conn_t *client_conn_take(wire_pool_t *pool, uint64_t idle_max_ms);
+/* Puts a connection whose call has ended into its pool. */
+void client_conn_keep(client_conn_t *conn);
 /* Frees a pool that is given up once nothing of it is left. */
 void wire_pool_release(wire_pool_t *pool);
--- a/wire/pool.c
+++ b/wire/pool.c
@@ -78,6 +78,16 @@
     return NULL;
 }
 
+void
+client_conn_keep(client_conn_t *conn)
+{
+    wire_pool_t *pool = conn->pool;
+    conn->idle_since_ms = uv_now(pool->loop);
+    conn->next = pool->idle;
+    pool->idle = conn;
+    pool->idle_count++;
+}
+
 client_conn_t *
 client_conn_open(wire_pool_t *pool)
 {
