wire: client.c by its jobs: connecting, the call, its answer

client.c keeps what others call. client_connect.c connects, client_call.c sends a request, reads and ends its call, client_answer.c parses the answer; they call each other in that direction only, and client_conn.h says so.

Moved, with one turn: the parser no longer ends the call but returns what has happened (unfinished, whole, invalid, cancelled), and client_call.c acts on it. The conditions are the same: surplus bytes make the connection not reusable where they were tested beside it, and at the connection's end it closes whatever the mark says.

--- /dev/null
+++ b/wire/client_call.c
@@ -0,0 +1,176 @@
+#include <stdlib.h>
+
+#include "wire/client_answer.h"
+#include "wire/client_call.h"
+
+enum { READ_SIZE = 65536 };
+
+static char read_buffer[READ_SIZE];
+
+static void
+on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
+{
+    (void)handle;
+    (void)suggested;
+    *buf = uv_buf_init(read_buffer, sizeof(read_buffer));
+}
+
+void
+client_call_end(client_conn_t *conn, bool reuse)
+{
+    wire_call_t *call = conn->call;
+    wire_pool_t *pool = conn->pool;
+    conn->call = NULL;
+    pool->busy_count--;
+    if (reuse && !pool->freed && !conn->dead) {
+        uv_timer_stop(&conn->timer);
+        /* The call may have paused reading with the answer's last bytes already here. */
+        client_call_read(conn);
+        client_conn_keep(conn);
+    } else {
+        client_conn_close(conn);
+    }
+    if (!call->done) {
+        call->done = true;
+        call->cbs.on_end(call->ctx, &call->end);
+    }
+    free(call);
+    wire_pool_release(pool);
+}
+
+void
+client_call_fail(client_conn_t *conn, err_code_t code, const char *what)
+{
+    char text[ADDR_TEXT_MAX];
+    wire_call_t *call = conn->call;
+    const bool sent = call->end.stage >= WIRE_SENT;
+    if (code == ERR_UNAVAILABLE && sent)
+        code = ERR_ANSWER_LOST;
+    err_set(&call->end.err, code, "%s: %s", addr_format(&conn->pool->addr, text), what);
+    client_call_end(conn, false);
+}
+
+/* ---- reading ---- */
+
+static void
+on_answer_bytes(client_conn_t *conn, const char *ptr, size_t len)
+{
+    switch (client_answer_read(conn, ptr, len)) {
+    case ANSWER_WHOLE:
+        /* An answer before the request was written spoils the connection. */
+        client_call_end(conn, conn->reusable && !conn->writing);
+        return;
+    case ANSWER_INVALID:
+        client_call_fail(conn, ERR_PROTOCOL, client_answer_fault(conn));
+        return;
+    case ANSWER_UNFINISHED:
+    case ANSWER_CANCELLED:
+        return;
+    }
+}
+
+/* libuv tells a reset as an end when bytes came before it: ask the socket itself. */
+static bool
+was_reset(const client_conn_t *conn)
+{
+    uv_os_fd_t fd;
+    char byte;
+    if (uv_fileno((const uv_handle_t *)&conn->tcp, &fd) != 0)
+        return true;
+    return recv(fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) != 0;
+}
+
+static void
+on_eof(client_conn_t *conn)
+{
+    if (was_reset(conn)) {
+        client_call_fail(conn, ERR_UNAVAILABLE, "reset before the answer was whole");
+        return;
+    }
+    /* An answer without a length ends with its connection. */
+    switch (client_answer_read(conn, NULL, 0)) {
+    case ANSWER_WHOLE:
+        conn->call->end.unframed = true;
+        client_call_end(conn, false);
+        return;
+    case ANSWER_UNFINISHED:
+    case ANSWER_INVALID:
+        client_call_fail(conn, ERR_UNAVAILABLE, "closed before the answer was whole");
+        return;
+    case ANSWER_CANCELLED:
+        return;
+    }
+}
+
+static void
+on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
+{
+    client_conn_t *conn = stream->data;
+    if (conn->dead || n == 0)
+        return;
+    if (conn->call == NULL) {
+        client_conn_close_idle(conn);
+        return;
+    }
+    if (n == UV_EOF)
+        on_eof(conn);
+    else if (n < 0)
+        client_call_fail(conn, ERR_UNAVAILABLE, uv_strerror((int)n));
+    else
+        on_answer_bytes(conn, buf->base, (size_t)n);
+}
+
+void
+client_call_read(client_conn_t *conn)
+{
+    uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
+}
+
+/* ---- sending ---- */
+
+static void
+on_call_timeout(uv_timer_t *timer)
+{
+    client_conn_t *conn = timer->data;
+    client_call_fail(conn, ERR_TIMEOUT, "no whole answer in time");
+}
+
+static void
+on_written(uv_write_t *req, int status)
+{
+    client_conn_t *conn = req->data;
+    conn->writing = false;
+    free(conn->request);
+    conn->request = NULL;
+    if (status != 0 && !conn->dead && conn->call != NULL)
+        client_call_fail(conn, ERR_UNAVAILABLE, uv_strerror(status));
+}
+
+void
+client_call_send(client_conn_t *conn)
+{
+    wire_call_t *call = conn->call;
+    client_answer_begin(conn);
+    call->end.stage = WIRE_SENT;
+    if (call->conf.timeout_ms > 0)
+        uv_timer_start(&conn->timer, on_call_timeout, call->conf.timeout_ms, 0);
+    conn->request = call->conf.request;
+    call->conf.request = NULL;
+    uv_buf_t buf = uv_buf_init(conn->request, (unsigned)call->conf.request_len);
+    const int n = uv_try_write((uv_stream_t *)&conn->tcp, &buf, 1);
+    if (n == (int)buf.len) {
+        free(conn->request);
+        conn->request = NULL;
+        return;
+    }
+    if (n > 0) {
+        buf.base += n;
+        buf.len -= (size_t)n;
+    }
+    conn->write.data = conn;
+    conn->writing = true;
+    if (uv_write(&conn->write, (uv_stream_t *)&conn->tcp, &buf, 1, on_written) != 0) {
+        conn->writing = false;
+        uv_timer_start(&conn->timer, on_call_timeout, 0, 0);
+    }
+}
--- a/wire/client_conn.h
+++ b/wire/client_conn.h
@@ -1,6 +1,8 @@
 /*
  * Client connection: a connection to a backend server or to the store, and its pool. Inside of the
- * client; used by client.c (calls and answers) and pool.c (which connection) only.
+ * client. Its files call each other in this direction only: client.c (what others may call),
+ * client_connect.c, client_call.c (a call on a connection), client_answer.c (its answer) and pool.c
+ * (which connection).
  */
 #pragma once
 
--- /dev/null
+++ b/wire/client_connect.c
@@ -0,0 +1,42 @@
+#include "base/tcp.h"
+#include "wire/client_call.h"
+#include "wire/client_connect.h"
+
+/* Unacknowledged bytes break the connection after this time, so that a backend without power is
+ * noticed. Chosen, not measured. */
+enum { USER_TIMEOUT_MS = 1200 };
+
+static void
+on_connect_timeout(uv_timer_t *timer)
+{
+    client_conn_t *conn = timer->data;
+    client_call_fail(conn, ERR_UNAVAILABLE, "not connected in time");
+}
+
+static void
+on_connected(uv_connect_t *req, int status)
+{
+    client_conn_t *conn = req->data;
+    if (conn->dead || conn->call == NULL)
+        return;
+    if (status != 0) {
+        client_call_fail(conn, ERR_UNAVAILABLE, uv_strerror(status));
+        return;
+    }
+    uv_timer_stop(&conn->timer);
+    uv_tcp_nodelay(&conn->tcp, 1);
+    tcp_set_user_timeout(&conn->tcp, USER_TIMEOUT_MS);
+    client_call_read(conn);
+    client_call_send(conn);
+}
+
+void
+client_connect(client_conn_t *conn)
+{
+    const wire_pool_t *pool = conn->pool;
+    const bool full = pool->busy_count + pool->idle_count > pool->max;
+    if (full || uv_tcp_connect(&conn->connect, &conn->tcp, &pool->addr.sa, on_connected) != 0)
+        uv_timer_start(&conn->timer, on_connect_timeout, 0, 0);
+    else
+        uv_timer_start(&conn->timer, on_connect_timeout, conn->call->conf.connect_timeout_ms, 0);
+}
--- a/wire/head.h
+++ b/wire/head.h
@@ -1,8 +1,9 @@
 /*
  * The head of an HTTP/1.1 message: start line and header fields, owned in one buffer.
  *
- * Filled by the parser callbacks of request_reader.c and client.c, which may deliver a field in
- * pieces. Owns the bytes; a str_t returned from here lives as long as the head is not reset.
+ * Filled by the parser callbacks of request_reader.c and client_answer.c, which may deliver a
+ * field in pieces. Owns the bytes; a str_t returned from here lives as long as the head is not
+ * reset.
  */
 #pragma once
 
