choice: asks for each candidate's health once

demote_avoided() asked twice for each backend server of a service, on every request. Now the first pass keeps the answer with the candidate. The same decision: health_is_avoided() is a function of the health and the time only, both passes had the same time, and nothing between them changes a health (avoidable_share() reads the plan). The two halves of the condition have no side effects, so their order does not matter.

--- a/gateway/policy/choice.c
+++ b/gateway/policy/choice.c
@@ -25,6 +25,7 @@
 typedef struct {
     backend_t *backend;
     double score;
+    bool avoided; /* from health_is_avoided() */
 } candidate_t;
 
 static double
@@ -84,16 +85,18 @@
     unsigned total[TOPOLOGY_REGIONS_MAX + 1] = {0};
     unsigned avoided[TOPOLOGY_REGIONS_MAX + 1] = {0};
     for (size_t i = 0; i < count; i++) {
-        const backend_t *backend = candidates[i].backend;
+        candidate_t *candidate = &candidates[i];
+        const backend_t *backend = candidate->backend;
+        candidate->avoided = health_is_avoided(&backend->health, input->now_ms);
         total[backend->region]++;
-        avoided[backend->region] += health_is_avoided(&backend->health, input->now_ms);
+        avoided[backend->region] += candidate->avoided;
     }
     const double share = avoidable_share(input);
     for (size_t i = 0; i < count; i++) {
-        const backend_t *backend = candidates[i].backend;
-        if (avoided[backend->region] <= share * total[backend->region] &&
-            health_is_avoided(&backend->health, input->now_ms))
-            candidates[i].score *= AVOIDED_FACTOR;
+        candidate_t *candidate = &candidates[i];
+        const size_t region = candidate->backend->region;
+        if (candidate->avoided && avoided[region] <= share * total[region])
+            candidate->score *= AVOIDED_FACTOR;
     }
 }
 
@@ -104,7 +107,8 @@
     for (size_t i = 0; i < input->backends->count && count < CANDIDATES_MAX; i++) {
         backend_t *backend = input->backends->items[i];
         if (may_use(input, backend))
-            out[count++] = (candidate_t){backend, rendezvous_score(input, backend)};
+            out[count++] =
+                (candidate_t){.backend = backend, .score = rendezvous_score(input, backend)};
     }
     demote_avoided(input, out, count);
     return count;
