path: exchange.c by its jobs: beginning, dispatch, time limits, ending

exchange.c keeps the beginning of an exchange. exchange_state holds what it has, its lifetime and its timer; ending.c logs, answers and releases; dispatch.c makes the attempts; time_limit.c acts on the deadline and on an overdue attempt. They call each other in one direction only.

Moved only; functions that other files call got their file's prefix. To keep one direction the timer's callback is a field that is set once, to the same function as before. The log line of an abandoned attempt keeps its module name, exchange.

--- /dev/null
+++ b/gateway/path/dispatch.c
@@ -0,0 +1,130 @@
+#include "gateway/path/dispatch.h"
+#include "gateway/path/ending.h"
+
+backend_t *
+dispatch_choose(const exchange_t *ex, choice_reason_t *reason)
+{
+    const uint32_t given_up_in_ms = exchange_left_ms(ex) > 0 ? (uint32_t)exchange_left_ms(ex) : 1;
+    const router_request_t request = {
+        .route = ex->route,
+        .service = ex->service,
+        .object = ex->object,
+        .has_object = router_has_object(ex->route, ex->terms.object),
+        .left_ms = ex->terms.has_deadline ? ex->terms.deadline_ms : given_up_in_ms,
+        .tried = ex->tried,
+        .tried_count = ex->tried_count,
+    };
+    return router_pick(ex->owner->router, &request, reason);
+}
+
+void
+dispatch_send(exchange_t *ex, backend_t *backend)
+{
+    router_t *router = ex->owner->router;
+    ex->tried[ex->tried_count++] = backend_ref(backend);
+    router_attempt_started(router, ex->service, backend);
+    const attempt_conf_t conf = {
+        .backend = backend,
+        .left_ms = exchange_left_ms(ex) > 0 ? (uint32_t)exchange_left_ms(ex) : 1,
+        .repeatable = ex->route->repeatable,
+        .queued = ex->choice == CHOICE_QUEUED,
+        .slow_ms = router_slow_ms(router, ex->route),
+    };
+    attempt_start(&ex->attempt, &conf);
+    ex->overdue_ms = conf.slow_ms > 0 ? exchange_now_ms(ex) + conf.slow_ms : 0;
+    exchange_set_timer(ex);
+}
+
+void
+dispatch_next(exchange_t *ex)
+{
+    backend_t *backend = dispatch_choose(ex, &ex->choice);
+    if (backend != NULL) {
+        dispatch_send(ex, backend);
+        return;
+    }
+    router_count_refused(ex->owner->router, ex->service);
+    ending_refuse(ex, ex->choice == CHOICE_FULL ? OUTCOME_NO_ROOM : OUTCOME_NO_BACKEND);
+}
+
+void
+dispatch_cancel(exchange_t *ex)
+{
+    if (ex->attempt.call == NULL)
+        return;
+    attempt_cancel(&ex->attempt);
+    ex->sends += ex->attempt.sent;
+    ex->may_have_run |= ex->attempt.sent;
+    router_attempt_finished(ex->owner->router, ex->service, exchange_last_tried(ex));
+}
+
+/* ---- what becomes of an attempt ---- */
+
+retry_input_t
+dispatch_retry_input(const exchange_t *ex)
+{
+    return (retry_input_t){
+        .repeatable = ex->route->repeatable,
+        .may_have_run = ex->may_have_run,
+        .backends_tried = ex->tried_count,
+        .sends = ex->sends,
+        .sends_max = ex->route->max_attempts,
+        .left_ms = exchange_left_ms(ex),
+    };
+}
+
+static bool
+may_retry(exchange_t *ex)
+{
+    const retry_input_t input = dispatch_retry_input(ex);
+    const retry_account_t account = router_retry_account(ex->owner->router, ex->service);
+    ex->retry = retry_decide(&input, &account);
+    return ex->retry == RETRY_YES;
+}
+
+static void
+retry_or_refuse(exchange_t *ex)
+{
+    if (may_retry(ex))
+        dispatch_next(ex);
+    else
+        ending_refuse(ex, OUTCOME_NOT_RUN);
+}
+
+static void
+on_answered(exchange_t *ex)
+{
+    const attempt_t *attempt = &ex->attempt;
+    router_count_answer(ex->owner->router, ex->route, ex->service,
+                        (double)(exchange_now_ms(ex) - attempt->sent_ms));
+    if (retry_replaces_answer(attempt->status, ex->route->repeatable, attempt->streaming) &&
+        may_retry(ex)) {
+        ex->may_have_run = true;
+        dispatch_next(ex);
+        return;
+    }
+    ending_pass_on(ex);
+}
+
+void
+dispatch_on_attempt_end(void *ctx, attempt_outcome_t outcome)
+{
+    exchange_t *ex = ctx;
+    router_attempt_finished(ex->owner->router, ex->service, exchange_last_tried(ex));
+    ex->sends += ex->attempt.sent;
+    switch (outcome) {
+    case ATTEMPT_ANSWERED:
+        on_answered(ex);
+        break;
+    case ATTEMPT_NOT_RUN:
+        retry_or_refuse(ex);
+        break;
+    case ATTEMPT_UNKNOWN:
+        ex->may_have_run = true;
+        retry_or_refuse(ex);
+        break;
+    case ATTEMPT_CUT:
+        ending_cut(ex, OUTCOME_CUT_BY_BACKEND);
+        break;
+    }
+}
--- /dev/null
+++ b/gateway/path/ending.c
@@ -0,0 +1,64 @@
+#include <stdlib.h>
+
+#include <http_parser.h>
+
+#include "gateway/path/access_log.h"
+#include "gateway/path/ending.h"
+
+static void
+log_end(const exchange_t *ex, int status, outcome_t outcome)
+{
+    const backend_t *backend = exchange_last_tried(ex);
+    const access_t access = {
+        .id = ex->terms.id,
+        .outcome = outcome,
+        .status = status,
+        .service = ex->service != NULL ? ex->service->name.ptr : NULL,
+        .backend = backend != NULL ? backend->info.id.ptr : NULL,
+        .config_version = ex->config != NULL ? ex->config->version : NULL,
+        .attempts = ex->tried_count,
+        .sends = ex->sends,
+        .choice = ex->choice,
+        .retry = ex->retry,
+        .elapsed_ms = exchange_now_ms(ex) - ex->req->begun_ms,
+        .left_ms = exchange_left_ms(ex),
+    };
+    access_log(&access);
+}
+
+void
+ending_refuse(exchange_t *ex, outcome_t why)
+{
+    const final_answer_t answer = final_answer(why, ex->may_have_run);
+    wire_text_t fields = {0};
+    ex->owner->dialect->write_own_answer(ex->terms.id, answer.retry_after_ms, &fields);
+    log_end(ex, answer.status, answer.outcome);
+    wire_respond(ex->req, answer.status, (str_t){fields.ptr, fields.len}, STR(""));
+    free(fields.ptr);
+    exchange_release(ex);
+}
+
+void
+ending_cut(exchange_t *ex, outcome_t outcome)
+{
+    log_end(ex, ex->attempt.status, outcome);
+    wire_respond_abort(ex->req);
+    exchange_release(ex);
+}
+
+void
+ending_pass_on(exchange_t *ex)
+{
+    const int status = ex->attempt.status;
+    const bool failed = status >= HTTP_STATUS_INTERNAL_SERVER_ERROR;
+    log_end(ex, status, failed ? OUTCOME_BACKEND_FAILED : OUTCOME_ANSWERED);
+    attempt_pass_on(&ex->attempt);
+    exchange_release(ex);
+}
+
+void
+ending_caller_left(exchange_t *ex)
+{
+    log_end(ex, 0, OUTCOME_CALLER_LEFT);
+    exchange_release(ex);
+}
--- /dev/null
+++ b/gateway/path/ending.h
@@ -0,0 +1,19 @@
+/*
+ * Ending: how an exchange ends, once and for all: each is logged, answered and released here.
+ *
+ * What a refused caller is told is policy/final_answer.h's decision. Relies on access_log.h for the
+ * log, on the listener for answers, on the dialect for the header fields of an answer of our own.
+ */
+#pragma once
+
+#include "gateway/path/exchange_state.h"
+#include "gateway/policy/final_answer.h"
+
+/* Ends the exchange with an answer of the gateway's own. */
+void ending_refuse(exchange_t *ex, outcome_t why);
+/* Ends an answer that cannot be completed, so that it does not look complete. */
+void ending_cut(exchange_t *ex, outcome_t outcome);
+/* Passes the backend's answer on, or the rest of it. */
+void ending_pass_on(exchange_t *ex);
+/* Ends the exchange of a caller that has left. */
+void ending_caller_left(exchange_t *ex);
--- a/gateway/path/exchange.h
+++ b/gateway/path/exchange.h
@@ -5,7 +5,7 @@
  * (attempt.h), retry (policy/retry.h), final answer (policy/final_answer.h). Keeps the one fact
  * that everything else depends on: whether an attempt may have run the request. Owns the request
  * from the listener until it is answered, aborted, or its caller has left. Relies on the router for
- * what is known, on the dialect for the platform's header fields.
+ * what is known, on the dialect for the platform's header fields. Its files: exchange_state.h.
  */
 #pragma once
 
--- /dev/null
+++ b/gateway/path/exchange_state.c
@@ -0,0 +1,52 @@
+#include <stdlib.h>
+
+#include "base/xmalloc.h"
+#include "gateway/path/exchange_state.h"
+
+uint64_t
+exchange_now_ms(const exchange_t *ex)
+{
+    return uv_now(ex->owner->router->loop);
+}
+
+uint64_t
+exchange_left_ms(const exchange_t *ex)
+{
+    const uint64_t now = exchange_now_ms(ex);
+    return ex->end_ms > now ? ex->end_ms - now : 0;
+}
+
+backend_t *
+exchange_last_tried(const exchange_t *ex)
+{
+    return ex->tried_count > 0 ? ex->tried[ex->tried_count - 1] : NULL;
+}
+
+void
+exchange_set_timer(exchange_t *ex)
+{
+    const uint64_t now = exchange_now_ms(ex);
+    const bool overdue_first = ex->overdue_ms != 0 && ex->overdue_ms < ex->end_ms;
+    const uint64_t next = overdue_first ? ex->overdue_ms : ex->end_ms;
+    uv_timer_start(&ex->timer, ex->on_timer, next > now ? next - now : 0, 0);
+}
+
+static void
+on_timer_closed(uv_handle_t *handle)
+{
+    exchange_t *ex = handle->data;
+    for (size_t i = 0; i < ex->tried_count; i++)
+        backend_unref(ex->tried[i]);
+    attempt_free(&ex->attempt);
+    config_unref(ex->config);
+    free(ex);
+}
+
+void
+exchange_release(exchange_t *ex)
+{
+    xassert(!ex->done);
+    ex->done = true;
+    ex->owner->active--;
+    uv_close((uv_handle_t *)&ex->timer, on_timer_closed);
+}
--- /dev/null
+++ b/gateway/path/exchange_state.h
@@ -0,0 +1,50 @@
+/*
+ * What an exchange holds, its lifetime and its timer. Inside of the exchange.
+ *
+ * Its files call each other in this direction only: exchange.c (the beginning), time_limit.c (what
+ * happens when time runs out), dispatch.c (attempts, one after the other), ending.c (the answer),
+ * and this. What comes from outside - a timer, an attempt's end, a caller that leaves - enters by a
+ * callback that one of them has set.
+ *
+ * Owns exchange_t with its references to the configuration and to backend servers.
+ */
+#pragma once
+
+#include "gateway/path/attempt.h"
+#include "gateway/path/exchange.h"
+#include "gateway/policy/retry.h"
+
+typedef struct exchange exchange_t;
+
+struct exchange {
+    exchanges_t *owner;
+    wire_request_t *req;
+    config_t *config; /* the version that decides this request, from its arrival to its answer */
+    const config_route_t *route;
+    service_t *service;
+    caller_terms_t terms;
+    uint64_t object;      /* from router_object() */
+    uint64_t end_ms;      /* loop time at which it is given up */
+    uint64_t overdue_ms;  /* loop time at which the attempt is overdue; 0: it is, or none is set */
+    uv_timer_t timer;     /* for the earlier of the two */
+    uv_timer_cb on_timer; /* set by exchange.c */
+    attempt_t attempt;
+    choice_reason_t choice;               /* of the last choice */
+    retry_verdict_t retry;                /* of the last decision to retry */
+    backend_t *tried[RETRY_BACKENDS_MAX]; /* in this order, a reference to each */
+    size_t tried_count;
+    uint32_t sends;    /* ended attempts of which bytes may have gone out */
+    bool may_have_run; /* one of them ended without certainty */
+    bool done;
+};
+
+/* Loop time. */
+uint64_t exchange_now_ms(const exchange_t *ex);
+/* Time until the exchange is given up. */
+uint64_t exchange_left_ms(const exchange_t *ex);
+/* The backend server of the latest attempt, NULL before the first one. */
+backend_t *exchange_last_tried(const exchange_t *ex);
+/* Sets the timer for what comes first: the attempt is overdue, or the exchange is given up. */
+void exchange_set_timer(exchange_t *ex);
+/* The exchange has ended; it is freed once its timer is closed. */
+void exchange_release(exchange_t *ex);
--- /dev/null
+++ b/gateway/path/time_limit.c
@@ -0,0 +1,72 @@
+/* Its lines in the log are the exchange's. */
+#define LOG_MODULE "exchange"
+#include "base/log.h"
+#include "gateway/path/dispatch.h"
+#include "gateway/path/ending.h"
+#include "gateway/path/time_limit.h"
+
+/* The deadline has come. */
+static void
+give_up(exchange_t *ex)
+{
+    if (ex->attempt.call != NULL)
+        attempt_record(&ex->attempt, true);
+    dispatch_cancel(ex);
+    if (ex->attempt.streaming)
+        ending_cut(ex, OUTCOME_CUT_AT_DEADLINE);
+    else
+        ending_refuse(ex, OUTCOME_TIMEOUT);
+}
+
+/* True if the overdue attempt may be broken off in favour of another one. */
+static bool
+may_replace_overdue(exchange_t *ex)
+{
+    const attempt_t *attempt = &ex->attempt;
+    const retry_overdue_t input = {
+        .request = dispatch_retry_input(ex),
+        .sent = wire_call_stage(attempt->call) != WIRE_UNSENT,
+        .backend_avoided = health_is_avoided(&attempt->backend->health, exchange_now_ms(ex)),
+    };
+    const retry_account_t account = router_retry_account(ex->owner->router, ex->service);
+    ex->retry = retry_decide_overdue(&input, &account);
+    return ex->retry == RETRY_YES;
+}
+
+/* The attempt takes far longer than usual. It is broken off only once another backend has taken the
+ * request: if none does, its own backend may still answer. */
+static void
+on_overdue(exchange_t *ex)
+{
+    attempt_t *attempt = &ex->attempt;
+    ex->overdue_ms = 0;
+    if (attempt->call == NULL || attempt->head_seen)
+        return;
+    if (attempt_is_slow(attempt))
+        attempt_record(attempt, true);
+    if (!may_replace_overdue(ex))
+        return;
+    choice_reason_t choice;
+    backend_t *other = dispatch_choose(ex, &choice);
+    if (other == NULL)
+        return;
+    LOG_INFO("attempt abandoned: id=%.*s backend=%s after_ms=%llu for=%s", STR_ARG(ex->terms.id),
+             attempt->backend->info.id.ptr,
+             (unsigned long long)(exchange_now_ms(ex) - attempt->sent_ms), other->info.id.ptr);
+    dispatch_cancel(ex);
+    ex->choice = choice;
+    dispatch_send(ex, other);
+}
+
+void
+time_limit_on_timer(uv_timer_t *timer)
+{
+    exchange_t *ex = timer->data;
+    if (exchange_now_ms(ex) >= ex->end_ms) {
+        give_up(ex);
+        return;
+    }
+    on_overdue(ex);
+    if (!ex->done)
+        exchange_set_timer(ex);
+}
