entry: gossip.c by its messages: heartbeats, objects, credits

gossip.c keeps the one thing that all messages share, which part takes which. The parts call in one direction: gossip.c, gossip_heartbeat.c, gossip_objects.c; gossip_credits.c stands alone.

Moved only; functions that another file now calls got the prefix gossip_.

--- a/entry/control.c
+++ b/entry/control.c
@@ -5,7 +5,8 @@
 #include "base/log.h"
 #include "base/xmalloc.h"
 #include "entry/control.h"
-#include "entry/gossip.h"
+#include "entry/gossip_heartbeat.h"
+#include "entry/gossip_objects.h"
 #include "entry/probe.h"
 #include "entry/store.h"
 
--- a/entry/node.c
+++ b/entry/node.c
@@ -9,6 +9,8 @@
 #include "entry/admin.h"
 #include "entry/control.h"
 #include "entry/gossip.h"
+#include "entry/gossip_credits.h"
+#include "entry/gossip_heartbeat.h"
 #include "entry/node.h"
 #include "entry/path/outcome.h"
 #include "entry/path/route.h"
--- a/entry/node_state.h
+++ b/entry/node_state.h
@@ -1,8 +1,9 @@
 /*
  * Everything one entry instance holds, and the few questions that all of its files ask.
  *
- * node.c wires the parts together; store.c, gossip.c, control.c, probe.c and path/ work on this
- * state and call each other in one direction only. Relies on the aggregates in the folders below.
+ * node.c wires the parts together; store.c, gossip.c with its parts, control.c, probe.c and path/
+ * work on this state and call each other in one direction only. Relies on the aggregates in the
+ * folders below.
  */
 #pragma once
 
--- a/entry/store.c
+++ b/entry/store.c
@@ -6,7 +6,7 @@
 #define LOG_MODULE "store"
 #include "base/log.h"
 #include "base/xmalloc.h"
-#include "entry/gossip.h"
+#include "entry/gossip_objects.h"
 #include "entry/store.h"
 
 /* Chosen for the store's rates; docs/CAPACITY.md has the calls that follow from them. */
