table: the stored form in a file of its own

table.c holds the table and its rules, table_json.c its JSON. Moved, with two small turns: the names of a row's states are parsed in one place (edit.c had the same comparison again), and POINTS stands once, in table.h. Users of table_parse() and table_format() include the new header, two tests among them.

--- a/bin/slopes.c
+++ b/bin/slopes.c
@@ -22,6 +22,7 @@
 #include "entry/region/credit.h"
 #include "entry/request/key.h"
 #include "entry/table/ramp.h"
+#include "entry/table/table_json.h"
 
 enum {
     CHUNK = 65536,
--- a/ctl/commit.c
+++ b/ctl/commit.c
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "ctl/commit.h"
+#include "entry/table/table_json.h"
 
 enum { GIVE_UP_MS = 10000, RETRY_MS = 200 };
 
--- a/ctl/table_cmd.c
+++ b/ctl/table_cmd.c
@@ -12,6 +12,7 @@
 #include "ctl/table_file.h"
 #include "entry/region/gate.h"
 #include "entry/table/ramp.h"
+#include "entry/table/table_json.h"
 
 static int
 fail(const session_t *session, int status, const err_t *err)
--- a/entry/node.c
+++ b/entry/node.c
@@ -17,6 +17,7 @@
 #include "entry/path/serve.h"
 #include "entry/store.h"
 #include "entry/table/ramp.h"
+#include "entry/table/table_json.h"
 
 /* None of these was measured alone. */
 enum {
--- a/entry/table/edit.c
+++ b/entry/table/edit.c
@@ -81,13 +81,7 @@
         *(column == COLUMN_LIMIT ? &row->limit : &row->rate) = (uint32_t)whole;
         return true;
     case COLUMN_STATE:
-        if (strcmp(text, row_state_name(ROW_STEERED)) == 0)
-            row->state = ROW_STEERED;
-        else if (strcmp(text, row_state_name(ROW_DRAINING)) == 0)
-            row->state = ROW_DRAINING;
-        else
-            return false;
-        return true;
+        return row_state_parse(text, &row->state);
     }
     BUG("unknown column");
 }
--- a/entry/table/ramp.c
+++ b/entry/table/ramp.c
@@ -4,7 +4,6 @@
 #include "base/xmalloc.h"
 #include "entry/table/ramp.h"
 
-#define POINTS 100.0
 #define EPSILON_POINTS 1e-9
 
 void
@@ -17,7 +16,7 @@
         sum += shares[i];
     }
     for (size_t i = 0; i < table->row_count; i++)
-        shares[i] = sum > 0 ? shares[i] * POINTS / sum : 0;
+        shares[i] = sum > 0 ? shares[i] * TABLE_POINTS / sum : 0;
 }
 
 static double
@@ -36,7 +35,7 @@
     double longest = 0;
     for (size_t i = 0; i < table->row_count; i++) {
         const table_row_t *row = &table->rows[i];
-        const double rise = targets[i] - row->from * POINTS / sum;
+        const double rise = targets[i] - row->from * TABLE_POINTS / sum;
         if (rise <= EPSILON_POINTS)
             continue;
         if (row->cap <= 0)
@@ -76,7 +75,7 @@
         return;
     const double progress = duration > 0 ? elapsed / duration : 0;
     for (size_t i = 0; i < table->row_count; i++) {
-        const double from = table->rows[i].from * POINTS / sum;
+        const double from = table->rows[i].from * TABLE_POINTS / sum;
         shares[i] = from + (shares[i] - from) * progress;
     }
 }
--- a/entry/table/table.h
+++ b/entry/table/table.h
@@ -2,7 +2,7 @@
  * The table: one object per service, a row per place.
  *
  * Rules kept here: names are valid and unique, numbers are in range, at least one row takes
- * traffic. docs/TABLE.md gives the meaning of every column.
+ * traffic. docs/TABLE.md gives the meaning of every column; table_json.h is the stored form.
  */
 #pragma once
 
@@ -20,6 +20,8 @@
     TABLE_EDITS_KEPT = 32,
 };
 
+#define TABLE_POINTS 100.0 /* shares of all rows together */
+
 typedef enum { ROW_STEERED, ROW_DRAINING } row_state_t;
 
 typedef struct {
@@ -59,12 +61,8 @@
     size_t edit_count;
 } table_t;
 
-/* Parses and checks the stored form (JSON); NULL with ERR_PARSE or ERR_INVALID. */
-table_t *table_parse(str_t json, err_t *err);
 table_t *table_copy(const table_t *table);
 void table_free(table_t *table);
-/* The stored form; free() the result. */
-char *table_format(const table_t *table);
 bool table_check(const table_t *table, err_t *err);
 
 table_row_t *table_row(const table_t *table, str_t place);
@@ -76,3 +74,5 @@
 void table_add_draining(table_t *table, const name_t *backend);
 void table_remove_draining(table_t *table, str_t backend);
 const char *row_state_name(row_state_t state);
+/* False if there is no state of that name. */
+bool row_state_parse(const char *text, row_state_t *state);
--- a/test/test_lookup.c
+++ b/test/test_lookup.c
@@ -9,6 +9,7 @@
 #include "entry/lookup/plan.h"
 #include "entry/lookup/spill.h"
 #include "entry/lookup/steer.h"
+#include "entry/table/table_json.h"
 #include "test/suites.h"
 
 enum { BLOCKS = 5000, CHUNK = 1000 };
--- a/test/test_table.c
+++ b/test/test_table.c
@@ -9,6 +9,7 @@
 #include "base/xmalloc.h"
 #include "entry/table/edit.h"
 #include "entry/table/ramp.h"
+#include "entry/table/table_json.h"
 #include "test/suites.h"
 
 static const char two_rows[] =
