entry: route.c by where a request goes: local, remote, waiting

route.c keeps the order of what is tried, and hedging. local.c sends to a place of this region, remote.c to another entry, waiting.c holds the queue; route.c calls these, they call attempt.c.

The draws of random numbers come in the same order.

--- a/entry/lookup/steer.c
+++ b/entry/lookup/steer.c
@@ -148,6 +148,21 @@
     return (size_t)(key % steer->topology->region_count);
 }
 
+/* The part of the cap that the ramp has used in the last minute is not there for spill. */
+static bool
+take_spill(const service_t *service, spill_t *spill, size_t row, uint64_t now_ms)
+{
+    const double cap = service->table->rows[row].cap * STEER_CAP_PART;
+    const double rise = service->rises[row] * STEER_CAP_PART;
+    return spill_take(spill, row, cap, rise, now_ms);
+}
+
+bool
+steer_take_request_spill(const service_t *service, size_t row, uint64_t now_ms)
+{
+    return take_spill(service, service->request_spill, row, now_ms);
+}
+
 steer_choice_t
 steer_choose(const steer_t *steer, service_t *service, const client_addr_t *client,
              const uint8_t *skip, uint64_t now_ms)
@@ -163,9 +178,7 @@
     choice.moved = true;
     if (choice.row == SIZE_MAX)
         return choice;
-    const double cap = service->table->rows[choice.row].cap * STEER_CAP_PART;
-    const double rise = service->rises[choice.row] * STEER_CAP_PART;
-    if (!spill_take(service->lookup_spill, choice.row, cap, rise, now_ms)) {
+    if (!take_spill(service, service->lookup_spill, choice.row, now_ms)) {
         choice.row = SIZE_MAX;
         choice.capped = true;
     }
--- a/entry/lookup/steer.h
+++ b/entry/lookup/steer.h
@@ -58,6 +58,10 @@
     bool capped; /* a place was there, but its cap is used up */
 } steer_choice_t;
 
+/* True if a request may go to that row beyond its share, which then counts against the row's cap.
+ */
+bool steer_take_request_spill(const service_t *service, size_t row, uint64_t now_ms);
+
 /* The place for a client; `skip` marks rows that cannot serve. */
 steer_choice_t steer_choose(const steer_t *steer, service_t *service, const client_addr_t *client,
                             const uint8_t *skip, uint64_t now_ms);
--- a/entry/path/attempt.c
+++ b/entry/path/attempt.c
@@ -198,8 +198,8 @@
     return head;
 }
 
-attempt_t *
-attempt_start(exchange_t *x, const attempt_conf_t *conf)
+static attempt_t *
+send_attempt(exchange_t *x, const attempt_conf_t *conf)
 {
     static const http_call_cbs_t cbs = {
         .on_send = on_send, .on_head = on_head, .on_data = on_data, .on_end = on_end};
@@ -234,6 +234,15 @@
     return attempt;
 }
 
+void
+attempt_start(exchange_t *x, const attempt_conf_t *conf)
+{
+    const size_t slot = x->attempts[0] == NULL ? 0 : 1;
+    xassert(x->attempts[slot] == NULL);
+    x->tries++;
+    x->attempts[slot] = send_attempt(x, conf);
+}
+
 void
 attempt_cancel(attempt_t *attempt)
 {
--- a/entry/path/attempt.h
+++ b/entry/path/attempt.h
@@ -18,7 +18,8 @@
     const char *place;
 } attempt_conf_t;
 
-attempt_t *attempt_start(exchange_t *x, const attempt_conf_t *conf);
+/* Starts an attempt of the exchange, which has at most one beside it. */
+void attempt_start(exchange_t *x, const attempt_conf_t *conf);
 /* Ends it early; its credit rests until the deadline if bytes may have gone out. */
 void attempt_cancel(attempt_t *attempt);
 void attempt_pause(attempt_t *attempt);
--- a/entry/path/claims.c
+++ b/entry/path/claims.c
@@ -10,6 +10,7 @@
 #include "base/xmalloc.h"
 #include "entry/path/answer.h"
 #include "entry/path/claims.h"
+#include "entry/path/remote.h"
 #include "entry/path/route.h"
 
 enum {
@@ -84,7 +85,7 @@
         answer_unknown(x, 502, "owner_gone");
         return;
     }
-    route_to_entry(x, &instance->addr, HOP_OWNER);
+    remote_send(x, &instance->addr, HOP_OWNER);
 }
 
 /* Drops the record made for the claim: another entry owns the key. */
--- a/entry/path/exchange.h
+++ b/entry/path/exchange.h
@@ -2,7 +2,8 @@
  * One request of a caller, from admission to its last byte: its state and its lifetime.
  *
  * The files of this folder work on it in one direction: serve.c, arrival.c (start), claims.c
- * (keys), outcome.c (what becomes of attempts), route.c (where it goes), attempt.c (one try),
+ * (keys), outcome.c (what becomes of attempts), route.c (where it goes), local.c (to a place of
+ * this region), remote.c (to another entry), waiting.c (to the queue), attempt.c (one try),
  * answer.c (what the caller gets). Freed once its caller, its attempts and its claim are gone.
  * Relies on node_state.h.
  */
--- a/entry/path/outcome.c
+++ b/entry/path/outcome.c
@@ -7,6 +7,7 @@
 #include "entry/path/headers.h"
 #include "entry/path/outcome.h"
 #include "entry/path/route.h"
+#include "entry/path/waiting.h"
 
 enum {
     TRIES_MAX = 3,           /* attempts of a request, hedges included. Chosen, not measured */
@@ -36,7 +37,7 @@
         x->winner = NULL;
         if (x->record != NULL)
             exchange_set_record(x, x->may_have_run ? KEY_UNKNOWN : KEY_FREE, 0);
-        route_dequeue(x);
+        waiting_remove(x);
     } else if (x->winner != NULL) {
         attempt_resume(x->winner);
     }
