entry: units and sources of constants

Each constant of entry/ that had none has its unit or what it counts, and the page or commit it comes from.

Comments only; some enums were laid out a line a constant for them. No value changed.

--- a/entry/backend/backend.c
+++ b/entry/backend/backend.c
@@ -6,10 +6,11 @@
 #include "base/mutate.h"
 #include "base/xmalloc.h"
 
-#define LATENCY_GAIN 0.2
-#define DEFAULT_LATENCY_MS 10.0
-#define CLEARLY_BETTER 0.95 /* smaller differences are noise; the first one drawn wins */
-#define QUEUE_ALLOWANCE 0.5 /* requests a slot that may wait at a server */
+/* Chosen with the choice as a whole (docs/design/entry/choice.md); none was measured alone. */
+#define LATENCY_GAIN 0.2        /* weight of the latest latency in the smoothed one */
+#define DEFAULT_LATENCY_MS 10.0 /* of a service none of whose servers has answered yet */
+#define CLEARLY_BETTER 0.95     /* smaller differences are noise; the first one drawn wins */
+#define QUEUE_ALLOWANCE 0.5     /* requests a slot that may wait at a server */
 
 bool
 policy_parse(str_t text, policy_t *out)
--- a/entry/fleet/loads.h
+++ b/entry/fleet/loads.h
@@ -7,9 +7,10 @@
 
 #include "base/str.h"
 
-/* A region is lost when its news is LOADS_LOST_INTERVALS times as old as usual, within bounds. */
+/* A region is lost when its news is LOADS_LOST_INTERVALS times as old as usual, within bounds:
+ * commit 9af9734. */
 enum {
-    LOADS_REGIONS_MAX = 64,
+    LOADS_REGIONS_MAX = 64, /* as many as a topology has */
     LOADS_LOST_INTERVALS = 5,
     LOADS_LOST_MIN_MS = 4000,
     LOADS_LOST_MS = 12000,
--- a/entry/fleet/member.h
+++ b/entry/fleet/member.h
@@ -14,6 +14,7 @@
 #include "base/str.h"
 #include "entry/fleet/instance.h"
 
+/* Three heartbeats (control.c). Chosen, not measured. */
 enum { MEMBER_SILENCE_MS = 3000 };
 
 typedef struct {
--- a/entry/http/server.c
+++ b/entry/http/server.c
@@ -12,7 +12,7 @@
 #include "base/xmalloc.h"
 #include "entry/http/server.h"
 
-enum { LISTEN_BACKLOG = 1024 };
+enum { LISTEN_BACKLOG = 1024 }; /* connections not accepted yet. Chosen, not measured */
 
 struct http_server {
     h2o_globalconf_t config;
--- a/entry/lookup/blocks.h
+++ b/entry/lookup/blocks.h
@@ -14,7 +14,10 @@
 #include "base/error.h"
 #include "base/str.h"
 
-enum { BLOCKS_NO_AREA = 255, BLOCKS_CHUNKS_MAX = 1024 };
+enum {
+    BLOCKS_NO_AREA = 255,     /* an area is one byte */
+    BLOCKS_CHUNKS_MAX = 1024, /* of a set. Chosen, not measured */
+};
 
 typedef struct {
     uint32_t family; /* 4 or 6 */
--- a/entry/lookup/plan.c
+++ b/entry/lookup/plan.c
@@ -4,10 +4,13 @@
 #include "base/xmalloc.h"
 #include "entry/lookup/plan.h"
 
+/* A place this much farther from an area gets 1/e of the weight to start with. Chosen, as are the
+ * rounds: docs/design/entry/shifts.md. */
 #define DELAY_SCALE_MS 10.0
+/* Added to each weight; sums up to it count as 0. */
 #define TINY 1e-12
 
-enum { ROUNDS = 40 };
+enum { ROUNDS = 40 }; /* of fitting rows and columns in turn */
 
 static void
 scale_columns(steer_plan_t *plan, const double *shares)
--- a/entry/lookup/steer.h
+++ b/entry/lookup/steer.h
@@ -19,7 +19,11 @@
 /* Half of a row's cap is for look-ups, half for requests, so that both keep it together. */
 #define STEER_CAP_PART 0.5
 
-enum { STEER_REFRESH_MS = 200, STEER_SERVICES_MAX = 256 };
+enum {
+    /* Between plans while a shift runs; docs/CAPACITY.md has their cost. Chosen, not measured. */
+    STEER_REFRESH_MS = 200,
+    STEER_SERVICES_MAX = 256, /* services with a table. Chosen, not measured */
+};
 
 typedef struct {
     table_t *table;
--- a/entry/lookup/topology.h
+++ b/entry/lookup/topology.h
@@ -7,6 +7,7 @@
 #include "base/error.h"
 #include "base/str.h"
 
+/* Chosen above the size to design for, 26 regions and 54 data halls (docs/CAPACITY.md). */
 enum { TOPOLOGY_REGIONS_MAX = 64, TOPOLOGY_PLACES_MAX = 512 };
 
 typedef struct {
--- a/entry/node.c
+++ b/entry/node.c
@@ -21,14 +21,14 @@
 
 /* None of these was measured alone. */
 enum {
-    TICK_MS = 100,
-    SURRENDER_MS = 2500, /* the others have heard of surrendered credits by then */
-    BORROW_EVERY_MS = 50,
-    STORE_TIMEOUT_MS = 3000,
-    HEAD_TIMEOUT_MS = 10000,
-    CALLERS_MAX = 20000, /* connections */
-    ADMIN_MAX = 64,
-    ADMIN_BODY_MAX = 1024,
+    TICK_MS = 100,           /* between looks at what is due */
+    SURRENDER_MS = 2500,     /* the others have heard of surrendered credits by then */
+    BORROW_EVERY_MS = 50,    /* between requests for credits */
+    STORE_TIMEOUT_MS = 3000, /* of a call of the store */
+    HEAD_TIMEOUT_MS = 10000, /* for a request's head to arrive */
+    CALLERS_MAX = 20000,     /* connections */
+    ADMIN_MAX = 64,          /* connections to the admin pages */
+    ADMIN_BODY_MAX = 1024,   /* bytes of a request to them */
 };
 
 static void
--- a/entry/node_state.c
+++ b/entry/node_state.c
@@ -4,11 +4,11 @@
 
 /* None of these was measured alone. */
 enum {
-    SLEEP_MS = 2000, /* a tick that is this late means that the process stood still */
-    QUEUE_TICK_MS = 5,
+    SLEEP_MS = 2000,           /* a tick that is this late means that the process stood still */
+    QUEUE_TICK_MS = 5,         /* between looks at what waits */
     BACKEND_CONNECTIONS = 100, /* what a backend server of the users' first sites accepts */
-    BACKEND_IDLE_MS = 5000,
-    ENTRY_CONNECTIONS = 64,
+    BACKEND_IDLE_MS = 5000,    /* an idle connection is kept so long, also below */
+    ENTRY_CONNECTIONS = 64,    /* to one other entry */
     ENTRY_IDLE_MS = 5000,
 };
 
--- a/entry/node_state.h
+++ b/entry/node_state.h
@@ -52,7 +52,11 @@
     counter_t *authority;
 } node_counters_t;
 
-enum { CLASS_STATS_MAX = 128, REGION_ENTRIES_MAX = 64 };
+/* Chosen, not measured. */
+enum {
+    CLASS_STATS_MAX = 128,   /* request classes that are measured */
+    REGION_ENTRIES_MAX = 64, /* instances of a region that look-up answers name */
+};
 
 /* Entry instances to name in look-up answers, kept for a moment. */
 typedef struct {
--- a/entry/object_store/client.c
+++ b/entry/object_store/client.c
@@ -11,11 +11,11 @@
 
 /* Chosen; none was measured alone. */
 enum {
-    CONNECTIONS = 8,
-    IDLE_MS = 10000,
+    CONNECTIONS = 8,       /* to the store */
+    IDLE_MS = 10000,       /* an idle one is kept so long */
     WATCH_SLACK_MS = 3000, /* added to a watch's own waiting time */
-    PATH_MAX_LEN = 256,
-    BURST_SECONDS = 10, /* of the call budget that may be saved up */
+    PATH_MAX_LEN = 256,    /* bytes */
+    BURST_SECONDS = 10,    /* of the call budget that may be saved up */
 };
 
 struct platform {
--- a/entry/object_store/client.h
+++ b/entry/object_store/client.h
@@ -19,8 +19,8 @@
 typedef struct platform platform_t;
 
 enum {
-    PLATFORM_VALUE_MAX = 1 << 20, /* bytes of one object */
-    PLATFORM_ANSWER_MAX = 4 << 20,
+    PLATFORM_VALUE_MAX = 1 << 20,  /* bytes of one object */
+    PLATFORM_ANSWER_MAX = 4 << 20, /* bytes of an answer. Chosen, not measured */
 };
 
 typedef struct {
--- a/entry/path/attempt.c
+++ b/entry/path/attempt.c
@@ -12,7 +12,8 @@
 enum {
     STATUS_SHED = 503,
     STATUS_LATE = 504,
-    DEADLINE_GRACE_MS = 20, /* a server's own word about the deadline comes first */
+    /* A server's own word about the deadline comes first. Chosen, not measured. */
+    DEADLINE_GRACE_MS = 20,
 };
 
 struct attempt {
--- a/entry/path/claims.c
+++ b/entry/path/claims.c
@@ -14,8 +14,8 @@
 #include "entry/path/route.h"
 
 enum {
-    CLAIM_NAME_SIZE = 40,
-    CLAIM_TRIES = 4, /* reads and writes of one claim. Chosen, not measured */
+    CLAIM_NAME_SIZE = 40, /* bytes, with the end */
+    CLAIM_TRIES = 4,      /* reads and writes of one claim. Chosen, not measured */
 };
 
 /* A claim being made for an exchange. */
--- a/entry/path/exchange.h
+++ b/entry/path/exchange.h
@@ -15,7 +15,10 @@
 #include "base/trace.h"
 #include "entry/node_state.h"
 
-enum { ATTEMPTS_MAX = 2, REQUEST_ID_MAX = 80 };
+enum {
+    ATTEMPTS_MAX = 2,    /* at once: one, and a hedge */
+    REQUEST_ID_MAX = 80, /* bytes of an id, with its end */
+};
 
 typedef struct attempt attempt_t;
 
--- a/entry/path/lookup_answer.c
+++ b/entry/path/lookup_answer.c
@@ -8,7 +8,11 @@
 #include "entry/path/lookup_answer.h"
 #include "entry/table/ramp.h"
 
-enum { SKIP_REFRESH_MS = 200, ENTRIES_REFRESH_MS = 250 };
+/* How long answers use what was last found. Chosen, not measured. */
+enum {
+    SKIP_REFRESH_MS = 200,    /* rows that cannot serve */
+    ENTRIES_REFRESH_MS = 250, /* instances of a region */
+};
 
 /* A place of this region whose servers are all leaving or failing. */
 static bool
--- a/entry/path/lookup_answer.h
+++ b/entry/path/lookup_answer.h
@@ -6,7 +6,10 @@
 
 #include "entry/node_state.h"
 
-enum { LOOKUP_ENTRIES = 3, LOOKUP_TEXT_MAX = 1024 };
+enum {
+    LOOKUP_ENTRIES = 3,     /* instances that an answer names. Chosen, not measured */
+    LOOKUP_TEXT_MAX = 1024, /* bytes of an answer, with its end */
+};
 
 typedef struct {
     const name_t *place;
--- a/entry/path/serve.c
+++ b/entry/path/serve.c
@@ -11,7 +11,10 @@
 #include "entry/readiness.h"
 #include "entry/table/ramp.h"
 
-enum { KEYS_PER_CALL_MAX = 100, STATUS_CAPPED = 503 };
+enum {
+    KEYS_PER_CALL_MAX = 100, /* minted at once. Chosen, not measured */
+    STATUS_CAPPED = 503,
+};
 
 static void
 refuse(node_t *node, h2o_req_t *req, int status, const char *error)
--- a/entry/probe.c
+++ b/entry/probe.c
@@ -8,9 +8,9 @@
 
 /* Chosen; none was measured alone. */
 enum {
-    PROBE_TIMEOUT_MS = 1000,
-    PROBE_BODY_MAX = 1024,
-    QUIET_MS = 10000, /* without an answer, after which a server is probed */
+    PROBE_TIMEOUT_MS = 1000, /* of one probe */
+    PROBE_BODY_MAX = 1024,   /* bytes of an answer */
+    QUIET_MS = 10000,        /* without an answer, after which a server is probed */
     STATUS_OK = 200,
 };
 
--- a/entry/region/allocation.h
+++ b/entry/region/allocation.h
@@ -13,8 +13,8 @@
 #include "base/str.h"
 
 enum {
-    CREDIT_FLOOR = 1, /* requests that an instance without authority may still have */
-    CREDIT_HOLDERS_MAX = 256,
+    CREDIT_FLOOR = 1,         /* requests that an instance without authority may still have */
+    CREDIT_HOLDERS_MAX = 256, /* of a region; the size to design for has 52 (docs/CAPACITY.md) */
 };
 
 typedef struct {
--- a/entry/region/gate.c
+++ b/entry/region/gate.c
@@ -6,7 +6,9 @@
 #include "base/xmalloc.h"
 #include "entry/region/gate.h"
 
-#define RATE_BURST_S 0.25 /* length of the burst a rate allows, seconds */
+/* Lengths of the bursts, in seconds, that a rate (docs/TABLE.md) and the region's links allow.
+ * Chosen, not measured. */
+#define RATE_BURST_S 0.25
 #define LINK_BURST_S 0.1
 
 bool
--- a/entry/request/budget.c
+++ b/entry/request/budget.c
@@ -1,5 +1,7 @@
 #include "entry/request/budget.h"
 
+/* Extra requests a caller's request earns, and how many may be saved up. Chosen, not measured
+ * alone: docs/design/entry/choice.md. */
 #define EXTRA_PER_REQUEST 0.08
 #define TOKENS_MAX 10.0
 
--- a/entry/request/key.c
+++ b/entry/request/key.c
@@ -6,7 +6,11 @@
 #include "base/xmalloc.h"
 #include "entry/request/key.h"
 
-enum { BUCKETS = 1 << 14, SWEEP_BUCKETS = 1 << 10 };
+/* Chosen, not measured. */
+enum {
+    BUCKETS = 1 << 14,       /* of the hash table */
+    SWEEP_BUCKETS = 1 << 10, /* looked at for old records in one sweep */
+};
 
 struct key_book {
     key_record_t *buckets[BUCKETS];
--- a/entry/request/key.h
+++ b/entry/request/key.h
@@ -15,12 +15,13 @@
 #include "base/rng.h"
 #include "base/str.h"
 
+/* Chosen, not measured; docs/CAPACITY.md has the memory that follows from them. */
 enum {
-    KEY_TEXT_MAX = 128,
-    KEY_LIFETIME_MS = 20000, /* from minting to first use */
-    KEY_RECORD_MS = 120000,  /* how long an outcome is remembered */
-    KEY_RECORDS_MAX = 200000,
-    KEY_BODY_MAX = 512, /* bytes of an answer kept for later arrivals */
+    KEY_TEXT_MAX = 128,       /* bytes of a key, with its end */
+    KEY_LIFETIME_MS = 20000,  /* from minting to first use */
+    KEY_RECORD_MS = 120000,   /* how long an outcome is remembered */
+    KEY_RECORDS_MAX = 200000, /* of one instance */
+    KEY_BODY_MAX = 512,       /* bytes of an answer kept for later arrivals */
 };
 
 /* What a minted key says. */
--- a/entry/request/latency.c
+++ b/entry/request/latency.c
@@ -1,5 +1,7 @@
 #include "entry/request/latency.h"
 
+/* The quantile that is estimated, and the part of the estimate that one latency moves it by.
+ * Chosen, not measured. */
 #define QUANTILE 0.95
 #define GAIN 0.05
 
--- a/entry/settings.c
+++ b/entry/settings.c
@@ -10,7 +10,12 @@
 #include "base/yaml.h"
 #include "entry/settings.h"
 
-enum { TEXT_MAX = 255, MAX_BODY_KB_LIMIT = 1 << 16, RATE_LIMIT = 2000 };
+/* What a settings file may ask for. */
+enum {
+    TEXT_MAX = 255,              /* bytes of a text. Chosen, not measured */
+    MAX_BODY_KB_LIMIT = 1 << 16, /* chosen, not measured */
+    RATE_LIMIT = 2000, /* calls a second; the store takes as many reads (docs/CAPACITY.md) */
+};
 
 /* The file as libcyaml reads it; texts are checked afterwards. */
 typedef struct {
--- a/entry/table/edit.h
+++ b/entry/table/edit.h
@@ -14,7 +14,7 @@
 
 #include "entry/table/table.h"
 
-enum { EDIT_VALUE_MAX = 64 };
+enum { EDIT_VALUE_MAX = 64 }; /* bytes of a cell, with its end */
 
 typedef enum { COLUMN_WEIGHT, COLUMN_LIMIT, COLUMN_RATE, COLUMN_CAP, COLUMN_STATE } column_t;
 
--- a/entry/table/ramp.c
+++ b/entry/table/ramp.c
@@ -4,7 +4,7 @@
 #include "base/xmalloc.h"
 #include "entry/table/ramp.h"
 
-#define EPSILON_POINTS 1e-9
+#define EPSILON_POINTS 1e-9 /* smaller rises come from rounding */
 
 void
 ramp_targets(const table_t *table, double *shares)
--- a/entry/table/ramp.h
+++ b/entry/table/ramp.h
@@ -14,6 +14,7 @@
 
 #include "entry/table/table.h"
 
+/* Chosen, not measured; the minute is the cap's (docs/TABLE.md). */
 enum {
     RAMP_ANSWER_TTL_MS = 5000, /* life of a look-up answer */
     RAMP_LEAD_MS = 5000,       /* from an accepted edit to the start of its ramp */
--- a/entry/table/table.h
+++ b/entry/table/table.h
@@ -13,11 +13,12 @@
 #include "base/error.h"
 #include "base/str.h"
 
+/* Of one table. Chosen, not measured. */
 enum {
-    TABLE_ROWS_MAX = 512,
+    TABLE_ROWS_MAX = 512, /* the size to design for has at most 210 (docs/CAPACITY.md) */
     TABLE_CLASSES_MAX = 32,
     TABLE_DRAINING_MAX = 1024,
-    TABLE_EDITS_KEPT = 32,
+    TABLE_EDITS_KEPT = 32, /* docs/TABLE.md */
 };
 
 #define TABLE_POINTS 100.0 /* shares of all rows together */
