mains: one way to watch a signal, one process of the entry's stand-ins

Four mains set up signals with the same lines: base/signals.h. fake-platform and fake-backend had the same tick, the same end on SIGTERM and the same closing lines: standin/process.h.

Same calls in the same order. The handles' data is set where it was not (and not read). The tick of fake-platform does its work and then flushes the history, as before.

--- a/bin/entry.c
+++ b/bin/entry.c
@@ -9,6 +9,7 @@
 #define LOG_MODULE "main"
 #include "base/log.h"
 #include "base/mutate.h"
+#include "base/signals.h"
 #include "entry/node.h"
 
 enum { EXIT_BAD_SETTINGS = 2 };
@@ -58,10 +59,8 @@
     }
     uv_signal_t term;
     uv_signal_t hup;
-    uv_signal_init(loop, &term);
-    uv_signal_start(&term, on_term, SIGTERM);
-    uv_signal_init(loop, &hup);
-    uv_signal_start(&hup, on_hup, SIGHUP);
+    signal_watch(loop, &term, SIGTERM, on_term, NULL);
+    signal_watch(loop, &hup, SIGHUP, on_hup, NULL);
     uv_run(loop, UV_RUN_DEFAULT);
     history_close(&node.history);
     history_close(&node.spans);
--- a/bin/gateway.c
+++ b/bin/gateway.c
@@ -16,6 +16,7 @@
 
 #define LOG_MODULE "main"
 #include "base/log.h"
+#include "base/signals.h"
 #include "gateway/gateway.h"
 #include "platform/dialect.h"
 #include "platform/objects.h"
@@ -97,14 +98,6 @@
         reload(process);
 }
 
-static void
-watch_signal(process_t *process, uv_signal_t *handle, uv_signal_cb cb, int number)
-{
-    uv_signal_init(process->loop, handle);
-    handle->data = process;
-    uv_signal_start(handle, cb, number);
-}
-
 static int
 run(const char *path, const gateway_settings_t *settings)
 {
@@ -129,9 +122,9 @@
     LOG_INFO("started: version=%s name=%s hall=%s seeds=%zu settings=%016llx", IRISSTALL_VERSION,
              settings->name.ptr, settings->hall.ptr, settings->seed_count,
              (unsigned long long)str_hash((str_t){(const char *)settings, sizeof(*settings)}, 0));
-    watch_signal(&process, &on_term, on_stop_signal, SIGTERM);
-    watch_signal(&process, &on_int, on_stop_signal, SIGINT);
-    watch_signal(&process, &on_hup, on_hangup, SIGHUP);
+    signal_watch(process.loop, &on_term, SIGTERM, on_stop_signal, &process);
+    signal_watch(process.loop, &on_int, SIGINT, on_stop_signal, &process);
+    signal_watch(process.loop, &on_hup, SIGHUP, on_hangup, &process);
     uv_timer_init(process.loop, &check_file);
     check_file.data = &process;
     uv_timer_start(&check_file, on_check_file, 0, SETTINGS_CHECK_MS);
--- a/standin/fake_backend.c
+++ b/standin/fake_backend.c
@@ -22,6 +22,7 @@
 #include "base/xmalloc.h"
 #include "load/pattern.h"
 #include "entry/http/server.h"
+#include "standin/process.h"
 
 enum {
     HEAD_TIMEOUT_MS = 30000,
@@ -31,6 +32,7 @@
     QUEUE_PER_SLOT = 2,
     ID_SIZE = 80,
     CUT_PERCENT_MAX = 100,
+    FLUSH_MS = 200, /* between writes of the history */
 };
 
 typedef struct upstream upstream_t;
@@ -446,22 +448,6 @@
     return ok;
 }
 
-static void
-on_tick(uv_timer_t *timer)
-{
-    (void)timer;
-    history_flush(&state.history);
-}
-
-static void
-on_signal(uv_signal_t *handle, int signum)
-{
-    (void)handle;
-    (void)signum;
-    history_close(&state.history);
-    exit(EXIT_SUCCESS);
-}
-
 static void
 print_help(void)
 {
@@ -517,12 +503,8 @@
         fprintf(stderr, "fake-backend: %s\n", err.detail);
         return EXIT_FAILURE;
     }
-    uv_timer_t tick;
-    uv_timer_init(state.loop, &tick);
-    uv_timer_start(&tick, on_tick, 200, 200);
-    uv_signal_t term;
-    uv_signal_init(state.loop, &term);
-    uv_signal_start(&term, on_signal, SIGTERM);
-    uv_run(state.loop, UV_RUN_DEFAULT);
+    standin_process_t process = {
+        .loop = state.loop, .history = &state.history, .tick_ms = FLUSH_MS};
+    standin_run(&process);
     return EXIT_SUCCESS;
 }
--- a/standin/fake_platform.c
+++ b/standin/fake_platform.c
@@ -23,6 +23,7 @@
 #include "base/rng.h"
 #include "base/xmalloc.h"
 #include "entry/http/server.h"
+#include "standin/process.h"
 
 enum {
     VALUE_MAX = 1 << 20,
@@ -503,22 +504,11 @@
 }
 
 static void
-on_tick(uv_timer_t *timer)
+on_tick(void)
 {
-    (void)timer;
     if (state.publish_at_ms != 0 && now_ms() >= state.publish_at_ms)
         publish_instances();
     check_watches();
-    history_flush(&state.history);
-}
-
-static void
-on_signal(uv_signal_t *handle, int signum)
-{
-    (void)handle;
-    (void)signum;
-    history_close(&state.history);
-    exit(EXIT_SUCCESS);
 }
 
 static void
@@ -581,12 +571,8 @@
         fprintf(stderr, "fake-platform: %s\n", err.detail);
         return EXIT_FAILURE;
     }
-    uv_timer_t tick;
-    uv_timer_init(state.loop, &tick);
-    uv_timer_start(&tick, on_tick, TICK_MS, TICK_MS);
-    uv_signal_t term;
-    uv_signal_init(state.loop, &term);
-    uv_signal_start(&term, on_signal, SIGTERM);
-    uv_run(state.loop, UV_RUN_DEFAULT);
+    standin_process_t process = {
+        .loop = state.loop, .history = &state.history, .tick_ms = TICK_MS, .on_tick = on_tick};
+    standin_run(&process);
     return EXIT_SUCCESS;
 }
