mains: options are parsed apart from the work

irisctl, irisstall-entry, fake-platform and fake-backend parse their options as bin/gateway.c does: a function that fills options_t and says whether the program goes on.

--- a/bin/entry.c
+++ b/bin/entry.c
@@ -68,47 +68,64 @@
     return EXIT_SUCCESS;
 }
 
-int
-main(int argc, char *argv[])
+typedef struct {
+    const char *config;
+    bool check_only;
+} options_t;
+
+/* True if the program goes on; else `*status` is its exit status. */
+static bool
+parse_options(int argc, char **argv, options_t *out, int *status)
 {
     static const struct option options[] = {{"config", required_argument, NULL, 'c'},
                                             {"check", no_argument, NULL, 'k'},
                                             {"help", no_argument, NULL, 'h'},
                                             {"version", no_argument, NULL, 'V'},
                                             {NULL, 0, NULL, 0}};
-    const char *config = NULL;
-    bool check_only = false;
     int opt;
     while ((opt = getopt_long(argc, argv, "c:hV", options, NULL)) != -1) {
         switch (opt) {
         case 'c':
-            config = optarg;
+            out->config = optarg;
             break;
         case 'k':
-            check_only = true;
+            out->check_only = true;
             break;
         case 'h':
             print_help();
-            return EXIT_SUCCESS;
+            *status = EXIT_SUCCESS;
+            return false;
         case 'V':
             puts("irisstall-entry " IRISSTALL_VERSION);
-            return EXIT_SUCCESS;
+            *status = EXIT_SUCCESS;
+            return false;
         default:
-            return EXIT_BAD_SETTINGS;
+            *status = EXIT_BAD_SETTINGS;
+            return false;
         }
     }
-    if (config == NULL) {
-        print_help();
-        return EXIT_BAD_SETTINGS;
-    }
+    if (out->config != NULL)
+        return true;
+    print_help();
+    *status = EXIT_BAD_SETTINGS;
+    return false;
+}
+
+int
+main(int argc, char *argv[])
+{
+    options_t options = {0};
     settings_t settings;
     err_t err = {0};
-    if (!settings_load(config, &settings, &err)) {
+    int status;
+    if (!parse_options(argc, argv, &options, &status))
+        return status;
+    if (!settings_load(options.config, &settings, &err)) {
         fprintf(stderr, "irisstall-entry: %s\n", err.detail);
         return EXIT_BAD_SETTINGS;
     }
-    if (check_only) {
-        printf("%s: good\n", config);
+    if (options.check_only) {
+        printf("%s: good\n", options.config);
         return EXIT_SUCCESS;
     }
     return run(&settings);
--- a/bin/irisctl.c
+++ b/bin/irisctl.c
@@ -69,8 +69,16 @@
     return CTL_USAGE;
 }
 
-int
-main(int argc, char *argv[])
+typedef struct {
+    const char *platform;
+    const char *instance;
+    const char *history;
+    bool json;
+} options_t;
+
+/* True if the program goes on; else `*status` is its exit status. */
+static bool
+parse_options(int argc, char **argv, options_t *out, int *status)
 {
     static const struct option options[] = {{"platform", required_argument, NULL, 'p'},
                                             {"json", no_argument, NULL, 'j'},
@@ -79,55 +87,55 @@
                                             {"help", no_argument, NULL, 'h'},
                                             {"version", no_argument, NULL, 'V'},
                                             {NULL, 0, NULL, 0}};
-    session_t session = {0};
-    const char *platform = getenv("IRISSTALL_PLATFORM");
-    const char *instance = NULL;
-    const char *history = "";
-    err_t err = {0};
     int opt;
     while ((opt = getopt_long(argc, argv, "+p:i:jhV", options, NULL)) != -1) {
         switch (opt) {
         case 'p':
-            platform = optarg;
+            out->platform = optarg;
             break;
         case 'i':
-            instance = optarg;
+            out->instance = optarg;
             break;
         case 'j':
-            session.json = true;
+            out->json = true;
             break;
         case 'y':
-            history = optarg;
+            out->history = optarg;
             break;
         case 'h':
             print_help();
-            return CTL_OK;
+            *status = CTL_OK;
+            return false;
         case 'V':
             puts("irisctl " IRISSTALL_VERSION);
-            return CTL_OK;
+            *status = CTL_OK;
+            return false;
         default:
-            return CTL_USAGE;
+            *status = CTL_USAGE;
+            return false;
         }
     }
-    argc -= optind;
-    argv += optind;
-    if (argc == 0) {
-        print_help();
-        return CTL_USAGE;
-    }
-    if (strcmp(argv[0], "check") == 0)
-        return table_cmd_check(argc - 1, argv + 1);
-    if (strcmp(argv[0], "trace") == 0)
-        return trace_cmd(argc - 1, argv + 1);
-    if (instance != NULL)
-        return instance_cmd(instance, argc, argv);
+    if (optind < argc)
+        return true;
+    print_help();
+    *status = CTL_USAGE;
+    return false;
+}
+
+/* A command that needs the entry's store. */
+static int
+run_with_store(const options_t *options, int argc, char **argv)
+{
+    session_t session = {.json = options->json};
+    const char *platform = options->platform;
     addr_t addr;
+    err_t err = {0};
     if (platform == NULL || !addr_parse(str_from(platform), &addr)) {
         fprintf(stderr, "irisctl: --platform: '%s': expected IP:PORT\n",
                 platform != NULL ? platform : "");
         return CTL_USAGE;
     }
-    if (!history_open(&session.history, history, &err)) {
+    if (!history_open(&session.history, options->history, &err)) {
         fprintf(stderr, "irisctl: %s\n", err.detail);
         return CTL_USAGE;
     }
@@ -137,3 +145,21 @@
     history_close(&session.history);
     return status;
 }
+
+int
+main(int argc, char *argv[])
+{
+    options_t options = {.platform = getenv("IRISSTALL_PLATFORM"), .history = ""};
+    int status;
+    if (!parse_options(argc, argv, &options, &status))
+        return status;
+    argc -= optind;
+    argv += optind;
+    if (strcmp(argv[0], "check") == 0)
+        return table_cmd_check(argc - 1, argv + 1);
+    if (strcmp(argv[0], "trace") == 0)
+        return trace_cmd(argc - 1, argv + 1);
+    if (options.instance != NULL)
+        return instance_cmd(options.instance, argc, argv);
+    return run_with_store(&options, argc, argv);
+}
--- a/standin/fake_backend.c
+++ b/standin/fake_backend.c
@@ -25,6 +25,7 @@
 #include "standin/process.h"
 
 enum {
+    EXIT_USAGE = 2,
     HEAD_TIMEOUT_MS = 30000,
     CONNECTIONS_MAX = 4096,
     BODY_MAX = 8 << 20,
@@ -456,49 +457,68 @@
          "FILE holds a line per server: NAME SERVICE REGION PLACE IP:PORT SLOTS");
 }
 
-int
-main(int argc, char *argv[])
+typedef struct {
+    const char *upstreams;
+    bool has_control;
+    addr_t control;
+    const char *history;
+} options_t;
+
+/* True if the program goes on; else `*status` is its exit status. */
+static bool
+parse_options(int argc, char **argv, options_t *out, int *status)
 {
     static const struct option options[] = {{"upstreams", required_argument, NULL, 'u'},
                                             {"control", required_argument, NULL, 'c'},
                                             {"history", required_argument, NULL, 'y'},
                                             {"help", no_argument, NULL, 'h'},
                                             {NULL, 0, NULL, 0}};
-    http_server_conf_t control = {.max_body = BODY_MAX,
-                                  .head_timeout_ms = HEAD_TIMEOUT_MS,
-                                  .max_connections = CONNECTIONS_MAX};
-    const char *upstreams = NULL;
-    const char *history = "";
-    bool have_control = false;
-    err_t err = {0};
     int opt;
     while ((opt = getopt_long(argc, argv, "h", options, NULL)) != -1) {
         switch (opt) {
         case 'u':
-            upstreams = optarg;
+            out->upstreams = optarg;
             break;
         case 'c':
-            have_control = addr_parse(str_from(optarg), &control.addr);
+            out->has_control = addr_parse(str_from(optarg), &out->control);
             break;
         case 'y':
-            history = optarg;
+            out->history = optarg;
             break;
         case 'h':
             print_help();
-            return EXIT_SUCCESS;
+            *status = EXIT_SUCCESS;
+            return false;
         default:
-            return 2;
+            *status = EXIT_USAGE;
+            return false;
         }
     }
-    if (upstreams == NULL || !have_control) {
-        print_help();
-        return 2;
-    }
+    if (out->upstreams != NULL && out->has_control)
+        return true;
+    print_help();
+    *status = EXIT_USAGE;
+    return false;
+}
+
+int
+main(int argc, char *argv[])
+{
+    options_t options = {.history = ""};
+    err_t err = {0};
+    int status;
+    if (!parse_options(argc, argv, &options, &status))
+        return status;
+    const http_server_conf_t control = {.addr = options.control,
+                                        .max_body = BODY_MAX,
+                                        .head_timeout_ms = HEAD_TIMEOUT_MS,
+                                        .max_connections = CONNECTIONS_MAX};
     signal(SIGPIPE, SIG_IGN);
     state.loop = uv_default_loop();
     state.rng = rng_system();
-    if (!log_open(NULL, LOG_LEVEL_INFO, &err) || !history_open(&state.history, history, &err) ||
-        !load_upstreams(upstreams, &err) ||
+    if (!log_open(NULL, LOG_LEVEL_INFO, &err) ||
+        !history_open(&state.history, options.history, &err) ||
+        !load_upstreams(options.upstreams, &err) ||
         http_server_start(state.loop, &control, on_control, NULL, &err) == NULL) {
         fprintf(stderr, "fake-backend: %s\n", err.detail);
         return EXIT_FAILURE;
--- a/standin/fake_platform.c
+++ b/standin/fake_platform.c
@@ -26,6 +26,7 @@
 #include "standin/process.h"
 
 enum {
+    EXIT_USAGE = 2,
     VALUE_MAX = 1 << 20,
     HEAD_TIMEOUT_MS = 10000,
     CONNECTIONS_MAX = 8192,
@@ -518,55 +519,74 @@
          "A stand-in for the platform's object API, for tests and demos.");
 }
 
-int
-main(int argc, char *argv[])
+typedef struct {
+    bool has_addr;
+    addr_t addr;
+    const char *history;
+    double reads;  /* calls a second */
+    double writes; /* the same */
+} options_t;
+
+/* True if the program goes on; else `*status` is its exit status. */
+static bool
+parse_options(int argc, char **argv, options_t *out, int *status)
 {
     static const struct option options[] = {
         {"listen", required_argument, NULL, 'l'}, {"history", required_argument, NULL, 'y'},
         {"reads", required_argument, NULL, 'r'},  {"writes", required_argument, NULL, 'w'},
         {"help", no_argument, NULL, 'h'},         {NULL, 0, NULL, 0}};
-    http_server_conf_t conf = {.max_body = VALUE_MAX,
-                               .head_timeout_ms = HEAD_TIMEOUT_MS,
-                               .max_connections = CONNECTIONS_MAX};
-    const char *history = "";
-    double reads = 2000;
-    double writes = 100;
-    err_t err = {0};
-    bool listening = false;
     int opt;
     while ((opt = getopt_long(argc, argv, "h", options, NULL)) != -1) {
         switch (opt) {
         case 'l':
-            listening = addr_parse(str_from(optarg), &conf.addr);
+            out->has_addr = addr_parse(str_from(optarg), &out->addr);
             break;
         case 'y':
-            history = optarg;
+            out->history = optarg;
             break;
         case 'r':
-            reads = strtod(optarg, NULL);
+            out->reads = strtod(optarg, NULL);
             break;
         case 'w':
-            writes = strtod(optarg, NULL);
+            out->writes = strtod(optarg, NULL);
             break;
         case 'h':
             print_help();
-            return EXIT_SUCCESS;
+            *status = EXIT_SUCCESS;
+            return false;
         default:
-            return 2;
+            *status = EXIT_USAGE;
+            return false;
         }
     }
-    if (!listening) {
-        print_help();
-        return 2;
-    }
+    if (out->has_addr)
+        return true;
+    print_help();
+    *status = EXIT_USAGE;
+    return false;
+}
+
+int
+main(int argc, char *argv[])
+{
+    options_t options = {.history = "", .reads = 2000, .writes = 100};
+    err_t err = {0};
+    int status;
+    if (!parse_options(argc, argv, &options, &status))
+        return status;
+    const http_server_conf_t conf = {.addr = options.addr,
+                                     .max_body = VALUE_MAX,
+                                     .head_timeout_ms = HEAD_TIMEOUT_MS,
+                                     .max_connections = CONNECTIONS_MAX};
     signal(SIGPIPE, SIG_IGN);
     state.loop = uv_default_loop();
     state.rng = rng_system();
     state.instances = json_array();
     publish_instances();
-    bucket_init(&state.reads, reads, reads, now_ms());
-    bucket_init(&state.writes, writes, writes, now_ms());
-    if (!log_open(NULL, LOG_LEVEL_INFO, &err) || !history_open(&state.history, history, &err) ||
+    bucket_init(&state.reads, options.reads, options.reads, now_ms());
+    bucket_init(&state.writes, options.writes, options.writes, now_ms());
+    if (!log_open(NULL, LOG_LEVEL_INFO, &err) ||
+        !history_open(&state.history, options.history, &err) ||
         http_server_start(state.loop, &conf, on_request, NULL, &err) == NULL) {
         fprintf(stderr, "fake-platform: %s\n", err.detail);
         return EXIT_FAILURE;
