--- a/bin/load.c
+++ b/bin/load.c
@@ -387,45 +387,57 @@
     return out->config != NULL && out->seconds > 0;
 }
 
-int
-main(int argc, char *argv[])
+static void
+prepare(const options_t *options)
 {
-    options_t options = {
-        .history = "", .factor = 1, .seed = 1, .experiment = "load", .variant = "irisstall"};
-    err_t err = {0};
-    if (!parse_options(argc, argv, &options)) {
-        print_help();
-        return 2;
-    }
-    if (!load_config_read(options.config, &state.config, &err) ||
-        !history_open(&state.history, options.history, &err)) {
-        fprintf(stderr, "irisstall-load: %s\n", err.detail);
-        return 2;
-    }
-    signal(SIGPIPE, SIG_IGN);
     state.loop = uv_default_loop();
     state.client = http_client_new(state.loop);
-    state.rng = (rng_t){.state = options.seed};
+    state.rng = (rng_t){.state = options->seed};
     rng_t ids = rng_system();
     state.run_id = rng_next(&ids);
     state.steering = steering_new(state.loop, state.client, &state.config, &state.rng);
     report_init(&state.report, &state.config);
-    state.report.seconds = options.seconds;
+    state.report.seconds = options->seconds;
     state.start_us = clock_wall_us();
-    state.end_us = state.start_us + (uint64_t)(options.seconds * US_PER_S);
+    state.end_us = state.start_us + (uint64_t)(options->seconds * US_PER_S);
     for (size_t i = 0; i < state.config.class_count; i++) {
         load_class_t *class_ = &state.config.classes[i];
-        class_->rate *= options.factor;
+        class_->rate *= options->factor;
         if (class_->rate > 0)
             state.next_due_us[i] = (double)state.start_us + gap_us(class_->rate);
     }
-    uv_timer_t tick;
-    uv_timer_t progress;
+}
+
+static void
+run(void)
+{
+    static uv_timer_t tick;
+    static uv_timer_t progress;
     uv_timer_init(state.loop, &tick);
     uv_timer_start(&tick, on_tick, TICK_MS, TICK_MS);
     uv_timer_init(state.loop, &progress);
     uv_timer_start(&progress, on_progress, PROGRESS_MS, PROGRESS_MS);
     uv_run(state.loop, UV_RUN_DEFAULT);
+}
+
+int
+main(int argc, char *argv[])
+{
+    options_t options = {
+        .history = "", .factor = 1, .seed = 1, .experiment = "load", .variant = "irisstall"};
+    err_t err = {0};
+    if (!parse_options(argc, argv, &options)) {
+        print_help();
+        return 2;
+    }
+    if (!load_config_read(options.config, &state.config, &err) ||
+        !history_open(&state.history, options.history, &err)) {
+        fprintf(stderr, "irisstall-load: %s\n", err.detail);
+        return 2;
+    }
+    signal(SIGPIPE, SIG_IGN);
+    prepare(&options);
+    run();
     history_close(&state.history);
     report_print(&state.report);
     if (options.tsv != NULL &&
