Listener: sight of bytes after our close, and of answers cut by it

A request that crosses our close of a resting connection is read and thrown away, and a close one second after an answer was handed over drops what is not written: both went unseen. One line a connection (the module's log bound holds) and a counter each; no change of logic.

--- a/wire/listener.c
+++ b/wire/listener.c
@@ -78,7 +78,7 @@
         next = conn->next;
         const uint64_t age = now - conn->since_ms;
         if (conn->state == STATE_IDLE && age > listener->limits.idle_timeout_ms)
-            wire_conn_finish(conn);
+            wire_conn_finish(conn, FINISH_IDLE);
         else if (conn->state == STATE_READING && age > listener->limits.head_timeout_ms)
             request_reader_refuse(conn, HTTP_STATUS_REQUEST_TIMEOUT);
         else if (conn->state == STATE_CLOSING && age > CLOSE_LINGER_MS)
@@ -146,6 +146,6 @@
     for (wire_conn_t *conn = listener->conns; conn != NULL; conn = next) {
         next = conn->next;
         if (conn->state == STATE_IDLE)
-            wire_conn_finish(conn);
+            wire_conn_finish(conn, FINISH_STOP);
     }
 }
--- a/wire/request_reader.c
+++ b/wire/request_reader.c
@@ -167,8 +167,10 @@
 void
 request_reader_feed(wire_conn_t *conn, const char *ptr, size_t len)
 {
-    if (conn->state == STATE_CLOSING)
+    if (conn->state == STATE_CLOSING) {
+        wire_conn_note_late(conn, len);
         return;
+    }
     if (conn->state == STATE_ANSWERING) {
         keep_early(conn, ptr, len);
         return;
--- a/wire/server_conn.c
+++ b/wire/server_conn.c
@@ -1,5 +1,8 @@
 #include <stdlib.h>
 
+#define LOG_MODULE "listener"
+#include "base/counter.h"
+#include "base/log.h"
 #include "base/xmalloc.h"
 #include "wire/server_conn.h"
 
@@ -21,6 +24,47 @@
     free(conn);
 }
 
+/* ---- what is lost by a close ---- */
+
+static uint64_t
+state_age_ms(const wire_conn_t *conn)
+{
+    return uv_now(conn->listener->loop) - conn->since_ms;
+}
+
+void
+wire_conn_note_late(wire_conn_t *conn, size_t len)
+{
+    static const char *const reasons[] = {
+        [FINISH_ANSWERED] = "answered", [FINISH_IDLE] = "idle", [FINISH_STOP] = "stop"};
+    if (conn->told_late)
+        return;
+    conn->told_late = true;
+    counter_add(counter_get("irisstall_late_input_total", NULL,
+                            "Caller connections with bytes after our end of them."),
+                1);
+    LOG_WARN("bytes after our close: port=%u bytes=%zu reason=%s after_ms=%llu idle_limit_ms=%llu",
+             conn->listener->port, len, reasons[conn->finish],
+             (unsigned long long)state_age_ms(conn),
+             (unsigned long long)conn->listener->limits.idle_timeout_ms);
+}
+
+/* A close for our own reason drops what libuv has not written. */
+static void
+note_unwritten(const wire_conn_t *conn)
+{
+    const size_t left = uv_stream_get_write_queue_size((const uv_stream_t *)&conn->tcp);
+    if (left == 0)
+        return;
+    counter_add(counter_get("irisstall_answers_cut_by_close_total", NULL,
+                            "Caller connections closed with unwritten answer bytes."),
+                1);
+    LOG_WARN("answer cut by our close: port=%u unwritten=%zu state=%d after_ms=%llu",
+             conn->listener->port, left, (int)conn->state, (unsigned long long)state_age_ms(conn));
+}
+
+/* ---- the end ---- */
+
 static void
 forget_conn(wire_conn_t *conn)
 {
@@ -36,6 +80,8 @@
 {
     if (conn->dead)
         return;
+    if (!conn->lost)
+        note_unwritten(conn);
     forget_conn(conn);
     uv_close((uv_handle_t *)&conn->tcp, on_conn_closed);
 }
@@ -55,6 +101,7 @@
 {
     if (conn->dead)
         return;
+    conn->lost = true;
     void (*on_gone)(void *) = conn->state == STATE_ANSWERING ? conn->req.on_gone : NULL;
     void *ctx = conn->req.ctx;
     conn->req.on_gone = NULL;
@@ -130,8 +177,9 @@
 }
 
 void
-wire_conn_finish(wire_conn_t *conn)
+wire_conn_finish(wire_conn_t *conn, wire_finish_t why)
 {
+    conn->finish = why;
     wire_conn_set_state(conn, STATE_CLOSING);
     uv_shutdown_t *req = xmalloc(sizeof(*req));
     if (uv_shutdown(req, (uv_stream_t *)&conn->tcp, on_shutdown) != 0) {
--- a/wire/server_conn.h
+++ b/wire/server_conn.h
@@ -23,6 +23,13 @@
     STATE_CLOSING,   /* the answer has ended, the caller closes, or we after a while */
 } wire_state_t;
 
+/* Why we ended the connection, for the logs. */
+typedef enum {
+    FINISH_ANSWERED, /* the last answer has ended */
+    FINISH_IDLE,     /* it rested for too long */
+    FINISH_STOP,     /* it rested during a planned stop */
+} wire_finish_t;
+
 struct wire_listener {
     uv_tcp_t tcp;
     uv_timer_t timer;
@@ -47,9 +54,10 @@
     wire_conn_t **slot; /* what points to this one */
     http_parser parser;
     wire_state_t state;
-    uint64_t since_ms; /* start of the state */
-    size_t body_size;  /* allocated for the request's body */
-    char *early;       /* bytes of a next request */
+    uint64_t since_ms;    /* start of the state */
+    wire_finish_t finish; /* in STATE_CLOSING: why */
+    size_t body_size;     /* allocated for the request's body */
+    char *early;          /* bytes of a next request */
     size_t early_len;
     wire_text_t out;  /* answer bytes not handed to libuv yet */
     size_t in_flight; /* bytes handed to libuv and not written */
@@ -60,6 +68,8 @@
     bool head_only;   /* HEAD: no body */
     bool dead;        /* closed; freed once libuv is done with it */
     bool whole;       /* the parser has the whole request */
+    bool lost;        /* the caller has left or the connection broke */
+    bool told_late;   /* bytes after our close were logged */
 };
 
 /* Enters the state now. */
@@ -70,6 +80,8 @@
 /* Closes with a reset, so that an answer without a length does not look complete. */
 void wire_conn_reset(wire_conn_t *conn);
 /* Ends our side after the last answer; the caller's close or a timer ends the connection. */
-void wire_conn_finish(wire_conn_t *conn);
+void wire_conn_finish(wire_conn_t *conn, wire_finish_t why);
+/* Counts and logs bytes of the caller that arrive after our end of the connection. */
+void wire_conn_note_late(wire_conn_t *conn, size_t len);
 /* The caller has left or the connection broke: tells the handler of a request under way. */
 void wire_conn_lose(wire_conn_t *conn);
