Listener: close resting connections in one step, after the loop has read

And timers run before the loop reads, so a process that had been held up closed connections whose next request lay in the socket. Ruled out: answering what comes after our end, since nothing can be sent then.

A connection whose answer is still being written does not count as resting.

--- a/wire/listener.c
+++ b/wire/listener.c
@@ -68,24 +68,59 @@
     uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
 }
 
+/* A resting connection is closed on both sides at once. A request that crosses the close is refused
+ * by a reset without having been read, which tells the caller that it may be sent again; were it
+ * read after our end, it would be lost without a word. */
 static void
-on_check(uv_timer_t *timer)
+sweep_conn(wire_conn_t *conn)
+{
+    const wire_listener_t *listener = conn->listener;
+    const uint64_t age = uv_now(listener->loop) - conn->since_ms;
+    const bool rested = listener->stopping || age > listener->limits.idle_timeout_ms;
+    if (conn->state == STATE_IDLE && conn->in_flight == 0 && rested)
+        wire_conn_close(conn);
+    else if (conn->state == STATE_READING && age > listener->limits.head_timeout_ms)
+        request_reader_refuse(conn, HTTP_STATUS_REQUEST_TIMEOUT);
+    else if (conn->state == STATE_CLOSING && age > CLOSE_LINGER_MS)
+        wire_conn_close(conn);
+}
+
+static void
+stop_accepting(wire_listener_t *listener)
 {
-    wire_listener_t *listener = timer->data;
-    const uint64_t now = uv_now(listener->loop);
+    if (!listener->closing || listener->closed)
+        return;
+    listener->closed = true;
+    uv_close((uv_handle_t *)&listener->tcp, NULL);
+}
+
+static void
+on_after_poll(uv_check_t *after_poll)
+{
+    wire_listener_t *listener = after_poll->data;
+    uv_check_stop(after_poll);
+    stop_accepting(listener);
     wire_conn_t *next;
     for (wire_conn_t *conn = listener->conns; conn != NULL; conn = next) {
         next = conn->next;
-        const uint64_t age = now - conn->since_ms;
-        if (conn->state == STATE_IDLE && age > listener->limits.idle_timeout_ms)
-            wire_conn_finish(conn, FINISH_IDLE);
-        else if (conn->state == STATE_READING && age > listener->limits.head_timeout_ms)
-            request_reader_refuse(conn, HTTP_STATUS_REQUEST_TIMEOUT);
-        else if (conn->state == STATE_CLOSING && age > CLOSE_LINGER_MS)
-            wire_conn_close(conn);
+        sweep_conn(conn);
     }
 }
 
+/* The sweep waits until the loop has read what lies in the sockets: timers run before that, and
+ * many are due at once when the process has been held up. */
+static void
+request_sweep(wire_listener_t *listener)
+{
+    uv_check_start(&listener->after_poll, on_after_poll);
+}
+
+static void
+on_check(uv_timer_t *timer)
+{
+    request_sweep(timer->data);
+}
+
 wire_listener_t *
 wire_listener_start(uv_loop_t *loop, const addr_t *addr, const wire_limits_t *limits,
                     wire_handler_t handler, void *ctx, err_t *err)
@@ -100,6 +135,8 @@
     listener->tcp.data = listener;
     if (!tcp_listen(&listener->tcp, addr, LISTEN_BACKLOG, on_accept, &listener->port, err))
         return NULL; /* the process exits; the handle lives until then */
+    uv_check_init(loop, &listener->after_poll);
+    listener->after_poll.data = listener;
     uv_timer_init(loop, &listener->timer);
     listener->timer.data = listener;
     uv_timer_start(&listener->timer, on_check, CHECK_EVERY_MS, CHECK_EVERY_MS);
@@ -133,19 +170,13 @@
 void
 wire_listener_close(wire_listener_t *listener)
 {
-    if (listener->closed)
-        return;
-    listener->closed = true;
-    uv_close((uv_handle_t *)&listener->tcp, NULL);
+    listener->closing = true;
+    request_sweep(listener);
 }
 
 void
 wire_listener_close_idle(wire_listener_t *listener)
 {
-    wire_conn_t *next;
-    for (wire_conn_t *conn = listener->conns; conn != NULL; conn = next) {
-        next = conn->next;
-        if (conn->state == STATE_IDLE)
-            wire_conn_finish(conn, FINISH_STOP);
-    }
+    listener->stopping = true;
+    request_sweep(listener);
 }
--- a/wire/listener.h
+++ b/wire/listener.h
@@ -12,6 +12,9 @@
  * One request a connection at a time. The handler is called with the whole request and answers
  * through wire_respond_*(). The request lives until the answer has ended, was aborted, or the
  * caller has left, whichever comes first.
+ *
+ * A request is answered, or was not read: a resting connection is closed in one step, and only
+ * after the loop has read what has come.
  */
 #pragma once
 
@@ -56,9 +59,9 @@
 size_t wire_listener_connections(const wire_listener_t *listener);
 /* From now on every answer asks the caller to close its connection. */
 void wire_listener_drain(wire_listener_t *listener);
-/* Stops accepting. */
+/* Stops accepting, after the connections that wait to be accepted. */
 void wire_listener_close(wire_listener_t *listener);
-/* Closes the connections on which no request is waiting. */
+/* Closes the connections on which no request is waiting, from now on. */
 void wire_listener_close_idle(wire_listener_t *listener);
 
 /* Starts an answer. `fields` are whole header lines; `length` may be WIRE_CHUNKED or
--- a/wire/respond.c
+++ b/wire/respond.c
@@ -54,7 +54,7 @@
     if (conn->keep)
         conn->listener->on_answered(conn);
     else
-        wire_conn_finish(conn, FINISH_ANSWERED);
+        wire_conn_finish(conn);
 }
 
 void
--- a/wire/server_conn.c
+++ b/wire/server_conn.c
@@ -35,18 +35,14 @@
 void
 wire_conn_note_late(wire_conn_t *conn, size_t len)
 {
-    static const char *const reasons[] = {
-        [FINISH_ANSWERED] = "answered", [FINISH_IDLE] = "idle", [FINISH_STOP] = "stop"};
     if (conn->told_late)
         return;
     conn->told_late = true;
     counter_add(counter_get("irisstall_late_input_total", NULL,
                             "Caller connections with bytes after our end of them."),
                 1);
-    LOG_WARN("bytes after our close: port=%u bytes=%zu reason=%s after_ms=%llu idle_limit_ms=%llu",
-             conn->listener->port, len, reasons[conn->finish],
-             (unsigned long long)state_age_ms(conn),
-             (unsigned long long)conn->listener->limits.idle_timeout_ms);
+    LOG_WARN("bytes after our close: port=%u bytes=%zu after_ms=%llu", conn->listener->port, len,
+             (unsigned long long)state_age_ms(conn));
 }
 
 /* A close for our own reason drops what libuv has not written. */
@@ -177,9 +173,8 @@
 }
 
 void
-wire_conn_finish(wire_conn_t *conn, wire_finish_t why)
+wire_conn_finish(wire_conn_t *conn)
 {
-    conn->finish = why;
     wire_conn_set_state(conn, STATE_CLOSING);
     uv_shutdown_t *req = xmalloc(sizeof(*req));
     if (uv_shutdown(req, (uv_stream_t *)&conn->tcp, on_shutdown) != 0) {
--- a/wire/server_conn.h
+++ b/wire/server_conn.h
@@ -23,16 +23,10 @@
     STATE_CLOSING,   /* the answer has ended, the caller closes, or we after a while */
 } wire_state_t;
 
-/* Why we ended the connection, for the logs. */
-typedef enum {
-    FINISH_ANSWERED, /* the last answer has ended */
-    FINISH_IDLE,     /* it rested for too long */
-    FINISH_STOP,     /* it rested during a planned stop */
-} wire_finish_t;
-
 struct wire_listener {
     uv_tcp_t tcp;
     uv_timer_t timer;
+    uv_check_t after_poll; /* active while a sweep is due */
     uv_loop_t *loop;
     wire_limits_t limits;
     wire_handler_t handler;
@@ -43,7 +37,9 @@
     size_t conn_count;
     uint16_t port;
     bool draining;
+    bool closing; /* stops accepting at the next sweep */
     bool closed;
+    bool stopping; /* resting connections are closed */
 };
 
 struct wire_conn {
@@ -54,10 +50,9 @@
     wire_conn_t **slot; /* what points to this one */
     http_parser parser;
     wire_state_t state;
-    uint64_t since_ms;    /* start of the state */
-    wire_finish_t finish; /* in STATE_CLOSING: why */
-    size_t body_size;     /* allocated for the request's body */
-    char *early;          /* bytes of a next request */
+    uint64_t since_ms; /* start of the state */
+    size_t body_size;  /* allocated for the request's body */
+    char *early;       /* bytes of a next request */
     size_t early_len;
     wire_text_t out;  /* answer bytes not handed to libuv yet */
     size_t in_flight; /* bytes handed to libuv and not written */
@@ -80,7 +75,7 @@
 /* Closes with a reset, so that an answer without a length does not look complete. */
 void wire_conn_reset(wire_conn_t *conn);
 /* Ends our side after the last answer; the caller's close or a timer ends the connection. */
-void wire_conn_finish(wire_conn_t *conn, wire_finish_t why);
+void wire_conn_finish(wire_conn_t *conn);
 /* Counts and logs bytes of the caller that arrive after our end of the connection. */
 void wire_conn_note_late(wire_conn_t *conn, size_t len);
 /* The caller has left or the connection broke: tells the handler of a request under way. */
