Listener: rest as long as was promised, and write answers to their end

A connection now rests for as long as was allowed when its last answer began, or longer if the limit has grown. Rest and linger begin when the answer is written; output that has not moved for 5 s is given up.

--- a/test/gateway/test_listener.c
+++ b/test/gateway/test_listener.c
@@ -16,7 +16,10 @@
 enum {
     PATIENCE_MS = 5000,
     SHORT_IDLE_MS = 100,
+    LONG_IDLE_MS = 8000,
     SWEEP_MS = 300, /* longer than the listener's own check interval */
+    LARGE = 4 << 20,
+    SMALL_BUFFER = 16384,
 };
 
 typedef struct {
@@ -83,6 +86,15 @@
     return host;
 }
 
+static void
+run_for(host_t *host, uint64_t ms)
+{
+    host->timer_fired = false;
+    uv_timer_start(&host->timer, on_timer, ms, 0);
+    while (!host->timer_fired)
+        uv_run(&host->loop, UV_RUN_ONCE);
+}
+
 static caller_t
 connect_caller(const host_t *host, int receive_buffer)
 {
@@ -197,6 +209,54 @@
 }
 END_TEST
 
+START_TEST(a_shorter_idle_limit_spares_connections_that_rest_already)
+{
+    host_t *host = new_host(LONG_IDLE_MS);
+    caller_t caller = answered_caller(host);
+    const wire_limits_t shorter = limits_with_idle(SHORT_IDLE_MS);
+    wire_listener_set_limits(host->listener, &shorter);
+    run_for(host, 2 * SWEEP_MS);
+    ck_assert(!has_ended(&caller));
+    send_request(&caller);
+    RUN_UNTIL(host, has_answers(&caller, 2));
+    /* From this answer on the new limit holds. */
+    RUN_UNTIL(host, has_ended(&caller));
+    close(caller.fd);
+}
+END_TEST
+
+/* The link is narrow: the answer takes longer than a caller is given to close its side. */
+static void
+takes_slowly(host_t *host, const char *request)
+{
+    enum { PAUSE_MS = 1500 };
+    const int64_t before =
+        counter_value(counter_get("irisstall_answers_cut_by_close_total", NULL, ""));
+    host->answer_len = LARGE;
+    caller_t caller = connect_caller(host, SMALL_BUFFER);
+    ck_assert_int_gt(send(caller.fd, request, strlen(request), MSG_NOSIGNAL), 0);
+    RUN_UNTIL(host, host->requests == 1);
+    run_for(host, PAUSE_MS);
+    RUN_UNTIL(host, has_ended(&caller));
+    ck_assert_uint_gt(caller.total, LARGE);
+    ck_assert(!caller.reset);
+    ck_assert_int_eq(counter_value(counter_get("irisstall_answers_cut_by_close_total", NULL, "")),
+                     before);
+    close(caller.fd);
+}
+
+START_TEST(the_last_answer_is_written_to_its_end)
+{
+    takes_slowly(new_host(LONG_IDLE_MS), "GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+}
+END_TEST
+
+START_TEST(a_connection_does_not_rest_while_its_answer_is_written)
+{
+    takes_slowly(new_host(SHORT_IDLE_MS), "GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+}
+END_TEST
+
 Suite *
 suite_gateway_listener(void)
 {
@@ -205,6 +265,9 @@
     tcase_set_timeout(tests, 30);
     tcase_add_test(tests, a_request_that_crosses_the_close_of_a_resting_connection_is_not_read);
     tcase_add_test(tests, a_request_that_has_come_is_answered_though_the_connection_is_due);
+    tcase_add_test(tests, a_shorter_idle_limit_spares_connections_that_rest_already);
+    tcase_add_test(tests, the_last_answer_is_written_to_its_end);
+    tcase_add_test(tests, a_connection_does_not_rest_while_its_answer_is_written);
     suite_add_tcase(suite, tests);
     return suite;
 }
--- a/wire/listener.c
+++ b/wire/listener.c
@@ -14,7 +14,10 @@
     LISTEN_BACKLOG = 512, /* chosen, not measured */
     READ_SIZE = 65536,
     CHECK_EVERY_MS = 250,   /* granularity of the idle and head timeouts. Chosen */
-    CLOSE_LINGER_MS = 1000, /* wait for the caller's close after the last answer. Chosen */
+    CLOSE_LINGER_MS = 1000, /* from the last answer's last byte to our close. Chosen */
+    /* Output that has not moved for this time is given up. Chosen: above the 1.5 s that bytes lay
+     * on narrow links in docs/incidents/2026-12-02-config-storm.md, with the losses after it. */
+    WRITE_STALLED_MS = 5000,
 };
 
 static char read_buffer[READ_SIZE]; /* one read at a time on the loop */
@@ -64,25 +67,58 @@
         return;
     }
     uv_tcp_nodelay(&conn->tcp, 1);
+    conn->idle_ms = listener->limits.idle_timeout_ms;
     wire_conn_set_state(conn, STATE_IDLE);
     uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
 }
 
+/* Neither the rest after an answer nor the wait for the caller's close begins before the answer is
+ * written, which takes long on a narrow link. */
+static void
+note_output(wire_conn_t *conn)
+{
+    const size_t left = uv_stream_get_write_queue_size((const uv_stream_t *)&conn->tcp);
+    const bool answered = conn->state == STATE_IDLE || conn->state == STATE_CLOSING;
+    if (answered && left != conn->unwritten)
+        conn->since_ms = uv_now(conn->listener->loop);
+    conn->unwritten = left;
+}
+
+/* Callers rely on the limit that they knew at their last answer, and on a longer one at once. */
+static uint64_t
+rest_max_ms(const wire_conn_t *conn)
+{
+    const wire_listener_t *listener = conn->listener;
+    const uint64_t limit = listener->limits.idle_timeout_ms;
+    if (listener->stopping)
+        return 0;
+    return conn->idle_ms > limit ? conn->idle_ms : limit;
+}
+
 /* A resting connection is closed on both sides at once. A request that crosses the close is refused
  * by a reset without having been read, which tells the caller that it may be sent again; were it
  * read after our end, it would be lost without a word. */
 static void
 sweep_conn(wire_conn_t *conn)
 {
-    const wire_listener_t *listener = conn->listener;
-    const uint64_t age = uv_now(listener->loop) - conn->since_ms;
-    const bool rested = listener->stopping || age > listener->limits.idle_timeout_ms;
-    if (conn->state == STATE_IDLE && conn->in_flight == 0 && rested)
-        wire_conn_close(conn);
-    else if (conn->state == STATE_READING && age > listener->limits.head_timeout_ms)
-        request_reader_refuse(conn, HTTP_STATUS_REQUEST_TIMEOUT);
-    else if (conn->state == STATE_CLOSING && age > CLOSE_LINGER_MS)
-        wire_conn_close(conn);
+    note_output(conn);
+    const uint64_t age = uv_now(conn->listener->loop) - conn->since_ms;
+    switch (conn->state) {
+    case STATE_IDLE:
+        if (age >= (conn->unwritten > 0 ? WRITE_STALLED_MS : rest_max_ms(conn)))
+            wire_conn_close(conn);
+        break;
+    case STATE_READING:
+        if (age > conn->listener->limits.head_timeout_ms)
+            request_reader_refuse(conn, HTTP_STATUS_REQUEST_TIMEOUT);
+        break;
+    case STATE_ANSWERING:
+        break;
+    case STATE_CLOSING:
+        if (age > (conn->unwritten > 0 ? WRITE_STALLED_MS : CLOSE_LINGER_MS))
+            wire_conn_close(conn);
+        break;
+    }
 }
 
 static void
--- a/wire/listener.h
+++ b/wire/listener.h
@@ -54,7 +54,8 @@
                                      const wire_limits_t *limits, wire_handler_t handler, void *ctx,
                                      err_t *err);
 uint16_t wire_listener_port(const wire_listener_t *listener);
-/* New limits, also for connections that are open. */
+/* New limits, also for connections that are open; but these may rest for as long as was allowed at
+ * their last answer. */
 void wire_listener_set_limits(wire_listener_t *listener, const wire_limits_t *limits);
 size_t wire_listener_connections(const wire_listener_t *listener);
 /* From now on every answer asks the caller to close its connection. */
--- a/wire/respond.c
+++ b/wire/respond.c
@@ -7,6 +7,7 @@
     wire_conn_t *conn = (wire_conn_t *)req;
     xassert(conn->state == STATE_ANSWERING && !conn->started);
     conn->started = true;
+    conn->idle_ms = conn->listener->limits.idle_timeout_ms;
     conn->chunked = length == WIRE_CHUNKED && conn->parser.http_minor >= 1;
     conn->until_close = length < 0 && !conn->chunked;
     if (conn->listener->draining || conn->until_close)
--- a/wire/server_conn.h
+++ b/wire/server_conn.h
@@ -50,7 +50,9 @@
     wire_conn_t **slot; /* what points to this one */
     http_parser parser;
     wire_state_t state;
-    uint64_t since_ms; /* start of the state */
+    uint64_t since_ms; /* start of the state, or when its output last moved if that is later */
+    uint64_t idle_ms;  /* for which it may rest: the limit in force when its answer began */
+    size_t unwritten;  /* output left at the last sweep, in bytes */
     size_t body_size;  /* allocated for the request's body */
     char *early;       /* bytes of a next request */
     size_t early_len;
