Planned stop: time for the first request of a new connection

Their callers are refused unread, which they may repeat, but need not have been.

Idle connections are closed once they have rested for 1 s; older ones have, and answers since the SIGTERM end their connections. Ruled out: serving resting connections until the end of the stop. A request that is sent later than 3 s after the SIGTERM and runs long could not end in time, and the close loses nothing.

--- a/gateway/policy/shutdown.h
+++ b/gateway/policy/shutdown.h
@@ -5,8 +5,10 @@
  * Inputs: time since the request to stop and until the process would be killed, in milliseconds;
  * requests and caller connections that are left.
  * Rule: it is out of the directory and not ready at once. It accepts connections for 2 s more,
- * since callers keep the directory's answer. It ends once nothing is left and 2.4 s have passed,
- * and in any case 0.6 s before it would be killed.
+ * since callers keep the directory's answer. From then on it closes connections that have rested
+ * for 1 s, so that new ones have time for their first request; all others have ended with their
+ * answer or rested for longer. It ends once nothing is left and 2.4 s have passed, and in any case
+ * 0.6 s before it would be killed.
  *
  * Pure: no state, no clock.
  */
@@ -25,5 +27,7 @@
 
 /* True once no new connections are accepted and idle ones are closed. */
 bool shutdown_refuses_connections(uint64_t age_ms);
+/* How long connections may rest from then on, in milliseconds. */
+uint64_t shutdown_rest_max_ms(void);
 /* True once the process should end. */
 bool shutdown_is_due(const shutdown_input_t *input);
--- a/test/gateway/test_listener.c
+++ b/test/gateway/test_listener.c
@@ -257,6 +257,50 @@
 }
 END_TEST
 
+/* It was made in time, and its first request is on its way. */
+START_TEST(a_stop_leaves_a_new_connection_time_for_its_first_request)
+{
+    host_t *host = new_host(LONG_IDLE_MS);
+    caller_t caller = connect_caller(host, 0);
+    RUN_UNTIL(host, wire_listener_connections(host->listener) == 1);
+    wire_listener_drain(host->listener);
+    wire_listener_close(host->listener);
+    wire_listener_close_idle(host->listener, LONG_IDLE_MS);
+    run_for(host, SWEEP_MS);
+    ck_assert(!has_ended(&caller));
+    send_request(&caller);
+    RUN_UNTIL(host, has_answers(&caller, 1));
+    ck_assert(strstr(caller.text, "Connection: close") != NULL);
+    close(caller.fd);
+}
+END_TEST
+
+START_TEST(a_stop_closes_connections_that_have_rested)
+{
+    host_t *host = new_host(LONG_IDLE_MS);
+    caller_t caller = answered_caller(host);
+    wire_listener_close_idle(host->listener, SHORT_IDLE_MS);
+    run_for(host, 2 * SWEEP_MS);
+    ck_assert(has_ended(&caller));
+    ck_assert_uint_eq(wire_listener_connections(host->listener), 0);
+    close(caller.fd);
+}
+END_TEST
+
+START_TEST(a_connection_that_waits_to_be_accepted_is_served_though_the_port_closes)
+{
+    host_t *host = new_host(LONG_IDLE_MS);
+    run_for(host, 1);
+    caller_t caller = connect_caller(host, 0);
+    send_request(&caller);
+    wire_listener_drain(host->listener);
+    wire_listener_close(host->listener);
+    wire_listener_close_idle(host->listener, SWEEP_MS);
+    RUN_UNTIL(host, has_answers(&caller, 1));
+    close(caller.fd);
+}
+END_TEST
+
 Suite *
 suite_gateway_listener(void)
 {
@@ -268,6 +312,9 @@
     tcase_add_test(tests, a_shorter_idle_limit_spares_connections_that_rest_already);
     tcase_add_test(tests, the_last_answer_is_written_to_its_end);
     tcase_add_test(tests, a_connection_does_not_rest_while_its_answer_is_written);
+    tcase_add_test(tests, a_stop_leaves_a_new_connection_time_for_its_first_request);
+    tcase_add_test(tests, a_stop_closes_connections_that_have_rested);
+    tcase_add_test(tests, a_connection_that_waits_to_be_accepted_is_served_though_the_port_closes);
     suite_add_tcase(suite, tests);
     return suite;
 }
--- a/wire/listener.c
+++ b/wire/listener.c
@@ -90,9 +90,8 @@
 {
     const wire_listener_t *listener = conn->listener;
     const uint64_t limit = listener->limits.idle_timeout_ms;
-    if (listener->stopping)
-        return 0;
-    return conn->idle_ms > limit ? conn->idle_ms : limit;
+    const uint64_t allowed = conn->idle_ms > limit ? conn->idle_ms : limit;
+    return allowed < listener->rest_max_ms ? allowed : listener->rest_max_ms;
 }
 
 /* A resting connection is closed on both sides at once. A request that crosses the close is refused
@@ -167,6 +166,7 @@
     listener->handler = handler;
     listener->ctx = ctx;
     listener->on_answered = request_reader_next;
+    listener->rest_max_ms = UINT64_MAX;
     uv_tcp_init(loop, &listener->tcp);
     listener->tcp.data = listener;
     if (!tcp_listen(&listener->tcp, addr, LISTEN_BACKLOG, on_accept, &listener->port, err))
@@ -211,8 +211,8 @@
 }
 
 void
-wire_listener_close_idle(wire_listener_t *listener)
+wire_listener_close_idle(wire_listener_t *listener, uint64_t rest_ms)
 {
-    listener->stopping = true;
+    listener->rest_max_ms = rest_ms;
     request_sweep(listener);
 }
--- a/wire/listener.h
+++ b/wire/listener.h
@@ -62,8 +62,8 @@
 void wire_listener_drain(wire_listener_t *listener);
 /* Stops accepting, after the connections that wait to be accepted. */
 void wire_listener_close(wire_listener_t *listener);
-/* Closes the connections on which no request is waiting, from now on. */
-void wire_listener_close_idle(wire_listener_t *listener);
+/* From now on closes the connections on which no request has begun for this time. */
+void wire_listener_close_idle(wire_listener_t *listener, uint64_t rest_ms);
 
 /* Starts an answer. `fields` are whole header lines; `length` may be WIRE_CHUNKED or
  * WIRE_UNTIL_CLOSE. */
--- a/wire/server_conn.h
+++ b/wire/server_conn.h
@@ -30,7 +30,8 @@
     uv_loop_t *loop;
     wire_limits_t limits;
     wire_handler_t handler;
-    void *ctx; /* of the handler */
+    void *ctx;            /* of the handler */
+    uint64_t rest_max_ms; /* whatever the idle limit is */
     /* An answer has ended and the connection goes on. */
     void (*on_answered)(wire_conn_t *conn);
     wire_conn_t *conns;
@@ -39,7 +40,6 @@
     bool draining;
     bool closing; /* stops accepting at the next sweep */
     bool closed;
-    bool stopping; /* resting connections are closed */
 };
 
 struct wire_conn {
