Answers announce for how long their connection may be used again

Callers heed the time in Keep-Alive, whichever limits they know; they got none. Answers now announce whole seconds, a second less than the connection is kept (requests lay for 0.2 to 1.3 s on the jammed links); below 2 s nothing is announced and the limit stays as it is. The new test failed before (8 passed, 1 failed of the listener's).

--- a/test/gateway/test_listener.c
+++ b/test/gateway/test_listener.c
@@ -225,6 +225,31 @@
 }
 END_TEST
 
+START_TEST(answers_announce_less_than_the_time_that_their_connection_is_kept)
+{
+    static const struct {
+        uint64_t idle_ms;
+        const char *field;
+    } rows[] = {{1999, NULL}, {2000, "timeout=1\r\n"}, {8900, "timeout=7\r\n"}};
+    for (size_t i = 0; i < ALEN(rows); i++) {
+        host_t *host = new_host(rows[i].idle_ms);
+        caller_t caller = answered_caller(host);
+        const char *field = strstr(caller.text, "Keep-Alive: ");
+        ck_assert((field != NULL) == (rows[i].field != NULL));
+        if (field != NULL)
+            ck_assert(strstr(field, rows[i].field) == field + strlen("Keep-Alive: "));
+        /* None on an answer that ends its connection. */
+        wire_listener_drain(host->listener);
+        send_request(&caller);
+        RUN_UNTIL(host, has_answers(&caller, 2));
+        const char *last = strstr(caller.text, "bbbbb");
+        ck_assert(strstr(last, "Connection: close") != NULL);
+        ck_assert(strstr(last, "Keep-Alive") == NULL);
+        close(caller.fd);
+    }
+}
+END_TEST
+
 /* The link is narrow: the answer takes longer than a caller is given to close its side. */
 static void
 takes_slowly(host_t *host, const char *request)
@@ -310,6 +335,7 @@
     tcase_add_test(tests, a_request_that_crosses_the_close_of_a_resting_connection_is_not_read);
     tcase_add_test(tests, a_request_that_has_come_is_answered_though_the_connection_is_due);
     tcase_add_test(tests, a_shorter_idle_limit_spares_connections_that_rest_already);
+    tcase_add_test(tests, answers_announce_less_than_the_time_that_their_connection_is_kept);
     tcase_add_test(tests, the_last_answer_is_written_to_its_end);
     tcase_add_test(tests, a_connection_does_not_rest_while_its_answer_is_written);
     tcase_add_test(tests, a_stop_leaves_a_new_connection_time_for_its_first_request);
--- a/wire/listener.h
+++ b/wire/listener.h
@@ -13,7 +13,8 @@
  * through wire_respond_*(). The request lives until the answer has ended, was aborted, or the
  * caller has left, whichever comes first.
  *
- * A request is answered, or was not read: a resting connection is closed in one step, and only
+ * A request is answered, or was not read: answers announce for how long their connection may be
+ * used again, a second less than it is kept; a resting connection is closed in one step, and only
  * after the loop has read what has come.
  */
 #pragma once
--- a/wire/respond.c
+++ b/wire/respond.c
@@ -1,6 +1,23 @@
 #include "base/xmalloc.h"
 #include "wire/server_conn.h"
 
+/* Time that a request is given to arrive on a resting connection before that is closed, in
+ * milliseconds. Chosen: bytes lay for 0.2 to 1.3 s on narrow links that were jammed
+ * (docs/incidents/2026-12-02-config-storm.md). */
+enum { CROSSING_MS = 1000, MS_PER_S = 1000 };
+
+/* Tells the caller for how long it may send on the resting connection; nothing if that is less than
+ * a second, the unit of the field. */
+static void
+write_keep_alive(wire_conn_t *conn)
+{
+    const uint64_t rest = conn->idle_ms;
+    if (rest >= CROSSING_MS + MS_PER_S)
+        wire_text_printf(&conn->out, "Keep-Alive: timeout=%llu\r\n",
+                         (unsigned long long)((rest - CROSSING_MS) / MS_PER_S));
+    wire_text_str(&conn->out, STR("\r\n"));
+}
+
 void
 wire_respond_head(wire_request_t *req, int status, str_t fields, int64_t length)
 {
@@ -18,7 +35,10 @@
         wire_text_printf(&conn->out, "Content-Length: %lld\r\n", (long long)length);
     else if (conn->chunked)
         wire_text_str(&conn->out, STR("Transfer-Encoding: chunked\r\n"));
-    wire_text_str(&conn->out, conn->keep ? STR("\r\n") : STR("Connection: close\r\n\r\n"));
+    if (conn->keep)
+        write_keep_alive(conn);
+    else
+        wire_text_str(&conn->out, STR("Connection: close\r\n\r\n"));
 }
 
 void
