Soak of irisstall-gateway: troubles from a seed, judged by what callers saw

fake-site -s draws a schedule of overlapping troubles (stops, kills, pauses, settings, changes of the configuration and storms of them, the store, backend servers), plays callers, backend servers and operator, and judges nine promises; scripts/soak.sh starts the processes and carries out its orders. make soak, make soak-kept. The stand-in of the store answers late on demand.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # A thin front to meson and ninja.
 BUILD ?= build
 
-.PHONY: all deps build test unit lint format sanitize run run-padana run-platform faults faults-kept mutations bench slopes clean
+.PHONY: all deps build test unit lint format sanitize run run-padana run-platform faults faults-kept soak soak-kept mutations bench slopes clean
 
 all: build
 
@@ -48,6 +48,12 @@
 faults-kept: build
 	BUILD=$(BUILD) scripts/faults-kept.sh
 
+soak: build
+	BUILD=$(BUILD) scripts/soak.sh
+
+soak-kept: build
+	BUILD=$(BUILD) scripts/soak-kept.sh
+
 bench: build
 	BUILD=$(BUILD) scripts/bench.sh
 
--- a/standin/fake_site.c
+++ b/standin/fake_site.c
@@ -1,6 +1,7 @@
 /*
  * fake-site: the users' platform in one process, for the demo: its store, backend servers with
- * slots and a memory of objects, and callers. Prints a report and ends.
+ * slots and a memory of objects, and callers. Prints a report and ends. With a seed it runs a soak
+ * in place of the demo (standin/soak/).
  */
 #include <getopt.h>
 #include <signal.h>
@@ -13,6 +14,7 @@
 
 #include "base/rng.h"
 #include "base/xmalloc.h"
+#include "standin/soak/soak.h"
 #include "standin/store.h"
 #include "standin/backend.h"
 #include "wire/fetch.h"
@@ -306,10 +308,28 @@
 static void
 usage(FILE *out)
 {
-    fputs("usage: fake-site [-n GATEWAYS] [-r REQUESTS/S] [-d SECONDS] [-u TIMES]\n"
-          "  -u: so many times the 24 backend servers\n"
-          "  the store listens on 127.0.0.1:18140, gateway I is expected at 127.0.1.I:18141\n",
-          out);
+    fputs(
+        "usage: fake-site [-n GATEWAYS] [-r REQUESTS/S] [-d SECONDS] [-u TIMES]\n"
+        "       fake-site -s SEED [-n GATEWAYS] [-d SECONDS] [-a NET] [-x TIMES]\n"
+        "  -u: so many times the 24 backend servers\n"
+        "  the store listens on 127.0.0.1:18140, gateway I is expected at 127.0.1.I:18141\n"
+        "  -s: a soak with troubles drawn from this seed, for scripts/soak.sh: orders on standard\n"
+        "      output, reports on standard input, the verdict on standard error\n"
+        "  -a: its loopback network, as 127.1.2. (with the last dot)\n"
+        "  -x: so many times its bounds in time, for slow builds\n",
+        out);
+}
+
+/* A soak, if the options ask for one and are right for it. */
+static int
+run_soak(const soak_conf_t *conf)
+{
+    if (conf->instances > SOAK_INSTANCES_MAX || conf->instances == 0 || conf->length_ms == 0 ||
+        conf->slack < 1) {
+        usage(stderr);
+        return 2;
+    }
+    return soak_run(conf);
 }
 
 int
@@ -318,12 +338,14 @@
     static fake_t fake;
     int option;
     double seconds = 10;
+    bool is_soak = false;
+    soak_conf_t soak = {.net = "127.1.2.", .slack = 1};
     addr_t store;
     addr_t any;
     fake.gateway_count = 9;
     fake.per_s = 300;
     fake.scale = 1;
-    while ((option = getopt(argc, argv, "n:r:d:u:h")) != -1) {
+    while ((option = getopt(argc, argv, "n:r:d:u:s:a:x:h")) != -1) {
         switch (option) {
         case 'n':
             fake.gateway_count = strtoul(optarg, NULL, 10);
@@ -334,6 +356,16 @@
         case 'u':
             fake.scale = (unsigned)strtoul(optarg, NULL, 10);
             break;
+        case 's':
+            is_soak = true;
+            soak.seed = strtoull(optarg, NULL, 10);
+            break;
+        case 'a':
+            soak.net = optarg;
+            break;
+        case 'x':
+            soak.slack = strtod(optarg, NULL);
+            break;
         case 'd':
             seconds = strtod(optarg, NULL);
             break;
@@ -342,6 +374,11 @@
             return option == 'h' ? EXIT_SUCCESS : 2;
         }
     }
+    if (is_soak) {
+        soak.instances = (uint32_t)fake.gateway_count;
+        soak.length_ms = (uint64_t)(seconds * 1000);
+        return run_soak(&soak);
+    }
     if (fake.gateway_count == 0 || fake.gateway_count > CALLERS_MAX || fake.per_s <= 0 ||
         fake.scale == 0 || fake.scale > UPSTREAMS_MAX / 24) {
         usage(stderr);
--- /dev/null
+++ b/standin/soak/callers.c
@@ -0,0 +1,475 @@
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/rng.h"
+#include "base/xmalloc.h"
+#include "standin/soak/callers.h"
+#include "standin/soak/outcomes.h"
+
+enum {
+    READ_SIZE = 65536,
+    EARLY_MAX = 512,    /* bytes kept that arrive while no request is waiting */
+    DEADLINE_MS = 2000, /* for which a caller says it waits, */
+    PATIENCE_MS = 9000, /* and for which it does: above all pauses with the deadline */
+    CONNECT_AGAIN_MS = 200,
+    NEWS_LATE_MS = 1000, /* callers learn so late of a new limit on idle connections */
+    LINK_MS = 60,        /* and up to so late of a close, as over a long link */
+    DIRECTORY_MS = 1000, /* so long callers still connect to an instance that is asked to stop */
+    REST_SHORT_MS = 300, /* most rests are up to this, the others up to the limit */
+    REST_LONG_EVERY = 3,
+    NEW_EVERY = 4,     /* one caller of so many opens a connection for each request */
+    PROBE_EVERY = 4,   /* one request of so many is a probe */
+    BODY_MAX = 4000,   /* bytes of a request's body */
+    ANSWER_MAX = 2000, /* bytes of most answers' bodies */
+    LARGE_MIN = 40000, /* bytes of a large answer's body */
+    LARGE_SPAN = 80000,
+    STATUS_MAX = 600,
+};
+
+typedef struct caller caller_t;
+
+typedef struct {
+    uv_tcp_t tcp;
+    uv_connect_t connect;
+    caller_t *caller; /* NULL once the caller has left it */
+    life_t *life;
+    uint64_t answers;
+    uint64_t ended_ms; /* when the other side ended it; 0 if not */
+    char early[EARLY_MAX];
+    size_t early_len;
+    answer_t answer;
+} link_t;
+
+typedef enum { CALLER_ABSENT, CALLER_CONNECTS, CALLER_RESTS, CALLER_WAITS } caller_state_t;
+
+struct caller {
+    callers_t *callers;
+    uint32_t instance;
+    bool keeps; /* its connection */
+    uint64_t link_ms;
+    caller_state_t state;
+    link_t *link;
+    uint64_t since_ms; /* of the state */
+    uint64_t due_ms;   /* of the next connection or request */
+    soak_request_t *request;
+    bool crossed; /* the request: the connection had been closed when it was sent */
+    uint64_t marker;
+};
+
+struct callers {
+    callers_conf_t conf;
+    outcomes_conf_t outcomes;
+    caller_t *items;
+    size_t count;
+    rng_t rng;
+    uint64_t now_ms;
+    uint64_t statuses[STATUS_MAX]; /* 0: closed; 1: given up; 2: not sent */
+};
+
+typedef struct {
+    uv_write_t req;
+    char *bytes;
+} write_t;
+
+static char read_buffer[READ_SIZE]; /* one read at a time on the loop */
+
+static void
+set_state(caller_t *caller, caller_state_t state)
+{
+    caller->state = state;
+    caller->since_ms = caller->callers->now_ms;
+}
+
+/* ---- connections ---- */
+
+static void
+on_link_closed(uv_handle_t *handle)
+{
+    free(handle->data);
+}
+
+static void
+leave(caller_t *caller, uint64_t again_ms)
+{
+    caller->link->caller = NULL;
+    uv_close((uv_handle_t *)&caller->link->tcp, on_link_closed);
+    caller->link = NULL;
+    caller->request = NULL;
+    set_state(caller, CALLER_ABSENT);
+    caller->due_ms = caller->callers->now_ms + again_ms;
+}
+
+static void
+rest(caller_t *caller)
+{
+    callers_t *callers = caller->callers;
+    const uint64_t known_ms = callers->now_ms > NEWS_LATE_MS ? callers->now_ms - NEWS_LATE_MS : 0;
+    const uint64_t limit_ms = operator_idle_ms(callers->conf.operator, known_ms) * 4 / 5;
+    const bool is_long = rng_below(&callers->rng, REST_LONG_EVERY) == 0;
+    set_state(caller, CALLER_RESTS);
+    caller->due_ms =
+        callers->now_ms + 1 + rng_below(&callers->rng, is_long ? limit_ms : REST_SHORT_MS);
+}
+
+static outcome_t
+outcome_of(const caller_t *caller)
+{
+    return (outcome_t){
+        .request = caller->request,
+        .life = caller->link->life,
+        .answer = &caller->link->answer,
+        .marker = caller->marker,
+        .deadline_ms = DEADLINE_MS,
+        .answers_before = caller->link->answers,
+        .crossed = caller->crossed,
+        .now_ms = caller->callers->now_ms,
+    };
+}
+
+static void
+on_answered(caller_t *caller)
+{
+    callers_t *callers = caller->callers;
+    link_t *link = caller->link;
+    const outcome_t outcome = outcome_of(caller);
+    callers->statuses[answer_status(&link->answer) % STATUS_MAX]++;
+    outcome_answered(&callers->outcomes, &outcome);
+    link->answers++;
+    caller->request = NULL;
+    if (link->answer.keep && caller->keeps && link->ended_ms == 0)
+        rest(caller);
+    else
+        leave(caller, 1 + rng_below(&callers->rng, REST_SHORT_MS));
+}
+
+static void
+on_closed(caller_t *caller, const char *how)
+{
+    const outcome_t outcome = outcome_of(caller);
+    caller->callers->statuses[0]++;
+    outcome_closed(&caller->callers->outcomes, &outcome, how);
+    leave(caller, CONNECT_AGAIN_MS);
+}
+
+static void
+keep_early(link_t *link, const char *ptr, size_t len)
+{
+    const size_t room = sizeof(link->early) - link->early_len;
+    const size_t part = len < room ? len : room;
+    memcpy(link->early + link->early_len, ptr, part);
+    link->early_len += part;
+}
+
+static void
+on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
+{
+    (void)handle;
+    (void)suggested;
+    *buf = uv_buf_init(read_buffer, sizeof(read_buffer));
+}
+
+static void
+on_ended(caller_t *caller, bool in_order)
+{
+    link_t *link = caller->link;
+    link->ended_ms = caller->callers->now_ms;
+    if (caller->state != CALLER_WAITS)
+        return; /* the caller learns of it later */
+    if (in_order)
+        answer_end(&link->answer);
+    if (link->answer.whole)
+        on_answered(caller);
+    else
+        on_closed(caller, in_order ? "closed" : "reset");
+}
+
+static void
+on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
+{
+    link_t *link = stream->data;
+    caller_t *caller = link->caller;
+    if (caller == NULL || n == 0)
+        return;
+    if (n < 0) {
+        uv_read_stop(stream);
+        on_ended(caller, n == UV_EOF);
+        return;
+    }
+    if (caller->state != CALLER_WAITS) {
+        keep_early(link, buf->base, (size_t)n);
+        return;
+    }
+    answer_feed(&link->answer, buf->base, (size_t)n);
+    if (link->answer.whole)
+        on_answered(caller);
+    else if (link->answer.garbage)
+        on_closed(caller, "left");
+}
+
+static void
+on_connected(uv_connect_t *connect, int status)
+{
+    link_t *link = connect->data;
+    caller_t *caller = link->caller;
+    if (caller == NULL)
+        return;
+    if (status != 0) {
+        leave(caller, CONNECT_AGAIN_MS);
+        return;
+    }
+    uv_tcp_nodelay(&link->tcp, 1);
+    uv_read_start((uv_stream_t *)&link->tcp, on_alloc, on_read);
+    set_state(caller, CALLER_RESTS);
+    caller->due_ms = caller->callers->now_ms;
+}
+
+static void
+connect_to(caller_t *caller, life_t *life)
+{
+    callers_t *callers = caller->callers;
+    char text[ADDR_TEXT_MAX];
+    addr_t addr;
+    snprintf(text, sizeof(text), "%s%" PRIu32 ":%u", callers->conf.net, caller->instance + 1,
+             callers->conf.port);
+    xassert(addr_parse(str_from(text), &addr));
+    link_t *link = xcalloc(1, sizeof(*link));
+    link->caller = caller;
+    link->life = life;
+    uv_tcp_init(callers->conf.loop, &link->tcp);
+    link->tcp.data = link;
+    link->connect.data = link;
+    caller->link = link;
+    set_state(caller, CALLER_CONNECTS);
+    if (uv_tcp_connect(&link->connect, &link->tcp, &addr.sa, on_connected) != 0)
+        leave(caller, CONNECT_AGAIN_MS);
+}
+
+/* ---- requests ---- */
+
+/* The version whose route a probe asks for: one that must be there, one that must be gone, or the
+ * newest, which proves how far the instance is. */
+static uint64_t
+draw_marker(callers_t *callers)
+{
+    enum { NEAR = 4 };
+    const uint64_t newest = operator_version(callers->conf.operator);
+    const uint64_t bound_ms = callers->conf.config_bound_ms;
+    const uint64_t held =
+        callers->now_ms > bound_ms
+            ? operator_version_at(callers->conf.operator, callers->now_ms - bound_ms)
+            : 1;
+    const uint64_t back = rng_below(&callers->rng, NEAR);
+    switch (rng_below(&callers->rng, 3)) {
+    case 0:
+        return held > back ? held - back : 1;
+    case 1:
+        return held > OPERATOR_MARKERS + back ? held - OPERATOR_MARKERS - back : newest;
+    default:
+        return newest;
+    }
+}
+
+static void
+draw_request(caller_t *caller)
+{
+    callers_t *callers = caller->callers;
+    const request_kind_t kind = rng_below(&callers->rng, PROBE_EVERY) == 0 ? REQUEST_PROBE
+                                : rng_below(&callers->rng, 8) == 0         ? REQUEST_LARGE
+                                : rng_below(&callers->rng, 2) == 0         ? REQUEST_UNSAFE
+                                                                           : REQUEST_SAFE;
+    soak_request_t *request = requests_add(callers->conf.requests, kind, caller->instance);
+    request->sent_ms = callers->now_ms;
+    request->touched = fleet_in_touch(callers->conf.fleet, caller->instance, callers->now_ms);
+    if (kind == REQUEST_UNSAFE)
+        request->body_len = rng_below(&callers->rng, BODY_MAX);
+    request->answer_len = kind == REQUEST_LARGE ? LARGE_MIN + rng_below(&callers->rng, LARGE_SPAN)
+                                                : rng_below(&callers->rng, ANSWER_MAX);
+    caller->request = request;
+    caller->crossed = caller->link->ended_ms > 0;
+    caller->marker = kind == REQUEST_PROBE ? draw_marker(callers) : 0;
+}
+
+static char *
+write_request(caller_t *caller, size_t *len)
+{
+    static const unsigned first_of[] = {
+        [REQUEST_SAFE] = 0, [REQUEST_UNSAFE] = 1, [REQUEST_LARGE] = 2};
+    const soak_request_t *request = caller->request;
+    char path[48];
+    if (request->kind == REQUEST_PROBE)
+        snprintf(path, sizeof(path), "/marker/%" PRIu64, caller->marker);
+    else /* the kinds of routes take turns */
+        snprintf(path, sizeof(path), "/first/%u",
+                 first_of[request->kind] +
+                     3 * (unsigned)rng_below(&caller->callers->rng, OPERATOR_FIRST_ROUTES / 3));
+    char *head =
+        xasprintf("%s %s/%" PRIu64 " HTTP/1.1\r\nHost: soak.example\r\nAttempt-Id: %" PRIu64
+                  "\r\nAffinity-Key: %" PRIu64 "\r\nDeadline-Ms: %d\r\nContent-Length: %zu\r\n\r\n",
+                  request->kind == REQUEST_UNSAFE ? "POST" : "GET", path, request->number,
+                  request->number, request->number % 87, DEADLINE_MS, request->body_len);
+    const size_t head_len = strlen(head);
+    char *bytes = xrealloc(head, head_len + request->body_len);
+    requests_fill(request->number, 0, bytes + head_len, request->body_len);
+    *len = head_len + request->body_len;
+    return bytes;
+}
+
+static void
+on_written(uv_write_t *req, int status)
+{
+    write_t *write = (write_t *)req;
+    link_t *link = req->data;
+    free(write->bytes);
+    free(write);
+    caller_t *caller = link->caller;
+    if (status == 0 || caller == NULL || caller->state != CALLER_WAITS)
+        return;
+    caller->callers->statuses[2]++; /* the request did not get out whole: nothing to judge */
+    leave(caller, CONNECT_AGAIN_MS);
+}
+
+/* Bytes that came before the request answer it, as far as the caller can tell. */
+static void
+take_early(caller_t *caller)
+{
+    link_t *link = caller->link;
+    if (link->early_len > 0)
+        answer_feed(&link->answer, link->early, link->early_len);
+    link->early_len = 0;
+    if (link->answer.whole)
+        on_answered(caller);
+    else if (link->ended_ms > 0)
+        on_closed(caller, "closed before it arrived,");
+}
+
+static void
+send_request(caller_t *caller)
+{
+    size_t len;
+    draw_request(caller);
+    write_t *write = xmalloc(sizeof(*write));
+    write->bytes = write_request(caller, &len);
+    write->req.data = caller->link;
+    uv_buf_t buf = uv_buf_init(write->bytes, (unsigned)len);
+    answer_expect(&caller->link->answer, caller->request->number);
+    set_state(caller, CALLER_WAITS);
+    if (uv_write(&write->req, (uv_stream_t *)&caller->link->tcp, &buf, 1, on_written) != 0) {
+        free(write->bytes);
+        free(write);
+        caller->callers->statuses[2]++;
+        leave(caller, CONNECT_AGAIN_MS);
+        return;
+    }
+    take_early(caller);
+}
+
+/* ---- regular work ---- */
+
+static void
+judge_early(const caller_t *caller)
+{
+    static const char *const allowed[] = {"HTTP/1.1 408", "HTTP/1.1 503"};
+    const link_t *link = caller->link;
+    for (size_t i = 0; i < ALEN(allowed); i++) {
+        const size_t len = strlen(allowed[i]);
+        if (link->early_len == 0 ||
+            (link->early_len >= len && memcmp(link->early, allowed[i], len) == 0))
+            return;
+    }
+    judge_examine(caller->callers->conf.judge, RULE_MIXED);
+    judge_break(caller->callers->conf.judge, RULE_MIXED,
+                "gateway-%" PRIu32 " sent '%.*s' where no request was waiting",
+                caller->instance + 1, link->early_len < 60 ? (int)link->early_len : 60,
+                link->early);
+}
+
+static void
+tick_resting(caller_t *caller)
+{
+    callers_t *callers = caller->callers;
+    const uint64_t now_ms = callers->now_ms;
+    const link_t *link = caller->link;
+    if (link->ended_ms > 0 && now_ms >= link->ended_ms + caller->link_ms) {
+        judge_early(caller);
+        leave(caller, CONNECT_AGAIN_MS);
+        return;
+    }
+    if (now_ms < caller->due_ms)
+        return;
+    const uint64_t known_ms = now_ms > NEWS_LATE_MS ? now_ms - NEWS_LATE_MS : 0;
+    const uint64_t rested_ms = now_ms - caller->since_ms;
+    if (rested_ms * 5 > operator_idle_ms(callers->conf.operator, known_ms) * 4)
+        leave(caller, 1);
+    else
+        send_request(caller);
+}
+
+static void
+tick(caller_t *caller)
+{
+    callers_t *callers = caller->callers;
+    const uint64_t now_ms = callers->now_ms;
+    switch (caller->state) {
+    case CALLER_ABSENT: {
+        life_t *life = fleet_life(callers->conf.fleet, caller->instance);
+        if (now_ms < caller->due_ms || life == NULL || life->killed ||
+            (life->asked_ms > 0 && now_ms >= life->asked_ms + DIRECTORY_MS))
+            break;
+        connect_to(caller, life);
+        break;
+    }
+    case CALLER_CONNECTS:
+        break;
+    case CALLER_RESTS:
+        tick_resting(caller);
+        break;
+    case CALLER_WAITS:
+        if (now_ms < caller->since_ms + PATIENCE_MS)
+            break;
+        callers->statuses[1]++;
+        leave(caller, CONNECT_AGAIN_MS);
+        break;
+    }
+}
+
+void
+callers_tick(callers_t *callers, uint64_t now_ms)
+{
+    callers->now_ms = now_ms;
+    for (size_t i = 0; i < callers->count; i++)
+        tick(&callers->items[i]);
+}
+
+callers_t *
+callers_new(const callers_conf_t *conf)
+{
+    callers_t *callers = xcalloc(1, sizeof(*callers));
+    callers->conf = *conf;
+    callers->outcomes =
+        (outcomes_conf_t){conf->judge, conf->operator, conf->config_bound_ms, conf->slack};
+    callers->rng = (rng_t){conf->seed};
+    callers->count = (size_t)conf->instances * conf->each;
+    callers->items = xcalloc(callers->count, sizeof(callers->items[0]));
+    for (size_t i = 0; i < callers->count; i++) {
+        callers->items[i] = (caller_t){
+            .callers = callers,
+            .instance = (uint32_t)(i / conf->each),
+            .keeps = i % NEW_EVERY != 0,
+            .link_ms = rng_below(&callers->rng, LINK_MS),
+        };
+    }
+    return callers;
+}
+
+void
+callers_print(const callers_t *callers, FILE *out)
+{
+    fprintf(out, "requests: closed %" PRIu64 ", given up %" PRIu64 ", not sent %" PRIu64,
+            callers->statuses[0], callers->statuses[1], callers->statuses[2]);
+    for (size_t i = 3; i < STATUS_MAX; i++) {
+        if (callers->statuses[i] > 0)
+            fprintf(out, ", %zu: %" PRIu64, i, callers->statuses[i]);
+    }
+    fputc('\n', out);
+}
--- /dev/null
+++ b/standin/soak/servers.h
@@ -0,0 +1,35 @@
+/*
+ * The backend servers of a soak: they work on requests in slots, refuse what is too much, tell
+ * that they leave, leave without a word, die, and are replaced, at their old address or a new one.
+ *
+ * They see what was run, and judge: what was refused must not run, what may not be repeated runs
+ * once, a leaving one gets nothing new after the bound, and bodies arrive as they were sent.
+ */
+#pragma once
+
+#include <uv.h>
+
+#include "standin/soak/fleet.h"
+#include "standin/soak/operator.h"
+#include "standin/soak/requests.h"
+
+typedef struct servers servers_t;
+
+typedef struct {
+    uv_loop_t *loop;
+    standin_store_t *store;
+    requests_t *requests;
+    const fleet_t *fleet;
+    const operator_t *operator;
+    judge_t *judge;
+    const char *host; /* address to listen on */
+    uint32_t count;
+    uint64_t leaving_bound_ms; /* from the entry until nothing new arrives any more */
+} servers_conf_t;
+
+servers_t *servers_new(const servers_conf_t *conf);
+/* Carries out a trouble that strikes a backend server. */
+void servers_trouble(servers_t *servers, const trouble_t *trouble, uint64_t now_ms);
+void servers_tick(servers_t *servers, uint64_t now_ms);
+/* Requests that were run. */
+uint64_t servers_runs(const servers_t *servers);
--- /dev/null
+++ b/standin/soak/soak.h
@@ -0,0 +1,22 @@
+/*
+ * A soak: instances on loopback under troubles drawn from a seed, with the users' platform, its
+ * callers and its backend servers in this process, and a verdict at the end.
+ *
+ * scripts/soak.sh starts the instances and carries out the orders, see fleet.h.
+ */
+#pragma once
+
+#include <stdint.h>
+
+typedef struct {
+    uint64_t seed;
+    uint64_t length_ms; /* of the troubles; the planned stop of all comes after it */
+    uint32_t instances;
+    const char *net; /* the loopback network to use, as "127.1.2." */
+    double slack;    /* times the bounds in time, for slow builds */
+} soak_conf_t;
+
+enum { SOAK_INSTANCES_MAX = 200 /* addresses of a network; the store is at 250 */ };
+
+/* Runs to the end; the exit status of the program. */
+int soak_run(const soak_conf_t *conf);
--- a/standin/store.c
+++ b/standin/store.c
@@ -30,6 +30,13 @@
     struct watch *next;
 } watch_t;
 
+/* A call that waits before it is looked at. */
+typedef struct {
+    standin_store_t *store;
+    wire_request_t *req;
+    uv_timer_t timer;
+} delayed_t;
+
 struct standin_store {
     uv_loop_t *loop;
     wire_listener_t *listener;
@@ -40,6 +47,7 @@
     uint64_t revision;
     uint64_t oldest; /* watches from before get 410 */
     uint64_t calls;
+    uint64_t delay_ms;
     size_t page;
     char refused_kind[KIND_MAX];
     unsigned refused_lists;
@@ -276,10 +284,8 @@
 }
 
 static void
-on_request(void *ctx, wire_request_t *req)
+look_at(standin_store_t *store, wire_request_t *req)
 {
-    standin_store_t *store = ctx;
-    store->calls++;
     switch (store->mode) {
     case STANDIN_STORE_BUSY:
         wire_respond(req, HTTP_STATUS_SERVICE_UNAVAILABLE, STR(""), STR(""));
@@ -302,6 +308,48 @@
     }
 }
 
+static void
+on_delayed_closed(uv_handle_t *handle)
+{
+    free(handle->data);
+}
+
+static void
+on_delayed_gone(void *ctx)
+{
+    delayed_t *delayed = ctx;
+    uv_close((uv_handle_t *)&delayed->timer, on_delayed_closed);
+}
+
+static void
+on_delay(uv_timer_t *timer)
+{
+    delayed_t *delayed = timer->data;
+    delayed->req->on_gone = NULL;
+    delayed->req->ctx = NULL;
+    look_at(delayed->store, delayed->req);
+    uv_close((uv_handle_t *)timer, on_delayed_closed);
+}
+
+static void
+on_request(void *ctx, wire_request_t *req)
+{
+    standin_store_t *store = ctx;
+    store->calls++;
+    if (store->delay_ms == 0) {
+        look_at(store, req);
+        return;
+    }
+    delayed_t *delayed = xcalloc(1, sizeof(*delayed));
+    delayed->store = store;
+    delayed->req = req;
+    uv_timer_init(store->loop, &delayed->timer);
+    delayed->timer.data = delayed;
+    req->ctx = delayed;
+    req->on_gone = on_delayed_gone;
+    uv_timer_start(&delayed->timer, on_delay, store->delay_ms, 0);
+}
+
 standin_store_t *
 standin_store_start(uv_loop_t *loop, const addr_t *addr)
 {
@@ -340,6 +388,12 @@
     }
 }
 
+void
+standin_store_set_delay(standin_store_t *store, uint64_t delay_ms)
+{
+    store->delay_ms = delay_ms;
+}
+
 void
 standin_store_forget(standin_store_t *store)
 {
--- a/standin/store.h
+++ b/standin/store.h
@@ -25,6 +25,8 @@
 standin_store_t *standin_store_start(uv_loop_t *loop, const addr_t *addr);
 addr_t standin_store_addr(const standin_store_t *store);
 void standin_store_set_mode(standin_store_t *store, standin_store_mode_t mode);
+/* Calls that arrive from now on wait so long before they are looked at. */
+void standin_store_set_delay(standin_store_t *store, uint64_t delay_ms);
 /* Makes or replaces an object; takes over `spec` and `status`. Watches hear of it. */
 void standin_store_put(standin_store_t *store, const char *kind, const char *name, json_t *spec,
                        json_t *status);
