--- a/standin/soak/callers.c
+++ b/standin/soak/callers.c
@@ -15,10 +15,14 @@
     CONNECT_AGAIN_MS = 200,
     NEWS_LATE_MS = 1000, /* callers learn so late of a new limit on idle connections */
     LINK_MS = 500,       /* and up to so late of a close, as over a long and narrow link */
+    /* A quiet caller uses its connection again so long after its instance was asked to stop, at the
+     * earliest, and by the span later: about when the directory's answers from before run out. */
+    LATE_USE_MS = 1700,
+    LATE_USE_SPAN_MS = 1000,
     DIRECTORY_MS = 1000, /* so long callers still connect to an instance that is asked to stop */
     REST_SHORT_MS = 300, /* most rests are up to this, the others up to the limit */
     REST_LONG_EVERY = 4,
-    QUIET_EVERY = 4,   /* one caller of so many has long rests only */
+    QUIET_EVERY = 3,   /* one caller of so many has long rests only */
     NEW_EVERY = 4,     /* one caller of so many opens a connection for each request */
     PROBE_EVERY = 4,   /* one request of so many is a probe */
     BODY_MAX = 4000,   /* bytes of a request's body */
@@ -36,6 +40,7 @@
     caller_t *caller; /* NULL once the caller has left it */
     life_t *life;
     uint64_t answers;
+    bool late;         /* its next use is put off into the planned stop */
     uint64_t ended_ms; /* when the other side ended it; 0 if not */
     char early[EARLY_MAX];
     size_t early_len;
@@ -186,6 +191,16 @@
         on_closed(caller, in_order ? "closed" : "reset");
 }
 
+/* libuv tells a reset behind the last bytes as an end; another read fails then. */
+static bool
+was_reset(const link_t *link)
+{
+    uv_os_fd_t fd;
+    char byte;
+    return uv_fileno((const uv_handle_t *)&link->tcp, &fd) != 0 ||
+           recv(fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) != 0;
+}
+
 static void
 on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
 {
@@ -195,7 +210,7 @@
         return;
     if (n < 0) {
         uv_read_stop(stream);
-        on_ended(caller, n == UV_EOF);
+        on_ended(caller, n == UV_EOF && !was_reset(link));
         return;
     }
     if (caller->state != CALLER_WAITS) {
@@ -386,12 +401,25 @@
                 link->early);
 }
 
+/* Has a quiet caller use its connection late in a planned stop. */
+static void
+put_off(caller_t *caller)
+{
+    link_t *link = caller->link;
+    if (!caller->quiet || link->late || link->life->asked_ms == 0)
+        return;
+    link->late = true;
+    caller->due_ms =
+        link->life->asked_ms + LATE_USE_MS + rng_below(&caller->callers->rng, LATE_USE_SPAN_MS);
+}
+
 static void
 tick_resting(caller_t *caller)
 {
     callers_t *callers = caller->callers;
     const uint64_t now_ms = callers->now_ms;
     const link_t *link = caller->link;
+    put_off(caller);
     if (link->ended_ms > 0 && now_ms >= link->ended_ms + caller->link_ms) {
         judge_early(caller);
         leave(caller, CONNECT_AGAIN_MS);
--- a/standin/soak/operator.c
+++ b/standin/soak/operator.c
@@ -100,7 +100,7 @@
 static void
 vary(operator_t *operator, version_t * version)
 {
-    static const uint64_t idle_ms[] = {1000, 3000, 8000, 15000};
+    static const uint64_t idle_ms[] = {2000, 5000, 10000, 15000};
     const unsigned i = (unsigned)rng_below(&operator->rng, OPERATOR_FIRST_ROUTES);
     operator->timeouts_ms[i] =
         TIMEOUT_MIN_MS +(unsigned) rng_below(&operator->rng, TIMEOUT_SPAN_MS);
--- a/standin/soak/outcomes.c
+++ b/standin/soak/outcomes.c
@@ -197,6 +197,10 @@
     const uint64_t age_ms = outcome->now_ms - request->sent_ms;
     if (outcome->life->killed)
         return true;
+    /* A new connection that came during a pause in a planned stop was never accepted. */
+    if (outcome->life->asked_ms > 0 && outcome->answers_before == 0 &&
+        rule_of_loss(outcome) == RULE_PAUSED)
+        return true;
     if (fleet_is_gone(outcome->life))
         return age_ms <= (uint64_t)(CROSSING_MS * conf->slack);
     return outcome->answer->begun && (request->server_left || age_ms >= outcome->deadline_ms);
--- a/standin/soak/servers.c
+++ b/standin/soak/servers.c
@@ -15,13 +15,15 @@
     ID_MAX = 32,
     REPLACED_AFTER_MS = 700, /* from the end of a backend server to the start of the next */
     WORK_SHORT_MS = 30,      /* most requests take up to this, */
-    WORK_MIDDLE_MS = 200,    /* one in eight up to this, */
-    WORK_LONG_MS = 600,      /* and one in 32 up to this: well below the least time limit */
-    MIDDLE_EVERY = 8,
-    LONG_EVERY = 32,
+    WORK_MIDDLE_MS = 200,    /* one in five up to this, */
+    WORK_LONG_MS = 600,      /* and one in 12 up to this: well below the least time limit */
+    MIDDLE_EVERY = 5,
+    LONG_EVERY = 12,
     REFUSE_EVERY = 9, /* a backend server refuses one request of so many, by its id */
-    CUT_EVERY = 97,   /* one answer of so many breaks off in its middle */
-    PIECE = 16384,    /* bytes of an answer that are made at once */
+    CUT_EVERY = 41,   /* one answer of so many breaks off in its middle */
+    FRAMINGS =
+        8, /* of answers: one in chunks, one up to the connection's end, the rest with a length */
+    PIECE = 16384, /* bytes of an answer that are made at once */
     STORE_CALM_MS = 4000,
 };
 
@@ -136,9 +138,15 @@
 static int64_t
 framing(const soak_request_t *request)
 {
-    if (request->number % 5 == 0)
+    const uint64_t draw = str_hash((str_t){(const char *)&request->number, sizeof(uint64_t)}, 2);
+    switch (draw % FRAMINGS) {
+    case 0:
         return WIRE_CHUNKED;
-    return request->number % 23 == 0 ? WIRE_UNTIL_CLOSE : (int64_t)request->answer_len;
+    case 1:
+        return WIRE_UNTIL_CLOSE;
+    default:
+        return (int64_t)request->answer_len;
+    }
 }
 
 static void
--- a/standin/soak/soak.c
+++ b/standin/soak/soak.c
@@ -26,7 +26,7 @@
     END_MS = 15000,  /* after the length: above the grace time and what follows it */
     LINE_MAX_LEN = 128,
     SERVERS_MIN = 12, /* one of both services in each data hall */
-    CALLERS_EACH = 8,
+    CALLERS_EACH = 12,
     /* The users' site promises 2.5 s for both; the rest is for a busy machine. */
     CONFIG_BOUND_MS = 3500,
     LEAVING_BOUND_MS = 3500,
--- a/test/suites.h
+++ b/test/suites.h
@@ -14,6 +14,7 @@
 Suite *suite_check(void);
 Suite *suite_gateway_config(void);
 Suite *suite_gateway_route_stats(void);
+Suite *suite_gateway_soak(void);
 Suite *suite_gateway_lifetime(void);
 Suite *suite_gateway_listener(void);
 Suite *suite_gateway_final_answer(void);
