Soak: a request that crosses a close may be refused unread, by a reset; callers heed Keep-Alive

The rule 'crossed' broke for every request that met a close, which no instance can avoid. What it can do is to refuse it unread, which a reset tells the caller, who may send it again. The check is as strict for the rest: a request that is read and then closed on breaks it, and one that was refused unread must never run ('refused').

--- a/standin/soak/answer.c
+++ b/standin/soak/answer.c
@@ -1,3 +1,4 @@
+#include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 
@@ -16,6 +17,8 @@
 {
     if (strcasecmp(answer->name, "Attempt-Id") == 0)
         return FIELD_ID;
+    if (strcasecmp(answer->name, "Keep-Alive") == 0)
+        return FIELD_KEEP_ALIVE;
     return strcasecmp(answer->name, "Response-Signature") == 0 ? FIELD_SIGNATURE : FIELD_OTHER;
 }
 
@@ -41,6 +44,8 @@
         append(answer->id, &answer->id_len, ptr, len);
     else if (answer->field == FIELD_SIGNATURE)
         append(answer->signature, &answer->signature_len, ptr, len);
+    else if (answer->field == FIELD_KEEP_ALIVE)
+        append(answer->keep_alive, &answer->keep_alive_len, ptr, len);
     return 0;
 }
 
@@ -109,3 +114,12 @@
 {
     return answer->parser.status_code;
 }
+
+uint64_t
+answer_rest_ms(const answer_t *answer)
+{
+    enum { MS_PER_S = 1000 };
+    static const char timeout[] = "timeout=";
+    const char *at = strstr(answer->keep_alive, timeout);
+    return at != NULL ? strtoull(at + strlen(timeout), NULL, 10) * MS_PER_S : UINT64_MAX;
+}
--- a/standin/soak/answer.h
+++ b/standin/soak/answer.h
@@ -16,6 +16,7 @@
     FIELD_OTHER,
     FIELD_ID,
     FIELD_SIGNATURE,
+    FIELD_KEEP_ALIVE,
 } answer_field_t;
 
 typedef struct {
@@ -27,6 +28,8 @@
     size_t id_len;
     char signature[ANSWER_FIELD_MAX];
     size_t signature_len;
+    char keep_alive[ANSWER_FIELD_MAX];
+    size_t keep_alive_len;
     bool in_value;
     answer_field_t field;
     size_t body_len;
@@ -44,3 +47,5 @@
 /* The connection has ended: makes an answer without a length whole. */
 void answer_end(answer_t *answer);
 int answer_status(const answer_t *answer);
+/* For how long the connection may rest, as the answer says; UINT64_MAX if it does not. */
+uint64_t answer_rest_ms(const answer_t *answer);
--- a/standin/soak/outcomes.h
+++ b/standin/soak/outcomes.h
@@ -25,6 +25,9 @@
     uint64_t deadline_ms;    /* for which the caller said it would wait */
     uint64_t answers_before; /* on its connection */
     bool crossed;            /* its connection had been closed when it was sent */
+    bool reset;         /* its connection was reset: closed with the request unread, or before */
+    bool gone;          /* its process was gone, or on its way, at the close */
+    uint64_t closed_ms; /* when the caller saw the close, or sent if that came later */
     uint64_t now_ms;
 } outcome_t;
 
--- a/standin/soak/requests.h
+++ b/standin/soak/requests.h
@@ -19,6 +19,9 @@
     REQUEST_PROBE,  /* may be repeated; on a route that was just added or removed */
 } request_kind_t;
 
+/* In place of a status: its connection was reset before an instance had read it. */
+enum { REFUSED_UNREAD = 1 };
+
 typedef struct {
     uint64_t number; /* its id in decimal digits */
     uint64_t sent_ms;
--- a/test/gateway/test_soak.c
+++ b/test/gateway/test_soak.c
@@ -40,6 +40,7 @@
                              .life = &c->life,
                              .answer = &c->answer,
                              .deadline_ms = 2000,
+                             .closed_ms = sent_ms + 10,
                              .now_ms = sent_ms + 10};
     answer_expect(&c->answer, request->number);
     return c;
@@ -183,6 +184,26 @@
 }
 END_TEST
 
+START_TEST(a_request_that_crossed_a_close_is_refused_unread_by_a_reset)
+{
+    case_t *c = new_case(REQUEST_UNSAFE, LATE_MS);
+    c->outcome.crossed = true;
+    c->outcome.reset = true;
+    outcome_closed(&c->conf, &c->outcome, "reset");
+    ck_assert_uint_eq(examined(c, RULE_CROSSED), 1);
+    ck_assert_uint_eq(broken(c, RULE_CROSSED), 0);
+    ck_assert_int_eq(c->outcome.request->refused, REFUSED_UNREAD);
+    c->outcome.crossed = false;
+    c->outcome.request->runs = 1; /* it was read after all */
+    outcome_closed(&c->conf, &c->outcome, "reset");
+    ck_assert_uint_eq(broken(c, RULE_LOST), 1);
+    c->outcome.request->runs = 0;
+    c->outcome.closed_ms = LATE_MS + 1000; /* too late for a crossing */
+    outcome_closed(&c->conf, &c->outcome, "reset");
+    ck_assert_uint_eq(broken(c, RULE_LOST), 2);
+}
+END_TEST
+
 /* A probe of a version's route, answered 404, sent so long after its acknowledgement. */
 static case_t *
 absent_probe(uint64_t sent_after_ms)
@@ -263,6 +284,7 @@
     tcase_add_test(tests, a_refusal_of_what_has_run_is_noticed);
     tcase_add_test(tests, a_close_without_an_answer_is_lost_unless_the_process_was_killed);
     tcase_add_test(tests, a_cut_answer_is_lost_unless_its_backend_server_broke_off);
+    tcase_add_test(tests, a_request_that_crossed_a_close_is_refused_unread_by_a_reset);
     tcase_add_test(tests, a_configuration_that_is_not_in_force_is_noticed_after_the_bound);
     tcase_add_test(tests, a_route_that_was_taken_away_is_noticed);
     tcase_add_test(tests, a_configuration_that_goes_back_is_noticed);
