--- a/standin/soak/callers.c
+++ b/standin/soak/callers.c
@@ -117,7 +117,7 @@
 {
     callers_t *callers = caller->callers;
     const uint64_t known_ms = callers->now_ms > NEWS_LATE_MS ? callers->now_ms - NEWS_LATE_MS : 0;
-    const uint64_t limit_ms = operator_idle_ms(callers->conf.operator, known_ms) * 4 / 5;
+    const uint64_t limit_ms = operator_idle_ms(callers->conf.ops, known_ms) * 4 / 5;
     const bool is_long = caller->quiet || rng_below(&callers->rng, REST_LONG_EVERY) == 0;
     set_state(caller, CALLER_RESTS);
     caller->due_ms =
@@ -292,12 +292,11 @@
 draw_marker(callers_t *callers)
 {
     enum { NEAR = 4 };
-    const uint64_t newest = operator_version(callers->conf.operator);
+    const uint64_t newest = operator_version(callers->conf.ops);
     const uint64_t bound_ms = callers->conf.config_bound_ms;
-    const uint64_t held =
-        callers->now_ms > bound_ms
-            ? operator_version_at(callers->conf.operator, callers->now_ms - bound_ms)
-            : 1;
+    const uint64_t held = callers->now_ms > bound_ms
+                              ? operator_version_at(callers->conf.ops, callers->now_ms - bound_ms)
+                              : 1;
     const uint64_t back = rng_below(&callers->rng, NEAR);
     switch (rng_below(&callers->rng, 3)) {
     case 0:
@@ -452,7 +451,7 @@
     const uint64_t known_ms = now_ms > NEWS_LATE_MS ? now_ms - NEWS_LATE_MS : 0;
     const uint64_t rested_ms = now_ms - caller->since_ms;
     if (rested_ms > link->rest_ms ||
-        rested_ms * 5 > operator_idle_ms(callers->conf.operator, known_ms) * 4)
+        rested_ms * 5 > operator_idle_ms(callers->conf.ops, known_ms) * 4)
         leave(caller, 1);
     else
         send_request(caller);
@@ -514,7 +513,7 @@
     callers_t *callers = xcalloc(1, sizeof(*callers));
     callers->conf = *conf;
     callers->outcomes =
-        (outcomes_conf_t){conf->judge, conf->operator, conf->config_bound_ms, conf->slack};
+        (outcomes_conf_t){conf->judge, conf->ops, conf->config_bound_ms, conf->slack};
     callers->rng = (rng_t){conf->seed};
     callers->count = (size_t)conf->instances * conf->each;
     callers->items = xcalloc(callers->count, sizeof(callers->items[0]));
--- a/standin/soak/callers.h
+++ b/standin/soak/callers.h
@@ -23,7 +23,7 @@
     uv_loop_t *loop;
     requests_t *requests;
     const fleet_t *fleet;
-    const operator_t *operator;
+    const operator_t *ops;
     judge_t *judge;
     const char *net; /* instance N listens on this network's address N; ends with a dot */
     uint16_t port;
--- a/standin/soak/operator.c
+++ b/standin/soak/operator.c
@@ -23,8 +23,7 @@
     uint64_t idle_ms;
 } version_t;
 
-struct operator
-{
+struct soak_operator {
     standin_store_t *store;
     rng_t rng;
     uint64_t version;
@@ -50,7 +49,7 @@
 }
 
 static void
-add_first_route(const operator_t *operator, json_t * routes, unsigned i)
+add_first_route(const operator_t *ops, json_t *routes, unsigned i)
 {
     static const char *const types[] = {"safe", "unsafe", "download"};
     char name[32];
@@ -58,11 +57,11 @@
     const char *type = types[i % ALEN(types)];
     snprintf(name, sizeof(name), "first-%u", i);
     snprintf(prefix, sizeof(prefix), "/first/%u/", i);
-    json_t *json = route(prefix, type, operator->timeouts_ms[i]);
+    json_t *json = route(prefix, type, ops->timeouts_ms[i]);
     json_object_set_new(json, "trafficSplit",
                         json_pack("[{s:s, s:i}, {s:s, s:i}]", "service", "left", "weight",
-                                  (int)operator->weights[i], "service", "right", "weight",
-                                  (int)(WEIGHT_MAX - operator->weights[i])));
+                                  (int)ops->weights[i], "service", "right", "weight",
+                                  (int)(WEIGHT_MAX - ops->weights[i])));
     json_object_set_new(routes, name, json);
 }
 
@@ -79,13 +78,13 @@
 }
 
 static json_t *
-routes_of(const operator_t *operator)
+routes_of(const operator_t *ops)
 {
     json_t *routes = json_object();
     for (unsigned i = 0; i < OPERATOR_FIRST_ROUTES; i++)
-        add_first_route(operator, routes, i);
-    for (uint64_t i = 0; i < OPERATOR_MARKERS && i < operator->version; i++)
-        add_marker(routes, operator->version - i);
+        add_first_route(ops, routes, i);
+    for (uint64_t i = 0; i < OPERATOR_MARKERS && i < ops->version; i++)
+        add_marker(routes, ops->version - i);
     return routes;
 }
 
@@ -98,37 +97,36 @@
 
 /* Draws what else this version changes, besides the routes it adds and takes away. */
 static void
-vary(operator_t *operator, version_t * version)
+vary(operator_t *ops, version_t *version)
 {
     static const uint64_t idle_ms[] = {2000, 5000, 10000, 15000};
-    const unsigned i = (unsigned)rng_below(&operator->rng, OPERATOR_FIRST_ROUTES);
-    operator->timeouts_ms[i] =
-        TIMEOUT_MIN_MS +(unsigned) rng_below(&operator->rng, TIMEOUT_SPAN_MS);
-    operator->weights[i] =(unsigned) rng_below(&operator->rng, WEIGHT_MAX + 1);
-    if (rng_below(&operator->rng, 3) == 0)
-        version->idle_ms = idle_ms[rng_below(&operator->rng, ALEN(idle_ms))];
+    const unsigned i = (unsigned)rng_below(&ops->rng, OPERATOR_FIRST_ROUTES);
+    ops->timeouts_ms[i] = TIMEOUT_MIN_MS + (unsigned)rng_below(&ops->rng, TIMEOUT_SPAN_MS);
+    ops->weights[i] = (unsigned)rng_below(&ops->rng, WEIGHT_MAX + 1);
+    if (rng_below(&ops->rng, 3) == 0)
+        version->idle_ms = idle_ms[rng_below(&ops->rng, ALEN(idle_ms))];
 }
 
 static version_t *
-version_of(const operator_t *operator, uint64_t number)
+version_of(const operator_t *ops, uint64_t number)
 {
-    return (version_t *)&operator->versions[number % VERSIONS_KEPT];
+    return (version_t *)&ops->versions[number % VERSIONS_KEPT];
 }
 
 static void
-change(operator_t *operator, uint64_t now_ms)
+change(operator_t *ops, uint64_t now_ms)
 {
     char text[16];
-    version_t *version = version_of(operator, operator->version + 1);
-    *version = (version_t){now_ms, version_of(operator, operator->version)->idle_ms};
-    vary(operator, version);
-    operator->version++;
-    snprintf(text, sizeof(text), "%08" PRIx64, operator->version);
-    standin_store_put(operator->store, "config", "main",
+    version_t *version = version_of(ops, ops->version + 1);
+    *version = (version_t){now_ms, version_of(ops, ops->version)->idle_ms};
+    vary(ops, version);
+    ops->version++;
+    snprintf(text, sizeof(text), "%08" PRIx64, ops->version);
+    standin_store_put(ops->store, "config", "main",
                       json_pack("{s:s, s:o, s:{s:o, s:o}, s:{s:i, s:i, s:i, s:i}}", "version", text,
-                                "routes", routes_of(operator), "services", "left", service(),
-                                "right", service(), "limits", "maxHeaderBytes", 16384,
-                                "maxBodyBytes", 1 << 20, "headerTimeoutMs", 3000, "idleTimeoutMs",
+                                "routes", routes_of(ops), "services", "left", service(), "right",
+                                service(), "limits", "maxHeaderBytes", 16384, "maxBodyBytes",
+                                1 << 20, "headerTimeoutMs", 3000, "idleTimeoutMs",
                                 (int)version->idle_ms),
                       NULL);
 }
@@ -136,51 +134,51 @@
 operator_t *
 operator_new(standin_store_t *store, uint64_t seed)
 {
-    operator_t *operator= xcalloc(1, sizeof(*operator));
-    operator->store = store;
-    operator->rng =(rng_t){seed};
+    operator_t *ops = xcalloc(1, sizeof(*ops));
+    ops->store = store;
+    ops->rng = (rng_t){seed};
     for (unsigned i = 0; i < OPERATOR_FIRST_ROUTES; i++) {
-        operator->timeouts_ms[i] = TIMEOUT_MIN_MS;
-        operator->weights[i] = WEIGHT_MAX / 2;
+        ops->timeouts_ms[i] = TIMEOUT_MIN_MS;
+        ops->weights[i] = WEIGHT_MAX / 2;
     }
-    version_of(operator, 0)->idle_ms = 15000;
-    change(operator, 0);
-    return operator;
+    version_of(ops, 0)->idle_ms = 15000;
+    change(ops, 0);
+    return ops;
 }
 
 static bool
-may_write(const operator_t *operator)
+may_write(const operator_t *ops)
 {
-    return operator->mode == STANDIN_STORE_SERVES;
+    return ops->mode == STANDIN_STORE_SERVES;
 }
 
 void
-operator_trouble(operator_t *operator, const trouble_t * trouble, uint64_t now_ms)
+operator_trouble(operator_t *ops, const trouble_t *trouble, uint64_t now_ms)
 {
     const uint64_t end_ms = now_ms + trouble->length_ms;
     switch (trouble->kind) {
     case TROUBLE_CONFIG:
-        if (may_write(operator))
-            change(operator, now_ms);
+        if (may_write(ops))
+            change(ops, now_ms);
         break;
     case TROUBLE_STORM:
-        operator->storm_end_ms = end_ms;
+        ops->storm_end_ms = end_ms;
         break;
     case TROUBLE_STORE:
-        operator->mode = trouble->variant;
-        operator->mode_end_ms = end_ms;
-        operator->disturbed_ms = now_ms;
-        standin_store_set_mode(operator->store, operator->mode);
+        ops->mode = trouble->variant;
+        ops->mode_end_ms = end_ms;
+        ops->disturbed_ms = now_ms;
+        standin_store_set_mode(ops->store, ops->mode);
         break;
     case TROUBLE_STORE_SLOW:
-        operator->slow = true;
-        operator->slow_end_ms = end_ms;
-        operator->disturbed_ms = now_ms;
-        standin_store_set_delay(operator->store, trouble->variant);
+        ops->slow = true;
+        ops->slow_end_ms = end_ms;
+        ops->disturbed_ms = now_ms;
+        standin_store_set_delay(ops->store, trouble->variant);
         break;
     case TROUBLE_STORE_FORGETS:
-        operator->disturbed_ms = now_ms;
-        standin_store_forget(operator->store);
+        ops->disturbed_ms = now_ms;
+        standin_store_forget(ops->store);
         break;
     default:
         BUG("no trouble of the operator's");
@@ -188,60 +186,60 @@
 }
 
 static void
-end_store_troubles(operator_t *operator, uint64_t now_ms)
+end_store_troubles(operator_t *ops, uint64_t now_ms)
 {
-    if (operator->mode != STANDIN_STORE_SERVES || operator->slow)
-        operator->disturbed_ms = now_ms;
-    if (operator->mode != STANDIN_STORE_SERVES && now_ms >= operator->mode_end_ms) {
-        operator->mode = STANDIN_STORE_SERVES;
-        standin_store_set_mode(operator->store, operator->mode);
+    if (ops->mode != STANDIN_STORE_SERVES || ops->slow)
+        ops->disturbed_ms = now_ms;
+    if (ops->mode != STANDIN_STORE_SERVES && now_ms >= ops->mode_end_ms) {
+        ops->mode = STANDIN_STORE_SERVES;
+        standin_store_set_mode(ops->store, ops->mode);
     }
-    if (operator->slow && now_ms >= operator->slow_end_ms) {
-        operator->slow = false;
-        standin_store_set_delay(operator->store, 0);
+    if (ops->slow && now_ms >= ops->slow_end_ms) {
+        ops->slow = false;
+        standin_store_set_delay(ops->store, 0);
     }
 }
 
 void
-operator_tick(operator_t *operator, uint64_t now_ms)
+operator_tick(operator_t *ops, uint64_t now_ms)
 {
-    end_store_troubles(operator, now_ms);
-    if (now_ms >= operator->storm_end_ms || now_ms<operator->storm_next_ms || !may_write(operator))
+    end_store_troubles(ops, now_ms);
+    if (now_ms >= ops->storm_end_ms || now_ms < ops->storm_next_ms || !may_write(ops))
         return;
-    operator->storm_next_ms = now_ms + STORM_EVERY_MS;
-    change(operator, now_ms);
+    ops->storm_next_ms = now_ms + STORM_EVERY_MS;
+    change(ops, now_ms);
 }
 
 uint64_t
-operator_version(const operator_t *operator)
+operator_version(const operator_t *ops)
 {
-    return operator->version;
+    return ops->version;
 }
 
 uint64_t
-operator_version_at(const operator_t *operator, uint64_t at_ms)
+operator_version_at(const operator_t *ops, uint64_t at_ms)
 {
-    uint64_t number = operator->version;
-    while (number > 1 && version_of(operator, number)->at_ms > at_ms)
+    uint64_t number = ops->version;
+    while (number > 1 && version_of(ops, number)->at_ms > at_ms)
         number--;
     return number;
 }
 
 bool
-operator_store_calm_since(const operator_t *operator, uint64_t since_ms)
+operator_store_calm_since(const operator_t *ops, uint64_t since_ms)
 {
-    return operator->disturbed_ms == 0 || operator->disturbed_ms<since_ms;
+    return ops->disturbed_ms == 0 || ops->disturbed_ms < since_ms;
 }
 
 uint64_t
-operator_idle_ms(const operator_t *operator, uint64_t since_ms)
+operator_idle_ms(const operator_t *ops, uint64_t since_ms)
 {
-    uint64_t number = operator->version;
-    uint64_t least_ms = version_of(operator, number)->idle_ms;
-    while (number > 1 && version_of(operator, number)->at_ms > since_ms) {
+    uint64_t number = ops->version;
+    uint64_t least_ms = version_of(ops, number)->idle_ms;
+    while (number > 1 && version_of(ops, number)->at_ms > since_ms) {
         number--;
-        if (version_of(operator, number)->idle_ms < least_ms)
-            least_ms = version_of(operator, number)->idle_ms;
+        if (version_of(ops, number)->idle_ms < least_ms)
+            least_ms = version_of(ops, number)->idle_ms;
     }
     return least_ms;
 }
--- a/standin/soak/operator.h
+++ b/standin/soak/operator.h
@@ -16,18 +16,18 @@
     OPERATOR_FIRST_ROUTES = 30 /* that are there from the start on and stay */
 };
 
-typedef struct operator operator_t;
+typedef struct soak_operator operator_t;
 
 operator_t *operator_new(standin_store_t *store, uint64_t seed);
 /* Carries out a trouble of the configuration or of the store. */
-void operator_trouble(operator_t *operator, const trouble_t * trouble, uint64_t now_ms);
-void operator_tick(operator_t *operator, uint64_t now_ms);
+void operator_trouble(operator_t *ops, const trouble_t *trouble, uint64_t now_ms);
+void operator_tick(operator_t *ops, uint64_t now_ms);
 
 /* The newest version. */
-uint64_t operator_version(const operator_t *operator);
+uint64_t operator_version(const operator_t *ops);
 /* The newest version that was acknowledged up to then. */
-uint64_t operator_version_at(const operator_t *operator, uint64_t at_ms);
+uint64_t operator_version_at(const operator_t *ops, uint64_t at_ms);
 /* True if the store was undisturbed from then on. */
-bool operator_store_calm_since(const operator_t *operator, uint64_t since_ms);
+bool operator_store_calm_since(const operator_t *ops, uint64_t since_ms);
 /* The lowest limit on idle connections that was in force from then on. */
-uint64_t operator_idle_ms(const operator_t *operator, uint64_t since_ms);
+uint64_t operator_idle_ms(const operator_t *ops, uint64_t since_ms);
--- a/standin/soak/outcomes.c
+++ b/standin/soak/outcomes.c
@@ -146,7 +146,7 @@
     const soak_request_t *request = outcome->request;
     const int status = answer_status(outcome->answer);
     const bool present = status == HTTP_STATUS_OK;
-    const uint64_t newest = operator_version(conf->operator);
+    const uint64_t newest = operator_version(conf->ops);
     const uint64_t bound_ms = conf->config_bound_ms;
     char text[160];
     if (request->kind != REQUEST_PROBE) {
@@ -159,10 +159,9 @@
         return;
     const uint64_t calm_ms = bound_ms > STORE_CALM_MS ? bound_ms : STORE_CALM_MS;
     if (request->touched && request->sent_ms > calm_ms &&
-        operator_store_calm_since(conf->operator, request->sent_ms - calm_ms))
+        operator_store_calm_since(conf->ops, request->sent_ms - calm_ms))
         judge_version(conf->judge, RULE_CONFIG, outcome,
-                      operator_version_at(conf->operator, request->sent_ms - bound_ms), newest,
-                      present);
+                      operator_version_at(conf->ops, request->sent_ms - bound_ms), newest, present);
     if (outcome->life->seen_ms < request->sent_ms)
         judge_version(conf->judge, RULE_BACKWARDS, outcome, outcome->life->seen_version, newest,
                       present);
--- a/standin/soak/outcomes.h
+++ b/standin/soak/outcomes.h
@@ -12,7 +12,7 @@
 
 typedef struct {
     judge_t *judge;
-    const operator_t *operator;
+    const operator_t *ops;
     uint64_t config_bound_ms; /* from the acknowledgement until a configuration is in force */
     double slack;             /* times the bounds, for slow builds */
 } outcomes_conf_t;
--- a/standin/soak/servers.c
+++ b/standin/soak/servers.c
@@ -234,7 +234,7 @@
     if (server->told_ms == 0 || servers->now_ms <= bound_ms || request->sent_ms <= bound_ms)
         return;
     if (fleet_in_touch(conf->fleet, request->instance, servers->now_ms) &&
-        operator_store_calm_since(conf->operator, server->told_ms - STORE_CALM_MS))
+        operator_store_calm_since(conf->ops, server->told_ms - STORE_CALM_MS))
         judge_break(conf->judge, RULE_LEAVING,
                     "%" PRIu64 " from gateway-%" PRIu32 " arrives at %s, %" PRIu64
                     " ms after its entry said that it leaves",
@@ -416,7 +416,7 @@
         server->told_ms > 0 && now_ms > server->told_ms + conf->leaving_bound_ms;
     if (past_bound && !server->bound_examined) {
         server->bound_examined = true;
-        if (operator_store_calm_since(conf->operator, server->told_ms - STORE_CALM_MS))
+        if (operator_store_calm_since(conf->ops, server->told_ms - STORE_CALM_MS))
             judge_examine(conf->judge, RULE_LEAVING);
     }
     if (server->unlist_ms > 0 && now_ms >= server->unlist_ms)
--- a/standin/soak/servers.h
+++ b/standin/soak/servers.h
@@ -20,7 +20,7 @@
     standin_store_t *store;
     requests_t *requests;
     const fleet_t *fleet;
-    const operator_t *operator;
+    const operator_t *ops;
     judge_t *judge;
     const char *host; /* address to listen on */
     uint32_t count;
--- a/standin/soak/soak.c
+++ b/standin/soak/soak.c
@@ -47,7 +47,7 @@
     standin_store_t *store;
     requests_t *requests;
     fleet_t *fleet;
-    operator_t *operator;
+    operator_t *ops;
     servers_t *servers;
     callers_t *callers;
     uint64_t begun_ms;
@@ -117,7 +117,7 @@
     case TROUBLE_STORE:
     case TROUBLE_STORE_SLOW:
     case TROUBLE_STORE_FORGETS:
-        operator_trouble(soak->operator, trouble, now_ms);
+        operator_trouble(soak->ops, trouble, now_ms);
         break;
     case TROUBLE_SERVER_LEAVES:
     case TROUBLE_SERVER_GOES:
@@ -164,7 +164,7 @@
     soak->judge.now_ms = now_ms;
     watch_machine(soak, now_ms);
     fleet_tick(soak->fleet, now_ms);
-    operator_tick(soak->operator, now_ms);
+    operator_tick(soak->ops, now_ms);
     servers_tick(soak->servers, now_ms);
     callers_tick(soak->callers, now_ms);
     advance(soak, now_ms);
@@ -200,7 +200,7 @@
     xassert(addr_parse(str_from(text), &addr));
     soak->store = standin_store_start(soak->loop, &addr);
     soak->requests = requests_new();
-    soak->operator= operator_new(soak->store, soak->conf.seed);
+    soak->ops = operator_new(soak->store, soak->conf.seed);
 }
 
 static void
@@ -225,8 +225,8 @@
         .store = soak->store,
         .requests = soak->requests,
         .fleet = soak->fleet,
-        .operator= soak->operator,
-        .judge = & soak->judge,
+        .ops = soak->ops,
+        .judge = &soak->judge,
         .host = host,
         .count = server_count(&soak->conf),
         .leaving_bound_ms = (uint64_t)(LEAVING_BOUND_MS * soak->conf.slack),
@@ -241,8 +241,8 @@
         .loop = soak->loop,
         .requests = soak->requests,
         .fleet = soak->fleet,
-        .operator= soak->operator,
-        .judge = & soak->judge,
+        .ops = soak->ops,
+        .judge = &soak->judge,
         .net = soak->conf.net,
         .port = CALLERS_PORT,
         .instances = soak->conf.instances,
@@ -276,7 +276,7 @@
             "troubles %zu, requests %" PRIu64 ", runs %" PRIu64 ", versions %" PRIu64
             ", store calls %" PRIu64 ", stalls of the machine %u\n",
             soak->schedule.count, requests_count(soak->requests), servers_runs(soak->servers),
-            operator_version(soak->operator), standin_store_calls(soak->store), soak->stalls);
+            operator_version(soak->ops), standin_store_calls(soak->store), soak->stalls);
     callers_print(soak->callers, stderr);
     const bool held = judge_report(&soak->judge, stderr);
     if (soak->interrupted || !fleet_is_over(soak->fleet)) {
--- a/test/gateway/test_soak.c
+++ b/test/gateway/test_soak.c
@@ -15,7 +15,7 @@
 typedef struct {
     site_t *site;
     judge_t judge;
-    operator_t *operator;
+    operator_t *ops;
     outcomes_conf_t conf;
     requests_t *requests;
     life_t life;
@@ -28,8 +28,8 @@
 {
     case_t *c = xcalloc(1, sizeof(*c));
     c->site = new_site(0);
-    c->operator= operator_new(c->site->store, 1);
-    c->conf = (outcomes_conf_t){&c->judge, c->operator, BOUND_MS, 1};
+    c->ops = operator_new(c->site->store, 1);
+    c->conf = (outcomes_conf_t){&c->judge, c->ops, BOUND_MS, 1};
     c->requests = requests_new();
     c->life = (life_t){.pid = getpid()};
     soak_request_t *request = requests_add(c->requests, kind, 0);
@@ -81,7 +81,7 @@
 change_config(case_t *c, uint64_t now_ms)
 {
     const trouble_t trouble = {.kind = TROUBLE_CONFIG};
-    operator_trouble(c->operator, & trouble, now_ms);
+    operator_trouble(c->ops, &trouble, now_ms);
 }
 
 START_TEST(a_schedule_follows_its_seed)
@@ -210,7 +210,7 @@
 {
     case_t *c = new_case(REQUEST_PROBE, LATE_MS + sent_after_ms);
     change_config(c, LATE_MS);
-    c->outcome.marker = operator_version(c->operator);
+    c->outcome.marker = operator_version(c->ops);
     feed(c, "HTTP/1.1 404 No\r\nAttempt-Id: 1\r\nContent-Length: 0\r\n\r\n");
     return c;
 }
@@ -229,7 +229,7 @@
     ck_assert_uint_eq(examined(c, RULE_CONFIG), 0);
     c = absent_probe(BOUND_MS); /* and with the store in trouble */
     const trouble_t trouble = {.kind = TROUBLE_STORE_FORGETS};
-    operator_trouble(c->operator, & trouble, LATE_MS + 1);
+    operator_trouble(c->ops, &trouble, LATE_MS + 1);
     outcome_answered(&c->conf, &c->outcome);
     ck_assert_uint_eq(examined(c, RULE_CONFIG), 0);
 }
@@ -238,7 +238,7 @@
 START_TEST(a_route_that_was_taken_away_is_noticed)
 {
     case_t *c = new_case(REQUEST_PROBE, LATE_MS + BOUND_MS);
-    c->outcome.marker = operator_version(c->operator);
+    c->outcome.marker = operator_version(c->ops);
     for (int i = 0; i < OPERATOR_MARKERS; i++)
         change_config(c, LATE_MS);
     feed_success(c, "hijkl");
