--- a/standin/soak/callers.h
+++ b/standin/soak/callers.h
@@ -31,6 +31,7 @@
     uint32_t each; /* callers of an instance */
     uint64_t seed;
     uint64_t config_bound_ms; /* from the acknowledgement until a configuration is in force */
+    uint64_t grace_ms;        /* from the request to stop until a process may be killed */
     double slack;             /* times the bounds, for slow builds */
 } callers_conf_t;
 
--- a/standin/soak/soak.c
+++ b/standin/soak/soak.c
@@ -249,6 +249,7 @@
         .each = CALLERS_EACH,
         .seed = soak->conf.seed,
         .config_bound_ms = (uint64_t)(CONFIG_BOUND_MS * soak->conf.slack),
+        .grace_ms = GRACE_MS,
         .slack = soak->conf.slack,
     };
     soak->callers = callers_new(&conf);
