--- a/standin/soak/callers.c
+++ b/standin/soak/callers.c
@@ -3,16 +3,15 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "base/rng.h"
 #include "base/xmalloc.h"
+#include "standin/soak/asks.h"
 #include "standin/soak/callers.h"
 #include "standin/soak/outcomes.h"
 
 enum {
     READ_SIZE = 65536,
     EARLY_MAX = 512,    /* bytes kept that arrive while no request is waiting */
-    DEADLINE_MS = 2000, /* for which a caller says it waits, */
-    PATIENCE_MS = 9000, /* and for which it does: above all pauses with the deadline */
+    PATIENCE_MS = 9000, /* of a caller: above the longest pause with the deadline */
     CONNECT_AGAIN_MS = 200,
     NEWS_LATE_MS = 1000, /* callers learn so late of a new limit on idle connections */
     LINK_MS = 500,       /* and up to so late of a close, as over a long and narrow link */
@@ -25,13 +24,8 @@
     DIRECTORY_MS = 1000, /* so long callers still connect to an instance that is asked to stop */
     REST_SHORT_MS = 300, /* most rests are up to this, the others up to the limit */
     REST_LONG_EVERY = 4,
-    QUIET_EVERY = 3,   /* one caller of so many has long rests only */
-    NEW_EVERY = 4,     /* one caller of so many opens a connection for each request */
-    PROBE_EVERY = 4,   /* one request of so many is a probe */
-    BODY_MAX = 4000,   /* bytes of a request's body */
-    ANSWER_MAX = 2000, /* bytes of most answers' bodies */
-    LARGE_MIN = 40000, /* bytes of a large answer's body */
-    LARGE_SPAN = 80000,
+    QUIET_EVERY = 3, /* one caller of so many has long rests only */
+    NEW_EVERY = 4,   /* one caller of so many opens a connection for each request */
     STATUS_MAX = 600,
 };
 
@@ -72,6 +66,7 @@
 struct callers {
     callers_conf_t conf;
     outcomes_conf_t outcomes;
+    asks_t asks;
     caller_t *items;
     size_t count;
     rng_t rng;
@@ -143,7 +138,7 @@
         .life = caller->link->life,
         .answer = &caller->link->answer,
         .marker = caller->marker,
-        .deadline_ms = DEADLINE_MS,
+        .deadline_ms = ASK_DEADLINE_MS,
         .answers_before = caller->link->answers,
         .crossed = caller->crossed,
         .reset = is_reset(caller->link),
@@ -286,73 +281,6 @@
 
 /* ---- requests ---- */
 
-/* The version whose route a probe asks for: one that must be there, one that must be gone, or the
- * newest, which proves how far the instance is. */
-static uint64_t
-draw_marker(callers_t *callers)
-{
-    enum { NEAR = 4 };
-    const uint64_t newest = operator_version(callers->conf.ops);
-    const uint64_t bound_ms = callers->conf.config_bound_ms;
-    const uint64_t held = callers->now_ms > bound_ms
-                              ? operator_version_at(callers->conf.ops, callers->now_ms - bound_ms)
-                              : 1;
-    const uint64_t back = rng_below(&callers->rng, NEAR);
-    switch (rng_below(&callers->rng, 3)) {
-    case 0:
-        return held > back ? held - back : 1;
-    case 1:
-        return held > OPERATOR_MARKERS + back ? held - OPERATOR_MARKERS - back : newest;
-    default:
-        return newest;
-    }
-}
-
-static void
-draw_request(caller_t *caller)
-{
-    callers_t *callers = caller->callers;
-    const request_kind_t kind = rng_below(&callers->rng, PROBE_EVERY) == 0 ? REQUEST_PROBE
-                                : rng_below(&callers->rng, 8) == 0         ? REQUEST_LARGE
-                                : rng_below(&callers->rng, 2) == 0         ? REQUEST_UNSAFE
-                                                                           : REQUEST_SAFE;
-    soak_request_t *request = requests_add(callers->conf.requests, kind, caller->instance);
-    request->sent_ms = callers->now_ms;
-    request->touched = fleet_in_touch(callers->conf.fleet, caller->instance, callers->now_ms);
-    if (kind == REQUEST_UNSAFE)
-        request->body_len = rng_below(&callers->rng, BODY_MAX);
-    request->answer_len = kind == REQUEST_LARGE ? LARGE_MIN + rng_below(&callers->rng, LARGE_SPAN)
-                                                : rng_below(&callers->rng, ANSWER_MAX);
-    caller->request = request;
-    caller->crossed = caller->link->ended_ms > 0;
-    caller->marker = kind == REQUEST_PROBE ? draw_marker(callers) : 0;
-}
-
-static char *
-write_request(caller_t *caller, size_t *len)
-{
-    static const unsigned first_of[] = {
-        [REQUEST_SAFE] = 0, [REQUEST_UNSAFE] = 1, [REQUEST_LARGE] = 2};
-    const soak_request_t *request = caller->request;
-    char path[48];
-    if (request->kind == REQUEST_PROBE)
-        snprintf(path, sizeof(path), "/marker/%" PRIu64, caller->marker);
-    else /* the kinds of routes take turns */
-        snprintf(path, sizeof(path), "/first/%u",
-                 first_of[request->kind] +
-                     3 * (unsigned)rng_below(&caller->callers->rng, OPERATOR_FIRST_ROUTES / 3));
-    char *head =
-        xasprintf("%s %s/%" PRIu64 " HTTP/1.1\r\nHost: soak.example\r\nAttempt-Id: %" PRIu64
-                  "\r\nAffinity-Key: %" PRIu64 "\r\nDeadline-Ms: %d\r\nContent-Length: %zu\r\n\r\n",
-                  request->kind == REQUEST_UNSAFE ? "POST" : "GET", path, request->number,
-                  request->number, request->number % 87, DEADLINE_MS, request->body_len);
-    const size_t head_len = strlen(head);
-    char *bytes = xrealloc(head, head_len + request->body_len);
-    requests_fill(request->number, 0, bytes + head_len, request->body_len);
-    *len = head_len + request->body_len;
-    return bytes;
-}
-
 static void
 on_written(uv_write_t *req, int status)
 {
@@ -384,18 +312,23 @@
 static void
 send_request(caller_t *caller)
 {
-    size_t len;
-    draw_request(caller);
+    callers_t *callers = caller->callers;
+    const ask_t ask = ask_draw(&callers->asks, caller->instance, callers->now_ms);
     write_t *write = xmalloc(sizeof(*write));
-    write->bytes = write_request(caller, &len);
+    write->bytes = ask.bytes;
     write->req.data = caller->link;
-    uv_buf_t buf = uv_buf_init(write->bytes, (unsigned)len);
+    caller->request = ask.request;
+    caller->marker = ask.marker;
+    caller->crossed = caller->link->ended_ms > 0;
+    caller->request->touched =
+        fleet_in_touch(callers->conf.fleet, caller->instance, callers->now_ms);
+    uv_buf_t buf = uv_buf_init(ask.bytes, (unsigned)ask.len);
     answer_expect(&caller->link->answer, caller->request->number);
     set_state(caller, CALLER_WAITS);
     if (uv_write(&write->req, (uv_stream_t *)&caller->link->tcp, &buf, 1, on_written) != 0) {
         free(write->bytes);
         free(write);
-        caller->callers->statuses[2]++;
+        callers->statuses[2]++;
         leave(caller, CONNECT_AGAIN_MS);
         return;
     }
@@ -515,6 +448,7 @@
     callers->outcomes = (outcomes_conf_t){conf->judge, conf->ops, conf->config_bound_ms,
                                           conf->grace_ms, conf->slack};
     callers->rng = (rng_t){conf->seed};
+    callers->asks = (asks_t){conf->requests, conf->ops, conf->config_bound_ms, &callers->rng};
     callers->count = (size_t)conf->instances * conf->each;
     callers->items = xcalloc(callers->count, sizeof(callers->items[0]));
     for (size_t i = 0; i < callers->count; i++) {
