--- a/wire/listener.c
+++ b/wire/listener.c
@@ -101,7 +101,8 @@
 sweep_conn(wire_conn_t *conn)
 {
     note_output(conn);
-    const uint64_t age = uv_now(conn->listener->loop) - conn->since_ms;
+    const uint64_t now = conn->listener->sweep_ms;
+    const uint64_t age = now > conn->since_ms ? now - conn->since_ms : 0;
     switch (conn->state) {
     case STATE_IDLE:
         if (age >= (conn->unwritten > 0 ? WRITE_STALLED_MS : rest_max_ms(conn)))
@@ -143,10 +144,14 @@
 }
 
 /* The sweep waits until the loop has read what lies in the sockets: timers run before that, and
- * many are due at once when the process has been held up. */
+ * many are due at once when the process has been held up. Ages are as of now: if the process is
+ * paused while the loop polls, the poll ends without having read what came meanwhile, and that time
+ * does not count as rest. */
 static void
 request_sweep(wire_listener_t *listener)
 {
+    if (!uv_is_active((const uv_handle_t *)&listener->after_poll))
+        listener->sweep_ms = uv_now(listener->loop);
     uv_check_start(&listener->after_poll, on_after_poll);
 }
 
