--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -156,18 +156,20 @@
     const uint64_t age_ms = uv_now(gateway->loop) - gateway->stop_ms;
     if (shutdown_refuses_connections(age_ms)) {
         wire_listener_close(callers);
-        wire_listener_close_idle(callers, shutdown_rest_max_ms());
+        wire_listener_close_idle(callers, shutdown_rest_max_ms(age_ms));
     }
     const shutdown_input_t input = {
         .age_ms = age_ms,
         .grace_ms = gateway->settings.grace_ms,
         .requests = gateway->exchanges.active,
         .connections = wire_listener_connections(callers),
+        .accepting = wire_listener_is_accepting(callers),
     };
     if (!shutdown_is_due(&input))
         return;
     LOG_INFO("stopped: after_ms=%llu requests_left=%zu", (unsigned long long)age_ms,
              gateway->exchanges.active);
+    wire_listener_cut(callers);
     uv_stop(gateway->loop);
 }
 
--- a/test/gateway/test_lifetime.c
+++ b/test/gateway/test_lifetime.c
@@ -34,6 +34,7 @@
         {{.age_ms = 2400, .grace_ms = 6000}, true},
         {{.age_ms = 2400, .grace_ms = 6000, .requests = 1}, false},
         {{.age_ms = 2400, .grace_ms = 6000, .connections = 1}, false},
+        {{.age_ms = 2400, .grace_ms = 6000, .accepting = true}, false},
         {{.age_ms = 5399, .grace_ms = 6000, .requests = 1}, false},
         {{.age_ms = 5400, .grace_ms = 6000, .requests = 1}, true},
     };
@@ -41,7 +42,9 @@
         ck_assert(shutdown_is_due(&rows[i].input) == rows[i].due);
     ck_assert(!shutdown_refuses_connections(1999));
     ck_assert(shutdown_refuses_connections(2000));
-    ck_assert_uint_eq(shutdown_rest_max_ms(), 1000);
+    ck_assert_uint_eq(shutdown_rest_max_ms(2000), 1000);
+    ck_assert_uint_eq(shutdown_rest_max_ms(2899), 1000);
+    ck_assert_uint_eq(shutdown_rest_max_ms(2900), 0);
 }
 END_TEST
 
--- a/test/gateway/test_listener.c
+++ b/test/gateway/test_listener.c
@@ -30,6 +30,7 @@
     addr_t addr;
     size_t requests;
     size_t answer_len;
+    bool until_close; /* answers have no length */
 } host_t;
 
 /* A caller's socket, apart from the loop. */
@@ -55,7 +56,10 @@
     host->requests++;
     char *body = xcalloc(1, host->answer_len + 1);
     memset(body, 'b', host->answer_len);
-    wire_respond(req, 200, STR(""), (str_t){body, host->answer_len});
+    wire_respond_head(req, 200, STR(""),
+                      host->until_close ? WIRE_UNTIL_CLOSE : (int64_t)host->answer_len);
+    wire_respond_data(req, body, host->answer_len);
+    wire_respond_end(req);
     free(body);
 }
 
@@ -282,6 +286,44 @@
 }
 END_TEST
 
+/* A caller that does not read gets a part of an answer without a length. */
+static void
+takes_a_part(host_t *host, caller_t *caller)
+{
+    host->answer_len = LARGE;
+    host->until_close = true;
+    *caller = connect_caller(host, SMALL_BUFFER);
+    send_request(caller);
+    RUN_UNTIL(host, host->requests == 1);
+}
+
+START_TEST(an_answer_without_a_length_that_stalls_does_not_look_whole)
+{
+    enum { STALL_MS = 5600 };
+    host_t *host = new_host(LONG_IDLE_MS);
+    caller_t caller;
+    takes_a_part(host, &caller);
+    run_for(host, STALL_MS);
+    RUN_UNTIL(host, has_ended(&caller));
+    ck_assert(caller.reset);
+    ck_assert_uint_lt(caller.total, LARGE);
+    close(caller.fd);
+}
+END_TEST
+
+START_TEST(an_answer_without_a_length_that_a_stop_cuts_does_not_look_whole)
+{
+    host_t *host = new_host(LONG_IDLE_MS);
+    caller_t caller;
+    takes_a_part(host, &caller);
+    wire_listener_cut(host->listener);
+    RUN_UNTIL(host, has_ended(&caller));
+    ck_assert(caller.reset);
+    ck_assert_uint_lt(caller.total, LARGE);
+    close(caller.fd);
+}
+END_TEST
+
 /* It was made in time, and its first request is on its way. */
 START_TEST(a_stop_leaves_a_new_connection_time_for_its_first_request)
 {
@@ -338,6 +380,8 @@
     tcase_add_test(tests, answers_announce_less_than_the_time_that_their_connection_is_kept);
     tcase_add_test(tests, the_last_answer_is_written_to_its_end);
     tcase_add_test(tests, a_connection_does_not_rest_while_its_answer_is_written);
+    tcase_add_test(tests, an_answer_without_a_length_that_stalls_does_not_look_whole);
+    tcase_add_test(tests, an_answer_without_a_length_that_a_stop_cuts_does_not_look_whole);
     tcase_add_test(tests, a_stop_leaves_a_new_connection_time_for_its_first_request);
     tcase_add_test(tests, a_stop_closes_connections_that_have_rested);
     tcase_add_test(tests, a_connection_that_waits_to_be_accepted_is_served_though_the_port_closes);
--- a/wire/listener.c
+++ b/wire/listener.c
@@ -18,6 +18,9 @@
     /* Output that has not moved for this time is given up. Chosen: above the 1.5 s that bytes lay
      * on narrow links in docs/incidents/2026-12-02-config-storm.md, with the losses after it. */
     WRITE_STALLED_MS = 5000,
+    /* A sweep that comes this long after it was asked for is put off once: twice the time after
+     * which the next timer ends a poll. */
+    SWEEP_LATE_MS = 2 * CHECK_EVERY_MS,
 };
 
 static char read_buffer[READ_SIZE]; /* one read at a time on the loop */
@@ -94,6 +97,17 @@
     return allowed < listener->rest_max_ms ? allowed : listener->rest_max_ms;
 }
 
+/* Closes with output that is not written: an answer that ends with its connection must not look
+ * whole. */
+static void
+cut_conn(wire_conn_t *conn)
+{
+    if (conn->until_close)
+        wire_conn_reset(conn);
+    else
+        wire_conn_close(conn);
+}
+
 /* A resting connection is closed on both sides at once. A request that crosses the close is refused
  * by a reset without having been read, which tells the caller that it may be sent again; were it
  * read after our end, it would be lost without a word. */
@@ -115,7 +129,9 @@
     case STATE_ANSWERING:
         break;
     case STATE_CLOSING:
-        if (age > (conn->unwritten > 0 ? WRITE_STALLED_MS : CLOSE_LINGER_MS))
+        if (conn->unwritten > 0 && age > WRITE_STALLED_MS)
+            cut_conn(conn);
+        else if (conn->unwritten == 0 && age > CLOSE_LINGER_MS)
             wire_conn_close(conn);
         break;
     }
@@ -134,6 +150,13 @@
 on_after_poll(uv_check_t *after_poll)
 {
     wire_listener_t *listener = after_poll->data;
+    const uint64_t now = uv_now(listener->loop);
+    if (now - listener->sweep_ms > SWEEP_LATE_MS && !listener->sweep_put_off) {
+        listener->sweep_put_off = true;
+        listener->sweep_ms = now;
+        return; /* the check stays active: it runs again after the next poll */
+    }
+    listener->sweep_put_off = false;
     uv_check_stop(after_poll);
     stop_accepting(listener);
     wire_conn_t *next;
@@ -144,9 +167,9 @@
 }
 
 /* The sweep waits until the loop has read what lies in the sockets: timers run before that, and
- * many are due at once when the process has been held up. Ages are as of now: if the process is
- * paused while the loop polls, the poll ends without having read what came meanwhile, and that time
- * does not count as rest. */
+ * many are due at once when the process has been held up. If the process is paused while the loop
+ * polls, the poll ends without having read or accepted what came meanwhile: such a sweep is put off
+ * to the next poll, and ages are as of when it was asked for. */
 static void
 request_sweep(wire_listener_t *listener)
 {
@@ -221,3 +244,20 @@
     listener->rest_max_ms = rest_ms;
     request_sweep(listener);
 }
+
+bool
+wire_listener_is_accepting(const wire_listener_t *listener)
+{
+    return !listener->closed;
+}
+
+void
+wire_listener_cut(wire_listener_t *listener)
+{
+    wire_conn_t *next;
+    for (wire_conn_t *conn = listener->conns; conn != NULL; conn = next) {
+        next = conn->next;
+        if (conn->state == STATE_ANSWERING || conn->state == STATE_CLOSING)
+            cut_conn(conn);
+    }
+}
--- a/wire/listener.h
+++ b/wire/listener.h
@@ -63,6 +63,11 @@
 void wire_listener_drain(wire_listener_t *listener);
 /* Stops accepting, after the connections that wait to be accepted. */
 void wire_listener_close(wire_listener_t *listener);
+/* False once connections that waited have been accepted and no more are. */
+bool wire_listener_is_accepting(const wire_listener_t *listener);
+/* Closes the connections with answers under way, so that a cut answer does not look whole: the
+ * process is about to end. Their handlers are not told. */
+void wire_listener_cut(wire_listener_t *listener);
 /* From now on closes the connections on which no request has begun for this time. */
 void wire_listener_close_idle(wire_listener_t *listener, uint64_t rest_ms);
 
--- a/wire/server_conn.c
+++ b/wire/server_conn.c
@@ -3,6 +3,7 @@
 #define LOG_MODULE "listener"
 #include "base/counter.h"
 #include "base/log.h"
+#include "base/tcp.h"
 #include "base/xmalloc.h"
 #include "wire/server_conn.h"
 
@@ -88,8 +89,8 @@
     if (conn->dead)
         return;
     forget_conn(conn);
-    if (uv_tcp_close_reset(&conn->tcp, on_conn_closed) != 0)
-        uv_close((uv_handle_t *)&conn->tcp, on_conn_closed);
+    tcp_reset_on_close(&conn->tcp);
+    uv_close((uv_handle_t *)&conn->tcp, on_conn_closed);
 }
 
 void
--- a/wire/server_conn.h
+++ b/wire/server_conn.h
@@ -28,6 +28,7 @@
     uv_timer_t timer;
     uv_check_t after_poll; /* active while a sweep is due */
     uint64_t sweep_ms;     /* loop time at which it was asked for */
+    bool sweep_put_off;    /* it came late and waits for another poll */
     uv_loop_t *loop;
     wire_limits_t limits;
     wire_handler_t handler;
