--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -155,7 +155,7 @@
     wire_listener_t *callers = gateway->listeners.callers;
     const uint64_t age_ms = uv_now(gateway->loop) - gateway->stop_ms;
     if (shutdown_refuses_connections(age_ms)) {
-        wire_listener_close(callers);
+        wire_listener_stop_accepting(callers);
         wire_listener_close_idle(callers, shutdown_rest_max_ms(age_ms));
     }
     const shutdown_input_t input = {
--- a/standin/soak/servers.c
+++ b/standin/soak/servers.c
@@ -365,7 +365,7 @@
     server->end_ms = 0;
     server->replace_ms = now_ms + REPLACED_AFTER_MS;
     break_off(server);
-    wire_listener_close(server->listener);
+    wire_listener_stop_accepting(server->listener);
     wire_listener_close_idle(server->listener, 0);
     server->listener = NULL; /* its memory goes with the process */
 }
--- a/test/gateway/test_listener.c
+++ b/test/gateway/test_listener.c
@@ -331,7 +331,7 @@
     caller_t caller = connect_caller(host, 0);
     RUN_UNTIL(host, wire_listener_connections(host->listener) == 1);
     wire_listener_drain(host->listener);
-    wire_listener_close(host->listener);
+    wire_listener_stop_accepting(host->listener);
     wire_listener_close_idle(host->listener, LONG_IDLE_MS);
     run_for(host, SWEEP_MS);
     ck_assert(!has_ended(&caller));
@@ -361,7 +361,7 @@
     caller_t caller = connect_caller(host, 0);
     send_request(&caller);
     wire_listener_drain(host->listener);
-    wire_listener_close(host->listener);
+    wire_listener_stop_accepting(host->listener);
     wire_listener_close_idle(host->listener, SWEEP_MS);
     RUN_UNTIL(host, has_answers(&caller, 1));
     close(caller.fd);
--- a/wire/listener.c
+++ b/wire/listener.c
@@ -15,8 +15,10 @@
     READ_SIZE = 65536,
     CHECK_EVERY_MS = 250,   /* granularity of the idle and head timeouts. Chosen */
     CLOSE_LINGER_MS = 1000, /* from the last answer's last byte to our close. Chosen */
-    /* Output that has not moved for this time is given up. Chosen: above the 1.5 s that bytes lay
-     * on narrow links in docs/incidents/2026-12-02-config-storm.md, with the losses after it. */
+    /* Output that has not moved for this time is given up. Chosen: well above the 1.5 s that bytes
+     * lay on full links (docs/incidents/2026-12-02-config-storm.md). The other times of a
+     * connection's end are CROSSING_MS of respond.c and REST_MAX_MS of gateway/policy/shutdown.c.
+     */
     WRITE_STALLED_MS = 5000,
     /* A sweep that comes this long after it was asked for is put off once: twice the time after
      * which the next timer ends a poll. */
@@ -89,7 +91,7 @@
 
 /* Callers rely on the limit that they knew at their last answer, and on a longer one at once. */
 static uint64_t
-rest_max_ms(const wire_conn_t *conn)
+allowed_rest_ms(const wire_conn_t *conn)
 {
     const wire_listener_t *listener = conn->listener;
     const uint64_t limit = listener->limits.idle_timeout_ms;
@@ -119,7 +121,7 @@
     const uint64_t age = now > conn->since_ms ? now - conn->since_ms : 0;
     switch (conn->state) {
     case STATE_IDLE:
-        if (age >= (conn->unwritten > 0 ? WRITE_STALLED_MS : rest_max_ms(conn)))
+        if (age >= (conn->unwritten > 0 ? WRITE_STALLED_MS : allowed_rest_ms(conn)))
             wire_conn_close(conn);
         break;
     case STATE_READING:
@@ -138,7 +140,7 @@
 }
 
 static void
-stop_accepting(wire_listener_t *listener)
+close_port(wire_listener_t *listener)
 {
     if (!listener->closing || listener->closed)
         return;
@@ -158,7 +160,7 @@
     }
     listener->sweep_put_off = false;
     uv_check_stop(after_poll);
-    stop_accepting(listener);
+    close_port(listener);
     wire_conn_t *next;
     for (wire_conn_t *conn = listener->conns; conn != NULL; conn = next) {
         next = conn->next;
@@ -232,7 +234,7 @@
 }
 
 void
-wire_listener_close(wire_listener_t *listener)
+wire_listener_stop_accepting(wire_listener_t *listener)
 {
     listener->closing = true;
     request_sweep(listener);
--- a/wire/listener.h
+++ b/wire/listener.h
@@ -13,9 +13,10 @@
  * through wire_respond_*(). The request lives until the answer has ended, was aborted, or the
  * caller has left, whichever comes first.
  *
- * A request is answered, or was not read: answers announce for how long their connection may be
- * used again, a second less than it is kept; a resting connection is closed in one step, and only
- * after the loop has read what has come.
+ * What a caller with one request at a time sends is answered, or was not read, as long as the
+ * process goes on: answers announce for how long their connection may be used again, a second less
+ * than it is kept; a resting connection is closed in one step, and only after the loop has read
+ * what has come.
  */
 #pragma once
 
@@ -61,8 +62,8 @@
 size_t wire_listener_connections(const wire_listener_t *listener);
 /* From now on every answer asks the caller to close its connection. */
 void wire_listener_drain(wire_listener_t *listener);
-/* Stops accepting, after the connections that wait to be accepted. */
-void wire_listener_close(wire_listener_t *listener);
+/* Accepts the connections that wait, then closes the port. */
+void wire_listener_stop_accepting(wire_listener_t *listener);
 /* False once connections that waited have been accepted and no more are. */
 bool wire_listener_is_accepting(const wire_listener_t *listener);
 /* Closes the connections with answers under way, so that a cut answer does not look whole: the
