Load: a try that did not go out does not make an earlier one not run

The caller's first copy was out and unanswered (its entry stood still); the repeat met a closed listener of an entry in its planned stop, and irisstall-load reported the whole request as not run, by its last try alone. The entry woke and ran the first copy, as it may.

judge() keeps now that an earlier try went out: such a request is unknown, and asked again under its key. The check stays as strict: an entry's own not_run counts for all copies, and a request of which nothing went out is not run.

--- a/load/request.c
+++ b/load/request.c
@@ -23,6 +23,7 @@
     char id[ID_SIZE];
     char key[STEERING_KEY_SIZE];
     unsigned repeats;
+    bool may_have_run; /* an earlier try went out, and nobody said what became of it */
     route_t route;
     size_t next_entry;
     int status;
@@ -109,12 +110,14 @@
     }
 }
 
+/* What is known of the request after this try. A try that did not go out says nothing about earlier
+ * ones; an entry's word counts for all of them (docs/CALLERS.md). */
 static load_result_t
 judge(const request_t *r, const http_result_t *result)
 {
     if (result->err.code != ERR_NONE) {
         if (result->stage < HTTP_STAGE_SENT)
-            return RESULT_NOT_RUN;
+            return r->may_have_run ? RESULT_UNKNOWN : RESULT_NOT_RUN;
         return result->stage == HTTP_STAGE_HEAD ? RESULT_BROKEN : RESULT_UNKNOWN;
     }
     if (strcmp(r->outcome, "not_run") == 0)
@@ -143,12 +146,13 @@
         send_request(r);
         return;
     }
-    const bool again = class_of(r)->repeat_unknown && r->repeats < REPEATS_MAX &&
-                       (judged == RESULT_UNKNOWN || judged == RESULT_BROKEN);
+    const bool unknown = judged == RESULT_UNKNOWN || judged == RESULT_BROKEN;
+    const bool again = class_of(r)->repeat_unknown && r->repeats < REPEATS_MAX && unknown;
     if (!again) {
         finish(r, judged);
         return;
     }
+    r->may_have_run = true;
     r->repeats++;
     r->next_entry = rng_below(&r->load->rng, r->route.count);
     uv_timer_start(&r->timer, on_repeat, REPEAT_DELAY_MS, 0);
