Checker: a request is in flight at an entry from its admission there

From the histories: the callers sent to padova-a-1, which stood still for 8 s, and gave up after 4 to 6 s (unknown). It woke, read the requests and handed them to padova-a-2, in its planned stop, which ran them and answered whole. The rule counted every id that the stopping entry admitted at any time, also after the caller had its outcome.

Now it counts an admission only for what the caller gets after it.

--- a/check/outcomes.c
+++ b/check/outcomes.c
@@ -126,20 +126,28 @@
     return SIZE_MAX;
 }
 
-/* Ids that were admitted by an entry before it stopped, each with its stop. */
-static json_t *
-carried_ids(const events_t *events, const stop_t *stops, size_t count)
+/* Ids that their backend server itself cut off. */
+static index_t
+cut_by_servers(const events_t *events)
 {
-    json_t *carried = json_object();
+    index_t ids = {0};
     for (size_t i = 0; i < events->count; i++) {
         const event_t *event = &events->items[i];
-        const size_t stop = event->type == EV_ADMIT ? stop_of(stops, count, event) : SIZE_MAX;
-        if (stop != SIZE_MAX)
-            json_object_set_new(carried, event->id, json_integer((json_int_t)stop));
+        if (event->type == EV_RUN_END &&
+            (strcmp(event->result, "cut") == 0 || strcmp(event->result, "deadline") == 0))
+            index_of(&ids, event->id);
     }
-    return carried;
+    return ids;
+}
+
+static bool
+is_cut(const event_t *event)
+{
+    return strcmp(event->result, "broken") == 0 || strcmp(event->result, "unknown") == 0;
 }
 
+/* A request is in flight at an entry from its admission there: what a caller got before is not the
+ * entry's doing. Others may hand over requests that they read long after their callers left. */
 void
 rule_planned_stop(const events_t *events, verdict_t *verdict)
 {
@@ -147,23 +155,21 @@
     verdict->promise = "a planned stop cuts off nothing in flight";
     stop_t stops[STOPS_MAX];
     const size_t count = find_stops(events, stops, STOPS_MAX);
-    json_t *carried = carried_ids(events, stops, count);
-    index_t excused = {0}; /* ids that their backend server itself cut off */
-    for (size_t i = 0; i < events->count; i++) {
-        const event_t *event = &events->items[i];
-        if (event->type == EV_RUN_END &&
-            (strcmp(event->result, "cut") == 0 || strcmp(event->result, "deadline") == 0))
-            index_of(&excused, event->id);
-    }
+    index_t excused = cut_by_servers(events);
+    json_t *carried = json_object(); /* ids admitted so far by an entry that stops: its stop */
     for (size_t i = 0; i < events->count; i++) {
         const event_t *event = &events->items[i];
+        if (event->type == EV_ADMIT) {
+            const size_t stop = stop_of(stops, count, event);
+            if (stop != SIZE_MAX)
+                json_object_set_new(carried, event->id, json_integer((json_int_t)stop));
+            continue;
+        }
         const json_t *stop = event->type == EV_RECV ? json_object_get(carried, event->id) : NULL;
         if (stop == NULL || event->t < stops[json_integer_value(stop)].from)
             continue;
         verdict->examined++;
-        const bool cut =
-            strcmp(event->result, "broken") == 0 || strcmp(event->result, "unknown") == 0;
-        if (cut && index_find(&excused, event->id) == SIZE_MAX)
+        if (is_cut(event) && index_find(&excused, event->id) == SIZE_MAX)
             verdict_break(verdict, "request %s was in flight and is %s at its caller", event->id,
                           event->result);
     }
--- a/test/test_check.c
+++ b/test/test_check.c
@@ -38,6 +38,12 @@
     "{\"t\":3,\"ev\":\"run_end\",\"id\":\"a\",\"result\":\"done\"}\n"                              \
     "{\"t\":9,\"ev\":\"entry_stopped\",\"entry\":\"x\"}\n"
 
+/* The caller has its outcome before the leaving entry gets the request, from one that stood still.
+ */
+#define ABANDONED_BEFORE_STOP                                                                      \
+    "{\"t\":1,\"ev\":\"entry_leave\",\"entry\":\"x\"}\n" RECV(                                     \
+        "2", "b", "unknown") "{\"t\":3,\"ev\":\"admit\",\"entry\":\"x\",\"id\":\"b\"}\n" STOP
+
 static const struct {
     rule_t rule;
     const char *good;
@@ -59,6 +65,9 @@
     {rule_leaving, ENTER("100", "a"), ENTER(S(9), "a"), table_write},
     {rule_planned_stop, STOP RECV("5", "a", "whole"), STOP RECV("5", "a", "broken"), ""},
     {rule_planned_stop, STOP RECV("5", "a", "whole"), STOP RECV("15", "a", "unknown"), ""},
+    {rule_planned_stop, ABANDONED_BEFORE_STOP RECV("5", "a", "whole"),
+     ABANDONED_BEFORE_STOP RECV("5", "a", "unknown"), ""},
+    {rule_planned_stop, STOP RECV("5", "a", "whole"), STOP RECV("2", "a", "broken"), ""},
     {rule_no_revert, LOOKUP("5", "3") LOOKUP("6", "4"), LOOKUP("5", "4") LOOKUP("6", "3"), ""},
     {rule_in_force, LOOKUP(S(16), "1") LOOKUP(S(19), "2"), LOOKUP(S(19), "1"), table_write},
     {rule_edits, EDIT("e1", "applied") EDIT("e2", "refused"),
