Entry: a backend server not heard for 4 s is asked before it gets new work

A server says that it is leaving only in its answers, to the instance that asked.

A word is used for 4 s from when its question was sent, as the entry may have stood still before it read the answer. No change on the wire, in settings, metrics or stored data; more probes to servers with less than a request in 4 s from an entry.

Test: a_server_not_heard_lately_is_asked_first (fails with the rule taken out). a_slow_server_gets_less chose 24 s after the servers were last heard; it says now that they were asked meanwhile, with the same estimate and the same bound.

scripts/faults.sh: the log of faults named a way to drain that was drawn apart from the one taken.

--- a/entry/backend/backend.c
+++ b/entry/backend/backend.c
@@ -77,6 +77,21 @@
     return now_ms < backend->ejected_until_ms;
 }
 
+bool
+backend_word_is_old(const backend_t *backend, uint64_t now_ms)
+{
+    return now_ms > backend->heard_ms + BACKEND_WORD_MS;
+}
+
+void
+backend_heard(backend_t *backend, bool leaving, uint64_t asked_ms, uint64_t now_ms)
+{
+    if (asked_ms > backend->heard_ms)
+        backend->heard_ms = asked_ms;
+    if (leaving)
+        backend->leaving_said_ms = now_ms;
+}
+
 double
 backend_load(const backend_t *backend, uint64_t now_ms)
 {
@@ -236,6 +251,37 @@
     return items;
 }
 
+static backend_t *
+choose_among(backend_t *const *items, size_t count, policy_t policy, uint64_t now_ms, rng_t *rng,
+             uint64_t *turn)
+{
+    if (count == 0)
+        return NULL;
+    switch (policy) {
+    case POLICY_IRIS:
+        return choose_iris(items, count, now_ms, rng);
+    case POLICY_ROUND_ROBIN:
+        return items[(*turn)++ % count];
+    case POLICY_LEAST:
+        return choose_least(items, count, rng);
+    case POLICY_TWO_CHOICES:
+        return choose_two(items, count, now_ms, rng);
+    }
+    BUG("unknown policy");
+}
+
+/* Keeps only servers whose word is not old. */
+static size_t
+keep_heard(backend_t **items, size_t count, uint64_t now_ms)
+{
+    size_t kept = 0;
+    for (size_t i = 0; i < count; i++) {
+        if (!backend_word_is_old(items[i], now_ms))
+            items[kept++] = items[i];
+    }
+    return kept;
+}
+
 backend_t *
 backend_choose(const backends_t *backends, const choice_t *choice, uint64_t now_ms, rng_t *rng,
                uint64_t *turn)
@@ -248,22 +294,11 @@
         free(items);
         items = list_candidates(backends, choice, false, now_ms, &count);
     }
-    backend_t *chosen = NULL;
-    if (count > 0) {
-        switch (choice->policy) {
-        case POLICY_IRIS:
-            chosen = choose_iris(items, count, now_ms, rng);
-            break;
-        case POLICY_ROUND_ROBIN:
-            chosen = items[(*turn)++ % count];
-            break;
-        case POLICY_LEAST:
-            chosen = choose_least(items, count, rng);
-            break;
-        case POLICY_TWO_CHOICES:
-            chosen = choose_two(items, count, now_ms, rng);
-            break;
-        }
+    backend_t *chosen = choose_among(items, count, choice->policy, now_ms, rng, turn);
+    if (chosen != NULL && backend_word_is_old(chosen, now_ms)) {
+        chosen->wanted = true;
+        count = keep_heard(items, count, now_ms);
+        chosen = choose_among(items, count, choice->policy, now_ms, rng, turn);
     }
     free(items);
     return chosen;
--- a/entry/backend/backend.h
+++ b/entry/backend/backend.h
@@ -4,7 +4,8 @@
  * Signals are late and may mislead, so what this instance knows itself counts first: its own
  * requests in flight and the outcome of its own attempts. What a server last said of its load is
  * used with a weight that decays. A server stops getting work as soon as any source says that it
- * is leaving: a mark in the table, the list, or its own answers. Pure.
+ * is leaving: a mark in the table, the list, or its own word. A server says so only when it
+ * answers, so one that was not heard for a while is asked before it gets new work. Pure.
  */
 #pragma once
 
@@ -23,6 +24,9 @@
     BACKEND_EJECT_MAX_MS = 15000,
     BACKEND_LATENCY_DECAY_MS = 3000, /* an old latency estimate fades towards the median */
     BACKEND_DRAIN_MEMORY_MS = 30000, /* how long a server's own word that it leaves is kept */
+    /* A server's word is used for new work so long: below the 5 s within which a leaving server
+     * stops getting any. */
+    BACKEND_WORD_MS = 4000,
 };
 
 typedef struct {
@@ -35,6 +39,9 @@
     bool leaving_listed;
     bool leaving_marked;      /* by the table */
     uint64_t leaving_said_ms; /* steady; 0: never */
+    uint64_t heard_ms;        /* when what it last answered was sent to it; 0: never */
+    bool wanted;              /* chosen, but not heard for too long: to be asked */
+    bool asking;              /* a probe is under way */
     uint32_t outstanding;     /* our own */
     uint32_t others;          /* load it reported beyond ours */
     uint64_t others_at_ms;
@@ -65,6 +72,11 @@
 
 void backend_started(backend_t *backend);
 void backend_ended(backend_t *backend);
+/* True if its word is too old for new work. */
+bool backend_word_is_old(const backend_t *backend, uint64_t now_ms);
+/* It said whether it is leaving, or nothing although it was asked. What it says is as new as the
+ * question: this process may have stood still before it read the answer. */
+void backend_heard(backend_t *backend, bool leaving, uint64_t asked_ms, uint64_t now_ms);
 /* An answer came; `load` is what the server says it holds, ours included. */
 void backend_answered(backend_t *backend, double latency_ms, uint32_t load, uint64_t now_ms);
 void backend_shed(backend_t *backend, uint32_t load, uint64_t now_ms);
@@ -79,6 +91,7 @@
 
 /* Expected time to an answer from the choice's best server, ms; HUGE_VAL if there is none. */
 double backend_best_ms(const backends_t *backends, const choice_t *choice, uint64_t now_ms);
-/* The server for one request, or NULL if none may take it. `turn` is for round robin. */
+/* The server for one request, or NULL if none may take it now. Notes the one it would rather have
+ * as wanted, if that has to be asked first. `turn` is for round robin. */
 backend_t *backend_choose(const backends_t *backends, const choice_t *choice, uint64_t now_ms,
                           rng_t *rng, uint64_t *turn);
--- a/entry/http/fetch.c
+++ b/entry/http/fetch.c
@@ -8,6 +8,7 @@
 struct fetch {
     http_call_t *call;
     fetch_cb_t cb;
+    void (*on_head)(void *ctx, const http_head_t *head);
     void *ctx;
     uint64_t etag;
     char *body;
@@ -23,6 +24,8 @@
     const str_t etag = http_head_find(head, STR("etag"));
     if (!str_to_u64(etag, &fetch->etag))
         fetch->etag = 0;
+    if (fetch->on_head != NULL)
+        fetch->on_head(fetch->ctx, head);
 }
 
 static void
@@ -72,6 +75,7 @@
 
     fetch_t *fetch = xcalloc(1, sizeof(*fetch));
     fetch->cb = cb;
+    fetch->on_head = conf->on_head;
     fetch->ctx = ctx;
     fetch->max_body = conf->max_body;
     const http_call_conf_t call = {
--- a/entry/http/fetch.h
+++ b/entry/http/fetch.h
@@ -19,6 +19,7 @@
     str_t body;
     uint64_t timeout_ms;
     size_t max_body;
+    void (*on_head)(void *ctx, const http_head_t *head); /* optional, with the callback's context */
 } fetch_conf_t;
 
 typedef struct fetch fetch_t;
--- a/entry/node.c
+++ b/entry/node.c
@@ -15,6 +15,7 @@
 #include "entry/path/outcome.h"
 #include "entry/path/route.h"
 #include "entry/path/serve.h"
+#include "entry/probe.h"
 #include "entry/store.h"
 #include "entry/table/ramp.h"
 #include "entry/table/table_json.h"
@@ -212,6 +213,7 @@
 {
     node_t *node = timer->data;
     route_run_queue(node);
+    probe_wanted(node);
     if (node->credits_short && node_now(node) >= node->borrowed_ms + BORROW_EVERY_MS) {
         node->credits_short = false;
         node->borrowed_ms = node_now(node);
--- a/entry/probe.c
+++ b/entry/probe.c
@@ -17,6 +17,8 @@
 typedef struct {
     node_t *node;
     name_t backend;
+    uint64_t asked_ms;
+    bool leaving;
 } probe_t;
 
 static bool
@@ -33,6 +35,13 @@
     return true;
 }
 
+static void
+on_head(void *ctx, const http_head_t *head)
+{
+    probe_t *probe = ctx;
+    probe->leaving = str_eq(http_head_find(head, STR("x-irisstall-draining")), STR("1"));
+}
+
 static void
 on_probe(void *ctx, const fetch_answer_t *answer)
 {
@@ -41,6 +50,8 @@
     backend_t *backend = backends_find(&node->backends, name_str(&probe->backend));
     const uint64_t now = node_now(node);
     if (backend != NULL) {
+        backend->asking = false;
+        backend_heard(backend, probe->leaving, probe->asked_ms, now);
         const bool well =
             answer->result->err.code == ERR_NONE && answer->result->status == STATUS_OK;
         if (well && backend_is_ejected(backend, now))
@@ -55,21 +66,36 @@
 static void
 send_probe(node_t *node, backend_t *backend)
 {
+    backend->wanted = false;
+    if (backend->asking)
+        return;
+    backend->asking = true;
     probe_t *probe = xmalloc(sizeof(*probe));
-    *probe = (probe_t){.node = node, .backend = backend->name};
+    *probe = (probe_t){.node = node, .backend = backend->name, .asked_ms = node_now(node)};
     const fetch_conf_t conf = {.target = node_backend_target(node, backend),
                                .method = "GET",
                                .path = "/health",
                                .body = STR(""),
                                .timeout_ms = PROBE_TIMEOUT_MS,
-                               .max_body = PROBE_BODY_MAX};
+                               .max_body = PROBE_BODY_MAX,
+                               .on_head = on_head};
     counter_add(node->counters.probes, 1);
     fetch_start(&conf, on_probe, probe);
 }
 
+void
+probe_wanted(node_t *node)
+{
+    for (size_t i = 0; i < node->backends.count; i++) {
+        if (node->backends.items[i]->wanted)
+            send_probe(node, node->backends.items[i]);
+    }
+}
+
 void
 probe_round(node_t *node)
 {
+    probe_wanted(node);
     const uint64_t now = node_now(node);
     for (size_t i = 0; i < node->backends.count; i++) {
         backend_t *backend = node->backends.items[i];
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -96,11 +96,13 @@
 }
 
 drain_backend() {
-    local name service
+    local name service way
     name=$(any_backend)
     service=${name%%-*}
-    fault "drain $name way $((RANDOM % 3)) for ${1}s"
-    case $((RANDOM % 3)) in
+    : $((RANDOM)) # a draw that earlier schedules had
+    way=$((RANDOM % 3))
+    fault "drain $name way $way for ${1}s"
+    case $way in
     0)
         ctl drain "$service" "$name"
         sleep "$1"
--- a/test/test_backend.c
+++ b/test/test_backend.c
@@ -83,6 +83,26 @@
 }
 END_TEST
 
+/* A server says that it is leaving only when it answers, and each instance has its own word. */
+START_TEST(a_server_not_heard_lately_is_asked_first)
+{
+    backends_t backends = make_backends();
+    backend_t *first = backends.items[0];
+    const uint64_t now = 1000 + BACKEND_WORD_MS + 1;
+    backend_heard(first, false, 1000, now); /* read late: no newer than the question */
+    for (size_t i = 1; i < SERVERS; i++)
+        backend_heard(backends.items[i], false, 1001, 1001);
+    expect_never_chosen(&backends, first, now);
+    ck_assert(first->wanted);
+    ck_assert_ptr_nonnull(choose(&backends, now));
+    ck_assert_ptr_null(choose(&backends, now + 1));
+    backend_heard(first, false, now + 1, now + 2);
+    ck_assert_ptr_eq(choose(&backends, now + 2), first);
+    backend_heard(first, true, now + 3, now + 3);
+    ck_assert_ptr_null(choose(&backends, now + 3));
+}
+END_TEST
+
 START_TEST(slots_bound_what_is_sent)
 {
     backends_t backends = make_backends();
@@ -104,8 +124,11 @@
         backend_answered(backends.items[i], i == 0 ? 100 : 20, 0, 1000);
     expect_never_chosen(&backends, backends.items[0], 1000);
     size_t later = 0;
+    const uint64_t then = 1000 + 8 * BACKEND_LATENCY_DECAY_MS;
+    for (size_t i = 0; i < SERVERS; i++)
+        backend_heard(backends.items[i], false, then, then);
     for (size_t i = 0; i < 200; i++) /* an old estimate fades, so it is tried again */
-        later += choose(&backends, 1000 + 8 * BACKEND_LATENCY_DECAY_MS) == backends.items[0];
+        later += choose(&backends, then) == backends.items[0];
     ck_assert_uint_gt(later, 0);
 }
 END_TEST
@@ -150,6 +173,7 @@
     TCase *tcase = tcase_create("backend");
     tcase_add_loop_test(tcase, every_word_of_leaving_counts, 0, 3);
     tcase_add_test(tcase, leaving_test_fails_without_the_rule);
+    tcase_add_test(tcase, a_server_not_heard_lately_is_asked_first);
     tcase_add_test(tcase, slots_bound_what_is_sent);
     tcase_add_test(tcase, a_slow_server_gets_less);
     tcase_add_test(tcase, failures_eject_and_time_returns);
