Gateway: answers that are late are counted and logged by their cause

Cause: the log and the metrics told that an answer was late, not why. Each late answer now has one cause: the caller's earlier refusal, an earlier attempt, a queue known or not known, a cold or slow backend server, a run without the object in memory, another region. No decision depends on it. Also counts a caller once per request, not per choice.

--- a/gateway/path/access_log.c
+++ b/gateway/path/access_log.c
@@ -5,8 +5,9 @@
 #include "base/log.h"
 #include "gateway/path/access_log.h"
 
-/* Of the requests that went without trouble, one in this many is logged. Chosen, not measured. */
-enum { LOG_EVERY = 64, LABELS_MAX = 64 };
+/* Of the requests that went without trouble, and of those that were only late, one in this many is
+ * logged. Chosen, not measured. */
+enum { LOG_EVERY = 64, LOG_LATE_EVERY = 16, LABELS_MAX = 64 };
 
 static void
 count_outcome(outcome_t outcome)
@@ -16,6 +17,32 @@
     counter_add(counter_get("irisstall_requests_total", labels, "Requests by their outcome."), 1);
 }
 
+static void
+count_late(const access_t *access)
+{
+    char labels[LABELS_MAX + NAME_MAX_LEN];
+    if (access->late == LATE_NOT)
+        return;
+    snprintf(labels, sizeof(labels), "service=\"%s\",cause=\"%s\"", access->service,
+             late_cause_name(access->late));
+    counter_add(counter_get("irisstall_late_total", labels,
+                            "Answers later than the route's latency objective, by cause."),
+                1);
+}
+
+/* True if the request is one of those that are not logged. */
+static bool
+is_left_out(const access_t *access)
+{
+    static unsigned untroubled;
+    static unsigned late;
+    if (access->outcome != OUTCOME_ANSWERED || access->attempts != 1)
+        return false;
+    if (access->late != LATE_NOT)
+        return ++late % LOG_LATE_EVERY != 0;
+    return ++untroubled % LOG_EVERY != 0;
+}
+
 static const char *
 or_dash(const char *text)
 {
@@ -25,16 +52,16 @@
 void
 access_log(const access_t *access)
 {
-    static unsigned untroubled;
     count_outcome(access->outcome);
-    if (access->outcome == OUTCOME_ANSWERED && access->attempts == 1 &&
-        ++untroubled % LOG_EVERY != 0)
+    count_late(access);
+    if (is_left_out(access))
         return;
     LOG_INFO("request ended: id=%.*s outcome=%s status=%d service=%s attempts=%zu sends=%u "
-             "reason=%s retry=%s backend=%s ms=%llu left_ms=%llu version=%s",
+             "reason=%s retry=%s late=%s backend=%s ms=%llu left_ms=%llu version=%s",
              STR_ARG(access->id), outcome_name(access->outcome), access->status,
              or_dash(access->service), access->attempts, access->sends,
              choice_reason_name(access->choice), retry_verdict_name(access->retry),
-             or_dash(access->backend), (unsigned long long)access->elapsed_ms,
-             (unsigned long long)access->left_ms, or_dash(access->config_version));
+             late_cause_name(access->late), or_dash(access->backend),
+             (unsigned long long)access->elapsed_ms, (unsigned long long)access->left_ms,
+             or_dash(access->config_version));
 }
--- a/gateway/path/access_log.h
+++ b/gateway/path/access_log.h
@@ -1,12 +1,14 @@
 /*
  * Access log: one counter and, for every request with trouble, one log line when a request ends.
  *
- * Owns the metric irisstall_requests_total. Of the requests that went without trouble every 64th is
- * logged, so that the log stays small on a busy instance.
+ * Owns the metrics irisstall_requests_total and irisstall_late_total. Of the requests that went
+ * without trouble every 64th is logged, of those that were only late every 16th, so that the log
+ * stays small on a busy instance.
  */
 #pragma once
 
 #include "base/str.h"
+#include "gateway/path/lateness.h"
 #include "gateway/policy/choice.h"
 #include "gateway/policy/final_answer.h"
 #include "gateway/policy/retry.h"
@@ -23,6 +25,7 @@
     uint32_t sends;         /* attempts of which bytes may have gone out */
     choice_reason_t choice; /* of the last choice */
     retry_verdict_t retry;  /* of the last decision to retry */
+    late_cause_t late;      /* why it was answered late, LATE_NOT if it was not */
     uint64_t elapsed_ms;    /* since the request's first byte */
     uint64_t left_ms;       /* until it would have been given up */
 } access_t;
--- a/gateway/path/attempt.c
+++ b/gateway/path/attempt.c
@@ -49,8 +49,10 @@
     attempt->verdict = attempt->dialect->judge(head);
     attempt->status = head->status;
     attempt->length = length;
-    if (attempt->dialect->load(head, &load))
+    if (attempt->dialect->load(head, &load)) {
+        attempt->full = load.waiting > 0;
         backend_report_load(attempt->backend, &load, uv_now(attempt->loop));
+    }
     attempt->fields.len = 0;
     attempt->dialect->write_answer(head, &attempt->fields);
     if (attempt->verdict == VERDICT_ANSWER && length > BUFFER_MAX)
@@ -189,6 +191,7 @@
     attempt->sent = false;
     attempt->head_seen = false;
     attempt->paused = false;
+    attempt->full = false;
     attempt->recorded = false;
     attempt->slow_ms = conf->slow_ms;
     attempt->body.len = 0;
--- a/gateway/path/attempt.h
+++ b/gateway/path/attempt.h
@@ -42,6 +42,7 @@
     bool head_seen;
     bool streaming;
     bool paused;
+    bool full;        /* the answer told that all slots of the backend were taken */
     bool recorded;    /* its outcome is in the backend's health already */
     uint32_t slow_ms; /* from slow_after_ms(); 0 for no limit */
     answer_verdict_t verdict;
--- a/gateway/path/dispatch.c
+++ b/gateway/path/dispatch.c
@@ -11,6 +11,7 @@
         .object = ex->object,
         .has_object = router_has_object(ex->route, ex->terms.object),
         .left_ms = ex->terms.has_deadline ? ex->terms.deadline_ms : given_up_in_ms,
+        .lost_ms = ex->lost_ms,
         .tried = ex->tried,
         .tried_count = ex->tried_count,
     };
--- a/gateway/path/ending.c
+++ b/gateway/path/ending.c
@@ -2,9 +2,32 @@
 
 #include <http_parser.h>
 
+#include "base/xmalloc.h"
 #include "gateway/path/access_log.h"
 #include "gateway/path/ending.h"
 
+/* Why the answer that is about to be passed on is late. */
+static late_cause_t
+late_cause(const exchange_t *ex, const backend_t *backend)
+{
+    const uint64_t now = exchange_now_ms(ex);
+    const attempt_t *attempt = &ex->attempt;
+    xassert(backend != NULL);
+    const lateness_input_t input = {
+        .aim_ms = ex->route->aim_ms,
+        .elapsed_ms = now - ex->req->begun_ms,
+        .attempt_ms = now - attempt->sent_ms,
+        .lost_ms = ex->lost_ms,
+        .usual_ms = backend->work_ms,
+        .slow_ms = attempt->slow_ms,
+        .queued = attempt->queued,
+        .full = attempt->full,
+        .cold = backend_is_cold(backend, now),
+        .other_region = backend->region != ex->owner->router->region,
+    };
+    return lateness_cause(&input);
+}
+
 static void
 log_end(const exchange_t *ex, int status, outcome_t outcome)
 {
@@ -20,6 +43,7 @@
         .sends = ex->sends,
         .choice = ex->choice,
         .retry = ex->retry,
+        .late = outcome == OUTCOME_ANSWERED ? late_cause(ex, backend) : LATE_NOT,
         .elapsed_ms = exchange_now_ms(ex) - ex->req->begun_ms,
         .left_ms = exchange_left_ms(ex),
     };
--- a/gateway/path/exchange_state.h
+++ b/gateway/path/exchange_state.h
@@ -34,6 +34,7 @@
     backend_t *tried[RETRY_BACKENDS_MAX]; /* in this order, a reference to each */
     size_t tried_count;
     uint32_t sends;    /* ended attempts of which bytes may have gone out */
+    double lost_ms;    /* that the caller has lost before this request, by refusals */
     bool may_have_run; /* one of them ended without certainty */
     bool done;
 };
--- a/gateway/policy/admission.c
+++ b/gateway/policy/admission.c
@@ -22,9 +22,9 @@
 #define LAST_CHANCE_BELOW 0.9
 
 wait_limits_t
-admission_wait_limits(uint32_t aim_ms, uint32_t left_ms, double usual_left_ms)
+admission_wait_limits(uint32_t aim_ms, uint32_t left_ms, double lost_ms)
 {
-    const bool last_chance = left_ms < LAST_CHANCE_BELOW * usual_left_ms;
+    const bool last_chance = left_ms < LAST_CHANCE_BELOW * (left_ms + lost_ms);
     if (last_chance) {
         return (wait_limits_t){
             .wait_ms = (uint32_t)(LAST_CHANCE_LEFT_SHARE * left_ms),
--- a/gateway/policy/admission.h
+++ b/gateway/policy/admission.h
@@ -51,7 +51,7 @@
 } admission_backend_t;
 
 /* `aim_ms` is the route's latency objective, `left_ms` the time this caller still waits,
- * `usual_left_ms` the average of that over the route's callers. */
-wait_limits_t admission_wait_limits(uint32_t aim_ms, uint32_t left_ms, double usual_left_ms);
+ * `lost_ms` what it has lost by earlier refusals. */
+wait_limits_t admission_wait_limits(uint32_t aim_ms, uint32_t left_ms, double lost_ms);
 admission_t admission_decide(const admission_request_t *request,
                              const admission_backend_t *backend);
--- a/gateway/router.c
+++ b/gateway/router.c
@@ -162,14 +162,12 @@
 {
     const config_route_t *route = request->route;
     service_t *service = request->service;
-    const double usual_left_ms =
-        route_stats_count_caller(&router->routes, route->key, request->left_ms);
     choice_input_t input =
         choice_input(router, route, name_str(&service->name), &service->plan, request->object);
     input.has_object = request->has_object;
     input.tried = request->tried;
     input.tried_count = request->tried_count;
-    input.wait = admission_wait_limits(route->aim_ms, request->left_ms, usual_left_ms);
+    input.wait = admission_wait_limits(route->aim_ms, request->left_ms, request->lost_ms);
     input.may_spill = spill_is_allowed(&service->spill);
     backend_t *backend = choice_pick(&input, reason);
     if (*reason == CHOICE_ELSEWHERE)
@@ -193,6 +191,13 @@
     return input;
 }
 
+double
+router_count_caller(router_t *router, const config_route_t *route, uint32_t left_ms)
+{
+    const double usual_ms = route_stats_count_caller(&router->routes, route->key, left_ms);
+    return usual_ms > left_ms ? usual_ms - left_ms : 0;
+}
+
 void
 router_count_request(router_t *router, service_t *service)
 {
--- a/gateway/router.h
+++ b/gateway/router.h
@@ -58,6 +58,7 @@
     uint64_t object; /* from router_object() */
     bool has_object;
     uint32_t left_ms; /* time that the caller still waits */
+    double lost_ms;   /* that the caller has lost before, from router_count_caller() */
     backend_t *const *tried;
     size_t tried_count;
 } router_request_t;
@@ -86,6 +87,9 @@
 choice_input_t router_explain_input(const router_t *router, const config_route_t *route,
                                     str_t service, uint64_t object);
 
+/* A caller that still waits for `left_ms` has come; returns the time in milliseconds that it has
+ * lost before: more than 0 if it comes again after a refusal. */
+double router_count_caller(router_t *router, const config_route_t *route, uint32_t left_ms);
 /* A request has arrived: it adds to the budgets of its service. */
 void router_count_request(router_t *router, service_t *service);
 /* A request found no backend. */
--- a/test/gateway/test_admission.c
+++ b/test/gateway/test_admission.c
@@ -55,10 +55,10 @@
 
 START_TEST(a_caller_that_came_back_may_wait_longer)
 {
-    const wait_limits_t first = admission_wait_limits(400, 2500, 2500);
+    const wait_limits_t first = admission_wait_limits(400, 2500, 0);
     ck_assert_uint_eq(first.wait_ms, 320);
     ck_assert_double_eq_tol(first.load_max, 2, 1e-9);
-    const wait_limits_t again = admission_wait_limits(400, 2000, 2500);
+    const wait_limits_t again = admission_wait_limits(400, 2000, 500);
     ck_assert_uint_eq(again.wait_ms, 1200);
     ck_assert_double_eq_tol(again.load_max, 3, 1e-9);
 }
--- /dev/null
+++ b/test/gateway/test_lateness.c
@@ -0,0 +1,60 @@
+/* Lateness: each cause, and its order. */
+#include "base/xmalloc.h"
+#include "gateway/path/lateness.h"
+#include "test/suites.h"
+
+START_TEST(each_late_answer_has_one_cause)
+{
+    const lateness_input_t in_time = {
+        .aim_ms = 250, .elapsed_ms = 120, .attempt_ms = 118, .usual_ms = 110, .slow_ms = 430};
+    lateness_input_t input = in_time;
+    ck_assert_int_eq(lateness_cause(&input), LATE_NOT);
+
+    input.lost_ms = 400;
+    ck_assert_int_eq(lateness_cause(&input), LATE_REFUSED_BEFORE);
+
+    input = in_time;
+    input.elapsed_ms = 400;
+    ck_assert_int_eq(lateness_cause(&input), LATE_EARLIER_ATTEMPT);
+
+    input.attempt_ms = 398;
+    ck_assert_int_eq(lateness_cause(&input), LATE_COLD_OBJECT);
+    input.full = true;
+    ck_assert_int_eq(lateness_cause(&input), LATE_LOAD_UNKNOWN);
+    input.queued = true;
+    ck_assert_int_eq(lateness_cause(&input), LATE_QUEUED);
+    input.cold = true;
+    ck_assert_int_eq(lateness_cause(&input), LATE_COLD_BACKEND);
+
+    input = in_time;
+    input.elapsed_ms = 502;
+    input.attempt_ms = 500;
+    ck_assert_int_eq(lateness_cause(&input), LATE_SLOW_BACKEND);
+
+    input = in_time;
+    input.elapsed_ms = 300;
+    input.attempt_ms = 290;
+    input.usual_ms = 280;
+    ck_assert_int_eq(lateness_cause(&input), LATE_USUAL);
+    input.other_region = true;
+    ck_assert_int_eq(lateness_cause(&input), LATE_FAR);
+}
+END_TEST
+
+START_TEST(without_an_objective_nothing_is_late)
+{
+    const lateness_input_t input = {.elapsed_ms = 5000, .attempt_ms = 5000, .lost_ms = 400};
+    ck_assert_int_eq(lateness_cause(&input), LATE_NOT);
+}
+END_TEST
+
+Suite *
+suite_gateway_lateness(void)
+{
+    Suite *suite = suite_create("gateway: lateness");
+    TCase *tcase = tcase_create("lateness");
+    tcase_add_test(tcase, each_late_answer_has_one_cause);
+    tcase_add_test(tcase, without_an_objective_nothing_is_late);
+    suite_add_tcase(suite, tcase);
+    return suite;
+}
--- a/test/suites.h
+++ b/test/suites.h
@@ -16,6 +16,7 @@
 Suite *suite_gateway_config(void);
 Suite *suite_gateway_route_stats(void);
 Suite *suite_gateway_soak(void);
+Suite *suite_gateway_lateness(void);
 Suite *suite_gateway_lifetime(void);
 Suite *suite_gateway_listener(void);
 Suite *suite_gateway_final_answer(void);
