Choice: a request whose backend server is full is refused, not sent to run cold elsewhere

Cause: most late answers came after a refusal, and the runs behind them were cold: requests that found their object's backend server full went to a second replica, or to another region, ran 3.3 times as long there, missed their objective and took slots from three that would have met it. Callers that came back queued for longer than those still in time, so once some were refused everybody was, and was served late.

Change: one backend server keeps an object; the next comes in only if it may not be used. A region is left only if it has no usable one. A request queues if its answer is expected within the route's objective; a caller that came back takes a slot that is free or about to be. Gone: the second replica, the spill between regions, the reserve for urgent classes, the longer queue for callers that came back.

--- a/gateway/policy/choice.c
+++ b/gateway/policy/choice.c
@@ -15,9 +15,8 @@
     /* Backends of a service that are looked at; the largest site swept had 3,000 (commit 59548b9).
      */
     CANDIDATES_MAX = 8192,
-    /* Backends of a region that share an object. Measured against any backend with room:
-     * tally-lakes scale-1 0.035 to 0.537 (commit 93ef34f). */
-    REPLICAS = 2,
+    /* Backends of a region that keep an object. */
+    REPLICAS = 1,
     /* Looked at in a region for a request without an object. Chosen, not measured. */
     REPLICAS_ANY = 8,
 };
@@ -114,10 +113,18 @@
     return count;
 }
 
+/* The data halls of a region in which a backend is looked for. */
+typedef enum {
+    HALLS_ALL,
+    HALLS_OWN,    /* the instance's own */
+    HALLS_OTHERS, /* all but that */
+} halls_t;
+
 /* Where to look for a backend. */
+
 typedef struct {
     size_t region;
-    bool own_hall_only;
+    halls_t halls;
 } area_t;
 
 /* Each region once, the own data hall, the own region again, and no region. */
@@ -128,7 +135,8 @@
 {
     if (backend->region != area->region)
         return false;
-    return !area->own_hall_only || name_eq(&backend->info.hall, input->own_hall);
+    const bool own = name_eq(&backend->info.hall, input->own_hall);
+    return area->halls == HALLS_ALL || own == (area->halls == HALLS_OWN);
 }
 
 /* The best candidates of an area, in the request's order, at most `most`; returns their number. */
@@ -163,49 +171,43 @@
     const double point = unit(input->object);
     const size_t planned =
         large ? region_plan_pick_large(input->plan, point) : region_plan_pick(input->plan, point);
-    if (large && planned == input->own_region)
-        areas[count++] = (area_t){planned, true};
-    areas[count++] = (area_t){planned, false};
+    const bool near = large && planned == input->own_region;
+    if (near)
+        areas[count++] = (area_t){planned, HALLS_OWN};
+    areas[count++] = (area_t){planned, near ? HALLS_OTHERS : HALLS_ALL};
     if (planned != input->own_region)
-        areas[count++] = (area_t){input->own_region, false};
+        areas[count++] = (area_t){input->own_region, HALLS_ALL};
     for (size_t i = 0; i < input->topology->region_count; i++) {
         if (i != planned && i != input->own_region)
-            areas[count++] = (area_t){i, false};
+            areas[count++] = (area_t){i, HALLS_ALL};
     }
     /* Backend servers of data halls that the settings do not list come last. */
-    areas[count++] = (area_t){TOPOLOGY_NO_REGION, false};
+    areas[count++] = (area_t){TOPOLOGY_NO_REGION, HALLS_ALL};
     return count;
 }
 
 static admission_t
-admit(const choice_input_t *input, const backend_t *backend, size_t rank)
+admit(const choice_input_t *input, const backend_t *backend)
 {
-    const admission_request_t request = {
-        .has_object = input->has_object,
-        .priority = input->route->priority,
-        .wait = input->wait,
-    };
     const admission_backend_t state = {
         .load = backend_load(backend, input->now_ms),
         .slots = backend->info.capacity,
         .work_ms = backend->work_ms,
-        .rank = rank,
     };
-    return admission_decide(&request, &state);
+    return admission_decide(&input->request, &state);
 }
 
-/* Index of the replica that admits the request, `count` if none does. `rank` is the first one's
- * position in the order over all areas. A request about an object queues at the first replica that
- * lets it, rather than run without the object in memory; others queue only if no
- * replica has room.
+/* Index of the replica that admits the request, `count` if none does. A request about an object
+ * queues at the first replica that lets it, rather than run without the object in memory; others
+ * queue only if no replica has room.
  */
 static size_t
-pick_replica(const choice_input_t *input, const candidate_t *replicas, size_t count, size_t rank,
+pick_replica(const choice_input_t *input, const candidate_t *replicas, size_t count,
              admission_t *admission)
 {
     size_t waits_at = count;
     for (size_t i = 0; i < count; i++) {
-        *admission = admit(input, replicas[i].backend, rank + i);
+        *admission = admit(input, replicas[i].backend);
         if (*admission == ADMIT_NOW || (*admission == ADMIT_AFTER_WAIT && input->has_object))
             return i;
         if (*admission == ADMIT_AFTER_WAIT && waits_at == count)
@@ -216,9 +218,9 @@
 }
 
 static choice_reason_t
-reason_of(bool spills, admission_t admission, size_t index)
+reason_of(bool elsewhere, admission_t admission, size_t index)
 {
-    if (spills)
+    if (elsewhere)
         return CHOICE_ELSEWHERE;
     if (admission == ADMIT_AFTER_WAIT)
         return CHOICE_QUEUED;
@@ -234,19 +236,18 @@
     const size_t most = input->has_object ? REPLICAS : REPLICAS_ANY;
     const size_t count = collect(input, candidates);
     const size_t area_count = list_areas(input, areas);
-    size_t rank = 0;
+    bool any = false;
     for (size_t i = 0; i < area_count; i++) {
         admission_t admission;
-        const size_t found = find_replicas(input, candidates, count, &areas[i], replicas, most);
-        const bool spills = areas[i].region != areas[0].region && rank > 0;
-        const bool too_far = input->route->large && areas[i].region != input->own_region;
-        if (spills && (!input->may_spill || too_far))
+        const bool elsewhere = areas[i].region != areas[0].region;
+        if (elsewhere && any)
             break;
-        const size_t picked = pick_replica(input, replicas, found, rank, &admission);
-        rank += found;
+        const size_t found = find_replicas(input, candidates, count, &areas[i], replicas, most);
+        const size_t picked = pick_replica(input, replicas, found, &admission);
+        any |= found > 0;
         if (picked == found)
             continue;
-        *reason = reason_of(spills, admission, picked);
+        *reason = reason_of(elsewhere, admission, picked);
         return replicas[picked].backend;
     }
     *reason = count == 0 ? CHOICE_NONE : CHOICE_FULL;
--- a/gateway/policy/choice.h
+++ b/gateway/policy/choice.h
@@ -5,17 +5,18 @@
  * Inputs: choice_input_t. The objects, regions and rooms are those this instance knows.
  * Rule:
  *  - Weighted rendezvous hashing orders the backends of a region for each object, by slots. The
- *    first two are the object's replicas: the backends that have it in memory.
+ *    first keeps the object in memory and gets the request, if it admits it (admission.h).
  *  - Regions are tried in this order: the one planned for the object (region_plan.h), the own one,
- *    the others. In a region the first replica that admits the request (admission.h) gets it
- *    (bounded load); if none admits it, the next region is tried as far as spill.h allows.
+ *    the others; a later one only if none before it has a backend that may be used. One that is
+ *    full is no reason to go elsewhere.
  *  - A request without an object looks at eight backends a region in random order.
- *  - Requests with large answers look in the own data hall first and do not spill.
+ *  - Requests with large answers look in the own data hall first.
  *  - Avoided backends (health.h) come after all others of their region, unless too many would be
  *    avoided. Cold ones take requests at their pace from their senders only (cold_start.h).
- * Reason: a request about an object that the backend does not have in memory runs 3.3 times as long
- * and pushes other objects out; so backends beyond the replicas are not used. All instances make
- * the same choice from the same list without talking to each other.
+ * Reason: a request about an object that the backend does not have in memory runs 3.3 times as
+ * long, misses its objective, and takes slots from three that would not. So a request that finds
+ * its backend full is refused at once rather than sent to another one. All instances make the same
+ * choice from the same list without talking to each other.
  * Measured: docs/design/gateway/choice.md.
  *
  * Pure but for the cold backends' token buckets. Relies on state/backend.h and state/config.h for
@@ -32,7 +33,7 @@
 typedef enum {
     CHOICE_FIRST,     /* the first in the request's order in the planned region */
     CHOICE_LATER,     /* a later one there */
-    CHOICE_ELSEWHERE, /* another region, since the planned one has no room */
+    CHOICE_ELSEWHERE, /* another region, since the planned one has no backend that may be used */
     CHOICE_QUEUED,    /* it has to queue at the backend */
     CHOICE_FULL,      /* none: no backend admits it */
     CHOICE_NONE,      /* none: no backend may get requests */
@@ -55,8 +56,7 @@
     bool senders_settled;    /* the list of instances can be relied on */
     backend_t *const *tried; /* not to be chosen again */
     size_t tried_count;
-    wait_limits_t wait; /* how long the request may queue */
-    bool may_spill;     /* to another region if the planned one has no room */
+    admission_request_t request;
 } choice_input_t;
 
 /* NULL if no backend takes the request. The backend list owns what is returned. */
--- a/gateway/router.c
+++ b/gateway/router.c
@@ -167,11 +167,12 @@
     input.has_object = request->has_object;
     input.tried = request->tried;
     input.tried_count = request->tried_count;
-    input.wait = admission_wait_limits(route->aim_ms, request->left_ms, request->lost_ms);
-    input.may_spill = spill_is_allowed(&service->spill);
+    input.request = (admission_request_t){
+        .aim_ms = route->aim_ms,
+        .left_ms = request->left_ms,
+        .lost_ms = request->lost_ms,
+    };
     backend_t *backend = choice_pick(&input, reason);
-    if (*reason == CHOICE_ELSEWHERE)
-        spill_spend(&service->spill);
     if (backend != NULL && backend_is_cold(backend, input.now_ms))
         cold_start_count_send(&backend->cold_tokens, input.now_ms);
     return backend;
@@ -186,8 +187,7 @@
     choice_input_t input =
         choice_input(router, route, service, known != NULL ? &known->plan : &no_plan, object);
     input.has_object = true;
-    input.wait = (wait_limits_t){.wait_ms = route->aim_ms, .load_max = 1};
-    input.may_spill = true;
+    input.request = (admission_request_t){.aim_ms = route->aim_ms, .left_ms = UINT32_MAX};
     return input;
 }
 
@@ -203,7 +203,6 @@
 {
     const retry_account_t account = router_retry_account(router, service);
     retry_budget_count_request(account.budget, &account.terms, account.now_ms);
-    spill_count_request(&service->spill);
 }
 
 void
--- a/gateway/state/services.h
+++ b/gateway/state/services.h
@@ -1,5 +1,5 @@
 /*
- * What is kept for each service: its region plan, retry budget, spill and measured demand.
+ * What is kept for each service: its region plan, retry budget and measured demand.
  *
  * Owns the table of services; entries are never removed, so that requests under way may point to
  * them. Relies on the policies for the rules; time is passed in.
@@ -9,13 +9,11 @@
 #include "base/str.h"
 #include "gateway/policy/region_plan.h"
 #include "gateway/policy/retry_budget.h"
-#include "gateway/policy/spill.h"
 
 typedef struct {
     name_t name;
     region_plan_t plan;
     retry_budget_t retries;
-    spill_t spill;
     uint32_t in_flight; /* attempts of this instance's callers */
     double demand;      /* slots: moving average of in_flight and of what was refused */
     uint64_t demand_ms; /* when the average was brought up to date */
