Directory: callers are named the fewest instances that carry their traffic

Change: an instance tells its link, its processor and its traffic in heartbeats; the directory names the strongest of a data hall, as many as carry the hall's traffic at 0.4 of link and processor, at least two, and all if one does not say. New settings link_mbps and cpu_cores, which may be left out; old instances count as not saying.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -300,6 +300,7 @@
         .settings = settings,
         .members = &gateway->members,
         .services = &gateway->router.services,
+        .traffic = &gateway->router.traffic,
         .backends = &gateway->router.catalog.backends,
         .region = gateway->router.region,
         .views = &gateway->views,
--- a/gateway/membership/directory.c
+++ b/gateway/membership/directory.c
@@ -1,4 +1,5 @@
 #include "gateway/membership/directory.h"
+#include "gateway/policy/naming.h"
 
 static bool
 is_named(const member_t *member, uint64_t now_ms)
@@ -7,20 +8,51 @@
            now_ms - member->heard_ms <= member_unnamed_after_ms(member);
 }
 
+/* The instances of a data hall that could be named; returns their number. */
 static size_t
-collect(const members_t *members, const str_t *hall, size_t region, uint64_t now_ms,
-        addr_t out[DIRECTORY_MAX])
+collect_hall(const members_t *members, str_t hall, uint64_t now_ms,
+             naming_instance_t out[MEMBERS_MAX])
 {
     size_t count = 0;
-    for (size_t i = 0; i < members->count && count < DIRECTORY_MAX; i++) {
+    for (size_t i = 0; i < members->count && count < MEMBERS_MAX; i++) {
         const member_t *member = &members->items[i];
-        if (!is_named(member, now_ms))
-            continue;
-        if (hall != NULL && !name_eq(&member->hall, *hall))
-            continue;
-        if (region != TOPOLOGY_NO_REGION && member->region != region)
+        if (!is_named(member, now_ms) || !name_eq(&member->hall, hall))
             continue;
-        out[count++] = member->callers;
+        out[count++] = (naming_instance_t){
+            .callers = member->callers,
+            .key = member_key(name_str(&member->instance)),
+            .link_bytes_per_s = member->capacity.link_bytes_per_s,
+            .cpu_cores = member->capacity.cpu_cores,
+            .requests_per_s = member->capacity.requests_per_s,
+            .bytes_per_s = member->capacity.bytes_per_s,
+        };
+    }
+    return count;
+}
+
+static size_t
+pick_in_hall(const members_t *members, str_t hall, uint64_t now_ms, addr_t out[DIRECTORY_MAX])
+{
+    static naming_instance_t instances[MEMBERS_MAX];
+    const size_t count = collect_hall(members, hall, now_ms, instances);
+    const size_t named = naming_decide(instances, count);
+    size_t taken = 0;
+    while (taken < named && taken < DIRECTORY_MAX) {
+        out[taken] = instances[taken].callers;
+        taken++;
+    }
+    return taken;
+}
+
+/* All instances of a region, or of all regions. */
+static size_t
+pick_in_region(const members_t *members, size_t region, uint64_t now_ms, addr_t out[DIRECTORY_MAX])
+{
+    size_t count = 0;
+    for (size_t i = 0; i < members->count && count < DIRECTORY_MAX; i++) {
+        const member_t *member = &members->items[i];
+        if (is_named(member, now_ms) && (region == TOPOLOGY_NO_REGION || member->region == region))
+            out[count++] = member->callers;
     }
     return count;
 }
@@ -29,10 +61,10 @@
 directory_pick(const members_t *members, const topology_t *topology, str_t region, str_t hall,
                uint64_t now_ms, addr_t out[DIRECTORY_MAX])
 {
-    size_t count = collect(members, &hall, TOPOLOGY_NO_REGION, now_ms, out);
+    size_t count = pick_in_hall(members, hall, now_ms, out);
     if (count == 0)
-        count = collect(members, NULL, topology_region(topology, region), now_ms, out);
+        count = pick_in_region(members, topology_region(topology, region), now_ms, out);
     if (count == 0)
-        count = collect(members, NULL, TOPOLOGY_NO_REGION, now_ms, out);
+        count = pick_in_region(members, TOPOLOGY_NO_REGION, now_ms, out);
     return count;
 }
--- a/gateway/membership/heartbeat.c
+++ b/gateway/membership/heartbeat.c
@@ -43,6 +43,12 @@
     self->ready = heartbeat->ready;
     self->leaving = heartbeat->leaving;
     self->interval_ms = members_interval_ms(heartbeat->conf.members, self->region, now_ms);
+    self->capacity = (member_capacity_t){
+        .link_bytes_per_s = settings->link_bytes_per_s,
+        .cpu_cores = settings->cpu_cores,
+        .requests_per_s = heartbeat->conf.traffic->requests_per_s,
+        .bytes_per_s = heartbeat->conf.traffic->bytes_per_s,
+    };
     self->demand_count = 0;
     for (size_t i = 0; i < services->count && self->demand_count < MEMBER_DEMANDS_MAX; i++) {
         const service_t *service = &services->items[i];
--- a/gateway/membership/heartbeat.h
+++ b/gateway/membership/heartbeat.h
@@ -10,6 +10,7 @@
 #include "gateway/membership/heartbeat_message.h"
 #include "gateway/settings.h"
 #include "gateway/state/services.h"
+#include "gateway/state/traffic.h"
 #include "gateway/state/view_relay.h"
 #include "peer/link.h"
 
@@ -17,6 +18,7 @@
     const gateway_settings_t *settings;
     members_t *members;
     const services_t *services; /* their demand is sent */
+    const traffic_t *traffic;   /* is sent */
     const backends_t *backends; /* outcomes at them are sent and received */
     size_t region;              /* of this instance */
     const views_t *views;
--- a/gateway/membership/heartbeat_message.c
+++ b/gateway/membership/heartbeat_message.c
@@ -120,6 +120,10 @@
     message->region_members =
         (uint32_t)members_living(source->members, self->region, source->now_ms);
     message->interval_ms = self->interval_ms;
+    message->link_bytes_per_s = (float)self->capacity.link_bytes_per_s;
+    message->cpu_cores = (float)self->capacity.cpu_cores;
+    message->requests_per_s = (float)self->capacity.requests_per_s;
+    message->bytes_per_s = (float)self->capacity.bytes_per_s;
 }
 
 void
@@ -183,6 +187,12 @@
     member->store_failing = message->store_failing;
     member->interval_ms = message->interval_ms;
     member->region_members = message->region_members;
+    member->capacity = (member_capacity_t){
+        .link_bytes_per_s = message->link_bytes_per_s,
+        .cpu_cores = message->cpu_cores,
+        .requests_per_s = message->requests_per_s,
+        .bytes_per_s = message->bytes_per_s,
+    };
     read_views(message, member);
     member->demand_count = read_demands(message->demands, message->n_demands, member->demands);
     member->region_demand_count =
--- a/gateway/membership/members.h
+++ b/gateway/membership/members.h
@@ -47,6 +47,14 @@
     bool known;
 } member_view_t;
 
+/* What an instance was given and what it carries; 0 where it does not say. */
+typedef struct {
+    double link_bytes_per_s; /* of its link, one direction */
+    double cpu_cores;
+    double requests_per_s;
+    double bytes_per_s; /* one direction */
+} member_capacity_t;
+
 typedef struct {
     addr_t peer; /* where its peers reach it */
     bool heard;  /* at least one heartbeat came; the fields below are unset before */
@@ -65,6 +73,7 @@
     size_t demand_count;
     member_demand_t region_demands[MEMBER_DEMANDS_MAX]; /* sum over its region */
     size_t region_demand_count;
+    member_capacity_t capacity;
     uint32_t region_members; /* living members of its region, as it counts them */
     uint32_t interval_ms;    /* between its heartbeats, 0 if not known */
     uint64_t sent_ms;        /* time of our last heartbeat to it */
--- a/gateway/path/attempt.c
+++ b/gateway/path/attempt.c
@@ -63,6 +63,7 @@
 on_data(void *ctx, const char *ptr, size_t len)
 {
     attempt_t *attempt = ctx;
+    attempt->received += len;
     if (attempt->verdict != VERDICT_ANSWER)
         return;
     if (!attempt->streaming && attempt->body.len + len <= BUFFER_MAX) {
--- a/gateway/path/attempt.h
+++ b/gateway/path/attempt.h
@@ -47,6 +47,7 @@
     uint32_t slow_ms; /* from slow_after_ms(); 0 for no limit */
     answer_verdict_t verdict;
     int status;
+    size_t received; /* bytes of answers, of all attempts */
     int64_t length;
     wire_text_t fields;
     wire_text_t body;
--- a/gateway/path/ending.c
+++ b/gateway/path/ending.c
@@ -48,6 +48,7 @@
         .left_ms = exchange_left_ms(ex),
     };
     access_log(&access);
+    traffic_count(&ex->owner->router->traffic, ex->req->body_len + ex->attempt.received);
 }
 
 void
--- a/gateway/router.c
+++ b/gateway/router.c
@@ -98,6 +98,7 @@
 {
     const uint64_t now_ms = uv_now(router->loop);
     update_membership(router, members);
+    traffic_update(&router->traffic, now_ms);
     for (size_t i = 0; i < router->services.count; i++) {
         service_update_demand(&router->services.items[i], now_ms);
         update_plan(router, &router->services.items[i], members);
--- a/gateway/router.h
+++ b/gateway/router.h
@@ -15,6 +15,7 @@
 #include "gateway/state/catalog.h"
 #include "gateway/state/route_stats.h"
 #include "gateway/state/services.h"
+#include "gateway/state/traffic.h"
 
 /* The operators' bound on retries, from the settings. */
 typedef struct {
@@ -43,6 +44,7 @@
     uint64_t started_ms;
     catalog_t catalog;
     services_t services;
+    traffic_t traffic;
     route_stats_t routes;
     cold_sender_t senders[MEMBERS_MAX]; /* all instances ever heard of */
     size_t sender_count;
--- a/gateway/settings.c
+++ b/gateway/settings.c
@@ -5,7 +5,7 @@
 #include "base/yaml.h"
 #include "gateway/settings.h"
 
-enum { TEXT_MAX = 255, MS_PER_S = 1000 };
+enum { TEXT_MAX = 255, MS_PER_S = 1000, BYTES_PER_MBIT = 125000 };
 
 /* The least values that make sense; below them something is mistyped. */
 #define TTL_MIN_S 0.1
@@ -30,6 +30,8 @@
     unsigned seeds_count;
     raw_place_t *places;
     unsigned places_count;
+    double link_mbps;
+    double cpu_cores;
     double directory_ttl_s;
     double grace_s;
     double retry_ratio;
@@ -40,6 +42,7 @@
 #define TEXT(key, flags)                                                                           \
     CYAML_FIELD_STRING_PTR(#key, CYAML_FLAG_POINTER | (flags), raw_t, key, 0, TEXT_MAX)
 #define NUMBER(key) CYAML_FIELD_FLOAT(#key, CYAML_FLAG_DEFAULT, raw_t, key)
+#define OPTIONAL_NUMBER(key) CYAML_FIELD_FLOAT(#key, CYAML_FLAG_OPTIONAL, raw_t, key)
 
 static const cyaml_schema_value_t seed_schema = {
     CYAML_VALUE_STRING(CYAML_FLAG_POINTER, char, 0, TEXT_MAX)};
@@ -65,6 +68,8 @@
                          &seed_schema, 0, SETTINGS_SEEDS),
     CYAML_FIELD_SEQUENCE("places", CYAML_FLAG_POINTER, raw_t, places, &place_schema, 1,
                          TOPOLOGY_HALLS_MAX),
+    OPTIONAL_NUMBER(link_mbps),
+    OPTIONAL_NUMBER(cpu_cores),
     NUMBER(directory_ttl_s),
     NUMBER(grace_s),
     NUMBER(retry_ratio),
@@ -130,6 +135,8 @@
 check(const raw_t *raw, gateway_settings_t *out, err_t *err)
 {
     *out = (gateway_settings_t){
+        .link_bytes_per_s = raw->link_mbps * BYTES_PER_MBIT,
+        .cpu_cores = raw->cpu_cores,
         .directory_ttl_s = raw->directory_ttl_s,
         .grace_ms = (uint64_t)(raw->grace_s * MS_PER_S),
         .retry_ratio = raw->retry_ratio,
@@ -146,6 +153,8 @@
            read_addr("directory", raw->directory, &out->directory, err) &&
            read_addr("peer", raw->peer, &out->peer, err) &&
            read_addr("store", raw->store, &out->store, err) &&
+           read_number("link_mbps", raw->link_mbps, 0, err) &&
+           read_number("cpu_cores", raw->cpu_cores, 0, err) &&
            read_number("directory_ttl_s", raw->directory_ttl_s, TTL_MIN_S, err) &&
            read_number("grace_s", raw->grace_s, 0, err) &&
            read_number("retry_ratio", raw->retry_ratio, 0, err) &&
--- a/gateway/settings.h
+++ b/gateway/settings.h
@@ -25,9 +25,11 @@
     addr_t seeds[SETTINGS_SEEDS];
     size_t seed_count;
     topology_t topology;
-    double directory_ttl_s; /* seconds for which callers may keep the directory's answer */
-    uint64_t grace_ms;      /* from the request to stop until the process is killed */
-    double retry_ratio;     /* see retry_budget.h */
+    double link_bytes_per_s; /* of the machine's link, one direction; 0 if not known */
+    double cpu_cores;        /* that the instance may use; 0 if not known */
+    double directory_ttl_s;  /* seconds for which callers may keep the directory's answer */
+    uint64_t grace_ms;       /* from the request to stop until the process is killed */
+    double retry_ratio;      /* see retry_budget.h */
     double retry_constant;
     uint64_t retry_window_ms;
 } gateway_settings_t;
--- a/peer/peer.pb-c.c
+++ b/peer/peer.pb-c.c
@@ -1567,7 +1567,7 @@
   (ProtobufCMessageInit) iris__peer_address__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor iris__gateway_heartbeat__field_descriptors[16] =
+static const ProtobufCFieldDescriptor iris__gateway_heartbeat__field_descriptors[20] =
 {
   {
     "instance",
@@ -1761,14 +1761,65 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "link_bytes_per_s",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Iris__GatewayHeartbeat, link_bytes_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cpu_cores",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Iris__GatewayHeartbeat, cpu_cores),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "requests_per_s",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Iris__GatewayHeartbeat, requests_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bytes_per_s",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Iris__GatewayHeartbeat, bytes_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned iris__gateway_heartbeat__field_indices_by_name[] = {
+  19,   /* field[19] = bytes_per_s */
   4,   /* field[4] = caller_address */
+  17,   /* field[17] = cpu_cores */
   10,   /* field[10] = demands */
   2,   /* field[2] = incarnation */
   0,   /* field[0] = instance */
   14,   /* field[14] = interval_ms */
   6,   /* field[6] = leaving */
+  16,   /* field[16] = link_bytes_per_s */
   15,   /* field[15] = outcomes */
   3,   /* field[3] = peer_address */
   11,   /* field[11] = peers */
@@ -1776,6 +1827,7 @@
   5,   /* field[5] = ready */
   13,   /* field[13] = region_demands */
   12,   /* field[12] = region_members */
+  18,   /* field[18] = requests_per_s */
   7,   /* field[7] = store_age_ms */
   8,   /* field[8] = store_failing */
   9,   /* field[9] = views */
@@ -1783,7 +1835,7 @@
 static const ProtobufCIntRange iris__gateway_heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor iris__gateway_heartbeat__descriptor =
 {
@@ -1793,7 +1845,7 @@
   "Iris__GatewayHeartbeat",
   "iris",
   sizeof(Iris__GatewayHeartbeat),
-  16,
+  20,
   iris__gateway_heartbeat__field_descriptors,
   iris__gateway_heartbeat__field_indices_by_name,
   1,  iris__gateway_heartbeat__number_ranges,
--- a/peer/peer.pb-c.h
+++ b/peer/peer.pb-c.h
@@ -40,7 +40,7 @@
 /* --- messages --- */
 
 /*
- * The state of one instance, sent every second to the instances of its region.
+ * Entry: the state of one instance, sent every second to the instances of its region.
  * echo_ms is 0 in a heartbeat; an answer to it returns its sent_ms there.
  */
 struct  Iris__Heartbeat
@@ -164,7 +164,7 @@
 
 
 /*
- * One kind of the store's objects as an instance of the gateway knows it.
+ * Gateway: one kind of the store's objects as an instance knows it.
  */
 struct  Iris__ViewState
 {
@@ -196,7 +196,7 @@
 
 
 /*
- * How an instance's attempts at one upstream went since its last heartbeat.
+ * How an instance's attempts at one backend server went since its last heartbeat.
  */
 struct  Iris__Outcomes
 {
@@ -222,7 +222,7 @@
 
 
 /*
- * The state of one gateway instance, sent several times a second to the others.
+ * Gateway: the state of one instance, sent several times a second to the others.
  */
 struct  Iris__GatewayHeartbeat
 {
@@ -238,7 +238,7 @@
   protobuf_c_boolean ready;
   protobuf_c_boolean leaving;
   /*
-   * since the store last answered it; 0xffffffff if it does not follow it
+   * since the store last answered it; 0xffffffff if it does not watch it
    */
   uint32_t store_age_ms;
   /*
@@ -268,14 +268,30 @@
    */
   uint32_t interval_ms;
   /*
-   * of upstreams that fail some of its attempts
+   * at backend servers that fail some of its attempts
    */
   size_t n_outcomes;
   Iris__Outcomes **outcomes;
+  /*
+   * of its link, one direction; 0 if it was not told
+   */
+  float link_bytes_per_s;
+  /*
+   * that it may use; 0 if it was not told
+   */
+  float cpu_cores;
+  /*
+   * that it carries
+   */
+  float requests_per_s;
+  /*
+   * that these move over its link, one direction
+   */
+  float bytes_per_s;
 };
 #define IRIS__GATEWAY_HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&iris__gateway_heartbeat__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0, 0, 0, 0 }
 
 
 struct  Iris__ViewItem
@@ -292,7 +308,7 @@
 
 
 /*
- * Changes of a view after `from` up to `at`, or the whole view; `at` 0 says that the view is
+ * Gateway: changes of a view after `from` up to `at`, or the whole view; `at` 0 says that the view is
  * large and should be read from the store.
  */
 struct  Iris__ViewUpdate
@@ -314,6 +330,9 @@
     , 0, 0, 0, 0, 0,NULL, 0 }
 
 
+/*
+ * Gateway: a peer is asked for a view.
+ */
 struct  Iris__ViewRequest
 {
   ProtobufCMessage base;
@@ -371,7 +390,7 @@
 
 
 /*
- * Client blocks, one stored object per chunk. Starts are ascending, little-endian,
+ * Entry: client blocks, one stored object per chunk. Starts are ascending, little-endian,
  * 4 bytes (IPv4) or 8 bytes (upper half of IPv6) each; areas hold one byte a block.
  */
 struct  Iris__BlockChunk
--- a/test/gateway/test_members.c
+++ b/test/gateway/test_members.c
@@ -3,6 +3,8 @@
 
 #include "base/xmalloc.h"
 #include "gateway/membership/directory.h"
+#include "gateway/policy/naming.h"
+#include "gateway/state/traffic.h"
 #include "gateway/membership/members.h"
 #include "test/gateway/fixture.h"
 #include "test/suites.h"
@@ -170,6 +172,75 @@
 }
 END_TEST
 
+static naming_instance_t
+instance_of(uint64_t key, double link_mbps, double cpu_cores, double requests_per_s,
+            double bytes_per_s)
+{
+    return (naming_instance_t){
+        .key = key,
+        .link_bytes_per_s = link_mbps * 125000,
+        .cpu_cores = cpu_cores,
+        .requests_per_s = requests_per_s,
+        .bytes_per_s = bytes_per_s,
+    };
+}
+
+START_TEST(naming_takes_the_fewest_that_carry_the_traffic)
+{
+    naming_instance_t all[8];
+    /* Two strong and six weak ones, 400 requests and 8 MB a second together. */
+    for (uint64_t i = 0; i < ALEN(all); i++)
+        all[i] = instance_of(i, i >= 6 ? 200 : 10, i >= 6 ? 0.5 : 0.1, 50, 1e6);
+    ck_assert_uint_eq(naming_decide(all, ALEN(all)), 2);
+    ck_assert_uint_eq(all[0].key, 6);
+    ck_assert_uint_eq(all[1].key, 7);
+    /* The strong ones cannot carry 24 MB/s, nor can all in equal parts. */
+    for (size_t i = 0; i < ALEN(all); i++)
+        all[i].bytes_per_s = 3e6;
+    ck_assert_uint_eq(naming_decide(all, ALEN(all)), 8);
+    /* Equal ones of 10 Mbit/s: 1.25 MB/s go to three, at 0.33 of their links. */
+    for (uint64_t i = 0; i < ALEN(all); i++)
+        all[i] = instance_of(i, 10, 0.5, 10, 156250);
+    ck_assert_uint_eq(naming_decide(all, ALEN(all)), 3);
+    /* Requests that cost processor time count as well: 800 a second at 0.2 ms on 0.1 cores. */
+    for (uint64_t i = 0; i < ALEN(all); i++)
+        all[i] = instance_of(i, 1000, 0.1, 100, 0);
+    ck_assert_uint_eq(naming_decide(all, ALEN(all)), 4);
+}
+END_TEST
+
+START_TEST(naming_without_traffic_goes_by_what_was_given)
+{
+    naming_instance_t all[8];
+    for (uint64_t i = 0; i < ALEN(all); i++)
+        all[i] = instance_of(i, i < 2 ? 200 : 10, 0.5, 0, 0);
+    ck_assert_uint_eq(naming_decide(all, ALEN(all)), 2);
+    for (uint64_t i = 0; i < ALEN(all); i++)
+        all[i] = instance_of(i, 10, 0.5, 0, 0);
+    ck_assert_uint_eq(naming_decide(all, ALEN(all)), 4);
+    /* One that does not say, as before an upgrade: all are named. */
+    all[3].link_bytes_per_s = 0;
+    ck_assert_uint_eq(naming_decide(all, ALEN(all)), 8);
+    ck_assert_uint_eq(naming_decide(all, 1), 1);
+    ck_assert_uint_eq(naming_decide(all, 0), 0);
+}
+END_TEST
+
+START_TEST(traffic_is_averaged_over_seconds)
+{
+    traffic_t traffic = {.updated_ms = 1000};
+    for (uint64_t now_ms = 1200; now_ms <= 21000; now_ms += 200) {
+        for (int i = 0; i < 20; i++)
+            traffic_count(&traffic, 1400);
+        traffic_update(&traffic, now_ms);
+    }
+    ck_assert_double_eq_tol(traffic.requests_per_s, 100, 0.1);
+    ck_assert_double_eq_tol(traffic.bytes_per_s, 200000, 200);
+    traffic_update(&traffic, 23000);
+    ck_assert_double_eq_tol(traffic.requests_per_s, 100 * exp(-1), 0.1);
+}
+END_TEST
+
 Suite *
 suite_gateway_members(void)
 {
@@ -182,6 +253,9 @@
     tcase_add_test(tests, rare_heartbeats_do_not_make_the_store_look_lost);
     tcase_add_test(tests, the_next_instance_watches_when_the_store_fails_the_first);
     tcase_add_test(tests, directory_names_the_living_and_near);
+    tcase_add_test(tests, naming_takes_the_fewest_that_carry_the_traffic);
+    tcase_add_test(tests, naming_without_traffic_goes_by_what_was_given);
+    tcase_add_test(tests, traffic_is_averaged_over_seconds);
     suite_add_tcase(suite, tests);
     return suite;
 }
