Client: a kept connection that fell silent takes the others of its pool with it

Cause: open connections may go silent without a reset while new ones work. A call to the store, or an attempt at a backend server, then timed out on one kept connection, and the next call took the next silent one: the list of instances and a watch's successor were each 1.5 s late.

Change: when nothing came in time on a kept connection, or TCP gave its bytes up, the idle ones of its pool are closed. A caller that leaves early says nothing of the connections.

--- a/gateway/path/attempt.c
+++ b/gateway/path/attempt.c
@@ -210,8 +210,12 @@
 {
     if (attempt->call == NULL)
         return;
+    const uint64_t elapsed_ms = uv_now(attempt->loop) - attempt->sent_ms;
     attempt->sent = wire_call_stage(attempt->call) != WIRE_UNSENT;
-    wire_call_cancel(attempt->call);
+    if (attempt->slow_ms > 0 && elapsed_ms >= attempt->slow_ms)
+        wire_call_give_up(attempt->call);
+    else
+        wire_call_cancel(attempt->call);
     attempt->call = NULL;
     attempt->backend = NULL;
 }
--- /dev/null
+++ b/test/gateway/test_silent.c
@@ -0,0 +1,263 @@
+/* Connections that have gone silent without a reset, while new ones work: between instances, to the
+ * store and to backend servers. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/xmalloc.h"
+#include "peer/link.h"
+#include "test/suites.h"
+#include "wire/client.h"
+
+enum {
+    PATIENCE_MS = 6000,
+    CONNECTIONS_MAX = 8,
+    TIMEOUT_MS = 150,
+    STALLED_MS = 400,
+    SMALL_BUFFER = 4096,
+};
+
+/* A server whose connections fall silent on demand: it takes what they send and never answers. */
+typedef struct {
+    uv_loop_t loop;
+    uv_timer_t guard;
+    bool timed_out;
+    uv_tcp_t listener;
+    addr_t addr;
+    uv_tcp_t conns[CONNECTIONS_MAX];
+    size_t bytes[CONNECTIONS_MAX]; /* received on each */
+    size_t accepted;
+    size_t silent; /* so many of the first connections are silent */
+    bool reads;    /* false: new connections are not even read */
+} server_t;
+
+static void
+on_guard(uv_timer_t *timer)
+{
+    ((server_t *)timer->data)->timed_out = true;
+}
+
+#define RUN_UNTIL(server, condition)                                                               \
+    do {                                                                                           \
+        uv_timer_start(&(server)->guard, on_guard, PATIENCE_MS, 0);                                \
+        (server)->timed_out = false;                                                               \
+        while (!(condition) && !(server)->timed_out)                                               \
+            uv_run(&(server)->loop, UV_RUN_ONCE);                                                  \
+        uv_timer_stop(&(server)->guard);                                                           \
+        ck_assert_msg(condition, "not reached: %s", #condition);                                   \
+    } while (0)
+
+static void
+on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
+{
+    static char bytes[65536];
+    (void)handle;
+    (void)suggested;
+    *buf = uv_buf_init(bytes, sizeof(bytes));
+}
+
+static void
+on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
+{
+    static char answer[] = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    server_t *server = stream->data;
+    const size_t index = (size_t)((uv_tcp_t *)stream - server->conns);
+    (void)buf;
+    if (n <= 0)
+        return;
+    server->bytes[index] += (size_t)n;
+    if (index < server->silent)
+        return;
+    uv_buf_t out = uv_buf_init(answer, sizeof(answer) - 1);
+    uv_try_write(stream, &out, 1);
+}
+
+static void
+on_connection(uv_stream_t *listener, int status)
+{
+    server_t *server = listener->data;
+    ck_assert_int_eq(status, 0);
+    ck_assert_uint_lt(server->accepted, CONNECTIONS_MAX);
+    uv_tcp_t *conn = &server->conns[server->accepted++];
+    uv_tcp_init(&server->loop, conn);
+    conn->data = server;
+    ck_assert_int_eq(uv_accept(listener, (uv_stream_t *)conn), 0);
+    if (server->reads || server->accepted > server->silent)
+        uv_read_start((uv_stream_t *)conn, on_alloc, on_read);
+}
+
+static server_t *
+new_server(void)
+{
+    server_t *server = xcalloc(1, sizeof(*server));
+    int small = SMALL_BUFFER;
+    int len = sizeof(server->addr);
+    uv_loop_init(&server->loop);
+    uv_timer_init(&server->loop, &server->guard);
+    server->guard.data = server;
+    server->reads = true;
+    uv_tcp_init(&server->loop, &server->listener);
+    server->listener.data = server;
+    xassert(addr_parse(STR("127.0.0.1:0"), &server->addr));
+    ck_assert_int_eq(uv_tcp_bind(&server->listener, &server->addr.sa, 0), 0);
+    uv_recv_buffer_size((uv_handle_t *)&server->listener, &small);
+    ck_assert_int_eq(uv_listen((uv_stream_t *)&server->listener, CONNECTIONS_MAX, on_connection),
+                     0);
+    uv_tcp_getsockname(&server->listener, &server->addr.sa, &len);
+    return server;
+}
+
+typedef struct {
+    bool done;
+    err_code_t err;
+} reply_t;
+
+static void
+on_end(void *ctx, const wire_end_t *end)
+{
+    *(reply_t *)ctx = (reply_t){.done = true, .err = end->err.code};
+}
+
+static void
+ignore_head(void *ctx, const wire_head_t *head, int64_t length)
+{
+    (void)ctx;
+    (void)head;
+    (void)length;
+}
+
+static void
+ignore_data(void *ctx, const char *ptr, size_t len)
+{
+    (void)ctx;
+    (void)ptr;
+    (void)len;
+}
+
+static wire_call_t *
+start_call(wire_pool_t *pool, reply_t *reply, uint64_t timeout_ms)
+{
+    static const wire_call_cbs_t cbs = {
+        .on_head = ignore_head, .on_data = ignore_data, .on_end = on_end};
+    static const char request[] = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+    char *bytes = xmalloc(sizeof(request));
+    memcpy(bytes, request, sizeof(request));
+    const wire_call_conf_t conf = {
+        .request = bytes,
+        .request_len = sizeof(request) - 1,
+        .connect_timeout_ms = PATIENCE_MS,
+        .timeout_ms = timeout_ms,
+        .idle_max_ms = PATIENCE_MS,
+    };
+    *reply = (reply_t){0};
+    return wire_call_start(pool, &conf, &cbs, reply);
+}
+
+/* A pool with three kept connections, all of them silent from now on. */
+static wire_pool_t *
+pool_gone_silent(server_t *server)
+{
+    wire_pool_t *pool = wire_pool_new(&server->loop, &server->addr, CONNECTIONS_MAX);
+    reply_t replies[3];
+    for (size_t i = 0; i < ALEN(replies); i++)
+        start_call(pool, &replies[i], 0);
+    RUN_UNTIL(server, replies[0].done && replies[1].done && replies[2].done);
+    ck_assert_uint_eq(server->accepted, 3);
+    server->silent = server->accepted;
+    return pool;
+}
+
+START_TEST(a_call_to_the_store_is_not_lost_to_each_silent_connection)
+{
+    server_t *server = new_server();
+    wire_pool_t *pool = pool_gone_silent(server);
+    reply_t reply;
+    start_call(pool, &reply, TIMEOUT_MS);
+    RUN_UNTIL(server, reply.done);
+    ck_assert_int_eq(reply.err, ERR_TIMEOUT);
+    start_call(pool, &reply, TIMEOUT_MS);
+    RUN_UNTIL(server, reply.done);
+    ck_assert_int_eq(reply.err, ERR_NONE);
+    ck_assert_uint_eq(server->accepted, 4);
+}
+END_TEST
+
+START_TEST(an_attempt_given_up_spares_the_next_a_silent_connection)
+{
+    server_t *server = new_server();
+    wire_pool_t *pool = pool_gone_silent(server);
+    reply_t reply;
+    wire_call_t *call = start_call(pool, &reply, 0);
+    RUN_UNTIL(server, server->bytes[0] + server->bytes[1] + server->bytes[2] > 3 * 27);
+    wire_call_give_up(call);
+    start_call(pool, &reply, TIMEOUT_MS);
+    RUN_UNTIL(server, reply.done);
+    ck_assert_int_eq(reply.err, ERR_NONE);
+}
+END_TEST
+
+START_TEST(a_caller_that_leaves_says_nothing_of_the_connections)
+{
+    server_t *server = new_server();
+    wire_pool_t *pool = pool_gone_silent(server);
+    reply_t reply;
+    server->silent = 0;
+    wire_call_cancel(start_call(pool, &reply, 0));
+    start_call(pool, &reply, TIMEOUT_MS);
+    RUN_UNTIL(server, reply.done);
+    ck_assert_int_eq(reply.err, ERR_NONE);
+    ck_assert_uint_eq(server->accepted, 3);
+}
+END_TEST
+
+static void
+ignore_message(void *ctx, peer_conn_t *conn, const Iris__Envelope *message)
+{
+    (void)ctx;
+    (void)conn;
+    (void)message;
+}
+
+START_TEST(heartbeats_leave_a_silent_connection)
+{
+    server_t *server = new_server();
+    addr_t any;
+    err_t err = {0};
+    char name[1024];
+    memset(name, 'n', sizeof(name) - 1);
+    name[sizeof(name) - 1] = '\0';
+    xassert(addr_parse(STR("127.0.0.1:0"), &any));
+    peer_hub_t *hub = peer_hub_start(&server->loop, &any, ignore_message, NULL, &err);
+    ck_assert_ptr_nonnull(hub);
+    server->silent = 1;
+    server->reads = false;
+    Iris__GatewayHeartbeat heartbeat = IRIS__GATEWAY_HEARTBEAT__INIT;
+    heartbeat.instance = name;
+    Iris__Envelope envelope = IRIS__ENVELOPE__INIT;
+    envelope.body_case = IRIS__ENVELOPE__BODY_GATEWAY;
+    envelope.gateway = &heartbeat;
+    const uint64_t start_ms = uv_now(&server->loop);
+    uv_timer_start(&server->guard, on_guard, PATIENCE_MS, 0);
+    while (server->bytes[1] == 0 && !server->timed_out) {
+        peer_send(hub, &server->addr, &envelope);
+        peer_hub_sweep_stalled(hub, STALLED_MS);
+        uv_run(&server->loop, UV_RUN_NOWAIT);
+        uv_sleep(1);
+    }
+    ck_assert_uint_gt(server->bytes[1], 0);
+    ck_assert_uint_lt(uv_now(&server->loop) - start_ms, PATIENCE_MS);
+}
+END_TEST
+
+Suite *
+suite_gateway_silent(void)
+{
+    Suite *suite = suite_create("gateway: silent connections");
+    TCase *tcase = tcase_create("silent");
+    tcase_set_timeout(tcase, 20);
+    tcase_add_test(tcase, a_call_to_the_store_is_not_lost_to_each_silent_connection);
+    tcase_add_test(tcase, an_attempt_given_up_spares_the_next_a_silent_connection);
+    tcase_add_test(tcase, a_caller_that_leaves_says_nothing_of_the_connections);
+    tcase_add_test(tcase, heartbeats_leave_a_silent_connection);
+    suite_add_tcase(suite, tcase);
+    return suite;
+}
--- a/test/suites.h
+++ b/test/suites.h
@@ -18,6 +18,7 @@
 Suite *suite_gateway_soak(void);
 Suite *suite_gateway_lateness(void);
 Suite *suite_gateway_lifetime(void);
+Suite *suite_gateway_silent(void);
 Suite *suite_gateway_listener(void);
 Suite *suite_gateway_final_answer(void);
 Suite *suite_gateway_admission(void);
--- a/wire/client.c
+++ b/wire/client.c
@@ -17,6 +17,7 @@
     if (!kept)
         conn = client_conn_open(pool);
     pool->busy_count++;
+    conn->kept = kept;
     conn->call = call;
     call->conn = conn;
     if (kept)
@@ -35,6 +36,13 @@
     client_call_end(call->conn, false);
 }
 
+void
+wire_call_give_up(wire_call_t *call)
+{
+    client_call_suspect_silence(call->conn);
+    wire_call_cancel(call);
+}
+
 void
 wire_call_pause(wire_call_t *call)
 {
--- a/wire/client.h
+++ b/wire/client.h
@@ -65,6 +65,9 @@
                              const wire_call_cbs_t *cbs, void *ctx);
 /* Ends the call without on_end and closes its connection. */
 void wire_call_cancel(wire_call_t *call);
+/* The same for a call that got no answer in time: if nothing came on a kept connection, the pool's
+ * other kept connections are closed too, since open ones may fall silent together. */
+void wire_call_give_up(wire_call_t *call);
 /* Stops and restarts reading of the answer, for back-pressure. */
 void wire_call_pause(wire_call_t *call);
 void wire_call_resume(wire_call_t *call);
--- a/wire/client_call.c
+++ b/wire/client_call.c
@@ -15,6 +15,15 @@
     *buf = uv_buf_init(read_buffer, sizeof(read_buffer));
 }
 
+void
+client_call_suspect_silence(client_conn_t *conn)
+{
+    if (!conn->kept || conn->call->end.stage != WIRE_SENT)
+        return;
+    while (conn->pool->idle != NULL)
+        client_conn_close_idle(conn->pool->idle);
+}
+
 void
 client_call_end(client_conn_t *conn, bool reuse)
 {
@@ -112,6 +121,8 @@
         client_conn_close_idle(conn);
         return;
     }
+    if (n == UV_ETIMEDOUT)
+        client_call_suspect_silence(conn);
     if (n == UV_EOF)
         on_eof(conn);
     else if (n < 0)
@@ -132,6 +143,7 @@
 on_call_timeout(uv_timer_t *timer)
 {
     client_conn_t *conn = timer->data;
+    client_call_suspect_silence(conn);
     client_call_fail(conn, ERR_TIMEOUT, "no whole answer in time");
 }
 
--- a/wire/client_call.h
+++ b/wire/client_call.h
@@ -15,6 +15,8 @@
 void client_call_send(client_conn_t *conn);
 /* Starts reading, also while the connection is idle: then it tells that the other side closes. */
 void client_call_read(client_conn_t *conn);
+/* Nothing came in time: if the connection was a kept one, the idle ones of its pool are closed. */
+void client_call_suspect_silence(client_conn_t *conn);
 /* Ends the call of a busy connection, which is closed or goes back to the pool. */
 void client_call_end(client_conn_t *conn, bool reuse);
 /* The same after a failure. What may have been sent turns ERR_UNAVAILABLE into ERR_ANSWER_LOST. */
--- a/wire/client_conn.h
+++ b/wire/client_conn.h
@@ -36,6 +36,7 @@
     uint64_t idle_since_ms;
     uint64_t keep_ms; /* announced idle time, 0 if none */
     char *request;
+    bool kept; /* it has carried a call before the one under way */
     bool dead;
     bool writing;
     bool skip; /* the answer being read belongs to another request */
