Admission: the wait is reckoned with the usual time of a run in memory

Cause: the expected answer was reckoned with the backend server's mean time, in which runs without the object in memory weigh 3.3 times; those ahead in a queue mostly have theirs. Requests were refused that would have been in time.

Change: the shorter of the backend's mean and the route's median.

--- a/gateway/policy/admission.c
+++ b/gateway/policy/admission.c
@@ -26,11 +26,21 @@
     return ahead > 0 ? (ahead - 0.5) / backend->slots : 0;
 }
 
+/* Time of a run that has its object in memory, as those that are ahead have. The backend's average
+ * holds runs without it too: going by it alone refused 0.069 instead of 0.060 of the requests of
+ * padana-ricambi (round 4). */
+static double
+work_ms(const admission_request_t *request, const admission_backend_t *backend)
+{
+    const bool shorter = request->usual_ms > 0 && request->usual_ms < backend->work_ms;
+    return shorter ? request->usual_ms : backend->work_ms;
+}
+
 static bool
 may_wait(const admission_request_t *request, const admission_backend_t *backend)
 {
     const double load = (backend->load + 1) / backend->slots;
-    const double expected_ms = backend->work_ms * (1 + wait_turns(backend));
+    const double expected_ms = work_ms(request, backend) * (1 + wait_turns(backend));
     if (expected_ms > request->left_ms)
         return false;
     if (came_back(request))
--- a/gateway/policy/admission.h
+++ b/gateway/policy/admission.h
@@ -4,7 +4,8 @@
  * Decides: for one request and one backend, ADMIT_NOW, ADMIT_AFTER_WAIT or ADMIT_NOT. choice.c
  * asks it for the backends that come into question, in their order.
  * Inputs: the backend's load and slots (requests), its usual working time (ms), the route's latency
- * objective, the time the caller has left and what it has lost by earlier refusals (ms).
+ * objective and the median time of its answers (ms), the time the caller has left and what it has
+ * lost by earlier refusals (ms).
  * Rule:
  *  - Room: a request is admitted while a slot is free.
  *  - Wait: without a free slot it may queue if its answer is expected within the objective, and the
@@ -32,6 +33,7 @@
 
 typedef struct {
     uint32_t aim_ms;  /* the route's latency objective, 0 for none */
+    double usual_ms;  /* median time of the route's answers, 0 if not known */
     uint32_t left_ms; /* time that the caller still waits */
     double lost_ms;   /* that it has lost by earlier refusals */
 } admission_request_t;
--- a/gateway/router.c
+++ b/gateway/router.c
@@ -171,6 +171,7 @@
     input.request = (admission_request_t){
         .aim_ms = route->aim_ms,
         .left_ms = request->left_ms,
+        .usual_ms = route_stats_median_ms(&router->routes, route->key),
         .lost_ms = request->lost_ms,
     };
     backend_t *backend = choice_pick(&input, reason);
--- a/test/gateway/test_admission.c
+++ b/test/gateway/test_admission.c
@@ -47,6 +47,19 @@
 }
 END_TEST
 
+START_TEST(those_ahead_take_the_usual_time_of_the_route)
+{
+    /* The backend's average is that of runs with and without the object in memory. */
+    const admission_backend_t backend = {.load = 14, .slots = 10, .work_ms = 300};
+    admission_request_t request = {.aim_ms = 400, .left_ms = 2000};
+    ck_assert_int_eq(admission_decide(&request, &backend), ADMIT_NOT);
+    request.usual_ms = 150;
+    ck_assert_int_eq(admission_decide(&request, &backend), ADMIT_AFTER_WAIT);
+    request.usual_ms = 350;
+    ck_assert_int_eq(admission_decide(&request, &backend), ADMIT_NOT);
+}
+END_TEST
+
 START_TEST(without_an_objective_the_callers_time_bounds_the_wait)
 {
     const admission_backend_t backend = {.load = 14, .slots = 10, .work_ms = 400};
@@ -92,6 +105,7 @@
     TCase *tests = tcase_create("admission");
     tcase_add_test(tests, a_request_is_admitted_while_a_slot_is_free);
     tcase_add_test(tests, a_wait_is_bounded_by_the_objective_and_by_load);
+    tcase_add_test(tests, those_ahead_take_the_usual_time_of_the_route);
     tcase_add_test(tests, without_an_objective_the_callers_time_bounds_the_wait);
     tcase_add_test(tests, a_caller_that_came_back_does_not_queue_before_those_in_time);
     tcase_add_test(tests, a_small_difference_of_deadlines_is_no_refusal);
