Choice: an object that asks for much of a backend server is kept by several

Cause: since one backend server keeps an object, one that alone asks for more than a backend has was refused while others stood idle.

--- a/gateway/membership/members.c
+++ b/gateway/membership/members.c
@@ -160,6 +160,18 @@
     return find_demand(latest->region_demands, latest->region_demand_count, service);
 }
 
+double
+members_requests_per_s(const members_t *members, size_t region, uint64_t now_ms)
+{
+    double sum = 0;
+    for (size_t i = 0; i < members->count; i++) {
+        const member_t *member = &members->items[i];
+        if (member->region == region && member_alive(member, now_ms))
+            sum += member->capacity.requests_per_s;
+    }
+    return sum;
+}
+
 size_t
 members_living_everywhere(const members_t *members, uint64_t now_ms)
 {
--- a/gateway/membership/members.h
+++ b/gateway/membership/members.h
@@ -106,6 +106,8 @@
  * living members, for another region what its member heard last says. */
 double members_demand(const members_t *members, str_t service, size_t region, size_t own_region,
                       uint64_t now_ms);
+/* Requests a second that the living members of a region carry. */
+double members_requests_per_s(const members_t *members, size_t region, uint64_t now_ms);
 /* Living members of all regions, and of one. */
 size_t members_living_everywhere(const members_t *members, uint64_t now_ms);
 size_t members_living(const members_t *members, size_t region, uint64_t now_ms);
--- a/gateway/policy/choice.c
+++ b/gateway/policy/choice.c
@@ -1,6 +1,7 @@
 #include <math.h>
 
 #include "gateway/policy/choice.h"
+#include "gateway/policy/replicas.h"
 
 /* At most this share of a region's backends is avoided. Chosen, not measured. */
 #define AVOIDED_MAX_SHARE 0.6
@@ -15,10 +16,8 @@
     /* Backends of a service that are looked at; the largest site swept had 3,000 (commit 59548b9).
      */
     CANDIDATES_MAX = 8192,
-    /* Backends of a region that keep an object. */
-    REPLICAS = 1,
     /* Looked at in a region for a request without an object. Chosen, not measured. */
-    REPLICAS_ANY = 8,
+    REPLICAS_ANY = REPLICAS_MAX,
 };
 
 typedef struct {
@@ -217,6 +216,33 @@
     return waits_at;
 }
 
+static double
+load_per_slot(const choice_input_t *input, const backend_t *backend)
+{
+    return backend_load(backend, input->now_ms) / backend->info.capacity;
+}
+
+/* Cuts the candidates of an area down to the object's replicas, the least loaded first; returns
+ * their number. */
+static size_t
+keep_replicas(const choice_input_t *input, candidate_t *replicas, size_t count)
+{
+    if (count == 0)
+        return 0;
+    const size_t wanted = replicas_decide(input->object_demand, replicas[0].backend->info.capacity);
+    const size_t kept = wanted < count ? wanted : count;
+    size_t least = 0;
+    for (size_t i = 1; i < kept; i++) {
+        if (load_per_slot(input, replicas[i].backend) <
+            load_per_slot(input, replicas[least].backend))
+            least = i;
+    }
+    const candidate_t first = replicas[least];
+    replicas[least] = replicas[0];
+    replicas[0] = first;
+    return kept;
+}
+
 static choice_reason_t
 reason_of(bool elsewhere, admission_t admission, size_t index)
 {
@@ -232,8 +258,8 @@
 {
     static candidate_t candidates[CANDIDATES_MAX];
     area_t areas[AREAS_MAX];
-    candidate_t replicas[REPLICAS_ANY];
-    const size_t most = input->has_object ? REPLICAS : REPLICAS_ANY;
+    candidate_t replicas[REPLICAS_MAX];
+    const size_t most = input->has_object ? REPLICAS_MAX : REPLICAS_ANY;
     const size_t count = collect(input, candidates);
     const size_t area_count = list_areas(input, areas);
     bool any = false;
@@ -242,7 +268,9 @@
         const bool elsewhere = areas[i].region != areas[0].region;
         if (elsewhere && any)
             break;
-        const size_t found = find_replicas(input, candidates, count, &areas[i], replicas, most);
+        size_t found = find_replicas(input, candidates, count, &areas[i], replicas, most);
+        if (input->has_object)
+            found = keep_replicas(input, replicas, found);
         const size_t picked = pick_replica(input, replicas, found, &admission);
         any |= found > 0;
         if (picked == found)
--- a/gateway/policy/choice.h
+++ b/gateway/policy/choice.h
@@ -5,7 +5,9 @@
  * Inputs: choice_input_t. The objects, regions and rooms are those this instance knows.
  * Rule:
  *  - Weighted rendezvous hashing orders the backends of a region for each object, by slots. The
- *    first keeps the object in memory and gets the request, if it admits it (admission.h).
+ *    first keeps the object in memory and gets the request, if it admits it (admission.h). An
+ *    object that asks for much of a backend is kept by several (replicas.h): the one with the
+ *    fewest requests a slot gets it.
  *  - Regions are tried in this order: the one planned for the object (region_plan.h), the own one,
  *    the others; a later one only if none before it has a backend that may be used. One that is
  *    full is no reason to go elsewhere.
@@ -49,6 +51,7 @@
     size_t own_region;
     uint64_t object; /* hash of the object, or a random number without one */
     bool has_object;
+    double object_demand; /* slots that requests about the object keep busy */
     uint64_t now_ms;
     uint64_t own_key;             /* of this instance among `senders` */
     const cold_sender_t *senders; /* all instances ever heard of */
--- a/gateway/router.c
+++ b/gateway/router.c
@@ -14,6 +14,7 @@
     /* Uptime after which the list of instances can be relied on for cold starts: several heartbeats
      * (0.4 s each) have come by then. Chosen, not measured (docs/design/gateway/cold-start.md). */
     SETTLED_AFTER_MS = 2500,
+    MS_PER_S = 1000,
 };
 
 /* A change of the own region's share that is worth a log line. */
@@ -93,12 +94,23 @@
     router->senders_settled = now_ms - router->started_ms > SETTLED_AFTER_MS;
 }
 
+/* Requests that the instances of the own region carry, for each of this one's. */
+static double
+traffic_scale(const router_t *router, const members_t *members)
+{
+    const double own = router->traffic.requests_per_s;
+    const double all = members_requests_per_s(members, router->region, uv_now(router->loop));
+    return own > 0 && all > own ? all / own : 1;
+}
+
 void
 router_tick(router_t *router, const members_t *members)
 {
     const uint64_t now_ms = uv_now(router->loop);
     update_membership(router, members);
     traffic_update(&router->traffic, now_ms);
+    object_rates_decay(&router->objects, now_ms);
+    router->traffic_scale = traffic_scale(router, members);
     for (size_t i = 0; i < router->services.count; i++) {
         service_update_demand(&router->services.items[i], now_ms);
         update_plan(router, &router->services.items[i], members);
@@ -133,7 +145,17 @@
 {
     if (!router_has_object(route, object))
         return rng_next(&router->rng);
-    return router_object_hash(route, object);
+    const uint64_t hash = router_object_hash(route, object);
+    object_rates_count(&router->objects, hash);
+    return hash;
+}
+
+/* Slots that requests about an object keep busy, over all instances of the own region. */
+static double
+object_demand(const router_t *router, const config_route_t *route, uint64_t object)
+{
+    const double per_s = object_rates_per_s(&router->objects, object) * router->traffic_scale;
+    return per_s * route_stats_median_ms(&router->routes, route->key) / MS_PER_S;
 }
 
 /* What every choice on this instance has in common. */
@@ -150,6 +172,7 @@
         .own_hall = name_str(&router->hall),
         .own_region = router->region,
         .object = object,
+        .object_demand = object_demand(router, route, object),
         .now_ms = uv_now(router->loop),
         .own_key = router->key,
         .senders = router->senders,
--- a/gateway/router.h
+++ b/gateway/router.h
@@ -13,6 +13,7 @@
 #include "gateway/policy/choice.h"
 #include "gateway/policy/retry.h"
 #include "gateway/state/catalog.h"
+#include "gateway/state/object_rates.h"
 #include "gateway/state/route_stats.h"
 #include "gateway/state/services.h"
 #include "gateway/state/traffic.h"
@@ -45,6 +46,8 @@
     catalog_t catalog;
     services_t services;
     traffic_t traffic;
+    object_rates_t objects;
+    double traffic_scale; /* requests of the own region for each of this instance */
     route_stats_t routes;
     cold_sender_t senders[MEMBERS_MAX]; /* all instances ever heard of */
     size_t sender_count;
--- a/gateway/state/route_stats.c
+++ b/gateway/state/route_stats.c
@@ -16,9 +16,10 @@
 }
 
 double
-route_stats_median_ms(route_stats_t *stats, uint64_t route_key)
+route_stats_median_ms(const route_stats_t *stats, uint64_t route_key)
 {
-    return slot_of(stats, route_key)->median_ms;
+    const route_stat_t *slot = &stats->slots[route_key % ROUTE_STATS_SLOTS];
+    return slot->route_key == route_key ? slot->median_ms : 0;
 }
 
 void
--- a/gateway/state/route_stats.h
+++ b/gateway/state/route_stats.h
@@ -23,7 +23,7 @@
 } route_stats_t;
 
 /* Estimated median time of the route's answers in milliseconds, 0 before the first. */
-double route_stats_median_ms(route_stats_t *stats, uint64_t route_key);
+double route_stats_median_ms(const route_stats_t *stats, uint64_t route_key);
 void route_stats_count_answer(route_stats_t *stats, uint64_t route_key, double latency_ms);
 /* Counts a caller that still waits for `left_ms`; returns the average in milliseconds. */
 double route_stats_count_caller(route_stats_t *stats, uint64_t route_key, uint32_t left_ms);
--- a/test/gateway/test_choice.c
+++ b/test/gateway/test_choice.c
@@ -3,6 +3,8 @@
 
 #include "base/xmalloc.h"
 #include "gateway/policy/choice.h"
+#include "gateway/policy/replicas.h"
+#include "gateway/state/object_rates.h"
 #include "test/gateway/fixture.h"
 #include "test/suites.h"
 
@@ -127,6 +129,65 @@
 }
 END_TEST
 
+START_TEST(choice_shares_an_object_that_asks_for_much)
+{
+    choice_fixture_t *fixture = new_choice();
+    static const char *const ids[] = {"u1", "u2", "u3", "u4", "u5", "u6"};
+    for (size_t i = 0; i < ALEN(ids); i++)
+        add_backend(fixture, ids[i], "a1")->work_ms = 200;
+    choice_reason_t reason;
+    backend_t *first = choice_pick(&fixture->input, &reason);
+    first->in_flight = 1;
+    fixture->input.object_demand = 2; /* half of the slots of one */
+    ck_assert_ptr_eq(choice_pick(&fixture->input, &reason), first);
+    fixture->input.object_demand = 3;
+    backend_t *second = choice_pick(&fixture->input, &reason);
+    ck_assert_ptr_ne(second, first);
+    second->in_flight = 2;
+    ck_assert_ptr_eq(choice_pick(&fixture->input, &reason), first);
+    /* Only as many as it needs. */
+    first->in_flight = 7;
+    second->in_flight = 7;
+    ck_assert_ptr_null(choice_pick(&fixture->input, &reason));
+    fixture->input.object_demand = 100;
+    ck_assert_ptr_nonnull(choice_pick(&fixture->input, &reason));
+    free_choice(fixture);
+}
+END_TEST
+
+START_TEST(replicas_follow_the_demand)
+{
+    static const struct {
+        double demand;
+        size_t replicas;
+    } rows[] = {{0, 1}, {2.4, 1}, {2.6, 2}, {5, 2}, {7, 3}, {1000, REPLICAS_MAX}};
+    for (size_t i = 0; i < ALEN(rows); i++)
+        ck_assert_uint_eq(replicas_decide(rows[i].demand, 5), rows[i].replicas);
+}
+END_TEST
+
+START_TEST(object_rates_decay_and_need_enough_counts)
+{
+    static object_rates_t rates;
+    const uint64_t object = 0x1234567890abcdefULL;
+    uint64_t now_ms = 1000;
+    object_rates_decay(&rates, now_ms);
+    for (int i = 0; i < 7; i++)
+        object_rates_count(&rates, object);
+    ck_assert_double_eq_tol(object_rates_per_s(&rates, object), 0, 1e-9);
+    for (int second = 0; second < 30; second++) {
+        for (int i = 0; i < 20; i++)
+            object_rates_count(&rates, object);
+        now_ms += 1000;
+        object_rates_decay(&rates, now_ms);
+    }
+    ck_assert_double_eq_tol(object_rates_per_s(&rates, object), 18.1, 0.2);
+    ck_assert_double_eq_tol(object_rates_per_s(&rates, ~object), 0, 1e-9);
+    object_rates_decay(&rates, now_ms + 20000);
+    ck_assert_double_eq_tol(object_rates_per_s(&rates, object), 0, 1e-9);
+}
+END_TEST
+
 START_TEST(choice_without_an_object_uses_any)
 {
     /* Nothing is kept in memory for such requests: whoever has room serves them. */
@@ -318,6 +379,9 @@
     tcase_add_test(tests, choice_is_the_same_on_every_instance);
     tcase_add_test(tests, choice_moves_few_objects_when_one_leaves);
     tcase_add_test(tests, choice_keeps_to_the_backend_that_has_the_object);
+    tcase_add_test(tests, choice_shares_an_object_that_asks_for_much);
+    tcase_add_test(tests, replicas_follow_the_demand);
+    tcase_add_test(tests, object_rates_decay_and_need_enough_counts);
     tcase_add_test(tests, choice_without_an_object_uses_any);
     tcase_add_test(tests, choice_leaves_a_region_only_without_a_usable_backend);
     tcase_add_test(tests, choice_keeps_large_answers_near);
