--- a/scripts/run-platform.sh
+++ b/scripts/run-platform.sh
@@ -31,6 +31,8 @@
 seeds: ["127.0.1.1:18144"]
 places:
 $(for entry in $places; do printf '  - {place: %s, region: %s}\n' "${entry%%:*}" "${entry##*:}"; done)
+link_mbps: 200
+cpu_cores: 0.5
 directory_ttl_s: 2
 grace_s: 6
 retry_ratio: 0.2
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -26,7 +26,7 @@
 sandusky-hall:erie-west sarnia-hall:huron-north racine-hall:michigan-south"
 homes=(toledo-hall alpena-hall gary-hall sandusky-hall sarnia-hall racine-hall)
 
-settings() { # NUMBER VARIANT: the seeds and the bounds of retries vary
+settings() { # NUMBER VARIANT: the seeds and the bounds of retries vary, every third link is wide
     local ip="$NET$1" seed=$(($2 % INSTANCES + 1))
     cat >"$DIR/$1.yaml.new" <<YAML
 name: gateway-$1
@@ -40,6 +40,8 @@
 seeds: ["${NET}1:18144", "${NET}$seed:18144"]
 places:
 $(for entry in $places; do printf '  - {place: %s, region: %s}\n' "${entry%%:*}" "${entry##*:}"; done)
+link_mbps: $(($1 % 3 ? 10 : 200))
+cpu_cores: 0.5
 directory_ttl_s: 2
 grace_s: $GRACE_S
 retry_ratio: 0.2
