--- a/scripts/test-border.sh
+++ b/scripts/test-border.sh
@@ -16,8 +16,8 @@
     mv "$copy/kept" "$copy/$1"
 }
 planted gateway/policy/choice.c 'static const char *const field = "Attempt-Id";'
-planted gateway/policy/spill.h '#include "wire/client.h"'
-planted gateway/policy/spill.c '#include <uv.h>'
+planted gateway/policy/slow.h '#include "wire/client.h"'
+planted gateway/policy/slow.c '#include <uv.h>'
 planted gateway/state/backend.h '/* The zone of an upstream. */'
 scripts/border.sh "$copy"
 echo "border: held"
