Soak: the configuration grows by thousands of routes for a time

The soak's configurations had 78 routes at most, so that no bound on their number could show. Now they grow by 1,400 to 4,200 routes at a time, up to 5,200 (about 960 kB), and shrink again; the operator waits 0.8 ms a route between versions, as seen on the users' platform.

--- a/standin/soak/operator.c
+++ b/standin/soak/operator.c
@@ -16,6 +16,15 @@
     WEIGHT_MAX = 9,
     TIMEOUT_MIN_MS = 1200, /* above the longest work of a backend server */
     TIMEOUT_SPAN_MS = 1500,
+    /* A large configuration: routes are added by so many, as on the users' sites, up to what the
+     * store's megabyte for a value holds (about 185 bytes a route). */
+    ROUTES_STEP = 1400,
+    ROUTES_STEPS_MAX = 3, /* at once */
+    ROUTES_MAX = 5200,
+    /* The operator waits for the store's answer before the next version: 0.8 ms a route, as seen on
+     * the users' platform. */
+    WRITE_ROUTES_PER_S = 1250,
+    MS_PER_S = 1000,
 };
 
 typedef struct {
@@ -30,6 +39,9 @@
     version_t versions[VERSIONS_KEPT];
     unsigned timeouts_ms[OPERATOR_FIRST_ROUTES];
     unsigned weights[OPERATOR_FIRST_ROUTES]; /* of the first service, against WEIGHT_MAX */
+    unsigned more_routes;                    /* of a large configuration */
+    uint64_t more_end_ms;
+    uint64_t written_ms; /* when the last version's writing ends */
     uint64_t storm_end_ms;
     uint64_t storm_next_ms;
     standin_store_mode_t mode;
@@ -77,6 +89,19 @@
     json_object_set_new(routes, name, json);
 }
 
+/* One of the many routes of a large configuration; nobody asks for it. */
+static void
+add_more_route(json_t *routes, unsigned i)
+{
+    char name[32];
+    char prefix[32];
+    snprintf(name, sizeof(name), "more-%u", i);
+    snprintf(prefix, sizeof(prefix), "/more/%u/", i);
+    json_t *json = route(prefix, "safe", TIMEOUT_MIN_MS);
+    json_object_set_new(json, "service", json_string(i % 2 == 0 ? "left" : "right"));
+    json_object_set_new(routes, name, json);
+}
+
 static json_t *
 routes_of(const operator_t *ops)
 {
@@ -85,6 +110,8 @@
         add_first_route(ops, routes, i);
     for (uint64_t i = 0; i < OPERATOR_MARKERS && i < ops->version; i++)
         add_marker(routes, ops->version - i);
+    for (unsigned i = 0; i < ops->more_routes; i++)
+        add_more_route(routes, i);
     return routes;
 }
 
@@ -129,6 +156,7 @@
                                 1 << 20, "headerTimeoutMs", 3000, "idleTimeoutMs",
                                 (int)version->idle_ms),
                       NULL);
+    ops->written_ms = now_ms + (uint64_t)ops->more_routes * MS_PER_S / WRITE_ROUTES_PER_S;
 }
 
 operator_t *
@@ -147,9 +175,28 @@
 }
 
 static bool
-may_write(const operator_t *ops)
+may_write(const operator_t *ops, uint64_t now_ms)
+{
+    return ops->mode == STANDIN_STORE_SERVES && now_ms >= ops->written_ms;
+}
+
+static void
+grow(operator_t *ops, const trouble_t *trouble, uint64_t now_ms)
+{
+    const unsigned routes =
+        ops->more_routes + ROUTES_STEP * (1 + trouble->variant % ROUTES_STEPS_MAX);
+    ops->more_routes = routes < ROUTES_MAX ? routes : ROUTES_MAX;
+    ops->more_end_ms = now_ms + trouble->length_ms;
+    change(ops, now_ms);
+}
+
+static void
+end_growth(operator_t *ops, uint64_t now_ms)
 {
-    return ops->mode == STANDIN_STORE_SERVES;
+    if (ops->more_routes == 0 || now_ms < ops->more_end_ms || !may_write(ops, now_ms))
+        return;
+    ops->more_routes = 0;
+    change(ops, now_ms);
 }
 
 void
@@ -158,9 +205,13 @@
     const uint64_t end_ms = now_ms + trouble->length_ms;
     switch (trouble->kind) {
     case TROUBLE_CONFIG:
-        if (may_write(ops))
+        if (may_write(ops, now_ms))
             change(ops, now_ms);
         break;
+    case TROUBLE_ROUTES:
+        if (may_write(ops, now_ms))
+            grow(ops, trouble, now_ms);
+        break;
     case TROUBLE_STORM:
         ops->storm_end_ms = end_ms;
         break;
@@ -204,7 +255,8 @@
 operator_tick(operator_t *ops, uint64_t now_ms)
 {
     end_store_troubles(ops, now_ms);
-    if (now_ms >= ops->storm_end_ms || now_ms < ops->storm_next_ms || !may_write(ops))
+    end_growth(ops, now_ms);
+    if (now_ms >= ops->storm_end_ms || now_ms < ops->storm_next_ms || !may_write(ops, now_ms))
         return;
     ops->storm_next_ms = now_ms + STORM_EVERY_MS;
     change(ops, now_ms);
--- a/standin/soak/operator.h
+++ b/standin/soak/operator.h
@@ -1,6 +1,6 @@
 /*
- * The operator of a soak: writes configurations into the store one by one and in storms, troubles
- * the store, and knows which version must be in force.
+ * The operator of a soak: writes configurations into the store one by one and in storms, makes them
+ * large for a time, troubles the store, and knows which version must be in force.
  *
  * Each version adds a route of its own and takes away the one that was added MARKERS versions
  * before. So an answer on such a route tells on which side of two versions the instance is.
--- a/standin/soak/soak.c
+++ b/standin/soak/soak.c
@@ -117,6 +117,7 @@
     case TROUBLE_STORE:
     case TROUBLE_STORE_SLOW:
     case TROUBLE_STORE_FORGETS:
+    case TROUBLE_ROUTES:
         operator_trouble(soak->ops, trouble, now_ms);
         break;
     case TROUBLE_SERVER_LEAVES:
