Outage: tests of an entry that goes 2.9 s after the store's return

A backend server that was listed again after an outage of the store and then leaves is used for 2.2 s more: the grace of an outage is granted to each entry that goes within 5 s of it. Two tests fail on this: store watch and catalogue with a scripted store, and a gateway with the stand-in of the store.

--- /dev/null
+++ b/test/gateway/test_outage.c
@@ -0,0 +1,212 @@
+/* Entries of backend servers that go during an outage of the store, and after it. */
+#include "base/xmalloc.h"
+#include "gateway/state/catalog.h"
+#include "gateway/state/store_watch.h"
+#include "test/gateway/fixture.h"
+#include "test/gateway/site.h"
+#include "test/suites.h"
+#include "wire/client.h"
+
+enum {
+    BACKENDS = 4,
+    START_MS = 100000,
+    TICK_MS = 200,
+    OUTAGE_MS = 4000,
+    RETURN_MS = 1000, /* the store is tried again, and answers */
+    /* The platform's figure, in which backend servers that live are listed again. */
+    BACK_WITHIN_MS = 2000,
+};
+
+/* A store whose calls the test answers, the state that is kept of it, and time that stands still
+ * while nothing is done. */
+typedef struct {
+    uv_loop_t loop;
+    store_port_t port;
+    store_cb_t cbs[VIEW_WATCHED]; /* NULL if no call of the kind is under way */
+    void *cb_ctxs[VIEW_WATCHED];
+    uint64_t revision;
+    topology_t topology;
+    members_t members;
+    views_t views;
+    store_watch_t watch;
+    catalog_t catalog;
+} rig_t;
+
+static bool
+decode_backend(str_t name, str_t body, backend_info_t *out, err_t *err)
+{
+    (void)body;
+    (void)err;
+    *out = (backend_info_t){.capacity = 4};
+    return name_set(&out->id, name) && name_set(&out->service, STR("svc")) &&
+           name_set(&out->hall, STR("a1"));
+}
+
+static void
+on_list_call(void *ctx, view_kind_t kind, str_t after, store_cb_t cb, void *cb_ctx)
+{
+    (void)after;
+    rig_t *rig = ctx;
+    rig->cbs[kind] = cb;
+    rig->cb_ctxs[kind] = cb_ctx;
+}
+
+static void
+on_watch_call(void *ctx, view_kind_t kind, uint64_t from, uint32_t wait_ms, store_cb_t cb,
+              void *cb_ctx)
+{
+    (void)from;
+    (void)wait_ms;
+    on_list_call(ctx, kind, STR(""), cb, cb_ctx);
+}
+
+static void
+on_view_change(void *ctx, view_kind_t kind)
+{
+    rig_t *rig = ctx;
+    if (kind == VIEW_BACKENDS)
+        catalog_apply_backends(&rig->catalog, &rig->views.items[kind],
+                               store_watch_had_outage(&rig->watch));
+}
+
+static void
+on_delta(void *ctx, const view_delta_t *delta)
+{
+    (void)ctx;
+    (void)delta;
+}
+
+/* Answers the call of a kind that is under way, if there is one. */
+static void
+answer_call(rig_t *rig, view_kind_t kind, const store_answer_t *answer)
+{
+    const store_cb_t cb = rig->cbs[kind];
+    rig->cbs[kind] = NULL;
+    if (cb != NULL)
+        cb(rig->cb_ctxs[kind], answer);
+}
+
+static void
+pass_ms(rig_t *rig, uint64_t ms)
+{
+    rig->loop.time += ms;
+    store_watch_tick(&rig->watch);
+    catalog_tick(&rig->catalog);
+}
+
+/* Lets time go by; the store answers all calls, or fails them. */
+static void
+go_by(rig_t *rig, uint64_t ms, bool serves)
+{
+    const store_answer_t nothing_new = {.outcome = STORE_OK, .at = rig->revision};
+    const store_answer_t failure = {.outcome = STORE_FAILED};
+    for (uint64_t passed = 0; passed < ms; passed += TICK_MS) {
+        pass_ms(rig, ms - passed < TICK_MS ? ms - passed : TICK_MS);
+        for (view_kind_t kind = 0; kind < VIEW_WATCHED; kind++)
+            answer_call(rig, kind, serves ? &nothing_new : &failure);
+    }
+}
+
+static str_t
+id_of(size_t index)
+{
+    static const char *const ids[BACKENDS] = {"i-0", "i-1", "i-2", "i-3"};
+    return str_from(ids[index]);
+}
+
+/* The store tells that entries have come or gone; the watch of the list rests until then. */
+static void
+tell(rig_t *rig, size_t first, size_t count, bool gone)
+{
+    store_item_t items[BACKENDS];
+    rig->revision++;
+    for (size_t i = 0; i < count; i++)
+        items[i] = (store_item_t){
+            .name = id_of(first + i), .revision = rig->revision, .gone = gone, .body = STR("b")};
+    const store_answer_t answer = {
+        .outcome = STORE_OK, .items = items, .item_count = count, .at = rig->revision};
+    while (rig->cbs[VIEW_BACKENDS] == NULL)
+        pass_ms(rig, TICK_MS);
+    answer_call(rig, VIEW_BACKENDS, &answer);
+}
+
+static bool
+is_usable(const rig_t *rig, size_t index)
+{
+    const backend_t *backend = backends_find(&rig->catalog.backends, id_of(index));
+    return backend != NULL && backend_is_usable(backend, uv_now(&rig->loop));
+}
+
+/* An instance that knows all backend servers and watches the store. */
+static rig_t *
+new_rig(void)
+{
+    static const decoder_port_t decoder = {.backend = decode_backend};
+    rig_t *rig = xcalloc(1, sizeof(*rig));
+    uv_loop_init(&rig->loop);
+    rig->loop.time = START_MS;
+    rig->port = (store_port_t){.list = on_list_call, .watch = on_watch_call, .ctx = rig};
+    rig->topology = three_regions();
+    rig->views.on_change = on_view_change;
+    rig->views.ctx = rig;
+    catalog_init(&rig->catalog, &rig->loop, &rig->topology, &decoder);
+    const store_watch_conf_t conf = {
+        .loop = &rig->loop,
+        .store = &rig->port,
+        .members = &rig->members,
+        .views = &rig->views,
+        .instance = STR("a-1"),
+        .on_delta = on_delta,
+        .ctx = rig,
+    };
+    store_watch_init(&rig->watch, &conf);
+    pass_ms(rig, 1000);
+    tell(rig, 0, BACKENDS, false);
+    go_by(rig, 1000, true);
+    return rig;
+}
+
+static void
+free_rig(rig_t *rig)
+{
+    backends_free(&rig->catalog.backends);
+    for (view_kind_t kind = 0; kind < VIEW_WATCHED; kind++)
+        view_free(&rig->views.items[kind]);
+    members_free(&rig->members);
+    free(rig);
+}
+
+/* The store is away, entries lapse, and all are back within the platform's time of its return. */
+static void
+have_outage(rig_t *rig)
+{
+    go_by(rig, OUTAGE_MS, false);
+    go_by(rig, RETURN_MS, true);
+    tell(rig, 0, BACKENDS, true);
+    go_by(rig, BACK_WITHIN_MS - RETURN_MS, true);
+    for (size_t i = 0; i < BACKENDS; i++)
+        ck_assert(is_usable(rig, i));
+    tell(rig, 0, BACKENDS, false);
+}
+
+START_TEST(an_entry_that_goes_well_after_an_outage_is_gone_at_once)
+{
+    rig_t *rig = new_rig();
+    have_outage(rig);
+    go_by(rig, 1000, true);
+    tell(rig, 0, 1, true);
+    ck_assert(!is_usable(rig, 0));
+    ck_assert(is_usable(rig, 1));
+    free_rig(rig);
+}
+END_TEST
+
+Suite *
+suite_gateway_outage(void)
+{
+    Suite *suite = suite_create("gateway: outage");
+    TCase *tests = tcase_create("outage");
+    tcase_add_test(tests, an_entry_that_goes_well_after_an_outage_is_gone_at_once);
+    suite_add_tcase(suite, tests);
+    return suite;
+}
--- a/test/gateway/test_store.c
+++ b/test/gateway/test_store.c
@@ -87,6 +87,33 @@
 }
 END_TEST
 
+/* Nothing happens for that long. */
+static void
+wait_ms(site_t *site, uint64_t ms)
+{
+    const uint64_t until_ms = uv_now(&site->loop) + ms;
+    RUN_UNTIL(site, uv_now(&site->loop) >= until_ms);
+}
+
+START_TEST(a_backend_that_leaves_after_an_outage_gets_nothing)
+{
+    site_t *site = new_ready_site(1);
+    standin_store_set_mode(site->store, STANDIN_STORE_BUSY);
+    const uint64_t calls = standin_store_calls(site->store);
+    RUN_UNTIL(site, standin_store_calls(site->store) >= calls + 4);
+    standin_store_remove(site->store, "servers", "i-0");
+    standin_store_set_mode(site->store, STANDIN_STORE_SERVES);
+    wait_ms(site, 1500);
+    ck_assert_int_eq(ask(site, "GET", "/safe/x").status, 200);
+    put_backend(site, &site->backends[0], "ready");
+    wait_ms(site, 1800);
+    ck_assert_int_eq(ask(site, "GET", "/safe/x").status, 200);
+    standin_store_remove(site->store, "servers", "i-0");
+    wait_ms(site, 500);
+    ck_assert_int_eq(ask(site, "GET", "/safe/x").status, 503);
+}
+END_TEST
+
 Suite *
 suite_gateway_store(void)
 {
@@ -98,6 +125,7 @@
     tcase_add_test(tests, leaving_gone_and_closed_backends_get_nothing);
     tcase_add_test(tests, lists_come_in_pages);
     tcase_add_test(tests, a_store_in_trouble_changes_nothing);
+    tcase_add_test(tests, a_backend_that_leaves_after_an_outage_gets_nothing);
     suite_add_tcase(suite, tests);
     return suite;
 }
