Removal: the grace of an outage ends 2.2 s after the store's return

Each entry of a backend server that went within 5 s of the last failure of an outage was used for 2.2 s more, counted from when it went: also one that was listed again and left on purpose, 3.0 s after the return, where the store is steady again and a removal must take effect within 2 s.

The grace now ends at one moment, 2.2 s after the store's return, whenever the entry went. An outage begins as before; it ends with the first sign: an answer here, a peer that the store serves, a change that a peer tells. The removal's log line says the time since the return.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -104,12 +104,13 @@
     catalog_t *catalog = &gateway->router.catalog;
     const view_t *view = &gateway->views.items[kind];
     view_relay_view_changed(&gateway->view_relay, kind);
+    store_watch_view_changed(&gateway->store_watch);
     switch (kind) {
     case VIEW_CONFIG:
         apply_config(gateway, view);
         break;
     case VIEW_BACKENDS:
-        catalog_apply_backends(catalog, view, store_watch_had_outage(&gateway->store_watch));
+        catalog_apply_backends(catalog, view, store_watch_since_return_ms(&gateway->store_watch));
         catalog_apply_closures(catalog, &gateway->views.items[VIEW_CLOSURES]);
         break;
     case VIEW_CLOSURES:
--- a/gateway/membership/members.c
+++ b/gateway/membership/members.c
@@ -112,6 +112,18 @@
     return true;
 }
 
+bool
+members_store_serves(const members_t *members, uint64_t now_ms)
+{
+    for (size_t i = 0; i < members->count; i++) {
+        const member_t *member = &members->items[i];
+        if (member_alive(member, now_ms) && !member->store_failing &&
+            member->store_age_ms != STORE_AGE_NONE)
+            return true;
+    }
+    return false;
+}
+
 static double
 find_demand(const member_demand_t *demands, size_t count, str_t service)
 {
--- a/gateway/policy/removal.c
+++ b/gateway/policy/removal.c
@@ -1,8 +1,8 @@
 #include "gateway/policy/removal.h"
 
 enum {
-    /* Live backends register again within about 2 s of the store's return (the platform's figure).
-     */
+    /* After the store's return: live backends register again within about 2 s of it (the platform's
+     * figure), and the way here takes some milliseconds. */
     OUTAGE_GRACE_MS = 2200,
     /* Below the 2 s in which a removal must have taken effect on the strictest of the users' sites.
      * Brought in with commit ce9d245, not measured alone. */
@@ -12,8 +12,8 @@
 removal_t
 removal_decide(const removal_input_t *input)
 {
-    if (input->store_was_down)
-        return (removal_t){OUTAGE_GRACE_MS, REMOVAL_AFTER_OUTAGE};
+    if (input->since_return_ms < OUTAGE_GRACE_MS)
+        return (removal_t){OUTAGE_GRACE_MS - input->since_return_ms, REMOVAL_AFTER_OUTAGE};
     if (input->listed < input->known / 2)
         return (removal_t){MASS_LOSS_GRACE_MS, REMOVAL_MASS_LOSS};
     return (removal_t){0, REMOVAL_AT_ONCE};
--- a/gateway/policy/removal.h
+++ b/gateway/policy/removal.h
@@ -2,22 +2,22 @@
  * Removal: from when on a backend server that is gone from the store's list gets no more requests.
  *
  * Decides: how long it is still used after it has disappeared, with the reason.
- * Inputs: whether the store was down for all instances lately, and how many backends are listed now
- * and were known before.
- * Rule: at once; after an outage of the whole store 2.2 s; if more than half of the backends are
- * gone together 1.4 s.
- * Reason: an entry that was removed on purpose must take effect at once. Entries also lapse while
- * the store is down, and live backends renew them within about 2 s of its return; many entries
- * that go together point at the same cause. Granting time after trouble of single instances with
- * the store as well sent requests to backends that had left (commit c2341eb).
- * Also gone: a backend whose address answers for another one (attempt.c marks it departed), and one
- * that announces that it is leaving; both get no further requests from that moment on.
+ * Inputs: the time since the store's return from an outage for all instances, and how many backends
+ * are listed now and were known before.
+ * Rule: at once; after an outage of the whole store 2.2 s after its return, whenever the entry
+ * went; if more than half of the backends are gone together 1.4 s. Reason: an entry that was
+ * removed on purpose must take effect at once. Entries also lapse while the store is down, and live
+ * backends renew them within about 2 s of its return: what is still missing then is gone, and what
+ * goes later was removed on purpose. Many entries that go together point at the same cause.
+ * Granting time after trouble of single instances with the store as well sent requests to backends
+ * that had left (commit c2341eb). Also gone: a backend whose address answers for another one
+ * (attempt.c marks it departed), and one that announces that it is leaving; both get no further
+ * requests from that moment on.
  *
  * Pure: no state, no clock.
  */
 #pragma once
 
-#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -27,10 +27,13 @@
     REMOVAL_MASS_LOSS,    /* most backends are gone together */
 } removal_reason_t;
 
+/* since_return_ms if no outage is known. */
+#define REMOVAL_NO_OUTAGE UINT64_MAX
+
 typedef struct {
-    bool store_was_down; /* for all instances, in the last seconds */
-    size_t listed;       /* backends in the newest list */
-    size_t known;        /* backends known before it */
+    uint64_t since_return_ms; /* of the store from its last outage for all; 0 during one */
+    size_t listed;            /* backends in the newest list */
+    size_t known;             /* backends known before it */
 } removal_input_t;
 
 typedef struct {
--- a/gateway/state/catalog.c
+++ b/gateway/state/catalog.c
@@ -141,21 +141,25 @@
 
 /* The backend is gone from the list. */
 static void
-schedule_removal(backend_t *backend, uint64_t now_ms, const removal_t *removal)
+schedule_removal(backend_t *backend, uint64_t now_ms, const removal_input_t *input)
 {
     if (backend->remove_at_ms != 0)
         return;
-    backend->remove_at_ms = now_ms + removal->grace_ms;
-    LOG_INFO("backend not listed any more: id=%s grace_ms=%llu reason=%s", backend->info.id.ptr,
-             (unsigned long long)removal->grace_ms, removal_reason_name(removal->reason));
+    const removal_t removal = removal_decide(input);
+    const bool outage_known = input->since_return_ms != REMOVAL_NO_OUTAGE;
+    backend->remove_at_ms = now_ms + removal.grace_ms;
+    LOG_INFO("backend not listed any more: id=%s grace_ms=%llu reason=%s since_return_ms=%lld",
+             backend->info.id.ptr, (unsigned long long)removal.grace_ms,
+             removal_reason_name(removal.reason),
+             outage_known ? (long long)input->since_return_ms : -1LL);
 }
 
 /* Walks the view and the backends side by side, both sorted by id: schedules the removal of
  * backends that are gone, and fills `changed` with the indexes in the view of entries that are new
  * or changed; returns their number. */
 static size_t
-compare_backends(catalog_t *catalog, const view_t *view, uint64_t now_ms, const removal_t *removal,
-                 size_t *changed)
+compare_backends(catalog_t *catalog, const view_t *view, uint64_t now_ms,
+                 const removal_input_t *removal, size_t *changed)
 {
     const backends_t *backends = &catalog->backends;
     size_t count = 0;
@@ -178,17 +182,16 @@
 }
 
 void
-catalog_apply_backends(catalog_t *catalog, const view_t *view, bool store_was_down)
+catalog_apply_backends(catalog_t *catalog, const view_t *view, uint64_t since_return_ms)
 {
     const uint64_t now_ms = uv_now(catalog->loop);
     const removal_input_t input = {
-        .store_was_down = store_was_down,
+        .since_return_ms = since_return_ms,
         .listed = view->count,
         .known = catalog->backends.count,
     };
-    const removal_t removal = removal_decide(&input);
     size_t *changed = xcalloc(view->count + 1, sizeof(*changed));
-    const size_t count = compare_backends(catalog, view, now_ms, &removal, changed);
+    const size_t count = compare_backends(catalog, view, now_ms, &input, changed);
     for (size_t i = 0; i < count; i++)
         apply_entry(catalog, &view->items[changed[i]], now_ms);
     free(changed);
--- a/gateway/state/store_watch.c
+++ b/gateway/state/store_watch.c
@@ -5,6 +5,7 @@
 #define LOG_MODULE "sync"
 #include "base/log.h"
 #include "base/xmalloc.h"
+#include "gateway/policy/removal.h"
 #include "gateway/state/store_watch.h"
 
 enum {
@@ -14,10 +15,7 @@
     WATCH_WAIT_FAILING_MS = 20, /* an answer at once: is the store back? Chosen (commit ce9d245) */
     RETRY_MIN_MS = 200,         /* one tick; the pause grows by this much with each failure */
     RETRY_MAX_MS = 1000,        /* chosen, not measured */
-    /* How long an outage of the whole store is remembered: live backends register again
-     * within about 2 s of its return (the platform's figure). Chosen, not measured. */
-    OUTAGE_REMEMBERED_MS = 5000,
-    FAILURES_FAILING = 2, /* in a row, after which the store fails this instance. Chosen */
+    FAILURES_FAILING = 2,       /* in a row, after which the store fails this instance. Chosen */
     /* An instance that had to watch goes on for this time, so that instances do not take turns in
      * fifths of a second (commit 35bcf57). */
     FALLBACK_MS = 3000,
@@ -85,11 +83,34 @@
     return now_ms < watch->fallback_until_ms;
 }
 
+/* Only if it fails everybody is the store away, and entries may lapse. */
+static void
+notice_outage(store_watch_t *watch, uint64_t now_ms)
+{
+    if (watch->away || !store_watch_is_failing(watch) ||
+        !members_store_fails_all(watch->conf.members, name_str(&watch->instance), now_ms))
+        return;
+    watch->away = true;
+    LOG_WARN("store away for all: failures=%u", watch->failures);
+}
+
+/* The first sign ends it: an answer here, a peer that the store serves, a change that one tells. */
+static void
+notice_return(store_watch_t *watch, const char *sign)
+{
+    if (!watch->away)
+        return;
+    watch->away = false;
+    watch->returned_ms = uv_now(watch->conf.loop);
+    LOG_INFO("store back: sign=%s", sign);
+}
+
 static void
 on_store_answered(kind_watch_t *kind)
 {
     store_watch_t *watch = kind->owner;
     kind->answered_ms = uv_now(watch->conf.loop);
+    notice_return(watch, "answer");
     if (watch->failures > 0)
         LOG_INFO("store regained: failures=%u", watch->failures);
     watch->failures = 0;
@@ -103,10 +124,7 @@
     if (watch->failures++ == 0)
         LOG_WARN("store lost: kind=%d outcome=%d detail=\"%s\"", kind->kind, answer->outcome,
                  answer->err.detail);
-    /* Only if it fails everybody is the store down, and entries may have lapsed. */
-    if (store_watch_is_failing(watch) &&
-        members_store_fails_all(watch->conf.members, name_str(&watch->instance), now_ms))
-        watch->outage_until_ms = now_ms + OUTAGE_REMEMBERED_MS;
+    notice_outage(watch, now_ms);
     const uint64_t pause_ms = (uint64_t)RETRY_MIN_MS * watch->failures;
     kind->retry_at_ms = now_ms + (pause_ms < RETRY_MAX_MS ? pause_ms : RETRY_MAX_MS);
 }
@@ -243,6 +261,8 @@
     if (watching != watch->watching)
         LOG_INFO("%s the store", watching ? "watching" : "no longer watching");
     watch->watching = watching;
+    if (members_store_serves(watch->conf.members, now_ms))
+        notice_return(watch, "peer");
     for (view_kind_t i = 0; i < VIEW_WATCHED; i++) {
         kind_watch_t *kind = &watch->kinds[i];
         /* A started instance reads each kind once, whoever watches. */
@@ -278,8 +298,17 @@
     return watch->failures >= FAILURES_FAILING;
 }
 
-bool
-store_watch_had_outage(const store_watch_t *watch)
+void
+store_watch_view_changed(store_watch_t *watch)
+{
+    notice_return(watch, "change");
+}
+
+uint64_t
+store_watch_since_return_ms(const store_watch_t *watch)
 {
-    return uv_now(watch->conf.loop) < watch->outage_until_ms;
+    if (watch->away)
+        return 0;
+    return watch->returned_ms > 0 ? uv_now(watch->conf.loop) - watch->returned_ms
+                                  : REMOVAL_NO_OUTAGE;
 }
--- a/gateway/state/store_watch.h
+++ b/gateway/state/store_watch.h
@@ -6,7 +6,7 @@
  * when its watch runs out after 3 s. An instance that hears of no peer with a recent answer from
  * the store watches it itself, so that no instance depends on another. A started instance lists
  * each kind once, whoever watches. docs/design/gateway/overview.md. Also tells whether the store
- * fails this instance, and whether it was down for all of them.
+ * fails this instance, and when it came back from an outage for all of them.
  *
  * Owns the calls to the store and what is learned of its state. Relies on views.h for what it
  * fills, on membership/members.h for the other instances, on the adapter's store port.
@@ -61,7 +61,8 @@
     name_t instance;
     kind_watch_t kinds[VIEW_WATCHED];
     unsigned failures;          /* calls in a row */
-    uint64_t outage_until_ms;   /* until then the last outage of the whole store is remembered */
+    bool away;                  /* the store fails all instances, as far as is known here */
+    uint64_t returned_ms;       /* loop time of its return from that, 0 before the first */
     uint64_t fallback_until_ms; /* until then it watches because no peer seemed to */
     uint64_t started_ms;
     bool watching;
@@ -77,7 +78,10 @@
 uint32_t store_watch_age_ms(const store_watch_t *watch);
 /* True if the store fails this instance now. */
 bool store_watch_is_failing(const store_watch_t *watch);
-/* True if the store was down for all instances, as far as this one knows, in the last seconds. */
-bool store_watch_had_outage(const store_watch_t *watch);
+/* A view has changed, here or by a peer: the store answers somebody. */
+void store_watch_view_changed(store_watch_t *watch);
+/* Milliseconds since the store's return from its last outage for all instances, as far as this one
+ * knows: 0 during one, REMOVAL_NO_OUTAGE before the first. */
+uint64_t store_watch_since_return_ms(const store_watch_t *watch);
 /* No further calls to the store. */
 void store_watch_stop(store_watch_t *watch);
--- a/test/gateway/test_outage.c
+++ b/test/gateway/test_outage.c
@@ -12,6 +12,7 @@
     START_MS = 100000,
     TICK_MS = 200,
     OUTAGE_MS = 4000,
+    GRACE_MS = 2200,  /* removal.c's */
     RETURN_MS = 1000, /* the store is tried again, and answers */
     /* The platform's figure, in which backend servers that live are listed again. */
     BACK_WITHIN_MS = 2000,
@@ -64,9 +65,10 @@
 on_view_change(void *ctx, view_kind_t kind)
 {
     rig_t *rig = ctx;
+    store_watch_view_changed(&rig->watch);
     if (kind == VIEW_BACKENDS)
         catalog_apply_backends(&rig->catalog, &rig->views.items[kind],
-                               store_watch_had_outage(&rig->watch));
+                               store_watch_since_return_ms(&rig->watch));
 }
 
 static void
@@ -166,6 +168,22 @@
     return rig;
 }
 
+/* Another instance, heard just now. */
+static member_t *
+hear_peer(rig_t *rig, bool failing, uint32_t store_age_ms)
+{
+    addr_t addr;
+    ck_assert(addr_parse(STR("10.0.0.1:1"), &addr));
+    member_t *peer = members_at(&rig->members, &addr);
+    peer->heard = true;
+    peer->heard_ms = uv_now(&rig->loop);
+    peer->interval_ms = OUTAGE_MS; /* it lives for long */
+    peer->store_failing = failing;
+    peer->store_age_ms = store_age_ms;
+    name_set(&peer->instance, STR("a-2"));
+    return peer;
+}
+
 static void
 free_rig(rig_t *rig)
 {
@@ -201,12 +219,121 @@
 }
 END_TEST
 
+/* Each that lapsed is used up to the same moment, however late that is told. */
+START_TEST(the_grace_of_an_outage_ends_once_for_all)
+{
+    rig_t *rig = new_rig();
+    go_by(rig, OUTAGE_MS, false);
+    go_by(rig, RETURN_MS, true);
+    const uint64_t return_ms = rig->watch.returned_ms;
+    ck_assert_uint_gt(return_ms, 0);
+    tell(rig, 0, 1, true);
+    go_by(rig, 600, true);
+    tell(rig, 1, 1, true);
+    go_by(rig, return_ms + GRACE_MS - 1 - uv_now(&rig->loop), true);
+    ck_assert(is_usable(rig, 0) && is_usable(rig, 1));
+    pass_ms(rig, 1);
+    ck_assert(!is_usable(rig, 0) && !is_usable(rig, 1));
+    ck_assert(is_usable(rig, 2));
+    free_rig(rig);
+}
+END_TEST
+
+/* An entry that was gone, is listed again and goes once more gets no second grace. */
+START_TEST(an_entry_that_goes_twice_gets_no_second_grace)
+{
+    rig_t *rig = new_rig();
+    go_by(rig, OUTAGE_MS, false);
+    go_by(rig, RETURN_MS, true);
+    tell(rig, 0, 1, true);
+    tell(rig, 0, 1, false);
+    go_by(rig, 600, true);
+    tell(rig, 0, 1, true);
+    ck_assert(is_usable(rig, 0));
+    pass_ms(rig, rig->watch.returned_ms + GRACE_MS - uv_now(&rig->loop));
+    ck_assert(!is_usable(rig, 0));
+    free_rig(rig);
+}
+END_TEST
+
+START_TEST(a_second_outage_grants_its_own_time)
+{
+    rig_t *rig = new_rig();
+    have_outage(rig);
+    const uint64_t first_ms = rig->watch.returned_ms;
+    go_by(rig, 1200, false);
+    ck_assert_uint_eq(store_watch_since_return_ms(&rig->watch), 0);
+    go_by(rig, RETURN_MS, true);
+    ck_assert_uint_gt(rig->watch.returned_ms, first_ms);
+    tell(rig, 0, 1, true);
+    ck_assert(is_usable(rig, 0));
+    pass_ms(rig, GRACE_MS);
+    ck_assert(!is_usable(rig, 0));
+    free_rig(rig);
+}
+END_TEST
+
+/* This instance's calls fail on; a peer is served again. */
+START_TEST(a_peer_that_is_served_ends_the_outage)
+{
+    rig_t *rig = new_rig();
+    hear_peer(rig, true, OUTAGE_MS);
+    go_by(rig, OUTAGE_MS, false);
+    ck_assert_uint_eq(store_watch_since_return_ms(&rig->watch), 0);
+    /* A restarted peer has not failed yet and has had no answer either. */
+    hear_peer(rig, false, STORE_AGE_NONE);
+    pass_ms(rig, TICK_MS);
+    ck_assert_uint_eq(store_watch_since_return_ms(&rig->watch), 0);
+    hear_peer(rig, false, 100);
+    go_by(rig, 2900, false);
+    ck_assert_uint_ge(store_watch_since_return_ms(&rig->watch), 2500);
+    free_rig(rig);
+}
+END_TEST
+
+/* Nothing is told but the change itself. */
+START_TEST(a_peers_change_ends_the_outage)
+{
+    rig_t *rig = new_rig();
+    hear_peer(rig, true, OUTAGE_MS);
+    go_by(rig, OUTAGE_MS, false);
+    view_t *view = &rig->views.items[VIEW_BACKENDS];
+    const store_item_t gone = {.name = id_of(0), .revision = rig->revision + 1, .gone = true};
+    ck_assert_int_eq(view_apply(view, &gone, 1, view->at, view->at + 1), VIEW_CHANGED);
+    views_changed(&rig->views, VIEW_BACKENDS, "peer");
+    ck_assert(is_usable(rig, 0));
+    pass_ms(rig, GRACE_MS);
+    ck_assert(!is_usable(rig, 0));
+    free_rig(rig);
+}
+END_TEST
+
+/* The store fails this instance alone: that is no outage, and nothing lapses. */
+START_TEST(a_store_that_refuses_some_grants_nothing)
+{
+    rig_t *rig = new_rig();
+    hear_peer(rig, false, 100);
+    go_by(rig, OUTAGE_MS, false);
+    go_by(rig, RETURN_MS, true);
+    ck_assert(store_watch_since_return_ms(&rig->watch) == REMOVAL_NO_OUTAGE);
+    tell(rig, 0, 1, true);
+    ck_assert(!is_usable(rig, 0));
+    free_rig(rig);
+}
+END_TEST
+
 Suite *
 suite_gateway_outage(void)
 {
     Suite *suite = suite_create("gateway: outage");
     TCase *tests = tcase_create("outage");
     tcase_add_test(tests, an_entry_that_goes_well_after_an_outage_is_gone_at_once);
+    tcase_add_test(tests, the_grace_of_an_outage_ends_once_for_all);
+    tcase_add_test(tests, an_entry_that_goes_twice_gets_no_second_grace);
+    tcase_add_test(tests, a_second_outage_grants_its_own_time);
+    tcase_add_test(tests, a_peer_that_is_served_ends_the_outage);
+    tcase_add_test(tests, a_peers_change_ends_the_outage);
+    tcase_add_test(tests, a_store_that_refuses_some_grants_nothing);
     suite_add_tcase(suite, tests);
     return suite;
 }
