Failing tests: a configuration of many routes and services

The decoder refuses more than 4,096 routes or 256 services, though the store accepts an object by its bytes (1 MiB): 9,000 short routes fit. An instance goes on with the configuration before. Seen: gateway-tests, both tests fail, 148 others pass.

--- a/test/gateway/test_platform.c
+++ b/test/gateway/test_platform.c
@@ -152,6 +152,42 @@
 }
 END_TEST
 
+/* A configuration of that many routes, each to a service of its own; free() the result. */
+static char *
+many_routes(unsigned count)
+{
+    wire_text_t text = {0};
+    wire_text_str(&text, STR("{\"spec\":{\"version\":\"0000000d\",\"routes\":{"));
+    for (unsigned i = 0; i < count; i++)
+        wire_text_printf(&text,
+                         "%s\"r%u\":{\"host\":\"h.example\",\"pathPrefix\":\"/%u/\","
+                         "\"service\":\"s%u\"}",
+                         i > 0 ? "," : "", i, i, i);
+    wire_text_str(&text, STR("},\"services\":{"));
+    for (unsigned i = 0; i < count; i++)
+        wire_text_printf(&text, "%s\"s%u\":{\"maxConns\":330}", i > 0 ? "," : "", i);
+    wire_text_str(&text, STR("}}}"));
+    return text.ptr;
+}
+
+START_TEST(decodes_as_many_routes_and_services_as_an_object_holds)
+{
+    enum { OBJECT_BYTES = 1048576, ROUTES = 9000 };
+    char *text = many_routes(ROUTES);
+    ck_assert_uint_lt(strlen(text), OBJECT_BYTES);
+    err_t err = {0};
+    config_t *config = platform_decoder.config(str_from(text), &err);
+    ck_assert_msg(config != NULL, "%s", err.detail);
+    ck_assert_uint_eq(config->route_count, ROUTES);
+    ck_assert_uint_eq(config->service_count, ROUTES);
+    const config_route_t *last = config_route(config, STR("h.example"), STR("/8999/x"));
+    ck_assert_str_eq(last->targets[0].service.ptr, "s8999");
+    ck_assert_uint_eq(config_service(config, STR("s8999"))->max_connections, 330);
+    config_unref(config);
+    free(text);
+}
+END_TEST
+
 START_TEST(refuses_a_broken_configuration)
 {
     static const char *const negative =
@@ -284,6 +320,7 @@
     tcase_add_test(tests, own_answers_say_when_to_come_back);
     tcase_add_test(tests, directory_speaks_the_protocol);
     tcase_add_test(tests, decodes_a_configuration);
+    tcase_add_test(tests, decodes_as_many_routes_and_services_as_an_object_holds);
     tcase_add_test(tests, refuses_a_broken_configuration);
     tcase_add_test(tests, a_field_of_the_wrong_type_counts_as_absent);
     tcase_add_test(tests, decodes_a_backend);
--- a/test/gateway/test_store.c
+++ b/test/gateway/test_store.c
@@ -21,6 +21,30 @@
 }
 END_TEST
 
+/* True once a request for `path` gets that status; false if it does not in a generous time. */
+static bool
+gets(site_t *site, const char *path, int status)
+{
+    const uint64_t until_ms = uv_now(&site->loop) + PATIENCE_MS;
+    while (ask(site, "GET", path).status != status) {
+        if (uv_now(&site->loop) > until_ms)
+            return false;
+    }
+    return true;
+}
+
+/* As many routes as an object of the store holds (1 MiB). */
+START_TEST(a_configuration_of_many_routes_comes_into_force)
+{
+    site_t *site = new_ready_site(1);
+    ck_assert_int_eq(ask(site, "GET", "/many/5999/x").status, 404);
+    site->extra_routes = 6000;
+    put_config(site, NULL);
+    ck_assert(gets(site, "/many/5999/x", 200));
+    ck_assert_int_eq(ask(site, "GET", "/many/0/x").status, 200);
+}
+END_TEST
+
 START_TEST(a_broken_configuration_changes_nothing)
 {
     site_t *site = new_ready_site(1);
@@ -94,6 +118,7 @@
     TCase *tests = tcase_create("store");
     tcase_set_timeout(tests, 120);
     tcase_add_test(tests, a_change_of_configuration_comes_into_force);
+    tcase_add_test(tests, a_configuration_of_many_routes_comes_into_force);
     tcase_add_test(tests, a_broken_configuration_changes_nothing);
     tcase_add_test(tests, leaving_gone_and_closed_backends_get_nothing);
     tcase_add_test(tests, lists_come_in_pages);
