--- a/gateway/admin.c
+++ b/gateway/admin.c
@@ -52,7 +52,7 @@
     enum { PERCENT = 100 };
     char labels[NAME_MAX_LEN + 16];
     for (size_t i = 0; i < router->services.count; i++) {
-        const service_t *service = &router->services.items[i];
+        const service_t *service = router->services.items[i];
         snprintf(labels, sizeof(labels), "service=\"%s\"", service->name.ptr);
         counter_set(counter_get("irisstall_own_region_share_percent", labels,
                                 "Share of the callers' requests planned for the own region."),
--- a/gateway/membership/heartbeat.c
+++ b/gateway/membership/heartbeat.c
@@ -51,7 +51,7 @@
     };
     self->demand_count = 0;
     for (size_t i = 0; i < services->count && self->demand_count < MEMBER_DEMANDS_MAX; i++) {
-        const service_t *service = &services->items[i];
+        const service_t *service = services->items[i];
         self->demands[self->demand_count++] = (member_demand_t){service->name, service->demand};
     }
 }
--- a/gateway/path/exchange.c
+++ b/gateway/path/exchange.c
@@ -69,10 +69,6 @@
         return;
     }
     ex->service = router_service(router, ex->route);
-    if (ex->service == NULL) {
-        ending_refuse(ex, OUTCOME_TOO_MANY_SERVICES);
-        return;
-    }
     router_count_request(router, ex->service);
     ex->object = router_object(router, ex->route, ex->terms.object);
     ex->end_ms = deadline_of(ex);
--- a/gateway/policy/final_answer.c
+++ b/gateway/policy/final_answer.c
@@ -35,7 +35,6 @@
         [OUTCOME_NO_BACKEND] = "no_upstream",
         [OUTCOME_NO_CONFIGURATION] = "no_configuration",
         [OUTCOME_NO_ROUTE] = "no_route",
-        [OUTCOME_TOO_MANY_SERVICES] = "too_many_services",
         [OUTCOME_UNKNOWN] = "unknown",
         [OUTCOME_TIMEOUT] = "timeout",
         [OUTCOME_TIMEOUT_UNSENT] = "timeout_unsent",
--- a/gateway/policy/final_answer.h
+++ b/gateway/policy/final_answer.h
@@ -23,7 +23,6 @@
     OUTCOME_NO_BACKEND,        /* no backend of the service may be used */
     OUTCOME_NO_CONFIGURATION,  /* this instance has just started */
     OUTCOME_NO_ROUTE,          /* the configuration has none for it */
-    OUTCOME_TOO_MANY_SERVICES, /* more than the router keeps state for */
     OUTCOME_UNKNOWN,           /* it may have run, its answer is lost */
     OUTCOME_TIMEOUT,           /* the same, at its deadline */
     OUTCOME_TIMEOUT_UNSENT,    /* its deadline passed and it certainly has not run */
--- a/gateway/router.c
+++ b/gateway/router.c
@@ -112,8 +112,8 @@
     object_rates_decay(&router->objects, now_ms);
     router->traffic_scale = traffic_scale(router, members);
     for (size_t i = 0; i < router->services.count; i++) {
-        service_update_demand(&router->services.items[i], now_ms);
-        update_plan(router, &router->services.items[i], members);
+        service_update_demand(router->services.items[i], now_ms);
+        update_plan(router, router->services.items[i], members);
     }
     catalog_tick(&router->catalog);
     catalog_set_instances(&router->catalog, router->instances);
--- a/gateway/router.h
+++ b/gateway/router.h
@@ -77,8 +77,7 @@
 /* True once requests can be decided. */
 bool router_is_ready(const router_t *router);
 
-/* The service that serves a request of this route: one of its targets, by weight. NULL if there are
- * more services than the router keeps state for. */
+/* The service that serves a request of this route: one of its targets, by weight. */
 service_t *router_service(router_t *router, const config_route_t *route);
 /* The hash of an object on a route, the same on every instance. */
 uint64_t router_object_hash(const config_route_t *route, str_t object);
--- a/gateway/state/config.c
+++ b/gateway/state/config.c
@@ -62,6 +62,14 @@
     return (a > b) - (a < b);
 }
 
+static int
+by_service_name(const void *left, const void *right)
+{
+    const config_service_t *a = left;
+    const config_service_t *b = right;
+    return str_order(name_str(&a->name), name_str(&b->name));
+}
+
 void
 config_seal(config_t *config)
 {
@@ -71,6 +79,7 @@
             str_hash(str_from(route->prefix), PREFIX_SEED ^ host_hash(str_from(route->host)));
     }
     qsort(config->routes, config->route_count, sizeof(*config->routes), by_key);
+    qsort(config->services, config->service_count, sizeof(*config->services), by_service_name);
 }
 
 static const config_route_t *
@@ -100,9 +109,17 @@
 const config_service_t *
 config_service(const config_t *config, str_t name)
 {
-    for (size_t i = 0; i < config->service_count; i++) {
-        if (name_eq(&config->services[i].name, name))
-            return &config->services[i];
+    size_t low = 0;
+    size_t high = config->service_count;
+    while (low < high) {
+        const size_t mid = low + (high - low) / 2;
+        const int order = str_order(name_str(&config->services[mid].name), name);
+        if (order == 0)
+            return &config->services[mid];
+        if (order < 0)
+            low = mid + 1;
+        else
+            high = mid;
     }
     return NULL;
 }
--- a/gateway/state/config.h
+++ b/gateway/state/config.h
@@ -60,7 +60,7 @@
     config_limits_t limits;
     config_route_t *routes; /* sorted by key once sealed */
     size_t route_count;
-    config_service_t *services;
+    config_service_t *services; /* sorted by name once sealed */
     size_t service_count;
 } config_t;
 
--- a/gateway/state/services.c
+++ b/gateway/state/services.c
@@ -1,46 +1,83 @@
 #include <math.h>
+#include <stdlib.h>
+#include <string.h>
 
-#define LOG_MODULE "router"
-#include "base/log.h"
 #include "base/xmalloc.h"
 #include "gateway/state/services.h"
 
 enum {
-    SERVICES_MAX = 256,    /* as many as the adapter accepts in a configuration */
+    ITEMS_START = 16,
     DEMAND_TIME_MS = 2000, /* time constant of the demand's average. Chosen, not measured */
 };
 
 /* Weight of a new answer in the moving average of latencies. Chosen, not measured. */
 #define LATENCY_GAIN 0.05
 
+/* Index of the first service whose name is not below `name`. */
+static size_t
+lower_bound(const services_t *services, str_t name)
+{
+    size_t low = 0;
+    size_t high = services->count;
+    while (low < high) {
+        const size_t mid = low + (high - low) / 2;
+        if (str_order(name_str(&services->items[mid]->name), name) < 0)
+            low = mid + 1;
+        else
+            high = mid;
+    }
+    return low;
+}
+
+static service_t *
+service_at(const services_t *services, size_t index, str_t name)
+{
+    const bool there = index < services->count && name_eq(&services->items[index]->name, name);
+    return there ? services->items[index] : NULL;
+}
+
 service_t *
 services_find(const services_t *services, str_t name)
 {
-    for (size_t i = 0; i < services->count; i++) {
-        if (name_eq(&services->items[i].name, name))
-            return &services->items[i];
+    return service_at(services, lower_bound(services, name), name);
+}
+
+static void
+insert(services_t *services, size_t index, service_t *service)
+{
+    if (services->count == services->size) {
+        services->size = services->size > 0 ? services->size * 2 : ITEMS_START;
+        services->items = xrealloc(services->items, services->size * sizeof(service_t *));
     }
-    return NULL;
+    memmove(&services->items[index + 1], &services->items[index],
+            (services->count - index) * sizeof(service_t *));
+    services->items[index] = service;
+    services->count++;
 }
 
 service_t *
 services_get(services_t *services, str_t name)
 {
-    service_t *known = services_find(services, name);
+    const size_t index = lower_bound(services, name);
+    service_t *known = service_at(services, index, name);
     if (known != NULL)
         return known;
-    if (services->items == NULL)
-        services->items = xcalloc(SERVICES_MAX, sizeof(*services->items));
-    service_t *service = &services->items[services->count];
-    if (services->count == SERVICES_MAX || !name_set(&service->name, name)) {
-        LOG_WARN("service not kept: service=%.*s services=%zu", STR_ARG(name), services->count);
-        return NULL;
-    }
+    service_t *service = xcalloc(1, sizeof(*service));
+    xassert(name_set(&service->name, name));
     service->plan.own = services->own_region;
-    services->count++;
+    insert(services, index, service);
     return service;
 }
 
+void
+services_free(services_t *services)
+{
+    for (size_t i = 0; i < services->count; i++)
+        free(services->items[i]);
+    free(services->items);
+    *services = (services_t){0};
+}
+
 void
 service_update_demand(service_t *service, uint64_t now_ms)
 {
--- a/gateway/state/services.h
+++ b/gateway/state/services.h
@@ -21,15 +21,18 @@
 } service_t;
 
 typedef struct {
-    service_t *items; /* made with the first service, never moved */
+    service_t **items; /* sorted by name; a service never moves */
     size_t count;
+    size_t size;
     size_t own_region;
 } services_t;
 
 /* NULL if there is none of that name. The table owns what is returned. */
 service_t *services_find(const services_t *services, str_t name);
-/* The same, made if it is new; NULL if there are too many or the name is not valid. */
+/* The same, made if it is new; the name must be a valid one (name_set). Their number is bounded by
+ * the bytes of the configurations alone. */
 service_t *services_get(services_t *services, str_t name);
+void services_free(services_t *services);
 
 /* Brings the moving average of the demand up to date. */
 void service_update_demand(service_t *service, uint64_t now_ms);
--- a/test/gateway/test_region_plan.c
+++ b/test/gateway/test_region_plan.c
@@ -115,13 +115,13 @@
     view_replace(&view, &item, 1, 1);
     router_apply_config(&router, &view);
     ck_assert_uint_eq(router.services.count, 1);
-    ck_assert_str_eq(router.services.items[0].name.ptr, "svc");
+    ck_assert_str_eq(router.services.items[0]->name.ptr, "svc");
     for (double point = 0; point < 1; point += 0.1)
-        ck_assert_uint_eq(region_plan_pick(&router.services.items[0].plan, point), router.region);
+        ck_assert_uint_eq(region_plan_pick(&router.services.items[0]->plan, point), router.region);
     ck_assert_uint_eq(router.region, topology_region_of(&topology, STR("c1")));
     view_free(&view);
     config_unref(router.catalog.config);
-    free(router.services.items);
+    services_free(&router.services);
     uv_loop_close(&loop);
 }
 END_TEST
