--- a/test/gateway/test_endpoints.c
+++ b/test/gateway/test_endpoints.c
@@ -76,6 +76,35 @@
 }
 END_TEST
 
+/* The store accepts what the decoder does not: the instance goes on with what it has, tells it, and
+ * denies no route that the newer configuration may have. */
+START_TEST(a_configuration_that_is_not_usable_is_told)
+{
+    static page_t page;
+    site_t *site = new_ready_site(1);
+    read_page(site, "/metrics", &page);
+    ck_assert_ptr_nonnull(strstr(page.text, "irisstall_config_refused_revision 0\n"));
+    ck_assert_int_eq(ask(site, "GET", "/none/x").status, 404);
+    standin_store_put(site->store, "config", "main", json_pack("{s:{s:{}}}", "routes", "r"), NULL);
+    const uint64_t until_ms = uv_now(&site->loop) + PATIENCE_MS;
+    do {
+        ck_assert_uint_lt(uv_now(&site->loop), until_ms);
+        read_page(site, "/status", &page);
+    } while (strstr(page.text, "configuration refused: revision ") == NULL);
+    read_page(site, "/metrics", &page);
+    ck_assert_ptr_null(strstr(page.text, "irisstall_config_refused_revision 0\n"));
+    const reply_t reply = ask(site, "GET", "/none/x");
+    ck_assert_int_eq(reply.status, 503);
+    ck_assert_str_ne(reply.retry_after, "");
+    ck_assert_int_eq(ask(site, "GET", "/safe/x").status, 200);
+    put_config(site, "/new/");
+    RUN_UNTIL(site, ask(site, "GET", "/new/x").status == 200);
+    ck_assert_int_eq(ask(site, "GET", "/none/x").status, 404);
+    read_page(site, "/metrics", &page);
+    ck_assert_ptr_nonnull(strstr(page.text, "irisstall_config_refused_revision 0\n"));
+}
+END_TEST
+
 START_TEST(a_planned_stop_cuts_nothing)
 {
     site_t *site = new_ready_site(1);
@@ -114,6 +143,7 @@
     TCase *tests = tcase_create("endpoints");
     tcase_set_timeout(tests, 120);
     tcase_add_test(tests, metrics_tell_what_is_believed);
+    tcase_add_test(tests, a_configuration_that_is_not_usable_is_told);
     tcase_add_test(tests, a_planned_stop_cuts_nothing);
     suite_add_tcase(suite, tests);
     return suite;
--- a/test/gateway/test_view_relay.c
+++ b/test/gateway/test_view_relay.c
@@ -273,6 +273,23 @@
 }
 END_TEST
 
+/* A route that is not known here may stand in the configuration that the peer holds. */
+START_TEST(no_route_is_denied_while_a_peer_has_a_newer_configuration)
+{
+    enum { NEWER = 1000 };
+    site_t *site = new_ready_site(1);
+    peer_t *peer = new_peer(site, site->gateway);
+    RUN_UNTIL(site, gateway_living(site->gateway) == 2);
+    ck_assert_int_eq(ask(site, "GET", "/none/x").status, 404);
+    peer->at = NEWER;
+    run_for(site, 3 * HEARTBEAT_MS);
+    const reply_t reply = ask(site, "GET", "/none/x");
+    ck_assert_int_eq(reply.status, 503);
+    ck_assert_str_ne(reply.retry_after, "");
+    ck_assert_int_eq(ask(site, "GET", "/safe/x").status, 200);
+}
+END_TEST
+
 /* Versions that follow each other go out together, at a pace. */
 START_TEST(changes_keep_to_a_pace)
 {
@@ -385,6 +402,7 @@
     tcase_set_timeout(tests, 60);
     tcase_add_test(tests, changes_do_not_queue_for_a_peer_that_reads_slowly);
     tcase_add_test(tests, late_changes_do_not_keep_an_instance_from_asking);
+    tcase_add_test(tests, no_route_is_denied_while_a_peer_has_a_newer_configuration);
     tcase_add_test(tests, changes_keep_to_a_pace);
     tcase_add_test(tests, answers_keep_to_a_rate);
     tcase_add_test(tests, a_change_reaches_back_to_earlier_ones);
