--- a/standin/fake_site.c
+++ b/standin/fake_site.c
@@ -32,6 +32,10 @@
     TICK_MS = 10,
     CALLERS_MAX = 64,
     FIRST_PORT = 18140,
+    CONNECTIONS_MAX = 512, /* to a gateway */
+    START_MS = 3000,       /* for the gateways to become ready */
+    MS_PER_S = 1000,
+    EXIT_USAGE = 2,
 };
 
 typedef struct fake fake_t;
@@ -95,6 +99,7 @@
                                     "sandusky-hall", "sarnia-hall", "racine-hall"};
 /* Upstreams of each zone: the middle region has little room. */
 static const unsigned shape[] = {6, 1, 5, 6, 1, 5};
+enum { SHAPE_BACKENDS = 24 /* their sum */ };
 
 static bool
 recall(backend_t *backend, uint64_t object)
@@ -300,7 +305,7 @@
     }
     if (now < fake->start_ms)
         return;
-    fake->due += fake->per_s * TICK_MS / 1000;
+    fake->due += fake->per_s * TICK_MS / MS_PER_S;
     for (; fake->due >= 1; fake->due -= 1)
         send_request(fake, rng_below(&fake->rng, fake->gateway_count));
 }
@@ -327,84 +332,110 @@
     if (conf->instances > SOAK_INSTANCES_MAX || conf->instances == 0 || conf->length_ms == 0 ||
         conf->slack < 1) {
         usage(stderr);
-        return 2;
+        return EXIT_USAGE;
     }
     return soak_run(conf);
 }
 
-int
-main(int argc, char **argv)
+/* What the command line asks for. */
+typedef struct {
+    double seconds;
+    bool is_soak;
+    soak_conf_t soak;
+} options_t;
+
+enum { OPTIONS_OK = -1 };
+
+/* OPTIONS_OK, or the status to exit with. */
+static int
+parse_options(int argc, char **argv, fake_t *fake, options_t *out)
 {
-    static fake_t fake;
     int option;
-    double seconds = 10;
-    bool is_soak = false;
-    soak_conf_t soak = {.net = "127.1.2.", .slack = 1};
-    addr_t store;
-    addr_t any;
-    fake.gateway_count = 9;
-    fake.per_s = 300;
-    fake.scale = 1;
     while ((option = getopt(argc, argv, "n:r:d:u:s:a:x:h")) != -1) {
         switch (option) {
         case 'n':
-            fake.gateway_count = strtoul(optarg, NULL, 10);
+            fake->gateway_count = strtoul(optarg, NULL, 10);
             break;
         case 'r':
-            fake.per_s = strtod(optarg, NULL);
+            fake->per_s = strtod(optarg, NULL);
             break;
         case 'u':
-            fake.scale = (unsigned)strtoul(optarg, NULL, 10);
+            fake->scale = (unsigned)strtoul(optarg, NULL, 10);
             break;
         case 's':
-            is_soak = true;
-            soak.seed = strtoull(optarg, NULL, 10);
+            out->is_soak = true;
+            out->soak.seed = strtoull(optarg, NULL, 10);
             break;
         case 'a':
-            soak.net = optarg;
+            out->soak.net = optarg;
             break;
         case 'x':
-            soak.slack = strtod(optarg, NULL);
+            out->soak.slack = strtod(optarg, NULL);
             break;
         case 'd':
-            seconds = strtod(optarg, NULL);
+            out->seconds = strtod(optarg, NULL);
             break;
         default:
             usage(option == 'h' ? stdout : stderr);
-            return option == 'h' ? EXIT_SUCCESS : 2;
+            return option == 'h' ? EXIT_SUCCESS : EXIT_USAGE;
         }
     }
-    if (is_soak) {
-        soak.instances = (uint32_t)fake.gateway_count;
-        soak.length_ms = (uint64_t)(seconds * 1000);
-        return run_soak(&soak);
-    }
-    if (fake.gateway_count == 0 || fake.gateway_count > CALLERS_MAX || fake.per_s <= 0 ||
-        fake.scale == 0 || fake.scale > UPSTREAMS_MAX / 24) {
-        usage(stderr);
-        return 2;
-    }
-    signal(SIGPIPE, SIG_IGN);
-    fake.loop = uv_default_loop();
-    fake.rng = rng_system();
-    addr_parse(STR("127.0.0.1:18140"), &store);
-    addr_parse(STR("127.0.0.1:0"), &any);
-    fake.store = standin_store_start(fake.loop, &store);
-    put_config(&fake);
-    start_backends(&fake, &any);
-    for (size_t i = 0; i < fake.gateway_count; i++) {
+    return OPTIONS_OK;
+}
+
+static void
+open_gateways(fake_t *fake)
+{
+    for (size_t i = 0; i < fake->gateway_count; i++) {
         char text[ADDR_TEXT_MAX];
         addr_t addr;
         snprintf(text, sizeof(text), "127.0.1.%zu:%d", i + 1, FIRST_PORT + 1);
         addr_parse(str_from(text), &addr);
-        fake.gateways[i] = wire_pool_new(fake.loop, &addr, 512);
+        fake->gateways[i] = wire_pool_new(fake->loop, &addr, CONNECTIONS_MAX);
+    }
+}
+
+static int
+run_demo(fake_t *fake, double seconds)
+{
+    addr_t store;
+    addr_t any;
+    signal(SIGPIPE, SIG_IGN);
+    fake->loop = uv_default_loop();
+    fake->rng = rng_system();
+    addr_parse(STR("127.0.0.1:18140"), &store);
+    addr_parse(STR("127.0.0.1:0"), &any);
+    fake->store = standin_store_start(fake->loop, &store);
+    put_config(fake);
+    start_backends(fake, &any);
+    open_gateways(fake);
+    uv_update_time(fake->loop);
+    fake->start_ms = uv_now(fake->loop) + START_MS;
+    fake->end_ms = fake->start_ms + (uint64_t)(seconds * MS_PER_S);
+    uv_timer_init(fake->loop, &fake->tick);
+    fake->tick.data = fake;
+    uv_timer_start(&fake->tick, on_tick, TICK_MS, TICK_MS);
+    uv_run(fake->loop, UV_RUN_DEFAULT);
+    return report(fake);
+}
+
+int
+main(int argc, char **argv)
+{
+    static fake_t fake = {.gateway_count = 9, .per_s = 300, .scale = 1};
+    options_t options = {.seconds = 10, .soak = {.net = "127.1.2.", .slack = 1}};
+    const int status = parse_options(argc, argv, &fake, &options);
+    if (status != OPTIONS_OK)
+        return status;
+    if (options.is_soak) {
+        options.soak.instances = (uint32_t)fake.gateway_count;
+        options.soak.length_ms = (uint64_t)(options.seconds * MS_PER_S);
+        return run_soak(&options.soak);
+    }
+    if (fake.gateway_count == 0 || fake.gateway_count > CALLERS_MAX || fake.per_s <= 0 ||
+        fake.scale == 0 || fake.scale > UPSTREAMS_MAX / SHAPE_BACKENDS) {
+        usage(stderr);
+        return EXIT_USAGE;
     }
-    uv_update_time(fake.loop);
-    fake.start_ms = uv_now(fake.loop) + 3000;
-    fake.end_ms = fake.start_ms + (uint64_t)(seconds * 1000);
-    uv_timer_init(fake.loop, &fake.tick);
-    fake.tick.data = &fake;
-    uv_timer_start(&fake.tick, on_tick, TICK_MS, TICK_MS);
-    uv_run(fake.loop, UV_RUN_DEFAULT);
-    return report(&fake);
+    return run_demo(&fake, options.seconds);
 }
--- a/standin/soak/requests.c
+++ b/standin/soak/requests.c
@@ -45,8 +45,9 @@
     return requests->next - 1;
 }
 
-char
-requests_byte(uint64_t number, size_t at)
+/* The byte of a body at a place. */
+static char
+byte_at(uint64_t number, size_t at)
 {
     return (char)('a' + (number * STRIDE + at) % LETTERS);
 }
@@ -55,14 +56,14 @@
 requests_fill(uint64_t number, size_t from, char *out, size_t len)
 {
     for (size_t i = 0; i < len; i++)
-        out[i] = requests_byte(number, from + i);
+        out[i] = byte_at(number, from + i);
 }
 
 bool
 requests_holds(uint64_t number, size_t from, const char *ptr, size_t len)
 {
     for (size_t i = 0; i < len; i++) {
-        if (ptr[i] != requests_byte(number, from + i))
+        if (ptr[i] != byte_at(number, from + i))
             return false;
     }
     return true;
--- a/standin/soak/requests.h
+++ b/standin/soak/requests.h
@@ -44,9 +44,7 @@
 soak_request_t *requests_find(requests_t *requests, str_t id);
 uint64_t requests_count(const requests_t *requests);
 
-/* The byte of a request's or answer's body at a place. */
-char requests_byte(uint64_t number, size_t at);
-/* Fills `out` with such bytes. */
+/* Fills `out` with bytes of a request's or answer's body, from a place on. */
 void requests_fill(uint64_t number, size_t from, char *out, size_t len);
 /* True if the bytes are those of the body from that place on. */
 bool requests_holds(uint64_t number, size_t from, const char *ptr, size_t len);
--- a/standin/soak/schedule.c
+++ b/standin/soak/schedule.c
@@ -124,19 +124,13 @@
     return schedule;
 }
 
-const char *
-trouble_name(trouble_kind_t kind)
-{
-    return kinds[kind].name;
-}
-
 void
 schedule_print(const schedule_t *schedule, FILE *out)
 {
     for (size_t i = 0; i < schedule->count; i++) {
         const trouble_t *trouble = &schedule->items[i];
         fprintf(out, "%8.3f %s target=%u length_ms=%" PRIu64 " variant=%u\n",
-                (double)trouble->at_ms / 1000, trouble_name(trouble->kind), trouble->target,
+                (double)trouble->at_ms / 1000, kinds[trouble->kind].name, trouble->target,
                 trouble->length_ms, trouble->variant);
     }
 }
--- a/standin/soak/schedule.h
+++ b/standin/soak/schedule.h
@@ -53,6 +53,5 @@
 } schedule_t;
 
 schedule_t schedule_draw(const schedule_conf_t *conf);
-const char *trouble_name(trouble_kind_t kind);
 /* A line for each trouble. */
 void schedule_print(const schedule_t *schedule, FILE *out);
