Outage: a test of many entries that go in a calm time

More than half of the entries that go together are used for 1.4 s more, also while the store answers everybody and nothing can have lapsed. With a change that is told 0.6 s late that is beyond the 2 s of the rule.

--- a/test/gateway/test_outage.c
+++ b/test/gateway/test_outage.c
@@ -322,6 +322,17 @@
 }
 END_TEST
 
+/* The store has answered all along: nothing can have lapsed, however much goes together. */
+START_TEST(many_entries_that_go_in_a_calm_time_are_gone_at_once)
+{
+    rig_t *rig = new_rig();
+    tell(rig, 0, BACKENDS, true);
+    for (size_t i = 0; i < BACKENDS; i++)
+        ck_assert(!is_usable(rig, i));
+    free_rig(rig);
+}
+END_TEST
+
 Suite *
 suite_gateway_outage(void)
 {
@@ -334,6 +345,7 @@
     tcase_add_test(tests, a_peer_that_is_served_ends_the_outage);
     tcase_add_test(tests, a_peers_change_ends_the_outage);
     tcase_add_test(tests, a_store_that_refuses_some_grants_nothing);
+    tcase_add_test(tests, many_entries_that_go_in_a_calm_time_are_gone_at_once);
     suite_add_tcase(suite, tests);
     return suite;
 }
