An instance that is behind tells it, and denies no route

Cause: a refused configuration stood in one log line only, and what its routes got was 404, from instances that knew that their configuration was not the newest.

irisstall_config_refused_revision and the status tell the refused one with the reason, until a newer one is in force. A request without a route gets 503 with Retry-After (outcome configuration_behind) if a newer configuration was refused, or if a peer holds one that has not come yet; 404 stays with who is up to date. An instance cut off from the store and from all peers cannot know it.

--- a/gateway/admin.c
+++ b/gateway/admin.c
@@ -69,6 +69,9 @@
     const router_t *router = admin->router;
     set_gauge("irisstall_config_revision", "Store revision of the configuration in force.",
               router->catalog.config != NULL ? (int64_t)router->catalog.config->revision : 0);
+    set_gauge("irisstall_config_refused_revision",
+              "Store revision of a newer configuration that could not be used, 0: none.",
+              (int64_t)router->catalog.refused.revision);
     set_gauge("irisstall_instances_living", "Instances heard of, this one too.", router->living);
     set_gauge("irisstall_upstreams", "Upstreams known.", (int64_t)router->catalog.backends.count);
     set_backend_gauges(router);
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -88,6 +88,16 @@
 
 /* ---- news from the store and from peers ---- */
 
+/* Tells the catalog whether a peer holds a newer configuration. The view may have got there since
+ * that was noticed. */
+static void
+compare_config(gateway_t *gateway)
+{
+    const uint64_t lacks = gateway->view_relay.kinds[VIEW_CONFIG].lag.lacks;
+    const uint64_t at = gateway->views.items[VIEW_CONFIG].at;
+    gateway->router.catalog.peers_at = lacks > at ? lacks : 0;
+}
+
 static void
 apply_config(gateway_t *gateway, const view_t *view)
 {
@@ -104,6 +114,7 @@
     catalog_t *catalog = &gateway->router.catalog;
     const view_t *view = &gateway->views.items[kind];
     view_relay_view_changed(&gateway->view_relay, kind);
+    compare_config(gateway);
     switch (kind) {
     case VIEW_CONFIG:
         apply_config(gateway, view);
@@ -134,9 +145,11 @@
     switch (message->body_case) {
     case IRIS__ENVELOPE__BODY_GATEWAY:
         heartbeat_receive(&gateway->heartbeat, message->gateway, uv_now(gateway->loop));
+        compare_config(gateway);
         break;
     case IRIS__ENVELOPE__BODY_VIEW_UPDATE:
         view_relay_on_update(&gateway->view_relay, conn, message->view_update);
+        compare_config(gateway);
         break;
     case IRIS__ENVELOPE__BODY_VIEW_REQUEST:
         view_relay_on_request(&gateway->view_relay, conn, message->view_request);
@@ -204,6 +217,7 @@
     heartbeat_set_ready(&gateway->heartbeat, router_is_ready(&gateway->router), now_ms);
     router_tick(&gateway->router, &gateway->members);
     store_watch_tick(&gateway->store_watch);
+    compare_config(gateway);
     view_push_tick(&gateway->view_push);
     if (!gateway->stopping)
         discovery_tick(&gateway->discovery, gateway->router.living <= 1);
--- a/gateway/inspect.c
+++ b/gateway/inspect.c
@@ -91,6 +91,20 @@
                      member->hall.ptr, state, (unsigned long long)(now - member->heard_ms));
 }
 
+/* What is known of configurations that are newer than the one in force. */
+static void
+print_newer_config(const catalog_t *catalog, wire_text_t *out)
+{
+    const refused_config_t *refused = &catalog->refused;
+    if (refused->revision > 0)
+        wire_text_printf(out, "configuration refused: revision %llu, %s: %s\n",
+                         (unsigned long long)refused->revision, err_name(refused->err.code),
+                         refused->err.detail);
+    if (catalog->peers_at > 0)
+        wire_text_printf(out, "configuration behind: a peer's is as of revision %llu\n",
+                         (unsigned long long)catalog->peers_at);
+}
+
 void
 inspect_status(const inspect_status_t *status, wire_text_t *out)
 {
@@ -103,6 +117,7 @@
     wire_text_printf(out, "configuration %s revision %llu\n",
                      config != NULL ? config->version : "-",
                      (unsigned long long)(config != NULL ? config->revision : 0));
+    print_newer_config(&router->catalog, out);
     if (age_ms == STORE_AGE_NONE)
         wire_text_str(out, STR("store followed by peers\n"));
     else
--- a/gateway/path/exchange.c
+++ b/gateway/path/exchange.c
@@ -65,7 +65,7 @@
     ex->route = config_route(ex->config, wire_head_find(&req->head, STR("host")),
                              wire_head_path(&req->head));
     if (ex->route == NULL) {
-        ending_refuse(ex, OUTCOME_NO_ROUTE);
+        ending_refuse(ex, final_answer_no_route(catalog_is_behind(&router->catalog)));
         return;
     }
     ex->service = router_service(router, ex->route);
--- a/gateway/policy/final_answer.c
+++ b/gateway/policy/final_answer.c
@@ -12,6 +12,12 @@
     return (final_answer_t){HTTP_STATUS_SERVICE_UNAVAILABLE, RETRY_AFTER_MS, outcome};
 }
 
+outcome_t
+final_answer_no_route(bool newer_known)
+{
+    return newer_known ? OUTCOME_CONFIGURATION_BEHIND : OUTCOME_NO_ROUTE;
+}
+
 final_answer_t
 final_answer(outcome_t why, bool may_have_run)
 {
@@ -34,6 +40,7 @@
         [OUTCOME_NO_ROOM] = "no_room",
         [OUTCOME_NO_BACKEND] = "no_upstream",
         [OUTCOME_NO_CONFIGURATION] = "no_configuration",
+        [OUTCOME_CONFIGURATION_BEHIND] = "configuration_behind",
         [OUTCOME_NO_ROUTE] = "no_route",
         [OUTCOME_UNKNOWN] = "unknown",
         [OUTCOME_TIMEOUT] = "timeout",
--- a/gateway/policy/final_answer.h
+++ b/gateway/policy/final_answer.h
@@ -2,10 +2,13 @@
  * Final answer: how a request ended, and the response to a request that is given up.
  *
  * Decides: status and Retry-After of a response that the gateway itself makes.
- * Inputs: why the request is given up, and whether an attempt at it may have run.
+ * Inputs: why the request is given up, and whether an attempt at it may have run; for a request
+ * without a route, whether a newer configuration than the one in force is known of.
  * Rule: 503 with a Retry-After means that no backend has run the request and none will. It is
  * given only if no attempt may have run; otherwise the caller gets 502, or 504 at the deadline.
- * The answer is given at once: a request is never held back to delay the caller's retry.
+ * A route is denied (404) only by an instance that knows of no newer configuration: another may
+ * have the route, and tells the caller to come back. The answer is given at once: a request is
+ * never held back to delay the caller's retry.
  *
  * Pure: no state, no clock.
  */
@@ -17,17 +20,18 @@
 /* How a request ended: the label `outcome` of irisstall_requests_total and of the log. */
 typedef enum {
     OUTCOME_ANSWERED,
-    OUTCOME_BACKEND_FAILED,    /* the backend's own 5xx was passed on */
-    OUTCOME_NOT_RUN,           /* attempts failed, none of them ran the request */
-    OUTCOME_NO_ROOM,           /* not admitted anywhere */
-    OUTCOME_NO_BACKEND,        /* no backend of the service may be used */
-    OUTCOME_NO_CONFIGURATION,  /* this instance has just started */
-    OUTCOME_NO_ROUTE,          /* the configuration has none for it */
-    OUTCOME_UNKNOWN,           /* it may have run, its answer is lost */
-    OUTCOME_TIMEOUT,           /* the same, at its deadline */
-    OUTCOME_TIMEOUT_UNSENT,    /* its deadline passed and it certainly has not run */
-    OUTCOME_CUT_BY_BACKEND,    /* the backend broke off an answer that was being passed on */
-    OUTCOME_CUT_AT_DEADLINE,   /* the deadline passed while an answer was being passed on */
+    OUTCOME_BACKEND_FAILED,       /* the backend's own 5xx was passed on */
+    OUTCOME_NOT_RUN,              /* attempts failed, none of them ran the request */
+    OUTCOME_NO_ROOM,              /* not admitted anywhere */
+    OUTCOME_NO_BACKEND,           /* no backend of the service may be used */
+    OUTCOME_NO_CONFIGURATION,     /* this instance has just started */
+    OUTCOME_CONFIGURATION_BEHIND, /* no route, and a newer configuration is known of */
+    OUTCOME_NO_ROUTE,             /* the configuration has none for it */
+    OUTCOME_UNKNOWN,              /* it may have run, its answer is lost */
+    OUTCOME_TIMEOUT,              /* the same, at its deadline */
+    OUTCOME_TIMEOUT_UNSENT,       /* its deadline passed and it certainly has not run */
+    OUTCOME_CUT_BY_BACKEND,       /* the backend broke off an answer that was being passed on */
+    OUTCOME_CUT_AT_DEADLINE,      /* the deadline passed while an answer was being passed on */
     OUTCOME_CALLER_LEFT,
     OUTCOME_COUNT, /* not an outcome */
 } outcome_t;
@@ -38,6 +42,8 @@
     outcome_t outcome;       /* as counted and logged */
 } final_answer_t;
 
+/* Why a request is given up for which the configuration in force has no route. */
+outcome_t final_answer_no_route(bool newer_known);
 /* The answer to a request that is given up because of `why`. */
 final_answer_t final_answer(outcome_t why, bool may_have_run);
 const char *outcome_name(outcome_t outcome);
--- a/gateway/state/catalog.c
+++ b/gateway/state/catalog.c
@@ -64,6 +64,21 @@
     bound_all_connections(catalog);
 }
 
+bool
+catalog_is_behind(const catalog_t *catalog)
+{
+    return catalog->refused.revision > 0 || catalog->peers_at > 0;
+}
+
+/* What was in force before stays. */
+static void
+refuse_config(catalog_t *catalog, uint64_t revision, const err_t *err)
+{
+    LOG_ERR("configuration not usable: revision=%llu err=%s detail=%s",
+            (unsigned long long)revision, err_name(err->code), err->detail);
+    catalog->refused = (refused_config_t){.revision = revision, .err = *err};
+}
+
 bool
 catalog_apply_config(catalog_t *catalog, const view_t *view)
 {
@@ -75,8 +90,7 @@
     err_t err = {0};
     config_t *config = catalog->decoder->config((str_t){item->body, item->body_len}, &err);
     if (config == NULL) {
-        LOG_ERR("configuration not usable: revision=%llu err=%s detail=%s",
-                (unsigned long long)item->revision, err_name(err.code), err.detail);
+        refuse_config(catalog, item->revision, &err);
         return false;
     }
     config->revision = item->revision;
@@ -85,6 +99,7 @@
              config->service_count);
     config_unref(catalog->config);
     catalog->config = config;
+    catalog->refused = (refused_config_t){0};
     bound_all_connections(catalog);
     return true;
 }
--- a/gateway/state/catalog.h
+++ b/gateway/state/catalog.h
@@ -12,11 +12,19 @@
 #include "gateway/state/backends.h"
 #include "gateway/state/view.h"
 
+/* A configuration that could not be used. */
+typedef struct {
+    uint64_t revision; /* 0: the newest that came is in force */
+    err_t err;
+} refused_config_t;
+
 typedef struct {
     uv_loop_t *loop;
     const topology_t *topology;
     const decoder_port_t *decoder;
     config_t *config; /* NULL until one is known */
+    refused_config_t refused;
+    uint64_t peers_at; /* revision of a newer configuration that a peer holds, 0: none known */
     backends_t backends;
     bool backends_known; /* a whole list was taken in once */
     unsigned instances;  /* of the whole fleet; they share a backend's connections */
@@ -25,8 +33,11 @@
 /* What is passed must outlive the catalog. */
 void catalog_init(catalog_t *catalog, uv_loop_t *loop, const topology_t *topology,
                   const decoder_port_t *decoder);
-/* True if the view held a newer, usable configuration. */
+/* True if the view held a newer, usable configuration. One that is not usable is remembered as
+ * refused until a newer one is in force; what was in force before stays. */
 bool catalog_apply_config(catalog_t *catalog, const view_t *view);
+/* True if a newer configuration is known of than the one in force. */
+bool catalog_is_behind(const catalog_t *catalog);
 /* Adds and changes backends, and schedules the removal of those that are gone (removal.h). */
 void catalog_apply_backends(catalog_t *catalog, const view_t *view, bool store_was_down);
 /* Closes and opens the data halls of the backends. */
--- a/test/gateway/test_final_answer.c
+++ b/test/gateway/test_final_answer.c
@@ -23,6 +23,7 @@
         {OUTCOME_TIMEOUT, true, 504, false, OUTCOME_TIMEOUT},
         {OUTCOME_NO_CONFIGURATION, false, 503, true, OUTCOME_NO_CONFIGURATION},
         {OUTCOME_NO_ROUTE, false, 404, false, OUTCOME_NO_ROUTE},
+        {OUTCOME_CONFIGURATION_BEHIND, false, 503, true, OUTCOME_CONFIGURATION_BEHIND},
     };
     for (size_t i = 0; i < ALEN(rows); i++) {
         const final_answer_t answer = final_answer(rows[i].why, rows[i].may_have_run);
@@ -33,12 +34,19 @@
 }
 END_TEST
 
+START_TEST(a_route_is_denied_only_by_who_is_up_to_date)
+{
+    ck_assert_int_eq(final_answer_no_route(false), OUTCOME_NO_ROUTE);
+    ck_assert_int_eq(final_answer_no_route(true), OUTCOME_CONFIGURATION_BEHIND);
+}
+END_TEST
+
 START_TEST(outcomes_keep_their_names_in_the_metric)
 {
     static const char *const names[] = {
-        "answered",         "upstream_failed", "not_run",     "no_room", "no_upstream",
-        "no_configuration", "no_route",        "unknown",     "timeout", "timeout_unsent",
-        "cut_by_upstream",  "cut_at_deadline", "caller_left",
+        "answered",         "upstream_failed",      "not_run",         "no_room",     "no_upstream",
+        "no_configuration", "configuration_behind", "no_route",        "unknown",     "timeout",
+        "timeout_unsent",   "cut_by_upstream",      "cut_at_deadline", "caller_left",
     };
     ck_assert_uint_eq(ALEN(names), OUTCOME_COUNT);
     for (size_t i = 0; i < ALEN(names); i++)
@@ -86,6 +94,7 @@
     Suite *suite = suite_create("gateway: final answer");
     TCase *tests = tcase_create("final answer");
     tcase_add_test(tests, only_what_has_not_run_is_told_to_come_back);
+    tcase_add_test(tests, a_route_is_denied_only_by_who_is_up_to_date);
     tcase_add_test(tests, outcomes_keep_their_names_in_the_metric);
     tcase_add_test(tests, the_shorter_limit_decides);
     tcase_add_test(tests, slow_is_far_beyond_the_usual);
