Failing tests: one route that cannot be read keeps a whole configuration out of force

A route without a service, or with a name of more than 47 bytes, makes the decoder refuse all others with it.

--- a/test/gateway/test_platform.c
+++ b/test/gateway/test_platform.c
@@ -210,6 +210,50 @@
 }
 END_TEST
 
+/* One route or service that cannot be read does not keep the others out of force. */
+START_TEST(leaves_out_a_part_that_cannot_be_read)
+{
+#define GOOD_ROUTE "\"good\":{\"host\":\"h\",\"pathPrefix\":\"/g/\",\"service\":\"s\"}"
+#define LONG_NAME "a-name-of-more-than-forty-seven-bytes-that-stands-nowhere-else"
+    static const char *const bad[] = {
+        "\"no-service\":{\"host\":\"h\",\"pathPrefix\":\"/b/\"}",
+        "\"no-host\":{\"pathPrefix\":\"/b/\",\"service\":\"s\"}",
+        "\"no-prefix\":{\"host\":\"h\",\"service\":\"s\"}",
+        "\"bad-service\":{\"host\":\"h\",\"pathPrefix\":\"/b/\",\"service\":\"" LONG_NAME "\"}",
+        "\"bad-home\":{\"host\":\"h\",\"pathPrefix\":\"/b/\",\"service\":\"s\","
+        "\"allowedRegions\":[7]}",
+        "\"no-object\":7",
+    };
+    for (size_t i = 0; i < ALEN(bad); i++) {
+        char *text = xasprintf("{\"spec\":{\"routes\":{%s," GOOD_ROUTE "},"
+                               "\"services\":{\"" LONG_NAME "\":{},\"s\":{\"maxConns\":3}}}}",
+                               bad[i]);
+        err_t err = {0};
+        config_t *config = platform_decoder.config(str_from(text), &err);
+        ck_assert_msg(config != NULL, "%s", err.detail);
+        ck_assert_uint_eq(config->route_count, 1);
+        ck_assert_ptr_nonnull(config_route(config, STR("h"), STR("/g/x")));
+        ck_assert_ptr_null(config_route(config, STR("h"), STR("/b/x")));
+        ck_assert_uint_eq(config_service(config, STR("s"))->max_connections, 3);
+        config_unref(config);
+        free(text);
+    }
+}
+END_TEST
+
+/* The name of a route is for people only. */
+START_TEST(a_name_of_a_route_may_be_anything)
+{
+    static const char *const text = "{\"spec\":{\"routes\":{\"" LONG_NAME "/ \":{\"host\":\"h\","
+                                    "\"pathPrefix\":\"/\",\"service\":\"s\"}}}}";
+    err_t err = {0};
+    config_t *config = platform_decoder.config(str_from(text), &err);
+    ck_assert_msg(config != NULL, "%s", err.detail);
+    ck_assert_ptr_nonnull(config_route(config, STR("h"), STR("/x")));
+    config_unref(config);
+}
+END_TEST
+
 START_TEST(a_field_of_the_wrong_type_counts_as_absent)
 {
     static const char *const text =
@@ -322,6 +366,8 @@
     tcase_add_test(tests, decodes_a_configuration);
     tcase_add_test(tests, decodes_as_many_routes_and_services_as_an_object_holds);
     tcase_add_test(tests, refuses_a_broken_configuration);
+    tcase_add_test(tests, leaves_out_a_part_that_cannot_be_read);
+    tcase_add_test(tests, a_name_of_a_route_may_be_anything);
     tcase_add_test(tests, a_field_of_the_wrong_type_counts_as_absent);
     tcase_add_test(tests, decodes_a_backend);
     tcase_add_test(tests, settings_are_checked);
