A route that cannot be read leaves the others in force

Cause: a route without a readable service, host or prefix, or with a name of more than 47 bytes, kept the whole configuration out of force, on all instances at once. The store accepts only valid configurations, so such a route is one that we fail to read.

It is left out, logged and counted (irisstall_config_left_out, status), and so is a service; a request without a route then gets 503, not 404. An object of which no route can be read is refused as before.

--- a/gateway/inspect.c
+++ b/gateway/inspect.c
@@ -91,11 +91,14 @@
                      member->hall.ptr, state, (unsigned long long)(now - member->heard_ms));
 }
 
-/* What is known of configurations that are newer than the one in force. */
+/* What is known of the newest configuration that is not in force. */
 static void
-print_newer_config(const catalog_t *catalog, wire_text_t *out)
+print_missing_config(const catalog_t *catalog, wire_text_t *out)
 {
     const refused_config_t *refused = &catalog->refused;
+    if (catalog->config != NULL && catalog->config->left_out > 0)
+        wire_text_printf(out, "configuration in force without %zu parts that could not be read\n",
+                         catalog->config->left_out);
     if (refused->revision > 0)
         wire_text_printf(out, "configuration refused: revision %llu, %s: %s\n",
                          (unsigned long long)refused->revision, err_name(refused->err.code),
@@ -117,7 +120,7 @@
     wire_text_printf(out, "configuration %s revision %llu\n",
                      config != NULL ? config->version : "-",
                      (unsigned long long)(config != NULL ? config->revision : 0));
-    print_newer_config(&router->catalog, out);
+    print_missing_config(&router->catalog, out);
     if (age_ms == STORE_AGE_NONE)
         wire_text_str(out, STR("store followed by peers\n"));
     else
--- a/gateway/state/catalog.c
+++ b/gateway/state/catalog.c
@@ -67,7 +67,8 @@
 bool
 catalog_is_behind(const catalog_t *catalog)
 {
-    return catalog->refused.revision > 0 || catalog->peers_at > 0;
+    const bool in_part = catalog->config != NULL && catalog->config->left_out > 0;
+    return in_part || catalog->refused.revision > 0 || catalog->peers_at > 0;
 }
 
 /* What was in force before stays. */
--- a/gateway/state/catalog.h
+++ b/gateway/state/catalog.h
@@ -36,7 +36,8 @@
 /* True if the view held a newer, usable configuration. One that is not usable is remembered as
  * refused until a newer one is in force; what was in force before stays. */
 bool catalog_apply_config(catalog_t *catalog, const view_t *view);
-/* True if a newer configuration is known of than the one in force. */
+/* True if a newer configuration is known of than what is in force of it: none of it, or not all of
+ * its routes. */
 bool catalog_is_behind(const catalog_t *catalog);
 /* Adds and changes backends, and schedules the removal of those that are gone (removal.h). */
 void catalog_apply_backends(catalog_t *catalog, const view_t *view, bool store_was_down);
--- a/gateway/state/config.c
+++ b/gateway/state/config.c
@@ -26,17 +26,23 @@
     return config;
 }
 
+void
+config_route_clear(config_route_t *route)
+{
+    free(route->host);
+    free(route->prefix);
+    free(route->targets);
+    free(route->homes);
+    *route = (config_route_t){0};
+}
+
 void
 config_unref(config_t *config)
 {
     if (config == NULL || --config->refs > 0)
         return;
-    for (size_t i = 0; i < config->route_count; i++) {
-        free(config->routes[i].host);
-        free(config->routes[i].prefix);
-        free(config->routes[i].targets);
-        free(config->routes[i].homes);
-    }
+    for (size_t i = 0; i < config->route_count; i++)
+        config_route_clear(&config->routes[i]);
     free(config->routes);
     free(config->services);
     free(config);
--- a/gateway/state/config.h
+++ b/gateway/state/config.h
@@ -62,10 +62,13 @@
     size_t route_count;
     config_service_t *services; /* sorted by name once sealed */
     size_t service_count;
+    size_t left_out; /* routes and services that could not be read */
 } config_t;
 
 /* Room for that many routes and services, to be filled in; the caller gets a reference. */
 config_t *config_new(size_t route_count, size_t service_count);
+/* Frees what the route holds and empties it. */
+void config_route_clear(config_route_t *route);
 /* Makes look-ups possible; called once when all routes are filled in. */
 void config_seal(config_t *config);
 config_t *config_ref(config_t *config);
--- a/test/gateway/test_endpoints.c
+++ b/test/gateway/test_endpoints.c
@@ -105,6 +105,25 @@
 }
 END_TEST
 
+START_TEST(a_route_that_cannot_be_read_is_not_denied)
+{
+    static page_t page;
+    site_t *site = new_ready_site(1);
+    standin_store_put(site->store, "config", "main",
+                      json_pack("{s:{s:{s:s}, s:{s:s, s:s, s:s}}}", "routes", "bad", "host",
+                                "h.example", "good", "host", "h.example", "pathPrefix", "/good/",
+                                "service", "svc"),
+                      NULL);
+    RUN_UNTIL(site, ask(site, "POST", "/good/x").status == 200);
+    ck_assert_int_eq(ask(site, "GET", "/bad/x").status, 503);
+    read_page(site, "/metrics", &page);
+    ck_assert_ptr_nonnull(strstr(page.text, "irisstall_config_left_out 1\n"));
+    put_config(site, "/new/");
+    RUN_UNTIL(site, ask(site, "GET", "/new/x").status == 200);
+    ck_assert_int_eq(ask(site, "GET", "/bad/x").status, 404);
+}
+END_TEST
+
 START_TEST(a_planned_stop_cuts_nothing)
 {
     site_t *site = new_ready_site(1);
@@ -144,6 +163,7 @@
     tcase_set_timeout(tests, 120);
     tcase_add_test(tests, metrics_tell_what_is_believed);
     tcase_add_test(tests, a_configuration_that_is_not_usable_is_told);
+    tcase_add_test(tests, a_route_that_cannot_be_read_is_not_denied);
     tcase_add_test(tests, a_planned_stop_cuts_nothing);
     suite_add_tcase(suite, tests);
     return suite;
--- a/test/gateway/test_platform.c
+++ b/test/gateway/test_platform.c
@@ -232,6 +232,7 @@
         config_t *config = platform_decoder.config(str_from(text), &err);
         ck_assert_msg(config != NULL, "%s", err.detail);
         ck_assert_uint_eq(config->route_count, 1);
+        ck_assert_uint_eq(config->left_out, 2);
         ck_assert_ptr_nonnull(config_route(config, STR("h"), STR("/g/x")));
         ck_assert_ptr_null(config_route(config, STR("h"), STR("/b/x")));
         ck_assert_uint_eq(config_service(config, STR("s"))->max_connections, 3);
