Store: a test of an answer that comes slowly, known red

The stand-in of the store can pace its answers, as over a small link. A list of 100 kB that takes 2.5 s is given up after 1.5 s and asked for again, and the instance never gets it.

--- a/standin/store.c
+++ b/standin/store.c
@@ -37,6 +37,16 @@
     uv_timer_t timer;
 } delayed_t;
 
+/* An answer that goes out in pieces. */
+typedef struct {
+    standin_store_t *store;
+    wire_request_t *req;
+    uv_timer_t timer;
+    char *text;
+    size_t len;
+    size_t sent;
+} paced_t;
+
 struct standin_store {
     uv_loop_t *loop;
     wire_listener_t *listener;
@@ -48,6 +58,8 @@
     uint64_t oldest; /* watches from before get 410 */
     uint64_t calls;
     uint64_t delay_ms;
+    size_t piece; /* bytes of answers sent at once, 0: all */
+    uint64_t pause_ms;
     size_t page;
     char refused_kind[KIND_MAX];
     unsigned refused_lists;
@@ -70,11 +82,63 @@
 }
 
 static void
-respond_json(wire_request_t *req, int status, json_t *body)
+on_paced_closed(uv_handle_t *handle)
+{
+    paced_t *paced = handle->data;
+    free(paced->text);
+    free(paced);
+}
+
+static void
+drop_paced(void *ctx)
+{
+    paced_t *paced = ctx;
+    uv_close((uv_handle_t *)&paced->timer, on_paced_closed);
+}
+
+static void
+on_pace(uv_timer_t *timer)
+{
+    paced_t *paced = timer->data;
+    const size_t left = paced->len - paced->sent;
+    const size_t piece = left < paced->store->piece ? left : paced->store->piece;
+    wire_respond_data(paced->req, paced->text + paced->sent, piece);
+    wire_respond_flush(paced->req);
+    paced->sent += piece;
+    if (paced->sent < paced->len)
+        return;
+    wire_respond_end(paced->req);
+    drop_paced(paced);
+}
+
+/* Takes over the text. */
+static void
+respond_in_pieces(standin_store_t *store, wire_request_t *req, str_t fields, char *text)
+{
+    paced_t *paced = xcalloc(1, sizeof(*paced));
+    paced->store = store;
+    paced->req = req;
+    paced->text = text;
+    paced->len = strlen(text);
+    req->ctx = paced;
+    req->on_gone = drop_paced;
+    wire_respond_head(req, HTTP_STATUS_OK, fields, (int64_t)paced->len);
+    uv_timer_init(store->loop, &paced->timer);
+    paced->timer.data = paced;
+    uv_timer_start(&paced->timer, on_pace, 0, store->pause_ms);
+}
+
+static void
+respond_json(standin_store_t *store, wire_request_t *req, json_t *body)
 {
+    static const str_t fields = {"Content-Type: application/json\r\n", 32};
     char *text = json_dumps(body, JSON_COMPACT);
-    wire_respond(req, status, STR("Content-Type: application/json\r\n"), str_from(text));
-    free(text);
+    if (store->piece > 0) {
+        respond_in_pieces(store, req, fields, text);
+    } else {
+        wire_respond(req, HTTP_STATUS_OK, fields, str_from(text));
+        free(text);
+    }
     json_decref(body);
 }
 
@@ -114,12 +178,12 @@
 static void
 answer_watch(watch_t *watch, json_t *events)
 {
+    standin_store_t *store = watch->store;
     wire_request_t *req = watch->req;
-    const uint64_t at = watch->store->revision;
     drop_watch(watch);
-    respond_json(req, HTTP_STATUS_OK,
+    respond_json(store, req,
                  json_pack("{s:o, s:I}", "events", events != NULL ? events : json_array(), "at",
-                           (json_int_t)at));
+                           (json_int_t)store->revision));
 }
 
 static void
@@ -201,7 +265,7 @@
     json_t *items = json_array();
     for (size_t i = 0; i < count && i < store->page; i++)
         json_array_append(items, found[i]->value);
-    respond_json(req, HTTP_STATUS_OK,
+    respond_json(store, req,
                  json_pack("{s:o, s:b, s:I}", "items", items, "more", count > store->page, "at",
                            (json_int_t)store->revision));
 }
@@ -394,6 +458,13 @@
     store->delay_ms = delay_ms;
 }
 
+void
+standin_store_set_pace(standin_store_t *store, size_t piece, uint64_t pause_ms)
+{
+    store->piece = piece;
+    store->pause_ms = pause_ms;
+}
+
 void
 standin_store_forget(standin_store_t *store)
 {
--- a/standin/store.h
+++ b/standin/store.h
@@ -27,6 +27,9 @@
 void standin_store_set_mode(standin_store_t *store, standin_store_mode_t mode);
 /* Calls that arrive from now on wait so long before they are looked at. */
 void standin_store_set_delay(standin_store_t *store, uint64_t delay_ms);
+/* Answers to lists and watches go out in pieces of so many bytes with a pause between, as over a
+ * small link; 0 bytes: at once. */
+void standin_store_set_pace(standin_store_t *store, size_t piece, uint64_t pause_ms);
 /* Makes or replaces an object; takes over `spec` and `status`. Watches hear of it. */
 void standin_store_put(standin_store_t *store, const char *kind, const char *name, json_t *spec,
                        json_t *status);
--- a/test/gateway/test_store.c
+++ b/test/gateway/test_store.c
@@ -87,6 +87,56 @@
 }
 END_TEST
 
+enum {
+    /* 40 kB a second: the configuration below takes some 2.5 s. */
+    PIECE = 4096,
+    PIECE_PAUSE_MS = 100,
+    MANY_ROUTES = 500,
+};
+
+/* Asks until the path has a route; false after PATIENCE_MS. */
+static bool
+comes_into_force(site_t *site, const char *path)
+{
+    const uint64_t until_ms = uv_now(&site->loop) + PATIENCE_MS;
+    while (uv_now(&site->loop) < until_ms) {
+        if (ask(site, "GET", path).status == 200)
+            return true;
+    }
+    return false;
+}
+
+START_TEST(a_slow_answer_is_read_to_its_end)
+{
+    site_t *site = new_site(1);
+    standin_store_set_pace(site->store, PIECE, PIECE_PAUSE_MS);
+    site->extra_routes = MANY_ROUTES;
+    put_config(site, NULL);
+    use_gateway(site, start_gateway(site, "g-1", &site->store_port, NULL));
+    ck_assert(comes_into_force(site, "/safe/x"));
+    /* The same with a change that was made in an outage. */
+    standin_store_set_mode(site->store, STANDIN_STORE_BUSY);
+    const uint64_t calls = standin_store_calls(site->store);
+    RUN_UNTIL(site, standin_store_calls(site->store) > calls + 2);
+    put_config(site, "/new/");
+    standin_store_set_mode(site->store, STANDIN_STORE_SERVES);
+    ck_assert(comes_into_force(site, "/new/x"));
+}
+END_TEST
+
+START_TEST(an_answer_that_stops_is_given_up)
+{
+    site_t *site = new_ready_site(1);
+    standin_store_set_pace(site->store, PIECE, PATIENCE_MS * 10);
+    site->extra_routes = MANY_ROUTES;
+    put_config(site, "/new/");
+    const uint64_t calls = standin_store_calls(site->store);
+    RUN_UNTIL(site, standin_store_calls(site->store) > calls);
+    standin_store_set_pace(site->store, 0, 0);
+    ck_assert(comes_into_force(site, "/new/x"));
+}
+END_TEST
+
 Suite *
 suite_gateway_store(void)
 {
@@ -98,6 +148,8 @@
     tcase_add_test(tests, leaving_gone_and_closed_backends_get_nothing);
     tcase_add_test(tests, lists_come_in_pages);
     tcase_add_test(tests, a_store_in_trouble_changes_nothing);
+    tcase_add_test(tests, a_slow_answer_is_read_to_its_end);
+    tcase_add_test(tests, an_answer_that_stops_is_given_up);
     suite_add_tcase(suite, tests);
     return suite;
 }
