Store calls: an answer that comes slowly is read to its end

A call to the store had 1.5 s, a watch 0.8 s beyond its wait (0.82 s while the store fails), for the whole answer. An answer of 800 kB takes 0.65 s of an idle link of 10 Mbit/s and seconds of a busy one: it was given up and asked for from its beginning, for ever, and after an outage in which the configuration had changed the instance did not regain it.

--- a/wire/client.h
+++ b/wire/client.h
@@ -45,7 +45,9 @@
     char *request; /* head and body from malloc; the call frees it */
     size_t request_len;
     uint64_t connect_timeout_ms;
-    uint64_t timeout_ms;  /* for the whole call; 0 leaves it to the caller */
+    uint64_t timeout_ms;  /* until the answer's first byte; 0 leaves all times to the caller */
+    uint64_t stall_ms;    /* between two reads of the answer; 0: `timeout_ms` is for all of it */
+    uint64_t whole_ms;    /* for the whole call, where `stall_ms` is set */
     uint64_t idle_max_ms; /* a kept connection that has rested longer is not used */
     bool head_method;     /* the request's method is HEAD */
 } wire_call_conf_t;
--- a/wire/client_call.c
+++ b/wire/client_call.c
@@ -59,11 +59,44 @@
     client_call_end(conn, false);
 }
 
+/* ---- time ---- */
+
+static void
+on_call_timeout(uv_timer_t *timer)
+{
+    client_conn_t *conn = timer->data;
+    client_call_suspect_silence(conn);
+    client_call_fail(conn, ERR_TIMEOUT, "no whole answer in time");
+}
+
+static void
+start_timer(client_conn_t *conn)
+{
+    wire_call_t *call = conn->call;
+    call->end_by_ms = uv_now(conn->pool->loop) + call->conf.whole_ms;
+    if (call->conf.timeout_ms > 0)
+        uv_timer_start(&conn->timer, on_call_timeout, call->conf.timeout_ms, 0);
+}
+
+/* Bytes of the answer came: the next ones have their own time, up to that of the whole call. */
+static void
+restart_timer(client_conn_t *conn)
+{
+    const wire_call_t *call = conn->call;
+    const uint64_t now_ms = uv_now(conn->pool->loop);
+    if (call->conf.stall_ms == 0)
+        return;
+    const uint64_t left_ms = call->end_by_ms > now_ms ? call->end_by_ms - now_ms : 0;
+    const uint64_t wait_ms = left_ms < call->conf.stall_ms ? left_ms : call->conf.stall_ms;
+    uv_timer_start(&conn->timer, on_call_timeout, wait_ms, 0);
+}
+
 /* ---- reading ---- */
 
 static void
 on_answer_bytes(client_conn_t *conn, const char *ptr, size_t len)
 {
+    restart_timer(conn);
     switch (client_answer_read(conn, ptr, len)) {
     case ANSWER_WHOLE:
         /* An answer before the request was written spoils the connection. */
@@ -139,14 +172,6 @@
 
 /* ---- sending ---- */
 
-static void
-on_call_timeout(uv_timer_t *timer)
-{
-    client_conn_t *conn = timer->data;
-    client_call_suspect_silence(conn);
-    client_call_fail(conn, ERR_TIMEOUT, "no whole answer in time");
-}
-
 static void
 on_written(uv_write_t *req, int status)
 {
@@ -164,8 +189,7 @@
     wire_call_t *call = conn->call;
     client_answer_begin(conn);
     call->end.stage = WIRE_SENT;
-    if (call->conf.timeout_ms > 0)
-        uv_timer_start(&conn->timer, on_call_timeout, call->conf.timeout_ms, 0);
+    start_timer(conn);
     conn->request = call->conf.request;
     call->conf.request = NULL;
     uv_buf_t buf = uv_buf_init(conn->request, (unsigned)call->conf.request_len);
--- a/wire/client_conn.h
+++ b/wire/client_conn.h
@@ -49,6 +49,7 @@
     void *ctx;
     wire_call_conf_t conf;
     wire_end_t end;
+    uint64_t end_by_ms; /* loop time by which an answer that goes on has to be whole */
     bool done;
 };
 
--- a/wire/fetch.c
+++ b/wire/fetch.c
@@ -75,6 +75,8 @@
         .request_len = text.len,
         .connect_timeout_ms = CONNECT_TIMEOUT_MS,
         .timeout_ms = conf->timeout_ms,
+        .stall_ms = conf->stall_ms,
+        .whole_ms = conf->whole_ms,
         .idle_max_ms = IDLE_MAX_MS,
     };
     wire_call_start(pool, &call, &cbs, fetch);
--- a/wire/fetch.h
+++ b/wire/fetch.h
@@ -20,7 +20,9 @@
     const char *method;
     const char *target;
     str_t body;
-    uint64_t timeout_ms;
+    uint64_t timeout_ms; /* until the answer's first byte */
+    uint64_t stall_ms;   /* between two reads of it */
+    uint64_t whole_ms;   /* for the whole call */
     size_t max_body;
 } wire_fetch_conf_t;
 
