--- a/standin/store.c
+++ b/standin/store.c
@@ -63,6 +63,7 @@
     size_t page;
     char refused_kind[KIND_MAX];
     unsigned refused_lists;
+    char held_kind[KIND_MAX];
 };
 
 static const char *
@@ -337,6 +338,8 @@
     }
     snprintf(kind, sizeof(kind), "%.*s", (int)(path.len - skip), path.ptr + skip);
     uint64_t from;
+    if (strcmp(kind, store->held_kind) == 0)
+        return;
     if (req->head.method == HTTP_POST)
         answer_post(store, req, kind);
     else if (str_to_u64(wire_head_query(&req->head, STR("watch")), &from))
@@ -490,6 +493,12 @@
     store->refused_lists = count;
 }
 
+void
+standin_store_hold(standin_store_t *store, const char *kind)
+{
+    snprintf(store->held_kind, sizeof(store->held_kind), "%s", kind);
+}
+
 uint64_t
 standin_store_calls(const standin_store_t *store)
 {
--- a/standin/store.h
+++ b/standin/store.h
@@ -40,5 +40,7 @@
 void standin_store_set_page(standin_store_t *store, size_t items);
 /* The next lists of a kind, so many, get 503. */
 void standin_store_refuse_lists(standin_store_t *store, const char *kind, unsigned count);
+/* Calls for a kind get no answer from now on; "" ends that. */
+void standin_store_hold(standin_store_t *store, const char *kind);
 uint64_t standin_store_calls(const standin_store_t *store);
 bool standin_store_has(const standin_store_t *store, const char *kind, const char *name);
--- a/test/gateway/test_store.c
+++ b/test/gateway/test_store.c
@@ -94,18 +94,33 @@
     MANY_ROUTES = 500,
 };
 
-/* Asks until the path has a route; false after PATIENCE_MS. */
+/* Asks until the answer has that status; false after PATIENCE_MS. */
 static bool
-comes_into_force(site_t *site, const char *path)
+comes_to_answer(site_t *site, const char *path, int status)
 {
     const uint64_t until_ms = uv_now(&site->loop) + PATIENCE_MS;
     while (uv_now(&site->loop) < until_ms) {
-        if (ask(site, "GET", path).status == 200)
+        if (ask(site, "GET", path).status == status)
             return true;
     }
     return false;
 }
 
+static bool
+comes_into_force(site_t *site, const char *path)
+{
+    return comes_to_answer(site, path, 200);
+}
+
+/* The store is out, and the instance has noticed. */
+static void
+begin_outage(site_t *site)
+{
+    const uint64_t calls = standin_store_calls(site->store);
+    standin_store_set_mode(site->store, STANDIN_STORE_BUSY);
+    RUN_UNTIL(site, standin_store_calls(site->store) > calls + 2);
+}
+
 START_TEST(a_slow_answer_is_read_to_its_end)
 {
     site_t *site = new_site(1);
@@ -115,9 +130,7 @@
     use_gateway(site, start_gateway(site, "g-1", &site->store_port, NULL));
     ck_assert(comes_into_force(site, "/safe/x"));
     /* The same with a change that was made in an outage. */
-    standin_store_set_mode(site->store, STANDIN_STORE_BUSY);
-    const uint64_t calls = standin_store_calls(site->store);
-    RUN_UNTIL(site, standin_store_calls(site->store) > calls + 2);
+    begin_outage(site);
     put_config(site, "/new/");
     standin_store_set_mode(site->store, STANDIN_STORE_SERVES);
     ck_assert(comes_into_force(site, "/new/x"));
@@ -137,6 +150,25 @@
 }
 END_TEST
 
+START_TEST(a_kind_without_an_answer_does_not_hold_up_another)
+{
+    static const char *const held[] = {"config", "servers", "evacuations"};
+    for (size_t i = 0; i < ALEN(held); i++) {
+        site_t *site = new_ready_site(1);
+        begin_outage(site);
+        standin_store_hold(site->store, held[i]);
+        standin_store_set_mode(site->store, STANDIN_STORE_SERVES);
+        if (strcmp(held[i], "servers") != 0) {
+            put_backend(site, &site->backends[0], "draining");
+            ck_assert(comes_to_answer(site, "/safe/x", 503));
+        } else {
+            put_config(site, "/new/");
+            ck_assert(comes_into_force(site, "/new/x"));
+        }
+    }
+}
+END_TEST
+
 Suite *
 suite_gateway_store(void)
 {
@@ -150,6 +182,7 @@
     tcase_add_test(tests, a_store_in_trouble_changes_nothing);
     tcase_add_test(tests, a_slow_answer_is_read_to_its_end);
     tcase_add_test(tests, an_answer_that_stops_is_given_up);
+    tcase_add_test(tests, a_kind_without_an_answer_does_not_hold_up_another);
     suite_add_tcase(suite, tests);
     return suite;
 }
