Store watch: a kind without an answer does not hold up the others

While the store failed only the configuration was asked for, and after a failure of one kind alone it was asked again only when the watch of the configuration had ended, 3 s later. A configuration that came slowly, or not at all, held up the removal of a backend server after an outage for ever.

The kinds take turns now, the configuration last, and a call holds up the next for 1 s at most.

--- a/gateway/state/store_watch.c
+++ b/gateway/state/store_watch.c
@@ -17,6 +17,10 @@
     /* How long an outage of the whole store is remembered: live backends register again
      * within about 2 s of its return (the platform's figure). Chosen, not measured. */
     OUTAGE_REMEMBERED_MS = 5000,
+    /* While the store fails, one call tells whether it is back, and another follows if it has not
+     * ended after this time: a large answer on a small link would hold up the removal of a backend
+     * server. Above the time that a failing watch has. Chosen, not measured. */
+    PROBE_MS = 1000,
     FAILURES_FAILING = 2, /* in a row, after which the store fails this instance. Chosen */
     /* An instance that had to watch goes on for this time, so that instances do not take turns in
      * fifths of a second (commit 35bcf57). */
@@ -93,6 +97,7 @@
     if (watch->failures > 0)
         LOG_INFO("store regained: failures=%u", watch->failures);
     watch->failures = 0;
+    watch->probe_at_ms = 0;
 }
 
 static void
@@ -100,15 +105,19 @@
 {
     store_watch_t *watch = kind->owner;
     const uint64_t now_ms = uv_now(watch->conf.loop);
-    if (watch->failures++ == 0)
+    if (watch->failures++ == 0) {
         LOG_WARN("store lost: kind=%d outcome=%d detail=\"%s\"", kind->kind, answer->outcome,
                  answer->err.detail);
+        watch->probed = VIEW_CONFIG; /* it is asked for last: its answer may be the largest */
+    }
     /* Only if it fails everybody is the store down, and entries may have lapsed. */
     if (store_watch_is_failing(watch) &&
         members_store_fails_all(watch->conf.members, name_str(&watch->instance), now_ms))
         watch->outage_until_ms = now_ms + OUTAGE_REMEMBERED_MS;
     const uint64_t pause_ms = (uint64_t)RETRY_MIN_MS * watch->failures;
     kind->retry_at_ms = now_ms + (pause_ms < RETRY_MAX_MS ? pause_ms : RETRY_MAX_MS);
+    if (kind->kind == watch->probed)
+        watch->probe_at_ms = kind->retry_at_ms;
 }
 
 /* ---- list ---- */
@@ -235,23 +244,48 @@
     store->watch(store->ctx, kind->kind, kind->watched_from, wait_ms, on_watch, kind);
 }
 
+static bool
+is_due(const kind_watch_t *kind)
+{
+    const store_watch_t *watch = kind->owner;
+    /* A started instance reads each kind once, whoever watches. */
+    const bool once = kind->read_once || !view_of(kind)->known;
+    const bool wanted = watch->watching || (once && !watch->stopped);
+    return wanted && kind->state == WATCH_IDLE && uv_now(watch->conf.loop) >= kind->retry_at_ms;
+}
+
+/* One call at a time tells when the store is back; the kinds take turns. */
+static void
+probe(store_watch_t *watch)
+{
+    const uint64_t now_ms = uv_now(watch->conf.loop);
+    if (now_ms < watch->probe_at_ms)
+        return;
+    for (unsigned i = 1; i <= VIEW_WATCHED; i++) {
+        const view_kind_t next = (watch->probed + i) % VIEW_WATCHED;
+        if (!is_due(&watch->kinds[next]))
+            continue;
+        watch->probed = next;
+        watch->probe_at_ms = now_ms + PROBE_MS;
+        call_store(&watch->kinds[next]);
+        return;
+    }
+}
+
 void
 store_watch_tick(store_watch_t *watch)
 {
-    const uint64_t now_ms = uv_now(watch->conf.loop);
     const bool watching = should_watch(watch);
     if (watching != watch->watching)
         LOG_INFO("%s the store", watching ? "watching" : "no longer watching");
     watch->watching = watching;
+    if (watch->failures > 0) {
+        probe(watch);
+        return;
+    }
     for (view_kind_t i = 0; i < VIEW_WATCHED; i++) {
-        kind_watch_t *kind = &watch->kinds[i];
-        /* A started instance reads each kind once, whoever watches. */
-        const bool once = kind->read_once || !view_of(kind)->known;
-        const bool wanted = watching || (once && !watch->stopped);
-        if (wanted && kind->state == WATCH_IDLE && now_ms >= kind->retry_at_ms)
-            call_store(kind);
-        if (watch->failures > 0)
-            break; /* one call at a time tells when the store is back */
+        if (is_due(&watch->kinds[i]))
+            call_store(&watch->kinds[i]);
     }
 }
 
--- a/gateway/state/store_watch.h
+++ b/gateway/state/store_watch.h
@@ -61,6 +61,8 @@
     name_t instance;
     kind_watch_t kinds[VIEW_WATCHED];
     unsigned failures;          /* calls in a row */
+    view_kind_t probed;         /* kind that was asked for last while the store failed */
+    uint64_t probe_at_ms;       /* loop time before which no other kind is asked for then */
     uint64_t outage_until_ms;   /* until then the last outage of the whole store is remembered */
     uint64_t fallback_until_ms; /* until then it watches because no peer seemed to */
     uint64_t started_ms;
