--- a/test/gateway/test_store.c
+++ b/test/gateway/test_store.c
@@ -169,6 +169,19 @@
 }
 END_TEST
 
+START_TEST(versions_too_many_for_one_answer_are_passed_over)
+{
+    enum { VERSIONS = 60 }; /* 5 MB */
+    site_t *site = new_ready_site(1);
+    begin_outage(site);
+    site->extra_routes = MANY_ROUTES;
+    for (unsigned i = 0; i < VERSIONS; i++)
+        put_config(site, "/new/");
+    standin_store_set_mode(site->store, STANDIN_STORE_SERVES);
+    ck_assert(comes_into_force(site, "/new/x"));
+}
+END_TEST
+
 Suite *
 suite_gateway_store(void)
 {
@@ -183,6 +196,7 @@
     tcase_add_test(tests, a_slow_answer_is_read_to_its_end);
     tcase_add_test(tests, an_answer_that_stops_is_given_up);
     tcase_add_test(tests, a_kind_without_an_answer_does_not_hold_up_another);
+    tcase_add_test(tests, versions_too_many_for_one_answer_are_passed_over);
     suite_add_tcase(suite, tests);
     return suite;
 }
