Store watch: a watch whose answer is of no use ends in a list

A watch brings each version since its revision: above 4 MB, several versions of a large configuration in an outage, it failed, and was asked for again from the same revision, for ever; likewise after a status such as 400, 404 or 500, or a malformed answer.

Such an answer has an outcome of its own now, and the kind is listed next.

--- a/gateway/ports.h
+++ b/gateway/ports.h
@@ -37,7 +37,8 @@
     STORE_HISTORY_GONE, /* the watch must start again from a list */
     STORE_CONFLICT,     /* the object is there already or was changed */
     STORE_REFUSED,      /* not done: over the rate, or this instance is refused */
-    STORE_FAILED,       /* no usable answer; a write may have been done or be done later */
+    STORE_FAILED,       /* no answer; a write may have been done or be done later */
+    STORE_UNUSABLE,     /* an answer of no use: too large, malformed, of an unexpected status */
 } store_outcome_t;
 
 typedef struct {
--- a/gateway/state/store_watch.c
+++ b/gateway/state/store_watch.c
@@ -222,6 +222,8 @@
         return;
     }
     if (answer->outcome != STORE_OK) {
+        /* The same watch would be answered in the same way; a list tells each object once. */
+        kind->list_needed |= answer->outcome == STORE_UNUSABLE;
         on_store_failed(kind, answer);
         return;
     }
--- a/standin/store.c
+++ b/standin/store.c
@@ -64,6 +64,7 @@
     char refused_kind[KIND_MAX];
     unsigned refused_lists;
     char held_kind[KIND_MAX];
+    int watch_status;
 };
 
 static const char *
@@ -276,8 +277,9 @@
 {
     uint64_t wait_ms = 0;
     str_to_u64(wire_head_query(&req->head, STR("waitMs")), &wait_ms);
-    if (from < store->oldest) {
-        wire_respond(req, HTTP_STATUS_GONE, STR(""), STR(""));
+    if (store->watch_status != 0 || from < store->oldest) {
+        const int status = store->watch_status != 0 ? store->watch_status : HTTP_STATUS_GONE;
+        wire_respond(req, status, STR(""), STR(""));
         return;
     }
     watch_t *watch = xcalloc(1, sizeof(*watch));
@@ -499,6 +501,12 @@
     snprintf(store->held_kind, sizeof(store->held_kind), "%s", kind);
 }
 
+void
+standin_store_fail_watches(standin_store_t *store, int status)
+{
+    store->watch_status = status;
+}
+
 uint64_t
 standin_store_calls(const standin_store_t *store)
 {
--- a/standin/store.h
+++ b/standin/store.h
@@ -42,5 +42,7 @@
 void standin_store_refuse_lists(standin_store_t *store, const char *kind, unsigned count);
 /* Calls for a kind get no answer from now on; "" ends that. */
 void standin_store_hold(standin_store_t *store, const char *kind);
+/* Watches get that status from now on, 0: they are served. */
+void standin_store_fail_watches(standin_store_t *store, int status);
 uint64_t standin_store_calls(const standin_store_t *store);
 bool standin_store_has(const standin_store_t *store, const char *kind, const char *name);
--- a/test/gateway/test_store.c
+++ b/test/gateway/test_store.c
@@ -182,6 +182,20 @@
 }
 END_TEST
 
+START_TEST(a_kind_whose_watch_is_rejected_is_listed)
+{
+    static const int statuses[] = {400, 404, 500};
+    for (size_t i = 0; i < ALEN(statuses); i++) {
+        site_t *site = new_ready_site(1);
+        begin_outage(site);
+        put_config(site, "/new/");
+        standin_store_fail_watches(site->store, statuses[i]);
+        standin_store_set_mode(site->store, STANDIN_STORE_SERVES);
+        ck_assert(comes_into_force(site, "/new/x"));
+    }
+}
+END_TEST
+
 Suite *
 suite_gateway_store(void)
 {
@@ -197,6 +211,7 @@
     tcase_add_test(tests, an_answer_that_stops_is_given_up);
     tcase_add_test(tests, a_kind_without_an_answer_does_not_hold_up_another);
     tcase_add_test(tests, versions_too_many_for_one_answer_are_passed_over);
+    tcase_add_test(tests, a_kind_whose_watch_is_rejected_is_listed);
     suite_add_tcase(suite, tests);
     return suite;
 }
--- a/wire/fetch.c
+++ b/wire/fetch.c
@@ -10,18 +10,42 @@
 typedef struct {
     wire_fetch_cb_t cb;
     void *ctx;
+    wire_call_t *call;
     wire_text_t body;
     int status;
     size_t max_body;
-    bool too_large;
 } fetch_t;
 
+static void
+finish(fetch_t *fetch, const err_t *err)
+{
+    const wire_answer_t answer = {
+        .err = *err,
+        .status = fetch->status,
+        .body = {fetch->body.ptr != NULL ? fetch->body.ptr : "", fetch->body.len},
+    };
+    fetch->cb(fetch->ctx, &answer);
+    free(fetch->body.ptr);
+    free(fetch);
+}
+
+/* The rest of the answer is not waited for: it would fill a small link. */
+static void
+refuse_answer(fetch_t *fetch)
+{
+    err_t err = {0};
+    err_set(&err, ERR_TOO_LARGE, "answer above %zu bytes", fetch->max_body);
+    wire_call_cancel(fetch->call);
+    finish(fetch, &err);
+}
+
 static void
 on_head(void *ctx, const wire_head_t *head, int64_t content_length)
 {
-    (void)content_length;
     fetch_t *fetch = ctx;
     fetch->status = head->status;
+    if (content_length > 0 && (uint64_t)content_length > fetch->max_body)
+        refuse_answer(fetch);
 }
 
 static void
@@ -29,7 +53,7 @@
 {
     fetch_t *fetch = ctx;
     if (fetch->body.len + len > fetch->max_body)
-        fetch->too_large = true;
+        refuse_answer(fetch);
     else
         wire_text_add(&fetch->body, ptr, len);
 }
@@ -37,17 +61,7 @@
 static void
 on_end(void *ctx, const wire_end_t *end)
 {
-    fetch_t *fetch = ctx;
-    wire_answer_t answer = {
-        .err = end->err,
-        .status = fetch->status,
-        .body = {fetch->body.ptr != NULL ? fetch->body.ptr : "", fetch->body.len},
-    };
-    if (fetch->too_large && answer.err.code == ERR_NONE)
-        err_set(&answer.err, ERR_TOO_LARGE, "answer above %zu bytes", fetch->max_body);
-    fetch->cb(fetch->ctx, &answer);
-    free(fetch->body.ptr);
-    free(fetch);
+    finish(ctx, &end->err);
 }
 
 void
@@ -79,5 +93,5 @@
         .whole_ms = conf->whole_ms,
         .idle_max_ms = IDLE_MAX_MS,
     };
-    wire_call_start(pool, &call, &cbs, fetch);
+    fetch->call = wire_call_start(pool, &call, &cbs, fetch);
 }
--- a/wire/fetch.h
+++ b/wire/fetch.h
@@ -9,8 +9,8 @@
 #include "wire/client.h"
 
 typedef struct {
-    err_t err; /* ERR_NONE when the answer is whole */
-    int status;
+    err_t err;  /* ERR_NONE when the answer is whole */
+    int status; /* 0 if no head came */
     str_t body; /* valid during the callback */
 } wire_answer_t;
 
@@ -23,7 +23,7 @@
     uint64_t timeout_ms; /* until the answer's first byte */
     uint64_t stall_ms;   /* between two reads of it */
     uint64_t whole_ms;   /* for the whole call */
-    size_t max_body;
+    size_t max_body;     /* an answer that announces or brings more is given up: ERR_TOO_LARGE */
 } wire_fetch_conf_t;
 
 /* The callback is never called before wire_fetch() has returned. */
