--- a/test/gateway/test_silent.c
+++ b/test/gateway/test_silent.c
@@ -1,7 +1,9 @@
 /* Connections that have gone silent without a reset, while new ones work: between instances, to the
  * store and to backend servers. */
+#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "base/xmalloc.h"
 #include "peer/link.h"
@@ -248,6 +250,55 @@
 }
 END_TEST
 
+/* Takes up to `len` bytes from a connection that the loop does not read. */
+static size_t
+take(const server_t *server, size_t len)
+{
+    static char bytes[16384];
+    uv_os_fd_t fd;
+    xassert(len <= sizeof(bytes));
+    if (server->accepted == 0)
+        return 0;
+    ck_assert_int_eq(uv_fileno((const uv_handle_t *)&server->conns[0], &fd), 0);
+    const ssize_t n = recv(fd, bytes, len, MSG_DONTWAIT);
+    ck_assert_msg(n > 0 || (n < 0 && errno == EAGAIN), "the connection was closed");
+    return n > 0 ? (size_t)n : 0;
+}
+
+START_TEST(a_large_message_that_goes_slowly_is_not_cut_off)
+{
+    /* 1.3 s at 800 kB a second: three times the limit on standing still. */
+    enum { MESSAGE = 1000000, PIECE = 8192, PIECE_MS = 10 };
+    server_t *server = new_server();
+    addr_t any;
+    err_t err = {0};
+    xassert(addr_parse(STR("127.0.0.1:0"), &any));
+    peer_hub_t *hub = peer_hub_start(&server->loop, &any, ignore_message, NULL, &err);
+    ck_assert_ptr_nonnull(hub);
+    server->silent = 1;
+    server->reads = false;
+    char *name = xcalloc(1, MESSAGE + 1);
+    memset(name, 'n', MESSAGE);
+    Iris__GatewayHeartbeat heartbeat = IRIS__GATEWAY_HEARTBEAT__INIT;
+    heartbeat.instance = name;
+    Iris__Envelope envelope = IRIS__ENVELOPE__INIT;
+    envelope.body_case = IRIS__ENVELOPE__BODY_GATEWAY;
+    envelope.gateway = &heartbeat;
+    peer_send(hub, &server->addr, &envelope);
+    size_t taken = 0;
+    uv_timer_start(&server->guard, on_guard, PATIENCE_MS, 0);
+    while (taken < MESSAGE && !server->timed_out) {
+        peer_hub_sweep_stalled(hub, STALLED_MS);
+        uv_run(&server->loop, UV_RUN_NOWAIT);
+        taken += take(server, PIECE);
+        uv_sleep(PIECE_MS);
+    }
+    ck_assert_uint_ge(taken, MESSAGE);
+    ck_assert_uint_eq(server->accepted, 1);
+    free(name);
+}
+END_TEST
+
 Suite *
 suite_gateway_silent(void)
 {
@@ -258,6 +309,7 @@
     tcase_add_test(tcase, an_attempt_given_up_spares_the_next_a_silent_connection);
     tcase_add_test(tcase, a_caller_that_leaves_says_nothing_of_the_connections);
     tcase_add_test(tcase, heartbeats_leave_a_silent_connection);
+    tcase_add_test(tcase, a_large_message_that_goes_slowly_is_not_cut_off);
     suite_add_tcase(suite, tcase);
     return suite;
 }
