Peers: output that moves slowly is not taken for output that stands still

Progress was noted when a whole message had gone. A configuration of 807 kB takes 0.65 s of an idle link of 10 Mbit/s, and goes to three peers at once: after 1.5 s its connections were closed, the bytes sent so far were wasted, and heartbeats, which share the connections, went with them.

What the socket has taken of the running write counts now.

--- a/peer/conn.h
+++ b/peer/conn.h
@@ -18,6 +18,7 @@
     bool closing;
     uint64_t used_ms;
     uint64_t progress_ms; /* when output last moved, or began to wait */
+    size_t left;          /* bytes of the running write when that was last looked at */
     char *in;
     size_t in_len;
     size_t in_size;
--- a/peer/link.c
+++ b/peer/link.c
@@ -133,6 +133,16 @@
     }
 }
 
+/* A message of 800 kB takes seconds on a small link: it moves as long as the socket takes some. */
+static void
+note_progress(peer_conn_t *conn, uint64_t now_ms)
+{
+    const size_t left = uv_stream_get_write_queue_size((const uv_stream_t *)&conn->tcp);
+    if (left < conn->left)
+        conn->progress_ms = now_ms;
+    conn->left = left;
+}
+
 void
 peer_hub_sweep_stalled(peer_hub_t *hub, uint64_t stalled_ms)
 {
@@ -140,6 +150,7 @@
     peer_conn_t *conn = hub->outgoing;
     while (conn != NULL) {
         peer_conn_t *next = conn->next;
+        note_progress(conn, now);
         const bool waiting = conn->out_len > 0 || conn->writing || !conn->connected;
         if (waiting && now - conn->progress_ms > stalled_ms) {
             LOG_INFO("peer connection stalled, closing: waiting=%zu stalled_ms=%llu", conn->waiting,
