--- a/test/gateway/test_silent.c
+++ b/test/gateway/test_silent.c
@@ -299,6 +299,44 @@
 }
 END_TEST
 
+START_TEST(a_heartbeat_does_not_wait_behind_a_large_change)
+{
+    enum { CHANGE = 800000 };
+    server_t *server = new_server();
+    addr_t any;
+    err_t err = {0};
+    xassert(addr_parse(STR("127.0.0.1:0"), &any));
+    peer_hub_t *hub = peer_hub_start(&server->loop, &any, ignore_message, NULL, &err);
+    ck_assert_ptr_nonnull(hub);
+    server->silent = 1;
+    server->reads = false;
+    Iris__ViewUpdate update = IRIS__VIEW_UPDATE__INIT;
+    Iris__ViewItem item = IRIS__VIEW_ITEM__INIT;
+    Iris__ViewItem *items[] = {&item};
+    item.name = "main";
+    item.body.data = xcalloc(1, CHANGE);
+    item.body.len = CHANGE;
+    update.items = items;
+    update.n_items = ALEN(items);
+    Iris__Envelope change = IRIS__ENVELOPE__INIT;
+    change.body_case = IRIS__ENVELOPE__BODY_VIEW_UPDATE;
+    change.view_update = &update;
+    Iris__GatewayHeartbeat beat = IRIS__GATEWAY_HEARTBEAT__INIT;
+    beat.instance = "p-1";
+    Iris__Envelope heartbeat = IRIS__ENVELOPE__INIT;
+    heartbeat.body_case = IRIS__ENVELOPE__BODY_GATEWAY;
+    heartbeat.gateway = &beat;
+    ck_assert(peer_offer(hub, &server->addr, &change));
+    RUN_UNTIL(server, server->accepted > 0);
+    peer_send(hub, &server->addr, &heartbeat);
+    RUN_UNTIL(server, server->bytes[1] > 0);
+    /* A second change does not queue behind the first. */
+    ck_assert(!peer_offer(hub, &server->addr, &change));
+    ck_assert_uint_eq(server->accepted, 2);
+    free(item.body.data);
+}
+END_TEST
+
 Suite *
 suite_gateway_silent(void)
 {
@@ -310,6 +348,7 @@
     tcase_add_test(tcase, a_caller_that_leaves_says_nothing_of_the_connections);
     tcase_add_test(tcase, heartbeats_leave_a_silent_connection);
     tcase_add_test(tcase, a_large_message_that_goes_slowly_is_not_cut_off);
+    tcase_add_test(tcase, a_heartbeat_does_not_wait_behind_a_large_change);
     suite_add_tcase(suite, tcase);
     return suite;
 }
