--- a/gateway/state/store_watch.c
+++ b/gateway/state/store_watch.c
@@ -14,7 +14,11 @@
     WATCH_WAIT_FAILING_MS = 20, /* an answer at once: is the store back? Chosen (commit ce9d245) */
     RETRY_MIN_MS = 200,         /* one tick; the pause grows by this much with each failure */
     RETRY_MAX_MS = 1000,        /* chosen, not measured */
-    FAILURES_FAILING = 2,       /* in a row, after which the store fails this instance. Chosen */
+    /* While the store fails, one call tells whether it is back, and another follows if it has not
+     * ended after this time: a large answer on a small link would hold up the removal of a backend
+     * server. Above the time that a failing watch has. Chosen, not measured. */
+    PROBE_MS = 1000,
+    FAILURES_FAILING = 2, /* in a row, after which the store fails this instance. Chosen */
     /* An instance that had to watch goes on for this time, so that instances do not take turns in
      * fifths of a second (commit 35bcf57). */
     FALLBACK_MS = 3000,
@@ -108,8 +112,9 @@
 
 /* What other instances say of the store. */
 static void
-notice_peers(store_watch_t *watch, uint64_t now_ms)
+notice_peers(store_watch_t *watch)
 {
+    const uint64_t now_ms = uv_now(watch->conf.loop);
     if (members_store_fails_any(watch->conf.members, now_ms))
         watch->failed_ms = now_ms;
     if (members_store_serves(watch->conf.members, now_ms))
@@ -125,6 +130,7 @@
     if (watch->failures > 0)
         LOG_INFO("store regained: failures=%u", watch->failures);
     watch->failures = 0;
+    watch->probe_at_ms = 0;
 }
 
 static void
@@ -132,13 +138,17 @@
 {
     store_watch_t *watch = kind->owner;
     const uint64_t now_ms = uv_now(watch->conf.loop);
-    if (watch->failures++ == 0)
+    if (watch->failures++ == 0) {
         LOG_WARN("store lost: kind=%d outcome=%d detail=\"%s\"", kind->kind, answer->outcome,
                  answer->err.detail);
+        watch->probed = VIEW_CONFIG; /* it is asked for last: its answer may be the largest */
+    }
     watch->failed_ms = now_ms;
     notice_outage(watch, now_ms);
     const uint64_t pause_ms = (uint64_t)RETRY_MIN_MS * watch->failures;
     kind->retry_at_ms = now_ms + (pause_ms < RETRY_MAX_MS ? pause_ms : RETRY_MAX_MS);
+    if (kind->kind == watch->probed)
+        watch->probe_at_ms = kind->retry_at_ms;
 }
 
 /* ---- list ---- */
@@ -243,6 +253,8 @@
         return;
     }
     if (answer->outcome != STORE_OK) {
+        /* The same watch would be answered in the same way; a list tells each object once. */
+        kind->list_needed |= answer->outcome == STORE_UNUSABLE;
         on_store_failed(kind, answer);
         return;
     }
@@ -265,24 +277,49 @@
     store->watch(store->ctx, kind->kind, kind->watched_from, wait_ms, on_watch, kind);
 }
 
+static bool
+is_due(const kind_watch_t *kind)
+{
+    const store_watch_t *watch = kind->owner;
+    /* A started instance reads each kind once, whoever watches. */
+    const bool once = kind->read_once || !view_of(kind)->known;
+    const bool wanted = watch->watching || (once && !watch->stopped);
+    return wanted && kind->state == WATCH_IDLE && uv_now(watch->conf.loop) >= kind->retry_at_ms;
+}
+
+/* One call at a time tells when the store is back; the kinds take turns. */
+static void
+probe(store_watch_t *watch)
+{
+    const uint64_t now_ms = uv_now(watch->conf.loop);
+    if (now_ms < watch->probe_at_ms)
+        return;
+    for (unsigned i = 1; i <= VIEW_WATCHED; i++) {
+        const view_kind_t next = (watch->probed + i) % VIEW_WATCHED;
+        if (!is_due(&watch->kinds[next]))
+            continue;
+        watch->probed = next;
+        watch->probe_at_ms = now_ms + PROBE_MS;
+        call_store(&watch->kinds[next]);
+        return;
+    }
+}
+
 void
 store_watch_tick(store_watch_t *watch)
 {
-    const uint64_t now_ms = uv_now(watch->conf.loop);
     const bool watching = should_watch(watch);
     if (watching != watch->watching)
         LOG_INFO("%s the store", watching ? "watching" : "no longer watching");
     watch->watching = watching;
-    notice_peers(watch, now_ms);
+    notice_peers(watch);
+    if (watch->failures > 0) {
+        probe(watch);
+        return;
+    }
     for (view_kind_t i = 0; i < VIEW_WATCHED; i++) {
-        kind_watch_t *kind = &watch->kinds[i];
-        /* A started instance reads each kind once, whoever watches. */
-        const bool once = kind->read_once || !view_of(kind)->known;
-        const bool wanted = watching || (once && !watch->stopped);
-        if (wanted && kind->state == WATCH_IDLE && now_ms >= kind->retry_at_ms)
-            call_store(kind);
-        if (watch->failures > 0)
-            break; /* one call at a time tells when the store is back */
+        if (is_due(&watch->kinds[i]))
+            call_store(&watch->kinds[i]);
     }
 }
 
--- a/gateway/state/store_watch.h
+++ b/gateway/state/store_watch.h
@@ -65,6 +65,8 @@
     bool away;                  /* the store fails all instances, as far as is known here */
     uint64_t failed_ms;         /* loop time at which it last failed any instance, or 0 */
     uint64_t returned_ms;       /* loop time of its return from that, 0 before the first */
+    view_kind_t probed;         /* kind that was asked for last while the store failed */
+    uint64_t probe_at_ms;       /* loop time before which no other kind is asked for then */
     uint64_t fallback_until_ms; /* until then it watches because no peer seemed to */
     uint64_t started_ms;
     bool watching;
--- a/standin/store.h
+++ b/standin/store.h
@@ -27,6 +27,9 @@
 void standin_store_set_mode(standin_store_t *store, standin_store_mode_t mode);
 /* Calls that arrive from now on wait so long before they are looked at. */
 void standin_store_set_delay(standin_store_t *store, uint64_t delay_ms);
+/* Answers to lists and watches go out in pieces of so many bytes with a pause between, as over a
+ * small link; 0 bytes: at once. */
+void standin_store_set_pace(standin_store_t *store, size_t piece, uint64_t pause_ms);
 /* Makes or replaces an object; takes over `spec` and `status`. Watches hear of it. */
 void standin_store_put(standin_store_t *store, const char *kind, const char *name, json_t *spec,
                        json_t *status);
@@ -37,5 +40,9 @@
 void standin_store_set_page(standin_store_t *store, size_t items);
 /* The next lists of a kind, so many, get 503. */
 void standin_store_refuse_lists(standin_store_t *store, const char *kind, unsigned count);
+/* Calls for a kind get no answer from now on; "" ends that. */
+void standin_store_hold(standin_store_t *store, const char *kind);
+/* Watches get that status from now on, 0: they are served. */
+void standin_store_fail_watches(standin_store_t *store, int status);
 uint64_t standin_store_calls(const standin_store_t *store);
 bool standin_store_has(const standin_store_t *store, const char *kind, const char *name);
--- a/test/gateway/test_store.c
+++ b/test/gateway/test_store.c
@@ -138,6 +138,115 @@
 }
 END_TEST
 
+enum {
+    /* 40 kB a second: the configuration below takes some 2.5 s. */
+    PIECE = 4096,
+    PIECE_PAUSE_MS = 100,
+    MANY_ROUTES = 500,
+};
+
+/* Asks until the answer has that status; false after PATIENCE_MS. */
+static bool
+comes_to_answer(site_t *site, const char *path, int status)
+{
+    const uint64_t until_ms = uv_now(&site->loop) + PATIENCE_MS;
+    while (uv_now(&site->loop) < until_ms) {
+        if (ask(site, "GET", path).status == status)
+            return true;
+    }
+    return false;
+}
+
+static bool
+comes_into_force(site_t *site, const char *path)
+{
+    return comes_to_answer(site, path, 200);
+}
+
+/* The store is out, and the instance has noticed. */
+static void
+begin_outage(site_t *site)
+{
+    const uint64_t calls = standin_store_calls(site->store);
+    standin_store_set_mode(site->store, STANDIN_STORE_BUSY);
+    RUN_UNTIL(site, standin_store_calls(site->store) > calls + 2);
+}
+
+START_TEST(a_slow_answer_is_read_to_its_end)
+{
+    site_t *site = new_site(1);
+    standin_store_set_pace(site->store, PIECE, PIECE_PAUSE_MS);
+    site->extra_routes = MANY_ROUTES;
+    put_config(site, NULL);
+    use_gateway(site, start_gateway(site, "g-1", &site->store_port, NULL));
+    ck_assert(comes_into_force(site, "/safe/x"));
+    /* The same with a change that was made in an outage. */
+    begin_outage(site);
+    put_config(site, "/new/");
+    standin_store_set_mode(site->store, STANDIN_STORE_SERVES);
+    ck_assert(comes_into_force(site, "/new/x"));
+}
+END_TEST
+
+START_TEST(an_answer_that_stops_is_given_up)
+{
+    site_t *site = new_ready_site(1);
+    standin_store_set_pace(site->store, PIECE, PATIENCE_MS * 10);
+    site->extra_routes = MANY_ROUTES;
+    put_config(site, "/new/");
+    const uint64_t calls = standin_store_calls(site->store);
+    RUN_UNTIL(site, standin_store_calls(site->store) > calls);
+    standin_store_set_pace(site->store, 0, 0);
+    ck_assert(comes_into_force(site, "/new/x"));
+}
+END_TEST
+
+START_TEST(a_kind_without_an_answer_does_not_hold_up_another)
+{
+    static const char *const held[] = {"config", "servers", "evacuations"};
+    for (size_t i = 0; i < ALEN(held); i++) {
+        site_t *site = new_ready_site(1);
+        begin_outage(site);
+        standin_store_hold(site->store, held[i]);
+        standin_store_set_mode(site->store, STANDIN_STORE_SERVES);
+        if (strcmp(held[i], "servers") != 0) {
+            put_backend(site, &site->backends[0], "draining");
+            ck_assert(comes_to_answer(site, "/safe/x", 503));
+        } else {
+            put_config(site, "/new/");
+            ck_assert(comes_into_force(site, "/new/x"));
+        }
+    }
+}
+END_TEST
+
+START_TEST(versions_too_many_for_one_answer_are_passed_over)
+{
+    enum { VERSIONS = 60 }; /* 5 MB */
+    site_t *site = new_ready_site(1);
+    begin_outage(site);
+    site->extra_routes = MANY_ROUTES;
+    for (unsigned i = 0; i < VERSIONS; i++)
+        put_config(site, "/new/");
+    standin_store_set_mode(site->store, STANDIN_STORE_SERVES);
+    ck_assert(comes_into_force(site, "/new/x"));
+}
+END_TEST
+
+START_TEST(a_kind_whose_watch_is_rejected_is_listed)
+{
+    static const int statuses[] = {400, 404, 500};
+    for (size_t i = 0; i < ALEN(statuses); i++) {
+        site_t *site = new_ready_site(1);
+        begin_outage(site);
+        put_config(site, "/new/");
+        standin_store_fail_watches(site->store, statuses[i]);
+        standin_store_set_mode(site->store, STANDIN_STORE_SERVES);
+        ck_assert(comes_into_force(site, "/new/x"));
+    }
+}
+END_TEST
+
 Suite *
 suite_gateway_store(void)
 {
@@ -151,6 +260,11 @@
     tcase_add_test(tests, lists_come_in_pages);
     tcase_add_test(tests, a_store_in_trouble_changes_nothing);
     tcase_add_test(tests, a_backend_that_leaves_after_an_outage_gets_nothing);
+    tcase_add_test(tests, a_slow_answer_is_read_to_its_end);
+    tcase_add_test(tests, an_answer_that_stops_is_given_up);
+    tcase_add_test(tests, a_kind_without_an_answer_does_not_hold_up_another);
+    tcase_add_test(tests, versions_too_many_for_one_answer_are_passed_over);
+    tcase_add_test(tests, a_kind_whose_watch_is_rejected_is_listed);
     suite_add_tcase(suite, tests);
     return suite;
 }
