--- a/test/suites.h
+++ b/test/suites.h
@@ -11,6 +11,7 @@
 Suite *suite_request(void);
 Suite *suite_fleet(void);
 Suite *suite_network(void);
+Suite *suite_store(void);
 Suite *suite_check(void);
 Suite *suite_load(void);
 Suite *suite_gateway_config(void);
