--- a/test/test_check.c
+++ b/test/test_check.c
@@ -135,6 +135,57 @@
     return verdict;
 }
 
+#define LISTED(t, state)                                                                           \
+    "{\"t\":" t ",\"ev\":\"instance\",\"name\":\"s-1\",\"state\":\"" state "\"}\n"
+#define STORE(t, outage) "{\"t\":" t ",\"ev\":\"store_control\",\"outage\":" outage "}\n"
+#define SERVER(t, draining)                                                                        \
+    "{\"t\":" t ",\"ev\":\"upstream_control\",\"upstream\":\"s-1\",\"draining\":" draining "}\n"
+
+/* The list says that s-1 leaves; when the store is out, and when new work comes. */
+static const struct {
+    const char *lines;
+    size_t violations;
+} unread_lists[] = {
+    /* 17 ms later the store is out. Its return counts, to the microsecond. */
+    {LISTED("1000000", "leaving") STORE("1017000", "1") ENTER("8000000", "a"), 0},
+    {LISTED("1000000", "leaving") STORE("1017000", "1") STORE("9000000", "0")
+         ENTER("14000000", "a"),
+     0},
+    {LISTED("1000000", "leaving") STORE("1017000", "1") STORE("9000000", "0")
+         ENTER("14000001", "a"),
+     1},
+    /* The store is out as the list changes. */
+    {STORE("500000", "1") LISTED("1000000", "leaving") STORE("9000000", "0") ENTER("14000000", "a"),
+     0},
+    {STORE("500000", "1") LISTED("1000000", "leaving") STORE("9000000", "0") ENTER("14000001", "a"),
+     1},
+    /* It could be read: at all times, for longer than a moment, before an outage was set again. */
+    {LISTED("1000000", "leaving") ENTER("6000001", "a"), 1},
+    {LISTED("1000000", "leaving") STORE("1017000", "0") ENTER("6000001", "a"), 1},
+    {LISTED("1000000", "leaving") STORE("1100001", "1") STORE("9000000", "0") ENTER("9500000", "a"),
+     1},
+    {LISTED("1000000", "leaving") STORE("1017000", "1") STORE("1050000", "0") STORE("3000000", "1")
+         STORE("9000000", "0") ENTER("6050001", "a"),
+     1},
+    {LISTED("1000000", "leaving") STORE("1017000", "1") STORE("2000000", "1") STORE("9000000", "0")
+         STORE("9000001", "0") ENTER("14000001", "a"),
+     1},
+    /* The server's own word and the table count from when they were said. */
+    {SERVER("1000000", "1") LISTED("1000000", "leaving") STORE("1017000", "1")
+         ENTER("6000001", "a"),
+     1},
+    {LISTED("1000000", "leaving") STORE("1017000", "1") SERVER("2000000", "1")
+         ENTER("7000001", "a"),
+     1},
+};
+
+START_TEST(a_list_counts_from_when_it_can_be_read)
+{
+    const verdict_t verdict = run_rule(rule_leaving, "", unread_lists[_i].lines);
+    ck_assert_uint_eq(verdict.violations, unread_lists[_i].violations);
+}
+END_TEST
+
 START_TEST(shift_cap_rule_tells_small_from_large)
 {
     ck_assert_uint_eq(run_shift(4).violations, 0);
@@ -156,6 +207,7 @@
     TCase *tcase = tcase_create("check");
     tcase_add_loop_test(tcase, rules_hold_on_good_histories, 0, (int)ALEN(cases));
     tcase_add_loop_test(tcase, rules_fail_on_bad_histories, 0, (int)ALEN(cases));
+    tcase_add_loop_test(tcase, a_list_counts_from_when_it_can_be_read, 0, (int)ALEN(unread_lists));
     tcase_add_test(tcase, shift_cap_rule_tells_small_from_large);
     tcase_add_test(tcase, nothing_examined_is_not_held);
     suite_add_tcase(suite, tcase);
