Deadline: a request is given up at its caller's deadline, not 15 ms before

No rule needs it: the route's own limit never had a margin, and an answer at the caller's deadline is asked of nobody.

--- a/gateway/policy/deadline.h
+++ b/gateway/policy/deadline.h
@@ -3,7 +3,7 @@
  *
  * Decides: the time allowed from a request's first byte to the end of its answer.
  * Inputs: the route's time limit and the caller's own deadline, in milliseconds.
- * Rule: the shorter of the two; the caller's less 15 ms for the answer's way back.
+ * Rule: the shorter of the two.
  *
  * Pure: no state, no clock.
  */
