--- a/test/main.c
+++ b/test/main.c
@@ -18,6 +18,7 @@
     srunner_add_suite(runner, suite_fleet());
     srunner_add_suite(runner, suite_network());
     srunner_add_suite(runner, suite_store());
+    srunner_add_suite(runner, suite_arrival());
     srunner_add_suite(runner, suite_check());
     srunner_add_suite(runner, suite_load());
     srunner_run_all(runner, CK_NORMAL);
--- a/test/suites.h
+++ b/test/suites.h
@@ -12,6 +12,7 @@
 Suite *suite_fleet(void);
 Suite *suite_network(void);
 Suite *suite_store(void);
+Suite *suite_arrival(void);
 Suite *suite_check(void);
 Suite *suite_load(void);
 Suite *suite_gateway_config(void);
