Entry: an instance that is not ready says unknown of a keyed request

It said not_run of every request, without a look at its keys or a word to the key's owner. A keyed request is told unknown now; one that its key's owner hands on is told not_run as before, since the owner knows all copies.

--- a/entry/path/arrival.c
+++ b/entry/path/arrival.c
@@ -136,16 +136,28 @@
         answer_refuse(x, 504, "deadline");
 }
 
+/* An instance that is not ready does not look at its keys, and asks no owner. An earlier copy of a
+ * keyed request may have run then; only the key's owner, who sends a copy on, knows all of them. */
+static void
+refuse_unready(exchange_t *x, str_t key)
+{
+    if (key.len > 0 && x->hop != HOP_ENTRY)
+        answer_unknown(x, 503, "not_ready");
+    else
+        answer_refuse(x, 503, "not_ready");
+}
+
 void
 arrival_start(node_t *node, h2o_req_t *req)
 {
     exchange_t *x = new_exchange(node, req);
     counter_add(node->counters.requests, 1);
     extra_budget_earn(&node->extra);
+    const str_t key = http_header(req, STR("idempotency-key"));
     const str_t name = service_of(req);
     service_t *service = steer_find(node->steer, name);
     if (!node_ready(node)) {
-        answer_refuse(x, 503, "not_ready");
+        refuse_unready(x, key);
         return;
     }
     if (service == NULL) {
@@ -164,7 +176,6 @@
     x->class_ = *class_;
     set_deadline(x);
     copy_request(x);
-    const str_t key = http_header(req, STR("idempotency-key"));
     if (x->deadline_ms <= x->started_ms) {
         refuse_late(x, key);
         return;
