Outage: a test of a call that hung over the store's return

A change that a peer tells ends the outage; a call begun before that and failed after it begins it anew until the next sign, up to a second later, and with it the grace of what goes.

--- a/test/gateway/test_outage.c
+++ b/test/gateway/test_outage.c
@@ -309,6 +309,27 @@
 }
 END_TEST
 
+/* A call that was begun before the first sign of the return and fails after it says nothing new. */
+START_TEST(a_call_that_hung_does_not_renew_the_outage)
+{
+    rig_t *rig = new_rig();
+    hear_peer(rig, true, OUTAGE_MS);
+    go_by(rig, OUTAGE_MS, false);
+    while (rig->cbs[VIEW_CONFIG] == NULL)
+        pass_ms(rig, TICK_MS);
+    pass_ms(rig, TICK_MS);
+    store_watch_view_changed(&rig->watch);
+    pass_ms(rig, 600);
+    const store_answer_t failure = {.outcome = STORE_FAILED};
+    answer_call(rig, VIEW_CONFIG, &failure);
+    ck_assert_uint_eq(store_watch_trouble(&rig->watch).since_return_ms, 600);
+    /* One that was begun after it does. */
+    go_by(rig, 2000, false);
+    ck_assert_uint_eq(store_watch_trouble(&rig->watch).since_return_ms, 0);
+    free_rig(rig);
+}
+END_TEST
+
 /* The store fails this instance alone: that is no outage, and nothing lapses. */
 START_TEST(a_store_that_refuses_some_grants_nothing)
 {
@@ -364,6 +385,7 @@
     tcase_add_test(tests, a_second_outage_grants_its_own_time);
     tcase_add_test(tests, a_peer_that_is_served_ends_the_outage);
     tcase_add_test(tests, a_peers_change_ends_the_outage);
+    tcase_add_test(tests, a_call_that_hung_does_not_renew_the_outage);
     tcase_add_test(tests, a_store_that_refuses_some_grants_nothing);
     tcase_add_test(tests, many_entries_that_go_in_a_calm_time_are_gone_at_once);
     tcase_add_test(tests, many_entries_that_go_near_a_failure_are_used_for_a_while);
