Store watch: a call that hung over the store's return does not renew the outage

The first sign of the return may be a peer's change. A call begun before it and failed after it began the outage anew until the next sign, up to a second later, and so moved the end of the grace. Such a call is not counted now.

--- a/gateway/state/store_watch.c
+++ b/gateway/state/store_watch.c
@@ -84,11 +84,12 @@
     return now_ms < watch->fallback_until_ms;
 }
 
-/* Only if it fails everybody is the store away, and entries may lapse. */
+/* Only if it fails everybody is the store away, and entries may lapse. A call that hung over the
+ * first sign of its return says nothing of the time after that. */
 static void
-notice_outage(store_watch_t *watch, uint64_t now_ms)
+notice_outage(store_watch_t *watch, const kind_watch_t *failed, uint64_t now_ms)
 {
-    if (watch->away || !store_watch_is_failing(watch) ||
+    if (watch->away || failed->called_ms < watch->returned_ms || !store_watch_is_failing(watch) ||
         !members_store_fails_all(watch->conf.members, name_str(&watch->instance), now_ms))
         return;
     watch->away = true;
@@ -136,7 +137,7 @@
         LOG_WARN("store lost: kind=%d outcome=%d detail=\"%s\"", kind->kind, answer->outcome,
                  answer->err.detail);
     watch->failed_ms = now_ms;
-    notice_outage(watch, now_ms);
+    notice_outage(watch, kind, now_ms);
     const uint64_t pause_ms = (uint64_t)RETRY_MIN_MS * watch->failures;
     kind->retry_at_ms = now_ms + (pause_ms < RETRY_MAX_MS ? pause_ms : RETRY_MAX_MS);
 }
@@ -178,6 +179,7 @@
 {
     const store_port_t *store = kind->owner->conf.store;
     kind->state = WATCH_LISTING;
+    kind->called_ms = uv_now(kind->owner->conf.loop);
     store->list(store->ctx, kind->kind, after, on_list, kind);
 }
 
@@ -260,6 +262,7 @@
         return;
     }
     kind->state = WATCH_WATCHING;
+    kind->called_ms = uv_now(watch->conf.loop);
     kind->watched_from = view_of(kind)->at;
     const uint32_t wait_ms = watch->failures > 0 ? WATCH_WAIT_FAILING_MS : WATCH_WAIT_MS;
     store->watch(store->ctx, kind->kind, kind->watched_from, wait_ms, on_watch, kind);
--- a/gateway/state/store_watch.h
+++ b/gateway/state/store_watch.h
@@ -51,6 +51,7 @@
     bool read_once;        /* list once even if this instance does not watch the store */
     uint64_t retry_at_ms;  /* loop time before which the store is not called */
     uint64_t answered_ms;  /* loop time of its last answer, 0 before the first */
+    uint64_t called_ms;    /* loop time at which its last call was begun */
     uint64_t watched_from; /* revision that the running watch started from */
     uint64_t list_at;      /* revision of the list under way */
     store_item_t *pages;   /* what came of it so far; owned */
