Outage: tests of leavings that are said, and of lists after a forgotten history

Both held already: a backend server that says it is leaving gets nothing also while the grace of an outage runs, and an entry that a list lacks is gone at once.

--- a/test/gateway/test_outage.c
+++ b/test/gateway/test_outage.c
@@ -19,6 +19,9 @@
     BACK_WITHIN_MS = 2000,
 };
 
+/* The entry of a backend server that says it is leaving. */
+#define LEAVING "leaving"
+
 /* A store whose calls the test answers, the state that is kept of it, and time that stands still
  * while nothing is done. */
 typedef struct {
@@ -37,9 +40,8 @@
 static bool
 decode_backend(str_t name, str_t body, backend_info_t *out, err_t *err)
 {
-    (void)body;
     (void)err;
-    *out = (backend_info_t){.capacity = 4};
+    *out = (backend_info_t){.capacity = 4, .leaving = str_eq(body, STR(LEAVING))};
     return name_set(&out->id, name) && name_set(&out->service, STR("svc")) &&
            name_set(&out->hall, STR("a1"));
 }
@@ -330,6 +332,40 @@
 }
 END_TEST
 
+START_TEST(one_that_says_it_leaves_gets_nothing_whatever_the_store_does)
+{
+    rig_t *rig = new_rig();
+    go_by(rig, OUTAGE_MS, false);
+    go_by(rig, RETURN_MS, true);
+    tell(rig, 0, 2, true);
+    ck_assert(is_usable(rig, 0) && is_usable(rig, 1));
+    const store_item_t back = {.name = id_of(0), .revision = ++rig->revision, .body = STR(LEAVING)};
+    const store_answer_t answer = {
+        .outcome = STORE_OK, .items = &back, .item_count = 1, .at = rig->revision};
+    while (rig->cbs[VIEW_BACKENDS] == NULL)
+        pass_ms(rig, TICK_MS);
+    answer_call(rig, VIEW_BACKENDS, &answer);
+    ck_assert(!is_usable(rig, 0) && is_usable(rig, 1));
+    free_rig(rig);
+}
+END_TEST
+
+/* The watch ended with the history, and the list that follows lacks an entry. */
+START_TEST(an_entry_that_a_list_lacks_is_gone_at_once)
+{
+    rig_t *rig = new_rig();
+    const store_answer_t forgotten = {.outcome = STORE_HISTORY_GONE};
+    while (rig->cbs[VIEW_BACKENDS] == NULL)
+        pass_ms(rig, TICK_MS);
+    answer_call(rig, VIEW_BACKENDS, &forgotten);
+    ck_assert(rig->watch.kinds[VIEW_BACKENDS].state == WATCH_LISTING);
+    tell(rig, 1, BACKENDS - 1, false);
+    ck_assert(!is_usable(rig, 0));
+    ck_assert(is_usable(rig, 1));
+    free_rig(rig);
+}
+END_TEST
+
 /* The store fails this instance alone: that is no outage, and nothing lapses. */
 START_TEST(a_store_that_refuses_some_grants_nothing)
 {
@@ -386,6 +422,8 @@
     tcase_add_test(tests, a_peer_that_is_served_ends_the_outage);
     tcase_add_test(tests, a_peers_change_ends_the_outage);
     tcase_add_test(tests, a_call_that_hung_does_not_renew_the_outage);
+    tcase_add_test(tests, one_that_says_it_leaves_gets_nothing_whatever_the_store_does);
+    tcase_add_test(tests, an_entry_that_a_list_lacks_is_gone_at_once);
     tcase_add_test(tests, a_store_that_refuses_some_grants_nothing);
     tcase_add_test(tests, many_entries_that_go_in_a_calm_time_are_gone_at_once);
     tcase_add_test(tests, many_entries_that_go_near_a_failure_are_used_for_a_while);
