--- a/test/gateway/test_members.c
+++ b/test/gateway/test_members.c
@@ -5,6 +5,7 @@
 #include "gateway/membership/directory.h"
 #include "gateway/policy/naming.h"
 #include "gateway/state/traffic.h"
+#include "gateway/membership/heartbeat.h"
 #include "gateway/membership/members.h"
 #include "test/gateway/fixture.h"
 #include "test/suites.h"
@@ -76,6 +77,35 @@
 }
 END_TEST
 
+/* More services than a heartbeat holds: the ones with the greatest demand are told. */
+START_TEST(the_greatest_demands_are_told)
+{
+    enum { SERVICES = 4 * MEMBER_DEMANDS_MAX, BUSY_FROM = SERVICES - 3 };
+    static gateway_settings_t settings;
+    static heartbeat_t heartbeat;
+    static const traffic_t traffic;
+    members_t members = {0};
+    services_t services = {0};
+    char name[16];
+    for (int i = 0; i < SERVICES; i++) {
+        snprintf(name, sizeof(name), "s%03d", i);
+        services_get(&services, str_from(name))->demand = i >= BUSY_FROM ? 1 + i : 0.5;
+    }
+    ck_assert(addr_parse(STR("127.0.0.1:1"), &settings.peer));
+    const heartbeat_conf_t conf = {
+        .settings = &settings, .members = &members, .services = &services, .traffic = &traffic};
+    heartbeat_init(&heartbeat, &conf, 1000);
+    const member_t *self = members_at(&members, &settings.peer);
+    ck_assert_uint_eq(self->demand_count, MEMBER_DEMANDS_MAX);
+    for (int i = BUSY_FROM; i < SERVICES; i++) {
+        snprintf(name, sizeof(name), "s%03d", i);
+        ck_assert(members_demand(&members, str_from(name), 0, 0, 1000) == 1 + i);
+    }
+    services_free(&services);
+    members_free(&members);
+}
+END_TEST
+
 START_TEST(another_regions_demand_is_as_it_says)
 {
     members_t members = {0};
@@ -248,6 +278,7 @@
     TCase *tests = tcase_create("members");
     tcase_add_test(tests, members_judge_by_silence);
     tcase_add_test(tests, a_large_fleet_talks_little_between_regions);
+    tcase_add_test(tests, the_greatest_demands_are_told);
     tcase_add_test(tests, another_regions_demand_is_as_it_says);
     tcase_add_test(tests, no_region_depends_on_one_watcher);
     tcase_add_test(tests, rare_heartbeats_do_not_make_the_store_look_lost);
--- a/test/gateway/test_route_stats.c
+++ b/test/gateway/test_route_stats.c
@@ -1,4 +1,5 @@
 /* What is measured of each route. */
+#include "base/str.h"
 #include "gateway/policy/slow.h"
 #include "gateway/state/route_stats.h"
 #include "test/suites.h"
@@ -27,6 +28,21 @@
 }
 END_TEST
 
+/* As many routes as a configuration has at most; all are used in turn. */
+START_TEST(many_routes_keep_what_was_measured)
+{
+    enum { ROUTES = 10000, KEEP_PERCENT = 70 };
+    static route_stats_t stats;
+    size_t kept = 0;
+    for (uint64_t i = 0; i < ROUTES; i++)
+        route_stats_count_answer(&stats, str_hash((str_t){(const char *)&i, sizeof(i)}, 1), 100);
+    for (uint64_t i = 0; i < ROUTES; i++)
+        kept +=
+            route_stats_median_ms(&stats, str_hash((str_t){(const char *)&i, sizeof(i)}, 1)) > 0;
+    ck_assert_uint_ge(kept, ROUTES * KEEP_PERCENT / 100);
+}
+END_TEST
+
 Suite *
 suite_gateway_route_stats(void)
 {
@@ -34,6 +50,7 @@
     TCase *tests = tcase_create("route stats");
     tcase_add_test(tests, an_answer_within_a_millisecond_is_an_answer);
     tcase_add_test(tests, the_median_follows_in_small_steps);
+    tcase_add_test(tests, many_routes_keep_what_was_measured);
     suite_add_tcase(suite, tests);
     return suite;
 }
