--- a/gateway/membership/heartbeat.c
+++ b/gateway/membership/heartbeat.c
@@ -27,6 +27,24 @@
 }
 
 /* Keeps the instance's own member up to date. */
+/* Adds the service's demand to what is told; the least one goes if there are too many. */
+static void
+tell_demand(member_t *self, const service_t *service)
+{
+    const member_demand_t demand = {service->name, service->demand};
+    if (self->demand_count < MEMBER_DEMANDS_MAX) {
+        self->demands[self->demand_count++] = demand;
+        return;
+    }
+    member_demand_t *least = &self->demands[0];
+    for (size_t i = 1; i < self->demand_count; i++) {
+        if (self->demands[i].slots < least->slots)
+            least = &self->demands[i];
+    }
+    if (demand.slots > least->slots)
+        *least = demand;
+}
+
 static void
 update_self(heartbeat_t *heartbeat, uint64_t now_ms)
 {
@@ -50,10 +68,8 @@
         .bytes_per_s = heartbeat->conf.traffic->bytes_per_s,
     };
     self->demand_count = 0;
-    for (size_t i = 0; i < services->count && self->demand_count < MEMBER_DEMANDS_MAX; i++) {
-        const service_t *service = services->items[i];
-        self->demands[self->demand_count++] = (member_demand_t){service->name, service->demand};
-    }
+    for (size_t i = 0; i < services->count; i++)
+        tell_demand(self, services->items[i]);
 }
 
 void
--- a/gateway/membership/members.h
+++ b/gateway/membership/members.h
@@ -25,7 +25,9 @@
     MEMBERS_WATCHERS = 2,
     /* Members of each other region that get a heartbeat in a round (commit 750a091). */
     MEMBERS_OTHER_REGION = 1,
-    MEMBER_DEMANDS_MAX = 16, /* services in a heartbeat. Chosen: above the users' largest site */
+    /* Services in a heartbeat, those with the greatest demand. Chosen: above the users' largest
+     * site. */
+    MEMBER_DEMANDS_MAX = 16,
     /* Milliseconds between heartbeats: 20 for each member of the region, within these limits. The
      * slope keeps 1,400 instances near the bound on bytes (docs/CAPACITY.md, commit 750a091). */
     HEARTBEAT_MIN_MS = 400,
