--- a/test/gateway/test_request_path.c
+++ b/test/gateway/test_request_path.c
@@ -227,6 +227,25 @@
 }
 END_TEST
 
+/* The configuration bounds the bytes of a head, not the number of its fields. */
+START_TEST(a_head_of_many_fields_goes_through)
+{
+    enum { FIELDS = 150 };
+    site_t *site = new_ready_site(1);
+    wire_text_t text = {0};
+    reply_t reply;
+    wire_text_str(&text, STR("GET /safe/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: f\r\n"));
+    for (int i = 0; i < FIELDS; i++)
+        wire_text_printf(&text, "X-%d: v\r\n", i);
+    wire_text_str(&text, STR("\r\n"));
+    call(site, &reply, text.ptr);
+    RUN_UNTIL(site, reply.done);
+    ck_assert_int_eq(reply.status, 200);
+    ck_assert_uint_eq(site->backends[0].runs, 1);
+    free(text.ptr);
+}
+END_TEST
+
 START_TEST(a_body_in_chunks_arrives_with_a_length)
 {
     site_t *site = new_ready_site(1);
@@ -260,6 +279,7 @@
     tcase_add_test(tests, nothing_is_overdue_before_it_is_known_what_is_usual);
     tcase_add_test(tests, a_caller_that_leaves_ends_the_work);
     tcase_add_test(tests, bad_input_is_refused);
+    tcase_add_test(tests, a_head_of_many_fields_goes_through);
     tcase_add_test(tests, a_body_in_chunks_arrives_with_a_length);
     suite_add_tcase(suite, tests);
     return suite;
