--- a/scripts/faults-kept.sh
+++ b/scripts/faults-kept.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs the kept fault campaigns of scripts/faults.seeds one after the other, about 7 minutes, and
+# Runs the kept fault campaigns of scripts/faults.seeds one after the other, about 11 minutes, and
 # says which held. The same seed gives the same schedule of faults, not the same run.
 set -u
 cd "$(dirname "$0")/.." || exit 2
