--- a/check/events.h
+++ b/check/events.h
@@ -26,9 +26,9 @@
     EV_UPSTREAM, /* its behaviour was changed */
     EV_STORE_WRITE,
     EV_STORE_CONTROL, /* the store's faults were set */
-    EV_INSTANCE, /* the platform's list was changed */
-    EV_EDIT,     /* an operator was told the outcome of an edit */
-    EV_PAUSE,    /* the campaign stopped an entry's process for a while */
+    EV_INSTANCE,      /* the platform's list was changed */
+    EV_EDIT,          /* an operator was told the outcome of an edit */
+    EV_PAUSE,         /* the campaign stopped an entry's process for a while */
     EV_OTHER,
 } event_type_t;
 
--- a/entry/store.c
+++ b/entry/store.c
@@ -18,8 +18,8 @@
     BACKOFF_MIN_MS = 250,  /* pause after a failure, doubled with each further one */
     /* The pause is drawn from half to one and a half of this: the store's return is seen within
      * 1.5 s, after a call without an answer within that and the call's time limit of 3 s. With 8 s
-     * the instance list was read up to 6.5 s after the return (test_store.c), too late for a backend
-     * server that had begun to leave. */
+     * the instance list was read up to 6.5 s after the return (test_store.c), too late for a
+     * backend server that had begun to leave. */
     BACKOFF_MAX_MS = 1000,
     ALLOCATION_CHECK_MS = 1000, /* between checks of the region's allocation */
 };
