View relay: an answer without room is not packed

An answer that would not have room at a sixteenth of its size is refused before; who asked asks somebody else, and is not sent to the store.

--- a/gateway/state/view_relay.c
+++ b/gateway/state/view_relay.c
@@ -16,6 +16,8 @@
     /* Bytes of a view that a peer gets; a larger one it reads from the store. In the sweep at 300
      * instances whole views of 1 MB made most of the bytes (commit 59548b9). */
     WHOLE_MAX = 200000,
+    /* No answer is expected to pack to less than this part: routes pack 9 to 12 times. Chosen. */
+    PACK_PART = 16,
 };
 
 void
@@ -35,17 +37,43 @@
 
 /* False if answers have taken all that they may for now. A whole burst is always enough. */
 static bool
-may_answer(view_relay_t *relay, size_t bytes)
+has_room(view_relay_t *relay, size_t bytes)
 {
-    const uint64_t now_ms = uv_now(relay->conf.loop);
     const double burst = relay_answers_burst();
     const double needed = (double)bytes < burst ? (double)bytes : burst;
-    if (bucket_tokens(&relay->answers, now_ms) < needed)
+    return bucket_tokens(&relay->answers, uv_now(relay->conf.loop)) >= needed;
+}
+
+static bool
+may_answer(view_relay_t *relay, size_t bytes)
+{
+    if (!has_room(relay, bytes))
         return false;
-    bucket_charge(&relay->answers, (double)bytes, now_ms);
+    bucket_charge(&relay->answers, (double)bytes, uv_now(relay->conf.loop));
     return true;
 }
 
+/* Packs the answer for a peer that takes it so; false if there is no room for it even then: packing
+ * a large configuration for each of a region that asks at once would hold up requests. */
+static bool
+pack_answer(view_relay_t *relay, view_message_t *message, const Iris__ViewRequest *request)
+{
+    if (!request->unpacks)
+        return true;
+    if (!has_room(relay, message->bytes / PACK_PART))
+        return false;
+    view_message_pack(message);
+    return true;
+}
+
+/* False if the peer is to read the store instead. One without room is refused by send_reply(). */
+static bool
+prepare_answer(view_relay_t *relay, view_message_t *message, const Iris__ViewRequest *request)
+{
+    const bool has_a_chance = pack_answer(relay, message, request);
+    return !has_a_chance || request->whole || message->bytes <= WHOLE_MAX;
+}
+
 static void
 send_reply(view_relay_t *relay, peer_conn_t *conn, const view_message_t *message)
 {
@@ -77,9 +105,7 @@
     message.update.from = request->have;
     message.update.at = view->at;
     message.update.base_digest = request->digest;
-    if (request->unpacks)
-        view_message_pack(&message);
-    const bool wanted = request->whole || message.bytes <= WHOLE_MAX;
+    const bool wanted = prepare_answer(relay, &message, request);
     if (wanted)
         send_reply(relay, conn, &message);
     view_message_free(&message);
@@ -96,9 +122,7 @@
     store_item_t *items = view_all(view);
     view_message_t message;
     view_message_fill(&message, items, view->count);
-    if (request->unpacks)
-        view_message_pack(&message);
-    const bool fits = request->whole || message.bytes <= WHOLE_MAX;
+    const bool fits = prepare_answer(relay, &message, request);
     if (!fits) {
         view_message_free(&message);
         view_message_fill(&message, items, 0);
--- a/test/gateway/test_view_relay.c
+++ b/test/gateway/test_view_relay.c
@@ -352,7 +352,7 @@
 START_TEST(answers_are_packed_for_who_takes_them)
 {
     /* More than a peer is sent that can read the store, unless it is packed. */
-    enum { ROUTES = 1500 };
+    enum { ROUTES = 1500, REQUESTS = 40 };
     site_t *site = new_site(1);
     site->extra_routes = ROUTES;
     put_config(site, NULL);
@@ -368,6 +368,12 @@
     send_request(peer);
     RUN_UNTIL(site, peer->version == site->version);
     ck_assert_uint_eq(peer->packed, 1);
+    /* Those beyond the rate are not sent to the store: they ask somebody else. */
+    for (int i = 0; i < REQUESTS; i++)
+        send_request(peer);
+    run_for(site, 3 * HEARTBEAT_MS);
+    ck_assert_uint_eq(peer->sent_away, 1);
+    ck_assert_uint_lt(peer->packed, REQUESTS);
 }
 END_TEST
 
