Peers: packed bodies travel in a message of their own

An instance that is replaced by an older one at the same address could, until its first heartbeat, be sent a packed body, which the older one would have kept as the object at that revision. The update with packed bodies has a field of its own in the envelope now: a reader that does not know it leaves the message, and asks for what it lacks.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -138,6 +138,9 @@
     case IRIS__ENVELOPE__BODY_VIEW_UPDATE:
         view_relay_on_update(&gateway->view_relay, conn, message->view_update);
         break;
+    case IRIS__ENVELOPE__BODY_PACKED_UPDATE:
+        view_relay_on_update(&gateway->view_relay, conn, message->packed_update);
+        break;
     case IRIS__ENVELOPE__BODY_VIEW_REQUEST:
         view_relay_on_request(&gateway->view_relay, conn, message->view_request);
         break;
--- a/gateway/state/view_message.c
+++ b/gateway/state/view_message.c
@@ -49,28 +49,33 @@
     out->bytes = view_update_bytes(&out->update);
 }
 
-static void
+static bool
 pack_item(Iris__ViewItem *item)
 {
-    if (item->unpacked_bytes > 0 || item->body.len < PACK_MIN || item->body.len > UNPACKED_MAX)
-        return;
+    if (item->body.len < PACK_MIN || item->body.len > UNPACKED_MAX)
+        return false;
     uLongf len = compressBound(item->body.len);
     uint8_t *packed = xmalloc(len);
     if (compress2(packed, &len, item->body.data, item->body.len, PACK_LEVEL) != Z_OK ||
         len >= item->body.len) {
         free(packed);
-        return;
+        return false;
     }
     item->unpacked_bytes = (uint32_t)item->body.len;
     item->body.data = packed;
     item->body.len = len;
+    return true;
 }
 
 void
 view_message_pack(view_message_t *message)
 {
-    for (size_t i = 0; i < message->update.n_items; i++)
-        pack_item(message->update.items[i]);
+    for (size_t i = 0; i < message->update.n_items; i++) {
+        if (!pack_item(message->update.items[i]))
+            continue;
+        message->envelope.body_case = IRIS__ENVELOPE__BODY_PACKED_UPDATE;
+        message->envelope.packed_update = &message->update;
+    }
     message->bytes = view_update_bytes(&message->update);
 }
 
--- a/gateway/state/view_message.h
+++ b/gateway/state/view_message.h
@@ -22,7 +22,8 @@
 
 /* In place, since the envelope points into it; free it with view_message_free(). */
 void view_message_fill(view_message_t *out, const store_item_t *items, size_t count);
-/* Packs the large bodies. */
+/* Packs the large bodies, once. The message is of a kind of its own then, which an instance that
+ * does not know it leaves. */
 void view_message_pack(view_message_t *message);
 void view_message_free(view_message_t *message);
 /* Unpacks the bodies of an update that came, which then owns them; false if one cannot be. */
--- a/peer/peer.pb-c.c
+++ b/peer/peer.pb-c.c
@@ -2148,7 +2148,7 @@
   (ProtobufCMessageInit) iris__view_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor iris__envelope__field_descriptors[9] =
+static const ProtobufCFieldDescriptor iris__envelope__field_descriptors[10] =
 {
   {
     "schema",
@@ -2258,12 +2258,25 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "packed_update",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Iris__Envelope, body_case),
+    offsetof(Iris__Envelope, packed_update),
+    &iris__view_update__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned iris__envelope__field_indices_by_name[] = {
   4,   /* field[4] = borrow */
   6,   /* field[6] = gateway */
   1,   /* field[1] = heartbeat */
   5,   /* field[5] = lend */
+  9,   /* field[9] = packed_update */
   3,   /* field[3] = push */
   0,   /* field[0] = schema */
   2,   /* field[2] = versions */
@@ -2273,7 +2286,7 @@
 static const ProtobufCIntRange iris__envelope__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor iris__envelope__descriptor =
 {
@@ -2283,7 +2296,7 @@
   "Iris__Envelope",
   "iris",
   sizeof(Iris__Envelope),
-  9,
+  10,
   iris__envelope__field_descriptors,
   iris__envelope__field_indices_by_name,
   1,  iris__envelope__number_ranges,
--- a/peer/peer.pb-c.h
+++ b/peer/peer.pb-c.h
@@ -376,7 +376,8 @@
   IRIS__ENVELOPE__BODY_LEND = 6,
   IRIS__ENVELOPE__BODY_GATEWAY = 7,
   IRIS__ENVELOPE__BODY_VIEW_UPDATE = 8,
-  IRIS__ENVELOPE__BODY_VIEW_REQUEST = 9
+  IRIS__ENVELOPE__BODY_VIEW_REQUEST = 9,
+  IRIS__ENVELOPE__BODY_PACKED_UPDATE = 10
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(IRIS__ENVELOPE__BODY__CASE)
 } Iris__Envelope__BodyCase;
 
@@ -394,6 +395,10 @@
     Iris__GatewayHeartbeat *gateway;
     Iris__ViewUpdate *view_update;
     Iris__ViewRequest *view_request;
+    /*
+     * with packed bodies: a reader that does not know it leaves it
+     */
+    Iris__ViewUpdate *packed_update;
   };
 };
 #define IRIS__ENVELOPE__INIT \
--- a/test/gateway/test_view_relay.c
+++ b/test/gateway/test_view_relay.c
@@ -128,6 +128,23 @@
     return number;
 }
 
+/* Packed bodies come in a kind of message that an older instance leaves, and only there. */
+static Iris__ViewUpdate *
+update_of(peer_t *peer, const Iris__Envelope *message)
+{
+    if (message->body_case == IRIS__ENVELOPE__BODY_PACKED_UPDATE) {
+        ck_assert(peer->unpacks);
+        ck_assert_uint_gt(message->packed_update->items[0]->unpacked_bytes, 0);
+        peer->packed++;
+        return message->packed_update;
+    }
+    if (message->body_case != IRIS__ENVELOPE__BODY_VIEW_UPDATE)
+        return NULL;
+    for (size_t i = 0; i < message->view_update->n_items; i++)
+        ck_assert_uint_eq(message->view_update->items[i]->unpacked_bytes, 0);
+    return message->view_update;
+}
+
 static void
 on_peer_message(void *ctx, peer_conn_t *conn, const Iris__Envelope *message)
 {
@@ -136,21 +153,19 @@
     if (message->body_case == IRIS__ENVELOPE__BODY_VIEW_REQUEST &&
         message->view_request->kind == VIEW_CONFIG && message->view_request->have > 0)
         peer->requests++;
-    if (message->body_case != IRIS__ENVELOPE__BODY_VIEW_UPDATE ||
-        message->view_update->kind != VIEW_CONFIG)
+    Iris__ViewUpdate *update = update_of(peer, message);
+    if (update == NULL || update->kind != VIEW_CONFIG)
         return;
-    if (message->view_update->at == 0) {
+    if (update->at == 0) {
         peer->sent_away++;
         return;
     }
     peer->pushes++;
-    peer->from = message->view_update->from;
-    peer->up_to = message->view_update->at;
-    ck_assert_uint_eq(message->view_update->n_items, 1);
-    if (message->view_update->items[0]->unpacked_bytes > 0)
-        peer->packed++;
-    ck_assert(view_message_unpack(message->view_update));
-    peer->version = version_of(message->view_update->items[0]);
+    peer->from = update->from;
+    peer->up_to = update->at;
+    ck_assert_uint_eq(update->n_items, 1);
+    ck_assert(view_message_unpack(update));
+    peer->version = version_of(update->items[0]);
 }
 
 static void
