--- a/test/gateway/test_silent.c
+++ b/test/gateway/test_silent.c
@@ -211,6 +211,22 @@
 }
 END_TEST
 
+/* The loop was held up beyond the call's time; the answer lies in the socket. */
+START_TEST(an_answer_that_has_come_is_read_before_the_call_is_given_up)
+{
+    server_t *server = new_server();
+    wire_pool_t *pool = wire_pool_new(&server->loop, &server->addr, CONNECTIONS_MAX);
+    reply_t reply;
+    start_call(pool, &reply, TIMEOUT_MS);
+    while (server->accepted == 0 || server->bytes[0] == 0)
+        uv_run(&server->loop, UV_RUN_NOWAIT);
+    ck_assert(!reply.done);
+    uv_sleep(2 * TIMEOUT_MS);
+    RUN_UNTIL(server, reply.done);
+    ck_assert_int_eq(reply.err, ERR_NONE);
+}
+END_TEST
+
 static void
 ignore_message(void *ctx, peer_conn_t *conn, const Iris__Envelope *message)
 {
@@ -346,6 +362,7 @@
     tcase_add_test(tcase, a_call_to_the_store_is_not_lost_to_each_silent_connection);
     tcase_add_test(tcase, an_attempt_given_up_spares_the_next_a_silent_connection);
     tcase_add_test(tcase, a_caller_that_leaves_says_nothing_of_the_connections);
+    tcase_add_test(tcase, an_answer_that_has_come_is_read_before_the_call_is_given_up);
     tcase_add_test(tcase, heartbeats_leave_a_silent_connection);
     tcase_add_test(tcase, a_large_message_that_goes_slowly_is_not_cut_off);
     tcase_add_test(tcase, a_heartbeat_does_not_wait_behind_a_large_change);
