Store calls: what has come is read before a call is given up

Timers run before sockets are read.

When a call's time is over and bytes wait in its socket, they are read first, once.

--- a/wire/client_call.c
+++ b/wire/client_call.c
@@ -3,7 +3,10 @@
 #include "wire/client_answer.h"
 #include "wire/client_call.h"
 
-enum { READ_SIZE = 65536 };
+enum {
+    READ_SIZE = 65536,
+    READ_FIRST_MS = 20, /* for what waits in the socket: a few rounds of the loop. Chosen */
+};
 
 static char read_buffer[READ_SIZE];
 
@@ -61,10 +64,28 @@
 
 /* ---- time ---- */
 
+/* True if bytes wait in the socket. */
+static bool
+has_input(const client_conn_t *conn)
+{
+    uv_os_fd_t fd;
+    char byte;
+    return uv_fileno((const uv_handle_t *)&conn->tcp, &fd) == 0 &&
+           recv(fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+/* Timers run before sockets are read: after a callback that took long, such as the decoding of a
+ * large configuration, the answer may be there. */
 static void
 on_call_timeout(uv_timer_t *timer)
 {
     client_conn_t *conn = timer->data;
+    wire_call_t *call = conn->call;
+    if (!call->overdue && has_input(conn)) {
+        call->overdue = true;
+        uv_timer_start(&conn->timer, on_call_timeout, READ_FIRST_MS, 0);
+        return;
+    }
     client_call_suspect_silence(conn);
     client_call_fail(conn, ERR_TIMEOUT, "no whole answer in time");
 }
--- a/wire/client_conn.h
+++ b/wire/client_conn.h
@@ -50,6 +50,7 @@
     wire_call_conf_t conf;
     wire_end_t end;
     uint64_t end_by_ms; /* loop time by which an answer that goes on has to be whole */
+    bool overdue;       /* its time is over, and the socket is read once more */
     bool done;
 };
 
