--- a/peer/peer.pb-c.h
+++ b/peer/peer.pb-c.h
@@ -288,10 +288,14 @@
    * that these move over its link, one direction
    */
   float bytes_per_s;
+  /*
+   * it takes objects whose body is packed
+   */
+  protobuf_c_boolean unpacks;
 };
 #define IRIS__GATEWAY_HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&iris__gateway_heartbeat__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0, 0, 0, 0, 0 }
 
 
 struct  Iris__ViewItem
@@ -301,10 +305,14 @@
   uint64_t revision;
   protobuf_c_boolean gone;
   ProtobufCBinaryData body;
+  /*
+   * 0: the body is plain; else it is packed by zlib, and has so many
+   */
+  uint32_t unpacked_bytes;
 };
 #define IRIS__VIEW_ITEM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&iris__view_item__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, {0,NULL} }
+    , (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, 0 }
 
 
 /*
@@ -349,10 +357,14 @@
    * it cannot read the store and needs the view however large
    */
   protobuf_c_boolean whole;
+  /*
+   * it takes objects whose body is packed
+   */
+  protobuf_c_boolean unpacks;
 };
 #define IRIS__VIEW_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&iris__view_request__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 typedef enum {
@@ -364,7 +376,8 @@
   IRIS__ENVELOPE__BODY_LEND = 6,
   IRIS__ENVELOPE__BODY_GATEWAY = 7,
   IRIS__ENVELOPE__BODY_VIEW_UPDATE = 8,
-  IRIS__ENVELOPE__BODY_VIEW_REQUEST = 9
+  IRIS__ENVELOPE__BODY_VIEW_REQUEST = 9,
+  IRIS__ENVELOPE__BODY_PACKED_UPDATE = 10
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(IRIS__ENVELOPE__BODY__CASE)
 } Iris__Envelope__BodyCase;
 
@@ -382,6 +395,10 @@
     Iris__GatewayHeartbeat *gateway;
     Iris__ViewUpdate *view_update;
     Iris__ViewRequest *view_request;
+    /*
+     * with packed bodies: a reader that does not know it leaves it
+     */
+    Iris__ViewUpdate *packed_update;
   };
 };
 #define IRIS__ENVELOPE__INIT \
