Outage: a test of an instance that stops watching while the store fails it

Fails on this code: nothing resets its failures but an answer of the store, which it does not call any more.

--- a/test/gateway/test_outage.c
+++ b/test/gateway/test_outage.c
@@ -171,22 +171,43 @@
     return rig;
 }
 
-/* Another instance, heard just now. */
+/* An instance of that name, heard just now. */
 static member_t *
-hear_peer(rig_t *rig, bool failing, uint32_t store_age_ms)
+hear_instance(rig_t *rig, const char *addr_text, const char *name, bool failing,
+              uint32_t store_age_ms)
 {
     addr_t addr;
-    ck_assert(addr_parse(STR("10.0.0.1:1"), &addr));
+    ck_assert(addr_parse(str_from(addr_text), &addr));
     member_t *peer = members_at(&rig->members, &addr);
     peer->heard = true;
+    peer->region = rig->watch.conf.region;
     peer->heard_ms = uv_now(&rig->loop);
     peer->interval_ms = OUTAGE_MS; /* it lives for long */
     peer->store_failing = failing;
     peer->store_age_ms = store_age_ms;
-    name_set(&peer->instance, STR("a-2"));
+    name_set(&peer->instance, str_from(name));
     return peer;
 }
 
+/* Another instance, heard just now. */
+static member_t *
+hear_peer(rig_t *rig, bool failing, uint32_t store_age_ms)
+{
+    return hear_instance(rig, "10.0.0.1:1", "a-2", failing, store_age_ms);
+}
+
+/* Lets time go by in which two others, before this instance in the order of the names, watch the
+ * store and are served. */
+static void
+go_by_beside_watchers(rig_t *rig, uint64_t ms, bool serves)
+{
+    for (uint64_t passed = 0; passed < ms; passed += TICK_MS) {
+        hear_instance(rig, "10.0.0.3:1", "a-0-1", false, 100);
+        hear_instance(rig, "10.0.0.4:1", "a-0-2", false, 100);
+        go_by(rig, TICK_MS, serves);
+    }
+}
+
 static void
 free_rig(rig_t *rig)
 {
@@ -410,6 +431,21 @@
 }
 END_TEST
 
+/* Peers send an instance that the store fails whole views, however large. */
+START_TEST(an_instance_that_does_not_watch_notices_the_return)
+{
+    enum { LOOK_MS = 4000 };
+    rig_t *rig = new_rig();
+    go_by(rig, OUTAGE_MS, false);
+    go_by_beside_watchers(rig, OUTAGE_MS, false);
+    ck_assert(store_watch_is_failing(&rig->watch));
+    ck_assert(!rig->watch.watching);
+    go_by_beside_watchers(rig, LOOK_MS, true);
+    ck_assert(!store_watch_is_failing(&rig->watch));
+    free_rig(rig);
+}
+END_TEST
+
 Suite *
 suite_gateway_outage(void)
 {
@@ -427,6 +463,7 @@
     tcase_add_test(tests, a_store_that_refuses_some_grants_nothing);
     tcase_add_test(tests, many_entries_that_go_in_a_calm_time_are_gone_at_once);
     tcase_add_test(tests, many_entries_that_go_near_a_failure_are_used_for_a_while);
+    tcase_add_test(tests, an_instance_that_does_not_watch_notices_the_return);
     suite_add_tcase(suite, tests);
     return suite;
 }
