Store watch: an instance that does not watch looks again whether the store is back

Nothing reset the failures of an instance that stopped watching, so it said for up to a minute that the store failed it, was passed over as a watcher, and asked peers for whole views, which fill small links. It looks again every 3 s until the store answers.

--- a/gateway/state/store_watch.c
+++ b/gateway/state/store_watch.c
@@ -19,6 +19,10 @@
      * server. Above the time that a failing watch has. Chosen, not measured. */
     PROBE_MS = 1000,
     FAILURES_FAILING = 2, /* in a row, after which the store fails this instance. Chosen */
+    /* An instance that the store fails and that does not watch looks so often whether it is back:
+     * as long as it says that it cannot read the store, peers send it whole views, however large.
+     * Chosen: a third of the calls of one that watches. */
+    LOOK_AGAIN_MS = 3000,
     /* An instance that had to watch goes on for this time, so that instances do not take turns in
      * fifths of a second (commit 35bcf57). */
     FALLBACK_MS = 3000,
@@ -134,6 +138,23 @@
     watch->probe_at_ms = 0;
 }
 
+/* A started instance reads each kind once, whoever watches. */
+static bool
+is_needed_once(const kind_watch_t *kind)
+{
+    return kind->read_once || !view_of(kind)->known;
+}
+
+static uint64_t
+retry_pause_ms(const kind_watch_t *kind)
+{
+    const store_watch_t *watch = kind->owner;
+    const uint64_t pause_ms = (uint64_t)RETRY_MIN_MS * watch->failures;
+    if (!watch->watching && !is_needed_once(kind))
+        return LOOK_AGAIN_MS;
+    return pause_ms < RETRY_MAX_MS ? pause_ms : RETRY_MAX_MS;
+}
+
 static void
 on_store_failed(kind_watch_t *kind, const store_answer_t *answer)
 {
@@ -146,8 +167,7 @@
     }
     watch->failed_ms = now_ms;
     notice_outage(watch, kind, now_ms);
-    const uint64_t pause_ms = (uint64_t)RETRY_MIN_MS * watch->failures;
-    kind->retry_at_ms = now_ms + (pause_ms < RETRY_MAX_MS ? pause_ms : RETRY_MAX_MS);
+    kind->retry_at_ms = now_ms + retry_pause_ms(kind);
     if (kind->kind == watch->probed)
         watch->probe_at_ms = kind->retry_at_ms;
 }
@@ -284,9 +304,9 @@
 is_due(const kind_watch_t *kind)
 {
     const store_watch_t *watch = kind->owner;
-    /* A started instance reads each kind once, whoever watches. */
-    const bool once = kind->read_once || !view_of(kind)->known;
-    const bool wanted = watch->watching || (once && !watch->stopped);
+    const bool looks_again = watch->failures > 0;
+    const bool asked_for = is_needed_once(kind) || looks_again;
+    const bool wanted = watch->watching || (asked_for && !watch->stopped);
     return wanted && kind->state == WATCH_IDLE && uv_now(watch->conf.loop) >= kind->retry_at_ms;
 }
 
