--- a/gateway/state/view_push.c
+++ b/gateway/state/view_push.c
@@ -91,6 +91,22 @@
                  from_store ? "store" : "peer");
 }
 
+static bool
+is_receiver(const order_t *order, const relay_input_t *input, size_t rank, bool packed)
+{
+    return relay_sends_to(input, rank) && order->ranks[rank].unpacks == packed;
+}
+
+static bool
+any_receiver(const order_t *order, const relay_input_t *input, bool packed)
+{
+    for (size_t i = 0; i < order->count; i++) {
+        if (is_receiver(order, input, i, packed))
+            return true;
+    }
+    return false;
+}
+
 /* Sends the message to those named that take it packed, or to those that do not; returns the bytes
  * that went out. */
 static size_t
@@ -100,10 +116,9 @@
     size_t receivers = 0;
     size_t skipped = 0;
     for (size_t i = 0; i < order->count; i++) {
-        const ranked_t *rank = &order->ranks[i];
-        if (!relay_sends_to(input, i) || rank->unpacks != packed)
+        if (!is_receiver(order, input, i, packed))
             continue;
-        if (peer_offer(push->conf.hub, rank->peer, &message->envelope))
+        if (peer_offer(push->conf.hub, order->ranks[i].peer, &message->envelope))
             receivers++;
         else
             skipped++;
@@ -112,8 +127,8 @@
     return message->bytes * receivers;
 }
 
-/* Sends the message to those that policy/relay.h names for a change of `bytes`, and packs it;
- * returns the bytes that went out. */
+/* Sends the message to those that policy/relay.h names for a change of `bytes`, and packs it if any
+ * of them takes it so; returns the bytes that went out. */
 static size_t
 send_message(const view_push_t *push, view_message_t *message, size_t bytes, bool from_store)
 {
@@ -126,8 +141,10 @@
         .from_store = from_store,
     };
     size_t sent = send_to(push, message, &order, &input, false);
-    view_message_pack(message);
-    sent += send_to(push, message, &order, &input, true);
+    if (any_receiver(&order, &input, true)) {
+        view_message_pack(message);
+        sent += send_to(push, message, &order, &input, true);
+    }
     free(order.ranks);
     return sent;
 }
