Configuration: the requests of a route that cannot be read are not another route's

It is kept without targets now: its requests get 503 with a time to come back. One without host or prefix is left out as before.

--- a/gateway/path/exchange.c
+++ b/gateway/path/exchange.c
@@ -64,7 +64,7 @@
     ex->config = config_ref(router->catalog.config);
     ex->route = config_route(ex->config, wire_head_find(&req->head, STR("host")),
                              wire_head_path(&req->head));
-    if (ex->route == NULL) {
+    if (ex->route == NULL || ex->route->target_count == 0) {
         ending_refuse(ex, final_answer_no_route(catalog_is_behind(&router->catalog)));
         return;
     }
--- a/gateway/state/config.c
+++ b/gateway/state/config.c
@@ -36,6 +36,14 @@
     *route = (config_route_t){0};
 }
 
+void
+config_route_unserve(config_route_t *route)
+{
+    free(route->targets);
+    route->targets = NULL;
+    route->target_count = 0;
+}
+
 void
 config_unref(config_t *config)
 {
--- a/gateway/state/config.h
+++ b/gateway/state/config.h
@@ -35,8 +35,8 @@
     uint32_t max_attempts; /* sends of a request, the first one included */
     size_t target_count;
     size_t home_count;
-    config_target_t *targets;
-    name_t *homes; /* regions that may serve it; none means all */
+    config_target_t *targets; /* none: the route could not be read, nothing serves its requests */
+    name_t *homes;            /* regions that may serve it; none means all */
 } config_route_t;
 
 typedef struct {
@@ -69,6 +69,8 @@
 config_t *config_new(size_t route_count, size_t service_count);
 /* Frees what the route holds and empties it. */
 void config_route_clear(config_route_t *route);
+/* Takes the route's targets away: nothing serves its requests, and no other route takes them. */
+void config_route_unserve(config_route_t *route);
 /* Makes look-ups possible; called once when all routes are filled in. */
 void config_seal(config_t *config);
 config_t *config_ref(config_t *config);
