Outage: tests of a kind that fails alone, of a peer with an old answer; a peer's change must matter

Found by a review. The first two fail on this code (3 cases). a_peers_change_ends_the_outage passed without what it tests: it looks at the time since the return now.

--- a/test/gateway/test_outage.c
+++ b/test/gateway/test_outage.c
@@ -326,7 +326,9 @@
     ck_assert_int_eq(view_apply(view, &gone, 1, view->at, view->at + 1), VIEW_CHANGED);
     views_changed(&rig->views, VIEW_BACKENDS, "peer");
     ck_assert(is_usable(rig, 0));
-    pass_ms(rig, GRACE_MS);
+    pass_ms(rig, GRACE_MS / 2);
+    ck_assert_uint_eq(store_watch_trouble(&rig->watch).since_return_ms, GRACE_MS / 2);
+    pass_ms(rig, GRACE_MS / 2);
     ck_assert(!is_usable(rig, 0));
     free_rig(rig);
 }
@@ -446,6 +448,39 @@
 }
 END_TEST
 
+/* The configuration alone gets no answers or ones of no use; the list of backends is served. */
+START_TEST(one_kind_that_fails_is_no_outage)
+{
+    static const store_outcome_t outcomes[] = {STORE_UNUSABLE, STORE_FAILED};
+    rig_t *rig = new_rig();
+    const store_answer_t failure = {.outcome = outcomes[_i]};
+    while (rig->cbs[VIEW_BACKENDS] == NULL || rig->cbs[VIEW_CLOSURES] == NULL)
+        pass_ms(rig, TICK_MS);
+    for (int i = 0; i < 8; i++) {
+        pass_ms(rig, TICK_MS);
+        answer_call(rig, VIEW_CONFIG, &failure);
+    }
+    tell(rig, 0, 1, true);
+    ck_assert(!is_usable(rig, 0));
+    free_rig(rig);
+}
+END_TEST
+
+/* It stood still during the outage and has not failed yet. */
+START_TEST(a_peer_with_an_old_answer_does_not_end_the_outage)
+{
+    rig_t *rig = new_rig();
+    hear_peer(rig, true, OUTAGE_MS);
+    go_by(rig, OUTAGE_MS, false);
+    hear_peer(rig, false, 5000);
+    go_by(rig, 3000, false);
+    go_by(rig, 400, true);
+    tell(rig, 0, 1, true);
+    ck_assert(is_usable(rig, 0));
+    free_rig(rig);
+}
+END_TEST
+
 Suite *
 suite_gateway_outage(void)
 {
@@ -464,6 +499,8 @@
     tcase_add_test(tests, many_entries_that_go_in_a_calm_time_are_gone_at_once);
     tcase_add_test(tests, many_entries_that_go_near_a_failure_are_used_for_a_while);
     tcase_add_test(tests, an_instance_that_does_not_watch_notices_the_return);
+    tcase_add_loop_test(tests, one_kind_that_fails_is_no_outage, 0, 2);
+    tcase_add_test(tests, a_peer_with_an_old_answer_does_not_end_the_outage);
     suite_add_tcase(suite, tests);
     return suite;
 }
