Store watch: an outage needs more than one kind that fails, its end an answer that is recent

Two failed calls for the configuration counted as an outage while the watch of the backend servers rested, and the removal that it then told got 2.2 s. A call that was begun before the outage was noticed and is answered withdraws it. A peer that stood still and had not failed yet ended an outage: its answer must be recent now.

--- a/gateway/membership/members.c
+++ b/gateway/membership/members.c
@@ -87,14 +87,19 @@
     return WATCHER_AGE_MAX_MS + members_interval_ms(members, region, now_ms);
 }
 
+/* True if the store answered the living member within that age. */
+static bool
+has_recent_answer(const member_t *member, uint32_t age_ms, uint64_t now_ms)
+{
+    return member_alive(member, now_ms) && member->store_age_ms != STORE_AGE_NONE &&
+           member->store_age_ms + (now_ms - member->heard_ms) <= age_ms;
+}
+
 bool
 members_watch_store(const members_t *members, uint32_t age_ms, uint64_t now_ms)
 {
     for (size_t i = 0; i < members->count; i++) {
-        const member_t *member = &members->items[i];
-        if (!member_alive(member, now_ms) || member->store_age_ms == STORE_AGE_NONE)
-            continue;
-        if (member->store_age_ms + (now_ms - member->heard_ms) <= age_ms)
+        if (has_recent_answer(&members->items[i], age_ms, now_ms))
             return true;
     }
     return false;
@@ -123,12 +128,11 @@
 }
 
 bool
-members_store_serves(const members_t *members, uint64_t now_ms)
+members_store_serves(const members_t *members, uint32_t age_ms, uint64_t now_ms)
 {
     for (size_t i = 0; i < members->count; i++) {
         const member_t *member = &members->items[i];
-        if (member_alive(member, now_ms) && !member->store_failing &&
-            member->store_age_ms != STORE_AGE_NONE)
+        if (!member->store_failing && has_recent_answer(member, age_ms, now_ms))
             return true;
     }
     return false;
--- a/gateway/membership/members.h
+++ b/gateway/membership/members.h
@@ -105,9 +105,9 @@
 bool members_store_fails_all(const members_t *members, str_t own, uint64_t now_ms);
 /* True if the store fails a living member. */
 bool members_store_fails_any(const members_t *members, uint64_t now_ms);
-/* True if the store serves a living member that watches it. One that has not had an answer for each
- * kind yet does not say that it watches. */
-bool members_store_serves(const members_t *members, uint64_t now_ms);
+/* True if the store answered a living member, whom it does not fail, within that age. One that has
+ * not had an answer for each kind yet does not say that it watches. */
+bool members_store_serves(const members_t *members, uint32_t age_ms, uint64_t now_ms);
 /* Silence, in milliseconds, after which an instance is not named to callers any more. */
 uint64_t member_unnamed_after_ms(const member_t *member);
 /* Slots of a service that the callers of a region keep busy: for the own region the sum over its
--- a/gateway/state/store_watch.c
+++ b/gateway/state/store_watch.c
@@ -101,6 +101,7 @@
         !members_store_fails_all(watch->conf.members, name_str(&watch->instance), now_ms))
         return;
     watch->away = true;
+    watch->away_ms = now_ms;
     LOG_WARN("store away for all: failures=%u", watch->failures);
 }
 
@@ -119,18 +120,30 @@
 static void
 notice_peers(store_watch_t *watch)
 {
+    const members_t *members = watch->conf.members;
     const uint64_t now_ms = uv_now(watch->conf.loop);
-    if (members_store_fails_any(watch->conf.members, now_ms))
+    const uint32_t age_max_ms = members_store_age_max_ms(members, watch->conf.region, now_ms);
+    if (members_store_fails_any(members, now_ms))
         watch->failed_ms = now_ms;
-    if (members_store_serves(watch->conf.members, now_ms))
+    if (members_store_serves(members, age_max_ms, now_ms))
         notice_return(watch, "peer");
 }
 
+/* A call that was begun before the outage was noticed and is answered: only others failed. */
+static void
+withdraw_outage(store_watch_t *watch)
+{
+    watch->away = false;
+    LOG_INFO("store not away: failures=%u", watch->failures);
+}
+
 static void
 on_store_answered(kind_watch_t *kind)
 {
     store_watch_t *watch = kind->owner;
     kind->answered_ms = uv_now(watch->conf.loop);
+    if (watch->away && kind->called_ms < watch->away_ms)
+        withdraw_outage(watch);
     notice_return(watch, "answer");
     if (watch->failures > 0)
         LOG_INFO("store regained: failures=%u", watch->failures);
--- a/gateway/state/store_watch.h
+++ b/gateway/state/store_watch.h
@@ -64,6 +64,7 @@
     kind_watch_t kinds[VIEW_WATCHED];
     unsigned failures;          /* calls in a row */
     bool away;                  /* the store fails all instances, as far as is known here */
+    uint64_t away_ms;           /* loop time at which that was noticed */
     uint64_t failed_ms;         /* loop time at which it last failed any instance, or 0 */
     uint64_t returned_ms;       /* loop time of its return from that, 0 before the first */
     view_kind_t probed;         /* kind that was asked for last while the store failed */
