Configuration: nobody is behind a peer that is lost, nor for a service that could not be read

An instance took itself for behind until it reached the revision that a peer once told, also if that peer was lost and nobody had it: routes that do not exist got 503 for ever (test, red before this; found by a review). What living peers tell counts now, and routes left out, not services.

--- a/gateway/admin.c
+++ b/gateway/admin.c
@@ -74,7 +74,8 @@
               (int64_t)router->catalog.refused.revision);
     set_gauge("irisstall_config_left_out",
               "Routes and services of the configuration in force that could not be read.",
-              router->catalog.config != NULL ? (int64_t)router->catalog.config->left_out : 0);
+              router->catalog.config != NULL ? (int64_t)config_left_out(router->catalog.config)
+                                             : 0);
     set_gauge("irisstall_instances_living", "Instances heard of, this one too.", router->living);
     set_gauge("irisstall_upstreams", "Upstreams known.", (int64_t)router->catalog.backends.count);
     set_backend_gauges(router);
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -90,15 +90,16 @@
 
 /* ---- news from the store and from peers ---- */
 
-/* Tells the catalog whether a newer configuration is known of: a peer holds it, or it is here and
- * not decoded yet. The view may have got there since that was noticed. */
+/* Tells the catalog whether a newer configuration is known of: a living peer holds it, or it is
+ * here and not decoded yet. */
 static void
 compare_config(gateway_t *gateway)
 {
-    const uint64_t lacks = gateway->view_relay.kinds[VIEW_CONFIG].lag.lacks;
-    const uint64_t at = gateway->views.items[VIEW_CONFIG].at;
-    const uint64_t here = gateway->config_work.asked_for ? at : 0;
-    gateway->router.catalog.newer_at = lacks > at ? lacks : here;
+    const view_t *view = &gateway->views.items[VIEW_CONFIG];
+    const uint64_t here = gateway->config_work.asked_for ? view->at : 0;
+    const uint64_t theirs = members_newer_view(&gateway->members, VIEW_CONFIG, view->at,
+                                               view->digest, uv_now(gateway->loop));
+    gateway->router.catalog.newer_at = theirs > here ? theirs : here;
 }
 
 static void
@@ -224,6 +225,7 @@
     gateway_t *gateway = timer->data;
     const uint64_t now_ms = uv_now(gateway->loop);
     heartbeat_set_ready(&gateway->heartbeat, router_is_ready(&gateway->router), now_ms);
+    compare_config(gateway); /* a peer may have been lost */
     router_tick(&gateway->router, &gateway->members);
     store_watch_tick(&gateway->store_watch);
     compare_config(gateway);
--- a/gateway/inspect.c
+++ b/gateway/inspect.c
@@ -96,9 +96,10 @@
 print_missing_config(const catalog_t *catalog, wire_text_t *out)
 {
     const refused_config_t *refused = &catalog->refused;
-    if (catalog->config != NULL && catalog->config->left_out > 0)
+    const size_t left_out = catalog->config != NULL ? config_left_out(catalog->config) : 0;
+    if (left_out > 0)
         wire_text_printf(out, "configuration in force without %zu parts that could not be read\n",
-                         catalog->config->left_out);
+                         left_out);
     if (refused->revision > 0)
         wire_text_printf(out, "configuration refused: revision %llu, %s: %s\n",
                          (unsigned long long)refused->revision, err_name(refused->err.code),
--- a/gateway/membership/members.c
+++ b/gateway/membership/members.c
@@ -87,6 +87,20 @@
     return WATCHER_AGE_MAX_MS + members_interval_ms(members, region, now_ms);
 }
 
+uint64_t
+members_newer_view(const members_t *members, view_kind_t kind, uint64_t at, uint64_t digest,
+                   uint64_t now_ms)
+{
+    uint64_t newest = 0;
+    for (size_t i = 0; i < members->count; i++) {
+        const member_view_t *view = &members->items[i].views[kind];
+        const bool newer = view->known && view->at > at && view->digest != digest;
+        if (newer && view->at > newest && member_alive(&members->items[i], now_ms))
+            newest = view->at;
+    }
+    return newest;
+}
+
 /* True if the store answered the living member within that age. */
 static bool
 has_recent_answer(const member_t *member, uint32_t age_ms, uint64_t now_ms)
--- a/gateway/membership/members.h
+++ b/gateway/membership/members.h
@@ -105,6 +105,10 @@
 bool members_store_fails_all(const members_t *members, str_t own, uint64_t now_ms);
 /* True if the store fails a living member. */
 bool members_store_fails_any(const members_t *members, uint64_t now_ms);
+/* Revision of the newest view of a kind that a living member holds and that is newer than `at` and
+ * other than the one of that digest; 0 if there is none. */
+uint64_t members_newer_view(const members_t *members, view_kind_t kind, uint64_t at,
+                            uint64_t digest, uint64_t now_ms);
 /* True if the store answered a living member, whom it does not fail, within that age. One that has
  * not had an answer for each kind yet does not say that it watches. */
 bool members_store_serves(const members_t *members, uint32_t age_ms, uint64_t now_ms);
--- a/gateway/state/catalog.c
+++ b/gateway/state/catalog.c
@@ -67,7 +67,7 @@
 bool
 catalog_is_behind(const catalog_t *catalog)
 {
-    const bool in_part = catalog->config != NULL && catalog->config->left_out > 0;
+    const bool in_part = catalog->config != NULL && catalog->config->routes_left_out > 0;
     return in_part || catalog->refused.revision > 0 || catalog->newer_at > 0;
 }
 
--- a/gateway/state/config.c
+++ b/gateway/state/config.c
@@ -19,6 +19,12 @@
     return config;
 }
 
+size_t
+config_left_out(const config_t *config)
+{
+    return config->routes_left_out + config->services_left_out;
+}
+
 config_t *
 config_ref(config_t *config)
 {
--- a/gateway/state/config.h
+++ b/gateway/state/config.h
@@ -62,7 +62,8 @@
     size_t route_count;
     config_service_t *services; /* sorted by name once sealed */
     size_t service_count;
-    size_t left_out; /* routes and services that could not be read */
+    size_t routes_left_out; /* that could not be read */
+    size_t services_left_out;
 } config_t;
 
 /* Room for that many routes and services, to be filled in; the caller gets a reference. */
@@ -73,6 +74,8 @@
 void config_route_unserve(config_route_t *route);
 /* Makes look-ups possible; called once when all routes are filled in. */
 void config_seal(config_t *config);
+/* Routes and services that could not be read. */
+size_t config_left_out(const config_t *config);
 config_t *config_ref(config_t *config);
 void config_unref(config_t *config);
 
--- a/test/gateway/test_view_relay.c
+++ b/test/gateway/test_view_relay.c
@@ -38,11 +38,14 @@
     bool unpacks;     /* its messages say that it takes packed bodies */
     size_t sent_away; /* answers that told it to read the store */
     size_t packed;    /* changes and answers that came so */
+    bool silent;      /* it sends no heartbeats any more */
 } peer_t;
 
 static void
 send_heartbeat(peer_t *peer)
 {
+    if (peer->silent)
+        return;
     char address[ADDR_TEXT_MAX];
     Iris__Envelope envelope = IRIS__ENVELOPE__INIT;
     Iris__GatewayHeartbeat heartbeat = IRIS__GATEWAY_HEARTBEAT__INIT;
@@ -318,6 +321,23 @@
 }
 END_TEST
 
+/* Nobody has the newer configuration any more. */
+START_TEST(a_lost_peer_leaves_nobody_behind)
+{
+    enum { NEWER = 1000 };
+    site_t *site = new_ready_site(1);
+    peer_t *peer = new_peer(site, site->gateway);
+    RUN_UNTIL(site, gateway_living(site->gateway) == 2);
+    peer->at = NEWER;
+    run_for(site, 3 * HEARTBEAT_MS);
+    ck_assert_int_eq(ask(site, "GET", "/none/x").status, 503);
+    peer->silent = true;
+    RUN_UNTIL(site, gateway_living(site->gateway) == 1);
+    run_for(site, 3 * HEARTBEAT_MS);
+    ck_assert_int_eq(ask(site, "GET", "/none/x").status, 404);
+}
+END_TEST
+
 /* Versions that follow each other go out together, at a pace. */
 START_TEST(changes_keep_to_a_pace)
 {
@@ -504,6 +524,7 @@
     tcase_add_test(tests, changes_do_not_queue_for_a_peer_that_reads_slowly);
     tcase_add_test(tests, late_changes_do_not_keep_an_instance_from_asking);
     tcase_add_test(tests, no_route_is_denied_while_a_peer_has_a_newer_configuration);
+    tcase_add_test(tests, a_lost_peer_leaves_nobody_behind);
     tcase_add_test(tests, changes_keep_to_a_pace);
     tcase_add_test(tests, answers_keep_to_a_rate);
     tcase_add_test(tests, large_bodies_go_packed_to_who_takes_them);
