Test of a stalled answer: the caller reads nothing until the connection is given up

an_answer_without_a_length_that_stalls_does_not_look_whole failed on a busy machine: 4 of 22 runs of its case beside 48 busy loops. The test was at fault, not the listener. It let 5.6 s go by and then read. The output counts as standing still from the listener's second check on, and the connection is given up at the first check that is asked for more than 5 s after that and once the loop has polled again: 5.5 s if no check is late. Each check that is late puts off all that follow, so that on a busy machine 5.6 s had passed before the last one. The caller then read while the connection was still kept; the output moved, and the answer came whole (strace of two runs that failed: no reset was asked for, 21 checks instead of 22, and all 4,194,342 bytes were read before the end). The premise that the answer was cut did not hold.

The test now waits on the loop's clock until the time has passed for sure, asks for a check itself, and expects the connection to have been given up by it, before the caller reads. It is stricter in this: 5,001 ms rather than 5,600 after the output was seen to stand still, and not before 5,000 ms after the request.

--- a/test/gateway/test_listener.c
+++ b/test/gateway/test_listener.c
@@ -17,7 +17,8 @@
     PATIENCE_MS = 5000,
     SHORT_IDLE_MS = 100,
     LONG_IDLE_MS = 8000,
-    SWEEP_MS = 300, /* longer than the listener's own check interval */
+    SWEEP_MS = 300,    /* longer than the listener's own check interval */
+    STALLED_MS = 5000, /* listener.c's WRITE_STALLED_MS */
     LARGE = 4 << 20,
     SMALL_BUFFER = 16384,
 };
@@ -297,13 +298,45 @@
     RUN_UNTIL(host, host->requests == 1);
 }
 
+/* Has the listener look at its connections now: before its own check is due, or when that is late.
+ * What it had been asked for earlier is done first; one that comes late is put off to the next
+ * poll. */
+static void
+sweep(host_t *host)
+{
+    enum { POLLS_MAX = 2 };
+    for (unsigned i = 0; i < POLLS_MAX; i++)
+        uv_run(&host->loop, UV_RUN_NOWAIT);
+    wire_listener_close_idle(host->listener, UINT64_MAX); /* as it is from the start */
+    for (unsigned i = 0; i < POLLS_MAX; i++)
+        uv_run(&host->loop, UV_RUN_NOWAIT);
+}
+
+/* Runs the loop until its clock has passed the time for which output may stand still, and expects
+ * that the connection is kept until then. `begun_ms` is before the output stood still. */
+static void
+stand_still(host_t *host, uint64_t begun_ms)
+{
+    host->timer_fired = false;
+    uv_timer_start(&host->timer, on_timer, STALLED_MS + 1, 0);
+    while (!host->timer_fired) {
+        ck_assert(wire_listener_connections(host->listener) == 1 ||
+                  uv_now(&host->loop) - begun_ms > STALLED_MS);
+        uv_run(&host->loop, UV_RUN_ONCE);
+    }
+}
+
+/* The caller reads nothing before the connection is given up: the output moves again if it does. */
 START_TEST(an_answer_without_a_length_that_stalls_does_not_look_whole)
 {
-    enum { STALL_MS = 5600 };
     host_t *host = new_host(LONG_IDLE_MS);
+    const uint64_t begun_ms = uv_now(&host->loop);
     caller_t caller;
     takes_a_part(host, &caller);
-    run_for(host, STALL_MS);
+    sweep(host);
+    stand_still(host, begun_ms);
+    sweep(host);
+    ck_assert_uint_eq(wire_listener_connections(host->listener), 0);
     RUN_UNTIL(host, has_ended(&caller));
     ck_assert(caller.reset);
     ck_assert_uint_lt(caller.total, LARGE);
