Test, known red: a cut answer without a length looks whole to a caller that ended its side

A caller that ends its side of the connection counts as one that has left, and its connection is closed. It may still read. If its answer has no length, what has been written so far is followed by an ordinary end, which looks like the whole answer.

--- a/test/gateway/test_listener.c
+++ b/test/gateway/test_listener.c
@@ -32,6 +32,7 @@
     size_t requests;
     size_t answer_len;
     bool until_close; /* answers have no length */
+    bool unended;     /* their end is still to come */
 } host_t;
 
 /* A caller's socket, apart from the loop. */
@@ -60,7 +61,10 @@
     wire_respond_head(req, 200, STR(""),
                       host->until_close ? WIRE_UNTIL_CLOSE : (int64_t)host->answer_len);
     wire_respond_data(req, body, host->answer_len);
-    wire_respond_end(req);
+    if (host->unended)
+        wire_respond_flush(req);
+    else
+        wire_respond_end(req);
     free(body);
 }
 
@@ -357,6 +361,33 @@
 }
 END_TEST
 
+/* A caller that ends its side counts as one that has left, but may still read. */
+static void
+ends_its_side(host_t *host, caller_t *caller)
+{
+    ck_assert_int_eq(shutdown(caller->fd, SHUT_WR), 0);
+    RUN_UNTIL(host, wire_listener_connections(host->listener) == 0);
+    RUN_UNTIL(host, has_ended(caller));
+    ck_assert(caller->reset);
+    close(caller->fd);
+}
+
+START_TEST(an_answer_without_a_length_does_not_look_whole_to_a_caller_that_ended_its_side)
+{
+    host_t *host = new_host(LONG_IDLE_MS);
+    caller_t caller;
+    if (_i == 0) { /* it is not written to its end */
+        takes_a_part(host, &caller);
+    } else { /* what there is of it has come */
+        host->until_close = true;
+        host->unended = true;
+        caller = answered_caller(host);
+    }
+    ends_its_side(host, &caller);
+    ck_assert_uint_lt(caller.total, LARGE);
+}
+END_TEST
+
 /* It was made in time, and its first request is on its way. */
 START_TEST(a_stop_leaves_a_new_connection_time_for_its_first_request)
 {
@@ -415,6 +446,9 @@
     tcase_add_test(tests, a_connection_does_not_rest_while_its_answer_is_written);
     tcase_add_test(tests, an_answer_without_a_length_that_stalls_does_not_look_whole);
     tcase_add_test(tests, an_answer_without_a_length_that_a_stop_cuts_does_not_look_whole);
+    tcase_add_loop_test(
+        tests, an_answer_without_a_length_does_not_look_whole_to_a_caller_that_ended_its_side, 0,
+        2);
     tcase_add_test(tests, a_stop_leaves_a_new_connection_time_for_its_first_request);
     tcase_add_test(tests, a_stop_closes_connections_that_have_rested);
     tcase_add_test(tests, a_connection_that_waits_to_be_accepted_is_served_though_the_port_closes);
