Listener: a cut answer without a length does not look whole to a caller that ended its side

A caller that has ended its side of the connection counts as one that has left. Its connection was closed in the ordinary way, also in the midst of an answer whose end is that of its connection: a caller that still read took the part for the whole. It is closed with a reset now, as when output stalls or a stop cuts it. Answers that are written whole, and those with a length or in chunks, end as before.

--- a/wire/server_conn.c
+++ b/wire/server_conn.c
@@ -93,6 +93,15 @@
     uv_close((uv_handle_t *)&conn->tcp, on_conn_closed);
 }
 
+/* The end of its connection is the end of such an answer. */
+static bool
+would_look_whole(const wire_conn_t *conn)
+{
+    const size_t left = uv_stream_get_write_queue_size((const uv_stream_t *)&conn->tcp);
+    return conn->until_close && (conn->state == STATE_ANSWERING || left > 0);
+}
+
+/* A caller that has ended its side may still read. */
 void
 wire_conn_lose(wire_conn_t *conn)
 {
@@ -102,7 +111,10 @@
     void (*on_gone)(void *) = conn->state == STATE_ANSWERING ? conn->req.on_gone : NULL;
     void *ctx = conn->req.ctx;
     conn->req.on_gone = NULL;
-    wire_conn_close(conn);
+    if (would_look_whole(conn))
+        wire_conn_reset(conn);
+    else
+        wire_conn_close(conn);
     if (on_gone != NULL)
         on_gone(ctx);
 }
