--- a/test/gateway/test_config.c
+++ b/test/gateway/test_config.c
@@ -1,4 +1,7 @@
 /* Configuration: which route a request belongs to. */
+#include <stdio.h>
+
+#include "gateway/state/services.h"
 #include "gateway/state/config.h"
 #include "test/gateway/fixture.h"
 #include "test/suites.h"
@@ -20,12 +23,36 @@
 }
 END_TEST
 
+/* Whatever the order in which they come, each is made once, found again, and stays where it is. */
+START_TEST(services_are_found_again)
+{
+    enum { COUNT = 50, STRIDE = 7 };
+    services_t services = {0};
+    service_t *made[COUNT];
+    char name[16];
+    for (size_t i = 0; i < COUNT; i++) {
+        snprintf(name, sizeof(name), "s%zu", i * STRIDE % COUNT);
+        made[i] = services_get(&services, str_from(name));
+    }
+    ck_assert_uint_eq(services.count, COUNT);
+    for (size_t i = 0; i < COUNT; i++) {
+        snprintf(name, sizeof(name), "s%zu", i * STRIDE % COUNT);
+        ck_assert_ptr_eq(services_find(&services, str_from(name)), made[i]);
+        ck_assert_ptr_eq(services_get(&services, str_from(name)), made[i]);
+        ck_assert_str_eq(made[i]->name.ptr, name);
+    }
+    ck_assert_ptr_null(services_find(&services, STR("s")));
+    services_free(&services);
+}
+END_TEST
+
 Suite *
 suite_gateway_config(void)
 {
     Suite *suite = suite_create("gateway: config");
     TCase *tests = tcase_create("config");
     tcase_add_test(tests, longest_prefix_wins);
+    tcase_add_test(tests, services_are_found_again);
     suite_add_tcase(suite, tests);
     return suite;
 }
