--- a/peer/conn.c
+++ b/peer/conn.c
@@ -113,14 +113,15 @@
     }
 }
 
-static void
+/* False if the message was dropped. */
+static bool
 queue_message(peer_conn_t *conn, const Iris__Envelope *message)
 {
     const size_t len = iris__envelope__get_packed_size(message);
     if (conn->closing || len > PEER_FRAME_MAX || conn->out_len + len > PEER_BACKLOG_MAX) {
         counter_add(conn->hub->dropped, 1);
         LOG_WARN("message dropped: bytes=%zu waiting=%zu", len, conn->waiting);
-        return;
+        return false;
     }
     if (conn->out_len == 0 && !conn->writing)
         conn->progress_ms = uv_now(conn->hub->loop);
@@ -136,6 +137,7 @@
     conn->used_ms = uv_now(conn->hub->loop);
     counter_add(conn->hub->messages, 1);
     flush(conn);
+    return true;
 }
 
 static void
@@ -263,8 +265,7 @@
 {
     if (!takes_more(conn, message))
         return false;
-    queue_message(conn, message);
-    return true;
+    return queue_message(conn, message);
 }
 
 bool
