--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -156,7 +156,6 @@
         break;
     case IRIS__ENVELOPE__BODY_VIEW_UPDATE:
         view_relay_on_update(&gateway->view_relay, conn, message->view_update);
-        compare_config(gateway);
         break;
     case IRIS__ENVELOPE__BODY_PACKED_UPDATE:
         view_relay_on_update(&gateway->view_relay, conn, message->packed_update);
@@ -228,7 +227,6 @@
     compare_config(gateway); /* a peer may have been lost */
     router_tick(&gateway->router, &gateway->members);
     store_watch_tick(&gateway->store_watch);
-    compare_config(gateway);
     view_push_tick(&gateway->view_push);
     if (!gateway->stopping)
         discovery_tick(&gateway->discovery, gateway->router.living <= 1);
--- a/gateway/membership/heartbeat.c
+++ b/gateway/membership/heartbeat.c
@@ -26,7 +26,6 @@
            member->region == heartbeat->conf.region;
 }
 
-/* Keeps the instance's own member up to date. */
 /* Adds the service's demand to what is told; the least one goes if there are too many. */
 static void
 tell_demand(member_t *self, const service_t *service)
@@ -45,6 +44,7 @@
         *least = demand;
 }
 
+/* Keeps the instance's own member up to date. */
 static void
 update_self(heartbeat_t *heartbeat, uint64_t now_ms)
 {
