Store: calls are counted and logged by kind, call and reason

The calls to the store are the largest price of a large fleet, and only their sum was known. Each is counted by kind of object, verb and reason, and logged; the log of all instances tells when and why.

--- a/gateway/membership/discovery.c
+++ b/gateway/membership/discovery.c
@@ -3,6 +3,7 @@
 #define LOG_MODULE "discovery"
 #include "base/log.h"
 #include "gateway/membership/discovery.h"
+#include "gateway/state/store_calls.h"
 
 enum {
     RETRY_MS = 2000,  /* until announcement and list have worked once. Chosen, not measured */
@@ -21,6 +22,8 @@
 list_instances(discovery_t *discovery, str_t after)
 {
     const store_port_t *store = discovery->conf.store;
+    store_calls_count(VIEW_INSTANCES, STORE_CALL_LIST,
+                      after.len > 0 ? STORE_FOR_PAGE : STORE_FOR_START);
     store->list(store->ctx, VIEW_INSTANCES, after, on_instances, discovery);
 }
 
@@ -75,6 +78,7 @@
     char address[ADDR_TEXT_MAX];
     discovery->next_at_ms = now_ms + (discovery->listed ? ALONE_MS : RETRY_MS);
     addr_format(&conf->peer, address);
+    store_calls_count(VIEW_INSTANCES, STORE_CALL_ANNOUNCE, STORE_FOR_START);
     conf->store->announce(conf->store->ctx, conf->instance, str_from(address), conf->hall,
                           on_announced, discovery);
 }
--- /dev/null
+++ b/gateway/state/store_calls.c
@@ -0,0 +1,38 @@
+#include "gateway/state/store_calls.h"
+
+#include <stdio.h>
+
+#define LOG_MODULE "sync"
+#include "base/counter.h"
+#include "base/log.h"
+
+static const char *const kind_names[] = {
+    [VIEW_CONFIG] = "config",
+    [VIEW_BACKENDS] = "backends",
+    [VIEW_CLOSURES] = "closures",
+    [VIEW_INSTANCES] = "instances",
+};
+
+static const char *const call_names[] = {
+    [STORE_CALL_LIST] = "list",
+    [STORE_CALL_WATCH] = "watch",
+    [STORE_CALL_ANNOUNCE] = "announce",
+};
+
+static const char *const reason_names[] = {
+    [STORE_FOR_START] = "start",     [STORE_FOR_PAGE] = "page", [STORE_FOR_CHANGES] = "changes",
+    [STORE_FOR_HISTORY] = "history", [STORE_FOR_PEER] = "peer", [STORE_FOR_RETURN] = "return",
+};
+
+void
+store_calls_count(view_kind_t kind, store_call_t call, store_reason_t reason)
+{
+    char labels[96];
+    snprintf(labels, sizeof(labels), "kind=\"%s\",call=\"%s\",reason=\"%s\"", kind_names[kind],
+             call_names[call], reason_names[reason]);
+    counter_add(counter_get("irisstall_store_calls_by_reason_total", labels,
+                            "Calls to the platform's store, by what they were made for."),
+                1);
+    LOG_INFO("store called: kind=%s call=%s reason=%s", kind_names[kind], call_names[call],
+             reason_names[reason]);
+}
--- a/gateway/state/store_watch.c
+++ b/gateway/state/store_watch.c
@@ -5,6 +5,7 @@
 #define LOG_MODULE "sync"
 #include "base/log.h"
 #include "base/xmalloc.h"
+#include "gateway/state/store_calls.h"
 #include "gateway/state/store_watch.h"
 
 enum {
@@ -215,12 +216,25 @@
     }
 }
 
+static store_reason_t
+list_reason(const kind_watch_t *kind)
+{
+    if (kind->page_count > 0)
+        return STORE_FOR_PAGE;
+    if (kind->owner->failures > 0)
+        return STORE_FOR_RETURN;
+    if (!view_of(kind)->known)
+        return STORE_FOR_START;
+    return kind->list_needed ? STORE_FOR_HISTORY : STORE_FOR_PEER;
+}
+
 static void on_list(void *ctx, const store_answer_t *answer);
 
 static void
 list_after(kind_watch_t *kind, str_t after)
 {
     const store_port_t *store = kind->owner->conf.store;
+    store_calls_count(kind->kind, STORE_CALL_LIST, list_reason(kind));
     kind->state = WATCH_LISTING;
     kind->called_ms = uv_now(kind->owner->conf.loop);
     store->list(store->ctx, kind->kind, after, on_list, kind);
@@ -309,7 +323,9 @@
     kind->state = WATCH_WATCHING;
     kind->called_ms = uv_now(watch->conf.loop);
     kind->watched_from = view_of(kind)->at;
-    const uint32_t wait_ms = watch->failures > 0 ? WATCH_WAIT_FAILING_MS : WATCH_WAIT_MS;
+    const bool fails = watch->failures > 0;
+    const uint32_t wait_ms = fails ? WATCH_WAIT_FAILING_MS : WATCH_WAIT_MS;
+    store_calls_count(kind->kind, STORE_CALL_WATCH, fails ? STORE_FOR_RETURN : STORE_FOR_CHANGES);
     store->watch(store->ctx, kind->kind, kind->watched_from, wait_ms, on_watch, kind);
 }
 
