--- a/base/str.c
+++ b/base/str.c
@@ -30,6 +30,18 @@
     return s.len >= prefix.len && (prefix.len == 0 || memcmp(s.ptr, prefix.ptr, prefix.len) == 0);
 }
 
+str_t
+str_trim(str_t s)
+{
+    while (s.len > 0 && isspace((unsigned char)s.ptr[0])) {
+        s.ptr++;
+        s.len--;
+    }
+    while (s.len > 0 && isspace((unsigned char)s.ptr[s.len - 1]))
+        s.len--;
+    return s;
+}
+
 bool
 str_to_u64(str_t s, uint64_t *out)
 {
--- a/base/str.h
+++ b/base/str.h
@@ -31,6 +31,8 @@
 /* Below, at or above 0 as `a` comes before, equals or comes after `b`, byte by byte. */
 int str_order(str_t a, str_t b);
 bool str_starts_with(str_t s, str_t prefix);
+/* Without the blanks at both ends. */
+str_t str_trim(str_t s);
 /* Decimal unsigned number covering the whole string; false on anything else or overflow. */
 bool str_to_u64(str_t s, uint64_t *out);
 /* 64-bit hash (xxHash); `seed` separates independent uses. */
--- a/gateway/admin.c
+++ b/gateway/admin.c
@@ -63,6 +63,25 @@
     }
 }
 
+/* How old the last change of each kind of view was when it came into force here. */
+static void
+set_age_gauges(const views_t *views)
+{
+    static const char *const kinds[VIEW_WATCHED] = {
+        [VIEW_CONFIG] = "kind=\"config\"",
+        [VIEW_BACKENDS] = "kind=\"backends\"",
+        [VIEW_CLOSURES] = "kind=\"closures\"",
+    };
+    for (view_kind_t kind = 0; kind < VIEW_WATCHED; kind++) {
+        counter_set(counter_get("irisstall_in_force_after_ms", kinds[kind],
+                                "Age of the last change when it came into force, milliseconds."),
+                    views->ages[kind].last_ms);
+        counter_set(counter_get("irisstall_in_force_after_max_ms", kinds[kind],
+                                "The highest of these ages since the start."),
+                    views->ages[kind].most_ms);
+    }
+}
+
 static void
 answer_metrics(const admin_t *admin, wire_request_t *req)
 {
@@ -78,6 +97,9 @@
                                              : 0);
     set_gauge("irisstall_instances_living", "Instances heard of, this one too.", router->living);
     set_gauge("irisstall_upstreams", "Upstreams known.", (int64_t)router->catalog.backends.count);
+    set_gauge("irisstall_entries_unusable", "Entries of the store that name no upstream to use.",
+              (int64_t)router->catalog.unusable_count);
+    set_age_gauges(admin->views);
     set_backend_gauges(router);
     set_plan_gauges(router);
     set_gauge("irisstall_requests_active", "Requests under way.",
@@ -100,6 +122,7 @@
         .router = admin->router,
         .members = admin->members,
         .store_watch = admin->store_watch,
+        .views = admin->views,
         .ready = admin->heartbeat->ready,
         .leaving = admin->heartbeat->leaving,
     };
--- a/gateway/admin.h
+++ b/gateway/admin.h
@@ -15,6 +15,7 @@
     const router_t *router;
     const members_t *members;
     const store_watch_t *store_watch;
+    const views_t *views;
     const heartbeat_t *heartbeat;
     const exchanges_t *exchanges;
     const wire_listener_t *callers;
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -81,6 +81,7 @@
         .router = &gateway->router,
         .members = &gateway->members,
         .store_watch = &gateway->store_watch,
+        .views = &gateway->views,
         .heartbeat = &gateway->heartbeat,
         .exchanges = &gateway->exchanges,
         .callers = gateway->listeners.callers,
@@ -107,6 +108,7 @@
 {
     gateway_t *gateway = ctx;
     router_apply_config(&gateway->router, &gateway->views.items[VIEW_CONFIG]);
+    view_age_in_force(&gateway->views.ages[VIEW_CONFIG], uv_now(gateway->loop));
     compare_config(gateway);
     const config_t *config = gateway->router.catalog.config;
     if (config != NULL)
@@ -124,7 +126,7 @@
     switch (kind) {
     case VIEW_CONFIG:
         deferred_ask(&gateway->config_work);
-        break;
+        break; /* in force in apply_config() */
     case VIEW_BACKENDS:
         catalog_apply_backends(catalog, view, store_watch_trouble(&gateway->store_watch));
         catalog_apply_closures(catalog, &gateway->views.items[VIEW_CLOSURES]);
@@ -135,6 +137,8 @@
     case VIEW_INSTANCES:
         BUG("not a watched kind");
     }
+    if (kind != VIEW_CONFIG)
+        view_age_in_force(&gateway->views.ages[kind], uv_now(gateway->loop));
     compare_config(gateway);
 }
 
@@ -142,7 +146,27 @@
 on_delta(void *ctx, const view_delta_t *delta)
 {
     gateway_t *gateway = ctx;
-    view_push_changed(&gateway->view_push, delta);
+    view_push_changed(&gateway->view_push, delta, &gateway->router.catalog.fresh);
+}
+
+/* Names that no backend server can have are left out. */
+static void
+on_departures(gateway_t *gateway, const Iris__Departures *message)
+{
+    departure_t *items = xcalloc(message->n_items + 1, sizeof(*items));
+    size_t count = 0;
+    for (size_t i = 0; i < message->n_items; i++) {
+        const Iris__Departure *departure = message->items[i];
+        if (!name_set(&items[count].backend, str_from(departure->backend)))
+            continue;
+        items[count].revision = departure->revision;
+        items[count].gone = departure->gone;
+        items[count].told_ms = uv_now(gateway->loop);
+        count++;
+    }
+    catalog_apply_departures(&gateway->router.catalog, items, count,
+                             store_watch_trouble(&gateway->store_watch));
+    free(items);
 }
 
 static void
@@ -160,6 +184,12 @@
     case IRIS__ENVELOPE__BODY_PACKED_UPDATE:
         view_relay_on_update(&gateway->view_relay, conn, message->packed_update);
         break;
+    case IRIS__ENVELOPE__BODY_LIST_UPDATE:
+        view_relay_on_update(&gateway->view_relay, conn, message->list_update);
+        break;
+    case IRIS__ENVELOPE__BODY_DEPARTURES:
+        on_departures(gateway, message->departures);
+        break;
     case IRIS__ENVELOPE__BODY_VIEW_REQUEST:
         view_relay_on_request(&gateway->view_relay, conn, message->view_request);
         break;
@@ -303,6 +333,7 @@
         .views = &gateway->views,
         .instance = name_str(&gateway->settings.name),
         .region = gateway->router.region,
+        .link_bytes_per_s = gateway->settings.link_bytes_per_s,
     };
     view_push_init(&gateway->view_push, &push_conf);
     const view_relay_conf_t relay_conf = {
@@ -311,6 +342,8 @@
         .views = &gateway->views,
         .watch = &gateway->store_watch,
         .push = &gateway->view_push,
+        .region = gateway->router.region,
+        .link_bytes_per_s = gateway->settings.link_bytes_per_s,
     };
     view_relay_init(&gateway->view_relay, &relay_conf);
 }
--- a/gateway/inspect.c
+++ b/gateway/inspect.c
@@ -109,6 +109,21 @@
                          (unsigned long long)catalog->newer_at);
 }
 
+static void
+print_ages(const views_t *views, wire_text_t *out)
+{
+    static const char *const kinds[VIEW_WATCHED] = {
+        [VIEW_CONFIG] = "configuration",
+        [VIEW_BACKENDS] = "list of upstreams",
+        [VIEW_CLOSURES] = "closed places",
+    };
+    for (view_kind_t kind = 0; kind < VIEW_WATCHED; kind++) {
+        const view_age_t *age = &views->ages[kind];
+        wire_text_printf(out, "%s: last change in force after %u ms, at most %u ms\n", kinds[kind],
+                         age->last_ms, age->most_ms);
+    }
+}
+
 void
 inspect_status(const inspect_status_t *status, wire_text_t *out)
 {
@@ -126,6 +141,10 @@
         wire_text_str(out, STR("store followed by peers\n"));
     else
         wire_text_printf(out, "store followed here, last answer %u ms ago\n", age_ms);
+    print_ages(status->views, out);
+    if (router->catalog.unusable_count > 0)
+        wire_text_printf(out, "entries that name no upstream to use: %zu\n",
+                         router->catalog.unusable_count);
     for (size_t i = 0; i < status->members->count; i++) {
         if (status->members->items[i].heard)
             print_member(&status->members->items[i], now, out);
--- a/gateway/inspect.h
+++ b/gateway/inspect.h
@@ -19,6 +19,7 @@
     const router_t *router;
     const members_t *members;
     const store_watch_t *store_watch;
+    const views_t *views;
     bool ready;
     bool leaving;
 } inspect_status_t;
--- a/gateway/membership/heartbeat.c
+++ b/gateway/membership/heartbeat.c
@@ -173,14 +173,14 @@
     }
 }
 
-/* Outcomes at backends that this instance does not know (yet) are left out. */
+/* Outcomes at backends that this instance does not know (yet), or at another life, are left out. */
 static void
 add_outcomes(const backends_t *backends, const Iris__GatewayHeartbeat *message, uint64_t now_ms)
 {
     for (size_t i = 0; i < message->n_outcomes; i++) {
         const Iris__Outcomes *outcomes = message->outcomes[i];
         backend_t *backend = backends_find(backends, str_from(outcomes->backend));
-        if (backend != NULL)
+        if (backend != NULL && backend_life_order(outcomes->born, backend->info.born) == 0)
             health_add_report(&backend->health, outcomes->good, outcomes->bad, now_ms);
     }
 }
--- a/gateway/membership/heartbeat_message.c
+++ b/gateway/membership/heartbeat_message.c
@@ -92,6 +92,7 @@
             outcomes->backend = message_text(&backend->info.id);
             outcomes->good = backend->health.unsent_good;
             outcomes->bad = backend->health.unsent_bad;
+            outcomes->born = backend->info.born;
             out->outcome_list[count] = outcomes;
             count++;
         }
@@ -118,6 +119,8 @@
     message->store_age_ms = store_watch_age_ms(source->watch);
     message->store_failing = store_watch_is_failing(source->watch);
     message->unpacks = true;
+    message->reads_lists = true;
+    message->announced = self->announced;
     message->region_members =
         (uint32_t)members_living(source->members, self->region, source->now_ms);
     message->interval_ms = self->interval_ms;
@@ -178,6 +181,14 @@
     }
 }
 
+static view_reads_t
+read_reads(const Iris__GatewayHeartbeat *message)
+{
+    if (message->reads_lists)
+        return VIEW_READS_LISTS;
+    return message->unpacks ? VIEW_READS_BODIES : VIEW_READS_PLAIN;
+}
+
 void
 heartbeat_message_apply(const Iris__GatewayHeartbeat *message, member_t *member)
 {
@@ -186,7 +197,8 @@
     member->leaving = message->leaving;
     member->store_age_ms = message->store_age_ms;
     member->store_failing = message->store_failing;
-    member->unpacks = message->unpacks;
+    member->reads = read_reads(message);
+    member->announced = message->announced;
     member->interval_ms = message->interval_ms;
     member->region_members = message->region_members;
     member->capacity = (member_capacity_t){
--- a/gateway/membership/members.h
+++ b/gateway/membership/members.h
@@ -16,6 +16,7 @@
 #include "gateway/policy/cold_start.h"
 #include "gateway/ports.h"
 #include "gateway/membership/topology.h"
+#include "gateway/state/view_reads.h"
 
 enum {
     MEMBERS_MAX = 2048, /* above the fleet to design for (1,400 instances) */
@@ -70,7 +71,8 @@
     bool leaving;
     uint32_t store_age_ms; /* since the store last answered it, or STORE_AGE_NONE */
     bool store_failing;    /* the store fails it */
-    bool unpacks;          /* it takes objects whose body is packed */
+    view_reads_t reads;    /* how it takes changes of views */
+    bool announced;        /* it says that the store has its entry */
     member_view_t views[VIEW_WATCHED];
     member_demand_t demands[MEMBER_DEMANDS_MAX];
     size_t demand_count;
--- a/gateway/policy/relay.c
+++ b/gateway/policy/relay.c
@@ -6,9 +6,10 @@
     SMALL_MAX = 4096,
     /* Instances that each one sends to in a tree: 27 are reached in three steps. Chosen. */
     CHILDREN = 3,
-    /* Bytes a second that changes of one view may take, and answers: a fifth of that link. Chosen.
-     */
+    /* Bytes a second that changes of one view may take, and answers, on the smallest link of the
+     * users' sites: a fifth of its 10 Mbit/s. Chosen. */
     BYTES_PER_S = 250000,
+    LINK_PART = 5, /* the same part of a larger link */
     /* Bytes of answers at once: a whole view is up to 200 kB (state/view_relay.c). Chosen. */
     ANSWERS_BURST = 256000,
     MS_PER_S = 1000,
@@ -38,23 +39,30 @@
     return is_child || (input->from_store && at_the_top);
 }
 
+static double
+bytes_per_s(double link_bytes_per_s)
+{
+    const double part = link_bytes_per_s / LINK_PART;
+    return part > BYTES_PER_S ? part : BYTES_PER_S;
+}
+
 uint64_t
-relay_pause_ms(size_t sent)
+relay_pause_ms(size_t sent, double link_bytes_per_s)
 {
-    const uint64_t pause_ms = (uint64_t)sent * MS_PER_S / BYTES_PER_S;
+    const uint64_t pause_ms = (uint64_t)((double)sent * MS_PER_S / bytes_per_s(link_bytes_per_s));
     return pause_ms < PAUSE_MAX_MS ? pause_ms : PAUSE_MAX_MS;
 }
 
 double
-relay_answers_per_s(void)
+relay_answers_per_s(double link_bytes_per_s)
 {
-    return BYTES_PER_S;
+    return bytes_per_s(link_bytes_per_s);
 }
 
 double
-relay_answers_burst(void)
+relay_answers_burst(double link_bytes_per_s)
 {
-    return ANSWERS_BURST;
+    return ANSWERS_BURST * bytes_per_s(link_bytes_per_s) / BYTES_PER_S;
 }
 
 void
@@ -80,7 +88,7 @@
         return;
     /* Whoever learned it from the store sends to the first ranks and to its own children. */
     const size_t sent_at_once = bytes * (2 * CHILDREN + 1);
-    lag->expected_ms = now_ms + relay_pause_ms(sent_at_once);
+    lag->expected_ms = now_ms + relay_pause_ms(sent_at_once, 0);
 }
 
 bool
--- a/gateway/policy/removal.c
+++ b/gateway/policy/removal.c
@@ -29,6 +29,7 @@
         [REMOVAL_AT_ONCE] = "at_once",
         [REMOVAL_AFTER_OUTAGE] = "after_outage",
         [REMOVAL_MASS_LOSS] = "mass_loss",
+        [REMOVAL_UNUSABLE] = "unusable",
     };
     return names[reason];
 }
--- a/gateway/policy/removal.h
+++ b/gateway/policy/removal.h
@@ -29,6 +29,7 @@
     REMOVAL_AT_ONCE,
     REMOVAL_AFTER_OUTAGE, /* the store was down for all instances */
     REMOVAL_MASS_LOSS,    /* most backends are gone together */
+    REMOVAL_UNUSABLE,     /* its entry cannot be read any more; at once */
 } removal_reason_t;
 
 /* A time since something that is not known to have happened. */
--- a/gateway/state/backend.c
+++ b/gateway/state/backend.c
@@ -45,6 +45,14 @@
     free(backend);
 }
 
+int
+backend_life_order(uint64_t left, uint64_t right)
+{
+    if (left == 0 || right == 0)
+        return 0;
+    return (left > right) - (left < right);
+}
+
 double
 backend_load(const backend_t *backend, uint64_t now_ms)
 {
--- a/gateway/state/backend.h
+++ b/gateway/state/backend.h
@@ -2,7 +2,8 @@
  * One backend server as this instance knows it: what the store says of it, and what was learned by
  * sending requests to it.
  *
- * A backend is one start of a backend server; a restarted one has a new id and is another backend.
+ * A backend is one life of a backend server: one that started again, under a new id or under its
+ * own, is another backend.
  * Owns the connection pool, the breaker, the health and the cold-start tokens of its backend.
  * Reference-counted, since an attempt may outlive the backend's place in the list (backends.h).
  * Relies on wire/client.h for the pool; time is passed in.
@@ -18,13 +19,14 @@
 
 /* What the store's entry of a backend says. */
 typedef struct {
-    name_t id; /* of this start */
+    name_t id;
     name_t service;
     name_t hall;
     addr_t addr;
     uint32_t capacity; /* slots: requests it works on at once */
     bool leaving;      /* it is about to end and must get no new requests */
     uint32_t cold_ms;  /* how much longer it is cold, from when the entry was written */
+    uint64_t born;     /* when this life began, in Unix milliseconds; 0 if it does not say */
 } backend_info_t;
 
 /* What a backend's answer says of its load. */
@@ -62,6 +64,9 @@
 /* Frees the backend and its pool with the last reference. */
 void backend_unref(backend_t *backend);
 
+/* Below, at or above 0 as the life that began at `left` is earlier than, the same as or later than
+ * the one of `right`. One that does not say counts as the same. */
+int backend_life_order(uint64_t left, uint64_t right);
 /* Estimated requests there, running and queued, from all instances. */
 double backend_load(const backend_t *backend, uint64_t now_ms);
 void backend_report_load(backend_t *backend, const reported_load_t *load, uint64_t now_ms);
--- a/gateway/state/backends.c
+++ b/gateway/state/backends.c
@@ -70,6 +70,19 @@
     return backend;
 }
 
+void
+backends_remove(backends_t *backends, str_t id)
+{
+    const size_t index = lower_bound(backends, id);
+    if (index == backends->count || !name_eq(&backends->items[index]->info.id, id))
+        return;
+    backends->items[index]->listed = false;
+    backend_unref(backends->items[index]);
+    backends->count--;
+    memmove(&backends->items[index], &backends->items[index + 1],
+            (backends->count - index) * sizeof(backends->items[0]));
+}
+
 void
 backends_remove_due(backends_t *backends, uint64_t now_ms)
 {
--- a/gateway/state/backends.h
+++ b/gateway/state/backends.h
@@ -22,6 +22,8 @@
                         const topology_t *topology, uv_loop_t *loop, uint64_t now_ms);
 /* NULL if there is none; the list owns what is returned. */
 backend_t *backends_find(const backends_t *backends, str_t id);
+/* Takes out the backend with that id, if there is one; attempts under way keep it. */
+void backends_remove(backends_t *backends, str_t id);
 /* Takes out the backends whose remove_at_ms has come; attempts under way keep theirs. */
 void backends_remove_due(backends_t *backends, uint64_t now_ms);
 void backends_free(backends_t *backends);
--- a/gateway/state/catalog.h
+++ b/gateway/state/catalog.h
@@ -1,17 +1,26 @@
 /*
  * Catalog: the configuration in force and the backend servers, as the store's views say.
  *
- * Applies what is newer in a view (view.h): configuration, list of backends, closed data halls.
- * Owns the configuration and the list of backends. Relies on the adapter's decoder to read objects,
- * on removal.h for backends that disappear and on cold_start.h for backends that turn cold.
+ * Applies what is newer in a view (view.h): configuration (catalog.c), list of backends
+ * (catalog_backends.c), closed data halls. Owns the configuration and the list of backends. Relies
+ * on the adapter's decoder to read objects, on removal.h for backends that disappear and on
+ * cold_start.h for backends that turn cold.
  */
 #pragma once
 
 #include "gateway/policy/removal.h"
 #include "gateway/ports.h"
 #include "gateway/state/backends.h"
+#include "gateway/state/departures.h"
 #include "gateway/state/view.h"
 
+enum {
+    /* Log lines about single backends that one change of a view or one tick makes. A deployment
+     * changes hundreds of entries at once; 295 instances that each wrote a line for each of them
+     * lost 1,528 times lines of all kinds within 22 s (counted in one region's logs). */
+    CATALOG_LINES_MAX = 32,
+};
+
 /* A configuration that could not be used. */
 typedef struct {
     uint64_t revision; /* 0: the newest that came is in force */
@@ -27,8 +36,12 @@
     uint64_t newer_at; /* revision of a newer configuration that a peer holds, or that is here and
                           not decoded yet; 0: none known */
     backends_t backends;
-    bool backends_known; /* a whole list was taken in once */
-    unsigned instances;  /* of the whole fleet; they share a backend's connections */
+    bool backends_known;     /* a whole list was taken in once */
+    departures_t departures; /* what was told ahead of the list's change */
+    departures_t fresh;      /* what the last change of the list itself told */
+    uint64_t *unusable;      /* revisions of entries that name no backend, ascending */
+    size_t unusable_count;
+    unsigned instances; /* of the whole fleet; they share a backend's connections */
 } catalog_t;
 
 /* What is passed must outlive the catalog. */
@@ -40,14 +53,26 @@
 /* True if a newer configuration is known of than what is in force of it: none of it, or not all of
  * its routes. */
 bool catalog_is_behind(const catalog_t *catalog);
-/* Adds and changes backends, and schedules the removal of those that are gone (removal.h). */
+/* Adds and changes backends, and schedules the removal of those that are gone (removal.h). Those
+ * that leave or are gone from now on are in `fresh` until the next call. */
 void catalog_apply_backends(catalog_t *catalog, const view_t *view, removal_store_t store);
+/* A peer tells of backends that get nothing new, ahead of the change of the list. */
+void catalog_apply_departures(catalog_t *catalog, const departure_t *items, size_t count,
+                              removal_store_t store);
 /* Closes and opens the data halls of the backends. */
 void catalog_apply_closures(catalog_t *catalog, const view_t *view);
 /* The number of instances has changed: each gets its part of a backend's connections. */
 void catalog_set_instances(catalog_t *catalog, unsigned instances);
 /* Regular work: removes backends that are due, and logs which ones are avoided. */
 void catalog_tick(catalog_t *catalog);
+/* What the configuration says of a backend's service; NULL if nothing. */
+const config_service_t *catalog_service_of(const catalog_t *catalog, const backend_t *backend);
+/* Sets the backend's part of its service's connections. */
+void catalog_bound_connections(const catalog_t *catalog, backend_t *backend);
+/* The backend is cold: its requests are paced from now on. */
+void catalog_pace_cold(const catalog_t *catalog, backend_t *backend, uint64_t now_ms);
+/* Logs how many changes were not logged each, if there were too many. */
+void catalog_log_unsaid(const char *what, size_t lines);
 /* True once requests can be decided. */
 bool catalog_is_complete(const catalog_t *catalog);
 /* Adds the slots of a service's usable backends to `slots`, which has an entry for each region of
--- /dev/null
+++ b/gateway/state/departures.c
@@ -0,0 +1,88 @@
+#include "gateway/state/departures.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/xmalloc.h"
+
+enum {
+    ITEMS_START = 16,
+    /* A view is behind its peers for some seconds at most, and a list from the store is as old as
+     * the call for it, 15 s at most (platform/store.c). Chosen. */
+    KEPT_MS = 30000,
+};
+
+/* Index of the first one whose id is not below `backend`. */
+static size_t
+lower_bound(const departures_t *departures, str_t backend)
+{
+    size_t low = 0;
+    size_t high = departures->count;
+    while (low < high) {
+        const size_t mid = low + (high - low) / 2;
+        if (str_order(name_str(&departures->items[mid].backend), backend) < 0)
+            low = mid + 1;
+        else
+            high = mid;
+    }
+    return low;
+}
+
+static bool
+is_at(const departures_t *departures, size_t index, str_t backend)
+{
+    return index < departures->count && name_eq(&departures->items[index].backend, backend);
+}
+
+bool
+departures_add(departures_t *departures, const departure_t *departure)
+{
+    const str_t backend = name_str(&departure->backend);
+    const size_t index = lower_bound(departures, backend);
+    if (is_at(departures, index, backend)) {
+        if (departures->items[index].revision >= departure->revision)
+            return false;
+        departures->items[index] = *departure;
+        return true;
+    }
+    if (departures->count == departures->size) {
+        departures->size = departures->size > 0 ? departures->size * 2 : ITEMS_START;
+        departures->items =
+            xrealloc(departures->items, departures->size * sizeof(*departures->items));
+    }
+    memmove(&departures->items[index + 1], &departures->items[index],
+            (departures->count - index) * sizeof(*departures->items));
+    departures->items[index] = *departure;
+    departures->count++;
+    return true;
+}
+
+const departure_t *
+departures_find(const departures_t *departures, str_t backend, uint64_t revision)
+{
+    if (departures->count == 0)
+        return NULL;
+    const size_t index = lower_bound(departures, backend);
+    if (!is_at(departures, index, backend))
+        return NULL;
+    const departure_t *departure = &departures->items[index];
+    return departure->revision > revision ? departure : NULL;
+}
+
+void
+departures_expire(departures_t *departures, uint64_t now_ms)
+{
+    size_t kept = 0;
+    for (size_t i = 0; i < departures->count; i++) {
+        if (now_ms - departures->items[i].told_ms <= KEPT_MS)
+            departures->items[kept++] = departures->items[i];
+    }
+    departures->count = kept;
+}
+
+void
+departures_free(departures_t *departures)
+{
+    free(departures->items);
+    *departures = (departures_t){0};
+}
--- a/gateway/state/store_watch.c
+++ b/gateway/state/store_watch.c
@@ -27,6 +27,9 @@
     /* An instance that had to watch goes on for this time, so that instances do not take turns in
      * fifths of a second (commit 35bcf57). */
     FALLBACK_MS = 3000,
+    /* A watch that is answered sooner found changes that were there already: the way to the store
+     * and back takes some milliseconds, 70 between regions. Chosen. */
+    AT_ONCE_MS = 100,
     START_PEERS_FIRST_MS = 250, /* peers have this time to bring the views at start. Chosen */
 };
 
@@ -228,6 +231,41 @@
     return kind->list_needed ? STORE_FOR_HISTORY : STORE_FOR_PEER;
 }
 
+/* The view has changed: it is applied here first, then sent on. */
+static void
+tell_change(kind_watch_t *kind, const view_delta_t *delta, const char *source, uint64_t age_ms)
+{
+    const store_watch_t *watch = kind->owner;
+    views_changed(watch->conf.views, kind->kind, source, age_ms, uv_now(watch->conf.loop));
+    watch->conf.on_delta(watch->conf.ctx, delta);
+}
+
+/* The pages hold the whole list. What changed since the view was current is sent on, as after a
+ * watch: after an outage all of a region would read the list otherwise. */
+static void
+take_list(kind_watch_t *kind)
+{
+    store_watch_t *watch = kind->owner;
+    view_t *view = view_of(kind);
+    const bool was_known = view->known;
+    const view_delta_t delta = {
+        .kind = kind->kind,
+        .from = view->at,
+        .base_digest = view->digest,
+    };
+    const view_result_t result = view_replace(view, kind->pages, kind->page_count, kind->list_at);
+    const uint64_t age_ms = uv_now(watch->conf.loop) - kind->current_ms;
+    free_pages(kind);
+    kind->list_needed = false;
+    kind->read_once = false;
+    kind->current_ms = kind->called_ms;
+    if (result == VIEW_CHANGED && was_known)
+        tell_change(kind, &delta, "list", age_ms);
+    else if (result == VIEW_CHANGED)
+        views_changed(watch->conf.views, kind->kind, "list", VIEW_AGE_MAX_MS + 1,
+                      uv_now(watch->conf.loop));
+}
+
 static void on_list(void *ctx, const store_answer_t *answer);
 
 static void
@@ -259,32 +297,35 @@
         list_after(kind, kind->pages[kind->page_count - 1].name);
         return;
     }
-    const view_result_t result =
-        view_replace(view_of(kind), kind->pages, kind->page_count, kind->list_at);
-    free_pages(kind);
-    kind->list_needed = false;
-    kind->read_once = false;
-    if (result == VIEW_CHANGED)
-        views_changed(watch->conf.views, kind->kind, "list");
+    take_list(kind);
     store_watch_tick(watch);
 }
 
 /* ---- watch ---- */
 
+/* Age in milliseconds of the oldest change that the watch has brought, at the most: one that rested
+ * is answered by the change, one that was answered at once brings changes that came before it. */
+static uint64_t
+changes_age_ms(const kind_watch_t *kind)
+{
+    const uint64_t now_ms = uv_now(kind->owner->conf.loop);
+    const bool rested = now_ms - kind->called_ms > AT_ONCE_MS;
+    return now_ms - (rested ? now_ms : kind->current_ms);
+}
+
 static void
 apply_delta(kind_watch_t *kind, const store_answer_t *answer)
 {
-    const store_watch_t *watch = kind->owner;
     view_t *view = view_of(kind);
     const view_delta_t delta = {
         .kind = kind->kind,
         .from = kind->watched_from,
         .base_digest = view->digest,
     };
-    if (view_apply(view, answer->items, answer->item_count, delta.from, answer->at) != VIEW_CHANGED)
-        return;
-    watch->conf.on_delta(watch->conf.ctx, &delta);
-    views_changed(watch->conf.views, kind->kind, "watch");
+    const uint64_t age_ms = changes_age_ms(kind);
+    kind->current_ms = uv_now(kind->owner->conf.loop);
+    if (view_apply(view, answer->items, answer->item_count, delta.from, answer->at) == VIEW_CHANGED)
+        tell_change(kind, &delta, "watch", age_ms);
 }
 
 /* The next watch starts at the next tick, so that changes in quick succession come together. */
--- a/gateway/state/store_watch.h
+++ b/gateway/state/store_watch.h
@@ -19,7 +19,7 @@
 #include "gateway/policy/removal.h"
 #include "gateway/state/views.h"
 
-/* A watch changed one view. */
+/* The store changed one view. */
 typedef struct {
     view_kind_t kind;
     uint64_t from;        /* the changes came after this revision */
@@ -33,7 +33,8 @@
     views_t *views;
     str_t instance; /* name of this instance */
     size_t region;
-    /* A watch brought changes, which the view holds already. */
+    /* A watch or a list brought changes of a view that was known; the view holds them, and
+     * views_t's on_change has been called. */
     void (*on_delta)(void *ctx, const view_delta_t *delta);
     void *ctx;
 } store_watch_conf_t;
@@ -52,6 +53,7 @@
     uint64_t retry_at_ms;  /* loop time before which the store is not called */
     uint64_t answered_ms;  /* loop time of its last answer, 0 before the first */
     uint64_t called_ms;    /* loop time at which its last call was begun */
+    uint64_t current_ms;   /* loop time up to which the view held all changes */
     uint64_t watched_from; /* revision that the running watch started from */
     uint64_t list_at;      /* revision of the list under way */
     store_item_t *pages;   /* what came of it so far; owned */
--- a/gateway/state/view_message.c
+++ b/gateway/state/view_message.c
@@ -18,7 +18,9 @@
     /* Of 767 kB of routes level 1 makes 84 kB in 3.4 ms, level 6 65 kB in 8.4 ms; parsing them
      * takes 24 ms, unpacking 1.7 ms (measured on one core, 4,222 routes). */
     PACK_LEVEL = 1,
-    UNPACKED_MAX = 16 << 20, /* bytes of a body: guards the memory. Chosen */
+    UNPACKED_MAX = 16 << 20, /* bytes of a body or a list: guards the memory. Chosen */
+    /* Bytes of a list from which it is packed: below, it fits a packet of the network as it is. */
+    LIST_MIN = 1400,
 };
 
 static Iris__ViewItem *
@@ -37,41 +39,84 @@
 void
 view_message_fill(view_message_t *out, const store_item_t *items, size_t count)
 {
+    *out = (view_message_t){.item_count = count};
     iris__envelope__init(&out->envelope);
     iris__view_update__init(&out->update);
     out->envelope.schema = PEER_SCHEMA;
     out->envelope.body_case = IRIS__ENVELOPE__BODY_VIEW_UPDATE;
     out->envelope.view_update = &out->update;
-    out->update.n_items = count;
-    out->update.items = xcalloc(count + 1, sizeof(*out->update.items));
+    out->items = xcalloc(count + 1, sizeof(*out->items));
     for (size_t i = 0; i < count; i++)
-        out->update.items[i] = encode_item(&items[i]);
+        out->items[i] = encode_item(&items[i]);
+    out->update.n_items = count;
+    out->update.items = out->items;
     out->bytes = view_update_bytes(&out->update);
 }
 
+bool
+view_message_fill_list(view_message_t *out, const Iris__ViewUpdate *update)
+{
+    if (update->unpacked_bytes == 0)
+        return false;
+    view_message_fill(out, NULL, 0);
+    out->update = *update;
+    out->update.n_items = 0;
+    out->update.items = NULL;
+    out->envelope.body_case = IRIS__ENVELOPE__BODY_LIST_UPDATE;
+    out->envelope.list_update = &out->update;
+    out->bytes = update->packed_items.len;
+    return true;
+}
+
+/* NULL if they do not get smaller; free() the result. */
+static uint8_t *
+pack_bytes(const uint8_t *bytes, size_t len, size_t *packed_len)
+{
+    uLongf room = compressBound(len);
+    uint8_t *packed = xmalloc(room);
+    if (compress2(packed, &room, bytes, len, PACK_LEVEL) != Z_OK || room >= len) {
+        free(packed);
+        return NULL;
+    }
+    *packed_len = room;
+    return packed;
+}
+
+/* NULL if they are not what was packed; free() the result. */
+static uint8_t *
+unpack_bytes(const ProtobufCBinaryData *packed, size_t len)
+{
+    if (len > UNPACKED_MAX)
+        return NULL;
+    uLongf room = len;
+    uint8_t *bytes = xmalloc(len);
+    if (uncompress(bytes, &room, packed->data, packed->len) != Z_OK || room != len) {
+        free(bytes);
+        return NULL;
+    }
+    return bytes;
+}
+
 static bool
 pack_item(Iris__ViewItem *item)
 {
-    if (item->body.len < PACK_MIN || item->body.len > UNPACKED_MAX)
+    if (item->body.len < PACK_MIN || item->body.len > UNPACKED_MAX || item->unpacked_bytes > 0)
         return false;
-    uLongf len = compressBound(item->body.len);
-    uint8_t *packed = xmalloc(len);
-    if (compress2(packed, &len, item->body.data, item->body.len, PACK_LEVEL) != Z_OK ||
-        len >= item->body.len) {
-        free(packed);
+    size_t len;
+    uint8_t *packed = pack_bytes(item->body.data, item->body.len, &len);
+    if (packed == NULL)
         return false;
-    }
     item->unpacked_bytes = (uint32_t)item->body.len;
     item->body.data = packed;
     item->body.len = len;
     return true;
 }
 
-void
-view_message_pack(view_message_t *message)
+static void
+pack_bodies(view_message_t *message)
 {
-    for (size_t i = 0; i < message->update.n_items; i++) {
-        if (!pack_item(message->update.items[i]))
+    for (size_t i = 0; i < message->item_count; i++) {
+        if (!pack_item(message->items[i]))
             continue;
         message->envelope.body_case = IRIS__ENVELOPE__BODY_PACKED_UPDATE;
         message->envelope.packed_update = &message->update;
@@ -79,30 +124,84 @@
     message->bytes = view_update_bytes(&message->update);
 }
 
+static void
+pack_list(view_message_t *message)
+{
+    Iris__ViewItems list = IRIS__VIEW_ITEMS__INIT;
+    list.n_items = message->item_count;
+    list.items = message->items;
+    const size_t len = iris__view_items__get_packed_size(&list);
+    if (len < LIST_MIN || len > UNPACKED_MAX)
+        return;
+    uint8_t *plain = xmalloc(len);
+    iris__view_items__pack(&list, plain);
+    size_t packed_len;
+    message->list = pack_bytes(plain, len, &packed_len);
+    free(plain);
+    if (message->list == NULL)
+        return;
+    message->update.n_items = 0;
+    message->update.items = NULL;
+    message->update.packed_items = (ProtobufCBinaryData){packed_len, message->list};
+    message->update.unpacked_bytes = (uint32_t)len;
+    message->envelope.body_case = IRIS__ENVELOPE__BODY_LIST_UPDATE;
+    message->envelope.list_update = &message->update;
+    message->bytes = packed_len;
+}
+
+void
+view_message_pack(view_message_t *message, view_reads_t reads)
+{
+    if (message->update.unpacked_bytes > 0)
+        return;
+    if (reads == VIEW_READS_BODIES)
+        pack_bodies(message);
+    if (reads == VIEW_READS_LISTS)
+        pack_list(message);
+}
+
 static bool
 unpack_item(Iris__ViewItem *item)
 {
-    uLongf len = item->unpacked_bytes;
-    if (len == 0)
+    if (item->unpacked_bytes == 0)
         return true;
-    if (len > UNPACKED_MAX)
-        return false;
-    uint8_t *body = xmalloc(len);
-    if (uncompress(body, &len, item->body.data, item->body.len) != Z_OK ||
-        len != item->unpacked_bytes) {
-        free(body);
+    uint8_t *body = unpack_bytes(&item->body, item->unpacked_bytes);
+    if (body == NULL)
         return false;
-    }
     free(item->body.data);
     item->body.data = body;
-    item->body.len = len;
+    item->body.len = item->unpacked_bytes;
     item->unpacked_bytes = 0;
     return true;
 }
 
+/* Takes the objects out of the packed list into the update. */
+static bool
+unpack_list(Iris__ViewUpdate *update)
+{
+    if (update->unpacked_bytes == 0)
+        return true;
+    uint8_t *plain = unpack_bytes(&update->packed_items, update->unpacked_bytes);
+    if (plain == NULL)
+        return false;
+    Iris__ViewItems *list = iris__view_items__unpack(NULL, update->unpacked_bytes, plain);
+    free(plain);
+    if (list == NULL)
+        return false;
+    free(update->items); /* there are none beside a list */
+    update->items = list->items;
+    update->n_items = list->n_items;
+    list->items = NULL;
+    list->n_items = 0;
+    iris__view_items__free_unpacked(list, NULL);
+    return true;
+}
+
 bool
 view_message_unpack(Iris__ViewUpdate *update)
 {
+    if ((update->unpacked_bytes > 0 && update->n_items > 0) || !unpack_list(update))
+        return false;
     for (size_t i = 0; i < update->n_items; i++) {
         if (!unpack_item(update->items[i]))
             return false;
@@ -113,13 +212,14 @@
 void
 view_message_free(view_message_t *message)
 {
-    for (size_t i = 0; i < message->update.n_items; i++) {
-        if (message->update.items[i]->unpacked_bytes > 0)
-            free(message->update.items[i]->body.data);
-        free(message->update.items[i]->name);
-        free(message->update.items[i]);
+    for (size_t i = 0; i < message->item_count; i++) {
+        if (message->items[i]->unpacked_bytes > 0)
+            free(message->items[i]->body.data);
+        free(message->items[i]->name);
+        free(message->items[i]);
     }
-    free(message->update.items);
+    free(message->items);
+    free(message->list);
 }
 
 store_item_t *
@@ -146,3 +246,9 @@
         bytes += strlen(update->items[i]->name) + update->items[i]->body.len + ITEM_OVERHEAD;
     return bytes;
 }
+
+size_t
+view_update_wire_bytes(const Iris__ViewUpdate *update)
+{
+    return update->unpacked_bytes > 0 ? update->packed_items.len : view_update_bytes(update);
+}
--- a/gateway/state/view_relay.c
+++ b/gateway/state/view_relay.c
@@ -11,8 +11,11 @@
 #include "gateway/state/view_message.h"
 
 enum {
-    REQUEST_EVERY_MS = 600,     /* an instance asks for a view at most this often. Chosen */
-    START_STORE_FIRST_MS = 700, /* the store has this time to give the views at start. Chosen */
+    REQUEST_EVERY_MS = 600, /* an instance asks for a view at most this often. Chosen */
+    /* A started instance asks those of its own region first: a whole view is some 80 kB. Chosen:
+     * above the time in which they are heard of. */
+    START_NEAR_MS = 600,
+    START_REQUEST_EVERY_MS = 200, /* until it knows a view; each time another peer. Chosen */
     /* Bytes of a view that a peer gets; a larger one it reads from the store. In the sweep at 300
      * instances whole views of 1 MB made most of the bytes (commit 59548b9). */
     WHOLE_MAX = 200000,
@@ -24,7 +27,8 @@
 view_relay_init(view_relay_t *relay, const view_relay_conf_t *conf)
 {
     *relay = (view_relay_t){.conf = *conf, .started_ms = uv_now(conf->loop)};
-    bucket_init(&relay->answers, relay_answers_per_s(), relay_answers_burst(), relay->started_ms);
+    bucket_init(&relay->answers, relay_answers_per_s(conf->link_bytes_per_s),
+                relay_answers_burst(conf->link_bytes_per_s), relay->started_ms);
 }
 
 void
@@ -39,7 +43,7 @@
 static bool
 has_room(view_relay_t *relay, size_t bytes)
 {
-    const double burst = relay_answers_burst();
+    const double burst = relay_answers_burst(relay->conf.link_bytes_per_s);
     const double needed = (double)bytes < burst ? (double)bytes : burst;
     return bucket_tokens(&relay->answers, uv_now(relay->conf.loop)) >= needed;
 }
@@ -62,7 +66,7 @@
         return true;
     if (!has_room(relay, message->bytes / PACK_PART))
         return false;
-    view_message_pack(message);
+    view_message_pack(message, request->reads_lists ? VIEW_READS_LISTS : VIEW_READS_BODIES);
     return true;
 }
 
@@ -105,6 +109,8 @@
     message.update.from = request->have;
     message.update.at = view->at;
     message.update.base_digest = request->digest;
+    message.update.age_ms = view_age_since(&relay->conf.views->ages[request->kind], request->have,
+                                           uv_now(relay->conf.loop));
     const bool wanted = prepare_answer(relay, &message, request);
     if (wanted)
         send_reply(relay, conn, &message);
@@ -151,7 +157,8 @@
 {
     const view_t *view = &relay->conf.views->items[kind];
     const uint64_t now_ms = uv_now(relay->conf.loop);
-    if (now_ms - relay->kinds[kind].requested_ms < REQUEST_EVERY_MS)
+    const uint64_t every_ms = view->known ? REQUEST_EVERY_MS : START_REQUEST_EVERY_MS;
+    if (relay->kinds[kind].requested_ms > 0 && now_ms - relay->kinds[kind].requested_ms < every_ms)
         return;
     relay->kinds[kind].requested_ms = now_ms;
     Iris__Envelope envelope = IRIS__ENVELOPE__INIT;
@@ -164,19 +171,21 @@
     request.digest = view->digest;
     request.whole = store_watch_is_failing(relay->conf.watch);
     request.unpacks = true;
+    request.reads_lists = true;
     peer_send(relay->conf.hub, peer, &envelope);
     LOG_INFO("view requested: kind=%d have=%llu whole=%d", kind, (unsigned long long)request.have,
              request.whole);
 }
 
-/* True if it is time to ask a peer that holds the view as of revision `at`. */
+/* True if it is time to ask a peer that holds the view. */
 static bool
-is_time_to_ask(view_relay_t *relay, view_kind_t kind, uint64_t at)
+is_time_to_ask(view_relay_t *relay, view_kind_t kind, const member_t *member)
 {
+    const uint64_t at = member->views[kind].at;
     const uint64_t now_ms = uv_now(relay->conf.loop);
     relay_lag_t *lag = &relay->kinds[kind].lag;
     if (!relay->conf.views->items[kind].known)
-        return now_ms - relay->started_ms >= START_STORE_FIRST_MS;
+        return member->region == relay->conf.region || now_ms - relay->started_ms >= START_NEAR_MS;
     relay_lag_notice(lag, at, now_ms);
     return relay_lag_asks(lag, at, now_ms);
 }
@@ -197,7 +206,7 @@
             view_relay_view_changed(relay, kind);
             continue;
         }
-        if (is_time_to_ask(relay, kind, theirs->at))
+        if (is_time_to_ask(relay, kind, member))
             request_view(relay, kind, &member->peer);
     }
 }
@@ -225,11 +234,17 @@
 {
     relay_lag_t *lag = &relay->kinds[update->kind].lag;
     const uint64_t now_ms = uv_now(relay->conf.loop);
-    relay_lag_change(lag, view_update_bytes(update), now_ms);
+    relay_lag_change(lag, view_update_wire_bytes(update), now_ms);
     if (result == VIEW_GAP)
         relay_lag_notice(lag, update->at, now_ms);
-    if (result == VIEW_CHANGED && !update->whole)
-        view_push_forward(relay->conf.push, update);
+    view_push_forward(relay->conf.push, update);
+}
+
+/* A whole view, and what an instance sends that does not tell ages, may be of any age. */
+static uint64_t
+update_age_ms(const Iris__ViewUpdate *update)
+{
+    return update->whole || update->age_ms == 0 ? VIEW_AGE_MAX_MS + 1 : update->age_ms;
 }
 
 void
@@ -250,5 +265,6 @@
     if (peer_is_unasked(conn))
         on_change(relay, update, result);
     if (result == VIEW_CHANGED)
-        views_changed(relay->conf.views, update->kind, "peer");
+        views_changed(relay->conf.views, update->kind, "peer", update_age_ms(update),
+                      uv_now(relay->conf.loop));
 }
--- a/gateway/state/view_relay.h
+++ b/gateway/state/view_relay.h
@@ -24,7 +24,9 @@
     peer_hub_t *hub;
     views_t *views;
     store_watch_t *watch;
-    view_push_t *push; /* sends on what peers sent */
+    view_push_t *push;       /* sends on what peers sent */
+    size_t region;           /* of this instance */
+    double link_bytes_per_s; /* of this instance, one direction; 0 if not known */
 } view_relay_conf_t;
 
 typedef struct {
--- a/peer/peer.pb-c.c
+++ b/peer/peer.pb-c.c
@@ -637,6 +637,141 @@
   assert(message->base.descriptor == &iris__view_update__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   iris__view_items__init
+                     (Iris__ViewItems         *message)
+{
+  static const Iris__ViewItems init_value = IRIS__VIEW_ITEMS__INIT;
+  *message = init_value;
+}
+size_t iris__view_items__get_packed_size
+                     (const Iris__ViewItems *message)
+{
+  assert(message->base.descriptor == &iris__view_items__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t iris__view_items__pack
+                     (const Iris__ViewItems *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &iris__view_items__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t iris__view_items__pack_to_buffer
+                     (const Iris__ViewItems *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &iris__view_items__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Iris__ViewItems *
+       iris__view_items__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Iris__ViewItems *)
+     protobuf_c_message_unpack (&iris__view_items__descriptor,
+                                allocator, len, data);
+}
+void   iris__view_items__free_unpacked
+                     (Iris__ViewItems *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &iris__view_items__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   iris__departure__init
+                     (Iris__Departure         *message)
+{
+  static const Iris__Departure init_value = IRIS__DEPARTURE__INIT;
+  *message = init_value;
+}
+size_t iris__departure__get_packed_size
+                     (const Iris__Departure *message)
+{
+  assert(message->base.descriptor == &iris__departure__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t iris__departure__pack
+                     (const Iris__Departure *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &iris__departure__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t iris__departure__pack_to_buffer
+                     (const Iris__Departure *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &iris__departure__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Iris__Departure *
+       iris__departure__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Iris__Departure *)
+     protobuf_c_message_unpack (&iris__departure__descriptor,
+                                allocator, len, data);
+}
+void   iris__departure__free_unpacked
+                     (Iris__Departure *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &iris__departure__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   iris__departures__init
+                     (Iris__Departures         *message)
+{
+  static const Iris__Departures init_value = IRIS__DEPARTURES__INIT;
+  *message = init_value;
+}
+size_t iris__departures__get_packed_size
+                     (const Iris__Departures *message)
+{
+  assert(message->base.descriptor == &iris__departures__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t iris__departures__pack
+                     (const Iris__Departures *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &iris__departures__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t iris__departures__pack_to_buffer
+                     (const Iris__Departures *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &iris__departures__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Iris__Departures *
+       iris__departures__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Iris__Departures *)
+     protobuf_c_message_unpack (&iris__departures__descriptor,
+                                allocator, len, data);
+}
+void   iris__departures__free_unpacked
+                     (Iris__Departures *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &iris__departures__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   iris__view_request__init
                      (Iris__ViewRequest         *message)
 {
@@ -1452,7 +1587,7 @@
   (ProtobufCMessageInit) iris__demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor iris__outcomes__field_descriptors[3] =
+static const ProtobufCFieldDescriptor iris__outcomes__field_descriptors[4] =
 {
   {
     "backend",
@@ -1490,16 +1625,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "born",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Iris__Outcomes, born),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned iris__outcomes__field_indices_by_name[] = {
   0,   /* field[0] = backend */
   2,   /* field[2] = bad */
+  3,   /* field[3] = born */
   1,   /* field[1] = good */
 };
 static const ProtobufCIntRange iris__outcomes__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor iris__outcomes__descriptor =
 {
@@ -1509,7 +1657,7 @@
   "Iris__Outcomes",
   "iris",
   sizeof(Iris__Outcomes),
-  3,
+  4,
   iris__outcomes__field_descriptors,
   iris__outcomes__field_indices_by_name,
   1,  iris__outcomes__number_ranges,
@@ -1567,7 +1715,7 @@
   (ProtobufCMessageInit) iris__peer_address__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor iris__gateway_heartbeat__field_descriptors[21] =
+static const ProtobufCFieldDescriptor iris__gateway_heartbeat__field_descriptors[24] =
 {
   {
     "instance",
@@ -1821,8 +1969,45 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reads_lists",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Iris__GatewayHeartbeat, reads_lists),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "announced",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Iris__GatewayHeartbeat, announced),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "was_announced",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Iris__GatewayHeartbeat, was_announced),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned iris__gateway_heartbeat__field_indices_by_name[] = {
+  22,   /* field[22] = announced */
   19,   /* field[19] = bytes_per_s */
   4,   /* field[4] = caller_address */
   17,   /* field[17] = cpu_cores */
@@ -1836,6 +2021,7 @@
   3,   /* field[3] = peer_address */
   11,   /* field[11] = peers */
   1,   /* field[1] = place */
+  21,   /* field[21] = reads_lists */
   5,   /* field[5] = ready */
   13,   /* field[13] = region_demands */
   12,   /* field[12] = region_members */
@@ -1844,11 +2030,12 @@
   8,   /* field[8] = store_failing */
   20,   /* field[20] = unpacks */
   9,   /* field[9] = views */
+  23,   /* field[23] = was_announced */
 };
 static const ProtobufCIntRange iris__gateway_heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 21 }
+  { 0, 24 }
 };
 const ProtobufCMessageDescriptor iris__gateway_heartbeat__descriptor =
 {
@@ -1858,7 +2045,7 @@
   "Iris__GatewayHeartbeat",
   "iris",
   sizeof(Iris__GatewayHeartbeat),
-  21,
+  24,
   iris__gateway_heartbeat__field_descriptors,
   iris__gateway_heartbeat__field_indices_by_name,
   1,  iris__gateway_heartbeat__number_ranges,
@@ -1955,7 +2142,7 @@
   (ProtobufCMessageInit) iris__view_item__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor iris__view_update__field_descriptors[6] =
+static const ProtobufCFieldDescriptor iris__view_update__field_descriptors[9] =
 {
   {
     "kind",
@@ -2029,19 +2216,58 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "age_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Iris__ViewUpdate, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "packed_items",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Iris__ViewUpdate, packed_items),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unpacked_bytes",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Iris__ViewUpdate, unpacked_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned iris__view_update__field_indices_by_name[] = {
+  6,   /* field[6] = age_ms */
   2,   /* field[2] = at */
   5,   /* field[5] = base_digest */
   1,   /* field[1] = from */
   4,   /* field[4] = items */
   0,   /* field[0] = kind */
+  7,   /* field[7] = packed_items */
+  8,   /* field[8] = unpacked_bytes */
   3,   /* field[3] = whole */
 };
 static const ProtobufCIntRange iris__view_update__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor iris__view_update__descriptor =
 {
@@ -2051,14 +2277,167 @@
   "Iris__ViewUpdate",
   "iris",
   sizeof(Iris__ViewUpdate),
-  6,
+  9,
   iris__view_update__field_descriptors,
   iris__view_update__field_indices_by_name,
   1,  iris__view_update__number_ranges,
   (ProtobufCMessageInit) iris__view_update__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor iris__view_request__field_descriptors[5] =
+static const ProtobufCFieldDescriptor iris__view_items__field_descriptors[1] =
+{
+  {
+    "items",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Iris__ViewItems, n_items),
+    offsetof(Iris__ViewItems, items),
+    &iris__view_item__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned iris__view_items__field_indices_by_name[] = {
+  0,   /* field[0] = items */
+};
+static const ProtobufCIntRange iris__view_items__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor iris__view_items__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "iris.ViewItems",
+  "ViewItems",
+  "Iris__ViewItems",
+  "iris",
+  sizeof(Iris__ViewItems),
+  1,
+  iris__view_items__field_descriptors,
+  iris__view_items__field_indices_by_name,
+  1,  iris__view_items__number_ranges,
+  (ProtobufCMessageInit) iris__view_items__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor iris__departure__field_descriptors[3] =
+{
+  {
+    "backend",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Iris__Departure, backend),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Iris__Departure, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gone",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Iris__Departure, gone),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned iris__departure__field_indices_by_name[] = {
+  0,   /* field[0] = backend */
+  2,   /* field[2] = gone */
+  1,   /* field[1] = revision */
+};
+static const ProtobufCIntRange iris__departure__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor iris__departure__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "iris.Departure",
+  "Departure",
+  "Iris__Departure",
+  "iris",
+  sizeof(Iris__Departure),
+  3,
+  iris__departure__field_descriptors,
+  iris__departure__field_indices_by_name,
+  1,  iris__departure__number_ranges,
+  (ProtobufCMessageInit) iris__departure__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor iris__departures__field_descriptors[2] =
+{
+  {
+    "items",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Iris__Departures, n_items),
+    offsetof(Iris__Departures, items),
+    &iris__departure__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Iris__Departures, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned iris__departures__field_indices_by_name[] = {
+  1,   /* field[1] = age_ms */
+  0,   /* field[0] = items */
+};
+static const ProtobufCIntRange iris__departures__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor iris__departures__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "iris.Departures",
+  "Departures",
+  "Iris__Departures",
+  "iris",
+  sizeof(Iris__Departures),
+  2,
+  iris__departures__field_descriptors,
+  iris__departures__field_indices_by_name,
+  1,  iris__departures__number_ranges,
+  (ProtobufCMessageInit) iris__departures__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor iris__view_request__field_descriptors[6] =
 {
   {
     "kind",
@@ -2120,18 +2499,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reads_lists",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Iris__ViewRequest, reads_lists),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned iris__view_request__field_indices_by_name[] = {
   2,   /* field[2] = digest */
   1,   /* field[1] = have */
   0,   /* field[0] = kind */
+  5,   /* field[5] = reads_lists */
   4,   /* field[4] = unpacks */
   3,   /* field[3] = whole */
 };
 static const ProtobufCIntRange iris__view_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor iris__view_request__descriptor =
 {
@@ -2141,14 +2533,14 @@
   "Iris__ViewRequest",
   "iris",
   sizeof(Iris__ViewRequest),
-  5,
+  6,
   iris__view_request__field_descriptors,
   iris__view_request__field_indices_by_name,
   1,  iris__view_request__number_ranges,
   (ProtobufCMessageInit) iris__view_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor iris__envelope__field_descriptors[10] =
+static const ProtobufCFieldDescriptor iris__envelope__field_descriptors[12] =
 {
   {
     "schema",
@@ -2270,12 +2662,38 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "list_update",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Iris__Envelope, body_case),
+    offsetof(Iris__Envelope, list_update),
+    &iris__view_update__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "departures",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Iris__Envelope, body_case),
+    offsetof(Iris__Envelope, departures),
+    &iris__departures__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned iris__envelope__field_indices_by_name[] = {
   4,   /* field[4] = borrow */
+  11,   /* field[11] = departures */
   6,   /* field[6] = gateway */
   1,   /* field[1] = heartbeat */
   5,   /* field[5] = lend */
+  10,   /* field[10] = list_update */
   9,   /* field[9] = packed_update */
   3,   /* field[3] = push */
   0,   /* field[0] = schema */
@@ -2286,7 +2704,7 @@
 static const ProtobufCIntRange iris__envelope__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor iris__envelope__descriptor =
 {
@@ -2296,7 +2714,7 @@
   "Iris__Envelope",
   "iris",
   sizeof(Iris__Envelope),
-  10,
+  12,
   iris__envelope__field_descriptors,
   iris__envelope__field_indices_by_name,
   1,  iris__envelope__number_ranges,
--- a/peer/peer.pb-c.h
+++ b/peer/peer.pb-c.h
@@ -29,6 +29,9 @@
 typedef struct Iris__GatewayHeartbeat Iris__GatewayHeartbeat;
 typedef struct Iris__ViewItem Iris__ViewItem;
 typedef struct Iris__ViewUpdate Iris__ViewUpdate;
+typedef struct Iris__ViewItems Iris__ViewItems;
+typedef struct Iris__Departure Iris__Departure;
+typedef struct Iris__Departures Iris__Departures;
 typedef struct Iris__ViewRequest Iris__ViewRequest;
 typedef struct Iris__Envelope Iris__Envelope;
 typedef struct Iris__BlockChunk Iris__BlockChunk;
@@ -204,10 +207,14 @@
   char *backend;
   uint32_t good;
   uint32_t bad;
+  /*
+   * which life of the backend server; 0 if it does not say
+   */
+  uint64_t born;
 };
 #define IRIS__OUTCOMES__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&iris__outcomes__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Iris__PeerAddress
@@ -292,10 +299,22 @@
    * it takes objects whose body is packed
    */
   protobuf_c_boolean unpacks;
+  /*
+   * it takes ListUpdate and Departures
+   */
+  protobuf_c_boolean reads_lists;
+  /*
+   * the store has an entry of it at peer_address
+   */
+  protobuf_c_boolean announced;
+  /*
+   * only in an answer: so it said of the instance that is answered
+   */
+  protobuf_c_boolean was_announced;
 };
 #define IRIS__GATEWAY_HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&iris__gateway_heartbeat__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Iris__ViewItem
@@ -332,10 +351,69 @@
    * of the view before these changes
    */
   uint64_t base_digest;
+  /*
+   * since the oldest of these changes was learned from the store, ways left out
+   */
+  uint32_t age_ms;
+  /*
+   * in place of items: a ViewItems, packed by zlib
+   */
+  ProtobufCBinaryData packed_items;
+  /*
+   * of that ViewItems
+   */
+  uint32_t unpacked_bytes;
 };
 #define IRIS__VIEW_UPDATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&iris__view_update__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0 }
+    , 0, 0, 0, 0, 0,NULL, 0, 0, {0,NULL}, 0 }
+
+
+struct  Iris__ViewItems
+{
+  ProtobufCMessage base;
+  size_t n_items;
+  Iris__ViewItem **items;
+};
+#define IRIS__VIEW_ITEMS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&iris__view_items__descriptor) \
+    , 0,NULL }
+
+
+/*
+ * Gateway: a backend server that is to get nothing new, ahead of the change of the view.
+ */
+struct  Iris__Departure
+{
+  ProtobufCMessage base;
+  char *backend;
+  /*
+   * of the change that said so
+   */
+  uint64_t revision;
+  /*
+   * its entry went; else it says that it leaves
+   */
+  protobuf_c_boolean gone;
+};
+#define IRIS__DEPARTURE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&iris__departure__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
+struct  Iris__Departures
+{
+  ProtobufCMessage base;
+  size_t n_items;
+  Iris__Departure **items;
+  /*
+   * as in ViewUpdate
+   */
+  uint32_t age_ms;
+};
+#define IRIS__DEPARTURES__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&iris__departures__descriptor) \
+    , 0,NULL, 0 }
 
 
 /*
@@ -361,10 +439,14 @@
    * it takes objects whose body is packed
    */
   protobuf_c_boolean unpacks;
+  /*
+   * it takes a ListUpdate
+   */
+  protobuf_c_boolean reads_lists;
 };
 #define IRIS__VIEW_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&iris__view_request__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 typedef enum {
@@ -377,7 +459,9 @@
   IRIS__ENVELOPE__BODY_GATEWAY = 7,
   IRIS__ENVELOPE__BODY_VIEW_UPDATE = 8,
   IRIS__ENVELOPE__BODY_VIEW_REQUEST = 9,
-  IRIS__ENVELOPE__BODY_PACKED_UPDATE = 10
+  IRIS__ENVELOPE__BODY_PACKED_UPDATE = 10,
+  IRIS__ENVELOPE__BODY_LIST_UPDATE = 11,
+  IRIS__ENVELOPE__BODY_DEPARTURES = 12
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(IRIS__ENVELOPE__BODY__CASE)
 } Iris__Envelope__BodyCase;
 
@@ -399,6 +483,14 @@
      * with packed bodies: a reader that does not know it leaves it
      */
     Iris__ViewUpdate *packed_update;
+    /*
+     * with packed_items; the same
+     */
+    Iris__ViewUpdate *list_update;
+    /*
+     * the same
+     */
+    Iris__Departures *departures;
   };
 };
 #define IRIS__ENVELOPE__INIT \
@@ -700,6 +792,63 @@
 void   iris__view_update__free_unpacked
                      (Iris__ViewUpdate *message,
                       ProtobufCAllocator *allocator);
+/* Iris__ViewItems methods */
+void   iris__view_items__init
+                     (Iris__ViewItems         *message);
+size_t iris__view_items__get_packed_size
+                     (const Iris__ViewItems   *message);
+size_t iris__view_items__pack
+                     (const Iris__ViewItems   *message,
+                      uint8_t             *out);
+size_t iris__view_items__pack_to_buffer
+                     (const Iris__ViewItems   *message,
+                      ProtobufCBuffer     *buffer);
+Iris__ViewItems *
+       iris__view_items__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   iris__view_items__free_unpacked
+                     (Iris__ViewItems *message,
+                      ProtobufCAllocator *allocator);
+/* Iris__Departure methods */
+void   iris__departure__init
+                     (Iris__Departure         *message);
+size_t iris__departure__get_packed_size
+                     (const Iris__Departure   *message);
+size_t iris__departure__pack
+                     (const Iris__Departure   *message,
+                      uint8_t             *out);
+size_t iris__departure__pack_to_buffer
+                     (const Iris__Departure   *message,
+                      ProtobufCBuffer     *buffer);
+Iris__Departure *
+       iris__departure__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   iris__departure__free_unpacked
+                     (Iris__Departure *message,
+                      ProtobufCAllocator *allocator);
+/* Iris__Departures methods */
+void   iris__departures__init
+                     (Iris__Departures         *message);
+size_t iris__departures__get_packed_size
+                     (const Iris__Departures   *message);
+size_t iris__departures__pack
+                     (const Iris__Departures   *message,
+                      uint8_t             *out);
+size_t iris__departures__pack_to_buffer
+                     (const Iris__Departures   *message,
+                      ProtobufCBuffer     *buffer);
+Iris__Departures *
+       iris__departures__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   iris__departures__free_unpacked
+                     (Iris__Departures *message,
+                      ProtobufCAllocator *allocator);
 /* Iris__ViewRequest methods */
 void   iris__view_request__init
                      (Iris__ViewRequest         *message);
@@ -801,6 +950,15 @@
 typedef void (*Iris__ViewUpdate_Closure)
                  (const Iris__ViewUpdate *message,
                   void *closure_data);
+typedef void (*Iris__ViewItems_Closure)
+                 (const Iris__ViewItems *message,
+                  void *closure_data);
+typedef void (*Iris__Departure_Closure)
+                 (const Iris__Departure *message,
+                  void *closure_data);
+typedef void (*Iris__Departures_Closure)
+                 (const Iris__Departures *message,
+                  void *closure_data);
 typedef void (*Iris__ViewRequest_Closure)
                  (const Iris__ViewRequest *message,
                   void *closure_data);
@@ -830,6 +988,9 @@
 extern const ProtobufCMessageDescriptor iris__gateway_heartbeat__descriptor;
 extern const ProtobufCMessageDescriptor iris__view_item__descriptor;
 extern const ProtobufCMessageDescriptor iris__view_update__descriptor;
+extern const ProtobufCMessageDescriptor iris__view_items__descriptor;
+extern const ProtobufCMessageDescriptor iris__departure__descriptor;
+extern const ProtobufCMessageDescriptor iris__departures__descriptor;
 extern const ProtobufCMessageDescriptor iris__view_request__descriptor;
 extern const ProtobufCMessageDescriptor iris__envelope__descriptor;
 extern const ProtobufCMessageDescriptor iris__block_chunk__descriptor;
--- a/test/gateway/test_outage.c
+++ b/test/gateway/test_outage.c
@@ -324,7 +324,7 @@
     view_t *view = &rig->views.items[VIEW_BACKENDS];
     const store_item_t gone = {.name = id_of(0), .revision = rig->revision + 1, .gone = true};
     ck_assert_int_eq(view_apply(view, &gone, 1, view->at, view->at + 1), VIEW_CHANGED);
-    views_changed(&rig->views, VIEW_BACKENDS, "peer");
+    views_changed(&rig->views, VIEW_BACKENDS, "peer", 0, rig->loop.time);
     ck_assert(is_usable(rig, 0));
     pass_ms(rig, GRACE_MS / 2);
     ck_assert_uint_eq(store_watch_trouble(&rig->watch).since_return_ms, GRACE_MS / 2);
--- a/test/gateway/test_relay.c
+++ b/test/gateway/test_relay.c
@@ -75,10 +75,12 @@
 
 START_TEST(relay_pauses_in_proportion_to_what_it_sent)
 {
-    ck_assert_uint_eq(relay_pause_ms(0), 0);
-    ck_assert_uint_eq(relay_pause_ms(SMALL), 1);
-    ck_assert_uint_eq(relay_pause_ms(LARGE), 400);
-    ck_assert_uint_eq(relay_pause_ms((size_t)100 * LARGE), 1000);
+    ck_assert_uint_eq(relay_pause_ms(0, 0), 0);
+    ck_assert_uint_eq(relay_pause_ms(SMALL, 0), 1);
+    ck_assert_uint_eq(relay_pause_ms(LARGE, 0), 400);
+    ck_assert_uint_eq(relay_pause_ms((size_t)100 * LARGE, 0), 1000);
+    /* A fifth of a larger link. */
+    ck_assert_uint_eq(relay_pause_ms(LARGE, 25e6), 20);
 }
 END_TEST
 
