Store: started instances have their views from peers, one watches in turn; the fleet hardly makes the calls

Change: policy/store_turns: started instances wait for peers for different times; where no watcher is heard of the first four try and one more each quarter of a second; looks at a failing store in turns; a watch that brought changes rests 0.4 s. An instance heard anew is answered at once with addresses, views and whether it was announced before, so that it need not ask the store; news of the store's failing goes out at once.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -310,6 +310,16 @@
     return true;
 }
 
+static bool
+is_seed(const gateway_settings_t *settings)
+{
+    for (size_t i = 0; i < settings->seed_count; i++) {
+        if (addr_eq(&settings->seeds[i], &settings->peer))
+            return true;
+    }
+    return false;
+}
+
 static void
 init_views(gateway_t *gateway)
 {
@@ -322,6 +332,7 @@
         .views = &gateway->views,
         .instance = name_str(&gateway->settings.name),
         .region = gateway->router.region,
+        .is_seed = is_seed(&gateway->settings),
         .on_delta = on_delta,
         .ctx = gateway,
     };
--- a/gateway/membership/discovery.c
+++ b/gateway/membership/discovery.c
@@ -6,14 +6,20 @@
 #include "gateway/state/store_calls.h"
 
 enum {
-    RETRY_MS = 2000,  /* until announcement and list have worked once. Chosen, not measured */
+    /* An instance that was announced before hears so in this time: a connection and an answer
+     * between regions take 0.15 s, and a busy instance of a tenth of a core as much. Chosen. */
+    PEERS_FIRST_MS = 600,
+    RETRY_MS = 2000,  /* until the announcement has worked. Chosen, not measured */
     ALONE_MS = 10000, /* between the attempts of an instance that hears of no other. Chosen */
 };
 
 void
 discovery_init(discovery_t *discovery, const discovery_conf_t *conf)
 {
-    *discovery = (discovery_t){.conf = *conf};
+    *discovery = (discovery_t){
+        .conf = *conf,
+        .next_at_ms = uv_now(conf->loop) + PEERS_FIRST_MS,
+    };
 }
 
 static void on_instances(void *ctx, const store_answer_t *answer);
@@ -34,7 +40,7 @@
     name_t hall;
     err_t err = {0};
     if (discovery->conf.decoder->instance(item->body, &peer, &hall, &err))
-        heartbeat_add_address(discovery->conf.heartbeat, &peer, &hall);
+        heartbeat_add_address(discovery->conf.heartbeat, &peer, &hall, true);
     else
         LOG_WARN("instance entry not usable: instance=%.*s err=%s detail=\"%s\"",
                  STR_ARG(item->name), err_name(err.code), err.detail);
@@ -46,7 +52,7 @@
     discovery_t *discovery = ctx;
     if (answer->outcome != STORE_OK) {
         LOG_WARN("instances not listed: detail=\"%s\"", answer->err.detail);
-        return; /* the next tick that is due announces and lists again */
+        return; /* the next tick that is due lists again */
     }
     for (size_t i = 0; i < answer->item_count; i++)
         add_instance(discovery, &answer->items[i]);
@@ -54,7 +60,7 @@
         list_instances(discovery, answer->items[answer->item_count - 1].name);
         return;
     }
-    discovery->listed = true;
+    discovery->next_at_ms = uv_now(discovery->conf.loop) + ALONE_MS;
     heartbeat_send(discovery->conf.heartbeat, uv_now(discovery->conf.loop));
 }
 
@@ -62,23 +68,35 @@
 on_announced(void *ctx, const store_answer_t *answer)
 {
     discovery_t *discovery = ctx;
-    if (answer->outcome == STORE_OK || answer->outcome == STORE_CONFLICT)
-        list_instances(discovery, STR(""));
-    else
+    if (answer->outcome != STORE_OK && answer->outcome != STORE_CONFLICT) {
         LOG_WARN("not announced in the store: detail=\"%s\"", answer->err.detail);
+        return;
+    }
+    heartbeat_set_announced(discovery->conf.heartbeat);
+    discovery->next_at_ms = uv_now(discovery->conf.loop);
 }
 
-void
-discovery_tick(discovery_t *discovery, bool alone)
+static void
+announce(discovery_t *discovery)
 {
     const discovery_conf_t *conf = &discovery->conf;
-    const uint64_t now_ms = uv_now(conf->loop);
-    if ((discovery->listed && !alone) || now_ms < discovery->next_at_ms)
-        return;
     char address[ADDR_TEXT_MAX];
-    discovery->next_at_ms = now_ms + (discovery->listed ? ALONE_MS : RETRY_MS);
     addr_format(&conf->peer, address);
     store_calls_count(VIEW_INSTANCES, STORE_CALL_ANNOUNCE, STORE_FOR_START);
     conf->store->announce(conf->store->ctx, conf->instance, str_from(address), conf->hall,
                           on_announced, discovery);
 }
+
+void
+discovery_tick(discovery_t *discovery, bool alone)
+{
+    const uint64_t now_ms = uv_now(discovery->conf.loop);
+    const bool announced = discovery->conf.heartbeat->announced;
+    if ((announced && !alone) || now_ms < discovery->next_at_ms)
+        return;
+    discovery->next_at_ms = now_ms + RETRY_MS;
+    if (announced)
+        list_instances(discovery, STR(""));
+    else
+        announce(discovery);
+}
--- a/gateway/membership/discovery.h
+++ b/gateway/membership/discovery.h
@@ -1,9 +1,9 @@
 /*
  * Discovery: finding the other instances through the store.
  *
- * Each instance announces its address there and reads those of the others, until both have worked
- * once. An instance that hears of no other looks again from time to time. From then on heartbeats
- * carry the addresses.
+ * Each instance announces its address there, unless a peer remembers that it did so in an earlier
+ * life at that address. Heartbeats carry the addresses of the others; an instance that hears of
+ * none reads them from the store, and looks again from time to time.
  *
  * Owns the calls for it. Relies on the adapter's store port and decoder, on heartbeat.h for what it
  * finds.
@@ -24,7 +24,6 @@
 
 typedef struct {
     discovery_conf_t conf;
-    bool listed;         /* the list was read once */
     uint64_t next_at_ms; /* loop time before which the store is not asked */
 } discovery_t;
 
--- a/gateway/membership/heartbeat.c
+++ b/gateway/membership/heartbeat.c
@@ -60,6 +60,7 @@
     self->incarnation = heartbeat->conf.incarnation;
     self->ready = heartbeat->ready;
     self->leaving = heartbeat->leaving;
+    self->announced = heartbeat->announced;
     self->interval_ms = members_interval_ms(heartbeat->conf.members, self->region, now_ms);
     self->capacity = (member_capacity_t){
         .link_bytes_per_s = settings->link_bytes_per_s,
@@ -82,10 +83,17 @@
 void
 heartbeat_set_ready(heartbeat_t *heartbeat, bool ready, uint64_t now_ms)
 {
+    heartbeat->is_due |= ready != heartbeat->ready;
     heartbeat->ready = ready;
     update_self(heartbeat, now_ms);
 }
 
+void
+heartbeat_set_announced(heartbeat_t *heartbeat)
+{
+    heartbeat->announced = true;
+}
+
 void
 heartbeat_leave(heartbeat_t *heartbeat, uint64_t now_ms)
 {
@@ -111,6 +119,8 @@
     heartbeat_message_fill(&message, &source);
     heartbeat->round++;
     heartbeat->sent_ms = now_ms;
+    heartbeat->is_due = false;
+    heartbeat->store_failing = store_watch_is_failing(heartbeat->conf.watch);
     Iris__Envelope envelope = IRIS__ENVELOPE__INIT;
     envelope.schema = PEER_SCHEMA;
     envelope.body_case = IRIS__ENVELOPE__BODY_GATEWAY;
@@ -140,22 +150,61 @@
     }
 }
 
+/* An instance heard anew learns at once who there is and which views there are, so that it need not
+ * ask the store. */
+static void
+answer_newcomer(heartbeat_t *heartbeat, const addr_t *peer, bool was_announced, uint64_t now_ms)
+{
+    const heartbeat_source_t source = {
+        .self = members_at(heartbeat->conf.members, &heartbeat->conf.settings->peer),
+        .members = heartbeat->conf.members,
+        .views = heartbeat->conf.views,
+        .watch = heartbeat->conf.watch,
+        .backends = heartbeat->conf.backends,
+        .round = heartbeat->answers++,
+        .is_answer = true,
+        .was_announced = was_announced,
+        .now_ms = now_ms,
+    };
+    heartbeat_message_t message = {0};
+    heartbeat_message_fill(&message, &source);
+    Iris__Envelope envelope = IRIS__ENVELOPE__INIT;
+    envelope.schema = PEER_SCHEMA;
+    envelope.body_case = IRIS__ENVELOPE__BODY_GATEWAY;
+    envelope.gateway = &message.message;
+    peer_send(heartbeat->conf.hub, peer, &envelope);
+}
+
+/* The store fails this instance from now on, or no longer: who watches it depends on that. */
+static bool
+has_store_news(const heartbeat_t *heartbeat)
+{
+    return heartbeat->store_failing != store_watch_is_failing(heartbeat->conf.watch);
+}
+
 void
 heartbeat_tick(heartbeat_t *heartbeat, uint64_t now_ms)
 {
     const uint32_t interval_ms =
         members_interval_ms(heartbeat->conf.members, heartbeat->conf.region, now_ms);
     log_lost(heartbeat, now_ms);
-    if (now_ms - heartbeat->sent_ms + EARLY_MS >= interval_ms)
+    heartbeat->is_due |= has_store_news(heartbeat);
+    if (heartbeat->is_due || now_ms - heartbeat->sent_ms + EARLY_MS >= interval_ms)
         heartbeat_send(heartbeat, now_ms);
 }
 
 void
-heartbeat_add_address(heartbeat_t *heartbeat, const addr_t *peer, const name_t *hall)
+heartbeat_add_address(heartbeat_t *heartbeat, const addr_t *peer, const name_t *hall,
+                      bool announced)
 {
+    const size_t known = heartbeat->conf.members->count;
     member_t *member = members_at(heartbeat->conf.members, peer);
-    if (member == NULL || member->heard)
+    if (member == NULL)
+        return;
+    member->announced |= announced;
+    if (member->heard)
         return;
+    heartbeat->is_due |= heartbeat->conf.members->count > known;
     member->hall = *hall;
     member->region = region_of(heartbeat, hall);
 }
@@ -169,7 +218,7 @@
         name_t hall;
         if (addr_parse(str_from(message->peers[i]->address), &peer) &&
             name_set(&hall, str_from(message->peers[i]->place)))
-            heartbeat_add_address(heartbeat, &peer, &hall);
+            heartbeat_add_address(heartbeat, &peer, &hall, false);
     }
 }
 
@@ -213,6 +262,8 @@
     if (member == NULL || is_self(heartbeat, &sender.peer))
         return;
     log_change(heartbeat, member, message, now_ms);
+    const bool is_new = !member->heard || member->incarnation != message->incarnation;
+    const bool was_announced = member->announced;
     member->heard = true;
     member->heard_ms = now_ms;
     member->logged_living = true;
@@ -221,6 +272,11 @@
     member->region = region_of(heartbeat, &sender.hall);
     member->callers = sender.callers;
     heartbeat_message_apply(message, member);
+    member->announced |= was_announced;
+    if (is_new)
+        answer_newcomer(heartbeat, &sender.peer, was_announced, now_ms);
+    if (message->was_announced)
+        heartbeat_set_announced(heartbeat);
     add_outcomes(heartbeat->conf.backends, message, now_ms);
     view_relay_compare(heartbeat->conf.relay, member);
 }
--- a/gateway/membership/heartbeat.h
+++ b/gateway/membership/heartbeat.h
@@ -34,19 +34,27 @@
     uint64_t sent_ms; /* time of the last one */
     bool ready;
     bool leaving;
+    bool announced;     /* the store has the entry of this instance */
+    bool store_failing; /* as peers were told last */
+    unsigned answers;   /* sent to instances heard anew */
+    bool is_due;        /* peers are to know at the next tick, whatever the interval */
 } heartbeat_t;
 
 /* The instance's own member exists afterwards. */
 void heartbeat_init(heartbeat_t *heartbeat, const heartbeat_conf_t *conf, uint64_t now_ms);
-/* Sets the ready flag of the next heartbeats. */
+/* Sets the ready flag of the next heartbeats; a change is told at once. */
 void heartbeat_set_ready(heartbeat_t *heartbeat, bool ready, uint64_t now_ms);
 /* The instance is stopping: sends a heartbeat that says so at once. */
 void heartbeat_leave(heartbeat_t *heartbeat, uint64_t now_ms);
 /* Sends a heartbeat to the members whose turn it is. */
 void heartbeat_send(heartbeat_t *heartbeat, uint64_t now_ms);
-/* Sends one if the interval has passed. */
+/* The store has the entry of this instance. */
+void heartbeat_set_announced(heartbeat_t *heartbeat);
+/* Sends one if the interval has passed, or if there is news that peers wait for. */
 void heartbeat_tick(heartbeat_t *heartbeat, uint64_t now_ms);
 void heartbeat_receive(heartbeat_t *heartbeat, const Iris__GatewayHeartbeat *message,
                        uint64_t now_ms);
-/* There is an instance at that address; it gets heartbeats from now on. */
-void heartbeat_add_address(heartbeat_t *heartbeat, const addr_t *peer, const name_t *hall);
+/* There is an instance at that address; it gets heartbeats from now on. `announced`: the store says
+ * so. */
+void heartbeat_add_address(heartbeat_t *heartbeat, const addr_t *peer, const name_t *hall,
+                           bool announced);
--- a/gateway/membership/heartbeat_message.c
+++ b/gateway/membership/heartbeat_message.c
@@ -61,7 +61,8 @@
 fill_peers(heartbeat_message_t *out, const heartbeat_source_t *source)
 {
     const members_t *members = source->members;
-    const size_t start = (size_t)source->round * HEARTBEAT_PEERS_MAX / PEERS_EVERY;
+    const size_t step = source->is_answer ? HEARTBEAT_PEERS_MAX : HEARTBEAT_PEERS_MAX / PEERS_EVERY;
+    const size_t start = (size_t)source->round * step;
     size_t count = 0;
     for (size_t i = 0; i < members->count && count < HEARTBEAT_PEERS_MAX; i++) {
         const member_t *member = &members->items[(start + i) % members->count];
@@ -137,9 +138,11 @@
     fill_self(out, source);
     fill_views(out, source->views);
     fill_demands(out, source);
-    fill_outcomes(out, source);
-    if (source->round % PEERS_EVERY < PEERS_ROUNDS)
+    if (!source->is_answer)
+        fill_outcomes(out, source);
+    if (source->is_answer || source->round % PEERS_EVERY < PEERS_ROUNDS)
         fill_peers(out, source);
+    out->message.was_announced = source->was_announced;
 }
 
 bool
--- a/gateway/membership/members.c
+++ b/gateway/membership/members.c
@@ -68,13 +68,14 @@
 }
 
 size_t
-members_rank_in_region(const members_t *members, str_t own, size_t region, uint64_t now_ms)
+members_rank_in_region(const members_t *members, str_t own, size_t region, bool served,
+                       uint64_t now_ms)
 {
     size_t rank = 0;
     for (size_t i = 0; i < members->count; i++) {
         const member_t *member = &members->items[i];
-        if (!member_alive(member, now_ms) || member->leaving || member->store_failing ||
-            member->region != region)
+        if (!member_alive(member, now_ms) || member->leaving || member->region != region ||
+            (served && member->store_failing))
             continue;
         rank += str_order(name_str(&member->instance), own) < 0;
     }
@@ -110,10 +111,12 @@
 }
 
 bool
-members_watch_store(const members_t *members, uint32_t age_ms, uint64_t now_ms)
+members_watch_store(const members_t *members, size_t region, uint32_t age_ms, uint64_t now_ms)
 {
+    const bool all_send_changes = members->count <= MEMBERS_MESH;
     for (size_t i = 0; i < members->count; i++) {
-        if (has_recent_answer(&members->items[i], age_ms, now_ms))
+        const bool tells = all_send_changes || members->items[i].region == region;
+        if (tells && has_recent_answer(&members->items[i], age_ms, now_ms))
             return true;
     }
     return false;
--- a/gateway/membership/members.h
+++ b/gateway/membership/members.h
@@ -21,9 +21,6 @@
 enum {
     MEMBERS_MAX = 2048, /* above the fleet to design for (1,400 instances) */
     MEMBERS_MESH = 16,  /* instances that all talk to each other; the small sites have 9 to 12 */
-    /* Instances of a region that watch the store: one may be refused in silence (commit cdee74c).
-     */
-    MEMBERS_WATCHERS = 2,
     /* Members of each other region that get a heartbeat in a round (commit 750a091). */
     MEMBERS_OTHER_REGION = 1,
     /* Services in a heartbeat, those with the greatest demand. Chosen: above the users' largest
@@ -95,14 +92,16 @@
  * returned; the next new member may move it. */
 member_t *members_at(members_t *members, const addr_t *peer);
 bool member_alive(const member_t *member, uint64_t now_ms);
-/* Number of living members of its region that the store serves and whose name comes before `own`.
- * The first MEMBERS_WATCHERS watch the store. */
-size_t members_rank_in_region(const members_t *members, str_t own, size_t region, uint64_t now_ms);
+/* Number of living members of its region whose name comes before `own`: of those that the store
+ * serves, or of all. */
+size_t members_rank_in_region(const members_t *members, str_t own, size_t region, bool served,
+                              uint64_t now_ms);
 /* Age in milliseconds of a watcher's newest answer from the store up to which its region relies on
  * it: a watch may rest for 3 s, and the age is sent once in a heartbeat. */
 uint32_t members_store_age_max_ms(const members_t *members, size_t region, uint64_t now_ms);
-/* True if a living member got an answer from the store within `age_ms`. */
-bool members_watch_store(const members_t *members, uint32_t age_ms, uint64_t now_ms);
+/* True if a living member that sends changes on to the region got an answer from the store within
+ * `age_ms`: one of that region, or in a small fleet any. */
+bool members_watch_store(const members_t *members, size_t region, uint32_t age_ms, uint64_t now_ms);
 /* True if the store fails all living members but the one named `own`. */
 bool members_store_fails_all(const members_t *members, str_t own, uint64_t now_ms);
 /* True if the store fails a living member. */
--- /dev/null
+++ b/gateway/policy/store_turns.c
@@ -0,0 +1,64 @@
+#include "gateway/policy/store_turns.h"
+
+#include <math.h>
+
+enum {
+    /* Instances of a region that watch the store: one may be refused in silence, which is noticed
+     * only when its watch runs out after 3 s (commit cdee74c). */
+    WATCHERS = 2,
+    /* Instances of a region that try at once where nobody seems to watch. Chosen: with a third of
+     * the instances turned away, one in 80 times all of them are. */
+    FIRST = 4,
+    NEXT_EVERY_MS = 250, /* one more each; a region of 98 has tried after 24 s. Chosen */
+    /* Peers have this time to be heard of and to bring the views at start. Chosen: a connection, a
+     * heartbeat and an answer between regions take 0.2 s. */
+    START_MIN_MS = 250,
+    /* After this time and the one before all have read the store who have not had the views from
+     * peers. Half of them are still waiting after four fifths of it, in which the views have gone
+     * from the first readers to all. Chosen: a second is what a caller waits for a connection. */
+    START_SPREAD_MS = 1000,
+    SEED_START_MS = 150,  /* the others ask them first. Chosen */
+    LOOK_MS = 1000,       /* of each of the first ones. Chosen: a quarter of a second in all */
+    LOOK_OTHERS_MS = 500, /* between two looks of the others, all together. Chosen */
+    /* Entries of backend servers change hundreds of times a second in a deployment, and each watch
+     * is answered at once; the two watchers of a region take turns, so that a change waits for half
+     * of this. A tenth of the time in which the strictest of the users' sites has a change in
+     * force. Chosen. */
+    REST_MS = 400,
+};
+
+bool
+store_turns_watches(size_t rank)
+{
+    return rank < WATCHERS;
+}
+
+uint64_t
+store_turns_start_ms(uint64_t key, bool is_seed)
+{
+    if (is_seed)
+        return SEED_START_MS;
+    const double part = (double)(key % 1000) / 1000;
+    return START_MIN_MS + (uint64_t)(START_SPREAD_MS * cbrt(part));
+}
+
+bool
+store_turns_takes_over(size_t rank, uint64_t unwatched_ms)
+{
+    return rank < FIRST || unwatched_ms >= (rank - FIRST + 1) * NEXT_EVERY_MS;
+}
+
+uint64_t
+store_turns_look_ms(size_t rank, size_t instances)
+{
+    if (rank < FIRST)
+        return LOOK_MS;
+    const uint64_t turn_ms = (uint64_t)instances * LOOK_OTHERS_MS;
+    return turn_ms > LOOK_MS ? turn_ms : LOOK_MS;
+}
+
+uint64_t
+store_turns_rest_ms(void)
+{
+    return REST_MS;
+}
--- a/gateway/state/store_watch.c
+++ b/gateway/state/store_watch.c
@@ -5,6 +5,7 @@
 #define LOG_MODULE "sync"
 #include "base/log.h"
 #include "base/xmalloc.h"
+#include "gateway/policy/store_turns.h"
 #include "gateway/state/store_calls.h"
 #include "gateway/state/store_watch.h"
 
@@ -14,23 +15,19 @@
     WATCH_WAIT_MS = 3000,
     WATCH_WAIT_FAILING_MS = 20, /* an answer at once: is the store back? Chosen (commit ce9d245) */
     RETRY_MIN_MS = 200,         /* one tick; the pause grows by this much with each failure */
-    RETRY_MAX_MS = 1000,        /* chosen, not measured */
+    RETRY_MAX_MS = 1000,        /* of one that needs a view. Chosen, not measured */
     /* While the store fails, one call tells whether it is back, and another follows if it has not
      * ended after this time: a large answer on a small link would hold up the removal of a backend
      * server. Above the time that a failing watch has. Chosen, not measured. */
     PROBE_MS = 1000,
     FAILURES_FAILING = 2, /* in a row, after which the store fails this instance. Chosen */
-    /* An instance that the store fails and that does not watch looks so often whether it is back:
-     * as long as it says that it cannot read the store, peers send it whole views, however large.
-     * Chosen: a third of the calls of one that watches. */
-    LOOK_AGAIN_MS = 3000,
     /* An instance that had to watch goes on for this time, so that instances do not take turns in
      * fifths of a second (commit 35bcf57). */
     FALLBACK_MS = 3000,
     /* A watch that is answered sooner found changes that were there already: the way to the store
      * and back takes some milliseconds, 70 between regions. Chosen. */
     AT_ONCE_MS = 100,
-    START_PEERS_FIRST_MS = 250, /* peers have this time to bring the views at start. Chosen */
+    KEY_SEED = 61, /* any number */
 };
 
 void
@@ -62,12 +59,11 @@
 
 /* ---- who watches, and the store's state ---- */
 
-static bool
-is_among_watchers(const store_watch_t *watch, uint64_t now_ms)
+static size_t
+rank_of(const store_watch_t *watch, bool served, uint64_t now_ms)
 {
-    const size_t rank = members_rank_in_region(watch->conf.members, name_str(&watch->instance),
-                                               watch->conf.region, now_ms);
-    return rank < MEMBERS_WATCHERS;
+    return members_rank_in_region(watch->conf.members, name_str(&watch->instance),
+                                  watch->conf.region, served, now_ms);
 }
 
 static bool
@@ -75,21 +71,40 @@
 {
     const members_t *members = watch->conf.members;
     const uint32_t age_max_ms = members_store_age_max_ms(members, watch->conf.region, now_ms);
-    return members_watch_store(members, age_max_ms, now_ms);
+    return members_watch_store(members, watch->conf.region, age_max_ms, now_ms);
+}
+
+/* A started instance leaves the store to its peers for some time. */
+static bool
+has_waited(const store_watch_t *watch, uint64_t now_ms)
+{
+    const uint64_t key = str_hash(name_str(&watch->instance), KEY_SEED);
+    return now_ms - watch->started_ms >= store_turns_start_ms(key, watch->conf.is_seed);
+}
+
+/* True if no instance of the region watches the store, as far as is known here, and it is this
+ * one's turn to. */
+static bool
+takes_over(store_watch_t *watch, uint64_t now_ms)
+{
+    if (peers_watch(watch, now_ms)) {
+        watch->unwatched_ms = 0;
+        return false;
+    }
+    if (watch->unwatched_ms == 0)
+        watch->unwatched_ms = now_ms;
+    return store_turns_takes_over(rank_of(watch, false, now_ms), now_ms - watch->unwatched_ms);
 }
 
 static bool
 should_watch(store_watch_t *watch)
 {
     const uint64_t now_ms = uv_now(watch->conf.loop);
-    const uint64_t uptime_ms = now_ms - watch->started_ms;
-    if (watch->stopped)
+    if (watch->stopped || !has_waited(watch, now_ms))
         return false;
-    if (is_among_watchers(watch, now_ms) && uptime_ms >= START_PEERS_FIRST_MS)
+    if (store_turns_watches(rank_of(watch, true, now_ms)))
         return true;
-    if (uptime_ms < 2 * START_PEERS_FIRST_MS)
-        return false;
-    if (!peers_watch(watch, now_ms)) {
+    if (takes_over(watch, now_ms)) {
         watch->fallback_until_ms = now_ms + FALLBACK_MS;
         watch->failed_ms = now_ms;
     }
@@ -155,21 +170,26 @@
     watch->probe_at_ms = 0;
 }
 
-/* A started instance reads each kind once, whoever watches. */
+/* A started instance reads each kind that peers have not brought, whoever watches. */
 static bool
 is_needed_once(const kind_watch_t *kind)
 {
-    return kind->read_once || !view_of(kind)->known;
+    const store_watch_t *watch = kind->owner;
+    return kind->read_once ||
+           (!view_of(kind)->known && has_waited(watch, uv_now(watch->conf.loop)));
 }
 
 static uint64_t
 retry_pause_ms(const kind_watch_t *kind)
 {
     const store_watch_t *watch = kind->owner;
+    const uint64_t now_ms = uv_now(watch->conf.loop);
     const uint64_t pause_ms = (uint64_t)RETRY_MIN_MS * watch->failures;
-    if (!watch->watching && !is_needed_once(kind))
-        return LOOK_AGAIN_MS;
-    return pause_ms < RETRY_MAX_MS ? pause_ms : RETRY_MAX_MS;
+    if (is_needed_once(kind))
+        return pause_ms < RETRY_MAX_MS ? pause_ms : RETRY_MAX_MS;
+    const size_t instances = members_living(watch->conf.members, watch->conf.region, now_ms);
+    const uint64_t look_ms = store_turns_look_ms(rank_of(watch, false, now_ms), instances);
+    return store_watch_is_failing(watch) || pause_ms > look_ms ? look_ms : pause_ms;
 }
 
 static void
@@ -328,7 +348,7 @@
         tell_change(kind, &delta, "watch", age_ms);
 }
 
-/* The next watch starts at the next tick, so that changes in quick succession come together. */
+/* The next watch starts some time later, so that changes in quick succession come together. */
 static void
 on_watch(void *ctx, const store_answer_t *answer)
 {
@@ -349,6 +369,8 @@
         return;
     }
     on_store_answered(kind);
+    if (answer->item_count > 0)
+        kind->retry_at_ms = uv_now(kind->owner->conf.loop) + store_turns_rest_ms();
     apply_delta(kind, answer);
 }
 
--- a/gateway/state/store_watch.h
+++ b/gateway/state/store_watch.h
@@ -1,12 +1,11 @@
 /*
  * Store watch: keeps the views up to date from the store, by list and watch.
  *
- * The first two instances of each region that the store serves watch it; what they learn they pass
- * on to the others (view_relay.h). One alone could be refused in silence, which is noticed only
- * when its watch runs out after 3 s. An instance that hears of no peer with a recent answer from
- * the store watches it itself, so that no instance depends on another. A started instance lists
- * each kind once, whoever watches. docs/design/gateway/overview.md. Also tells whether the store
- * fails this instance, and when it came back from an outage for all of them.
+ * Two instances of each region that the store serves watch it; what they learn they pass on to the
+ * others (view_relay.h). An instance that hears of no watcher in its region takes over, so that no
+ * instance depends on another; a started one lists what its peers have not brought
+ * (policy/store_turns.h). docs/design/gateway/store-calls.md. Also tells whether the store fails
+ * this instance, and when it came back from an outage for all of them.
  *
  * Owns the calls to the store and what is learned of its state. Relies on views.h for what it
  * fills, on membership/members.h for the other instances, on the adapter's store port.
@@ -33,6 +32,7 @@
     views_t *views;
     str_t instance; /* name of this instance */
     size_t region;
+    bool is_seed; /* started instances ask this one first */
     /* A watch or a list brought changes of a view that was known; the view holds them, and
      * views_t's on_change has been called. */
     void (*on_delta)(void *ctx, const view_delta_t *delta);
@@ -72,6 +72,7 @@
     view_kind_t probed;         /* kind that was asked for last while the store failed */
     uint64_t probe_at_ms;       /* loop time before which no other kind is asked for then */
     uint64_t fallback_until_ms; /* until then it watches because no peer seemed to */
+    uint64_t unwatched_ms;      /* since when no peer seems to, 0 if one does */
     uint64_t started_ms;
     bool watching;
     bool stopped;
--- a/test/gateway/test_endpoints.c
+++ b/test/gateway/test_endpoints.c
@@ -59,9 +59,11 @@
     site_t *site = new_ready_site(3);
     ask(site, "GET", "/safe/x");
     put_backend(site, &site->backends[0], "draining");
+    /* The plan is made with the first tick after the request. */
     do {
         read_page(site, "/metrics", &page);
-    } while (strstr(page.text, "irisstall_upstreams_in_state{state=\"leaving\"} 1\n") == NULL);
+    } while (strstr(page.text, "irisstall_upstreams_in_state{state=\"leaving\"} 1\n") == NULL ||
+             strstr(page.text, "irisstall_own_region_share_percent") == NULL);
     static const char *const lines[] = {
         "irisstall_upstreams 3\n",
         "irisstall_upstreams_in_state{state=\"cold\"} 0\n",
--- a/test/gateway/test_members.c
+++ b/test/gateway/test_members.c
@@ -4,6 +4,7 @@
 #include "base/xmalloc.h"
 #include "gateway/membership/directory.h"
 #include "gateway/policy/naming.h"
+#include "gateway/policy/store_turns.h"
 #include "gateway/state/traffic.h"
 #include "gateway/membership/heartbeat.h"
 #include "gateway/membership/members.h"
@@ -33,14 +34,14 @@
     members_t members = {0};
     add_member(&members, "a-1", "a1", 0, 1);
     add_member(&members, "a-2", "a1", 0, 2);
-    ck_assert_uint_eq(members_rank_in_region(&members, STR("a-1"), 0, 10500), 0);
-    ck_assert_uint_eq(members_rank_in_region(&members, STR("a-2"), 0, 10500), 1);
+    ck_assert_uint_eq(members_rank_in_region(&members, STR("a-1"), 0, true, 10500), 0);
+    ck_assert_uint_eq(members_rank_in_region(&members, STR("a-2"), 0, true, 10500), 1);
     members.items[1].heard_ms = 14000;
-    ck_assert_uint_eq(members_rank_in_region(&members, STR("a-2"), 0, 14000), 0);
+    ck_assert_uint_eq(members_rank_in_region(&members, STR("a-2"), 0, true, 14000), 0);
     members.items[1].store_age_ms = 500;
-    ck_assert(members_watch_store(&members, 3000, 14000));
-    ck_assert(!members_watch_store(&members, 400, 14000));
-    ck_assert(!members_watch_store(&members, 1800, 15500));
+    ck_assert(members_watch_store(&members, 0, 3000, 14000));
+    ck_assert(!members_watch_store(&members, 0, 400, 14000));
+    ck_assert(!members_watch_store(&members, 0, 1800, 15500));
     members_free(&members);
 }
 END_TEST
@@ -132,9 +133,9 @@
     add_member(&members, "a-2", "a1", 0, 2);
     add_member(&members, "a-3", "a1", 0, 3);
     size_t watchers = 0;
-    watchers += members_rank_in_region(&members, STR("a-1"), 0, 10100) < MEMBERS_WATCHERS;
-    watchers += members_rank_in_region(&members, STR("a-2"), 0, 10100) < MEMBERS_WATCHERS;
-    watchers += members_rank_in_region(&members, STR("a-3"), 0, 10100) < MEMBERS_WATCHERS;
+    watchers += store_turns_watches(members_rank_in_region(&members, STR("a-1"), 0, true, 10100));
+    watchers += store_turns_watches(members_rank_in_region(&members, STR("a-2"), 0, true, 10100));
+    watchers += store_turns_watches(members_rank_in_region(&members, STR("a-3"), 0, true, 10100));
     ck_assert_uint_eq(watchers, 2);
     members_free(&members);
 }
@@ -149,14 +150,15 @@
     member_t *watcher = add_member(&members, "g-0", "a1", 0, 1);
     watcher->store_age_ms = 3400;
     const uint64_t late = 10000 + HEARTBEAT_MIN_MS;
-    ck_assert(members_watch_store(&members, members_store_age_max_ms(&members, 0, late), late));
+    ck_assert(members_watch_store(&members, 0, members_store_age_max_ms(&members, 0, late), late));
     ck_assert(
-        !members_watch_store(&members, members_store_age_max_ms(&members, 0, late), late + 200));
+        !members_watch_store(&members, 0, members_store_age_max_ms(&members, 0, late), late + 200));
     for (unsigned i = 1; i < A_REGION; i++)
         add_member(&members, "g-n", "a1", 0, (uint16_t)(i + 1));
     members.items[0].interval_ms = HEARTBEAT_MAX_MS;
     const uint64_t later = 10000 + HEARTBEAT_MAX_MS;
-    ck_assert(members_watch_store(&members, members_store_age_max_ms(&members, 0, later), later));
+    ck_assert(
+        members_watch_store(&members, 0, members_store_age_max_ms(&members, 0, later), later));
     members_free(&members);
 }
 END_TEST
@@ -168,10 +170,10 @@
     add_member(&members, "a-2", "a1", 0, 2);
     add_member(&members, "a-3", "a1", 0, 3);
     members.items[0].store_failing = true;
-    ck_assert_uint_eq(members_rank_in_region(&members, STR("a-1"), 0, 10500),
+    ck_assert_uint_eq(members_rank_in_region(&members, STR("a-1"), 0, true, 10500),
                       0); /* goes on trying */
-    ck_assert_uint_eq(members_rank_in_region(&members, STR("a-2"), 0, 10500), 0);
-    ck_assert_uint_eq(members_rank_in_region(&members, STR("a-3"), 0, 10500), 1);
+    ck_assert_uint_eq(members_rank_in_region(&members, STR("a-2"), 0, true, 10500), 0);
+    ck_assert_uint_eq(members_rank_in_region(&members, STR("a-3"), 0, true, 10500), 1);
     /* Turned away is not down: others are served. */
     ck_assert(!members_store_fails_all(&members, STR("a-1"), 10500));
     members.items[1].store_failing = true;
