--- a/gateway/state/store_watch.c
+++ b/gateway/state/store_watch.c
@@ -36,7 +36,7 @@
     *watch = (store_watch_t){.conf = *conf, .started_ms = uv_now(conf->loop)};
     xassert(name_set(&watch->instance, conf->instance));
     for (view_kind_t kind = 0; kind < VIEW_WATCHED; kind++)
-        watch->kinds[kind] = (kind_watch_t){.owner = watch, .kind = kind, .list_needed = true};
+        watch->kinds[kind] = (kind_watch_t){.owner = watch, .kind = kind};
 }
 
 void
--- a/gateway/state/store_watch.h
+++ b/gateway/state/store_watch.h
@@ -48,7 +48,7 @@
     store_watch_t *owner;
     view_kind_t kind;
     watch_state_t state;
-    bool list_needed;      /* the next call is a list: nothing is known, or history is gone */
+    bool list_needed;      /* the next call is a list: history is gone, or a watch was of no use */
     bool read_once;        /* list once even if this instance does not watch the store */
     uint64_t retry_at_ms;  /* loop time before which the store is not called */
     uint64_t answered_ms;  /* loop time of its last answer, 0 before the first */
--- a/test/gateway/test_platform.c
+++ b/test/gateway/test_platform.c
@@ -8,6 +8,7 @@
 #include "gateway/settings.h"
 #include "platform/dialect.h"
 #include "platform/objects.h"
+#include "platform/page.h"
 #include "test/suites.h"
 
 static void
@@ -297,6 +298,148 @@
 }
 END_TEST
 
+/* What each backend server writes, with one text replaced by another. */
+static bool
+decodes_changed(const char *from, const char *to)
+{
+    static const char *const text =
+        "{\"metadata\":{},\"spec\":{\"born\":1700000000123,\"address\":\"10.1.0.9:80\",\"info\":{"
+        "\"service\":\"s1\",\"version\":\"v1\",\"zone\":\"a1\",\"capacity\":9},\"status\":{"
+        "\"state\":\"ready\",\"callSeq\":4,\"coldRemainingMs\":0}}}";
+    const char *at = strstr(text, from);
+    ck_assert_ptr_nonnull(at);
+    char *changed = xasprintf("%.*s%s%s", (int)(at - text), text, to, at + strlen(from));
+    backend_info_t info;
+    err_t err = {0};
+    const bool decoded = platform_decoder.backend(STR("i-1"), str_from(changed), &info, &err);
+    ck_assert(decoded || err.code != ERR_NONE);
+    free(changed);
+    return decoded;
+}
+
+START_TEST(tells_the_lives_of_a_backend_apart)
+{
+    static const char *const spec = "{\"spec\":{%s\"address\":\"10.1.0.9:80\",\"info\":{"
+                                    "\"service\":\"s1\",\"version\":\"v1\",\"zone\":\"a1\","
+                                    "\"capacity\":9},\"status\":{\"state\":\"ready\","
+                                    "\"callSeq\":4,\"coldRemainingMs\":0}}%s}";
+    static const struct {
+        const char *in_spec;
+        const char *at_top;
+        uint64_t born;
+    } rows[] = {
+        {"\"born\":1700000000123,", "", 1700000000123},
+        {"", ",\"born\":1700000000456", 1700000000456},
+        {"", "", 0},
+    };
+    for (size_t i = 0; i < ALEN(rows); i++) {
+        char *text = xasprintf(spec, rows[i].in_spec, rows[i].at_top);
+        backend_info_t info;
+        err_t err = {0};
+        ck_assert_msg(platform_decoder.backend(STR("i-1"), str_from(text), &info, &err), "%s",
+                      err.detail);
+        ck_assert_uint_eq(info.born, rows[i].born);
+        free(text);
+    }
+}
+END_TEST
+
+START_TEST(an_entry_of_another_writer_is_refused)
+{
+    static const struct {
+        const char *from;
+        const char *to;
+    } rows[] = {
+        {"\"ready\"", "\"resting\""},
+        {"\"ready\"", "3"},
+        {"\"state\":\"ready\",", ""},
+        {"\"capacity\":9", "\"capacity\":\"9\""},
+        {"\"capacity\":9", "\"capacity\":0"},
+        {"\"capacity\":9", "\"capacity\":-1"},
+        {"\"capacity\":9", "\"slots\":9"},
+        {"\"service\":\"s1\"", "\"service\":[\"s1\"]"},
+        {"\"service\":\"s1\",", ""},
+        {"\"zone\":\"a1\"", "\"zone\":null"},
+        {"\"version\":\"v1\",", ""},
+        {"10.1.0.9:80", "somewhere"},
+        {"\"address\":\"10.1.0.9:80\",", ""},
+        {"\"callSeq\":4,", ""},
+        {"\"coldRemainingMs\":0", "\"coldRemainingMs\":\"0\""},
+        {"\"coldRemainingMs\":0", "\"coldRemainingMs\":-5"},
+        {"1700000000123", "\"today\""},
+        {"\"status\":{", "\"other\":{"},
+        {"\"info\":{", "\"info\":7,\"other\":{"},
+        {"{\"metadata\":{},", "{\"metadata\":{},]"},
+    };
+    ck_assert(decodes_changed("10.1.0.9", "10.1.0.8"));
+    for (size_t i = 0; i < ALEN(rows); i++)
+        ck_assert_msg(!decodes_changed(rows[i].from, rows[i].to), "%s", rows[i].to);
+}
+END_TEST
+
+/* ---- pages ---- */
+
+START_TEST(one_unreadable_object_leaves_the_others_of_its_page)
+{
+    static const char *const text =
+        "{\"items\":[{\"metadata\":{\"name\":\"a\",\"revision\":1},\"spec\":{\"x\":\"]}{[\\\"\"}},"
+        "7, {\"metadata\":{\"name\":\"b\",\"revision\":2},\"spec\":\"\xff\xfe\"},"
+        "{\"metadata\":{\"name\":\"c\",\"revision\":\"x\"}},"
+        "{\"metadata\":{\"name\":\"d\",\"revision\":4},\"spec\":1e999},"
+        "{\"metadata\":{\"name\":\"e\",\"revision\":5},\"spec\":{}}],\"more\":true,\"at\":9}";
+    page_t page;
+    ck_assert(page_read(&page, str_from(text)));
+    ck_assert(page.more);
+    ck_assert_uint_eq(page.at, 9);
+    ck_assert_uint_eq(page.count, 3);
+    ck_assert(str_eq(page.items[0].name, STR("a")));
+    ck_assert(str_starts_with(page.items[0].body, STR("{\"metadata\"")));
+    ck_assert(str_eq(page.items[1].name, STR("b")));
+    ck_assert_uint_eq(page.items[1].body.len, 0); /* no decoder takes it */
+    ck_assert(str_eq(page.items[2].name, STR("e")));
+    page_free(&page);
+}
+END_TEST
+
+START_TEST(events_are_read_one_by_one)
+{
+    static const char *const text =
+        "{ \"at\" : 12 , \"events\" : [ {\"gone\":true,\"object\":{\"metadata\":{\"name\":\"a\","
+        "\"revision\":11}}} , {\"object\":{\"metadata\":{\"name\":\"b\",\"revision\":12},"
+        "\"spec\":{}},\"gone\":false} ] }\n";
+    page_t page;
+    ck_assert(page_read(&page, str_from(text)));
+    ck_assert_uint_eq(page.count, 2);
+    ck_assert(page.items[0].gone && !page.items[1].gone);
+    ck_assert_uint_eq(page.items[1].revision, 12);
+    ck_assert_uint_eq(page.at, 12);
+    page_free(&page);
+}
+END_TEST
+
+START_TEST(what_is_no_page_is_refused)
+{
+    static const char *const texts[] = {
+        "",
+        "[]",
+        "{}",
+        "{\"items\":[]}",
+        "{\"at\":3}",
+        "{\"items\":{},\"at\":3}",
+        "{\"items\":[{\"metadata\":{\"name\":\"a\",\"revision\":1}}",
+        "{\"items\":[], \"at\":3",
+        "{\"items\":[],\"at\":\"3\"}",
+        "{\"items\":[\"",
+        "<html>",
+    };
+    for (size_t i = 0; i < ALEN(texts); i++) {
+        page_t page;
+        ck_assert_msg(!page_read(&page, str_from(texts[i])), "%s", texts[i]);
+        page_free(&page);
+    }
+}
+END_TEST
+
 /* ---- settings ---- */
 
 static const char *const good_settings = "name: front-1\nplace: a1\ncallers: 10.0.0.1:1\n"
@@ -376,6 +519,11 @@
     tcase_add_test(tests, a_name_of_a_route_may_be_anything);
     tcase_add_test(tests, a_field_of_the_wrong_type_counts_as_absent);
     tcase_add_test(tests, decodes_a_backend);
+    tcase_add_test(tests, tells_the_lives_of_a_backend_apart);
+    tcase_add_test(tests, an_entry_of_another_writer_is_refused);
+    tcase_add_test(tests, one_unreadable_object_leaves_the_others_of_its_page);
+    tcase_add_test(tests, events_are_read_one_by_one);
+    tcase_add_test(tests, what_is_no_page_is_refused);
     tcase_add_test(tests, settings_are_checked);
     suite_add_tcase(suite, tests);
     return suite;
--- /dev/null
+++ b/test/gateway/test_store_turns.c
@@ -0,0 +1,97 @@
+/* Who calls the store, and when: the rules, and a herd of instances that start together. */
+#include <stdio.h>
+
+#include "base/str.h"
+#include "base/xmalloc.h"
+#include "gateway/policy/store_turns.h"
+#include "test/gateway/site.h"
+#include "test/suites.h"
+
+enum { FLEET = 295, REGION = 98 };
+
+/* With 295 instances the views can go from the first readers to all before most of them read. */
+START_TEST(few_of_a_started_fleet_read_the_store_first)
+{
+    enum { FIRST_MS = 650, FIRST_MAX = 30, LATEST_MS = 1250 };
+    size_t first = 0;
+    for (unsigned i = 0; i < FLEET; i++) {
+        char name[24];
+        snprintf(name, sizeof(name), "front-hall-%u", i);
+        const uint64_t wait_ms = store_turns_start_ms(str_hash(str_from(name), 1), false);
+        ck_assert_uint_le(wait_ms, LATEST_MS);
+        first += wait_ms <= FIRST_MS;
+    }
+    ck_assert_uint_gt(first, 0);
+    ck_assert_uint_le(first, FIRST_MAX);
+    ck_assert_uint_lt(store_turns_start_ms(7, true), store_turns_start_ms(0, false));
+}
+END_TEST
+
+/* An outage of 9 s: the calls of a region hardly grow with its instances. */
+START_TEST(an_outage_is_looked_at_in_turns)
+{
+    enum { OUTAGE_MS = 9000, CALLS_MAX = 110 };
+    static const size_t regions[] = {3, 27, REGION, 467};
+    for (size_t r = 0; r < ALEN(regions); r++) {
+        size_t calls = 0;
+        for (size_t rank = 0; rank < regions[r]; rank++) {
+            uint64_t from_ms = 0;
+            while (from_ms < OUTAGE_MS && !store_turns_takes_over(rank, from_ms))
+                from_ms += 50;
+            if (from_ms < OUTAGE_MS)
+                calls += 1 + (OUTAGE_MS - from_ms) / store_turns_look_ms(rank, regions[r]);
+        }
+        ck_assert_msg(calls <= CALLS_MAX, "%zu instances make %zu calls", regions[r], calls);
+        ck_assert_uint_ge(calls, 2 * OUTAGE_MS / 1000);
+    }
+}
+END_TEST
+
+/* With the first four turned away another one tries within half a second. */
+START_TEST(somebody_takes_over_soon)
+{
+    ck_assert(store_turns_watches(0) && store_turns_watches(1) && !store_turns_watches(2));
+    ck_assert(store_turns_takes_over(0, 0) && store_turns_takes_over(3, 0));
+    ck_assert(!store_turns_takes_over(4, 0));
+    ck_assert(store_turns_takes_over(5, 500));
+    ck_assert(store_turns_takes_over(REGION - 1, 24000));
+}
+END_TEST
+
+START_TEST(a_herd_of_started_instances_reads_little)
+{
+    /* Each made seven calls to start with, without its watches; now it announces itself, and a few
+     * read for all. */
+    enum { HERD = 12, READS_MAX = 40 };
+    gateway_t *herd[HERD];
+    site_t *site = new_site(1);
+    const uint64_t before = standin_store_calls(site->store);
+    const addr_t *seed = NULL;
+    for (size_t i = 0; i < HERD; i++) {
+        char name[16];
+        snprintf(name, sizeof(name), "g-%zu", i + 1);
+        herd[i] = start_gateway(site, name, &site->store_port, seed);
+        seed = &gateway_settings(herd[0])->peer;
+    }
+    for (size_t i = 0; i < HERD; i++) {
+        use_gateway(site, herd[i]);
+        RUN_UNTIL(site, is_ready(site));
+    }
+    const uint64_t calls = standin_store_calls(site->store) - before;
+    ck_assert_msg(calls <= HERD + READS_MAX, "%llu calls", (unsigned long long)calls);
+}
+END_TEST
+
+Suite *
+suite_gateway_store_turns(void)
+{
+    Suite *suite = suite_create("gateway: store turns");
+    TCase *tests = tcase_create("turns");
+    tcase_set_timeout(tests, 60);
+    tcase_add_test(tests, few_of_a_started_fleet_read_the_store_first);
+    tcase_add_test(tests, an_outage_is_looked_at_in_turns);
+    tcase_add_test(tests, somebody_takes_over_soon);
+    tcase_add_test(tests, a_herd_of_started_instances_reads_little);
+    suite_add_tcase(suite, tests);
+    return suite;
+}
