--- a/gateway/membership/heartbeat.c
+++ b/gateway/membership/heartbeat.c
@@ -151,9 +151,10 @@
 }
 
 /* An instance heard anew learns at once who there is and which views there are, so that it need not
- * ask the store. */
+ * ask the store. Addresses go to another region only if it has heard of nobody there: to all of a
+ * fleet that starts they were 0.1 GB between regions (295 instances, two plays of a day). */
 static void
-answer_newcomer(heartbeat_t *heartbeat, const addr_t *peer, bool was_announced, uint64_t now_ms)
+answer_newcomer(heartbeat_t *heartbeat, const member_t *member, bool was_announced, uint64_t now_ms)
 {
     const heartbeat_source_t source = {
         .self = members_at(heartbeat->conf.members, &heartbeat->conf.settings->peer),
@@ -163,6 +164,7 @@
         .backends = heartbeat->conf.backends,
         .round = heartbeat->answers++,
         .is_answer = true,
+        .with_addresses = member->region == heartbeat->conf.region || member->region_members <= 1,
         .was_announced = was_announced,
         .now_ms = now_ms,
     };
@@ -172,7 +174,7 @@
     envelope.schema = PEER_SCHEMA;
     envelope.body_case = IRIS__ENVELOPE__BODY_GATEWAY;
     envelope.gateway = &message.message;
-    peer_send(heartbeat->conf.hub, peer, &envelope);
+    peer_send(heartbeat->conf.hub, &member->peer, &envelope);
 }
 
 /* The store fails this instance from now on, or no longer: who watches it depends on that. */
@@ -274,7 +276,7 @@
     heartbeat_message_apply(message, member);
     member->announced |= was_announced;
     if (is_new)
-        answer_newcomer(heartbeat, &sender.peer, was_announced, now_ms);
+        answer_newcomer(heartbeat, member, was_announced, now_ms);
     if (message->was_announced)
         heartbeat_set_announced(heartbeat);
     add_outcomes(heartbeat->conf.backends, message, now_ms);
--- a/gateway/membership/heartbeat_message.c
+++ b/gateway/membership/heartbeat_message.c
@@ -140,7 +140,7 @@
     fill_demands(out, source);
     if (!source->is_answer)
         fill_outcomes(out, source);
-    if (source->is_answer || source->round % PEERS_EVERY < PEERS_ROUNDS)
+    if (source->is_answer ? source->with_addresses : source->round % PEERS_EVERY < PEERS_ROUNDS)
         fill_peers(out, source);
     out->message.was_announced = source->was_announced;
 }
--- a/gateway/membership/heartbeat_message.h
+++ b/gateway/membership/heartbeat_message.h
@@ -42,7 +42,8 @@
     const store_watch_t *watch;
     const backends_t *backends; /* their unsent outcomes are taken into the message */
     unsigned round;             /* number of the heartbeat; addresses go into some rounds only */
-    bool is_answer;             /* to an instance heard anew: with addresses, without outcomes */
+    bool is_answer;             /* to an instance heard anew: without outcomes */
+    bool with_addresses;        /* in an answer: it hardly knows anybody */
     bool was_announced;         /* that one said so before */
     uint64_t now_ms;
 } heartbeat_source_t;
--- a/gateway/state/view_relay.c
+++ b/gateway/state/view_relay.c
@@ -119,6 +119,44 @@
     return wanted;
 }
 
+/* Answers with the view as it was packed for somebody else; false if that is another one. */
+static bool
+reply_packed(view_relay_t *relay, peer_conn_t *conn, const Iris__ViewRequest *request)
+{
+    const packed_view_t *packed = &relay->packed[request->kind];
+    if (!request->reads_lists || packed->unpacked_bytes == 0 ||
+        packed->at != relay->conf.views->items[request->kind].at)
+        return false;
+    Iris__ViewUpdate update = IRIS__VIEW_UPDATE__INIT;
+    update.kind = request->kind;
+    update.at = packed->at;
+    update.whole = true;
+    update.packed_items = (ProtobufCBinaryData){packed->len, packed->list};
+    update.unpacked_bytes = packed->unpacked_bytes;
+    view_message_t message;
+    xassert(view_message_fill_list(&message, &update));
+    send_reply(relay, conn, &message);
+    view_message_free(&message);
+    return true;
+}
+
+static void
+keep_packed(view_relay_t *relay, const view_message_t *message)
+{
+    const Iris__ViewUpdate *update = &message->update;
+    packed_view_t *packed = &relay->packed[update->kind];
+    if (update->unpacked_bytes == 0)
+        return;
+    free(packed->list);
+    *packed = (packed_view_t){
+        .at = update->at,
+        .list =
+            (uint8_t *)xmemdup0((const char *)update->packed_items.data, update->packed_items.len),
+        .len = update->packed_items.len,
+        .unpacked_bytes = update->unpacked_bytes,
+    };
+}
+
 /* The whole view, or, if it is too large for a peer that can read the store, an empty answer that
  * tells it to. */
 static void
@@ -136,6 +174,8 @@
     message.update.kind = request->kind;
     message.update.at = fits ? view->at : 0;
     message.update.whole = fits;
+    if (fits)
+        keep_packed(relay, &message);
     send_reply(relay, conn, &message);
     view_message_free(&message);
     free(items);
@@ -146,7 +186,7 @@
 {
     if (request->kind >= VIEW_WATCHED || !relay->conf.views->items[request->kind].known)
         return; /* a newer kind, or nothing to tell: the peer asks somebody else later */
-    if (!reply_changes(relay, conn, request))
+    if (!reply_changes(relay, conn, request) && !reply_packed(relay, conn, request))
         reply_whole(relay, conn, request);
 }
 
--- a/gateway/state/view_relay.h
+++ b/gateway/state/view_relay.h
@@ -29,10 +29,20 @@
     double link_bytes_per_s; /* of this instance, one direction; 0 if not known */
 } view_relay_conf_t;
 
+/* A whole view as it was packed last: of a hall that starts together all ask for the same, and
+ * packing 1,356 entries takes 4 ms of a core. */
+typedef struct {
+    uint64_t at; /* revision of the view */
+    uint8_t *list;
+    size_t len;
+    uint32_t unpacked_bytes; /* 0: there is none */
+} packed_view_t;
+
 typedef struct {
     view_relay_conf_t conf;
     uint64_t started_ms;
     bucket_t answers; /* bytes that answers may take now */
+    packed_view_t packed[VIEW_WATCHED];
     struct {
         relay_lag_t lag;
         uint64_t requested_ms; /* when a peer was last asked for the view */
