Soak: backend servers start again under their id; entries of another writer, and a rule on them

Every other exchange of a backend server is a new life under its id, told by born; entries that break one thing each name the server's address, and a request sent for one of them breaks the new rule. In the request path: a restart under the id while a request that may not be repeated is under way: it ran once, its caller hears unknown.

--- a/standin/soak/servers.c
+++ b/standin/soak/servers.c
@@ -25,8 +25,13 @@
         8, /* of answers: one in chunks, one up to the connection's end, the rest with a length */
     PIECE = 16384, /* bytes of an answer that are made at once */
     STORE_CALM_MS = 4000,
+    BORN_BASE_MS = 1000, /* the lives of a backend server begin after this time */
+    SAME_ID_EVERY = 2,   /* one exchange of so many starts again under its id */
 };
 
+/* Names that no backend server has: those of entries of another writer begin so. */
+#define FOREIGN "foreign"
+
 typedef enum { SERVER_LIVES, SERVER_LEAVES, SERVER_DEAD } server_state_t;
 
 typedef struct server server_t;
@@ -45,6 +50,7 @@
     uint32_t place;
     uint32_t start; /* how many there were at this place */
     char id[ID_MAX];
+    uint64_t born_ms; /* when its life began */
     wire_listener_t *listener;
     addr_t addr;
     server_state_t state;
@@ -265,6 +271,9 @@
     const str_t expected = wire_head_find(&req->head, STR("Expect-Instance"));
     const str_t id = wire_head_find(&req->head, STR("Attempt-Id"));
     soak_request_t *request = requests_find(server->servers->conf.requests, id);
+    if (str_starts_with(expected, STR(FOREIGN)))
+        judge_break(server->servers->conf.judge, RULE_FOREIGN, "%.*s is sent for %.*s", STR_ARG(id),
+                    STR_ARG(expected));
     if (!str_eq(expected, str_from(server->id)) && expected.len > 0) {
         refuse(req, HTTP_STATUS_MISDIRECTED_REQUEST);
         return;
@@ -291,17 +300,45 @@
 
 /* ---- life ---- */
 
+static json_t *
+spec_of(const server_t *server)
+{
+    char text[ADDR_TEXT_MAX];
+    return json_pack("{s:s, s:I, s:{s:s, s:s, s:s, s:i}}", "address",
+                     addr_format(&server->addr, text), "born", (json_int_t)server->born_ms, "info",
+                     "service", server->place % 2 == 0 ? "left" : "right", "version", "v1", "zone",
+                     halls[server->place / 2 % ALEN(halls)], "capacity", SLOTS);
+}
+
+static json_t *
+status_of(const char *state)
+{
+    return json_pack("{s:s, s:i, s:i}", "state", state, "callSeq", 1, "coldRemainingMs", 0);
+}
+
 static void
 put_entry(server_t *server, const char *state)
 {
-    char text[ADDR_TEXT_MAX];
     server->listed = true;
-    standin_store_put(
-        server->servers->conf.store, "servers", server->id,
-        json_pack("{s:s, s:{s:s, s:s, s:s, s:i}}", "address", addr_format(&server->addr, text),
-                  "info", "service", server->place % 2 == 0 ? "left" : "right", "version", "v1",
-                  "zone", halls[server->place / 2 % ALEN(halls)], "capacity", SLOTS),
-        json_pack("{s:s, s:i, s:i}", "state", state, "callSeq", 1, "coldRemainingMs", 0));
+    standin_store_put(server->servers->conf.store, "servers", server->id, spec_of(server),
+                      status_of(state));
+}
+
+/* Another writer's entries, which name the server's address and break one thing each. */
+static void
+put_foreign_entries(const server_t *server)
+{
+    enum { FORMS = 4 };
+    char id[ID_MAX];
+    json_t *specs[FORMS] = {spec_of(server), spec_of(server), spec_of(server), json_integer(7)};
+    json_t *states[FORMS] = {status_of("resting"), status_of("ready"), json_string("ready"),
+                             status_of("ready")};
+    json_object_set_new(json_object_get(specs[1], "info"), "capacity", json_string("8"));
+    for (unsigned form = 0; form < FORMS; form++) {
+        snprintf(id, sizeof(id), FOREIGN "-%u-%u", server->place, form);
+        judge_examine(server->servers->conf.judge, RULE_FOREIGN);
+        standin_store_put(server->servers->conf.store, "servers", id, specs[form], states[form]);
+    }
 }
 
 static void
@@ -313,17 +350,25 @@
     server->unlist_ms = 0;
 }
 
+/* A life under the id that the server has. */
 static void
-begin(server_t *server)
+live(server_t *server)
 {
-    server->start++;
-    snprintf(server->id, sizeof(server->id), "i-%u-%u", server->place, server->start);
+    server->born_ms = BORN_BASE_MS + server->servers->now_ms;
     server->state = SERVER_LIVES;
     server->told_ms = 0;
     server->bound_examined = false;
     put_entry(server, "ready");
 }
 
+static void
+begin(server_t *server)
+{
+    server->start++;
+    snprintf(server->id, sizeof(server->id), "i-%u-%u", server->place, server->start);
+    live(server);
+}
+
 static void
 open_listener(server_t *server)
 {
@@ -370,10 +415,16 @@
     server->listener = NULL; /* its memory goes with the process */
 }
 
+/* Another backend server has the address from now on, or the same one starts again there. */
 static void
 exchange(server_t *server)
 {
     break_off(server);
+    put_foreign_entries(server);
+    if (server->start++ % SAME_ID_EVERY == 0) {
+        live(server);
+        return;
+    }
     remove_entry(server);
     begin(server);
 }
@@ -454,6 +505,8 @@
         xassert(addr_parse(str_from(text), &server->addr));
         open_listener(server);
         begin(server);
+        if (i == 0)
+            put_foreign_entries(server);
     }
     return servers;
 }
--- a/test/gateway/site.c
+++ b/test/gateway/site.c
@@ -111,8 +111,9 @@
     const addr_t addr = standin_backend_addr(backend->standin);
     standin_store_put(
         site->store, "servers", backend->id,
-        json_pack("{s:s, s:{s:s, s:s, s:s, s:i}}", "address", addr_format(&addr, text), "info",
-                  "service", "svc", "version", "v1", "zone", "a1", "capacity", 4),
+        json_pack("{s:s, s:I, s:{s:s, s:s, s:s, s:i}}", "address", addr_format(&addr, text), "born",
+                  (json_int_t)backend->born, "info", "service", "svc", "version", "v1", "zone",
+                  "a1", "capacity", 4),
         json_pack("{s:s, s:i, s:i}", "state", state, "callSeq", 1, "coldRemainingMs", 0));
 }
 
--- a/test/gateway/site.h
+++ b/test/gateway/site.h
@@ -37,6 +37,7 @@
     site_t *site;
     standin_backend_t *standin;
     char id[16];
+    uint64_t born; /* which life its entry tells of */
     behaviour_t behaviour;
     size_t runs;
     bool wrong_instance; /* got a request that expects another */
--- a/test/gateway/test_request_path.c
+++ b/test/gateway/test_request_path.c
@@ -259,6 +259,28 @@
 }
 END_TEST
 
+/* It starts again under its id while requests are under way there: whether they ran is unknown. */
+START_TEST(a_restart_under_the_same_id_makes_what_is_under_way_unknown)
+{
+    site_t *site = new_ready_site(1);
+    scripted_t *backend = &site->backends[0];
+    reply_t held = {.site = site};
+    backend->behaviour = DOES_HOLD;
+    call(site, &held,
+         "POST /once/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: held\r\n"
+         "Deadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n");
+    RUN_UNTIL(site, backend->runs == 1);
+    backend->born = 2000;
+    backend->behaviour = DOES_ANSWER;
+    put_backend(site, backend, "ready");
+    RUN_UNTIL(site, held.done);
+    ck_assert(held.status == 502 || held.status == 504);
+    ck_assert_uint_eq(backend->runs, 1);
+    /* The new life is used, and nothing of the old one speaks against it. */
+    ck_assert_int_eq(ask(site, "POST", "/once/x").status, 200);
+}
+END_TEST
+
 Suite *
 suite_gateway_request_path(void)
 {
@@ -280,6 +302,7 @@
     tcase_add_test(tests, a_caller_that_leaves_ends_the_work);
     tcase_add_test(tests, bad_input_is_refused);
     tcase_add_test(tests, a_head_of_many_fields_goes_through);
+    tcase_add_test(tests, a_restart_under_the_same_id_makes_what_is_under_way_unknown);
     tcase_add_test(tests, a_body_in_chunks_arrives_with_a_length);
     suite_add_tcase(suite, tests);
     return suite;
