--- a/gateway/policy/choice.c
+++ b/gateway/policy/choice.c
@@ -18,14 +18,8 @@
     CANDIDATES_MAX = 8192,
     /* Looked at in a region for a request without an object. Chosen, not measured. */
     REPLICAS_ANY = REPLICAS_MAX,
-    /* From this latency objective on an object is kept once for all regions: the way to another
-     * region and back, 40 to 150 ms between those of a continent, is a small part of it. Chosen. */
-    FAR_AIM_MS = 1000,
 };
 
-/* In place of a region: all of them. */
-#define EVERY_REGION (TOPOLOGY_REGIONS_MAX + 1)
-
 typedef struct {
     backend_t *backend;
     double score;
@@ -138,8 +132,6 @@
 static bool
 in_area(const choice_input_t *input, const backend_t *backend, const area_t *area)
 {
-    if (area->region == EVERY_REGION)
-        return true;
     if (backend->region != area->region)
         return false;
     const bool own = name_eq(&backend->info.hall, input->own_hall);
@@ -169,22 +161,11 @@
     return found;
 }
 
-/* True if an object is kept once for the callers of all regions. */
-static bool
-is_kept_once(const choice_input_t *input)
-{
-    return input->has_object && !input->route->large && input->route->aim_ms >= FAR_AIM_MS;
-}
-
 /* The areas in the order in which they are tried; returns their number. */
 static size_t
 list_areas(const choice_input_t *input, area_t *areas)
 {
     size_t count = 0;
-    if (is_kept_once(input)) {
-        areas[count++] = (area_t){EVERY_REGION, HALLS_ALL};
-        return count;
-    }
     const bool large = input->route->large;
     const double point = unit(input->object);
     const size_t planned =
@@ -248,9 +229,7 @@
 {
     if (count == 0)
         return 0;
-    const double demand =
-        input->object_demand * (is_kept_once(input) ? input->all_regions_scale : 1);
-    const size_t wanted = replicas_decide(demand, replicas[0].backend->info.capacity);
+    const size_t wanted = replicas_decide(input->object_demand, replicas[0].backend->info.capacity);
     const size_t kept = wanted < count ? wanted : count;
     size_t least = 0;
     for (size_t i = 1; i < kept; i++) {
--- a/gateway/policy/choice.h
+++ b/gateway/policy/choice.h
@@ -11,8 +11,6 @@
  *  - Regions are tried in this order: the one planned for the object (region_plan.h), the own one,
  *    the others; a later one only if none before it has a backend that may be used. One that is
  *    full is no reason to go elsewhere.
- *  - Where the route's objective is long against the way between regions and the answers are small,
- *    all regions are one: an object is kept once for the callers of all of them.
  *  - A request without an object looks at eight backends a region in random order.
  *  - Requests with large answers look in the own data hall first.
  *  - Avoided backends (health.h) come after all others of their region, unless too many would be
@@ -20,10 +18,7 @@
  * Reason: a request about an object that the backend does not have in memory runs 3.3 times as
  * long, misses its objective, and takes slots from three that would not. So a request that finds
  * its backend full is refused at once rather than sent to another one. All instances make the same
- * choice from the same list without talking to each other. An object that each region keeps for
- * itself is loaded three times, at 1.5 s each, to save callers 70 ms; after a start, a loss or a
- * deployment one request in two was the first of its region (1,188 backend servers, 0.1 requests a
- * second and object).
+ * choice from the same list without talking to each other.
  * Measured: docs/design/gateway/choice.md.
  *
  * Pure but for the cold backends' token buckets. Relies on state/backend.h and state/config.h for
@@ -56,8 +51,7 @@
     size_t own_region;
     uint64_t object; /* hash of the object, or a random number without one */
     bool has_object;
-    double object_demand;     /* slots that requests of the own region about the object keep busy */
-    double all_regions_scale; /* demand of all regions for the service, for each of the own one's */
+    double object_demand; /* slots that requests about the object keep busy */
     uint64_t now_ms;
     uint64_t own_key;             /* of this instance among `senders` */
     const cold_sender_t *senders; /* all instances ever heard of */
--- a/gateway/router.c
+++ b/gateway/router.c
@@ -70,15 +70,6 @@
              share, input->room[region], input->demand[region], plan->peak[region]);
 }
 
-static double
-all_regions_scale(const region_plan_input_t *input, size_t count, size_t own)
-{
-    double all = 0;
-    for (size_t i = 0; i < count; i++)
-        all += input->demand[i];
-    return own < count && input->demand[own] > 0 ? all / input->demand[own] : 1;
-}
-
 static void
 update_plan(router_t *router, service_t *service, const members_t *members)
 {
@@ -89,7 +80,6 @@
     catalog_slots_by_region(&router->catalog, name, input.room);
     for (size_t i = 0; i < count; i++)
         input.demand[i] = members_demand(members, name, i, router->region, now_ms);
-    service->all_regions_scale = all_regions_scale(&input, count, router->region);
     region_plan_update(&service->plan, &input, count, router->region, now_ms);
     log_plan(service, &input, router->region);
 }
@@ -199,7 +189,6 @@
     choice_input_t input =
         choice_input(router, route, name_str(&service->name), &service->plan, request->object);
     input.has_object = request->has_object;
-    input.all_regions_scale = service->all_regions_scale;
     input.tried = request->tried;
     input.tried_count = request->tried_count;
     input.request = (admission_request_t){
@@ -223,7 +212,6 @@
     choice_input_t input =
         choice_input(router, route, service, known != NULL ? &known->plan : &no_plan, object);
     input.has_object = true;
-    input.all_regions_scale = known != NULL ? known->all_regions_scale : 1;
     input.request = (admission_request_t){.aim_ms = route->aim_ms, .left_ms = UINT32_MAX};
     return input;
 }
--- a/gateway/state/services.h
+++ b/gateway/state/services.h
@@ -14,11 +14,10 @@
     name_t name;
     region_plan_t plan;
     retry_budget_t retries;
-    uint32_t in_flight;       /* attempts of this instance's callers */
-    double demand;            /* slots: moving average of in_flight and of what was refused */
-    uint64_t demand_ms;       /* when the average was brought up to date */
-    double latency_ms;        /* moving average of whole answers, 0 before the first */
-    double all_regions_scale; /* demand of all regions, for each of the own one's; 0: not known */
+    uint32_t in_flight; /* attempts of this instance's callers */
+    double demand;      /* slots: moving average of in_flight and of what was refused */
+    uint64_t demand_ms; /* when the average was brought up to date */
+    double latency_ms;  /* moving average of whole answers, 0 before the first */
 } service_t;
 
 typedef struct {
--- a/test/gateway/test_choice.c
+++ b/test/gateway/test_choice.c
@@ -1,7 +1,5 @@
 /* Choice of a backend server, with admission, avoided and cold backends. */
-#include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
 
 #include "base/xmalloc.h"
 #include "gateway/policy/choice.h"
@@ -373,142 +371,6 @@
 }
 END_TEST
 
-/* ---- an object is kept once, or once in each region ---- */
-
-enum {
-    PLAYED_BACKENDS = 60, /* in three regions */
-    PLAYED_OBJECTS = 900,
-    PLAYED_REQUESTS = 6000,
-    PLAYED_MEMORY = 20, /* objects that a backend remembers */
-};
-
-/* The objects that a backend has in memory, the one asked for last first. */
-typedef struct {
-    uint64_t objects[PLAYED_MEMORY];
-    size_t count;
-} memory_t;
-
-/* True if it has the object; it has it from then on. */
-static bool
-touch(memory_t *memory, uint64_t object)
-{
-    size_t at = 0;
-    while (at < memory->count && memory->objects[at] != object)
-        at++;
-    const bool has = at < memory->count;
-    if (!has && memory->count < PLAYED_MEMORY)
-        memory->count++;
-    for (size_t i = has ? at : memory->count - 1; i > 0; i--)
-        memory->objects[i] = memory->objects[i - 1];
-    memory->objects[0] = object;
-    return has;
-}
-
-static const char *const played_halls[] = {"a1", "b1", "c1"};
-
-static choice_fixture_t *
-new_played_site(uint32_t aim_ms)
-{
-    choice_fixture_t *fixture = new_choice();
-    for (unsigned i = 0; i < PLAYED_BACKENDS; i++) {
-        char id[16];
-        snprintf(id, sizeof(id), "u%u", i);
-        add_backend(fixture, id, played_halls[i % ALEN(played_halls)]);
-    }
-    fixture->config->routes[0].aim_ms = aim_ms;
-    fixture->input.request.aim_ms = aim_ms;
-    fixture->input.all_regions_scale = 3;
-    return fixture;
-}
-
-/* The share of requests that meet a backend without their object in memory. */
-static double
-play_rare_objects(uint32_t aim_ms)
-{
-    static memory_t memories[PLAYED_BACKENDS];
-    choice_fixture_t *fixture = new_played_site(aim_ms);
-    memset(memories, 0, sizeof(memories));
-    size_t cold = 0;
-    uint64_t draw = 7;
-    for (unsigned i = 0; i < PLAYED_REQUESTS; i++) {
-        choice_reason_t reason;
-        draw = str_hash((str_t){(const char *)&draw, sizeof(draw)}, i);
-        const uint64_t object = (draw % PLAYED_OBJECTS + 1) * 0x9e3779b97f4a7c15ULL;
-        fixture->input.object = object;
-        fixture->input.own_region = (draw >> 32) % ALEN(played_halls);
-        memset(fixture->plan.share, 0, sizeof(fixture->plan.share));
-        fixture->plan.share[fixture->input.own_region] = 1;
-        fixture->plan.own = fixture->input.own_region;
-        const backend_t *backend = choice_pick(&fixture->input, &reason);
-        ck_assert_ptr_nonnull(backend);
-        cold += !touch(&memories[strtoul(backend->info.id.ptr + 1, NULL, 10)], object);
-    }
-    free_choice(fixture);
-    return (double)cold / PLAYED_REQUESTS;
-}
-
-/* 900 objects, of which 60 backends remember 1,200: once each they fit, three times each they do
- * not. Kept by each region 0.61 of the requests run without their object, kept once 0.15. */
-START_TEST(rare_objects_are_found_in_memory)
-{
-    const double by_region = play_rare_objects(400);
-    const double once = play_rare_objects(1500);
-    ck_assert_msg(once < 0.25 && once < by_region / 2, "once %.2f, by region %.2f", once,
-                  by_region);
-}
-END_TEST
-
-/* Callers of all regions are sent to the same backend, where the objective is long enough. */
-START_TEST(an_object_is_kept_once_where_the_way_is_short)
-{
-    static const struct {
-        uint32_t aim_ms;
-        bool large;
-        bool same;
-    } rows[] = {{1500, false, true}, {400, false, false}, {1500, true, false}};
-    for (size_t row = 0; row < ALEN(rows); row++) {
-        choice_fixture_t *fixture = new_played_site(rows[row].aim_ms);
-        const backend_t *picked[3];
-        fixture->config->routes[0].large = rows[row].large;
-        for (size_t region = 0; region < ALEN(played_halls); region++) {
-            choice_reason_t reason;
-            memset(fixture->plan.share, 0, sizeof(fixture->plan.share));
-            fixture->plan.share[region] = 1;
-            fixture->plan.own = region;
-            fixture->input.own_region = region;
-            picked[region] = choice_pick(&fixture->input, &reason);
-            ck_assert_int_eq(reason, CHOICE_FIRST);
-        }
-        ck_assert((picked[0] == picked[1] && picked[1] == picked[2]) == rows[row].same);
-        free_choice(fixture);
-    }
-}
-END_TEST
-
-/* A route that is bound to a region stays there, and what all ask for is shared by several. */
-START_TEST(an_object_kept_once_keeps_to_regions_and_is_shared_when_hot)
-{
-    choice_fixture_t *fixture = new_played_site(1500);
-    config_route_t *route = &fixture->config->routes[0];
-    choice_reason_t reason;
-    route->homes = xcalloc(1, sizeof(*route->homes));
-    route->home_count = 1;
-    ck_assert(name_set(&route->homes[0], STR("b")));
-    for (uint64_t object = 1; object < 50; object++) {
-        fixture->input.object = object * 0x9e3779b97f4a7c15ULL;
-        ck_assert_uint_eq(choice_pick(&fixture->input, &reason)->region, 1);
-    }
-    route->home_count = 0;
-    /* A third of 3 slots is asked for here: all regions ask for more than half of a backend. */
-    fixture->input.object_demand = 1;
-    backend_t *first = choice_pick(&fixture->input, &reason);
-    first->in_flight = 3;
-    ck_assert_ptr_ne(choice_pick(&fixture->input, &reason), first);
-    route->home_count = 1;
-    free_choice(fixture);
-}
-END_TEST
-
 Suite *
 suite_gateway_choice(void)
 {
@@ -528,9 +390,6 @@
     tcase_add_test(tests, choice_keeps_avoided_backends_if_the_others_have_no_room);
     tcase_add_test(tests, choice_avoids_what_fails);
     tcase_add_test(tests, choice_paces_cold_backends);
-    tcase_add_test(tests, rare_objects_are_found_in_memory);
-    tcase_add_test(tests, an_object_is_kept_once_where_the_way_is_short);
-    tcase_add_test(tests, an_object_kept_once_keeps_to_regions_and_is_shared_when_hot);
     suite_add_tcase(suite, tests);
     return suite;
 }
