--- a/gateway/path/ending.c
+++ b/gateway/path/ending.c
@@ -54,7 +54,8 @@
 void
 ending_refuse(exchange_t *ex, outcome_t why)
 {
-    const final_answer_t answer = final_answer(why, ex->may_have_run);
+    const uint64_t uptime_ms = exchange_now_ms(ex) - ex->owner->router->started_ms;
+    const final_answer_t answer = final_answer(why, ex->may_have_run, uptime_ms);
     wire_text_t fields = {0};
     ex->owner->dialect->write_own_answer(ex->terms.id, answer.retry_after_ms, &fields);
     log_end(ex, answer.status, answer.outcome);
--- a/gateway/policy/final_answer.c
+++ b/gateway/policy/final_answer.c
@@ -6,10 +6,16 @@
  * of admission.c (commit ea47030), not alone. */
 enum { RETRY_AFTER_MS = 400 };
 
-static final_answer_t
-come_back(outcome_t outcome)
+/* Uptime at which nine in ten of 295 instances that start together serve (1.4 s, log of a day on
+ * which all restart), and a tick. */
+enum { SERVES_AFTER_MS = 1600 };
+
+static uint32_t
+retry_after_ms(outcome_t outcome, uint64_t uptime_ms)
 {
-    return (final_answer_t){HTTP_STATUS_SERVICE_UNAVAILABLE, RETRY_AFTER_MS, outcome};
+    const bool starts =
+        outcome == OUTCOME_NO_CONFIGURATION && uptime_ms + RETRY_AFTER_MS < SERVES_AFTER_MS;
+    return starts ? (uint32_t)(SERVES_AFTER_MS - uptime_ms) : RETRY_AFTER_MS;
 }
 
 outcome_t
@@ -19,15 +25,17 @@
 }
 
 final_answer_t
-final_answer(outcome_t why, bool may_have_run)
+final_answer(outcome_t why, bool may_have_run, uint64_t uptime_ms)
 {
+    const outcome_t outcome = why == OUTCOME_TIMEOUT ? OUTCOME_TIMEOUT_UNSENT : why;
     if (why == OUTCOME_NO_ROUTE)
         return (final_answer_t){HTTP_STATUS_NOT_FOUND, 0, why};
     if (why == OUTCOME_TIMEOUT && may_have_run)
         return (final_answer_t){HTTP_STATUS_GATEWAY_TIMEOUT, 0, why};
     if (may_have_run)
         return (final_answer_t){HTTP_STATUS_BAD_GATEWAY, 0, OUTCOME_UNKNOWN};
-    return come_back(why == OUTCOME_TIMEOUT ? OUTCOME_TIMEOUT_UNSENT : why);
+    return (final_answer_t){HTTP_STATUS_SERVICE_UNAVAILABLE, retry_after_ms(outcome, uptime_ms),
+                            outcome};
 }
 
 const char *
--- a/gateway/policy/final_answer.h
+++ b/gateway/policy/final_answer.h
@@ -2,13 +2,15 @@
  * Final answer: how a request ended, and the response to a request that is given up.
  *
  * Decides: status and Retry-After of a response that the gateway itself makes.
- * Inputs: why the request is given up, and whether an attempt at it may have run; for a request
- * without a route, whether a newer configuration than the one in force is known of.
+ * Inputs: why the request is given up, whether an attempt at it may have run, and for how long the
+ * instance has run; for a request without a route, whether a newer configuration than the one in
+ * force is known of.
  * Rule: 503 with a Retry-After means that no backend has run the request and none will. It is
  * given only if no attempt may have run; otherwise the caller gets 502, or 504 at the deadline.
  * A route is denied (404) only by an instance that knows of no newer configuration: another may
  * have the route, and tells the caller to come back. The answer is given at once: a request is
- * never held back to delay the caller's retry.
+ * never held back to delay the caller's retry. A started instance that knows nothing yet says when
+ * it will: a caller that comes back sooner is refused again, and many come back only once.
  *
  * Pure: no state, no clock.
  */
@@ -45,5 +47,5 @@
 /* Why a request is given up for which the configuration in force has no route. */
 outcome_t final_answer_no_route(bool newer_known);
 /* The answer to a request that is given up because of `why`. */
-final_answer_t final_answer(outcome_t why, bool may_have_run);
+final_answer_t final_answer(outcome_t why, bool may_have_run, uint64_t uptime_ms);
 const char *outcome_name(outcome_t outcome);
--- a/test/gateway/test_final_answer.c
+++ b/test/gateway/test_final_answer.c
@@ -26,7 +26,7 @@
         {OUTCOME_CONFIGURATION_BEHIND, false, 503, true, OUTCOME_CONFIGURATION_BEHIND},
     };
     for (size_t i = 0; i < ALEN(rows); i++) {
-        const final_answer_t answer = final_answer(rows[i].why, rows[i].may_have_run);
+        const final_answer_t answer = final_answer(rows[i].why, rows[i].may_have_run, 60000);
         ck_assert_int_eq(answer.status, rows[i].status);
         ck_assert(rows[i].come_back == (answer.retry_after_ms > 0));
         ck_assert_int_eq(answer.outcome, rows[i].outcome);
@@ -34,6 +34,21 @@
 }
 END_TEST
 
+/* A caller that may come back once finds an instance that serves. */
+START_TEST(a_started_instance_tells_when_it_serves)
+{
+    enum { SERVES_MS = 1600 };
+    for (uint64_t uptime_ms = 0; uptime_ms <= 5000; uptime_ms += 100) {
+        const final_answer_t answer = final_answer(OUTCOME_NO_CONFIGURATION, false, uptime_ms);
+        ck_assert_int_eq(answer.status, 503);
+        ck_assert_uint_ge(uptime_ms + answer.retry_after_ms, SERVES_MS);
+        ck_assert_uint_le(answer.retry_after_ms, SERVES_MS);
+        /* Other refusals are none of the start's. */
+        ck_assert_uint_eq(final_answer(OUTCOME_NO_ROOM, false, uptime_ms).retry_after_ms, 400);
+    }
+}
+END_TEST
+
 START_TEST(a_route_is_denied_only_by_who_is_up_to_date)
 {
     ck_assert_int_eq(final_answer_no_route(false), OUTCOME_NO_ROUTE);
@@ -94,6 +109,7 @@
     Suite *suite = suite_create("gateway: final answer");
     TCase *tests = tcase_create("final answer");
     tcase_add_test(tests, only_what_has_not_run_is_told_to_come_back);
+    tcase_add_test(tests, a_started_instance_tells_when_it_serves);
     tcase_add_test(tests, a_route_is_denied_only_by_who_is_up_to_date);
     tcase_add_test(tests, outcomes_keep_their_names_in_the_metric);
     tcase_add_test(tests, the_shorter_limit_decides);
