Heartbeats: answers to instances heard anew carry few addresses, and few of them are logged

A fleet of 295 that starts sent each instance 0.2 MB of addresses and wrote 98 lines each, of which many were lost; an instance of a tenth of a core was heard of 1 s after its start.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -333,19 +333,6 @@
     return true;
 }
 
-/* One that is told of no other instance has nobody to wait for either. */
-static bool
-is_seed(const gateway_settings_t *settings)
-{
-    if (settings->seed_count == 0)
-        return true;
-    for (size_t i = 0; i < settings->seed_count; i++) {
-        if (addr_eq(&settings->seeds[i], &settings->peer))
-            return true;
-    }
-    return false;
-}
-
 static void
 init_views(gateway_t *gateway)
 {
@@ -358,7 +345,7 @@
         .views = &gateway->views,
         .instance = name_str(&gateway->settings.name),
         .region = gateway->router.region,
-        .is_seed = is_seed(&gateway->settings),
+        .is_seed = settings_is_seed(&gateway->settings),
         .on_delta = on_delta,
         .ctx = gateway,
     };
--- a/gateway/membership/heartbeat.c
+++ b/gateway/membership/heartbeat.c
@@ -6,6 +6,10 @@
 /* A heartbeat is sent up to this long before its time, so that ticks of 200 ms do not delay it. */
 enum { EARLY_MS = 100 };
 
+/* Instances that are logged as heard between two ticks: a fleet of 295 that starts would write 98
+ * lines each, and lose others. Chosen. */
+enum { HEARD_LINES_MAX = 16 };
+
 static size_t
 region_of(const heartbeat_t *heartbeat, const name_t *hall)
 {
@@ -150,6 +154,14 @@
     }
 }
 
+static size_t
+addresses_for(const heartbeat_t *heartbeat, const member_t *newcomer)
+{
+    if (newcomer->region != heartbeat->conf.region && newcomer->region_members > 1)
+        return 0;
+    return settings_is_seed(heartbeat->conf.settings) ? HEARTBEAT_PEERS_MAX : HEARTBEAT_PEERS_FEW;
+}
+
 /* An instance heard anew learns at once who there is and which views there are, so that it need not
  * ask the store. Addresses go to another region only if it has heard of nobody there: to all of a
  * fleet that starts they were 0.1 GB between regions (295 instances, two plays of a day). */
@@ -164,7 +176,7 @@
         .backends = heartbeat->conf.backends,
         .round = heartbeat->answers++,
         .is_answer = true,
-        .with_addresses = member->region == heartbeat->conf.region || member->region_members <= 1,
+        .addresses = addresses_for(heartbeat, member),
         .was_announced = was_announced,
         .now_ms = now_ms,
     };
@@ -190,6 +202,10 @@
     const uint32_t interval_ms =
         members_interval_ms(heartbeat->conf.members, heartbeat->conf.region, now_ms);
     log_lost(heartbeat, now_ms);
+    if (heartbeat->heard_lines > HEARD_LINES_MAX)
+        LOG_INFO("more instances heard at once than lines: heard=%u lines=%d",
+                 heartbeat->heard_lines, HEARD_LINES_MAX);
+    heartbeat->heard_lines = 0;
     heartbeat->is_due |= has_store_news(heartbeat);
     if (heartbeat->is_due || now_ms - heartbeat->sent_ms + EARLY_MS >= interval_ms)
         heartbeat_send(heartbeat, now_ms);
@@ -238,12 +254,13 @@
 
 /* Logs that an instance came back, restarted or leaves. */
 static void
-log_change(const heartbeat_t *heartbeat, const member_t *member,
-           const Iris__GatewayHeartbeat *message, uint64_t now_ms)
+log_change(heartbeat_t *heartbeat, const member_t *member, const Iris__GatewayHeartbeat *message,
+           uint64_t now_ms)
 {
     const bool restarted = member->heard && member->incarnation != message->incarnation;
     const bool expected = !member->heard || is_heard_often(heartbeat, member);
-    if (restarted || (expected && !member_alive(member, now_ms)))
+    const bool is_news = restarted || (expected && !member_alive(member, now_ms));
+    if (is_news && heartbeat->heard_lines++ < HEARD_LINES_MAX)
         LOG_INFO("instance heard: instance=%s hall=%s silent_ms=%llu restarted=%d",
                  message->instance, message->place,
                  (unsigned long long)(member->heard ? now_ms - member->heard_ms : 0), restarted);
--- a/gateway/membership/heartbeat.h
+++ b/gateway/membership/heartbeat.h
@@ -34,10 +34,11 @@
     uint64_t sent_ms; /* time of the last one */
     bool ready;
     bool leaving;
-    bool announced;     /* the store has the entry of this instance */
-    bool store_failing; /* as peers were told last */
-    unsigned answers;   /* sent to instances heard anew */
-    bool is_due;        /* peers are to know at the next tick, whatever the interval */
+    bool announced;       /* the store has the entry of this instance */
+    bool store_failing;   /* as peers were told last */
+    unsigned answers;     /* sent to instances heard anew */
+    unsigned heard_lines; /* that could have been logged since the last tick */
+    bool is_due;          /* peers are to know at the next tick, whatever the interval */
 } heartbeat_t;
 
 /* The instance's own member exists afterwards. */
--- a/gateway/membership/heartbeat_message.c
+++ b/gateway/membership/heartbeat_message.c
@@ -61,10 +61,11 @@
 fill_peers(heartbeat_message_t *out, const heartbeat_source_t *source)
 {
     const members_t *members = source->members;
-    const size_t step = source->is_answer ? HEARTBEAT_PEERS_MAX : HEARTBEAT_PEERS_MAX / PEERS_EVERY;
+    const size_t most = source->is_answer ? source->addresses : HEARTBEAT_PEERS_MAX;
+    const size_t step = source->is_answer ? most : most / PEERS_EVERY;
     const size_t start = (size_t)source->round * step;
     size_t count = 0;
-    for (size_t i = 0; i < members->count && count < HEARTBEAT_PEERS_MAX; i++) {
+    for (size_t i = 0; i < members->count && count < most; i++) {
         const member_t *member = &members->items[(start + i) % members->count];
         if (!member->heard)
             continue;
@@ -140,7 +141,7 @@
     fill_demands(out, source);
     if (!source->is_answer)
         fill_outcomes(out, source);
-    if (source->is_answer ? source->with_addresses : source->round % PEERS_EVERY < PEERS_ROUNDS)
+    if (source->is_answer || source->round % PEERS_EVERY < PEERS_ROUNDS)
         fill_peers(out, source);
     out->message.was_announced = source->was_announced;
 }
--- a/gateway/membership/heartbeat_message.h
+++ b/gateway/membership/heartbeat_message.h
@@ -12,7 +12,10 @@
 #include "peer/peer.pb-c.h"
 
 enum {
-    HEARTBEAT_PEERS_MAX = 64,    /* addresses in one heartbeat. Chosen, not measured */
+    HEARTBEAT_PEERS_MAX = 64, /* addresses in one heartbeat. Chosen, not measured */
+    /* The same in an answer of an instance that is no seed: 97 of a region answer, so that a few of
+     * each are all; 64 of each were 0.2 MB to each instance of a fleet that starts. */
+    HEARTBEAT_PEERS_FEW = 16,
     HEARTBEAT_OUTCOMES_MAX = 64, /* backends in one; bounds its bytes (docs/CAPACITY.md) */
 };
 
@@ -43,7 +46,7 @@
     const backends_t *backends; /* their unsent outcomes are taken into the message */
     unsigned round;             /* number of the heartbeat; addresses go into some rounds only */
     bool is_answer;             /* to an instance heard anew: without outcomes */
-    bool with_addresses;        /* in an answer: it hardly knows anybody */
+    size_t addresses;           /* in an answer: how many at most */
     bool was_announced;         /* that one said so before */
     uint64_t now_ms;
 } heartbeat_source_t;
--- a/gateway/settings.c
+++ b/gateway/settings.c
@@ -173,3 +173,13 @@
     yaml_unload(&schema, raw);
     return valid;
 }
+
+bool
+settings_is_seed(const gateway_settings_t *settings)
+{
+    for (size_t i = 0; i < settings->seed_count; i++) {
+        if (addr_eq(&settings->seeds[i], &settings->peer))
+            return true;
+    }
+    return settings->seed_count == 0;
+}
--- a/gateway/settings.h
+++ b/gateway/settings.h
@@ -34,5 +34,8 @@
     uint64_t retry_window_ms;
 } gateway_settings_t;
 
+/* True if started instances ask this one first. One that is told of no other counts as well: it has
+ * nobody to wait for. */
+bool settings_is_seed(const gateway_settings_t *settings);
 /* Fails with the key and the value that are wrong. */
 bool gateway_settings_load(const char *path, gateway_settings_t *out, err_t *err);
