--- /dev/null
+++ b/gateway/state/receivers.c
@@ -0,0 +1,62 @@
+#include "gateway/state/receivers.h"
+
+#include <stdlib.h>
+
+#include "base/xmalloc.h"
+
+static int
+by_key(const void *left, const void *right)
+{
+    const uint64_t a = ((const receiver_t *)left)->key;
+    const uint64_t b = ((const receiver_t *)right)->key;
+    return (a > b) - (a < b);
+}
+
+/* Each change has an order of its own, so that an instance that is lost is not in the way of all of
+ * them, nor in the same place of what two watchers send. */
+static uint64_t
+rank_key(str_t instance, uint64_t at)
+{
+    return str_hash(instance, at);
+}
+
+receivers_t
+receivers_of(const receivers_input_t *input, uint64_t at)
+{
+    const members_t *members = input->members;
+    receivers_t receivers = {.items = xcalloc(members->count + 1, sizeof(*receivers.items))};
+    receivers.items[receivers.count++] = (receiver_t){.key = rank_key(input->instance, at)};
+    for (size_t i = 0; i < members->count; i++) {
+        const member_t *member = &members->items[i];
+        const str_t name = name_str(&member->instance);
+        if (!member_alive(member, input->now_ms) || str_eq(name, input->instance))
+            continue;
+        if (input->all_regions || member->region == input->region)
+            receivers.items[receivers.count++] =
+                (receiver_t){rank_key(name, at), &member->peer, member->reads};
+    }
+    qsort(receivers.items, receivers.count, sizeof(*receivers.items), by_key);
+    while (receivers.items[receivers.own].peer != NULL)
+        receivers.own++;
+    return receivers;
+}
+
+bool
+receivers_read_lists(const receivers_input_t *input)
+{
+    for (size_t i = 0; i < input->members->count; i++) {
+        const member_t *member = &input->members->items[i];
+        const bool is_self = name_eq(&member->instance, input->instance);
+        if (!is_self && member_alive(member, input->now_ms) && member->region == input->region &&
+            member->reads < VIEW_READS_LISTS)
+            return false;
+    }
+    return true;
+}
+
+void
+receivers_free(receivers_t *receivers)
+{
+    free(receivers->items);
+    *receivers = (receivers_t){0};
+}
--- a/gateway/state/view_push.c
+++ b/gateway/state/view_push.c
@@ -7,6 +7,8 @@
 #include "base/log.h"
 #include "base/xmalloc.h"
 #include "gateway/policy/relay.h"
+#include "gateway/state/departure_push.h"
+#include "gateway/state/receivers.h"
 #include "gateway/state/view_message.h"
 
 /* Bytes of changes that are sent to other regions; larger ones go to the own region only (commit
@@ -20,61 +22,6 @@
     xassert(name_set(&push->instance, conf->instance));
 }
 
-/* ---- the order of the instances ---- */
-
-typedef struct {
-    uint64_t key;
-    const addr_t *peer; /* NULL for this instance */
-    view_reads_t reads;
-} ranked_t;
-
-typedef struct {
-    ranked_t *ranks;
-    size_t count;
-    size_t own; /* rank of this instance */
-} order_t;
-
-static int
-by_key(const void *left, const void *right)
-{
-    const uint64_t a = ((const ranked_t *)left)->key;
-    const uint64_t b = ((const ranked_t *)right)->key;
-    return (a > b) - (a < b);
-}
-
-/* Each change has an order of its own, so that an instance that is lost is not in the way of all of
- * them, nor in the same place of what two watchers send. */
-static uint64_t
-rank_key(str_t instance, uint64_t at)
-{
-    return str_hash(instance, at);
-}
-
-/* The living instances that are to have the change up to revision `at`, in an order that is the
- * same on each of them but for instances that not all count as living. */
-static order_t
-order_instances(const view_push_t *push, uint64_t at, bool all_regions)
-{
-    const members_t *members = push->conf.members;
-    const uint64_t now_ms = uv_now(push->conf.loop);
-    const str_t own = name_str(&push->instance);
-    order_t order = {.ranks = xcalloc(members->count + 1, sizeof(*order.ranks))};
-    order.ranks[order.count++] = (ranked_t){.key = rank_key(own, at)};
-    for (size_t i = 0; i < members->count; i++) {
-        const member_t *member = &members->items[i];
-        const str_t name = name_str(&member->instance);
-        if (!member_alive(member, now_ms) || str_eq(name, own))
-            continue;
-        if (all_regions || member->region == push->conf.region)
-            order.ranks[order.count++] =
-                (ranked_t){rank_key(name, at), &member->peer, member->reads};
-    }
-    qsort(order.ranks, order.count, sizeof(*order.ranks), by_key);
-    while (order.ranks[order.own].peer != NULL)
-        order.own++;
-    return order;
-}
-
 /* ---- sending ---- */
 
 static void
@@ -92,13 +39,13 @@
 }
 
 static bool
-is_receiver(const order_t *order, const relay_input_t *input, size_t rank, view_reads_t reads)
+is_receiver(const receivers_t *order, const relay_input_t *input, size_t rank, view_reads_t reads)
 {
-    return relay_sends_to(input, rank) && order->ranks[rank].reads == reads;
+    return relay_sends_to(input, rank) && order->items[rank].reads == reads;
 }
 
 static bool
-any_receiver(const order_t *order, const relay_input_t *input, view_reads_t reads)
+any_receiver(const receivers_t *order, const relay_input_t *input, view_reads_t reads)
 {
     for (size_t i = 0; i < order->count; i++) {
         if (is_receiver(order, input, i, reads))
@@ -109,7 +56,7 @@
 
 /* Sends the message to those named that take that form; returns the bytes that went out. */
 static size_t
-send_to(const view_push_t *push, const view_message_t *message, const order_t *order,
+send_to(const view_push_t *push, const view_message_t *message, const receivers_t *order,
         const relay_input_t *input, view_reads_t reads)
 {
     size_t receivers = 0;
@@ -117,7 +64,7 @@
     for (size_t i = 0; i < order->count; i++) {
         if (!is_receiver(order, input, i, reads))
             continue;
-        if (peer_offer(push->conf.hub, order->ranks[i].peer, &message->envelope))
+        if (peer_offer(push->conf.hub, order->items[i].peer, &message->envelope))
             receivers++;
         else
             skipped++;
@@ -126,11 +73,16 @@
     return message->bytes * receivers;
 }
 
-static order_t
-order_receivers(const view_push_t *push, uint64_t at, size_t bytes)
+static receivers_input_t
+receivers_input(const view_push_t *push, size_t bytes)
 {
-    const bool all_regions = push->conf.members->count <= MEMBERS_MESH && bytes <= FAR_MAX;
-    return order_instances(push, at, all_regions);
+    return (receivers_input_t){
+        .members = push->conf.members,
+        .instance = name_str(&push->instance),
+        .region = push->conf.region,
+        .all_regions = push->conf.members->count <= MEMBERS_MESH && bytes <= FAR_MAX,
+        .now_ms = uv_now(push->conf.loop),
+    };
 }
 
 /* Sends the message to those that policy/relay.h names for a change of `bytes` and that take the
@@ -139,7 +91,8 @@
 send_message(const view_push_t *push, view_message_t *message, size_t bytes, bool from_store,
              view_reads_t first)
 {
-    order_t order = order_receivers(push, message->update.at, bytes);
+    const receivers_input_t whom = receivers_input(push, bytes);
+    receivers_t order = receivers_of(&whom, message->update.at);
     const relay_input_t input = {
         .bytes = bytes,
         .instances = order.count,
@@ -153,7 +106,7 @@
         view_message_pack(message, reads);
         sent += send_to(push, message, &order, &input, reads);
     }
-    free(order.ranks);
+    receivers_free(&order);
     return sent;
 }
 
@@ -181,63 +134,6 @@
     return view_age_since(&push->conf.views->ages[kind], have, uv_now(push->conf.loop));
 }
 
-/* ---- departures ---- */
-
-static void
-fill_departures(Iris__Departures *out, Iris__Departure *items, Iris__Departure **list,
-                const departures_t *departures)
-{
-    for (size_t i = 0; i < departures->count; i++) {
-        const departure_t *departure = &departures->items[i];
-        iris__departure__init(&items[i]);
-        items[i].backend = (char *)(uintptr_t)departure->backend.ptr; /* not written to */
-        items[i].revision = departure->revision;
-        items[i].gone = departure->gone;
-        list[i] = &items[i];
-    }
-    out->n_items = departures->count;
-    out->items = list;
-}
-
-static size_t
-offer_departures(const view_push_t *push, const order_t *order, Iris__Departures *message)
-{
-    Iris__Envelope envelope = IRIS__ENVELOPE__INIT;
-    size_t receivers = 0;
-    envelope.schema = PEER_SCHEMA;
-    envelope.body_case = IRIS__ENVELOPE__BODY_DEPARTURES;
-    envelope.departures = message;
-    for (size_t i = 0; i < order->count; i++) {
-        if (order->ranks[i].peer == NULL || order->ranks[i].reads < VIEW_READS_LISTS)
-            continue;
-        peer_send(push->conf.hub, order->ranks[i].peer, &envelope);
-        receivers++;
-    }
-    return receivers;
-}
-
-/* Straight to all: 25 bytes each, so that 160 at once are 4 kB, 0.16 s of a link of 20 Mbit/s to 97
- * instances; the change that they are part of takes 0.1 to 0.2 s at each of four or five steps of
- * the tree, and waits for the pause after the one before. */
-static void
-send_departures(const view_push_t *push, const view_delta_t *delta, const departures_t *departures)
-{
-    if (departures->count == 0)
-        return;
-    Iris__Departures message = IRIS__DEPARTURES__INIT;
-    Iris__Departure *items = xcalloc(departures->count, sizeof(*items));
-    Iris__Departure **list = xcalloc(departures->count, sizeof(*list));
-    fill_departures(&message, items, list, departures);
-    message.age_ms = age_since(push, delta->kind, delta->from);
-    order_t order = order_receivers(push, push->conf.views->items[delta->kind].at, 0);
-    const size_t receivers = offer_departures(push, &order, &message);
-    LOG_INFO("departures sent: count=%zu from=%llu receivers=%zu", departures->count,
-             (unsigned long long)delta->from, receivers);
-    free(order.ranks);
-    free(list);
-    free(items);
-}
-
 /* ---- changes from the store ---- */
 
 /* Where the changes to be sent begin: at the earliest point that makes them no larger. */
@@ -340,8 +236,13 @@
 {
     push_kind_t *state = &push->kinds[delta->kind];
     const bool is_list = delta->kind == VIEW_BACKENDS;
-    if (is_list && departures->count > 0 && is_large(push, delta->kind, delta->from))
-        send_departures(push, delta, departures);
+    if (is_list && departures->count > 0 && is_large(push, delta->kind, delta->from)) {
+        const receivers_input_t whom = receivers_input(push, 0);
+        receivers_t order = receivers_of(&whom, push->conf.views->items[delta->kind].at);
+        departure_push(push->conf.hub, &order, departures,
+                       age_since(push, delta->kind, delta->from));
+        receivers_free(&order);
+    }
     if (!state->due) {
         state->due = true;
         state->from = (push_point_t){delta->from, delta->base_digest};
@@ -386,21 +287,7 @@
     free(items);
 }
 
-static bool
-all_read_lists(const view_push_t *push)
-{
-    const members_t *members = push->conf.members;
-    const uint64_t now_ms = uv_now(push->conf.loop);
-    for (size_t i = 0; i < members->count; i++) {
-        if (member_alive(&members->items[i], now_ms) &&
-            members->items[i].region == push->conf.region &&
-            members->items[i].reads < VIEW_READS_LISTS)
-            return false;
-    }
-    return true;
-}
-
-/* Each revision that a change leads up to has a tree of its own (rank_key()), along which it goes
+/* Each revision that a change leads up to has a tree of its own (receivers.h), along which it goes
  * once. It goes on also where it was no news, or came over a gap: an instance that has got the same
  * from another watcher's tree cannot tell whether its children have. When it went on only where it
  * was news, half of a region of 98 instances was up to 7 s behind (logs of a day with hundreds of
@@ -413,6 +300,7 @@
     if (relay_is_small(bytes) || was_forwarded(state, update->at))
         return;
     note_forwarded(state, update->at);
-    if (!all_read_lists(push) || !forward_list(push, update, bytes))
+    const receivers_input_t whom = receivers_input(push, bytes);
+    if (!receivers_read_lists(&whom) || !forward_list(push, update, bytes))
         forward_items(push, update, bytes);
 }
