Outage: known to all, though few call the store

Cause: an outage counted as one for all only if the store failed every living instance, and only an instance that failed itself noticed it. Now that most instances of a large fleet never call the store, none would have: entries that lapse in an outage would have been removed at once on its return. Change: the store is away if it answers no living instance and fails four of them (all of a smaller fleet); whoever does not call it hears so from its peers. Test in test_outage.c fails without it.

--- a/gateway/membership/members.c
+++ b/gateway/membership/members.c
@@ -123,15 +123,21 @@
 }
 
 bool
-members_store_fails_all(const members_t *members, str_t own, uint64_t now_ms)
+members_store_is_away(const members_t *members, str_t own, bool own_failing, uint32_t age_ms,
+                      uint64_t now_ms)
 {
+    size_t living = 1;
+    size_t failing = own_failing;
     for (size_t i = 0; i < members->count; i++) {
         const member_t *member = &members->items[i];
-        if (member_alive(member, now_ms) && !member->store_failing &&
-            !name_eq(&member->instance, own))
+        if (!member_alive(member, now_ms) || name_eq(&member->instance, own))
+            continue;
+        if (!member->store_failing && has_recent_answer(member, age_ms, now_ms))
             return false;
+        living++;
+        failing += member->store_failing;
     }
-    return true;
+    return failing >= (living < MEMBERS_WITNESSES ? living : MEMBERS_WITNESSES);
 }
 
 bool
--- a/gateway/membership/members.h
+++ b/gateway/membership/members.h
@@ -31,6 +31,9 @@
     HEARTBEAT_MIN_MS = 400,
     HEARTBEAT_MEMBER_MS = 20,
     HEARTBEAT_MAX_MS = 1200,
+    /* Instances that the store must fail for an outage: those that try first where nobody watches
+     * (policy/store_turns.c). */
+    MEMBERS_WITNESSES = 4,
     STORE_AGE_NONE = 0xffffffff, /* store_age_ms of an instance that does not watch the store */
 };
 
@@ -102,8 +105,11 @@
 /* True if a living member that sends changes on to the region got an answer from the store within
  * `age_ms`: one of that region, or in a small fleet any. */
 bool members_watch_store(const members_t *members, size_t region, uint32_t age_ms, uint64_t now_ms);
-/* True if the store fails all living members but the one named `own`. */
-bool members_store_fails_all(const members_t *members, str_t own, uint64_t now_ms);
+/* True if the store is away for all, as far as is known: it answers no living member, and fails
+ * MEMBERS_WITNESSES of them, or all if there are fewer. The one named `own` is told by
+ * `own_failing`; most instances of a large fleet do not call the store and cannot tell. */
+bool members_store_is_away(const members_t *members, str_t own, bool own_failing, uint32_t age_ms,
+                           uint64_t now_ms);
 /* True if the store fails a living member. */
 bool members_store_fails_any(const members_t *members, uint64_t now_ms);
 /* Revision of the newest view of a kind that a living member holds and that is newer than `at` and
--- a/gateway/state/store_watch.c
+++ b/gateway/state/store_watch.c
@@ -69,9 +69,9 @@
 static bool
 peers_watch(const store_watch_t *watch, uint64_t now_ms)
 {
-    const members_t *members = watch->conf.members;
-    const uint32_t age_max_ms = members_store_age_max_ms(members, watch->conf.region, now_ms);
-    return members_watch_store(members, watch->conf.region, age_max_ms, now_ms);
+    const uint32_t age_max_ms =
+        members_store_age_max_ms(watch->conf.members, watch->conf.region, now_ms);
+    return members_watch_store(watch->conf.members, watch->conf.region, age_max_ms, now_ms);
 }
 
 /* A started instance leaves the store to its peers for some time. */
@@ -111,19 +111,35 @@
     return now_ms < watch->fallback_until_ms;
 }
 
-/* Only if it fails everybody is the store away, and entries may lapse. A call that hung over the
- * first sign of its return says nothing of the time after that. */
+static uint32_t
+answer_age_max_ms(const store_watch_t *watch, uint64_t now_ms)
+{
+    return members_store_age_max_ms(watch->conf.members, watch->conf.region, now_ms);
+}
+
+/* Only if it fails everybody is the store away, and entries may lapse. */
 static void
-notice_outage(store_watch_t *watch, const kind_watch_t *failed, uint64_t now_ms)
+notice_outage(store_watch_t *watch, uint64_t now_ms)
 {
-    if (watch->away || failed->called_ms < watch->returned_ms || !store_watch_is_failing(watch) ||
-        !members_store_fails_all(watch->conf.members, name_str(&watch->instance), now_ms))
+    const bool fails = store_watch_is_failing(watch);
+    if (watch->away || !members_store_is_away(watch->conf.members, name_str(&watch->instance),
+                                              fails, answer_age_max_ms(watch, now_ms), now_ms))
         return;
     watch->away = true;
     watch->away_ms = now_ms;
     LOG_WARN("store away for all: failures=%u", watch->failures);
 }
 
+/* A call of this instance has failed. One that hung over the first sign of the store's return says
+ * nothing of the time after that. */
+static void
+notice_failure(store_watch_t *watch, const kind_watch_t *failed, uint64_t now_ms)
+{
+    watch->failed_ms = now_ms;
+    if (failed->called_ms >= watch->returned_ms && store_watch_is_failing(watch))
+        notice_outage(watch, now_ms);
+}
+
 /* The first sign ends it: an answer here, a peer that the store serves, a change that one tells. */
 static void
 notice_return(store_watch_t *watch, const char *sign)
@@ -141,11 +157,13 @@
 {
     const members_t *members = watch->conf.members;
     const uint64_t now_ms = uv_now(watch->conf.loop);
-    const uint32_t age_max_ms = members_store_age_max_ms(members, watch->conf.region, now_ms);
+    const bool calls = watch->watching || watch->failures > 0;
     if (members_store_fails_any(members, now_ms))
         watch->failed_ms = now_ms;
-    if (members_store_serves(members, age_max_ms, now_ms))
+    if (members_store_serves(members, answer_age_max_ms(watch, now_ms), now_ms))
         notice_return(watch, "peer");
+    else if (!calls)
+        notice_outage(watch, now_ms);
 }
 
 /* A call that was begun before the outage was noticed and is answered: only others failed. */
@@ -202,8 +220,7 @@
                  answer->err.detail);
         watch->probed = VIEW_CONFIG; /* it is asked for last: its answer may be the largest */
     }
-    watch->failed_ms = now_ms;
-    notice_outage(watch, kind, now_ms);
+    notice_failure(watch, kind, now_ms);
     kind->retry_at_ms = now_ms + retry_pause_ms(kind);
     if (kind->kind == watch->probed)
         watch->probe_at_ms = kind->retry_at_ms;
--- a/test/gateway/test_members.c
+++ b/test/gateway/test_members.c
@@ -175,10 +175,10 @@
     ck_assert_uint_eq(members_rank_in_region(&members, STR("a-2"), 0, true, 10500), 0);
     ck_assert_uint_eq(members_rank_in_region(&members, STR("a-3"), 0, true, 10500), 1);
     /* Turned away is not down: others are served. */
-    ck_assert(!members_store_fails_all(&members, STR("a-1"), 10500));
+    ck_assert(!members_store_is_away(&members, STR("a-1"), true, 3500, 10500));
     members.items[1].store_failing = true;
     members.items[2].store_failing = true;
-    ck_assert(members_store_fails_all(&members, STR("a-1"), 10500));
+    ck_assert(members_store_is_away(&members, STR("a-1"), true, 3500, 10500));
     members_free(&members);
 }
 END_TEST
--- a/test/gateway/test_outage.c
+++ b/test/gateway/test_outage.c
@@ -17,6 +17,7 @@
     RETURN_MS = 1000,    /* the store is tried again, and answers */
     /* The platform's figure, in which backend servers that live are listed again. */
     BACK_WITHIN_MS = 2000,
+    FALLBACK_MS = 3000, /* store_watch.c's */
 };
 
 /* The entry of a backend server that says it is leaving. */
@@ -433,6 +434,34 @@
 }
 END_TEST
 
+/* Most instances of a large fleet never call the store: they hear of its outage from those that do,
+ * and of its return. */
+START_TEST(an_outage_is_known_to_who_does_not_call_the_store)
+{
+    static const char *const addrs[] = {"10.0.0.3:1", "10.0.0.4:1", "10.0.0.5:1", "10.0.0.6:1"};
+    static const char *const names[] = {"a-0-1", "a-0-2", "a-0-3", "a-0-4"};
+    enum { WITNESSES = ALEN(names), HALF_MS = TICK_MS / 2 };
+    rig_t *rig = new_rig();
+    go_by_beside_watchers(rig, 2 * FALLBACK_MS, true);
+    ck_assert(!rig->watch.watching);
+    hear_instance(rig, "10.0.0.7:1", "a-0-5", false, STORE_AGE_NONE);
+    hear_instance(rig, "10.0.0.8:1", "a-0-6", false, STORE_AGE_NONE);
+    for (size_t i = 0; i < WITNESSES; i++)
+        hear_instance(rig, addrs[i], names[i], i < WITNESSES - 1, STORE_AGE_NONE);
+    pass_ms(rig, HALF_MS);
+    ck_assert(store_watch_trouble(&rig->watch).since_return_ms == REMOVAL_NEVER);
+    hear_instance(rig, addrs[WITNESSES - 1], names[WITNESSES - 1], true, STORE_AGE_NONE);
+    pass_ms(rig, HALF_MS);
+    ck_assert(!rig->watch.watching);
+    ck_assert_uint_eq(store_watch_trouble(&rig->watch).since_return_ms, 0);
+    hear_instance(rig, addrs[0], names[0], false, 0);
+    pass_ms(rig, HALF_MS);
+    pass_ms(rig, HALF_MS);
+    ck_assert_uint_eq(store_watch_trouble(&rig->watch).since_return_ms, HALF_MS);
+    free_rig(rig);
+}
+END_TEST
+
 /* Peers send an instance that the store fails whole views, however large. */
 START_TEST(an_instance_that_does_not_watch_notices_the_return)
 {
@@ -498,6 +527,7 @@
     tcase_add_test(tests, a_store_that_refuses_some_grants_nothing);
     tcase_add_test(tests, many_entries_that_go_in_a_calm_time_are_gone_at_once);
     tcase_add_test(tests, many_entries_that_go_near_a_failure_are_used_for_a_while);
+    tcase_add_test(tests, an_outage_is_known_to_who_does_not_call_the_store);
     tcase_add_test(tests, an_instance_that_does_not_watch_notices_the_return);
     tcase_add_loop_test(tests, one_kind_that_fails_is_no_outage, 0, 2);
     tcase_add_test(tests, a_peer_with_an_old_answer_does_not_end_the_outage);
