--- a/test/gateway/test_final_answer.c
+++ b/test/gateway/test_final_answer.c
@@ -37,7 +37,7 @@
 /* A caller that may come back once finds an instance that serves. */
 START_TEST(a_started_instance_tells_when_it_serves)
 {
-    enum { SERVES_MS = 1600 };
+    enum { SERVES_MS = 800 };
     for (uint64_t uptime_ms = 0; uptime_ms <= 5000; uptime_ms += 100) {
         const final_answer_t answer = final_answer(OUTCOME_NO_CONFIGURATION, false, uptime_ms);
         ck_assert_int_eq(answer.status, 503);
