--- a/gateway/admin.c
+++ b/gateway/admin.c
@@ -97,7 +97,8 @@
                                              : 0);
     set_gauge("irisstall_instances_living", "Instances heard of, this one too.", router->living);
     set_gauge("irisstall_upstreams", "Upstreams known.", (int64_t)router->catalog.backends.count);
-    set_gauge("irisstall_entries_unusable", "Entries of the store that name no upstream to use.",
+    set_gauge("irisstall_entries_unusable",
+              "Entries of the store that name no backend server to use.",
               (int64_t)router->catalog.unusable_count);
     set_age_gauges(admin->views);
     set_backend_gauges(router);
--- a/gateway/inspect.c
+++ b/gateway/inspect.c
@@ -114,7 +114,7 @@
 {
     static const char *const kinds[VIEW_WATCHED] = {
         [VIEW_CONFIG] = "configuration",
-        [VIEW_BACKENDS] = "list of upstreams",
+        [VIEW_BACKENDS] = "list of backend servers",
         [VIEW_CLOSURES] = "closed places",
     };
     for (view_kind_t kind = 0; kind < VIEW_WATCHED; kind++) {
@@ -143,7 +143,7 @@
         wire_text_printf(out, "store followed here, last answer %u ms ago\n", age_ms);
     print_ages(status->views, out);
     if (router->catalog.unusable_count > 0)
-        wire_text_printf(out, "entries that name no upstream to use: %zu\n",
+        wire_text_printf(out, "entries that name no backend server to use: %zu\n",
                          router->catalog.unusable_count);
     for (size_t i = 0; i < status->members->count; i++) {
         if (status->members->items[i].heard)
