--- a/gateway/policy/final_answer.c
+++ b/gateway/policy/final_answer.c
@@ -7,8 +7,9 @@
 enum { RETRY_AFTER_MS = 400 };
 
 /* Uptime at which nine in ten of 295 instances that start together serve: 0.71 s (log of a day on
- * which all restart). With 1.6 s here callers came back too late for their objective of 1.5 s: 3,423
- * of 8,540 in time in the two seconds after that restart, 5,190 with 0.4 s whatever the uptime. */
+ * which all restart). With 1.6 s here callers came back too late for their objective of 1.5 s:
+ * 3,423 of 8,540 in time in the two seconds after that restart, 5,190 with 0.4 s whatever the
+ * uptime. */
 enum { SERVES_AFTER_MS = 800 };
 
 static uint32_t
