--- a/gateway/membership/heartbeat.c
+++ b/gateway/membership/heartbeat.c
@@ -6,6 +6,10 @@
 /* A heartbeat is sent up to this long before its time, so that ticks of 200 ms do not delay it. */
 enum { EARLY_MS = 100 };
 
+/* Instances that are logged as heard between two ticks: a fleet of 295 that starts would write 98
+ * lines each, and lose others. Chosen. */
+enum { HEARD_LINES_MAX = 16 };
+
 static size_t
 region_of(const heartbeat_t *heartbeat, const name_t *hall)
 {
@@ -60,6 +64,7 @@
     self->incarnation = heartbeat->conf.incarnation;
     self->ready = heartbeat->ready;
     self->leaving = heartbeat->leaving;
+    self->announced = heartbeat->announced;
     self->interval_ms = members_interval_ms(heartbeat->conf.members, self->region, now_ms);
     self->capacity = (member_capacity_t){
         .link_bytes_per_s = settings->link_bytes_per_s,
@@ -82,10 +87,17 @@
 void
 heartbeat_set_ready(heartbeat_t *heartbeat, bool ready, uint64_t now_ms)
 {
+    heartbeat->is_due |= ready != heartbeat->ready;
     heartbeat->ready = ready;
     update_self(heartbeat, now_ms);
 }
 
+void
+heartbeat_set_announced(heartbeat_t *heartbeat)
+{
+    heartbeat->announced = true;
+}
+
 void
 heartbeat_leave(heartbeat_t *heartbeat, uint64_t now_ms)
 {
@@ -111,6 +123,8 @@
     heartbeat_message_fill(&message, &source);
     heartbeat->round++;
     heartbeat->sent_ms = now_ms;
+    heartbeat->is_due = false;
+    heartbeat->store_failing = store_watch_is_failing(heartbeat->conf.watch);
     Iris__Envelope envelope = IRIS__ENVELOPE__INIT;
     envelope.schema = PEER_SCHEMA;
     envelope.body_case = IRIS__ENVELOPE__BODY_GATEWAY;
@@ -140,22 +154,75 @@
     }
 }
 
+static size_t
+addresses_for(const heartbeat_t *heartbeat, const member_t *newcomer)
+{
+    if (newcomer->region != heartbeat->conf.region && newcomer->region_members > 1)
+        return 0;
+    return settings_is_seed(heartbeat->conf.settings) ? HEARTBEAT_PEERS_MAX : HEARTBEAT_PEERS_FEW;
+}
+
+/* An instance heard anew learns at once who there is and which views there are, so that it need not
+ * ask the store. Addresses go to another region only if it has heard of nobody there: to all of a
+ * fleet that starts they were 0.1 GB between regions (295 instances, two plays of a day). */
+static void
+answer_newcomer(heartbeat_t *heartbeat, const member_t *member, bool was_announced, uint64_t now_ms)
+{
+    const heartbeat_source_t source = {
+        .self = members_at(heartbeat->conf.members, &heartbeat->conf.settings->peer),
+        .members = heartbeat->conf.members,
+        .views = heartbeat->conf.views,
+        .watch = heartbeat->conf.watch,
+        .backends = heartbeat->conf.backends,
+        .round = heartbeat->answers++,
+        .is_answer = true,
+        .addresses = addresses_for(heartbeat, member),
+        .was_announced = was_announced,
+        .now_ms = now_ms,
+    };
+    heartbeat_message_t message = {0};
+    heartbeat_message_fill(&message, &source);
+    Iris__Envelope envelope = IRIS__ENVELOPE__INIT;
+    envelope.schema = PEER_SCHEMA;
+    envelope.body_case = IRIS__ENVELOPE__BODY_GATEWAY;
+    envelope.gateway = &message.message;
+    peer_send(heartbeat->conf.hub, &member->peer, &envelope);
+}
+
+/* The store fails this instance from now on, or no longer: who watches it depends on that. */
+static bool
+has_store_news(const heartbeat_t *heartbeat)
+{
+    return heartbeat->store_failing != store_watch_is_failing(heartbeat->conf.watch);
+}
+
 void
 heartbeat_tick(heartbeat_t *heartbeat, uint64_t now_ms)
 {
     const uint32_t interval_ms =
         members_interval_ms(heartbeat->conf.members, heartbeat->conf.region, now_ms);
     log_lost(heartbeat, now_ms);
-    if (now_ms - heartbeat->sent_ms + EARLY_MS >= interval_ms)
+    if (heartbeat->heard_lines > HEARD_LINES_MAX)
+        LOG_INFO("more instances heard at once than lines: heard=%u lines=%d",
+                 heartbeat->heard_lines, HEARD_LINES_MAX);
+    heartbeat->heard_lines = 0;
+    heartbeat->is_due |= has_store_news(heartbeat);
+    if (heartbeat->is_due || now_ms - heartbeat->sent_ms + EARLY_MS >= interval_ms)
         heartbeat_send(heartbeat, now_ms);
 }
 
 void
-heartbeat_add_address(heartbeat_t *heartbeat, const addr_t *peer, const name_t *hall)
+heartbeat_add_address(heartbeat_t *heartbeat, const addr_t *peer, const name_t *hall,
+                      bool announced)
 {
+    const size_t known = heartbeat->conf.members->count;
     member_t *member = members_at(heartbeat->conf.members, peer);
-    if (member == NULL || member->heard)
+    if (member == NULL)
+        return;
+    member->announced |= announced;
+    if (member->heard)
         return;
+    heartbeat->is_due |= heartbeat->conf.members->count > known;
     member->hall = *hall;
     member->region = region_of(heartbeat, hall);
 }
@@ -169,30 +236,31 @@
         name_t hall;
         if (addr_parse(str_from(message->peers[i]->address), &peer) &&
             name_set(&hall, str_from(message->peers[i]->place)))
-            heartbeat_add_address(heartbeat, &peer, &hall);
+            heartbeat_add_address(heartbeat, &peer, &hall, false);
     }
 }
 
-/* Outcomes at backends that this instance does not know (yet) are left out. */
+/* Outcomes at backends that this instance does not know (yet), or at another life, are left out. */
 static void
 add_outcomes(const backends_t *backends, const Iris__GatewayHeartbeat *message, uint64_t now_ms)
 {
     for (size_t i = 0; i < message->n_outcomes; i++) {
         const Iris__Outcomes *outcomes = message->outcomes[i];
         backend_t *backend = backends_find(backends, str_from(outcomes->backend));
-        if (backend != NULL)
+        if (backend != NULL && backend_life_order(outcomes->born, backend->info.born) == 0)
             health_add_report(&backend->health, outcomes->good, outcomes->bad, now_ms);
     }
 }
 
 /* Logs that an instance came back, restarted or leaves. */
 static void
-log_change(const heartbeat_t *heartbeat, const member_t *member,
-           const Iris__GatewayHeartbeat *message, uint64_t now_ms)
+log_change(heartbeat_t *heartbeat, const member_t *member, const Iris__GatewayHeartbeat *message,
+           uint64_t now_ms)
 {
     const bool restarted = member->heard && member->incarnation != message->incarnation;
     const bool expected = !member->heard || is_heard_often(heartbeat, member);
-    if (restarted || (expected && !member_alive(member, now_ms)))
+    const bool is_news = restarted || (expected && !member_alive(member, now_ms));
+    if (is_news && heartbeat->heard_lines++ < HEARD_LINES_MAX)
         LOG_INFO("instance heard: instance=%s hall=%s silent_ms=%llu restarted=%d",
                  message->instance, message->place,
                  (unsigned long long)(member->heard ? now_ms - member->heard_ms : 0), restarted);
@@ -213,6 +281,8 @@
     if (member == NULL || is_self(heartbeat, &sender.peer))
         return;
     log_change(heartbeat, member, message, now_ms);
+    const bool is_new = !member->heard || member->incarnation != message->incarnation;
+    const bool was_announced = member->announced;
     member->heard = true;
     member->heard_ms = now_ms;
     member->logged_living = true;
@@ -221,6 +291,11 @@
     member->region = region_of(heartbeat, &sender.hall);
     member->callers = sender.callers;
     heartbeat_message_apply(message, member);
+    member->announced |= was_announced;
+    if (is_new)
+        answer_newcomer(heartbeat, member, was_announced, now_ms);
+    if (message->was_announced)
+        heartbeat_set_announced(heartbeat);
     add_outcomes(heartbeat->conf.backends, message, now_ms);
     view_relay_compare(heartbeat->conf.relay, member);
 }
--- a/gateway/membership/heartbeat_message.c
+++ b/gateway/membership/heartbeat_message.c
@@ -61,9 +61,11 @@
 fill_peers(heartbeat_message_t *out, const heartbeat_source_t *source)
 {
     const members_t *members = source->members;
-    const size_t start = (size_t)source->round * HEARTBEAT_PEERS_MAX / PEERS_EVERY;
+    const size_t most = source->is_answer ? source->addresses : HEARTBEAT_PEERS_MAX;
+    const size_t step = source->is_answer ? most : most / PEERS_EVERY;
+    const size_t start = (size_t)source->round * step;
     size_t count = 0;
-    for (size_t i = 0; i < members->count && count < HEARTBEAT_PEERS_MAX; i++) {
+    for (size_t i = 0; i < members->count && count < most; i++) {
         const member_t *member = &members->items[(start + i) % members->count];
         if (!member->heard)
             continue;
@@ -92,6 +94,7 @@
             outcomes->backend = message_text(&backend->info.id);
             outcomes->good = backend->health.unsent_good;
             outcomes->bad = backend->health.unsent_bad;
+            outcomes->born = backend->info.born;
             out->outcome_list[count] = outcomes;
             count++;
         }
@@ -118,6 +121,8 @@
     message->store_age_ms = store_watch_age_ms(source->watch);
     message->store_failing = store_watch_is_failing(source->watch);
     message->unpacks = true;
+    message->reads_lists = true;
+    message->announced = self->announced;
     message->region_members =
         (uint32_t)members_living(source->members, self->region, source->now_ms);
     message->interval_ms = self->interval_ms;
@@ -134,9 +139,11 @@
     fill_self(out, source);
     fill_views(out, source->views);
     fill_demands(out, source);
-    fill_outcomes(out, source);
-    if (source->round % PEERS_EVERY < PEERS_ROUNDS)
+    if (!source->is_answer)
+        fill_outcomes(out, source);
+    if (source->is_answer || source->round % PEERS_EVERY < PEERS_ROUNDS)
         fill_peers(out, source);
+    out->message.was_announced = source->was_announced;
 }
 
 bool
@@ -178,6 +185,14 @@
     }
 }
 
+static view_reads_t
+read_reads(const Iris__GatewayHeartbeat *message)
+{
+    if (message->reads_lists)
+        return VIEW_READS_LISTS;
+    return message->unpacks ? VIEW_READS_BODIES : VIEW_READS_PLAIN;
+}
+
 void
 heartbeat_message_apply(const Iris__GatewayHeartbeat *message, member_t *member)
 {
@@ -186,7 +201,8 @@
     member->leaving = message->leaving;
     member->store_age_ms = message->store_age_ms;
     member->store_failing = message->store_failing;
-    member->unpacks = message->unpacks;
+    member->reads = read_reads(message);
+    member->announced = message->announced;
     member->interval_ms = message->interval_ms;
     member->region_members = message->region_members;
     member->capacity = (member_capacity_t){
--- a/gateway/membership/members.h
+++ b/gateway/membership/members.h
@@ -16,13 +16,11 @@
 #include "gateway/policy/cold_start.h"
 #include "gateway/ports.h"
 #include "gateway/membership/topology.h"
+#include "gateway/state/view_reads.h"
 
 enum {
     MEMBERS_MAX = 2048, /* above the fleet to design for (1,400 instances) */
     MEMBERS_MESH = 16,  /* instances that all talk to each other; the small sites have 9 to 12 */
-    /* Instances of a region that watch the store: one may be refused in silence (commit cdee74c).
-     */
-    MEMBERS_WATCHERS = 2,
     /* Members of each other region that get a heartbeat in a round (commit 750a091). */
     MEMBERS_OTHER_REGION = 1,
     /* Services in a heartbeat, those with the greatest demand. Chosen: above the users' largest
@@ -33,6 +31,9 @@
     HEARTBEAT_MIN_MS = 400,
     HEARTBEAT_MEMBER_MS = 20,
     HEARTBEAT_MAX_MS = 1200,
+    /* Instances that the store must fail for an outage: those that try first where nobody watches
+     * (policy/store_turns.c). */
+    MEMBERS_WITNESSES = 4,
     STORE_AGE_NONE = 0xffffffff, /* store_age_ms of an instance that does not watch the store */
 };
 
@@ -70,7 +71,8 @@
     bool leaving;
     uint32_t store_age_ms; /* since the store last answered it, or STORE_AGE_NONE */
     bool store_failing;    /* the store fails it */
-    bool unpacks;          /* it takes objects whose body is packed */
+    view_reads_t reads;    /* how it takes changes of views */
+    bool announced;        /* it says that the store has its entry */
     member_view_t views[VIEW_WATCHED];
     member_demand_t demands[MEMBER_DEMANDS_MAX];
     size_t demand_count;
@@ -93,16 +95,21 @@
  * returned; the next new member may move it. */
 member_t *members_at(members_t *members, const addr_t *peer);
 bool member_alive(const member_t *member, uint64_t now_ms);
-/* Number of living members of its region that the store serves and whose name comes before `own`.
- * The first MEMBERS_WATCHERS watch the store. */
-size_t members_rank_in_region(const members_t *members, str_t own, size_t region, uint64_t now_ms);
+/* Number of living members of its region whose name comes before `own`: of those that the store
+ * serves, or of all. */
+size_t members_rank_in_region(const members_t *members, str_t own, size_t region, bool served,
+                              uint64_t now_ms);
 /* Age in milliseconds of a watcher's newest answer from the store up to which its region relies on
  * it: a watch may rest for 3 s, and the age is sent once in a heartbeat. */
 uint32_t members_store_age_max_ms(const members_t *members, size_t region, uint64_t now_ms);
-/* True if a living member got an answer from the store within `age_ms`. */
-bool members_watch_store(const members_t *members, uint32_t age_ms, uint64_t now_ms);
-/* True if the store fails all living members but the one named `own`. */
-bool members_store_fails_all(const members_t *members, str_t own, uint64_t now_ms);
+/* True if a living member that sends changes on to the region got an answer from the store within
+ * `age_ms`: one of that region, or in a small fleet any. */
+bool members_watch_store(const members_t *members, size_t region, uint32_t age_ms, uint64_t now_ms);
+/* True if the store is away for all, as far as is known: it answers no living member, and fails
+ * MEMBERS_WITNESSES of them, or all if there are fewer. The one named `own` is told by
+ * `own_failing`; most instances of a large fleet do not call the store and cannot tell. */
+bool members_store_is_away(const members_t *members, str_t own, bool own_failing, uint32_t age_ms,
+                           uint64_t now_ms);
 /* True if the store fails a living member. */
 bool members_store_fails_any(const members_t *members, uint64_t now_ms);
 /* Revision of the newest view of a kind that a living member holds and that is newer than `at` and
--- a/gateway/state/store_watch.c
+++ b/gateway/state/store_watch.c
@@ -5,6 +5,8 @@
 #define LOG_MODULE "sync"
 #include "base/log.h"
 #include "base/xmalloc.h"
+#include "gateway/policy/store_turns.h"
+#include "gateway/state/store_calls.h"
 #include "gateway/state/store_watch.h"
 
 enum {
@@ -13,20 +15,19 @@
     WATCH_WAIT_MS = 3000,
     WATCH_WAIT_FAILING_MS = 20, /* an answer at once: is the store back? Chosen (commit ce9d245) */
     RETRY_MIN_MS = 200,         /* one tick; the pause grows by this much with each failure */
-    RETRY_MAX_MS = 1000,        /* chosen, not measured */
+    RETRY_MAX_MS = 1000,        /* of one that needs a view. Chosen, not measured */
     /* While the store fails, one call tells whether it is back, and another follows if it has not
      * ended after this time: a large answer on a small link would hold up the removal of a backend
      * server. Above the time that a failing watch has. Chosen, not measured. */
     PROBE_MS = 1000,
     FAILURES_FAILING = 2, /* in a row, after which the store fails this instance. Chosen */
-    /* An instance that the store fails and that does not watch looks so often whether it is back:
-     * as long as it says that it cannot read the store, peers send it whole views, however large.
-     * Chosen: a third of the calls of one that watches. */
-    LOOK_AGAIN_MS = 3000,
     /* An instance that had to watch goes on for this time, so that instances do not take turns in
      * fifths of a second (commit 35bcf57). */
     FALLBACK_MS = 3000,
-    START_PEERS_FIRST_MS = 250, /* peers have this time to bring the views at start. Chosen */
+    /* A watch that is answered sooner found changes that were there already: the way to the store
+     * and back takes some milliseconds, 70 between regions. Chosen. */
+    AT_ONCE_MS = 100,
+    KEY_SEED = 61, /* any number */
 };
 
 void
@@ -35,7 +36,7 @@
     *watch = (store_watch_t){.conf = *conf, .started_ms = uv_now(conf->loop)};
     xassert(name_set(&watch->instance, conf->instance));
     for (view_kind_t kind = 0; kind < VIEW_WATCHED; kind++)
-        watch->kinds[kind] = (kind_watch_t){.owner = watch, .kind = kind, .list_needed = true};
+        watch->kinds[kind] = (kind_watch_t){.owner = watch, .kind = kind};
 }
 
 void
@@ -58,53 +59,87 @@
 
 /* ---- who watches, and the store's state ---- */
 
-static bool
-is_among_watchers(const store_watch_t *watch, uint64_t now_ms)
+static size_t
+rank_of(const store_watch_t *watch, bool served, uint64_t now_ms)
 {
-    const size_t rank = members_rank_in_region(watch->conf.members, name_str(&watch->instance),
-                                               watch->conf.region, now_ms);
-    return rank < MEMBERS_WATCHERS;
+    return members_rank_in_region(watch->conf.members, name_str(&watch->instance),
+                                  watch->conf.region, served, now_ms);
 }
 
 static bool
 peers_watch(const store_watch_t *watch, uint64_t now_ms)
 {
-    const members_t *members = watch->conf.members;
-    const uint32_t age_max_ms = members_store_age_max_ms(members, watch->conf.region, now_ms);
-    return members_watch_store(members, age_max_ms, now_ms);
+    const uint32_t age_max_ms =
+        members_store_age_max_ms(watch->conf.members, watch->conf.region, now_ms);
+    return members_watch_store(watch->conf.members, watch->conf.region, age_max_ms, now_ms);
+}
+
+/* A started instance leaves the store to its peers for some time. */
+static bool
+has_waited(const store_watch_t *watch, uint64_t now_ms)
+{
+    const uint64_t key = str_hash(name_str(&watch->instance), KEY_SEED);
+    return now_ms - watch->started_ms >= store_turns_start_ms(key, watch->conf.is_seed);
+}
+
+/* True if no instance of the region watches the store, as far as is known here, and it is this
+ * one's turn to. */
+static bool
+takes_over(store_watch_t *watch, uint64_t now_ms)
+{
+    if (peers_watch(watch, now_ms)) {
+        watch->unwatched_ms = 0;
+        return false;
+    }
+    if (watch->unwatched_ms == 0)
+        watch->unwatched_ms = now_ms;
+    return store_turns_takes_over(rank_of(watch, false, now_ms), now_ms - watch->unwatched_ms);
 }
 
 static bool
 should_watch(store_watch_t *watch)
 {
     const uint64_t now_ms = uv_now(watch->conf.loop);
-    const uint64_t uptime_ms = now_ms - watch->started_ms;
-    if (watch->stopped)
+    if (watch->stopped || !has_waited(watch, now_ms))
         return false;
-    if (is_among_watchers(watch, now_ms) && uptime_ms >= START_PEERS_FIRST_MS)
+    if (store_turns_watches(rank_of(watch, true, now_ms)))
         return true;
-    if (uptime_ms < 2 * START_PEERS_FIRST_MS)
-        return false;
-    if (!peers_watch(watch, now_ms)) {
+    if (takes_over(watch, now_ms)) {
         watch->fallback_until_ms = now_ms + FALLBACK_MS;
         watch->failed_ms = now_ms;
     }
     return now_ms < watch->fallback_until_ms;
 }
 
-/* Only if it fails everybody is the store away, and entries may lapse. A call that hung over the
- * first sign of its return says nothing of the time after that. */
+static uint32_t
+answer_age_max_ms(const store_watch_t *watch, uint64_t now_ms)
+{
+    return members_store_age_max_ms(watch->conf.members, watch->conf.region, now_ms);
+}
+
+/* Only if it fails everybody is the store away, and entries may lapse. */
 static void
-notice_outage(store_watch_t *watch, const kind_watch_t *failed, uint64_t now_ms)
+notice_outage(store_watch_t *watch, uint64_t now_ms)
 {
-    if (watch->away || failed->called_ms < watch->returned_ms || !store_watch_is_failing(watch) ||
-        !members_store_fails_all(watch->conf.members, name_str(&watch->instance), now_ms))
+    const bool fails = store_watch_is_failing(watch);
+    if (watch->away || !members_store_is_away(watch->conf.members, name_str(&watch->instance),
+                                              fails, answer_age_max_ms(watch, now_ms), now_ms))
         return;
     watch->away = true;
     watch->away_ms = now_ms;
     LOG_WARN("store away for all: failures=%u", watch->failures);
 }
 
+/* A call of this instance has failed. One that hung over the first sign of the store's return says
+ * nothing of the time after that. */
+static void
+notice_failure(store_watch_t *watch, const kind_watch_t *failed, uint64_t now_ms)
+{
+    watch->failed_ms = now_ms;
+    if (failed->called_ms >= watch->returned_ms && store_watch_is_failing(watch))
+        notice_outage(watch, now_ms);
+}
+
 /* The first sign ends it: an answer here, a peer that the store serves, a change that one tells. */
 static void
 notice_return(store_watch_t *watch, const char *sign)
@@ -122,11 +157,13 @@
 {
     const members_t *members = watch->conf.members;
     const uint64_t now_ms = uv_now(watch->conf.loop);
-    const uint32_t age_max_ms = members_store_age_max_ms(members, watch->conf.region, now_ms);
+    const bool calls = watch->watching || watch->failures > 0;
     if (members_store_fails_any(members, now_ms))
         watch->failed_ms = now_ms;
-    if (members_store_serves(members, age_max_ms, now_ms))
+    if (members_store_serves(members, answer_age_max_ms(watch, now_ms), now_ms))
         notice_return(watch, "peer");
+    else if (!calls)
+        notice_outage(watch, now_ms);
 }
 
 /* A call that was begun before the outage was noticed and is answered: only others failed. */
@@ -151,21 +188,26 @@
     watch->probe_at_ms = 0;
 }
 
-/* A started instance reads each kind once, whoever watches. */
+/* A started instance reads each kind that peers have not brought, whoever watches. */
 static bool
 is_needed_once(const kind_watch_t *kind)
 {
-    return kind->read_once || !view_of(kind)->known;
+    const store_watch_t *watch = kind->owner;
+    return kind->read_once ||
+           (!view_of(kind)->known && has_waited(watch, uv_now(watch->conf.loop)));
 }
 
 static uint64_t
 retry_pause_ms(const kind_watch_t *kind)
 {
     const store_watch_t *watch = kind->owner;
+    const uint64_t now_ms = uv_now(watch->conf.loop);
     const uint64_t pause_ms = (uint64_t)RETRY_MIN_MS * watch->failures;
-    if (!watch->watching && !is_needed_once(kind))
-        return LOOK_AGAIN_MS;
-    return pause_ms < RETRY_MAX_MS ? pause_ms : RETRY_MAX_MS;
+    if (is_needed_once(kind))
+        return pause_ms < RETRY_MAX_MS ? pause_ms : RETRY_MAX_MS;
+    const size_t instances = members_living(watch->conf.members, watch->conf.region, now_ms);
+    const uint64_t look_ms = store_turns_look_ms(rank_of(watch, false, now_ms), instances);
+    return store_watch_is_failing(watch) || pause_ms > look_ms ? look_ms : pause_ms;
 }
 
 static void
@@ -178,8 +220,7 @@
                  answer->err.detail);
         watch->probed = VIEW_CONFIG; /* it is asked for last: its answer may be the largest */
     }
-    watch->failed_ms = now_ms;
-    notice_outage(watch, kind, now_ms);
+    notice_failure(watch, kind, now_ms);
     kind->retry_at_ms = now_ms + retry_pause_ms(kind);
     if (kind->kind == watch->probed)
         watch->probe_at_ms = kind->retry_at_ms;
@@ -215,12 +256,60 @@
     }
 }
 
+static store_reason_t
+list_reason(const kind_watch_t *kind)
+{
+    if (kind->page_count > 0)
+        return STORE_FOR_PAGE;
+    if (kind->owner->failures > 0)
+        return STORE_FOR_RETURN;
+    if (!view_of(kind)->known)
+        return STORE_FOR_START;
+    return kind->list_needed ? STORE_FOR_HISTORY : STORE_FOR_PEER;
+}
+
+/* The view has changed: it is applied here first, then sent on. */
+static void
+tell_change(kind_watch_t *kind, const view_delta_t *delta, const char *source, uint64_t age_ms)
+{
+    const store_watch_t *watch = kind->owner;
+    views_changed(watch->conf.views, kind->kind, source, age_ms, uv_now(watch->conf.loop));
+    watch->conf.on_delta(watch->conf.ctx, delta);
+}
+
+/* The pages hold the whole list. What changed since the view was current is sent on, as after a
+ * watch: after an outage all of a region would read the list otherwise. */
+static void
+take_list(kind_watch_t *kind)
+{
+    store_watch_t *watch = kind->owner;
+    view_t *view = view_of(kind);
+    const bool was_known = view->known;
+    const view_delta_t delta = {
+        .kind = kind->kind,
+        .from = view->at,
+        .base_digest = view->digest,
+    };
+    const view_result_t result = view_replace(view, kind->pages, kind->page_count, kind->list_at);
+    const uint64_t age_ms = uv_now(watch->conf.loop) - kind->current_ms;
+    free_pages(kind);
+    kind->list_needed = false;
+    kind->read_once = false;
+    kind->current_ms = kind->called_ms;
+    if (result == VIEW_CHANGED && was_known)
+        tell_change(kind, &delta, "list", age_ms);
+    else if (result == VIEW_CHANGED)
+        views_changed(watch->conf.views, kind->kind, "list", VIEW_AGE_MAX_MS + 1,
+                      uv_now(watch->conf.loop));
+}
+
 static void on_list(void *ctx, const store_answer_t *answer);
 
 static void
 list_after(kind_watch_t *kind, str_t after)
 {
     const store_port_t *store = kind->owner->conf.store;
+    store_calls_count(kind->kind, STORE_CALL_LIST, list_reason(kind));
     kind->state = WATCH_LISTING;
     kind->called_ms = uv_now(kind->owner->conf.loop);
     store->list(store->ctx, kind->kind, after, on_list, kind);
@@ -245,35 +334,38 @@
         list_after(kind, kind->pages[kind->page_count - 1].name);
         return;
     }
-    const view_result_t result =
-        view_replace(view_of(kind), kind->pages, kind->page_count, kind->list_at);
-    free_pages(kind);
-    kind->list_needed = false;
-    kind->read_once = false;
-    if (result == VIEW_CHANGED)
-        views_changed(watch->conf.views, kind->kind, "list");
+    take_list(kind);
     store_watch_tick(watch);
 }
 
 /* ---- watch ---- */
 
+/* Age in milliseconds of the oldest change that the watch has brought, at the most: one that rested
+ * is answered by the change, one that was answered at once brings changes that came before it. */
+static uint64_t
+changes_age_ms(const kind_watch_t *kind)
+{
+    const uint64_t now_ms = uv_now(kind->owner->conf.loop);
+    const bool rested = now_ms - kind->called_ms > AT_ONCE_MS;
+    return now_ms - (rested ? now_ms : kind->current_ms);
+}
+
 static void
 apply_delta(kind_watch_t *kind, const store_answer_t *answer)
 {
-    const store_watch_t *watch = kind->owner;
     view_t *view = view_of(kind);
     const view_delta_t delta = {
         .kind = kind->kind,
         .from = kind->watched_from,
         .base_digest = view->digest,
     };
-    if (view_apply(view, answer->items, answer->item_count, delta.from, answer->at) != VIEW_CHANGED)
-        return;
-    watch->conf.on_delta(watch->conf.ctx, &delta);
-    views_changed(watch->conf.views, kind->kind, "watch");
+    const uint64_t age_ms = changes_age_ms(kind);
+    kind->current_ms = uv_now(kind->owner->conf.loop);
+    if (view_apply(view, answer->items, answer->item_count, delta.from, answer->at) == VIEW_CHANGED)
+        tell_change(kind, &delta, "watch", age_ms);
 }
 
-/* The next watch starts at the next tick, so that changes in quick succession come together. */
+/* The next watch starts some time later, so that changes in quick succession come together. */
 static void
 on_watch(void *ctx, const store_answer_t *answer)
 {
@@ -294,6 +386,8 @@
         return;
     }
     on_store_answered(kind);
+    if (answer->item_count > 0)
+        kind->retry_at_ms = uv_now(kind->owner->conf.loop) + store_turns_rest_ms();
     apply_delta(kind, answer);
 }
 
@@ -309,7 +403,9 @@
     kind->state = WATCH_WATCHING;
     kind->called_ms = uv_now(watch->conf.loop);
     kind->watched_from = view_of(kind)->at;
-    const uint32_t wait_ms = watch->failures > 0 ? WATCH_WAIT_FAILING_MS : WATCH_WAIT_MS;
+    const bool fails = watch->failures > 0;
+    const uint32_t wait_ms = fails ? WATCH_WAIT_FAILING_MS : WATCH_WAIT_MS;
+    store_calls_count(kind->kind, STORE_CALL_WATCH, fails ? STORE_FOR_RETURN : STORE_FOR_CHANGES);
     store->watch(store->ctx, kind->kind, kind->watched_from, wait_ms, on_watch, kind);
 }
 
--- a/gateway/state/view_push.c
+++ b/gateway/state/view_push.c
@@ -7,6 +7,8 @@
 #include "base/log.h"
 #include "base/xmalloc.h"
 #include "gateway/policy/relay.h"
+#include "gateway/state/departure_push.h"
+#include "gateway/state/receivers.h"
 #include "gateway/state/view_message.h"
 
 /* Bytes of changes that are sent to other regions; larger ones go to the own region only (commit
@@ -20,61 +22,6 @@
     xassert(name_set(&push->instance, conf->instance));
 }
 
-/* ---- the order of the instances ---- */
-
-typedef struct {
-    uint64_t key;
-    const addr_t *peer; /* NULL for this instance */
-    bool unpacks;
-} ranked_t;
-
-typedef struct {
-    ranked_t *ranks;
-    size_t count;
-    size_t own; /* rank of this instance */
-} order_t;
-
-static int
-by_key(const void *left, const void *right)
-{
-    const uint64_t a = ((const ranked_t *)left)->key;
-    const uint64_t b = ((const ranked_t *)right)->key;
-    return (a > b) - (a < b);
-}
-
-/* Each change has an order of its own, so that an instance that is lost is not in the way of all of
- * them, nor in the same place of what two watchers send. */
-static uint64_t
-rank_key(str_t instance, uint64_t at)
-{
-    return str_hash(instance, at);
-}
-
-/* The living instances that are to have the change up to revision `at`, in an order that is the
- * same on each of them but for instances that not all count as living. */
-static order_t
-order_instances(const view_push_t *push, uint64_t at, bool all_regions)
-{
-    const members_t *members = push->conf.members;
-    const uint64_t now_ms = uv_now(push->conf.loop);
-    const str_t own = name_str(&push->instance);
-    order_t order = {.ranks = xcalloc(members->count + 1, sizeof(*order.ranks))};
-    order.ranks[order.count++] = (ranked_t){.key = rank_key(own, at)};
-    for (size_t i = 0; i < members->count; i++) {
-        const member_t *member = &members->items[i];
-        const str_t name = name_str(&member->instance);
-        if (!member_alive(member, now_ms) || str_eq(name, own))
-            continue;
-        if (all_regions || member->region == push->conf.region)
-            order.ranks[order.count++] =
-                (ranked_t){rank_key(name, at), &member->peer, member->unpacks};
-    }
-    qsort(order.ranks, order.count, sizeof(*order.ranks), by_key);
-    while (order.ranks[order.own].peer != NULL)
-        order.own++;
-    return order;
-}
-
 /* ---- sending ---- */
 
 static void
@@ -92,33 +39,32 @@
 }
 
 static bool
-is_receiver(const order_t *order, const relay_input_t *input, size_t rank, bool packed)
+is_receiver(const receivers_t *order, const relay_input_t *input, size_t rank, view_reads_t reads)
 {
-    return relay_sends_to(input, rank) && order->ranks[rank].unpacks == packed;
+    return relay_sends_to(input, rank) && order->items[rank].reads == reads;
 }
 
 static bool
-any_receiver(const order_t *order, const relay_input_t *input, bool packed)
+any_receiver(const receivers_t *order, const relay_input_t *input, view_reads_t reads)
 {
     for (size_t i = 0; i < order->count; i++) {
-        if (is_receiver(order, input, i, packed))
+        if (is_receiver(order, input, i, reads))
             return true;
     }
     return false;
 }
 
-/* Sends the message to those named that take it packed, or to those that do not; returns the bytes
- * that went out. */
+/* Sends the message to those named that take that form; returns the bytes that went out. */
 static size_t
-send_to(const view_push_t *push, const view_message_t *message, const order_t *order,
-        const relay_input_t *input, bool packed)
+send_to(const view_push_t *push, const view_message_t *message, const receivers_t *order,
+        const relay_input_t *input, view_reads_t reads)
 {
     size_t receivers = 0;
     size_t skipped = 0;
     for (size_t i = 0; i < order->count; i++) {
-        if (!is_receiver(order, input, i, packed))
+        if (!is_receiver(order, input, i, reads))
             continue;
-        if (peer_offer(push->conf.hub, order->ranks[i].peer, &message->envelope))
+        if (peer_offer(push->conf.hub, order->items[i].peer, &message->envelope))
             receivers++;
         else
             skipped++;
@@ -127,25 +73,40 @@
     return message->bytes * receivers;
 }
 
-/* Sends the message to those that policy/relay.h names for a change of `bytes`, and packs it if any
- * of them takes it so; returns the bytes that went out. */
+static receivers_input_t
+receivers_input(const view_push_t *push, size_t bytes)
+{
+    return (receivers_input_t){
+        .members = push->conf.members,
+        .instance = name_str(&push->instance),
+        .region = push->conf.region,
+        .all_regions = push->conf.members->count <= MEMBERS_MESH && bytes <= FAR_MAX,
+        .now_ms = uv_now(push->conf.loop),
+    };
+}
+
+/* Sends the message to those that policy/relay.h names for a change of `bytes` and that take the
+ * form `first` or a later one, in the form that each takes; returns the bytes that went out. */
 static size_t
-send_message(const view_push_t *push, view_message_t *message, size_t bytes, bool from_store)
+send_message(const view_push_t *push, view_message_t *message, size_t bytes, bool from_store,
+             view_reads_t first)
 {
-    const bool all_regions = push->conf.members->count <= MEMBERS_MESH && bytes <= FAR_MAX;
-    order_t order = order_instances(push, message->update.at, all_regions);
+    const receivers_input_t whom = receivers_input(push, bytes);
+    receivers_t order = receivers_of(&whom, message->update.at);
     const relay_input_t input = {
         .bytes = bytes,
         .instances = order.count,
         .own = order.own,
         .from_store = from_store,
     };
-    size_t sent = send_to(push, message, &order, &input, false);
-    if (any_receiver(&order, &input, true)) {
-        view_message_pack(message);
-        sent += send_to(push, message, &order, &input, true);
+    size_t sent = 0;
+    for (view_reads_t reads = first; reads < VIEW_READS_COUNT; reads++) {
+        if (!any_receiver(&order, &input, reads))
+            continue;
+        view_message_pack(message, reads);
+        sent += send_to(push, message, &order, &input, reads);
     }
-    free(order.ranks);
+    receivers_free(&order);
     return sent;
 }
 
@@ -167,6 +128,14 @@
     return true;
 }
 
+static uint32_t
+age_since(const view_push_t *push, view_kind_t kind, uint64_t have)
+{
+    return view_age_since(&push->conf.views->ages[kind], have, uv_now(push->conf.loop));
+}
+
+/* ---- changes from the store ---- */
+
 /* Where the changes to be sent begin: at the earliest point that makes them no larger. */
 static push_point_t
 earliest_start(const push_kind_t *state, const view_t *view, view_kind_t kind, size_t bytes)
@@ -188,6 +157,22 @@
     return state->from;
 }
 
+static void
+note_forwarded(push_kind_t *state, uint64_t at)
+{
+    state->forwarded[state->forwarded_count++ % PUSH_FORWARDED] = at;
+}
+
+static bool
+was_forwarded(const push_kind_t *state, uint64_t at)
+{
+    for (size_t i = 0; i < PUSH_FORWARDED && i < state->forwarded_count; i++) {
+        if (state->forwarded[i] == at)
+            return true;
+    }
+    return false;
+}
+
 static void
 send_changes(view_push_t *push, view_kind_t kind, push_point_t from)
 {
@@ -196,9 +181,12 @@
     store_item_t *items;
     xassert(fill_changes(&message, &items, &push->conf.views->items[kind], kind, &from));
     const size_t bytes = message.bytes;
-    const size_t sent = send_message(push, &message, bytes, true);
+    message.update.age_ms = age_since(push, kind, from.at);
+    note_forwarded(state, message.update.at);
+    const size_t sent = send_message(push, &message, bytes, true, VIEW_READS_PLAIN);
     if (!relay_is_small(bytes))
-        state->next_ms = uv_now(push->conf.loop) + relay_pause_ms(sent);
+        state->next_ms =
+            uv_now(push->conf.loop) + relay_pause_ms(sent, push->conf.link_bytes_per_s);
     view_message_free(&message);
     free(items);
     state->earlier[state->earlier_count++ % PUSH_POINTS] = state->from;
@@ -227,10 +215,34 @@
         send_changes(push, kind, earliest_start(state, view, kind, bytes));
 }
 
+/* True if the changes since then go along the tree. */
+static bool
+is_large(const view_push_t *push, view_kind_t kind, uint64_t from)
+{
+    size_t count;
+    store_item_t *items = view_since(&push->conf.views->items[kind], from, &count);
+    if (items == NULL)
+        return true;
+    view_message_t message;
+    view_message_fill(&message, items, count);
+    const bool large = !relay_is_small(message.bytes);
+    view_message_free(&message);
+    free(items);
+    return large;
+}
+
 void
-view_push_changed(view_push_t *push, const view_delta_t *delta)
+view_push_changed(view_push_t *push, const view_delta_t *delta, const departures_t *departures)
 {
     push_kind_t *state = &push->kinds[delta->kind];
+    const bool is_list = delta->kind == VIEW_BACKENDS;
+    if (is_list && departures->count > 0 && is_large(push, delta->kind, delta->from)) {
+        const receivers_input_t whom = receivers_input(push, 0);
+        receivers_t order = receivers_of(&whom, push->conf.views->items[delta->kind].at);
+        departure_push(push->conf.hub, &order, departures,
+                       age_since(push, delta->kind, delta->from));
+        receivers_free(&order);
+    }
     if (!state->due) {
         state->due = true;
         state->from = (push_point_t){delta->from, delta->base_digest};
@@ -245,16 +257,50 @@
         send_due(push, kind);
 }
 
-void
-view_push_forward(view_push_t *push, const Iris__ViewUpdate *update)
+/* The update as it came, for those that take it so. */
+static bool
+forward_list(const view_push_t *push, const Iris__ViewUpdate *update, size_t bytes)
 {
-    const push_point_t from = {update->from, update->base_digest};
-    const view_t *view = &push->conf.views->items[update->kind];
     view_message_t message;
-    store_item_t *items;
-    if (update->at != view->at || !fill_changes(&message, &items, view, update->kind, &from))
-        return; /* those behind this instance ask */
-    send_message(push, &message, view_update_bytes(update), false);
+    if (!view_message_fill_list(&message, update))
+        return false;
+    send_message(push, &message, bytes, false, VIEW_READS_LISTS);
+    view_message_free(&message);
+    return true;
+}
+
+/* The update made anew of its objects. */
+static void
+forward_items(const view_push_t *push, const Iris__ViewUpdate *update, size_t bytes)
+{
+    view_message_t message;
+    store_item_t *items = view_message_items(update);
+    view_message_fill(&message, items, update->n_items);
+    message.update.kind = update->kind;
+    message.update.from = update->from;
+    message.update.at = update->at;
+    message.update.whole = update->whole;
+    message.update.base_digest = update->base_digest;
+    message.update.age_ms = update->age_ms;
+    send_message(push, &message, bytes, false, VIEW_READS_PLAIN);
     view_message_free(&message);
     free(items);
 }
+
+/* Each revision that a change leads up to has a tree of its own (receivers.h), along which it goes
+ * once. It goes on also where it was no news, or came over a gap: an instance that has got the same
+ * from another watcher's tree cannot tell whether its children have. When it went on only where it
+ * was news, half of a region of 98 instances was up to 7 s behind (logs of a day with hundreds of
+ * changed entries). */
+void
+view_push_forward(view_push_t *push, const Iris__ViewUpdate *update)
+{
+    push_kind_t *state = &push->kinds[update->kind];
+    const size_t bytes = view_update_bytes(update);
+    if (relay_is_small(bytes) || was_forwarded(state, update->at))
+        return;
+    note_forwarded(state, update->at);
+    const receivers_input_t whom = receivers_input(push, bytes);
+    if (!receivers_read_lists(&whom) || !forward_list(push, update, bytes))
+        forward_items(push, update, bytes);
+}
