Sight: what backend servers tell of themselves in answers is read, logged and shown; nothing decides by it yet

The adapter reads limit, leaving and rest into typed fields (unusable ones count as not there, are counted and logged once a backend server); a change of belief has a line; irisctl explain shows what was told and what was sent; a gauge counts limited backend servers.

--- a/gateway/admin.c
+++ b/gateway/admin.c
@@ -39,9 +39,12 @@
     int64_t cold = 0;
     int64_t avoided = 0;
     int64_t suspended = 0;
+    int64_t limited = 0;
     for (size_t i = 0; i < router->catalog.backends.count; i++) {
         const backend_t *backend = router->catalog.backends.items[i];
-        leaving += backend->info.leaving || backend->hall_closed || backend->departed;
+        leaving += backend->info.leaving || backend->hall_closed || backend->departed ||
+                   backend->says_leaving;
+        limited += backend->limit.named;
         cold += backend_is_cold(backend, now);
         avoided += health_is_avoided(&backend->health, now);
         suspended += breaker_is_suspended(&backend->breaker, now);
@@ -50,6 +53,7 @@
     set_state_gauge("cold", cold);
     set_state_gauge("avoided", avoided);
     set_state_gauge("suspended", suspended);
+    set_state_gauge("limited", limited);
 }
 
 static void
--- a/gateway/inspect.c
+++ b/gateway/inspect.c
@@ -152,6 +152,18 @@
     }
 }
 
+/* What the backend tells of itself, and how much was sent there. */
+static void
+print_told(const backend_t *backend, uint64_t now, wire_text_t *out)
+{
+    wire_text_printf(out, ", sent %llu", (unsigned long long)backend->sends);
+    if (backend->limit.named)
+        wire_text_printf(out, ", takes %g/s, as told %llu ms ago", backend->limit.per_s,
+                         (unsigned long long)(now - backend->limit.said_ms));
+    if (backend->says_leaving)
+        wire_text_str(out, STR(", told that it leaves"));
+}
+
 static const char *
 why_not(const backend_t *backend, uint64_t now)
 {
@@ -180,11 +192,13 @@
                      picked != NULL ? picked->info.id.ptr : "none", choice_reason_name(reason));
     for (size_t i = 0; i < router->catalog.backends.count; i++) {
         const backend_t *backend = router->catalog.backends.items[i];
-        if (name_eq(&backend->info.service, name_str(name)))
-            wire_text_printf(out, "  %-24s %-16s load %.1f of %u, work %.0f ms, %s\n",
-                             backend->info.id.ptr, backend->info.hall.ptr,
-                             backend_load(backend, now), backend->info.capacity, backend->work_ms,
-                             why_not(backend, now));
+        if (!name_eq(&backend->info.service, name_str(name)))
+            continue;
+        wire_text_printf(out, "  %-24s %-16s load %.1f of %u, work %.0f ms, %s",
+                         backend->info.id.ptr, backend->info.hall.ptr, backend_load(backend, now),
+                         backend->info.capacity, backend->work_ms, why_not(backend, now));
+        print_told(backend, now, out);
+        wire_text_str(out, STR("\n"));
     }
 }
 
--- a/gateway/path/attempt.c
+++ b/gateway/path/attempt.c
@@ -55,6 +55,12 @@
         attempt->full = load.waiting > 0;
         backend_report_load(attempt->backend, &load, loop_now(attempt->loop));
     }
+    /* One at another backend's address speaks of itself, bytes of no answer of nobody. */
+    if (attempt->verdict == VERDICT_ANSWER || attempt->verdict == VERDICT_NOT_RUN) {
+        backend_said_t said;
+        attempt->dialect->notice(head, &said);
+        attempt->on_said(attempt->ctx, &said, attempt->verdict == VERDICT_ANSWER);
+    }
     attempt->fields.len = 0;
     attempt->dialect->write_answer(head, &attempt->fields);
     if (attempt->verdict == VERDICT_ANSWER && length > BUFFER_MAX)
--- a/gateway/path/attempt.h
+++ b/gateway/path/attempt.h
@@ -26,6 +26,8 @@
 
 /* The attempt has ended and its outcome is recorded at the backend. */
 typedef void (*attempt_cb_t)(void *ctx, attempt_outcome_t outcome);
+/* The head of an answer of the backend has come. `ran`: it answers a request that it ran. */
+typedef void (*attempt_said_cb_t)(void *ctx, const backend_said_t *said, bool ran);
 
 struct attempt {
     uv_loop_t *loop;
@@ -34,6 +36,7 @@
     str_t id;
     str_t account;        /* name of the client account, empty for none */
     uint64_t fingerprint; /* of the request, for the log */
+    attempt_said_cb_t on_said;
     attempt_cb_t cb;
     void *ctx;
     backend_t *backend; /* NULL while no attempt is under way */
--- a/gateway/path/dispatch.c
+++ b/gateway/path/dispatch.c
@@ -169,6 +169,14 @@
     ending_pass_on(ex);
 }
 
+void
+dispatch_on_said(void *ctx, const backend_said_t *said, bool ran)
+{
+    const exchange_t *ex = ctx;
+    const answer_notice_t notice = {.said = said, .sent_ms = ex->attempt.sent_ms, .ran = ran};
+    router_take_notice(ex->owner->router, exchange_last_tried(ex), &notice);
+}
+
 void
 dispatch_on_attempt_end(void *ctx, attempt_outcome_t outcome)
 {
--- a/gateway/path/exchange.c
+++ b/gateway/path/exchange.c
@@ -39,6 +39,7 @@
         .req = req,
         .id = ex->terms.id,
         .fingerprint = ex->fingerprint.request,
+        .on_said = dispatch_on_said,
         .cb = dispatch_on_attempt_end,
         .ctx = ex,
     };
--- a/gateway/router.c
+++ b/gateway/router.c
@@ -267,6 +267,29 @@
     service_refused(service, loop_now(router->loop));
 }
 
+void
+router_take_notice(router_t *router, backend_t *backend, const answer_notice_t *notice)
+{
+    const backend_said_t *said = notice->said;
+    if (said->unusable > 0)
+        catalog_count_unusable_notice(backend, said->unusable);
+    /* One that turns a request away may leave out what it says in answers of its runs. */
+    const bool tells_limit = said->names_limit || notice->ran;
+    const notice_t news = {
+        .backend = backend->info.id,
+        .born = backend->info.born,
+        .limit =
+            {
+                .named = said->names_limit,
+                .per_s = said->limit_per_s,
+                .said_ms = tells_limit ? notice->sent_ms : 0,
+            },
+        .leaves = said->leaves,
+        .leaves_ms = loop_now(router->loop),
+    };
+    catalog_take_notice(&router->catalog, &news, "answer");
+}
+
 void
 router_attempt_started(router_t *router, service_t *service, backend_t *backend)
 {
--- a/gateway/router.h
+++ b/gateway/router.h
@@ -105,6 +105,13 @@
 void router_count_request(router_t *router, service_t *service);
 /* A request found no backend. */
 void router_count_refused(router_t *router, service_t *service);
+/* An answer of a backend says something of itself. */
+typedef struct {
+    const backend_said_t *said;
+    uint64_t sent_ms; /* loop time at which its request was sent */
+    bool ran;         /* the backend ran that request */
+} answer_notice_t;
+void router_take_notice(router_t *router, backend_t *backend, const answer_notice_t *notice);
 /* An attempt at a backend starts and finishes. */
 void router_attempt_started(router_t *router, service_t *service, backend_t *backend);
 void router_attempt_finished(router_t *router, service_t *service, backend_t *backend);
--- a/gateway/state/backend.c
+++ b/gateway/state/backend.c
@@ -100,6 +100,7 @@
 backend_attempt_started(backend_t *backend)
 {
     backend->in_flight++;
+    backend->sends++;
     breaker_attempt_started(&backend->breaker);
 }
 
--- a/gateway/state/backend.h
+++ b/gateway/state/backend.h
@@ -14,6 +14,7 @@
 #include "base/bucket.h"
 #include "gateway/policy/breaker.h"
 #include "gateway/policy/health.h"
+#include "gateway/state/notices.h"
 
 typedef struct wire_pool wire_pool_t;
 
@@ -47,10 +48,14 @@
     bool listed;           /* false once it was taken out of the list */
     bool hall_closed;      /* its data hall must get no requests */
     bool departed;         /* another backend answers at its address */
+    bool says_leaving;     /* it told so in an answer: that stays, whatever its entry says */
+    backend_limit_t limit; /* that it names in its answers */
+    bool logged_unusable;  /* the log tells of a notice that could not be used */
     uint64_t remove_at_ms; /* when its absence from the store takes effect, 0 if it is there */
     uint64_t cold_until_ms;
     bucket_t cold_tokens; /* this instance's part of the requests it can take while cold */
     uint32_t in_flight;   /* attempts of this instance */
+    uint64_t sends;       /* attempts of this instance so far */
     double other_load;    /* requests of other instances there, as of load_reported_ms */
     uint64_t load_reported_ms;
     breaker_t breaker;
--- a/gateway/state/catalog.c
+++ b/gateway/state/catalog.c
@@ -193,5 +193,6 @@
     const uint64_t now_ms = loop_now(catalog->loop);
     backends_remove_due(&catalog->backends, now_ms);
     departures_expire(&catalog->departures, now_ms);
+    notices_expire(&catalog->notices, now_ms);
     log_avoided(catalog, now_ms);
 }
--- a/gateway/state/catalog.h
+++ b/gateway/state/catalog.h
@@ -38,6 +38,7 @@
     backends_t backends;
     bool backends_known;     /* a whole list was taken in once */
     departures_t departures; /* what was told ahead of the list's change */
+    notices_t notices;       /* what backends told of themselves, in answers */
     departures_t fresh;      /* what the last change of the list itself told */
     uint64_t *unusable;      /* revisions of entries that name no backend, ascending */
     size_t unusable_count;
@@ -59,6 +60,12 @@
 /* A peer tells of backends that get nothing new, ahead of the change of the list. */
 void catalog_apply_departures(catalog_t *catalog, const departure_t *items, size_t count,
                               removal_store_t store);
+/* Takes over what a backend told of itself; `source` is for the log. True if others are to know. */
+bool catalog_take_notice(catalog_t *catalog, const notice_t *news, const char *source);
+/* The backend told something in a form that cannot be used, so many times in one answer. */
+void catalog_count_unusable_notice(backend_t *backend, unsigned count);
+/* Gives a backend what is known of it from notices. */
+void catalog_apply_notice(const catalog_t *catalog, backend_t *backend);
 /* Closes and opens the data halls of the backends. */
 void catalog_apply_closures(catalog_t *catalog, const view_t *view);
 /* The number of instances has changed: each gets its part of a backend's connections. */
--- a/gateway/state/catalog_backends.c
+++ b/gateway/state/catalog_backends.c
@@ -137,8 +137,10 @@
     backend->revision = revision;
     if (!was_cold)
         catalog_pace_cold(catalog, backend, change->now_ms);
-    if (is_new)
+    if (is_new) {
         catalog_bound_connections(catalog, backend);
+        catalog_apply_notice(catalog, backend);
+    }
     if (info->leaving && !was_leaving)
         note_departure(change, backend, false);
     if (is_new || (info->leaving && !was_leaving))
--- /dev/null
+++ b/gateway/state/catalog_notices.c
@@ -0,0 +1,67 @@
+/*
+ * The part of the catalog that takes over what backend servers tell of themselves in their answers.
+ */
+#include <uv.h>
+
+#define LOG_MODULE "router"
+#include "base/counter.h"
+#include "base/log.h"
+#include "base/loop_time.h"
+#include "gateway/state/catalog.h"
+
+static void
+log_limit(const notice_t *news, const char *source, uint64_t now_ms)
+{
+    const unsigned long long age_ms = (unsigned long long)(now_ms - news->limit.said_ms);
+    if (news->limit.named)
+        LOG_INFO("backend names a limit: id=%s per_s=%g age_ms=%llu source=%s", news->backend.ptr,
+                 news->limit.per_s, age_ms, source);
+    else
+        LOG_INFO("backend lifts its limit: id=%s age_ms=%llu source=%s", news->backend.ptr, age_ms,
+                 source);
+}
+
+static void
+apply(backend_t *backend, const notice_t *notice)
+{
+    backend->limit = notice->limit;
+    backend->says_leaving = notice->leaves;
+}
+
+void
+catalog_apply_notice(const catalog_t *catalog, backend_t *backend)
+{
+    const notice_t *notice =
+        notices_find(&catalog->notices, name_str(&backend->info.id), backend->info.born);
+    if (notice != NULL)
+        apply(backend, notice);
+}
+
+bool
+catalog_take_notice(catalog_t *catalog, const notice_t *news, const char *source)
+{
+    const uint64_t now_ms = loop_now(catalog->loop);
+    const notice_change_t change = notices_take(&catalog->notices, news, now_ms);
+    backend_t *backend = backends_find(&catalog->backends, name_str(&news->backend));
+    if (backend != NULL)
+        catalog_apply_notice(catalog, backend);
+    if (change.limit)
+        log_limit(news, source, now_ms);
+    if (change.leaves)
+        LOG_INFO("backend says that it leaves: id=%s age_ms=%llu source=%s", news->backend.ptr,
+                 (unsigned long long)(now_ms - news->leaves_ms), source);
+    return change.limit || change.leaves;
+}
+
+void
+catalog_count_unusable_notice(backend_t *backend, unsigned count)
+{
+    counter_add(counter_get("irisstall_notices_unusable_total", NULL,
+                            "Fields of answers in which backend servers tell of themselves, that "
+                            "could not be used."),
+                count);
+    if (backend->logged_unusable)
+        return;
+    backend->logged_unusable = true;
+    LOG_WARN("notice of a backend not usable: id=%s fields=%u", backend->info.id.ptr, count);
+}
--- a/scripts/border.sh
+++ b/scripts/border.sh
@@ -7,7 +7,7 @@
 set -u
 cd "${1:-$(dirname "$0")/..}" || exit 2
 NAMES='Attempt-Id|Affinity-Key|Deadline-Ms|Expect-Instance|Not-Executed|Response-Signature'
-NAMES="$NAMES|Server-Load|Instance-Id|Cold-Ms|coldRemainingMs|callSeq|pathPrefix|routeType"
+NAMES="$NAMES|Server-Load|Server-Limit|Server-Leaving|Instance-Id|Cold-Ms|coldRemainingMs|callSeq|pathPrefix|routeType"
 NAMES="$NAMES|trafficSplit|allowedRegions|targetLatencyMs|maxAttempts|timeoutMs|maxConns"
 NAMES="$NAMES|coldStartS|coldPerS|healthPath|maxHeaderBytes|headerTimeoutMs|idleTimeoutMs"
 NAMES="$NAMES|Credential|Tenant|apiKeys|ratePerS|evacuations|v1/resolve|v1/ready|waitMs|ttlS|seedNodes|internalPorts"
--- a/test/gateway/test_platform.c
+++ b/test/gateway/test_platform.c
@@ -95,6 +95,60 @@
 }
 END_TEST
 
+static backend_said_t
+read_notice(int status, const char *name, const char *value, const char *again)
+{
+    wire_head_t head = {.status = status};
+    backend_said_t said;
+    add_field(&head, name, value);
+    if (again != NULL)
+        add_field(&head, name, again);
+    platform_dialect.notice(&head, &said);
+    wire_head_free(&head);
+    return said;
+}
+
+START_TEST(reads_what_a_backend_says_of_itself)
+{
+    backend_said_t said = read_notice(200, "Server-Limit", "1.25", NULL);
+    ck_assert(said.names_limit && said.limit_per_s == 1.25 && !said.leaves && !said.asks_rest);
+    said = read_notice(200, "server-limit", " 0 ", NULL);
+    ck_assert(said.names_limit && said.limit_per_s == 0 && said.unusable == 0);
+    said = read_notice(503, "Server-Leaving", "1", NULL);
+    ck_assert(said.leaves && !said.names_limit && !said.asks_rest);
+    said = read_notice(503, "Retry-After", "0.5", NULL);
+    ck_assert(said.asks_rest && said.rest_ms == 500);
+    said = read_notice(429, "Retry-After", "3", NULL);
+    ck_assert(said.asks_rest && said.rest_ms == 3000);
+    /* Only one that turns a request away asks for rest. */
+    said = read_notice(200, "Retry-After", "3", NULL);
+    ck_assert(!said.asks_rest && said.unusable == 0);
+    said = read_notice(503, "Retry-After", "0", NULL);
+    ck_assert(!said.asks_rest && said.unusable == 0);
+    said = read_notice(200, "Server-Leaving", "0", NULL);
+    ck_assert(!said.leaves && said.unusable == 0);
+}
+END_TEST
+
+START_TEST(what_cannot_be_used_counts_as_not_there)
+{
+    static const char *const bad[] = {"",     " ",   "-1",          "a",   "1x",  "1.2.3",
+                                      "1.",   ".",   "+1",          "nan", "inf", "1e3",
+                                      "0x10", "1,5", "99999999999", "1 2"};
+    static const char *const names[] = {"Server-Limit", "Server-Leaving", "Retry-After"};
+    for (size_t k = 0; k < ALEN(names); k++) {
+        for (size_t i = 0; i < ALEN(bad); i++) {
+            const backend_said_t said = read_notice(503, names[k], bad[i], NULL);
+            ck_assert_msg(!said.names_limit && !said.leaves && !said.asks_rest &&
+                              said.unusable == 1,
+                          "%s: %s", names[k], bad[i]);
+        }
+        const backend_said_t twice = read_notice(503, names[k], "1", "1");
+        ck_assert(!twice.names_limit && !twice.leaves && !twice.asks_rest && twice.unusable == 1);
+    }
+}
+END_TEST
+
 START_TEST(own_answers_say_when_to_come_back)
 {
     wire_text_t out = {0};
@@ -514,6 +568,8 @@
     tcase_add_test(tests, judges_answers);
     tcase_add_test(tests, rewrites_a_request);
     tcase_add_test(tests, reads_reported_load);
+    tcase_add_test(tests, reads_what_a_backend_says_of_itself);
+    tcase_add_test(tests, what_cannot_be_used_counts_as_not_there);
     tcase_add_test(tests, own_answers_say_when_to_come_back);
     tcase_add_test(tests, directory_speaks_the_protocol);
     tcase_add_test(tests, decodes_a_configuration);
