--- a/test/gateway/site.c
+++ b/test/gateway/site.c
@@ -15,22 +15,30 @@
     ((site_t *)timer->data)->timed_out = true;
 }
 
+/* What the backend server tells of itself in each answer. */
+static const char *
+said_by(const scripted_t *backend)
+{
+    return backend->says != NULL ? backend->says : "";
+}
+
 static void
-answer(standin_conn_t *conn, str_t id, const char *rest)
+answer(const scripted_t *backend, standin_conn_t *conn, str_t id, const char *rest)
 {
     char text[512];
-    snprintf(text, sizeof(text), "HTTP/1.1 200 OK\r\nAttempt-Id: %.*s\r\nServer-Load: 1,0,4\r\n%s",
-             STR_ARG(id), rest);
+    snprintf(text, sizeof(text),
+             "HTTP/1.1 200 OK\r\nAttempt-Id: %.*s\r\nServer-Load: 1,0,4\r\n%s%s", STR_ARG(id),
+             said_by(backend), rest);
     standin_send(conn, str_from(text));
 }
 
 static void
-send_large(standin_conn_t *conn, str_t id)
+send_large(const scripted_t *backend, standin_conn_t *conn, str_t id)
 {
     enum { LARGE = 100000 };
     char *body = xcalloc(1, LARGE);
     memset(body, 'L', LARGE);
-    answer(conn, id, "Response-Signature: s\r\nContent-Length: 100000\r\n\r\n");
+    answer(backend, conn, id, "Response-Signature: s\r\nContent-Length: 100000\r\n\r\n");
     standin_send(conn, (str_t){body, LARGE});
     free(body);
 }
@@ -71,6 +79,8 @@
     backend->wrong_instance |=
         !str_eq(standin_field(text, "Expect-Instance"), str_from(backend->id));
     str_to_u64(standin_field(text, "Deadline-Ms"), &backend->last_deadline);
+    if (backend->arrival_count < ARRIVALS_MAX)
+        backend->arrivals[backend->arrival_count++] = uv_now(&backend->site->loop);
     if (backend->behaviour != DOES_REFUSE && backend->behaviour != DOES_MISDIRECT)
         backend->runs++;
     if (poison != NULL && !backend->mended &&
@@ -80,12 +90,14 @@
     }
     switch (backend->behaviour) {
     case DOES_ANSWER:
-        answer(conn, id, "Response-Signature: s\r\nContent-Length: 5\r\n\r\nhello");
+        answer(backend, conn, id, "Response-Signature: s\r\nContent-Length: 5\r\n\r\nhello");
         break;
     case DOES_REFUSE:
         standin_send(conn, STR("HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nAttempt-Id: "));
         standin_send(conn, id);
-        standin_send(conn, STR("\r\nContent-Length: 0\r\n\r\n"));
+        standin_send(conn, STR("\r\n"));
+        standin_send(conn, str_from(said_by(backend)));
+        standin_send(conn, STR("Content-Length: 0\r\n\r\n"));
         break;
     case DOES_MISDIRECT:
         standin_send(conn, STR("HTTP/1.1 421 No\r\nAttempt-Id: "));
@@ -96,32 +108,33 @@
         standin_reset(conn);
         break;
     case DOES_CUT:
-        answer(conn, id, "Response-Signature: s\r\nContent-Length: 5\r\n\r\nhel");
+        answer(backend, conn, id, "Response-Signature: s\r\nContent-Length: 5\r\n\r\nhel");
         standin_close(conn);
         break;
     case DOES_UNFRAMED:
-        answer(conn, id, "Response-Signature: s\r\nConnection: close\r\n\r\nhello");
+        answer(backend, conn, id, "Response-Signature: s\r\nConnection: close\r\n\r\nhello");
         standin_close(conn);
         break;
     case DOES_CUT_UNFRAMED:
-        answer(conn, id, "Response-Signature: s\r\nConnection: close\r\n\r\nhel");
+        answer(backend, conn, id, "Response-Signature: s\r\nConnection: close\r\n\r\nhel");
         standin_reset(conn);
         break;
     case DOES_SURPLUS:
-        answer(conn, id,
+        answer(backend, conn, id,
                "Response-Signature: s\r\nContent-Length: 5\r\n\r\nhello"
                "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\nContent-Length: 3\r\n\r\nbad");
         break;
     case DOES_LATE:
         snprintf(other, sizeof(other), "x%.*s", STR_ARG(id));
-        answer(conn, str_from(other), "Response-Signature: s\r\nContent-Length: 3\r\n\r\nbad");
-        answer(conn, id, "Response-Signature: s\r\nContent-Length: 5\r\n\r\nhello");
+        answer(backend, conn, str_from(other),
+               "Response-Signature: s\r\nContent-Length: 3\r\n\r\nbad");
+        answer(backend, conn, id, "Response-Signature: s\r\nContent-Length: 5\r\n\r\nhello");
         break;
     case DOES_GARBAGE:
         standin_send(conn, STR("\x01\x02 what is this\r\n\r\n"));
         break;
     case DOES_UNSIGNED:
-        answer(conn, id, "Content-Length: 5\r\n\r\nhello");
+        answer(backend, conn, id, "Content-Length: 5\r\n\r\nhello");
         break;
     case DOES_HOLD:
         break;
@@ -131,7 +144,7 @@
         standin_send(conn, STR("\r\nContent-Length: 0\r\n\r\n"));
         break;
     case DOES_LARGE:
-        send_large(conn, id);
+        send_large(backend, conn, id);
         break;
     case DOES_END:
         end_process(backend);
@@ -350,6 +363,72 @@
         site->backends[i].behaviour = behaviour;
 }
 
+size_t
+arrivals_between(const scripted_t *backend, uint64_t from_ms, uint64_t to_ms)
+{
+    size_t count = 0;
+    for (size_t i = 0; i < backend->arrival_count; i++)
+        count += backend->arrivals[i] >= from_ms && backend->arrivals[i] < to_ms;
+    return count;
+}
+
+size_t
+most_arrivals(const scripted_t *backend, uint64_t from_ms, uint64_t window_ms)
+{
+    size_t most = 0;
+    for (size_t i = 0; i < backend->arrival_count; i++) {
+        const uint64_t at_ms = backend->arrivals[i];
+        const size_t count = arrivals_between(backend, at_ms, at_ms + window_ms);
+        if (at_ms >= from_ms && count > most)
+            most = count;
+    }
+    return most;
+}
+
+void
+pass(site_t *site, uint64_t ms)
+{
+    uv_update_time(&site->loop);
+    site->timed_out = false;
+    uv_timer_start(&site->guard, on_guard, ms, 0);
+    while (!site->timed_out)
+        uv_run(&site->loop, UV_RUN_ONCE);
+}
+
+void
+add_instances(instances_t *fleet, size_t count)
+{
+    const addr_t seed = gateway_settings(fleet->gateways[0])->peer;
+    while (fleet->count < count) {
+        char name[32];
+        snprintf(name, sizeof(name), "g-%zu", fleet->count + 1);
+        gateway_t *gateway = start_gateway(fleet->site, name, &fleet->site->store_port, &seed);
+        use_gateway(fleet->site, gateway);
+        fleet->gateways[fleet->count] = gateway;
+        fleet->callers[fleet->count++] = fleet->site->callers;
+        RUN_UNTIL(fleet->site, is_ready(fleet->site));
+    }
+    for (size_t i = 0; i < count; i++)
+        RUN_UNTIL(fleet->site, gateway_living(fleet->gateways[i]) == count);
+}
+
+instances_t
+new_instances(size_t backends, size_t instances)
+{
+    instances_t fleet = {.site = new_ready_site(backends), .count = 1};
+    fleet.gateways[0] = fleet.site->gateway;
+    fleet.callers[0] = fleet.site->callers;
+    add_instances(&fleet, instances);
+    return fleet;
+}
+
+reply_t
+ask_through(const instances_t *fleet, size_t instance, const char *path)
+{
+    fleet->site->callers = fleet->callers[instance];
+    return ask(fleet->site, "GET", path);
+}
+
 scripted_t *
 first_backend(site_t *site, const char *path)
 {
--- a/test/gateway/site.h
+++ b/test/gateway/site.h
@@ -12,7 +12,7 @@
 #include "standin/backend.h"
 #include "wire/client.h"
 
-enum { PATIENCE_MS = 8000, BACKENDS_MAX = 8, TIMEOUT_MS = 900 };
+enum { PATIENCE_MS = 8000, BACKENDS_MAX = 8, TIMEOUT_MS = 900, ARRIVALS_MAX = 4096, FLEET_MAX = 9 };
 
 typedef struct site site_t;
 
@@ -41,6 +41,9 @@
     uint64_t born; /* which life its entry tells of */
     bool mended;   /* it runs another software version, which bears poison requests */
     behaviour_t behaviour;
+    const char *says;                /* header lines in each of its answers; NULL: none */
+    uint64_t arrivals[ARRIVALS_MAX]; /* loop times of its first requests */
+    size_t arrival_count;
     uv_timer_t restart;
     unsigned life; /* of the process, counted from 0; each has an id of its own */
     size_t runs;
@@ -117,3 +120,25 @@
 void all_do(site_t *site, behaviour_t behaviour);
 /* The backend that gets the object first, made known by a request. */
 scripted_t *first_backend(site_t *site, const char *path);
+
+/* Requests that reached the backend server from one loop time to another. */
+size_t arrivals_between(const scripted_t *backend, uint64_t from_ms, uint64_t to_ms);
+/* The most of them in a window of that length that begins at `from_ms` or later. */
+size_t most_arrivals(const scripted_t *backend, uint64_t from_ms, uint64_t window_ms);
+/* Runs the loop for so long. */
+void pass(site_t *site, uint64_t ms);
+
+/* Some instances on one site. */
+typedef struct {
+    site_t *site;
+    gateway_t *gateways[FLEET_MAX];
+    wire_pool_t *callers[FLEET_MAX];
+    size_t count;
+} instances_t;
+
+/* All of them ready and heard of. */
+instances_t new_instances(size_t backends, size_t instances);
+/* Starts more, up to that number in all. */
+void add_instances(instances_t *fleet, size_t count);
+/* A GET through one of them. */
+reply_t ask_through(const instances_t *fleet, size_t instance, const char *path);
--- a/test/gateway/test_quarantine.c
+++ b/test/gateway/test_quarantine.c
@@ -31,51 +31,15 @@
     ENDS_MAX = 3,
 };
 
-typedef struct {
-    site_t *site;
-    wire_pool_t *callers[INSTANCES];
-} fleet_t;
-
-static fleet_t
-new_fleet(void)
-{
-    fleet_t fleet = {.site = new_ready_site(BACKENDS)};
-    gateway_t *first = fleet.site->gateway;
-    fleet.callers[0] = fleet.site->callers;
-    gateway_t *second =
-        start_gateway(fleet.site, "g-2", &fleet.site->store_port, &gateway_settings(first)->peer);
-    use_gateway(fleet.site, second);
-    fleet.callers[1] = fleet.site->callers;
-    RUN_UNTIL(fleet.site, is_ready(fleet.site));
-    RUN_UNTIL(fleet.site,
-              gateway_living(first) == INSTANCES && gateway_living(second) == INSTANCES);
-    return fleet;
-}
-
-static reply_t
-ask_at(const fleet_t *fleet, size_t instance, const char *path)
-{
-    fleet->site->callers = fleet->callers[instance];
-    return ask(fleet->site, "GET", path);
-}
-
-static void
-pass(site_t *site, uint64_t ms)
-{
-    uv_update_time(&site->loop);
-    const uint64_t until = uv_now(&site->loop) + ms;
-    RUN_UNTIL(site, uv_now(&site->loop) >= until);
-}
-
 START_TEST(a_request_that_ends_backend_servers_is_not_sent_on_and_on)
 {
-    fleet_t fleet = new_fleet();
+    instances_t fleet = new_instances(BACKENDS, INSTANCES);
     fleet.site->poison = "/safe/poison";
     unsigned served = 0;
     for (unsigned i = 0; i < TRIES; i++) {
-        ask_at(&fleet, i % INSTANCES, "/safe/poison");
+        ask_through(&fleet, i % INSTANCES, "/safe/poison");
         pass(fleet.site, TRY_EVERY_MS);
-        served += ask_at(&fleet, i % INSTANCES, "/safe/other").status == 200;
+        served += ask_through(&fleet, i % INSTANCES, "/safe/other").status == 200;
     }
     ck_assert_uint_le(fleet.site->ends, ENDS_MAX);
     ck_assert_uint_ge(served, TRIES - ENDS_MAX);
@@ -84,43 +48,43 @@
 
 /* Held at both: two backend servers have ended under it. */
 static void
-make_held(fleet_t *fleet, const char *path)
+make_held(instances_t *fleet, const char *path)
 {
     fleet->site->poison = path;
-    ask_at(fleet, 0, path);
+    ask_through(fleet, 0, path);
     pass(fleet->site, TRY_EVERY_MS); /* the news has its way */
-    RUN_UNTIL(fleet->site, ask_at(fleet, 0, path).status == 503);
-    RUN_UNTIL(fleet->site, ask_at(fleet, 1, path).status == 503);
+    RUN_UNTIL(fleet->site, ask_through(fleet, 0, path).status == 503);
+    RUN_UNTIL(fleet->site, ask_through(fleet, 1, path).status == 503);
 }
 
 START_TEST(a_held_request_is_refused_with_the_time_until_it_may_come_back)
 {
-    fleet_t fleet = new_fleet();
+    instances_t fleet = new_instances(BACKENDS, INSTANCES);
     make_held(&fleet, "/safe/poison");
     const size_t ends = fleet.site->ends;
     ck_assert_uint_eq(ends, 2);
-    const reply_t reply = ask_at(&fleet, 1, "/safe/poison");
+    const reply_t reply = ask_through(&fleet, 1, "/safe/poison");
     ck_assert_int_eq(reply.status, 503);
     ck_assert(strtod(reply.retry_after, NULL) > 1);
     ck_assert(strtod(reply.retry_after, NULL) <= 3);
     /* Another path, method or body of the same caller is another request. */
-    ck_assert_int_eq(ask_at(&fleet, 1, "/safe/other").status, 200);
+    ck_assert_int_eq(ask_through(&fleet, 1, "/safe/other").status, 200);
     fleet.site->poison = NULL;
     /* When the backend servers bear it, the next trial frees it at both. */
     pass(fleet.site, (uint64_t)(1000 * strtod(reply.retry_after, NULL)) + 100);
-    ck_assert_int_eq(ask_at(&fleet, 0, "/safe/poison").status, 200);
-    RUN_UNTIL(fleet.site, ask_at(&fleet, 1, "/safe/poison").status == 200);
+    ck_assert_int_eq(ask_through(&fleet, 0, "/safe/poison").status, 200);
+    RUN_UNTIL(fleet.site, ask_through(&fleet, 1, "/safe/poison").status == 200);
     ck_assert_uint_eq(fleet.site->ends, ends);
 }
 END_TEST
 
 START_TEST(what_may_have_run_is_told_as_unknown)
 {
-    fleet_t fleet = new_fleet();
+    instances_t fleet = new_instances(BACKENDS, INSTANCES);
     fleet.site->poison = "/safe/poison";
-    ck_assert_int_eq(ask_at(&fleet, 0, "/safe/poison").status, 502);
+    ck_assert_int_eq(ask_through(&fleet, 0, "/safe/poison").status, 502);
     fleet.site->poison = "/once/poison";
-    ck_assert_int_eq(ask_at(&fleet, 0, "/once/poison").status, 502);
+    ck_assert_int_eq(ask_through(&fleet, 0, "/once/poison").status, 502);
 }
 END_TEST
 
@@ -141,11 +105,11 @@
 
 START_TEST(it_is_held_without_the_store_too)
 {
-    fleet_t fleet = new_fleet();
+    instances_t fleet = new_instances(BACKENDS, INSTANCES);
     standin_store_set_mode(fleet.site->store, STANDIN_STORE_BUSY);
     fleet.site->poison = "/safe/poison";
     for (unsigned i = 0; i < TRIES / 2; i++) {
-        ask_at(&fleet, i % INSTANCES, "/safe/poison");
+        ask_through(&fleet, i % INSTANCES, "/safe/poison");
         pass(fleet.site, TRY_EVERY_MS);
     }
     ck_assert_uint_le(fleet.site->ends, ENDS_MAX);
@@ -154,7 +118,7 @@
 
 START_TEST(an_instance_that_starts_learns_what_its_peers_hold)
 {
-    fleet_t fleet = new_fleet();
+    instances_t fleet = new_instances(BACKENDS, INSTANCES);
     make_held(&fleet, "/safe/poison");
     gateway_t *third = start_gateway(fleet.site, "g-3", &fleet.site->store_port,
                                      &gateway_settings(fleet.site->gateway)->peer);
@@ -196,7 +160,7 @@
 END_TEST
 
 static reply_t
-post_at(const fleet_t *fleet, size_t instance, const char *path, const char *framed_body)
+post_at(const instances_t *fleet, size_t instance, const char *path, const char *framed_body)
 {
     static unsigned number;
     char request[512];
@@ -217,7 +181,7 @@
     static const char chunked[] =
         "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n3\r\ncde\r\n0\r\n\r\n";
     static const char other[] = "Content-Length: 5\r\n\r\nabcdf";
-    fleet_t fleet = new_fleet();
+    instances_t fleet = new_instances(BACKENDS, INSTANCES);
     fleet.site->poison = "abcde";
     post_at(&fleet, 0, "/once/x", whole);
     pass(fleet.site, TRY_EVERY_MS);
@@ -234,20 +198,20 @@
 START_TEST(five_at_once_are_held_each)
 {
     enum { FIVE = 5, ROUNDS = 6, ENDS_EACH = 3 };
-    fleet_t fleet = new_fleet();
+    instances_t fleet = new_instances(BACKENDS, INSTANCES);
     fleet.site->poison = "/safe/poison-";
     for (unsigned round = 0; round < ROUNDS; round++) {
         for (unsigned i = 0; i < FIVE; i++) {
             char path[32];
             snprintf(path, sizeof(path), "/safe/poison-%u", i);
-            ask_at(&fleet, (round + i) % INSTANCES, path);
+            ask_through(&fleet, (round + i) % INSTANCES, path);
         }
         pass(fleet.site, TRY_EVERY_MS);
     }
     ck_assert_uint_le(fleet.site->ends, FIVE * ENDS_EACH);
     pass(fleet.site, 1000); /* those that ended are back */
-    ck_assert_int_eq(ask_at(&fleet, 0, "/safe/other").status, 200);
-    ck_assert_int_eq(ask_at(&fleet, 1, "/safe/other").status, 200);
+    ck_assert_int_eq(ask_through(&fleet, 0, "/safe/other").status, 200);
+    ck_assert_int_eq(ask_through(&fleet, 1, "/safe/other").status, 200);
 }
 END_TEST
 
@@ -267,7 +231,7 @@
 START_TEST(a_request_that_was_only_there_is_served)
 {
     enum { TIMES = 5 };
-    fleet_t fleet = new_fleet();
+    instances_t fleet = new_instances(BACKENDS, INSTANCES);
     site_t *site = fleet.site;
     for (unsigned i = 0; i < TIMES; i++) {
         reply_t reply;
@@ -290,7 +254,7 @@
 
 START_TEST(a_mended_version_ends_a_verdict_before_its_term)
 {
-    fleet_t fleet = new_fleet();
+    instances_t fleet = new_instances(BACKENDS, INSTANCES);
     make_held(&fleet, "/safe/poison");
     scripted_t *mended = &fleet.site->backends[0];
     RUN_UNTIL(fleet.site, !uv_is_active((uv_handle_t *)&mended->restart));
@@ -299,11 +263,11 @@
     put_backend(fleet.site, mended, "ready");
     pass(fleet.site, LIST_MS);
     for (unsigned i = 0; i < TRIES; i++) {
-        ck_assert_int_eq(ask_at(&fleet, i % INSTANCES, "/safe/poison").status, 200);
+        ck_assert_int_eq(ask_through(&fleet, i % INSTANCES, "/safe/poison").status, 200);
         pass(fleet.site, TRY_EVERY_MS / 5);
     }
     pass(fleet.site, quarantine_term_ms(2)); /* the term is over, and nothing is tried elsewhere */
-    ck_assert_int_eq(ask_at(&fleet, 0, "/safe/poison").status, 200);
+    ck_assert_int_eq(ask_through(&fleet, 0, "/safe/poison").status, 200);
     /* All of them went to the version that bears it, and none to those that would have ended. */
     ck_assert_uint_eq(fleet.site->ends, ends);
     ck_assert_uint_ge(mended->runs, TRIES);
@@ -345,7 +309,7 @@
 START_TEST(an_operator_sees_and_lifts_what_is_held)
 {
     char target[64];
-    fleet_t fleet = new_fleet();
+    instances_t fleet = new_instances(BACKENDS, INSTANCES);
     make_held(&fleet, "/safe/poison");
     const page_t page = ask_admin(fleet.site, "GET", "/quarantine");
     const char *line = strchr(page.text, '\n');
@@ -357,8 +321,8 @@
     ck_assert_int_eq(ask_admin(fleet.site, "POST", target).status, 200);
     ck_assert_int_eq(ask_admin(fleet.site, "POST", target).status, 404);
     ck_assert_int_eq(ask_admin(fleet.site, "POST", "/quarantine/lift?request=x").status, 400);
-    ck_assert_int_eq(ask_at(&fleet, 1, "/safe/poison").status, 200);
-    RUN_UNTIL(fleet.site, ask_at(&fleet, 0, "/safe/poison").status == 200);
+    ck_assert_int_eq(ask_through(&fleet, 1, "/safe/poison").status, 200);
+    RUN_UNTIL(fleet.site, ask_through(&fleet, 0, "/safe/poison").status == 200);
 }
 END_TEST
 
--- a/test/suites.h
+++ b/test/suites.h
@@ -46,6 +46,7 @@
 Suite *suite_gateway_view_relay(void);
 Suite *suite_gateway_relay(void);
 Suite *suite_gateway_quarantine(void);
+Suite *suite_gateway_backend_limit(void);
 Suite *suite_gateway_suspects(void);
 Suite *suite_gateway_suspension(void);
 Suite *suite_gateway_endpoints(void);
