--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -94,6 +94,7 @@
         .dialect = gateway->ports->dialect,
         .suspects = &gateway->suspects,
         .account_uses = &gateway->account_uses,
+        .permits = &gateway->permit_exchange,
     };
 }
 
@@ -156,6 +157,33 @@
     view_relay_init(&gateway->view_relay, &relay_conf);
 }
 
+/* What backend servers tell of themselves, and what follows of it between instances. */
+static void
+init_notices(gateway_t *gateway)
+{
+    catalog_t *catalog = &gateway->router.catalog;
+    const notice_news_conf_t news_conf = {
+        .loop = gateway->loop,
+        .members = &gateway->members,
+        .catalog = catalog,
+        .hub = gateway->hub,
+        .own = gateway->settings.peer,
+        .region = gateway->router.region,
+    };
+    notice_news_init(&gateway->notice_news, &news_conf);
+    catalog->on_notice = notice_news_tell;
+    catalog->ctx = &gateway->notice_news;
+    const permit_exchange_conf_t permit_conf = {
+        .loop = gateway->loop,
+        .members = &gateway->members,
+        .catalog = catalog,
+        .hub = gateway->hub,
+        .own = gateway->settings.peer,
+        .region = gateway->router.region,
+    };
+    permit_exchange_init(&gateway->permit_exchange, &permit_conf);
+}
+
 static void
 init_membership(gateway_t *gateway)
 {
@@ -182,6 +210,7 @@
         .watch = &gateway->store_watch,
         .relay = &gateway->view_relay,
         .news = &gateway->suspect_news,
+        .notices = &gateway->notice_news,
         .hub = gateway->hub,
         .incarnation = rng_next(&gateway->router.rng),
     };
@@ -233,6 +262,7 @@
     }
     deferred_init(&gateway->config_work, loop, gateway_apply_config, gateway);
     init_views(gateway);
+    init_notices(gateway);
     init_membership(gateway);
     init_accounts(gateway);
     gateway_reload(gateway, settings);
@@ -264,6 +294,12 @@
     return &gateway->settings;
 }
 
+const backend_t *
+gateway_backend(const gateway_t *gateway, str_t id)
+{
+    return backends_find(&gateway->router.catalog.backends, id);
+}
+
 bool
 gateway_avoids(const gateway_t *gateway, str_t backend_id)
 {
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -36,6 +36,8 @@
 const gateway_settings_t *gateway_settings(const gateway_t *gateway);
 /* For tests: true if others are preferred to this backend (policy/health.h). */
 bool gateway_avoids(const gateway_t *gateway, str_t backend_id);
+/* For tests: the backend as it is known here; NULL if it is not. */
+const backend_t *gateway_backend(const gateway_t *gateway, str_t id);
 /* For tests: instances heard of lately, this one too. */
 unsigned gateway_living(const gateway_t *gateway);
 /* For tests: requests under way. */
--- a/gateway/gateway_news.c
+++ b/gateway/gateway_news.c
@@ -148,6 +148,15 @@
     case IRIS__ENVELOPE__BODY_ACCOUNT_EXCHANGE:
         account_news_on_exchange(&gateway->account_news, message->account_exchange);
         break;
+    case IRIS__ENVELOPE__BODY_BACKEND_NOTICES:
+        notice_news_receive(&gateway->notice_news, message->backend_notices);
+        break;
+    case IRIS__ENVELOPE__BODY_PERMIT_REQUEST:
+        permit_exchange_on_request(&gateway->permit_exchange, conn, message->permit_request);
+        break;
+    case IRIS__ENVELOPE__BODY_PERMIT_ANSWER:
+        permit_exchange_on_answer(&gateway->permit_exchange, message->permit_answer);
+        break;
     case IRIS__ENVELOPE__BODY_VIEW_REQUEST:
         view_relay_on_request(&gateway->view_relay, conn, message->view_request);
         break;
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -12,6 +12,8 @@
 #include "gateway/listeners.h"
 #include "gateway/membership/account_news.h"
 #include "gateway/membership/discovery.h"
+#include "gateway/membership/notice_news.h"
+#include "gateway/membership/permit_exchange.h"
 #include "gateway/path/exchange.h"
 #include "gateway/resume.h"
 
@@ -30,6 +32,8 @@
     discovery_t discovery;
     suspects_t suspects;
     suspect_news_t suspect_news;
+    notice_news_t notice_news;
+    permit_exchange_t permit_exchange;
     account_uses_t account_uses;
     account_news_t account_news;
     peer_hub_t *hub;
--- a/gateway/gateway_work.c
+++ b/gateway/gateway_work.c
@@ -89,6 +89,8 @@
     account_news_tick(&gateway->account_news);
     suspects_tick(&gateway->suspects, now_ms);
     suspect_news_tell(&gateway->suspect_news);
+    notice_news_tell(&gateway->notice_news);
+    permit_exchange_tick(&gateway->permit_exchange);
     if (!gateway->stopping)
         discovery_tick(&gateway->discovery, gateway->router.living <= 1);
     close_idle_connections(gateway);
--- a/gateway/inspect.c
+++ b/gateway/inspect.c
@@ -175,6 +175,8 @@
         return "zone closed";
     if (breaker_is_suspended(&backend->breaker, now))
         return "paused after failures";
+    if (pass_over(backend, true, now) == PASSED_AT_LIMIT)
+        return "at the limit that it names";
     if (backend_is_cold(backend, now))
         return "cold, paced";
     return "usable";
@@ -186,10 +188,10 @@
 {
     const uint64_t now = loop_now(router->loop);
     const choice_input_t input = router_explain_input(router, route, name_str(name), object);
-    choice_reason_t reason;
-    const backend_t *picked = choice_pick(&input, &reason);
-    wire_text_printf(out, "  would go to %s, reason %s\n",
-                     picked != NULL ? picked->info.id.ptr : "none", choice_reason_name(reason));
+    const choice_t choice = choice_make(&input);
+    wire_text_printf(out, "  would go to %s, reason %s, passed over before it: %s\n",
+                     choice.backend != NULL ? choice.backend->info.id.ptr : "none",
+                     choice_reason_name(choice.reason), passed_name(choice.passed));
     for (size_t i = 0; i < router->catalog.backends.count; i++) {
         const backend_t *backend = router->catalog.backends.items[i];
         if (!name_eq(&backend->info.service, name_str(name)))
--- a/gateway/membership/account_exchange.c
+++ b/gateway/membership/account_exchange.c
@@ -78,14 +78,15 @@
 member_t *
 account_exchange_owner(const account_news_t *news, uint64_t account)
 {
-    const account_owner_input_t input = {
+    const owner_input_t input = {
         .members = news->conf.members,
-        .account = account,
+        .kind = OWNER_OF_ACCOUNT,
+        .key = account,
         .region = news->conf.region,
-        .own_region = true,
+        .is_judged = true,
         .now_ms = loop_now(news->conf.loop),
     };
-    return account_owner(&input);
+    return owner_find(&input);
 }
 
 static bool
@@ -98,16 +99,17 @@
 static const member_t *
 candidate(const account_news_t *news, const ledger_t *ledger, size_t region, uint64_t now_ms)
 {
-    account_owner_input_t input = {
+    owner_input_t input = {
         .members = news->conf.members,
-        .account = ledger->id,
+        .kind = OWNER_OF_ACCOUNT,
+        .key = ledger->id,
         .region = region,
-        .rank = (now_ms - ledger->begun_ms) / TRY_MS % ACCOUNT_OWNER_RANKS,
+        .rank = (now_ms - ledger->begun_ms) / TRY_MS % OWNER_RANKS,
         .now_ms = now_ms,
     };
-    const member_t *member = account_owner(&input);
+    const member_t *member = owner_find(&input);
     input.rank = 0;
-    return member != NULL ? member : account_owner(&input);
+    return member != NULL ? member : owner_find(&input);
 }
 
 static void
--- a/gateway/membership/account_news.h
+++ b/gateway/membership/account_news.h
@@ -3,7 +3,7 @@
  * limit holds over all of them.
  *
  *  - An instance reports its use of an account to the account's owner in its region
- * (account_owner.h) 50 ms after the first request that was not reported, all accounts of an owner
+ * (owner.h) 50 ms after the first request that was not reported, all accounts of an owner
  * together.
  *  - The owner answers each report with the instance's share, and tells all instances that use the
  *    account at once when they are held to their shares, and when they are let go.
--- a/gateway/membership/account_parts.h
+++ b/gateway/membership/account_parts.h
@@ -8,7 +8,7 @@
 #pragma once
 
 #include "gateway/membership/account_news.h"
-#include "gateway/membership/account_owner.h"
+#include "gateway/membership/owner.h"
 
 /* ---- account_news.c ---- */
 
--- a/gateway/membership/heartbeat.c
+++ b/gateway/membership/heartbeat.c
@@ -64,6 +64,7 @@
     self->incarnation = heartbeat->conf.incarnation;
     self->ready = heartbeat->ready;
     self->reads_accounts = true;
+    self->gives_permits = true;
     self->leaving = heartbeat->leaving;
     self->announced = heartbeat->announced;
     self->interval_ms = members_interval_ms(heartbeat->conf.members, self->region, now_ms);
@@ -135,6 +136,7 @@
         .views = heartbeat->conf.views,
         .watch = heartbeat->conf.watch,
         .news = heartbeat->conf.news,
+        .notices = heartbeat->conf.notices,
         .resumed = heartbeat->resumed,
         .backends = heartbeat->conf.backends,
         .round = heartbeat->round,
@@ -196,6 +198,7 @@
         .views = heartbeat->conf.views,
         .watch = heartbeat->conf.watch,
         .news = heartbeat->conf.news,
+        .notices = heartbeat->conf.notices,
         .backends = heartbeat->conf.backends,
         .round = heartbeat->answers++,
         .is_answer = true,
@@ -319,6 +322,7 @@
     heartbeat_message_apply(message, member);
     member->announced |= was_announced;
     suspect_news_join(heartbeat->conf.news, message->suspects, message->n_suspects);
+    notice_news_join(heartbeat->conf.notices, message->notices, message->n_notices);
     if (is_new || message->resumed)
         answer_newcomer(heartbeat, member, was_announced, now_ms);
     if (message->was_announced)
--- a/gateway/membership/heartbeat.h
+++ b/gateway/membership/heartbeat.h
@@ -25,6 +25,7 @@
     const store_watch_t *watch;
     view_relay_t *relay;
     suspect_news_t *news;
+    notice_news_t *notices;
     peer_hub_t *hub;
     uint64_t incarnation; /* random number of this life of the process */
 } heartbeat_conf_t;
--- a/gateway/membership/heartbeat_message.c
+++ b/gateway/membership/heartbeat_message.c
@@ -118,6 +118,19 @@
     out->message.suspects = out->suspect_list;
 }
 
+static void
+fill_notices(heartbeat_message_t *out, const heartbeat_source_t *source)
+{
+    const bool large = source->members->count > MEMBERS_MESH;
+    const size_t regular = large ? NOTICES_A_HEARTBEAT_LARGE : NOTICES_A_HEARTBEAT;
+    const size_t most = source->is_answer ? NOTICES_AN_ANSWER : regular;
+    const size_t count = notice_news_fill(source->notices, out->notices, most, source->round);
+    for (size_t i = 0; i < count; i++)
+        out->notice_list[i] = &out->notices[i];
+    out->message.n_notices = count;
+    out->message.notices = out->notice_list;
+}
+
 static void
 fill_self(heartbeat_message_t *out, const heartbeat_source_t *source)
 {
@@ -138,6 +151,7 @@
     message->reads_lists = true;
     message->reads_suspects = true;
     message->reads_accounts = true;
+    message->gives_permits = true;
     message->resumed = source->resumed;
     message->announced = self->announced;
     message->region_members =
@@ -157,6 +171,7 @@
     fill_views(out, source->views);
     fill_demands(out, source);
     fill_suspects(out, source);
+    fill_notices(out, source);
     if (!source->is_answer)
         fill_outcomes(out, source);
     if (source->is_answer || source->round % PEERS_EVERY < PEERS_ROUNDS)
@@ -223,6 +238,7 @@
     member->announced = message->announced;
     member->reads_suspects = message->reads_suspects;
     member->reads_accounts = message->reads_accounts;
+    member->gives_permits = message->gives_permits;
     member->interval_ms = message->interval_ms;
     member->region_members = message->region_members;
     member->capacity = (member_capacity_t){
--- a/gateway/membership/heartbeat_message.h
+++ b/gateway/membership/heartbeat_message.h
@@ -7,6 +7,7 @@
  */
 #pragma once
 
+#include "gateway/membership/notice_news.h"
 #include "gateway/membership/suspect_news.h"
 #include "gateway/state/backends.h"
 #include "gateway/state/store_watch.h"
@@ -35,6 +36,8 @@
     Iris__Outcomes *outcome_list[HEARTBEAT_OUTCOMES_MAX];
     suspect_message_t suspects[SUSPECTS_AN_ANSWER];
     Iris__Suspect *suspect_list[SUSPECTS_AN_ANSWER];
+    Iris__BackendNotice notices[NOTICES_AN_ANSWER];
+    Iris__BackendNotice *notice_list[NOTICES_AN_ANSWER];
     char peer_texts[HEARTBEAT_PEERS_MAX][ADDR_TEXT_MAX];
     char own_peer[ADDR_TEXT_MAX];
     char own_callers[ADDR_TEXT_MAX];
@@ -47,6 +50,7 @@
     const views_t *views;
     const store_watch_t *watch;
     const suspect_news_t *news;
+    const notice_news_t *notices;
     bool resumed;               /* this instance stood still and missed messages */
     const backends_t *backends; /* their unsent outcomes are taken into the message */
     unsigned round;             /* number of the heartbeat; addresses go into some rounds only */
--- a/gateway/membership/members.h
+++ b/gateway/membership/members.h
@@ -75,6 +75,7 @@
     bool announced;                     /* it says that the store has its entry */
     bool reads_suspects;                /* it takes messages of suspects */
     bool reads_accounts;                /* it takes messages of client accounts */
+    bool gives_permits;                 /* it takes notices, and gives permits */
     bool refuses;                       /* no process listens there, since it was heard last */
     uint64_t accounts_avoided_until_ms; /* it left a report of accounts without an answer */
     member_view_t views[VIEW_WATCHED];
--- /dev/null
+++ b/gateway/membership/notice_message.c
@@ -0,0 +1,49 @@
+#include "gateway/membership/notice_message.h"
+
+#include <math.h>
+
+static uint32_t
+age_of(uint64_t at_ms, uint64_t now_ms)
+{
+    const uint64_t age_ms = now_ms - at_ms;
+    return age_ms < UINT32_MAX ? (uint32_t)age_ms : UINT32_MAX;
+}
+
+/* At least 1: 0 stands for nothing said. */
+static uint64_t
+time_of(uint32_t age_ms, uint64_t now_ms)
+{
+    return now_ms > age_ms ? now_ms - age_ms : 1;
+}
+
+void
+notice_message_fill(Iris__BackendNotice *out, const notice_t *notice, uint64_t now_ms)
+{
+    iris__backend_notice__init(out);
+    /* protobuf-c's strings are not const, though it does not write to them. */
+    out->backend = (char *)(uintptr_t)notice->backend.ptr;
+    out->born = notice->born;
+    out->tells_limit = notice->limit.said_ms > 0;
+    out->names_limit = notice->limit.named;
+    out->limit_per_s = notice->limit.per_s;
+    out->limit_age_ms = age_of(notice->limit.said_ms, now_ms);
+    out->leaves = notice->leaves;
+    out->leaves_age_ms = notice->leaves ? age_of(notice->leaves_ms, now_ms) : 0;
+}
+
+bool
+notice_message_read(const Iris__BackendNotice *message, notice_t *out, uint64_t now_ms)
+{
+    *out = (notice_t){.born = message->born};
+    if (!name_set(&out->backend, str_from(message->backend)))
+        return false;
+    const bool usable = isfinite(message->limit_per_s) && message->limit_per_s >= 0;
+    if (message->tells_limit && usable) {
+        out->limit.named = message->names_limit;
+        out->limit.per_s = message->limit_per_s;
+        out->limit.said_ms = time_of(message->limit_age_ms, now_ms);
+    }
+    out->leaves = message->leaves;
+    out->leaves_ms = time_of(message->leaves_age_ms, now_ms);
+    return true;
+}
--- a/gateway/membership/account_owner.c
+++ b/gateway/membership/owner.c
@@ -1,4 +1,4 @@
-#include "gateway/membership/account_owner.h"
+#include "gateway/membership/owner.h"
 
 #include <math.h>
 
@@ -14,26 +14,28 @@
 } ranked_t;
 
 static bool
-may_own(const account_owner_input_t *input, const member_t *member)
+may_own(const owner_input_t *input, const member_t *member)
 {
-    if (!member->heard || member->region != input->region || member->leaving ||
-        !member->reads_accounts || member->refuses)
+    const bool knows_how =
+        input->kind == OWNER_OF_ACCOUNT ? member->reads_accounts : member->gives_permits;
+    if (!member->heard || member->region != input->region || member->leaving || !knows_how ||
+        member->refuses)
         return false;
-    return !input->own_region || member_alive(member, input->now_ms);
+    return !input->is_judged || member_alive(member, input->now_ms);
 }
 
 static double
-score_of(const account_owner_input_t *input, const member_t *member)
+score_of(const owner_input_t *input, const member_t *member)
 {
     const double cores =
         member->capacity.cpu_cores > 0 ? member->capacity.cpu_cores : CORES_DEFAULT;
-    const uint64_t hash = str_hash(name_str(&member->instance), input->account);
+    const uint64_t hash = str_hash(name_str(&member->instance), input->key);
     return cores / -log(((double)(hash >> 11) + 0.5) * 0x1.0p-53);
 }
 
 /* The best ones, in order; returns their number. */
 static size_t
-rank(const account_owner_input_t *input, ranked_t *best)
+rank(const owner_input_t *input, ranked_t *best)
 {
     size_t count = 0;
     for (size_t i = 0; i < input->members->count; i++) {
@@ -41,27 +43,28 @@
         if (!may_own(input, member))
             continue;
         ranked_t next = {member, score_of(input, member)};
-        for (size_t k = 0; k < ACCOUNT_OWNER_RANKS && next.member != NULL; k++) {
+        for (size_t k = 0; k < OWNER_RANKS && next.member != NULL; k++) {
             if (best[k].member != NULL && best[k].score >= next.score)
                 continue;
             const ranked_t moved = best[k];
             best[k] = next;
             next = moved;
         }
-        count += count < ACCOUNT_OWNER_RANKS;
+        count += count < OWNER_RANKS;
     }
     return count;
 }
 
 member_t *
-account_owner(const account_owner_input_t *input)
+owner_find(const owner_input_t *input)
 {
-    ranked_t best[ACCOUNT_OWNER_RANKS] = {0};
+    ranked_t best[OWNER_RANKS] = {0};
     const size_t count = rank(input, best);
-    if (!input->own_region)
+    if (!input->is_judged)
         return input->rank < count ? best[input->rank].member : NULL;
     for (size_t i = 0; i < count && i < ASKED_MAX; i++) {
-        if (input->now_ms >= best[i].member->accounts_avoided_until_ms)
+        if (input->kind != OWNER_OF_ACCOUNT ||
+            input->now_ms >= best[i].member->accounts_avoided_until_ms)
             return best[i].member;
     }
     return count > 0 ? best[0].member : NULL;
--- /dev/null
+++ b/gateway/membership/permit_exchange.h
@@ -0,0 +1,60 @@
+/*
+ * Permit exchange: instances ask the owner of a backend server that names a limit for a permit, and
+ * the owner answers.
+ *
+ * The owner (owner.h) is an instance of the backend server's region, so that those that send there
+ * most are near it. Request and answer carry what each knows of the limit, so that the owner keeps
+ * the newest one, and who asks learns that it was lifted. Who is asked and is not the owner sends
+ * the request on, once. A request that gets no answer in time is as good as refused.
+ *
+ * Owns the requests that wait for an answer, and the buckets of the backend servers that this
+ * instance owns. Relies on policy/named_limit.h for the rate, on peer/link.h.
+ */
+#pragma once
+
+#include <uv.h>
+
+#include "gateway/membership/members.h"
+#include "gateway/state/catalog.h"
+#include "gateway/state/permits.h"
+#include "peer/link.h"
+
+typedef struct {
+    uv_loop_t *loop;
+    members_t *members;
+    catalog_t *catalog;
+    peer_hub_t *hub;
+    addr_t own; /* where peers reach this instance */
+    size_t region;
+} permit_exchange_conf_t;
+
+/* The answer has come. Not called after permit_cancel(). */
+typedef void (*permit_cb_t)(void *ctx, bool given);
+
+typedef struct permit_wait permit_wait_t;
+
+typedef struct {
+    permit_exchange_conf_t conf;
+    permits_t permits;
+    permit_wait_t *waits;
+    uint64_t number; /* of the last request */
+} permit_exchange_t;
+
+typedef enum {
+    PERMIT_GIVEN,
+    PERMIT_REFUSED,
+    PERMIT_ASKED, /* the callback tells */
+} permit_verdict_t;
+
+void permit_exchange_init(permit_exchange_t *exchange, const permit_exchange_conf_t *conf);
+/* A request is about to be sent to that backend. `wait` is set if an answer is to come. */
+permit_verdict_t permit_ask(permit_exchange_t *exchange, backend_t *backend, permit_cb_t cb,
+                            void *ctx, permit_wait_t **wait);
+/* The answer is not wanted any more. `late`: it has not come in time, which keeps others from
+ * asking for a while. */
+void permit_cancel(permit_wait_t *wait, bool late);
+void permit_exchange_on_request(permit_exchange_t *exchange, peer_conn_t *conn,
+                                const Iris__PermitRequest *message);
+void permit_exchange_on_answer(permit_exchange_t *exchange, const Iris__PermitAnswer *message);
+/* Regular work. */
+void permit_exchange_tick(permit_exchange_t *exchange);
--- a/gateway/membership/suspect_news.c
+++ b/gateway/membership/suspect_news.c
@@ -4,11 +4,9 @@
 
 #include "base/loop_time.h"
 #include "base/xmalloc.h"
+#include "gateway/membership/audience.h"
 
 enum {
-    KEEPERS = 3,              /* of a request: two may be lost, or not be reached */
-    FEW_MAX = KEEPERS,        /* the more of the two */
-    REGION_RELAYS = 2,        /* instances of another region that tell theirs */
     MESSAGES_A_SECOND = 2048, /* 100 bytes each are 2 Mbit/s; what exceeds it waits */
     MS_PER_S = 1000,
 };
@@ -25,11 +23,10 @@
     return news->conf.members->count <= MEMBERS_MESH;
 }
 
-/* Also one that is stopping: it takes requests for two seconds more. */
 static bool
-takes_news(const suspect_news_t *news, const member_t *member)
+takes_suspects(const member_t *member)
 {
-    return member->heard && member->reads_suspects && !addr_eq(&member->peer, &news->conf.own);
+    return member->reads_suspects;
 }
 
 /* ---- whom ---- */
@@ -38,80 +35,50 @@
     TELL_KEEPERS, /* of the own region */
     TELL_REGION,
     TELL_ALL, /* the own region, and through relays the others */
-} audience_t;
+} whom_t;
+
+/* One message to several. */
+typedef struct {
+    suspect_news_t *news;
+    Iris__Suspects *message;
+} sending_t;
 
 static void
-send_one(suspect_news_t *news, Iris__Suspects *message, const member_t *member)
+send_one(void *ctx, const member_t *member, bool relay)
 {
+    const sending_t *sending = ctx;
     Iris__Envelope envelope = IRIS__ENVELOPE__INIT;
     envelope.schema = PEER_SCHEMA;
     envelope.body_case = IRIS__ENVELOPE__BODY_SUSPECTS;
-    envelope.suspects = message;
-    message->relay = !is_mesh(news) && member->region != news->conf.region;
-    peer_send(news->conf.hub, &member->peer, &envelope);
-    news->sent++;
+    envelope.suspects = sending->message;
+    sending->message->relay = relay;
+    peer_send(sending->news->conf.hub, &member->peer, &envelope);
+    sending->news->sent++;
 }
 
-/* To all of the own region that live, or in a small fleet to all. */
 static void
-send_near(suspect_news_t *news, Iris__Suspects *message)
-{
-    const members_t *members = news->conf.members;
-    const uint64_t now_ms = loop_now(news->conf.loop);
-    for (size_t i = 0; i < members->count; i++) {
-        const member_t *member = &members->items[i];
-        const bool near = member->region == news->conf.region && member_alive(member, now_ms);
-        if (takes_news(news, member) && (near || is_mesh(news)))
-            send_one(news, message, member);
-    }
-}
-
-typedef struct {
-    uint64_t key;
-    const member_t *member; /* NULL: there is none */
-} picked_t;
-
-/* To a few of a region, which are the same ones for that seed wherever it is sent. */
-static void
-send_to_few(suspect_news_t *news, Iris__Suspects *message, size_t region, size_t few, uint64_t seed)
-{
-    const members_t *members = news->conf.members;
-    const uint64_t now_ms = loop_now(news->conf.loop);
-    picked_t picked[FEW_MAX] = {0};
-    for (size_t i = 0; i < members->count; i++) {
-        const member_t *member = &members->items[i];
-        const bool near = region == news->conf.region;
-        if (member->region != region || !takes_news(news, member) || member->leaving ||
-            (near && !member_alive(member, now_ms)))
-            continue;
-        picked_t next = {str_hash(name_str(&member->instance), seed), member};
-        for (size_t k = 0; k < few; k++) {
-            if (picked[k].member != NULL && picked[k].key <= next.key)
-                continue;
-            const picked_t moved = picked[k];
-            picked[k] = next;
-            next = moved;
-            if (next.member == NULL)
-                break;
-        }
-    }
-    for (size_t k = 0; k < few && picked[k].member != NULL; k++)
-        send_one(news, message, picked[k].member);
-}
-
-static void
-send_to(suspect_news_t *news, Iris__Suspects *message, audience_t audience, uint64_t seed)
-{
-    if (audience == TELL_KEEPERS && !is_mesh(news)) {
-        send_to_few(news, message, news->conf.region, KEEPERS, seed);
-        return;
-    }
-    send_near(news, message);
-    if (audience != TELL_ALL || is_mesh(news))
-        return;
-    for (size_t region = 0; region < TOPOLOGY_REGIONS_MAX; region++) {
-        if (region != news->conf.region)
-            send_to_few(news, message, region, REGION_RELAYS, seed);
+send_to(suspect_news_t *news, Iris__Suspects *message, whom_t whom, uint64_t seed)
+{
+    sending_t sending = {news, message};
+    const audience_t audience = {
+        .members = news->conf.members,
+        .own = news->conf.own,
+        .region = news->conf.region,
+        .now_ms = loop_now(news->conf.loop),
+        .takes = takes_suspects,
+        .send = send_one,
+        .ctx = &sending,
+    };
+    switch (whom) {
+    case TELL_KEEPERS:
+        audience_keepers(&audience, seed);
+        break;
+    case TELL_REGION:
+        audience_near(&audience);
+        break;
+    case TELL_ALL:
+        audience_all(&audience, seed);
+        break;
     }
 }
 
@@ -136,9 +103,9 @@
     return false;
 }
 
-/* Sends the untold suspects that are for that audience, in one message, or in one for each. */
+/* Sends the untold suspects that are for those, in one message, or in one for each. */
 static void
-tell(suspect_news_t *news, audience_t audience, bool for_all)
+tell(suspect_news_t *news, whom_t whom, bool for_all)
 {
     const suspects_t *suspects = news->conf.suspects;
     const uint64_t now_ms = loop_now(news->conf.loop);
@@ -156,13 +123,13 @@
         suspect_message_t *item = &items[message.n_items];
         suspect_message_fill(item, suspect, now_ms);
         list[message.n_items++] = &item->message;
-        if (audience != TELL_KEEPERS)
+        if (whom != TELL_KEEPERS)
             continue;
-        send_to(news, &message, audience, suspect->fingerprint);
+        send_to(news, &message, whom, suspect->fingerprint);
         message.n_items = 0;
     }
     if (message.n_items > 0)
-        send_to(news, &message, audience, list[0]->request);
+        send_to(news, &message, whom, list[0]->request);
     free(list);
     free(items);
 }
--- a/gateway/path/access_log.c
+++ b/gateway/path/access_log.c
@@ -62,13 +62,13 @@
         return;
     LOG_INFO("request ended: id=%.*s request=%016" PRIx64 " outcome=%s status=%d service=%s "
              "account=%s key=%s "
-             "attempts=%zu sends=%u reason=%s retry=%s late=%s backend=%s ms=%llu left_ms=%llu "
-             "version=%s",
+             "attempts=%zu sends=%u reason=%s passed=%s retry=%s late=%s backend=%s ms=%llu "
+             "left_ms=%llu version=%s",
              STR_ARG(access->id), access->fingerprint, outcome_name(access->outcome),
              access->status, or_dash(access->service), or_dash(access->account),
              or_dash(access->key), access->attempts, access->sends,
-             choice_reason_name(access->choice), retry_verdict_name(access->retry),
-             late_cause_name(access->late), or_dash(access->backend),
-             (unsigned long long)access->elapsed_ms, (unsigned long long)access->left_ms,
-             or_dash(access->config_version));
+             choice_reason_name(access->choice), passed_name(access->passed),
+             retry_verdict_name(access->retry), late_cause_name(access->late),
+             or_dash(access->backend), (unsigned long long)access->elapsed_ms,
+             (unsigned long long)access->left_ms, or_dash(access->config_version));
 }
--- a/gateway/path/dispatch.c
+++ b/gateway/path/dispatch.c
@@ -6,8 +6,8 @@
 #include "gateway/path/end_check.h"
 #include "gateway/path/ending.h"
 
-backend_t *
-dispatch_choose(const exchange_t *ex, choice_reason_t *reason)
+choice_t
+dispatch_choose(const exchange_t *ex, bool may_ask)
 {
     const uint32_t given_up_in_ms = exchange_left_ms(ex) > 0 ? (uint32_t)exchange_left_ms(ex) : 1;
     const router_request_t request = {
@@ -20,10 +20,11 @@
         .lost_ms = ex->lost_ms,
         .version = ex->version,
         .suspected = suspects_know(ex->owner->suspects, &ex->fingerprint),
+        .may_ask = may_ask && ex->permits_refused < PERMITS_REFUSED_MAX,
         .tried = ex->tried,
         .tried_count = ex->tried_count,
     };
-    return router_pick(ex->owner->router, &request, reason);
+    return router_pick(ex->owner->router, &request);
 }
 
 void
@@ -38,7 +39,7 @@
         .backend = backend,
         .left_ms = exchange_left_ms(ex) > 0 ? (uint32_t)exchange_left_ms(ex) : 1,
         .repeatable = ex->route->repeatable,
-        .queued = ex->choice == CHOICE_QUEUED,
+        .queued = ex->choice.reason == CHOICE_QUEUED,
         .again = ex->tried_count > 1,
         .slow_ms = router_slow_ms(router, ex->route),
     };
@@ -49,16 +50,64 @@
     exchange_set_timer(ex);
 }
 
+/* ---- permits ---- */
+
+/* The owner of the backend has answered; it may have told meanwhile that it gets nothing more. */
+static void
+on_permit(void *ctx, bool given)
+{
+    exchange_t *ex = ctx;
+    backend_t *backend = ex->permit_for;
+    ex->permit = NULL;
+    ex->permit_for = NULL;
+    ex->permits_refused += !given;
+    if (given && backend_is_usable(backend, exchange_now_ms(ex)))
+        dispatch_send(ex, backend);
+    else
+        dispatch_next(ex);
+    backend_unref(backend);
+}
+
+void
+dispatch_permit_late(exchange_t *ex)
+{
+    exchange_drop_permit(ex, true);
+    ex->permits_refused++;
+    dispatch_next(ex);
+}
+
+/* Every send to a backend that names a limit takes a permit, also a second one of a request. */
+static permit_verdict_t
+get_permit(exchange_t *ex, backend_t *backend)
+{
+    if (!backend->limit.named)
+        return PERMIT_GIVEN;
+    const permit_verdict_t verdict =
+        permit_ask(ex->owner->permits, backend, on_permit, ex, &ex->permit);
+    if (verdict != PERMIT_ASKED)
+        return verdict;
+    ex->permit_for = backend_ref(backend);
+    ex->permit_until_ms = exchange_now_ms(ex) + PERMIT_LIFE_MS;
+    exchange_set_timer(ex);
+    return verdict;
+}
+
 void
 dispatch_next(exchange_t *ex)
 {
-    backend_t *backend = dispatch_choose(ex, &ex->choice);
-    if (backend != NULL) {
-        dispatch_send(ex, backend);
-        return;
+    permit_verdict_t verdict = PERMIT_REFUSED;
+    while (verdict == PERMIT_REFUSED) {
+        ex->choice = dispatch_choose(ex, true);
+        if (ex->choice.backend == NULL) {
+            router_count_refused(ex->owner->router, ex->service);
+            ending_refuse_unplaced(ex);
+            return;
+        }
+        verdict = get_permit(ex, ex->choice.backend);
+        ex->permits_refused += verdict == PERMIT_REFUSED;
     }
-    router_count_refused(ex->owner->router, ex->service);
-    ending_refuse(ex, ex->choice == CHOICE_FULL ? OUTCOME_NO_ROOM : OUTCOME_NO_BACKEND);
+    if (verdict == PERMIT_GIVEN)
+        dispatch_send(ex, ex->choice.backend);
 }
 
 void
--- a/gateway/path/dispatch.h
+++ b/gateway/path/dispatch.h
@@ -9,12 +9,14 @@
 
 #include "gateway/path/exchange_state.h"
 
-/* Asks for a backend; NULL with the reason if none takes the request. */
-backend_t *dispatch_choose(const exchange_t *ex, choice_reason_t *reason);
+/* Asks for a backend. `may_ask`: it may be one that takes a permit. */
+choice_t dispatch_choose(const exchange_t *ex, bool may_ask);
 /* Starts an attempt at that backend. */
 void dispatch_send(exchange_t *ex, backend_t *backend);
 /* Chooses a backend and starts an attempt, or refuses the request. */
 void dispatch_next(exchange_t *ex);
+/* No answer as to a permit has come in time. */
+void dispatch_permit_late(exchange_t *ex);
 /* The time has come to send a request again whose connection broke. */
 void dispatch_resend(exchange_t *ex);
 /* Breaks off the attempt under way, if there is one. */
--- a/gateway/path/ending.h
+++ b/gateway/path/ending.h
@@ -11,6 +11,8 @@
 
 /* Ends the exchange with an answer of the gateway's own. */
 void ending_refuse(exchange_t *ex, outcome_t why);
+/* Refuses a request for which the last choice found no backend. */
+void ending_refuse_unplaced(exchange_t *ex);
 /* Refuses a request of which nothing was sent: it is held for that time. */
 void ending_hold(exchange_t *ex, uint64_t held_ms);
 /* Refuses a request of which nothing was sent: its client account is beyond its limit. */
--- a/gateway/path/exchange.c
+++ b/gateway/path/exchange.c
@@ -26,7 +26,7 @@
     exchange_t *ex = xcalloc(1, sizeof(*ex));
     ex->owner = exchanges;
     ex->req = req;
-    ex->choice = CHOICE_NONE;
+    ex->choice.reason = CHOICE_NONE;
     exchanges->active++;
     uv_timer_init(exchanges->router->loop, &ex->timer);
     ex->timer.data = ex;
--- a/gateway/path/exchange.h
+++ b/gateway/path/exchange.h
@@ -9,6 +9,7 @@
  */
 #pragma once
 
+#include "gateway/membership/permit_exchange.h"
 #include "gateway/ports.h"
 #include "gateway/router.h"
 #include "gateway/state/account_uses.h"
@@ -20,6 +21,7 @@
     const dialect_port_t *dialect;
     suspects_t *suspects;
     account_uses_t *account_uses;
+    permit_exchange_t *permits;
     size_t active; /* exchanges under way */
 } exchanges_t;
 
--- a/gateway/path/exchange_state.c
+++ b/gateway/path/exchange_state.c
@@ -32,6 +32,8 @@
         next = ex->overdue_ms;
     if (ex->resend_ms != 0 && ex->resend_ms < next)
         next = ex->resend_ms;
+    if (ex->permit != NULL && ex->permit_until_ms < next)
+        next = ex->permit_until_ms;
     uv_timer_start(&ex->timer, ex->on_timer, next > now ? next - now : 0, 0);
 }
 
@@ -58,10 +60,22 @@
     ex->use = NULL;
 }
 
+void
+exchange_drop_permit(exchange_t *ex, bool late)
+{
+    if (ex->permit != NULL)
+        permit_cancel(ex->permit, late);
+    if (ex->permit_for != NULL)
+        backend_unref(ex->permit_for);
+    ex->permit = NULL;
+    ex->permit_for = NULL;
+}
+
 void
 exchange_release(exchange_t *ex)
 {
     xassert(!ex->done);
+    exchange_drop_permit(ex, false);
     settle_use(ex);
     ex->done = true;
     ex->owner->active--;
--- a/gateway/path/exchange_state.h
+++ b/gateway/path/exchange_state.h
@@ -30,14 +30,18 @@
     service_t *service;
     caller_terms_t terms;
     fingerprint_t fingerprint;
-    uint64_t object;      /* from router_object() */
-    uint64_t end_ms;      /* loop time at which it is given up */
-    uint64_t overdue_ms;  /* loop time at which the attempt is overdue; 0: it is, or none is set */
-    uint64_t resend_ms;   /* loop time at which it is sent again; 0: no such time is set */
-    uv_timer_t timer;     /* for the earliest of these */
-    uv_timer_cb on_timer; /* set by exchange.c */
+    uint64_t object;     /* from router_object() */
+    uint64_t end_ms;     /* loop time at which it is given up */
+    uint64_t overdue_ms; /* loop time at which the attempt is overdue; 0: it is, or none is set */
+    uint64_t resend_ms;  /* loop time at which it is sent again; 0: no such time is set */
+    uint64_t permit_until_ms; /* loop time until which a permit is waited for */
+    uv_timer_t timer;         /* for the earliest of these */
+    uv_timer_cb on_timer;     /* set by exchange.c */
     attempt_t attempt;
-    choice_reason_t choice;               /* of the last choice */
+    permit_wait_t *permit;                /* the request waits for a permit; NULL: it does not */
+    backend_t *permit_for;                /* that backend, a reference */
+    unsigned permits_refused;             /* to the request */
+    choice_t choice;                      /* the last one; its backend may be gone */
     retry_verdict_t retry;                /* of the last decision to retry */
     backend_t *tried[RETRY_BACKENDS_MAX]; /* in this order, a reference to each */
     size_t tried_count;
@@ -58,5 +62,7 @@
 /* Sets the timer for what comes first: the attempt is overdue, the request is sent again, or the
  * exchange is given up. */
 void exchange_set_timer(exchange_t *ex);
+/* Whatever was asked for as to a permit is not wanted any more; `late`: no answer came in time. */
+void exchange_drop_permit(exchange_t *ex, bool late);
 /* The exchange has ended; it is freed once its timer is closed. */
 void exchange_release(exchange_t *ex);
--- a/gateway/path/time_limit.c
+++ b/gateway/path/time_limit.c
@@ -46,8 +46,8 @@
         attempt_record(attempt, true);
     if (!may_replace_overdue(ex))
         return;
-    choice_reason_t choice;
-    backend_t *other = dispatch_choose(ex, &choice);
+    const choice_t choice = dispatch_choose(ex, false);
+    backend_t *other = choice.backend;
     if (other == NULL)
         return;
     LOG_INFO("attempt abandoned: id=%.*s backend=%s after_ms=%llu for=%s", STR_ARG(ex->terms.id),
@@ -66,7 +66,9 @@
         give_up(ex);
         return;
     }
-    if (ex->resend_ms != 0 && exchange_now_ms(ex) >= ex->resend_ms)
+    if (ex->permit != NULL && exchange_now_ms(ex) >= ex->permit_until_ms)
+        dispatch_permit_late(ex);
+    else if (ex->resend_ms != 0 && exchange_now_ms(ex) >= ex->resend_ms)
         dispatch_resend(ex);
     else
         on_overdue(ex);
--- a/gateway/policy/choice.c
+++ b/gateway/policy/choice.c
@@ -1,6 +1,6 @@
 #include <math.h>
 
-#include "gateway/policy/choice.h"
+#include "gateway/policy/choice_areas.h"
 #include "gateway/policy/replicas.h"
 
 /* At most this share of a region's backends is avoided. Chosen, not measured. */
@@ -29,18 +29,12 @@
     bool avoided; /* from health_is_avoided() */
 } candidate_t;
 
-static double
-unit(uint64_t hash)
-{
-    return ((double)(hash >> 11) + 0.5) * 0x1.0p-53;
-}
-
 static double
 rendezvous_score(const choice_input_t *input, const backend_t *backend)
 {
     const uint64_t pair[] = {input->object, backend->key};
     const uint64_t hash = str_hash((str_t){(const char *)pair, sizeof(pair)}, 0);
-    return (double)backend->info.capacity / -log(unit(hash));
+    return (double)backend->info.capacity / -log(choice_unit(hash));
 }
 
 static bool
@@ -53,35 +47,20 @@
     return false;
 }
 
+/* True if the request may go to the backend, whatever this tells of itself and its load. */
 static bool
-is_bound(const choice_input_t *input)
-{
-    return input->route->regions.count > 0 ||
-           (input->account != NULL && input->account->regions.count > 0);
-}
-
-/* Route and account may both be bound to regions; both bind. What lies in no region that the
- * settings list may serve only what is not bound. */
-static bool
-allows_region(const choice_input_t *input, size_t region)
+is_candidate(const choice_input_t *input, const backend_t *backend)
 {
-    if (region >= input->topology->region_count)
-        return !is_bound(input);
-    const str_t name = name_str(&input->topology->regions[region]);
-    return config_allows_region(&input->route->regions, name) &&
-           (input->account == NULL || config_allows_region(&input->account->regions, name));
+    return name_eq(&backend->info.service, input->service) &&
+           backend_is_usable(backend, input->now_ms) && !was_tried(input, backend) &&
+           (input->version == 0 || backend->info.version == input->version) &&
+           choice_allows_region(input, backend->region);
 }
 
-/* True if the backend may get the request at all, whatever its load. */
+/* True if the backend is warm, or this instance may send a cold one a request now. */
 static bool
-may_use(const choice_input_t *input, backend_t *backend)
+is_in_pace(const choice_input_t *input, backend_t *backend)
 {
-    if (!name_eq(&backend->info.service, input->service) ||
-        !backend_is_usable(backend, input->now_ms) || was_tried(input, backend) ||
-        (input->version != 0 && backend->info.version != input->version))
-        return false;
-    if (!allows_region(input, backend->region))
-        return false;
     if (!backend_is_cold(backend, input->now_ms))
         return true;
     return input->senders_settled && cold_start_may_send(&backend->cold_tokens, input->now_ms) &&
@@ -120,13 +99,41 @@
     }
 }
 
+/* The best of those that are passed over. */
+typedef struct {
+    passed_t why;
+    double score;
+    size_t region;
+    uint64_t wait_ms; /* the shortest of all */
+} passed_best_t;
+
+static void
+note_passed(const choice_input_t *input, const backend_t *backend, passed_t why,
+            passed_best_t *best)
+{
+    const double score = rendezvous_score(input, backend);
+    const uint64_t wait_ms = pass_over_wait_ms(backend, input->now_ms);
+    if (wait_ms > 0 && (best->wait_ms == 0 || wait_ms < best->wait_ms))
+        best->wait_ms = wait_ms;
+    if (best->why != PASSED_NOT && best->score >= score)
+        return;
+    best->why = why;
+    best->score = score;
+    best->region = backend->region;
+}
+
 static size_t
-collect(const choice_input_t *input, candidate_t *out)
+collect(const choice_input_t *input, candidate_t *out, passed_best_t *passed)
 {
     size_t count = 0;
     for (size_t i = 0; i < input->backends->count && count < CANDIDATES_MAX; i++) {
         backend_t *backend = input->backends->items[i];
-        if (may_use(input, backend))
+        if (!is_candidate(input, backend))
+            continue;
+        const passed_t why = pass_over(backend, input->may_ask, input->now_ms);
+        if (why != PASSED_NOT)
+            note_passed(input, backend, why, passed);
+        else if (is_in_pace(input, backend))
             out[count++] =
                 (candidate_t){.backend = backend, .score = rendezvous_score(input, backend)};
     }
@@ -134,32 +141,6 @@
     return count;
 }
 
-/* The data halls of a region in which a backend is looked for. */
-typedef enum {
-    HALLS_ALL,
-    HALLS_OWN,    /* the instance's own */
-    HALLS_OTHERS, /* all but that */
-} halls_t;
-
-/* Where to look for a backend. */
-
-typedef struct {
-    size_t region;
-    halls_t halls;
-} area_t;
-
-/* Each region once, the own data hall, the own region again, and no region. */
-enum { AREAS_MAX = TOPOLOGY_REGIONS_MAX + 3 };
-
-static bool
-in_area(const choice_input_t *input, const backend_t *backend, const area_t *area)
-{
-    if (backend->region != area->region)
-        return false;
-    const bool own = name_eq(&backend->info.hall, input->own_hall);
-    return area->halls == HALLS_ALL || own == (area->halls == HALLS_OWN);
-}
-
 static double
 load_per_slot(const choice_input_t *input, const backend_t *backend)
 {
@@ -169,11 +150,11 @@
 /* The best candidates of an area, in the request's order, at most `most`; returns their number. */
 static size_t
 find_replicas(const choice_input_t *input, const candidate_t *candidates, size_t count,
-              const area_t *area, candidate_t *out, size_t most)
+              const choice_area_t *area, candidate_t *out, size_t most)
 {
     size_t found = 0;
     for (size_t i = 0; i < count; i++) {
-        if (!in_area(input, candidates[i].backend, area))
+        if (!choice_in_area(input, candidates[i].backend, area))
             continue;
         size_t at = found;
         while (at > 0 && out[at - 1].score < candidates[i].score)
@@ -189,75 +170,17 @@
     return found;
 }
 
-/* The region of a request that may not go where the plan has it: those that it may go to share its
- * like in the plan's proportions, or by their slots if the plan sends nothing there. */
-static size_t
-bound_region(const choice_input_t *input, double point)
-{
-    const region_plan_t *plan = input->plan;
-    double weight[TOPOLOGY_REGIONS_MAX];
-    double sums[2] = {0}; /* of the shares and of the slots of the regions that are allowed */
-    size_t last = input->own_region;
-    for (size_t i = 0; i < plan->region_count; i++) {
-        sums[0] += allows_region(input, i) ? plan->share[i] : 0;
-        sums[1] += allows_region(input, i) ? plan->room[i] : 0;
-    }
-    const double *from = sums[0] > 0 ? plan->share : plan->room;
-    double left = point * (sums[0] > 0 ? sums[0] : sums[1]);
-    for (size_t i = 0; i < plan->region_count; i++) {
-        weight[i] = allows_region(input, i) ? from[i] : 0;
-        if (weight[i] <= 0)
-            continue;
-        last = i;
-        if (left < weight[i])
-            return i;
-        left -= weight[i];
-    }
-    return last;
-}
-
-static size_t
-planned_region(const choice_input_t *input)
-{
-    const double point = unit(input->object);
-    const size_t planned = input->route->large ? region_plan_pick_large(input->plan, point)
-                                               : region_plan_pick(input->plan, point);
-    return allows_region(input, planned) ? planned : bound_region(input, point);
-}
-
-/* The areas in the order in which they are tried; returns their number. */
-static size_t
-list_areas(const choice_input_t *input, area_t *areas)
-{
-    size_t count = 0;
-    const bool large = input->route->large;
-    const size_t planned = planned_region(input);
-    const bool near = large && planned == input->own_region;
-    if (near)
-        areas[count++] = (area_t){planned, HALLS_OWN};
-    areas[count++] = (area_t){planned, near ? HALLS_OTHERS : HALLS_ALL};
-    if (planned != input->own_region)
-        areas[count++] = (area_t){input->own_region, HALLS_ALL};
-    for (size_t i = 0; i < input->topology->region_count; i++) {
-        if (i != planned && i != input->own_region)
-            areas[count++] = (area_t){i, HALLS_ALL};
-    }
-    /* Backend servers of data halls that the settings do not list come last. */
-    areas[count++] = (area_t){TOPOLOGY_NO_REGION, HALLS_ALL};
-    return count;
-}
-
 /* The candidate of an area with the fewest requests a slot, warm before cold; returns the number
  * found, 1 at the most. */
 static size_t
 find_least_loaded(const choice_input_t *input, const candidate_t *candidates, size_t count,
-                  const area_t *area, candidate_t *out)
+                  const choice_area_t *area, candidate_t *out)
 {
     const candidate_t *best = NULL;
     double least = 0;
     for (size_t i = 0; i < count; i++) {
         const backend_t *backend = candidates[i].backend;
-        if (!in_area(input, backend, area))
+        if (!choice_in_area(input, backend, area))
             continue;
         const double load = load_per_slot(input, backend) +
                             (backend_is_cold(backend, input->now_ms) ? COLD_LOAD : 0);
@@ -334,35 +257,65 @@
     return index > 0 ? CHOICE_LATER : CHOICE_FIRST;
 }
 
-backend_t *
-choice_pick(const choice_input_t *input, choice_reason_t *reason)
+/* The candidates of an area that the request looks at, in their order. */
+static size_t
+find_in_area(const choice_input_t *input, const candidate_t *candidates, size_t count,
+             const choice_area_t *area, candidate_t *out)
 {
-    static candidate_t candidates[CANDIDATES_MAX];
-    area_t areas[AREAS_MAX];
-    candidate_t replicas[REPLICAS_MAX];
+    if (input->suspected)
+        return find_least_loaded(input, candidates, count, area, out);
     const size_t most = input->has_object ? REPLICAS_MAX : REPLICAS_ANY;
-    const size_t count = collect(input, candidates);
-    const size_t area_count = list_areas(input, areas);
+    const size_t found = find_replicas(input, candidates, count, area, out, most);
+    return input->has_object ? keep_replicas(input, out, found) : found;
+}
+
+/* Looks for a backend in one area after the other; false if none admits the request. */
+static bool
+pick(const choice_input_t *input, const candidate_t *candidates, size_t count, choice_t *choice,
+     double *score)
+{
+    choice_area_t areas[CHOICE_AREAS_MAX];
+    candidate_t replicas[REPLICAS_MAX];
+    const size_t area_count = choice_list_areas(input, areas);
     bool any = false;
     for (size_t i = 0; i < area_count; i++) {
         admission_t admission;
         const bool elsewhere = areas[i].region != areas[0].region;
         if (elsewhere && any)
             break;
-        size_t found = input->suspected
-                           ? find_least_loaded(input, candidates, count, &areas[i], replicas)
-                           : find_replicas(input, candidates, count, &areas[i], replicas, most);
-        if (input->has_object && !input->suspected)
-            found = keep_replicas(input, replicas, found);
+        const size_t found = find_in_area(input, candidates, count, &areas[i], replicas);
         const size_t picked = pick_replica(input, replicas, found, &admission);
         any |= found > 0;
         if (picked == found)
             continue;
-        *reason = reason_of(elsewhere, admission, picked);
-        return replicas[picked].backend;
+        choice->reason = reason_of(elsewhere, admission, picked);
+        choice->backend = replicas[picked].backend;
+        *score = replicas[picked].score;
+        return true;
+    }
+    return false;
+}
+
+choice_t
+choice_make(const choice_input_t *input)
+{
+    static candidate_t candidates[CANDIDATES_MAX];
+    passed_best_t passed = {0};
+    choice_t choice = {0};
+    double score = 0;
+    const size_t count = collect(input, candidates, &passed);
+    if (pick(input, candidates, count, &choice, &score)) {
+        const bool before = passed.region != choice.backend->region || passed.score > score;
+        choice.passed = before ? passed.why : PASSED_NOT;
+        return choice;
     }
-    *reason = count == 0 ? CHOICE_NONE : CHOICE_FULL;
-    return NULL;
+    choice.passed = passed.why;
+    choice.wait_ms = passed.wait_ms;
+    if (count > 0)
+        choice.reason = CHOICE_FULL;
+    else
+        choice.reason = passed.why != PASSED_NOT ? CHOICE_PASSED : CHOICE_NONE;
+    return choice;
 }
 
 const char *
@@ -370,7 +323,8 @@
 {
     static const char *const names[] = {
         [CHOICE_FIRST] = "first",   [CHOICE_LATER] = "later", [CHOICE_ELSEWHERE] = "elsewhere",
-        [CHOICE_QUEUED] = "queued", [CHOICE_FULL] = "full",   [CHOICE_NONE] = "none",
+        [CHOICE_QUEUED] = "queued", [CHOICE_FULL] = "full",   [CHOICE_PASSED] = "passed",
+        [CHOICE_NONE] = "none",
     };
     return names[reason];
 }
--- a/gateway/policy/choice.h
+++ b/gateway/policy/choice.h
@@ -18,6 +18,8 @@
  *  - A request under which a backend server has ended goes to the backend of the area with the
  *    fewest requests a slot, warm before cold, whatever its object: should this one end too, fewer
  *    are taken with it.
+ *  - What a backend server tells of itself may have it passed over (pass_over.h); the next one in
+ *    the request's order gets the request then.
  *  - Avoided backends (health.h) come after all others of their region, unless too many would be
  *    avoided. Cold ones take requests at their pace from their senders only (cold_start.h).
  * Reason: a request about an object that the backend does not have in memory runs 3.3 times as
@@ -33,6 +35,7 @@
 
 #include "gateway/policy/admission.h"
 #include "gateway/policy/cold_start.h"
+#include "gateway/policy/pass_over.h"
 #include "gateway/policy/region_plan.h"
 #include "gateway/state/backends.h"
 #include "gateway/state/config.h"
@@ -43,9 +46,17 @@
     CHOICE_ELSEWHERE, /* another region, since the planned one has no backend that may be used */
     CHOICE_QUEUED,    /* it has to queue at the backend */
     CHOICE_FULL,      /* none: no backend admits it */
+    CHOICE_PASSED,    /* none: all that might are passed over (pass_over.h) */
     CHOICE_NONE,      /* none: no backend may get requests */
 } choice_reason_t;
 
+typedef struct {
+    backend_t *backend; /* NULL if none takes the request; the backend list owns it */
+    choice_reason_t reason;
+    passed_t passed;  /* why the backend before it in the request's order was passed over */
+    uint64_t wait_ms; /* CHOICE_PASSED: time until one may get a request; 0 if not known */
+} choice_t;
+
 typedef struct {
     const backends_t *backends;
     const topology_t *topology;
@@ -59,6 +70,7 @@
     bool has_object;
     uint64_t version;     /* only backends of that software version; 0: any */
     bool suspected;       /* a backend server has ended under the request (quarantine.h) */
+    bool may_ask;         /* the request may ask for a permit (pass_over.h) */
     double object_demand; /* slots that requests about the object keep busy */
     uint64_t now_ms;
     uint64_t own_key;             /* of this instance among `senders` */
@@ -70,6 +82,5 @@
     admission_request_t request;
 } choice_input_t;
 
-/* NULL if no backend takes the request. The backend list owns what is returned. */
-backend_t *choice_pick(const choice_input_t *input, choice_reason_t *reason);
+choice_t choice_make(const choice_input_t *input);
 const char *choice_reason_name(choice_reason_t reason);
--- a/gateway/policy/final_answer.c
+++ b/gateway/policy/final_answer.c
@@ -6,6 +6,9 @@
  * of admission.c (commit ea47030), not alone. */
 enum { RETRY_AFTER_MS = 400 };
 
+/* Callers come back within as long after the time told. */
+enum { RETURN_SPREAD_MS = 200 };
+
 /* Uptime at which nine in ten of 295 instances that start together serve: 0.71 s (log of a day on
  * which all restart). With 1.6 s here callers came back too late for their objective of 1.5 s:
  * 3,423 of 8,540 in time in the two seconds after that restart, 5,190 with 0.4 s whatever the
@@ -48,6 +51,17 @@
     return (final_answer_t){HTTP_STATUS_TOO_MANY_REQUESTS, retry_after_ms, OUTCOME_OVER_LIMIT};
 }
 
+final_answer_t
+final_answer_passed(bool may_have_run, uint64_t wait_ms, double point)
+{
+    final_answer_t answer = final_answer(OUTCOME_PASSED_OVER, may_have_run, 0);
+    if (may_have_run || wait_ms == 0)
+        return answer;
+    const uint64_t back_ms = wait_ms + (uint64_t)(point * RETURN_SPREAD_MS);
+    answer.retry_after_ms = back_ms < UINT32_MAX ? (uint32_t)back_ms : UINT32_MAX;
+    return answer;
+}
+
 final_answer_t
 final_answer_held(uint64_t held_ms)
 {
@@ -64,6 +78,7 @@
         [OUTCOME_NOT_RUN] = "not_run",
         [OUTCOME_NO_ROOM] = "no_room",
         [OUTCOME_NO_BACKEND] = "no_upstream",
+        [OUTCOME_PASSED_OVER] = "passed_over",
         [OUTCOME_HELD] = "held",
         [OUTCOME_NO_CONFIGURATION] = "no_configuration",
         [OUTCOME_CONFIGURATION_BEHIND] = "configuration_behind",
--- /dev/null
+++ b/gateway/policy/pass_over.h
@@ -0,0 +1,31 @@
+/*
+ * Pass over: whether a backend server gets a request now, as far as what it told of itself goes.
+ *
+ * Decides: whether it is passed over, why, and for how long.
+ * Inputs: what the backend server told (state/notices.h), whether a permit was refused
+ * (named_limit.h), whether the request may ask for a permit at all.
+ * Rule:
+ *  - One that names a limit gets a request only with a permit; not before the time until which the
+ *    last one was refused, and not from a request that has been refused twice.
+ * Reason: a request is sent elsewhere at once, rather than walk from refusal to refusal.
+ *
+ * Pure: no state, no clock.
+ */
+#pragma once
+
+#include "gateway/state/backend.h"
+
+/* Why a backend server is passed over. */
+typedef enum {
+    PASSED_NOT,
+    PASSED_AT_LIMIT,
+    PASSED_COUNT, /* not a reason */
+} passed_t;
+
+enum { PERMITS_REFUSED_MAX = 2 }; /* to one request */
+
+/* `may_ask`: the request may still ask for a permit. */
+passed_t pass_over(const backend_t *backend, bool may_ask, uint64_t now_ms);
+/* Time until it may get a request; 0 if that is not known, or it is not passed over. */
+uint64_t pass_over_wait_ms(const backend_t *backend, uint64_t now_ms);
+const char *passed_name(passed_t passed);
--- a/gateway/router.c
+++ b/gateway/router.c
@@ -6,6 +6,7 @@
 #include "base/log.h"
 #include "base/loop_time.h"
 #include "base/xmalloc.h"
+#include "gateway/policy/named_limit.h"
 #include "gateway/policy/slow.h"
 #include "gateway/policy/traffic_split.h"
 #include "gateway/router.h"
@@ -104,6 +105,22 @@
     return own > 0 && all > own ? all / own : 1;
 }
 
+/* Sets for how many slots the backends count that name a limit. */
+static void
+update_room(router_t *router)
+{
+    const backends_t *backends = &router->catalog.backends;
+    for (size_t i = 0; i < backends->count; i++) {
+        backend_t *backend = backends->items[i];
+        if (!backend->limit.named)
+            continue;
+        const service_t *service =
+            services_find(&router->services, name_str(&backend->info.service));
+        const double answer_ms = service != NULL ? service->latency_ms : 0;
+        backend->room = named_limit_room(backend->limit.per_s, backend->info.capacity, answer_ms);
+    }
+}
+
 void
 router_tick(router_t *router, const members_t *members)
 {
@@ -112,6 +129,7 @@
     traffic_update(&router->traffic, now_ms);
     object_rates_decay(&router->objects, now_ms);
     router->traffic_scale = traffic_scale(router, members);
+    update_room(router);
     for (size_t i = 0; i < router->services.count; i++) {
         service_update_demand(router->services.items[i], now_ms);
         update_plan(router, router->services.items[i], members);
@@ -209,8 +227,8 @@
     return count;
 }
 
-backend_t *
-router_pick(router_t *router, const router_request_t *request, choice_reason_t *reason)
+choice_t
+router_pick(router_t *router, const router_request_t *request)
 {
     const config_route_t *route = request->route;
     service_t *service = request->service;
@@ -219,6 +237,7 @@
     input.account = request->account;
     input.has_object = request->has_object;
     input.suspected = request->suspected;
+    input.may_ask = request->may_ask;
     input.version = request->version;
     input.tried = request->tried;
     input.tried_count = request->tried_count;
@@ -228,10 +247,10 @@
         .usual_ms = route_stats_median_ms(&router->routes, route->key),
         .lost_ms = request->lost_ms,
     };
-    backend_t *backend = choice_pick(&input, reason);
-    if (backend != NULL && backend_is_cold(backend, input.now_ms))
-        cold_start_count_send(&backend->cold_tokens, input.now_ms);
-    return backend;
+    const choice_t choice = choice_make(&input);
+    if (choice.backend != NULL && backend_is_cold(choice.backend, input.now_ms))
+        cold_start_count_send(&choice.backend->cold_tokens, input.now_ms);
+    return choice;
 }
 
 choice_input_t
@@ -243,6 +262,7 @@
     choice_input_t input =
         choice_input(router, route, service, known != NULL ? &known->plan : &no_plan, object);
     input.has_object = true;
+    input.may_ask = true;
     input.request = (admission_request_t){.aim_ms = route->aim_ms, .left_ms = UINT32_MAX};
     return input;
 }
@@ -287,7 +307,7 @@
         .leaves = said->leaves,
         .leaves_ms = loop_now(router->loop),
     };
-    catalog_take_notice(&router->catalog, &news, "answer");
+    catalog_take_notice(&router->catalog, &news, NOTICE_OF_ANSWER);
 }
 
 void
--- a/gateway/router.h
+++ b/gateway/router.h
@@ -67,6 +67,7 @@
     double lost_ms;   /* that the caller has lost before, from router_count_caller() */
     uint64_t version; /* only backends of that software version; 0: any */
     bool suspected;   /* a backend server has ended under it */
+    bool may_ask;     /* it may ask for a permit (policy/pass_over.h) */
     backend_t *const *tried;
     size_t tried_count;
 } router_request_t;
@@ -92,8 +93,7 @@
  * number. */
 size_t router_versions(const router_t *router, const service_t *service, uint64_t *out,
                        size_t most);
-/* NULL with the reason if no backend takes the request. */
-backend_t *router_pick(router_t *router, const router_request_t *request, choice_reason_t *reason);
+choice_t router_pick(router_t *router, const router_request_t *request);
 /* The decision that router_pick() would make, without carrying it out; for the admin pages. */
 choice_input_t router_explain_input(const router_t *router, const config_route_t *route,
                                     str_t service, uint64_t object);
--- a/gateway/state/account_ledger.h
+++ b/gateway/state/account_ledger.h
@@ -2,7 +2,7 @@
  * Account ledger: what the owner of a client account knows of its use everywhere, and the shares
  * that it lends.
  *
- * An account has an owner in each region, one of its instances (membership/account_owner.h). The
+ * An account has an owner in each region, one of its instances (membership/owner.h). The
  * instances of the region report their use to it, and the owners of the regions exchange their sums
  * (membership/account_news.h). So each owner takes every admitted request from a bucket of its own
  * that fills at the account's rate, and all come to the same room, some 100 ms late.
--- a/gateway/state/backend.c
+++ b/gateway/state/backend.c
@@ -45,11 +45,22 @@
     free(backend);
 }
 
+uint64_t
+backend_life(str_t id, uint64_t born)
+{
+    return str_hash((str_t){(const char *)&born, sizeof(born)}, str_hash(id, KEY_SEED));
+}
+
 uint64_t
 backend_life_key(const backend_t *backend)
 {
-    return str_hash((str_t){(const char *)&backend->info.born, sizeof(backend->info.born)},
-                    backend->key);
+    return backend_life(name_str(&backend->info.id), backend->info.born);
+}
+
+double
+backend_room(const backend_t *backend)
+{
+    return backend->limit.named && backend->room > 0 ? backend->room : backend->info.capacity;
 }
 
 int
--- a/gateway/state/backend.h
+++ b/gateway/state/backend.h
@@ -44,14 +44,17 @@
     uint64_t key;      /* hash of the id, for rendezvous hashing */
     wire_pool_t *pool; /* NULL in tests without connections */
     size_t refs;
-    uint64_t revision;     /* of the entry that `info` was read from */
-    bool listed;           /* false once it was taken out of the list */
-    bool hall_closed;      /* its data hall must get no requests */
-    bool departed;         /* another backend answers at its address */
-    bool says_leaving;     /* it told so in an answer: that stays, whatever its entry says */
-    backend_limit_t limit; /* that it names in its answers */
-    bool logged_unusable;  /* the log tells of a notice that could not be used */
-    uint64_t remove_at_ms; /* when its absence from the store takes effect, 0 if it is there */
+    uint64_t revision;       /* of the entry that `info` was read from */
+    bool listed;             /* false once it was taken out of the list */
+    bool hall_closed;        /* its data hall must get no requests */
+    bool departed;           /* another backend answers at its address */
+    bool says_leaving;       /* it told so in an answer: that stays, whatever its entry says */
+    backend_limit_t limit;   /* that it names in its answers */
+    double room;             /* slots for which it counts in plans; 0: for all */
+    uint64_t permit_from_ms; /* the next permit for it may be asked for */
+    unsigned permits_asked;  /* and not answered yet */
+    bool logged_unusable;    /* the log tells of a notice that could not be used */
+    uint64_t remove_at_ms;   /* when its absence from the store takes effect, 0 if it is there */
     uint64_t cold_until_ms;
     bucket_t cold_tokens; /* this instance's part of the requests it can take while cold */
     uint32_t in_flight;   /* attempts of this instance */
@@ -76,6 +79,10 @@
 /* Below, at or above 0 as the life that began at `left` is earlier than, the same as or later than
  * the one of `right`. One that does not say counts as the same. */
 int backend_life_order(uint64_t left, uint64_t right);
+/* The same for a backend server of that id, known here or not. */
+uint64_t backend_life(str_t id, uint64_t born);
+/* The slots for which it counts in plans: fewer than it has while it names a limit. */
+double backend_room(const backend_t *backend);
 /* Estimated requests there, running and queued, from all instances. */
 double backend_load(const backend_t *backend, uint64_t now_ms);
 void backend_report_load(backend_t *backend, const reported_load_t *load, uint64_t now_ms);
--- a/gateway/state/catalog.c
+++ b/gateway/state/catalog.c
@@ -155,7 +155,7 @@
         const backend_t *backend = catalog->backends.items[i];
         if (backend->region < catalog->topology->region_count &&
             name_eq(&backend->info.service, service) && backend_is_usable(backend, now_ms))
-            slots[backend->region] += backend->info.capacity;
+            slots[backend->region] += backend_room(backend);
     }
 }
 
--- a/gateway/state/catalog.h
+++ b/gateway/state/catalog.h
@@ -36,11 +36,13 @@
     uint64_t newer_at; /* revision of a newer configuration that a peer holds, or that is here and
                           not decoded yet; 0: none known */
     backends_t backends;
-    bool backends_known;     /* a whole list was taken in once */
-    departures_t departures; /* what was told ahead of the list's change */
-    notices_t notices;       /* what backends told of themselves, in answers */
-    departures_t fresh;      /* what the last change of the list itself told */
-    uint64_t *unusable;      /* revisions of entries that name no backend, ascending */
+    bool backends_known;          /* a whole list was taken in once */
+    departures_t departures;      /* what was told ahead of the list's change */
+    notices_t notices;            /* what backends told of themselves, in answers */
+    void (*on_notice)(void *ctx); /* there is one that others are to know of */
+    void *ctx;
+    departures_t fresh; /* what the last change of the list itself told */
+    uint64_t *unusable; /* revisions of entries that name no backend, ascending */
     size_t unusable_count;
     unsigned instances; /* of the whole fleet; they share a backend's connections */
 } catalog_t;
@@ -60,8 +62,15 @@
 /* A peer tells of backends that get nothing new, ahead of the change of the list. */
 void catalog_apply_departures(catalog_t *catalog, const departure_t *items, size_t count,
                               removal_store_t store);
-/* Takes over what a backend told of itself; `source` is for the log. True if others are to know. */
-bool catalog_take_notice(catalog_t *catalog, const notice_t *news, const char *source);
+/* How this instance learned what a backend told of itself. */
+typedef enum {
+    NOTICE_OF_ANSWER, /* from the backend: others are to know */
+    NOTICE_OF_PEER,
+    NOTICE_OF_PERMIT, /* a peer asks for a permit, or answers */
+} notice_source_t;
+
+/* Takes over what a backend told of itself. */
+void catalog_take_notice(catalog_t *catalog, const notice_t *news, notice_source_t source);
 /* The backend told something in a form that cannot be used, so many times in one answer. */
 void catalog_count_unusable_notice(backend_t *backend, unsigned count);
 /* Gives a backend what is known of it from notices. */
--- a/gateway/state/catalog_notices.c
+++ b/gateway/state/catalog_notices.c
@@ -9,6 +9,17 @@
 #include "base/loop_time.h"
 #include "gateway/state/catalog.h"
 
+static const char *
+source_name(notice_source_t source)
+{
+    static const char *const names[] = {
+        [NOTICE_OF_ANSWER] = "answer",
+        [NOTICE_OF_PEER] = "peer",
+        [NOTICE_OF_PERMIT] = "permit",
+    };
+    return names[source];
+}
+
 static void
 log_limit(const notice_t *news, const char *source, uint64_t now_ms)
 {
@@ -37,20 +48,31 @@
         apply(backend, notice);
 }
 
-bool
-catalog_take_notice(catalog_t *catalog, const notice_t *news, const char *source)
+static void
+log_change(const notice_t *news, notice_change_t change, notice_source_t source, uint64_t now_ms)
+{
+    if (change.limit)
+        log_limit(news, source_name(source), now_ms);
+    if (change.leaves)
+        LOG_INFO("backend says that it leaves: id=%s age_ms=%llu source=%s", news->backend.ptr,
+                 (unsigned long long)(now_ms - news->leaves_ms), source_name(source));
+}
+
+void
+catalog_take_notice(catalog_t *catalog, const notice_t *news, notice_source_t source)
 {
     const uint64_t now_ms = loop_now(catalog->loop);
     const notice_change_t change = notices_take(&catalog->notices, news, now_ms);
     backend_t *backend = backends_find(&catalog->backends, name_str(&news->backend));
     if (backend != NULL)
         catalog_apply_notice(catalog, backend);
-    if (change.limit)
-        log_limit(news, source, now_ms);
-    if (change.leaves)
-        LOG_INFO("backend says that it leaves: id=%s age_ms=%llu source=%s", news->backend.ptr,
-                 (unsigned long long)(now_ms - news->leaves_ms), source);
-    return change.limit || change.leaves;
+    log_change(news, change, source, now_ms);
+    if (!change.limit && !change.leaves)
+        return;
+    if (source != NOTICE_OF_ANSWER)
+        notices_mark_told(&catalog->notices, name_str(&news->backend));
+    else if (catalog->on_notice != NULL)
+        catalog->on_notice(catalog->ctx);
 }
 
 void
--- a/gateway/state/notices.c
+++ b/gateway/state/notices.c
@@ -62,6 +62,7 @@
         notices->size = notices->size > 0 ? notices->size * 2 : ITEMS_START;
         notices->items = xrealloc(notices->items, notices->size * sizeof(*notices->items));
     }
+    xassert(notices->items != NULL);
     memmove(&notices->items[index + 1], &notices->items[index],
             (notices->count - index) * sizeof(*notices->items));
     notices->count++;
@@ -126,6 +127,14 @@
     return change;
 }
 
+void
+notices_mark_told(notices_t *notices, str_t backend)
+{
+    notice_t *notice = at(notices, lower_bound(notices, backend), backend);
+    if (notice != NULL)
+        notice->untold = false;
+}
+
 void
 notices_expire(notices_t *notices, uint64_t now_ms)
 {
--- a/gateway/state/notices.h
+++ b/gateway/state/notices.h
@@ -62,6 +62,8 @@
 /* Takes over what is newer in `news`: its life, its limit if `limit.said_ms` is set, that it
  * leaves. */
 notice_change_t notices_take(notices_t *notices, const notice_t *news, uint64_t now_ms);
+/* Others know: the one of that backend, if there is one, need not be told. */
+void notices_mark_told(notices_t *notices, str_t backend);
 /* Regular work: forgets what has not been heard of for long. */
 void notices_expire(notices_t *notices, uint64_t now_ms);
 void notices_free(notices_t *notices);
--- /dev/null
+++ b/gateway/state/permits.c
@@ -0,0 +1,62 @@
+#include "gateway/state/permits.h"
+
+#include <math.h>
+#include <stdlib.h>
+
+#include "base/xmalloc.h"
+
+enum {
+    ITEMS_START = 8,
+    KEPT_MS = 60000,
+    MS_PER_S = 1000,
+};
+
+static permit_bucket_t *
+bucket_of(permits_t *permits, uint64_t life, permit_rate_t rate, uint64_t now_ms)
+{
+    for (size_t i = 0; i < permits->count; i++) {
+        if (permits->items[i].life == life)
+            return &permits->items[i];
+    }
+    if (permits->count == permits->size) {
+        permits->size = permits->size > 0 ? permits->size * 2 : ITEMS_START;
+        permits->items = xrealloc(permits->items, permits->size * sizeof(*permits->items));
+    }
+    permit_bucket_t *item = &permits->items[permits->count++];
+    item->life = life;
+    bucket_init(&item->tokens, rate.per_s, rate.burst, now_ms);
+    bucket_charge(&item->tokens, rate.burst, now_ms);
+    return item;
+}
+
+bool
+permits_take(permits_t *permits, uint64_t life, permit_rate_t rate, uint64_t now_ms,
+             uint32_t *wait_ms)
+{
+    permit_bucket_t *item = bucket_of(permits, life, rate, now_ms);
+    item->asked_ms = now_ms;
+    bucket_set_rate(&item->tokens, rate.per_s, rate.burst, now_ms);
+    if (bucket_take(&item->tokens, 1, now_ms))
+        return true;
+    const double missing = 1 - bucket_tokens(&item->tokens, now_ms);
+    *wait_ms = (uint32_t)ceil(missing / rate.per_s * MS_PER_S);
+    return false;
+}
+
+void
+permits_expire(permits_t *permits, uint64_t now_ms)
+{
+    size_t kept = 0;
+    for (size_t i = 0; i < permits->count; i++) {
+        if (now_ms - permits->items[i].asked_ms < KEPT_MS)
+            permits->items[kept++] = permits->items[i];
+    }
+    permits->count = kept;
+}
+
+void
+permits_free(permits_t *permits)
+{
+    free(permits->items);
+    *permits = (permits_t){0};
+}
--- a/peer/peer.pb-c.c
+++ b/peer/peer.pb-c.c
@@ -637,6 +637,186 @@
   assert(message->base.descriptor == &iris__suspects__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   iris__backend_notice__init
+                     (Iris__BackendNotice         *message)
+{
+  static const Iris__BackendNotice init_value = IRIS__BACKEND_NOTICE__INIT;
+  *message = init_value;
+}
+size_t iris__backend_notice__get_packed_size
+                     (const Iris__BackendNotice *message)
+{
+  assert(message->base.descriptor == &iris__backend_notice__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t iris__backend_notice__pack
+                     (const Iris__BackendNotice *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &iris__backend_notice__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t iris__backend_notice__pack_to_buffer
+                     (const Iris__BackendNotice *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &iris__backend_notice__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Iris__BackendNotice *
+       iris__backend_notice__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Iris__BackendNotice *)
+     protobuf_c_message_unpack (&iris__backend_notice__descriptor,
+                                allocator, len, data);
+}
+void   iris__backend_notice__free_unpacked
+                     (Iris__BackendNotice *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &iris__backend_notice__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   iris__backend_notices__init
+                     (Iris__BackendNotices         *message)
+{
+  static const Iris__BackendNotices init_value = IRIS__BACKEND_NOTICES__INIT;
+  *message = init_value;
+}
+size_t iris__backend_notices__get_packed_size
+                     (const Iris__BackendNotices *message)
+{
+  assert(message->base.descriptor == &iris__backend_notices__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t iris__backend_notices__pack
+                     (const Iris__BackendNotices *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &iris__backend_notices__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t iris__backend_notices__pack_to_buffer
+                     (const Iris__BackendNotices *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &iris__backend_notices__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Iris__BackendNotices *
+       iris__backend_notices__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Iris__BackendNotices *)
+     protobuf_c_message_unpack (&iris__backend_notices__descriptor,
+                                allocator, len, data);
+}
+void   iris__backend_notices__free_unpacked
+                     (Iris__BackendNotices *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &iris__backend_notices__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   iris__permit_request__init
+                     (Iris__PermitRequest         *message)
+{
+  static const Iris__PermitRequest init_value = IRIS__PERMIT_REQUEST__INIT;
+  *message = init_value;
+}
+size_t iris__permit_request__get_packed_size
+                     (const Iris__PermitRequest *message)
+{
+  assert(message->base.descriptor == &iris__permit_request__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t iris__permit_request__pack
+                     (const Iris__PermitRequest *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &iris__permit_request__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t iris__permit_request__pack_to_buffer
+                     (const Iris__PermitRequest *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &iris__permit_request__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Iris__PermitRequest *
+       iris__permit_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Iris__PermitRequest *)
+     protobuf_c_message_unpack (&iris__permit_request__descriptor,
+                                allocator, len, data);
+}
+void   iris__permit_request__free_unpacked
+                     (Iris__PermitRequest *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &iris__permit_request__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   iris__permit_answer__init
+                     (Iris__PermitAnswer         *message)
+{
+  static const Iris__PermitAnswer init_value = IRIS__PERMIT_ANSWER__INIT;
+  *message = init_value;
+}
+size_t iris__permit_answer__get_packed_size
+                     (const Iris__PermitAnswer *message)
+{
+  assert(message->base.descriptor == &iris__permit_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t iris__permit_answer__pack
+                     (const Iris__PermitAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &iris__permit_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t iris__permit_answer__pack_to_buffer
+                     (const Iris__PermitAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &iris__permit_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Iris__PermitAnswer *
+       iris__permit_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Iris__PermitAnswer *)
+     protobuf_c_message_unpack (&iris__permit_answer__descriptor,
+                                allocator, len, data);
+}
+void   iris__permit_answer__free_unpacked
+                     (Iris__PermitAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &iris__permit_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   iris__gateway_heartbeat__init
                      (Iris__GatewayHeartbeat         *message)
 {
@@ -2390,7 +2570,341 @@
   (ProtobufCMessageInit) iris__suspects__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor iris__gateway_heartbeat__field_descriptors[28] =
+static const ProtobufCFieldDescriptor iris__backend_notice__field_descriptors[8] =
+{
+  {
+    "backend",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Iris__BackendNotice, backend),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Iris__BackendNotice, born),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tells_limit",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Iris__BackendNotice, tells_limit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "names_limit",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Iris__BackendNotice, names_limit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit_per_s",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Iris__BackendNotice, limit_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit_age_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Iris__BackendNotice, limit_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaves",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Iris__BackendNotice, leaves),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaves_age_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Iris__BackendNotice, leaves_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned iris__backend_notice__field_indices_by_name[] = {
+  0,   /* field[0] = backend */
+  1,   /* field[1] = born */
+  6,   /* field[6] = leaves */
+  7,   /* field[7] = leaves_age_ms */
+  5,   /* field[5] = limit_age_ms */
+  4,   /* field[4] = limit_per_s */
+  3,   /* field[3] = names_limit */
+  2,   /* field[2] = tells_limit */
+};
+static const ProtobufCIntRange iris__backend_notice__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor iris__backend_notice__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "iris.BackendNotice",
+  "BackendNotice",
+  "Iris__BackendNotice",
+  "iris",
+  sizeof(Iris__BackendNotice),
+  8,
+  iris__backend_notice__field_descriptors,
+  iris__backend_notice__field_indices_by_name,
+  1,  iris__backend_notice__number_ranges,
+  (ProtobufCMessageInit) iris__backend_notice__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor iris__backend_notices__field_descriptors[2] =
+{
+  {
+    "items",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Iris__BackendNotices, n_items),
+    offsetof(Iris__BackendNotices, items),
+    &iris__backend_notice__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "relay",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Iris__BackendNotices, relay),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned iris__backend_notices__field_indices_by_name[] = {
+  0,   /* field[0] = items */
+  1,   /* field[1] = relay */
+};
+static const ProtobufCIntRange iris__backend_notices__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor iris__backend_notices__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "iris.BackendNotices",
+  "BackendNotices",
+  "Iris__BackendNotices",
+  "iris",
+  sizeof(Iris__BackendNotices),
+  2,
+  iris__backend_notices__field_descriptors,
+  iris__backend_notices__field_indices_by_name,
+  1,  iris__backend_notices__number_ranges,
+  (ProtobufCMessageInit) iris__backend_notices__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor iris__permit_request__field_descriptors[4] =
+{
+  {
+    "notice",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Iris__PermitRequest, notice),
+    &iris__backend_notice__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Iris__PermitRequest, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Iris__PermitRequest, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "forwarded",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Iris__PermitRequest, forwarded),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned iris__permit_request__field_indices_by_name[] = {
+  2,   /* field[2] = address */
+  3,   /* field[3] = forwarded */
+  0,   /* field[0] = notice */
+  1,   /* field[1] = number */
+};
+static const ProtobufCIntRange iris__permit_request__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor iris__permit_request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "iris.PermitRequest",
+  "PermitRequest",
+  "Iris__PermitRequest",
+  "iris",
+  sizeof(Iris__PermitRequest),
+  4,
+  iris__permit_request__field_descriptors,
+  iris__permit_request__field_indices_by_name,
+  1,  iris__permit_request__number_ranges,
+  (ProtobufCMessageInit) iris__permit_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor iris__permit_answer__field_descriptors[4] =
+{
+  {
+    "notice",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Iris__PermitAnswer, notice),
+    &iris__backend_notice__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Iris__PermitAnswer, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "given",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Iris__PermitAnswer, given),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Iris__PermitAnswer, wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned iris__permit_answer__field_indices_by_name[] = {
+  2,   /* field[2] = given */
+  0,   /* field[0] = notice */
+  1,   /* field[1] = number */
+  3,   /* field[3] = wait_ms */
+};
+static const ProtobufCIntRange iris__permit_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor iris__permit_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "iris.PermitAnswer",
+  "PermitAnswer",
+  "Iris__PermitAnswer",
+  "iris",
+  sizeof(Iris__PermitAnswer),
+  4,
+  iris__permit_answer__field_descriptors,
+  iris__permit_answer__field_indices_by_name,
+  1,  iris__permit_answer__number_ranges,
+  (ProtobufCMessageInit) iris__permit_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor iris__gateway_heartbeat__field_descriptors[30] =
 {
   {
     "instance",
@@ -2728,6 +3242,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "notices",
+    29,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Iris__GatewayHeartbeat, n_notices),
+    offsetof(Iris__GatewayHeartbeat, notices),
+    &iris__backend_notice__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gives_permits",
+    30,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Iris__GatewayHeartbeat, gives_permits),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned iris__gateway_heartbeat__field_indices_by_name[] = {
   22,   /* field[22] = announced */
@@ -2735,11 +3273,13 @@
   4,   /* field[4] = caller_address */
   17,   /* field[17] = cpu_cores */
   10,   /* field[10] = demands */
+  29,   /* field[29] = gives_permits */
   2,   /* field[2] = incarnation */
   0,   /* field[0] = instance */
   14,   /* field[14] = interval_ms */
   6,   /* field[6] = leaving */
   16,   /* field[16] = link_bytes_per_s */
+  28,   /* field[28] = notices */
   15,   /* field[15] = outcomes */
   3,   /* field[3] = peer_address */
   11,   /* field[11] = peers */
@@ -2762,7 +3302,7 @@
 static const ProtobufCIntRange iris__gateway_heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 28 }
+  { 0, 30 }
 };
 const ProtobufCMessageDescriptor iris__gateway_heartbeat__descriptor =
 {
@@ -2772,7 +3312,7 @@
   "Iris__GatewayHeartbeat",
   "iris",
   sizeof(Iris__GatewayHeartbeat),
-  28,
+  30,
   iris__gateway_heartbeat__field_descriptors,
   iris__gateway_heartbeat__field_indices_by_name,
   1,  iris__gateway_heartbeat__number_ranges,
@@ -3846,7 +4386,7 @@
   (ProtobufCMessageInit) iris__account_exchange__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor iris__envelope__field_descriptors[16] =
+static const ProtobufCFieldDescriptor iris__envelope__field_descriptors[19] =
 {
   {
     "schema",
@@ -4040,11 +4580,48 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "backend_notices",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Iris__Envelope, body_case),
+    offsetof(Iris__Envelope, backend_notices),
+    &iris__backend_notices__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "permit_request",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Iris__Envelope, body_case),
+    offsetof(Iris__Envelope, permit_request),
+    &iris__permit_request__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "permit_answer",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Iris__Envelope, body_case),
+    offsetof(Iris__Envelope, permit_answer),
+    &iris__permit_answer__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned iris__envelope__field_indices_by_name[] = {
   15,   /* field[15] = account_exchange */
   14,   /* field[14] = account_grants */
   13,   /* field[13] = account_report */
+  16,   /* field[16] = backend_notices */
   4,   /* field[4] = borrow */
   11,   /* field[11] = departures */
   6,   /* field[6] = gateway */
@@ -4052,6 +4629,8 @@
   5,   /* field[5] = lend */
   10,   /* field[10] = list_update */
   9,   /* field[9] = packed_update */
+  18,   /* field[18] = permit_answer */
+  17,   /* field[17] = permit_request */
   3,   /* field[3] = push */
   0,   /* field[0] = schema */
   12,   /* field[12] = suspects */
@@ -4062,7 +4641,7 @@
 static const ProtobufCIntRange iris__envelope__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor iris__envelope__descriptor =
 {
@@ -4072,7 +4651,7 @@
   "Iris__Envelope",
   "iris",
   sizeof(Iris__Envelope),
-  16,
+  19,
   iris__envelope__field_descriptors,
   iris__envelope__field_indices_by_name,
   1,  iris__envelope__number_ranges,
--- a/peer/peer.pb-c.h
+++ b/peer/peer.pb-c.h
@@ -29,6 +29,10 @@
 typedef struct Iris__SuspectEnd Iris__SuspectEnd;
 typedef struct Iris__Suspect Iris__Suspect;
 typedef struct Iris__Suspects Iris__Suspects;
+typedef struct Iris__BackendNotice Iris__BackendNotice;
+typedef struct Iris__BackendNotices Iris__BackendNotices;
+typedef struct Iris__PermitRequest Iris__PermitRequest;
+typedef struct Iris__PermitAnswer Iris__PermitAnswer;
 typedef struct Iris__GatewayHeartbeat Iris__GatewayHeartbeat;
 typedef struct Iris__ViewItem Iris__ViewItem;
 typedef struct Iris__ViewUpdate Iris__ViewUpdate;
@@ -326,6 +330,106 @@
     , 0,NULL, 0 }
 
 
+/*
+ * Gateway: what a backend server told of itself in an answer.
+ */
+struct  Iris__BackendNotice
+{
+  ProtobufCMessage base;
+  char *backend;
+  /*
+   * which life of the backend server; 0 if it does not say
+   */
+  uint64_t born;
+  /*
+   * the next three are given
+   */
+  protobuf_c_boolean tells_limit;
+  /*
+   * else it takes what comes
+   */
+  protobuf_c_boolean names_limit;
+  /*
+   * requests that it takes from all instances together
+   */
+  double limit_per_s;
+  /*
+   * since the request was sent whose answer said so
+   */
+  uint32_t limit_age_ms;
+  protobuf_c_boolean leaves;
+  /*
+   * since that was learned
+   */
+  uint32_t leaves_age_ms;
+};
+#define IRIS__BACKEND_NOTICE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&iris__backend_notice__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
+
+
+struct  Iris__BackendNotices
+{
+  ProtobufCMessage base;
+  size_t n_items;
+  Iris__BackendNotice **items;
+  /*
+   * from another region: the receiver tells its own
+   */
+  protobuf_c_boolean relay;
+};
+#define IRIS__BACKEND_NOTICES__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&iris__backend_notices__descriptor) \
+    , 0,NULL, 0 }
+
+
+/*
+ * Gateway: to the owner of a backend server that names a limit: may one request be sent there?
+ */
+struct  Iris__PermitRequest
+{
+  ProtobufCMessage base;
+  /*
+   * as the sender knows it
+   */
+  Iris__BackendNotice *notice;
+  /*
+   * of the sender's, for the answer
+   */
+  uint64_t number;
+  /*
+   * where the sender's peers reach it
+   */
+  char *address;
+  /*
+   * by an instance that is not the owner
+   */
+  protobuf_c_boolean forwarded;
+};
+#define IRIS__PERMIT_REQUEST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&iris__permit_request__descriptor) \
+    , NULL, 0, (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Iris__PermitAnswer
+{
+  ProtobufCMessage base;
+  /*
+   * as the owner knows it
+   */
+  Iris__BackendNotice *notice;
+  uint64_t number;
+  protobuf_c_boolean given;
+  /*
+   * until there is a permit, if none is given
+   */
+  uint32_t wait_ms;
+};
+#define IRIS__PERMIT_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&iris__permit_answer__descriptor) \
+    , NULL, 0, 0, 0 }
+
+
 /*
  * Gateway: the state of one instance, sent several times a second to the others.
  */
@@ -426,10 +530,19 @@
    * it stood still and missed messages: answer it like one heard anew
    */
   protobuf_c_boolean resumed;
+  /*
+   * some of those it knows, in turn
+   */
+  size_t n_notices;
+  Iris__BackendNotice **notices;
+  /*
+   * it takes BackendNotices, and PermitRequest as the owner
+   */
+  protobuf_c_boolean gives_permits;
 };
 #define IRIS__GATEWAY_HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&iris__gateway_heartbeat__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0 }
 
 
 struct  Iris__ViewItem
@@ -758,7 +871,10 @@
   IRIS__ENVELOPE__BODY_SUSPECTS = 13,
   IRIS__ENVELOPE__BODY_ACCOUNT_REPORT = 14,
   IRIS__ENVELOPE__BODY_ACCOUNT_GRANTS = 15,
-  IRIS__ENVELOPE__BODY_ACCOUNT_EXCHANGE = 16
+  IRIS__ENVELOPE__BODY_ACCOUNT_EXCHANGE = 16,
+  IRIS__ENVELOPE__BODY_BACKEND_NOTICES = 17,
+  IRIS__ENVELOPE__BODY_PERMIT_REQUEST = 18,
+  IRIS__ENVELOPE__BODY_PERMIT_ANSWER = 19
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(IRIS__ENVELOPE__BODY__CASE)
 } Iris__Envelope__BodyCase;
 
@@ -804,6 +920,18 @@
      * the same
      */
     Iris__AccountExchange *account_exchange;
+    /*
+     * the same
+     */
+    Iris__BackendNotices *backend_notices;
+    /*
+     * the same
+     */
+    Iris__PermitRequest *permit_request;
+    /*
+     * the same
+     */
+    Iris__PermitAnswer *permit_answer;
   };
 };
 #define IRIS__ENVELOPE__INIT \
@@ -1105,6 +1233,82 @@
 void   iris__suspects__free_unpacked
                      (Iris__Suspects *message,
                       ProtobufCAllocator *allocator);
+/* Iris__BackendNotice methods */
+void   iris__backend_notice__init
+                     (Iris__BackendNotice         *message);
+size_t iris__backend_notice__get_packed_size
+                     (const Iris__BackendNotice   *message);
+size_t iris__backend_notice__pack
+                     (const Iris__BackendNotice   *message,
+                      uint8_t             *out);
+size_t iris__backend_notice__pack_to_buffer
+                     (const Iris__BackendNotice   *message,
+                      ProtobufCBuffer     *buffer);
+Iris__BackendNotice *
+       iris__backend_notice__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   iris__backend_notice__free_unpacked
+                     (Iris__BackendNotice *message,
+                      ProtobufCAllocator *allocator);
+/* Iris__BackendNotices methods */
+void   iris__backend_notices__init
+                     (Iris__BackendNotices         *message);
+size_t iris__backend_notices__get_packed_size
+                     (const Iris__BackendNotices   *message);
+size_t iris__backend_notices__pack
+                     (const Iris__BackendNotices   *message,
+                      uint8_t             *out);
+size_t iris__backend_notices__pack_to_buffer
+                     (const Iris__BackendNotices   *message,
+                      ProtobufCBuffer     *buffer);
+Iris__BackendNotices *
+       iris__backend_notices__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   iris__backend_notices__free_unpacked
+                     (Iris__BackendNotices *message,
+                      ProtobufCAllocator *allocator);
+/* Iris__PermitRequest methods */
+void   iris__permit_request__init
+                     (Iris__PermitRequest         *message);
+size_t iris__permit_request__get_packed_size
+                     (const Iris__PermitRequest   *message);
+size_t iris__permit_request__pack
+                     (const Iris__PermitRequest   *message,
+                      uint8_t             *out);
+size_t iris__permit_request__pack_to_buffer
+                     (const Iris__PermitRequest   *message,
+                      ProtobufCBuffer     *buffer);
+Iris__PermitRequest *
+       iris__permit_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   iris__permit_request__free_unpacked
+                     (Iris__PermitRequest *message,
+                      ProtobufCAllocator *allocator);
+/* Iris__PermitAnswer methods */
+void   iris__permit_answer__init
+                     (Iris__PermitAnswer         *message);
+size_t iris__permit_answer__get_packed_size
+                     (const Iris__PermitAnswer   *message);
+size_t iris__permit_answer__pack
+                     (const Iris__PermitAnswer   *message,
+                      uint8_t             *out);
+size_t iris__permit_answer__pack_to_buffer
+                     (const Iris__PermitAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Iris__PermitAnswer *
+       iris__permit_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   iris__permit_answer__free_unpacked
+                     (Iris__PermitAnswer *message,
+                      ProtobufCAllocator *allocator);
 /* Iris__GatewayHeartbeat methods */
 void   iris__gateway_heartbeat__init
                      (Iris__GatewayHeartbeat         *message);
@@ -1434,6 +1638,18 @@
 typedef void (*Iris__Suspects_Closure)
                  (const Iris__Suspects *message,
                   void *closure_data);
+typedef void (*Iris__BackendNotice_Closure)
+                 (const Iris__BackendNotice *message,
+                  void *closure_data);
+typedef void (*Iris__BackendNotices_Closure)
+                 (const Iris__BackendNotices *message,
+                  void *closure_data);
+typedef void (*Iris__PermitRequest_Closure)
+                 (const Iris__PermitRequest *message,
+                  void *closure_data);
+typedef void (*Iris__PermitAnswer_Closure)
+                 (const Iris__PermitAnswer *message,
+                  void *closure_data);
 typedef void (*Iris__GatewayHeartbeat_Closure)
                  (const Iris__GatewayHeartbeat *message,
                   void *closure_data);
@@ -1499,6 +1715,10 @@
 extern const ProtobufCMessageDescriptor iris__suspect_end__descriptor;
 extern const ProtobufCMessageDescriptor iris__suspect__descriptor;
 extern const ProtobufCMessageDescriptor iris__suspects__descriptor;
+extern const ProtobufCMessageDescriptor iris__backend_notice__descriptor;
+extern const ProtobufCMessageDescriptor iris__backend_notices__descriptor;
+extern const ProtobufCMessageDescriptor iris__permit_request__descriptor;
+extern const ProtobufCMessageDescriptor iris__permit_answer__descriptor;
 extern const ProtobufCMessageDescriptor iris__gateway_heartbeat__descriptor;
 extern const ProtobufCMessageDescriptor iris__view_item__descriptor;
 extern const ProtobufCMessageDescriptor iris__view_update__descriptor;
--- /dev/null
+++ b/standin/soak/says.c
@@ -0,0 +1,138 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/xmalloc.h"
+#include "standin/soak/says.h"
+
+enum {
+    WINDOW_MS = 4000,     /* over which a limit is judged */
+    LIMIT_FROM_MS = 4000, /* after it was first said: as operators bear it */
+    KNOWN_MS = 500,       /* an instance is held to an answer from then on */
+    ARRIVALS_MAX = 4096,  /* in a window */
+};
+
+/* Beyond what the limit allows, as operators bear it. */
+#define LIMIT_FACTOR 1.5
+#define LIMIT_SLACK 5
+
+typedef struct {
+    uint64_t at_ms;
+    uint32_t instance;
+} arrival_t;
+
+struct says {
+    says_conf_t conf;
+    const char *id;
+    double limit_per_s;
+    uint64_t limit_since_ms; /* 0: it says none */
+    uint64_t limit_until_ms;
+    uint64_t *limit_told_ms; /* by instance, when an answer said so first; 0: none did */
+    arrival_t arrivals[ARRIVALS_MAX];
+    size_t arrival_count; /* of all time: the last ones are kept */
+};
+
+says_t *
+says_new(const says_conf_t *conf)
+{
+    says_t *says = xcalloc(1, sizeof(*says));
+    says->conf = *conf;
+    says->limit_told_ms = xcalloc(conf->instances, sizeof(*says->limit_told_ms));
+    return says;
+}
+
+static void
+forget_limit(says_t *says)
+{
+    says->limit_since_ms = 0;
+    memset(says->limit_told_ms, 0, says->conf.instances * sizeof(*says->limit_told_ms));
+}
+
+void
+says_reset(says_t *says, const char *id)
+{
+    says->id = id;
+    forget_limit(says);
+    says->arrival_count = 0;
+}
+
+void
+says_limit(says_t *says, double per_s, uint64_t now_ms, uint64_t until_ms)
+{
+    forget_limit(says);
+    says->limit_per_s = per_s;
+    says->limit_since_ms = now_ms;
+    says->limit_until_ms = until_ms;
+}
+
+static bool
+names_limit(const says_t *says, uint64_t now_ms)
+{
+    return says->limit_since_ms > 0 && now_ms < says->limit_until_ms;
+}
+
+void
+says_write(says_t *says, uint32_t instance, uint64_t now_ms, char *out, size_t size)
+{
+    out[0] = '\0';
+    if (!names_limit(says, now_ms))
+        return;
+    snprintf(out, size, "Server-Limit: %g\r\n", says->limit_per_s);
+    if (says->limit_told_ms[instance] == 0)
+        says->limit_told_ms[instance] = now_ms;
+}
+
+/* True if the instance is held to what it was told at that time. */
+static bool
+is_bound(const says_t *says, uint32_t instance, uint64_t told_ms, uint64_t now_ms)
+{
+    const uint64_t known_ms = (uint64_t)(KNOWN_MS * says->conf.slack);
+    return told_ms > 0 && now_ms >= told_ms + known_ms &&
+           fleet_in_touch(says->conf.fleet, instance, now_ms);
+}
+
+/* Requests of the last window from instances that were told at the time of their arrival. */
+static unsigned
+count_window(const says_t *says, uint64_t now_ms)
+{
+    unsigned count = 0;
+    const uint64_t known_ms = (uint64_t)(KNOWN_MS * says->conf.slack);
+    const size_t kept = says->arrival_count < ARRIVALS_MAX ? says->arrival_count : ARRIVALS_MAX;
+    for (size_t i = 0; i < kept; i++) {
+        const arrival_t *arrival = &says->arrivals[(says->arrival_count - 1 - i) % ARRIVALS_MAX];
+        const uint64_t told_ms = says->limit_told_ms[arrival->instance];
+        if (arrival->at_ms + WINDOW_MS <= now_ms)
+            break;
+        count += told_ms > 0 && arrival->at_ms >= told_ms + known_ms &&
+                 fleet_in_touch(says->conf.fleet, arrival->instance, now_ms);
+    }
+    return count;
+}
+
+static void
+judge_limit(says_t *says, const soak_request_t *request, uint64_t now_ms)
+{
+    const uint64_t from_ms =
+        says->limit_since_ms + (uint64_t)((LIMIT_FROM_MS + WINDOW_MS) * says->conf.slack);
+    const double most = LIMIT_FACTOR * says->limit_per_s * WINDOW_MS / 1000 + LIMIT_SLACK;
+    if (!names_limit(says, now_ms) || now_ms < from_ms ||
+        !is_bound(says, request->instance, says->limit_told_ms[request->instance], now_ms))
+        return;
+    const unsigned count = count_window(says, now_ms);
+    judge_examine(says->conf.judge, RULE_LIMIT);
+    if (count > most)
+        judge_break(
+            says->conf.judge, RULE_LIMIT,
+            "%s, which takes %g a second, got %u requests in %d ms, %g are borne; the last, "
+            "%" PRIu64 ", from gateway-%" PRIu32,
+            says->id, says->limit_per_s, count, WINDOW_MS, most, request->number,
+            request->instance + 1);
+}
+
+void
+says_arrived(says_t *says, const soak_request_t *request, uint64_t now_ms)
+{
+    says->arrivals[says->arrival_count++ % ARRIVALS_MAX] = (arrival_t){now_ms, request->instance};
+    judge_limit(says, request, now_ms);
+}
--- /dev/null
+++ b/standin/soak/says.h
@@ -0,0 +1,30 @@
+/*
+ * What one backend server of a soak says of itself in its answers, and whether the instances heed
+ * it: that it takes no more than some requests a second, that it wants rest, that it leaves.
+ *
+ * Judges by what the backend server sees: an instance is held to what it was told, from a moment
+ * after the answer on, while nothing disturbs it.
+ */
+#pragma once
+
+#include "standin/soak/fleet.h"
+#include "standin/soak/requests.h"
+
+typedef struct says says_t;
+
+typedef struct {
+    judge_t *judge;
+    const fleet_t *fleet;
+    uint32_t instances;
+    double slack; /* times the bounds in time, for slow builds */
+} says_conf_t;
+
+says_t *says_new(const says_conf_t *conf);
+/* A new life, which has said nothing. `id` is for the cases' texts and must outlive it. */
+void says_reset(says_t *says, const char *id);
+/* It takes so many requests a second from all instances, for that time. */
+void says_limit(says_t *says, double per_s, uint64_t now_ms, uint64_t until_ms);
+/* Writes the fields of an answer to a request of that instance. */
+void says_write(says_t *says, uint32_t instance, uint64_t now_ms, char *out, size_t size);
+/* A request has arrived. */
+void says_arrived(says_t *says, const soak_request_t *request, uint64_t now_ms);
--- a/standin/soak/schedule.h
+++ b/standin/soak/schedule.h
@@ -30,6 +30,7 @@
     TROUBLE_SERVER_EXCHANGED, /* another one at the same address, with a new id */
     TROUBLE_POISON,           /* a request that ends backend servers comes for the length */
     TROUBLE_ROUTES,           /* the configuration grows by thousands of routes for the length */
+    TROUBLE_SERVER_LIMITS,    /* says that it takes few requests, for the length */
     TROUBLE_COUNT,
 } trouble_kind_t;
 
--- a/standin/soak/servers.c
+++ b/standin/soak/servers.c
@@ -27,9 +27,13 @@
     STORE_CALM_MS = 4000,
     POISON_UNLIST_MS = 1500, /* from the end under a poison request until the entry goes */
     BORN_BASE_MS = 1000,     /* the lives of a backend server begin after this time */
+    SAYS_MAX = 96,           /* bytes of what a backend server says of itself */
     SAME_ID_EVERY = 2,       /* one exchange of so many starts again under its id */
 };
 
+/* Limits that backend servers name, in requests a second. */
+static const double limits_per_s[] = {0.5, 1.3, 2, 5, 10};
+
 /* Names that no backend server has: those of entries of another writer begin so. */
 #define FOREIGN "foreign"
 
@@ -63,6 +67,7 @@
     bool bound_examined;
     unsigned running;
     work_t *works; /* in the order of their arrival */
+    says_t *says;
 };
 
 struct servers {
@@ -174,11 +179,13 @@
 answer(const server_t *server, wire_request_t *req, soak_request_t *request)
 {
     char fields[256];
+    char said[SAYS_MAX];
     const bool cut = request->number % CUT_EVERY == 0;
+    says_write(server->says, request->instance, server->servers->now_ms, said, sizeof(said));
     const int len = snprintf(fields, sizeof(fields),
                              "Attempt-Id: %" PRIu64 "\r\nResponse-Signature: s%" PRIu64 "\r\n"
-                             "Server-Load: %u,0,%d\r\n",
-                             request->number, request->number, server->running, SLOTS);
+                             "Server-Load: %u,0,%d\r\n%s",
+                             request->number, request->number, server->running, SLOTS, said);
     wire_respond_head(req, HTTP_STATUS_OK, (str_t){fields, (size_t)len}, framing(request));
     send_body(req, request->number, cut ? request->answer_len / 2 : request->answer_len);
     if (cut) {
@@ -237,15 +244,25 @@
 /* ---- arrivals ---- */
 
 static void
-refuse(wire_request_t *req, int status)
+refuse(wire_request_t *req, int status, const char *said)
 {
-    char fields[128];
+    char fields[256];
     const str_t id = wire_head_find(&req->head, STR("Attempt-Id"));
-    const int len =
-        snprintf(fields, sizeof(fields), "Not-Executed: 1\r\nAttempt-Id: %.*s\r\n", STR_ARG(id));
+    const int len = snprintf(fields, sizeof(fields), "Not-Executed: 1\r\nAttempt-Id: %.*s\r\n%s",
+                             STR_ARG(id), said);
     wire_respond(req, status, (str_t){fields, (size_t)len}, STR(""));
 }
 
+/* A 503 with what the server says of itself; `request` may be NULL. */
+static void
+turn_away(const server_t *server, wire_request_t *req, const soak_request_t *request)
+{
+    char said[SAYS_MAX] = "";
+    if (request != NULL)
+        says_write(server->says, request->instance, server->servers->now_ms, said, sizeof(said));
+    refuse(req, HTTP_STATUS_SERVICE_UNAVAILABLE, said);
+}
+
 /* The rule on leaving holds instances to what a store that served them said. */
 static bool
 store_was_calm(const server_t *server)
@@ -307,11 +324,13 @@
         judge_break(server->servers->conf.judge, RULE_FOREIGN, "%.*s is sent for %.*s", STR_ARG(id),
                     STR_ARG(expected));
     if (!str_eq(expected, str_from(server->id)) && expected.len > 0) {
-        refuse(req, HTTP_STATUS_MISDIRECTED_REQUEST);
+        refuse(req, HTTP_STATUS_MISDIRECTED_REQUEST, "");
         return;
     }
+    if (request != NULL)
+        says_arrived(server->says, request, server->servers->now_ms);
     if (request == NULL || waiting(server) >= QUEUE || refuses(server, request)) {
-        refuse(req, HTTP_STATUS_SERVICE_UNAVAILABLE);
+        turn_away(server, req, request);
         return;
     }
     if (request->kind == REQUEST_POISON) {
@@ -395,6 +414,7 @@
     server->state = SERVER_LIVES;
     server->told_ms = 0;
     server->bound_examined = false;
+    says_reset(server->says, server->id);
     put_entry(server, "ready");
 }
 
@@ -487,6 +507,10 @@
     case TROUBLE_SERVER_EXCHANGED:
         exchange(server);
         return;
+    case TROUBLE_SERVER_LIMITS:
+        says_limit(server->says, limits_per_s[trouble->variant % ALEN(limits_per_s)], now_ms,
+                   now_ms + trouble->length_ms);
+        return;
     default:
         BUG("no trouble of a backend server");
     }
@@ -533,11 +557,13 @@
     servers_t *servers = xcalloc(1, sizeof(*servers));
     servers->conf = *conf;
     servers->items = xcalloc(conf->count, sizeof(servers->items[0]));
+    const says_conf_t says = {conf->judge, conf->fleet, conf->instances, conf->slack};
     for (uint32_t i = 0; i < conf->count; i++) {
         server_t *server = &servers->items[i];
         char text[ADDR_TEXT_MAX];
         server->servers = servers;
         server->place = i;
+        server->says = says_new(&says);
         snprintf(text, sizeof(text), "%s:0", conf->host);
         xassert(addr_parse(str_from(text), &server->addr));
         open_listener(server);
--- a/standin/soak/servers.h
+++ b/standin/soak/servers.h
@@ -10,6 +10,7 @@
 #include <uv.h>
 
 #include "standin/soak/poison.h"
+#include "standin/soak/says.h"
 #include "standin/soak/fleet.h"
 #include "standin/soak/operator.h"
 #include "standin/soak/requests.h"
@@ -27,6 +28,8 @@
     judge_t *judge;
     const char *host; /* address to listen on */
     uint32_t count;
+    uint32_t instances;
+    double slack;              /* times the bounds in time, for slow builds */
     uint64_t leaving_bound_ms; /* from the entry until nothing new arrives any more */
 } servers_conf_t;
 
--- a/standin/soak/soak.c
+++ b/standin/soak/soak.c
@@ -128,6 +128,7 @@
     case TROUBLE_SERVER_GOES:
     case TROUBLE_SERVER_DIES:
     case TROUBLE_SERVER_EXCHANGED:
+    case TROUBLE_SERVER_LIMITS:
         servers_trouble(soak->servers, trouble, now_ms);
         break;
     case TROUBLE_POISON:
@@ -261,6 +262,8 @@
         .judge = &soak->judge,
         .host = host,
         .count = server_count(&soak->conf),
+        .instances = soak->conf.instances,
+        .slack = soak->conf.slack,
         .leaving_bound_ms = (uint64_t)(LEAVING_BOUND_MS * soak->conf.slack),
     };
     soak->servers = servers_new(&conf);
--- /dev/null
+++ b/test/gateway/limit_model.h
@@ -0,0 +1,46 @@
+/*
+ * A fleet that sends to one backend server that names a limit, in simulated time: no sockets, no
+ * loop.
+ *
+ * Instances, ways and troubles are modelled; who gets a permit and when is the gateway's own code
+ * (policy/named_limit.h, state/permits.h, policy/cold_start.h). Beside permits run the other ways
+ * that were weighed.
+ */
+#pragma once
+
+#include <stddef.h>
+#include <stdint.h>
+
+typedef enum {
+    LIMIT_EVEN,    /* each instance has its part of the limit, a token at the most */
+    LIMIT_SENDERS, /* two instances send, as to a cold backend server */
+    LIMIT_PERMITS, /* the gateway's */
+    LIMIT_WAY_COUNT,
+} limit_way_t;
+
+typedef enum {
+    LIMIT_CALM,
+    LIMIT_HALF_CUT,    /* half of each region hears only itself */
+    LIMIT_OWNER_STILL, /* the owner stands still for some seconds */
+    LIMIT_ALL_STILL,   /* and all others with it, but for the callers */
+    LIMIT_OWNER_ENDS,  /* its process ends, and starts again some seconds later */
+    LIMIT_TROUBLE_COUNT,
+} limit_trouble_t;
+
+typedef struct {
+    limit_way_t way;
+    limit_trouble_t trouble;
+    unsigned instances;  /* over three regions; the backend server is in the first */
+    unsigned callers_at; /* instances of each region that get requests; 0: all */
+    double limit_per_s;
+    double demand; /* requests that are meant for the backend server, times its limit */
+    uint64_t seed;
+} limit_conf_t;
+
+typedef struct {
+    unsigned most; /* requests that reached it in some 4 s */
+    double used;   /* requests that reached it before the trouble, as a part of the limit */
+    double messages_per_s;
+} limit_result_t;
+
+limit_result_t limit_model_run(const limit_conf_t *conf);
--- a/test/gateway/site.c
+++ b/test/gateway/site.c
@@ -281,20 +281,26 @@
 }
 
 reply_t
-ask(site_t *site, const char *method, const char *path)
+ask_about(site_t *site, const char *method, const char *path, unsigned object)
 {
     static unsigned number;
     char request[256];
     reply_t reply;
     snprintf(request, sizeof(request),
-             "%s %s HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: id-%u\r\nAffinity-Key: 7\r\n"
+             "%s %s HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: id-%u\r\nAffinity-Key: %u\r\n"
              "Deadline-Ms: 800\r\n\r\n",
-             method, path, ++number);
+             method, path, ++number, object);
     call(site, &reply, request);
     RUN_UNTIL(site, reply.done);
     return reply;
 }
 
+reply_t
+ask(site_t *site, const char *method, const char *path)
+{
+    return ask_about(site, method, path, 7);
+}
+
 bool
 is_ready(site_t *site)
 {
--- a/test/gateway/site.h
+++ b/test/gateway/site.h
@@ -108,6 +108,8 @@
 wire_call_t *call(site_t *site, reply_t *reply, const char *request);
 /* The same, and waits for the reply. */
 reply_t ask(site_t *site, const char *method, const char *path);
+/* The same about any object; ask() asks about one and the same. */
+reply_t ask_about(site_t *site, const char *method, const char *path, unsigned object);
 bool is_ready(site_t *site);
 /* A store and that many backend servers, without a gateway. */
 site_t *new_site(size_t backends);
--- a/test/gateway/test_accounts.c
+++ b/test/gateway/test_accounts.c
@@ -7,7 +7,7 @@
 #include "base/event_rate.h"
 #include "base/log.h"
 #include "base/xmalloc.h"
-#include "gateway/membership/account_owner.h"
+#include "gateway/membership/owner.h"
 #include "gateway/policy/account_gate.h"
 #include "gateway/policy/account_share.h"
 #include "gateway/policy/key_check.h"
@@ -438,18 +438,17 @@
         snprintf(text, sizeof(text), "g-%u", i);
         name_set(&member->instance, str_from(text));
     }
-    const account_owner_input_t input = {
-        .members = &members, .account = 42, .own_region = true, .now_ms = 1000};
-    member_t *owner = account_owner(&input);
+    const owner_input_t input = {.members = &members, .key = 42, .is_judged = true, .now_ms = 1000};
+    member_t *owner = owner_find(&input);
     ck_assert_ptr_nonnull(owner);
     owner->accounts_avoided_until_ms = 2000;
-    member_t *next = account_owner(&input);
+    member_t *next = owner_find(&input);
     ck_assert_ptr_ne(next, owner);
     next->accounts_avoided_until_ms = 2000;
-    account_owner(&input)->accounts_avoided_until_ms = 2000;
-    ck_assert_ptr_eq(account_owner(&input), owner); /* three are asked, and then the first again */
+    owner_find(&input)->accounts_avoided_until_ms = 2000;
+    ck_assert_ptr_eq(owner_find(&input), owner); /* three are asked, and then the first again */
     owner->refuses = true;
-    ck_assert_ptr_ne(account_owner(&input), owner);
+    ck_assert_ptr_ne(owner_find(&input), owner);
     members_free(&members);
 }
 END_TEST
--- a/test/gateway/test_backend_limit.c
+++ b/test/gateway/test_backend_limit.c
@@ -12,12 +12,14 @@
  */
 #include <stdlib.h>
 
+#include "peer/link.h"
 #include "test/gateway/site.h"
 #include "test/suites.h"
 
 enum {
     BACKENDS = 4,
     INSTANCES = 3,
+    OBJECTS = 50,
     LIMIT_PER_S = 2,
     SETTLE_MS = 1000, /* the limit is known by then */
     WINDOW_MS = 4000,
@@ -28,15 +30,18 @@
     SPAN_LEAST = LIMIT_PER_S * SPAN_MS / 1000 * 8 / 10,
 };
 
-/* Asks at all of some instances, one after the other; returns how many were not served. */
+/* Asks at some of the instances, one after the other, for one object after the other; returns how
+ * many were not served. */
 static size_t
 ask_for(const instances_t *fleet, size_t instances, uint64_t span_ms)
 {
+    site_t *site = fleet->site;
     size_t not_served = 0;
-    const uint64_t until = uv_now(&fleet->site->loop) + span_ms;
-    for (size_t i = 0; uv_now(&fleet->site->loop) < until; i++) {
-        not_served += ask_through(fleet, i % instances, "/safe/object").status != 200;
-        pass(fleet->site, 10);
+    const uint64_t until = uv_now(&site->loop) + span_ms;
+    for (unsigned i = 0; uv_now(&site->loop) < until; i++) {
+        site->callers = fleet->callers[i % instances];
+        not_served += ask_about(site, "GET", "/safe/object", i % OBJECTS).status != 200;
+        pass(site, 10);
     }
     return not_served;
 }
@@ -45,7 +50,7 @@
 check_limit_is_kept(size_t callers_at)
 {
     const instances_t fleet = new_instances(BACKENDS, INSTANCES);
-    scripted_t *limited = first_backend(fleet.site, "/safe/object");
+    scripted_t *limited = &fleet.site->backends[0];
     limited->says = "Server-Limit: 2.0\r\n";
     ck_assert_uint_eq(ask_for(&fleet, callers_at, SETTLE_MS), 0);
     const uint64_t from_ms = uv_now(&fleet.site->loop);
@@ -60,6 +65,160 @@
 }
 END_TEST
 
+START_TEST(a_limit_is_used_wherever_the_callers_are)
+{
+    check_limit_is_kept(1);
+}
+END_TEST
+
+/* All of an instance's requests are about all objects; the limited backend server is one of four.
+ */
+static instances_t
+new_limited(size_t instances, const char *says)
+{
+    const instances_t fleet = new_instances(BACKENDS, instances);
+    fleet.site->backends[0].says = says;
+    ask_for(&fleet, instances, SETTLE_MS);
+    return fleet;
+}
+
+static const backend_t *
+seen_by(const instances_t *fleet, size_t instance)
+{
+    return gateway_backend(fleet->gateways[instance], str_from(fleet->site->backends[0].id));
+}
+
+START_TEST(a_limit_that_is_not_named_any_more_is_lifted_everywhere)
+{
+    instances_t fleet = new_limited(INSTANCES, "Server-Limit: 2\r\n");
+    for (size_t i = 0; i < INSTANCES; i++)
+        ck_assert(seen_by(&fleet, i)->limit.named);
+    fleet.site->backends[0].says = NULL;
+    ask_for(&fleet, 1, SETTLE_MS);
+    for (size_t i = 0; i < INSTANCES; i++)
+        ck_assert(!seen_by(&fleet, i)->limit.named);
+}
+END_TEST
+
+START_TEST(an_instance_that_starts_knows_the_limit_before_it_sends)
+{
+    instances_t fleet = new_limited(1, "Server-Limit: 2\r\n");
+    const size_t before = fleet.site->backends[0].arrival_count;
+    const addr_t seed = gateway_settings(fleet.gateways[0])->peer;
+    fleet.gateways[1] = start_gateway(fleet.site, "g-2", &fleet.site->store_port, &seed);
+    RUN_UNTIL(fleet.site, seen_by(&fleet, 1) != NULL && seen_by(&fleet, 1)->limit.named);
+    ck_assert_uint_eq(fleet.site->backends[0].arrival_count, before);
+}
+END_TEST
+
+START_TEST(a_new_life_starts_without_the_limit)
+{
+    instances_t fleet = new_instances(BACKENDS, 1);
+    scripted_t *backend = &fleet.site->backends[0];
+    backend->born = 1000;
+    backend->says = "Server-Limit: 0.1\r\n";
+    put_backend(fleet.site, backend, "ready");
+    RUN_UNTIL(fleet.site, seen_by(&fleet, 0)->info.born == backend->born);
+    ask_for(&fleet, 1, SETTLE_MS);
+    ck_assert(seen_by(&fleet, 0)->limit.named);
+    backend->says = NULL;
+    backend->born = 2000;
+    put_backend(fleet.site, backend, "ready");
+    RUN_UNTIL(fleet.site, seen_by(&fleet, 0)->info.born == backend->born);
+    ck_assert(!seen_by(&fleet, 0)->limit.named);
+}
+END_TEST
+
+START_TEST(where_all_are_at_their_limits_callers_are_told_when_to_come_back)
+{
+    enum { ASKED = 20 };
+    const instances_t fleet = new_instances(2, 2);
+    site_t *site = fleet.site;
+    for (size_t i = 0; i < 2; i++)
+        site->backends[i].says = "Server-Limit: 0.5\r\n";
+    ask_for(&fleet, 2, SETTLE_MS);
+    size_t refused = 0;
+    reply_t reply;
+    for (size_t i = 0; i < ASKED; i++) {
+        const uint64_t begun_ms = uv_now(&site->loop);
+        reply = ask_through(&fleet, i % 2, "/safe/x");
+        refused += reply.status == 503;
+        ck_assert(reply.status == 200 || strtod(reply.retry_after, NULL) > 0);
+        ck_assert_uint_lt(uv_now(&site->loop) - begun_ms, 200); /* at once */
+    }
+    ck_assert_uint_ge(refused, ASKED - 4);
+    /* Two a second and a half of tokens: the time that was told is true. */
+    pass(site, (uint64_t)(1000 * strtod(reply.retry_after, NULL)));
+    ck_assert_int_eq(ask_through(&fleet, (ASKED - 1) % 2, "/safe/x").status, 200);
+}
+END_TEST
+
+static void
+on_ignored(void *ctx, peer_conn_t *conn, const Iris__Envelope *message)
+{
+    unsigned *asked = ctx;
+    (void)conn;
+    *asked += message->body_case == IRIS__ENVELOPE__BODY_PERMIT_REQUEST;
+}
+
+/* An instance that owns nearly everything, by its cores, and answers nothing. */
+static void
+send_heartbeat(peer_hub_t *hub, const addr_t *own, const addr_t *to)
+{
+    char address[ADDR_TEXT_MAX];
+    Iris__GatewayHeartbeat heartbeat = IRIS__GATEWAY_HEARTBEAT__INIT;
+    Iris__Envelope envelope = IRIS__ENVELOPE__INIT;
+    addr_format(own, address);
+    heartbeat.instance = "g-silent";
+    heartbeat.place = "a1";
+    heartbeat.incarnation = 1;
+    heartbeat.peer_address = address;
+    heartbeat.caller_address = address;
+    heartbeat.gives_permits = true;
+    heartbeat.cpu_cores = 1e6F;
+    envelope.schema = PEER_SCHEMA;
+    envelope.body_case = IRIS__ENVELOPE__BODY_GATEWAY;
+    envelope.gateway = &heartbeat;
+    peer_send(hub, to, &envelope);
+}
+
+START_TEST(requests_are_served_elsewhere_while_the_owner_of_permits_is_silent)
+{
+    enum { ROUNDS = 8, ROUND_MS = 300 };
+    err_t err = {0};
+    unsigned asked = 0;
+    instances_t fleet = new_limited(1, "Server-Limit: 2\r\n");
+    site_t *site = fleet.site;
+    peer_hub_t *hub = peer_hub_start(&site->loop, &site->any, on_ignored, &asked, &err);
+    addr_t own = site->any;
+    addr_set_port(&own, peer_hub_port(hub));
+    send_heartbeat(hub, &own, &gateway_settings(fleet.gateways[0])->peer);
+    RUN_UNTIL(site, gateway_living(fleet.gateways[0]) == 2);
+    const size_t before = site->backends[0].arrival_count;
+    for (size_t i = 0; i < ROUNDS; i++) {
+        send_heartbeat(hub, &own, &gateway_settings(fleet.gateways[0])->peer);
+        ck_assert_uint_eq(ask_for(&fleet, 1, ROUND_MS), 0);
+    }
+    ck_assert_uint_ge(asked, 2);
+    ck_assert_uint_le(asked, ROUNDS * ROUND_MS / 500 + 2); /* one request in half a second waits */
+    ck_assert_uint_le(site->backends[0].arrival_count, before + 1);
+}
+END_TEST
+
+START_TEST(second_sends_take_permits_too)
+{
+    /* The other three answer 500 to all: each request is repeated, half of them to the limited one.
+     */
+    const instances_t fleet = new_limited(2, "Server-Limit: 2\r\n");
+    site_t *site = fleet.site;
+    for (size_t i = 1; i < BACKENDS; i++)
+        site->backends[i].behaviour = DOES_FAIL;
+    const uint64_t from_ms = uv_now(&site->loop);
+    ask_for(&fleet, 2, WINDOW_MS);
+    ck_assert_uint_le(most_arrivals(&site->backends[0], from_ms, WINDOW_MS), WINDOW_MOST);
+}
+END_TEST
+
 Suite *
 suite_gateway_backend_limit(void)
 {
@@ -67,6 +226,13 @@
     TCase *tests = tcase_create("backend limit");
     tcase_set_timeout(tests, 30);
     tcase_add_test(tests, a_limit_that_a_backend_server_names_holds_over_all_instances);
+    tcase_add_test(tests, a_limit_is_used_wherever_the_callers_are);
+    tcase_add_test(tests, a_limit_that_is_not_named_any_more_is_lifted_everywhere);
+    tcase_add_test(tests, an_instance_that_starts_knows_the_limit_before_it_sends);
+    tcase_add_test(tests, a_new_life_starts_without_the_limit);
+    tcase_add_test(tests, where_all_are_at_their_limits_callers_are_told_when_to_come_back);
+    tcase_add_test(tests, requests_are_served_elsewhere_while_the_owner_of_permits_is_silent);
+    tcase_add_test(tests, second_sends_take_permits_too);
     suite_add_tcase(suite, tests);
     return suite;
 }
--- a/test/gateway/test_choice.c
+++ b/test/gateway/test_choice.c
@@ -61,6 +61,14 @@
     free(fixture);
 }
 
+static backend_t *
+choice_pick(const choice_input_t *input, choice_reason_t *reason)
+{
+    const choice_t choice = choice_make(input);
+    *reason = choice.reason;
+    return choice.backend;
+}
+
 START_TEST(choice_is_the_same_on_every_instance)
 {
     choice_fixture_t *one = new_choice();
--- a/test/gateway/test_final_answer.c
+++ b/test/gateway/test_final_answer.c
@@ -68,12 +68,24 @@
 START_TEST(outcomes_keep_their_names_in_the_metric)
 {
     static const char *const names[] = {
-        "answered",         "upstream_failed",      "not_run",
-        "no_room",          "no_upstream",          "held",
-        "no_configuration", "configuration_behind", "no_route",
-        "denied",           "over_limit",           "unknown",
-        "timeout",          "timeout_unsent",       "cut_by_upstream",
-        "cut_at_deadline",  "caller_left",
+        "answered",
+        "upstream_failed",
+        "not_run",
+        "no_room",
+        "no_upstream",
+        "passed_over",
+        "held",
+        "no_configuration",
+        "configuration_behind",
+        "no_route",
+        "denied",
+        "over_limit",
+        "unknown",
+        "timeout",
+        "timeout_unsent",
+        "cut_by_upstream",
+        "cut_at_deadline",
+        "caller_left",
     };
     ck_assert_uint_eq(ALEN(names), OUTCOME_COUNT);
     for (size_t i = 0; i < ALEN(names); i++)
