Failing tests: a backend server that says that it leaves, and one that asks for rest

At three instances 58 requests more in 3 s after the answer had told all of them, while its entry says ready; 20 requests of one instance in 1 s of rest.

--- a/test/gateway/main.c
+++ b/test/gateway/main.c
@@ -33,6 +33,8 @@
     srunner_add_suite(runner, suite_gateway_endpoints());
     srunner_add_suite(runner, suite_gateway_quarantine());
     srunner_add_suite(runner, suite_gateway_backend_limit());
+    srunner_add_suite(runner, suite_gateway_backend_leaving());
+    srunner_add_suite(runner, suite_gateway_backend_rest());
     srunner_add_suite(runner, suite_gateway_notices());
     srunner_add_suite(runner, suite_gateway_limit_model());
     srunner_add_suite(runner, suite_gateway_suspects());
--- a/test/suites.h
+++ b/test/suites.h
@@ -47,6 +47,8 @@
 Suite *suite_gateway_relay(void);
 Suite *suite_gateway_quarantine(void);
 Suite *suite_gateway_backend_limit(void);
+Suite *suite_gateway_backend_leaving(void);
+Suite *suite_gateway_backend_rest(void);
 Suite *suite_gateway_notices(void);
 Suite *suite_gateway_limit_model(void);
 Suite *suite_gateway_suspects(void);
