A backend server that says in its answers that it leaves gets nothing new, whatever the store says

What its owners saw: requests came from two instances 2.7 s after its answers had told them that it leaves (2.5 s are borne), 58 in the 12 s in which the store took no entry. Cause: leaving was known from the list of the store alone. Its idle connections are closed. Why it holds: a backend server that leaves is not usable to any decision (backend_is_usable), choice and permits among them; the word is kept by life, apart from the list. Result: the test's 58 requests in 3 s are none, with the store away, a list taken anew, an entry that goes and comes back; a new life serves again.

--- a/gateway/admin.c
+++ b/gateway/admin.c
@@ -42,8 +42,7 @@
     int64_t limited = 0;
     for (size_t i = 0; i < router->catalog.backends.count; i++) {
         const backend_t *backend = router->catalog.backends.items[i];
-        leaving += backend->info.leaving || backend->hall_closed || backend->departed ||
-                   backend->says_leaving;
+        leaving += backend_is_leaving(backend) || backend->hall_closed || backend->departed;
         limited += backend->limit.named;
         cold += backend_is_cold(backend, now);
         avoided += health_is_avoided(&backend->health, now);
--- a/gateway/gateway_work.c
+++ b/gateway/gateway_work.c
@@ -57,8 +57,10 @@
 close_idle_connections(gateway_t *gateway)
 {
     const backends_t *backends = &gateway->router.catalog.backends;
-    for (size_t i = 0; i < backends->count; i++)
-        wire_pool_sweep(backends->items[i]->pool, BACKEND_IDLE_MS);
+    for (size_t i = 0; i < backends->count; i++) {
+        const backend_t *backend = backends->items[i];
+        wire_pool_sweep(backend->pool, backend_is_leaving(backend) ? 0 : BACKEND_IDLE_MS);
+    }
     peer_hub_sweep_stalled(gateway->hub, PEER_STALLED_MS);
 }
 
--- a/gateway/inspect.c
+++ b/gateway/inspect.c
@@ -26,7 +26,7 @@
             continue;
         row.backends++;
         row.ready += backend_is_usable(backend, now);
-        row.leaving += backend->info.leaving || !backend->listed;
+        row.leaving += backend_is_leaving(backend) || !backend->listed;
         row.cold += backend_is_cold(backend, now);
         row.suspended += breaker_is_suspended(&backend->breaker, now);
         row.slots += backend->info.capacity;
@@ -169,7 +169,7 @@
 {
     if (!backend->listed || backend->departed)
         return "gone";
-    if (backend->info.leaving)
+    if (backend_is_leaving(backend))
         return "leaving";
     if (backend->hall_closed)
         return "zone closed";
--- a/gateway/path/end_check.c
+++ b/gateway/path/end_check.c
@@ -72,7 +72,7 @@
 end_check_begin(uv_loop_t *loop, suspects_t *suspects, backend_t *backend,
                 const fingerprint_t *fingerprint, str_t text)
 {
-    if (backend->info.leaving || !backend->listed || backend->remove_at_ms != 0)
+    if (backend_is_leaving(backend) || !backend->listed || backend->remove_at_ms != 0)
         return;
     suspects_add_end(suspects, fingerprint, text, backend_life_key(backend), backend->info.version,
                      loop_now(loop));
--- a/gateway/policy/choice.c
+++ b/gateway/policy/choice.c
@@ -47,12 +47,11 @@
     return false;
 }
 
-/* True if the request may go to the backend, whatever this tells of itself and its load. */
+/* True if the request may go to the backend, whatever state that is in. */
 static bool
-is_candidate(const choice_input_t *input, const backend_t *backend)
+serves(const choice_input_t *input, const backend_t *backend)
 {
-    return name_eq(&backend->info.service, input->service) &&
-           backend_is_usable(backend, input->now_ms) && !was_tried(input, backend) &&
+    return name_eq(&backend->info.service, input->service) && !was_tried(input, backend) &&
            (input->version == 0 || backend->info.version == input->version) &&
            choice_allows_region(input, backend->region);
 }
@@ -128,12 +127,12 @@
     size_t count = 0;
     for (size_t i = 0; i < input->backends->count && count < CANDIDATES_MAX; i++) {
         backend_t *backend = input->backends->items[i];
-        if (!is_candidate(input, backend))
+        if (!serves(input, backend))
             continue;
         const passed_t why = pass_over(backend, input->may_ask, input->now_ms);
         if (why != PASSED_NOT)
             note_passed(input, backend, why, passed);
-        else if (is_in_pace(input, backend))
+        else if (backend_is_usable(backend, input->now_ms) && is_in_pace(input, backend))
             out[count++] =
                 (candidate_t){.backend = backend, .score = rendezvous_score(input, backend)};
     }
--- a/gateway/policy/pass_over.c
+++ b/gateway/policy/pass_over.c
@@ -3,6 +3,8 @@
 passed_t
 pass_over(const backend_t *backend, bool may_ask, uint64_t now_ms)
 {
+    if (backend->says_leaving)
+        return PASSED_LEAVES;
     if (backend->limit.named && (!may_ask || now_ms < backend->permit_from_ms))
         return PASSED_AT_LIMIT;
     return PASSED_NOT;
@@ -11,7 +13,7 @@
 uint64_t
 pass_over_wait_ms(const backend_t *backend, uint64_t now_ms)
 {
-    if (backend->limit.named && now_ms < backend->permit_from_ms)
+    if (!backend->says_leaving && backend->limit.named && now_ms < backend->permit_from_ms)
         return backend->permit_from_ms - now_ms;
     return 0;
 }
@@ -21,6 +23,7 @@
 {
     static const char *const names[PASSED_COUNT] = {
         [PASSED_NOT] = "none",
+        [PASSED_LEAVES] = "leaves",
         [PASSED_AT_LIMIT] = "at_limit",
     };
     return names[passed];
--- a/gateway/policy/pass_over.h
+++ b/gateway/policy/pass_over.h
@@ -4,7 +4,8 @@
  * Decides: whether it is passed over, why, and for how long.
  * Inputs: what the backend server told (state/notices.h), whether a permit was refused
  * (named_limit.h), whether the request may ask for a permit at all.
- * Rule:
+ * Rule, in this order:
+ *  - One that told that it leaves gets nothing more in this life, whatever its entry says.
  *  - One that names a limit gets a request only with a permit; not before the time until which the
  *    last one was refused, and not from a request that has been refused twice.
  * Reason: a request is sent elsewhere at once, rather than walk from refusal to refusal.
@@ -18,6 +19,7 @@
 /* Why a backend server is passed over. */
 typedef enum {
     PASSED_NOT,
+    PASSED_LEAVES,
     PASSED_AT_LIMIT,
     PASSED_COUNT, /* not a reason */
 } passed_t;
--- a/gateway/state/backend.c
+++ b/gateway/state/backend.c
@@ -99,10 +99,18 @@
         backend->cold_until_ms = now_ms + cold_ms;
 }
 
+bool
+backend_is_leaving(const backend_t *backend)
+{
+    return backend->info.leaving || backend->says_leaving;
+}
+
 bool
 backend_is_usable(const backend_t *backend, uint64_t now_ms)
 {
-    if (!backend->listed || backend->info.leaving || backend->hall_closed || backend->departed)
+    /* What it told itself binds whatever its entry says: the store may be away, slow or behind. */
+    if (!backend->listed || backend_is_leaving(backend) || backend->hall_closed ||
+        backend->departed)
         return false;
     return breaker_allows(&backend->breaker, now_ms);
 }
--- a/gateway/state/backend.h
+++ b/gateway/state/backend.h
@@ -89,6 +89,8 @@
 bool backend_is_cold(const backend_t *backend, uint64_t now_ms);
 /* Cold for `cold_ms` from now on, or longer if it was so already. */
 void backend_extend_cold(backend_t *backend, uint64_t cold_ms, uint64_t now_ms);
+/* True if it is about to end, as its entry or itself says. */
+bool backend_is_leaving(const backend_t *backend);
 /* True if it may get new requests, whatever its load, and paced if it is cold. */
 bool backend_is_usable(const backend_t *backend, uint64_t now_ms);
 /* An attempt of this instance starts and ends there. */
--- a/test/gateway/test_backend_leaving.c
+++ b/test/gateway/test_backend_leaving.c
@@ -48,6 +48,92 @@
 }
 END_TEST
 
+static const backend_t *
+seen_by(const instances_t *fleet, size_t instance)
+{
+    return gateway_backend(fleet->gateways[instance], str_from(fleet->site->backends[0].id));
+}
+
+/* One instance hears it and tells the others, while nobody hears the store. */
+START_TEST(it_is_told_to_all_and_outlives_an_outage_of_the_store)
+{
+    size_t not_served = 0;
+    instances_t fleet = new_instances(BACKENDS, INSTANCES);
+    site_t *site = fleet.site;
+    scripted_t *leaving = &site->backends[0];
+    standin_store_set_mode(site->store, STANDIN_STORE_BUSY);
+    leaving->says = "Server-Leaving: 1\r\n";
+    const instances_t first = {.site = site, .callers = {fleet.callers[0]}, .count = 1};
+    ask_for(&first, SETTLE_MS, &not_served);
+    for (size_t i = 0; i < INSTANCES; i++)
+        ck_assert(!backend_is_usable(seen_by(&fleet, i), uv_now(&site->loop)));
+    const size_t before = leaving->arrival_count;
+    standin_store_forget(site->store); /* a new list is taken */
+    standin_store_set_mode(site->store, STANDIN_STORE_SERVES);
+    ask_for(&fleet, SPAN_MS, &not_served);
+    ck_assert_uint_eq(leaving->arrival_count, before);
+    ck_assert_uint_eq(not_served, 0);
+}
+END_TEST
+
+START_TEST(an_entry_that_goes_and_comes_back_does_not_undo_it)
+{
+    size_t not_served = 0;
+    instances_t fleet = new_instances(BACKENDS, 1);
+    site_t *site = fleet.site;
+    scripted_t *leaving = &site->backends[0];
+    leaving->says = "Server-Leaving: 1\r\n";
+    ask_for(&fleet, SETTLE_MS, &not_served);
+    standin_store_remove(site->store, "servers", leaving->id);
+    RUN_UNTIL(site, seen_by(&fleet, 0) == NULL);
+    put_backend(site, leaving, "ready");
+    RUN_UNTIL(site, seen_by(&fleet, 0) != NULL);
+    ck_assert(!backend_is_usable(seen_by(&fleet, 0), uv_now(&site->loop)));
+}
+END_TEST
+
+START_TEST(a_new_life_serves_again)
+{
+    size_t not_served = 0;
+    instances_t fleet = new_instances(BACKENDS, 1);
+    site_t *site = fleet.site;
+    scripted_t *leaving = &site->backends[0];
+    leaving->born = 1000;
+    leaving->says = "Server-Leaving: 1\r\n";
+    put_backend(site, leaving, "ready");
+    RUN_UNTIL(site, seen_by(&fleet, 0)->info.born == leaving->born);
+    ask_for(&fleet, SETTLE_MS, &not_served);
+    ck_assert(seen_by(&fleet, 0)->says_leaving);
+    leaving->says = NULL;
+    leaving->born = 2000;
+    put_backend(site, leaving, "ready");
+    RUN_UNTIL(site, seen_by(&fleet, 0)->info.born == leaving->born);
+    ck_assert(!seen_by(&fleet, 0)->says_leaving);
+}
+END_TEST
+
+/* What cannot be served is refused at once, with a time to come back. */
+START_TEST(where_all_leave_callers_are_told_to_come_back)
+{
+    enum { LEAVING = 2 };
+    size_t not_served = 0;
+    instances_t fleet = new_instances(LEAVING, 1);
+    site_t *site = fleet.site;
+    for (size_t i = 0; i < LEAVING; i++)
+        site->backends[i].says = "Server-Leaving: 1\r\n";
+    ask_for(&fleet, SETTLE_MS, &not_served);
+    const size_t before = site->backends[0].arrival_count + site->backends[1].arrival_count;
+    for (size_t i = 0; i < 10; i++) {
+        const uint64_t begun_ms = uv_now(&site->loop);
+        const reply_t reply = ask_through(&fleet, 0, "/safe/x");
+        ck_assert_int_eq(reply.status, 503);
+        ck_assert_str_ne(reply.retry_after, "");
+        ck_assert_uint_lt(uv_now(&site->loop) - begun_ms, 100);
+    }
+    ck_assert_uint_eq(site->backends[0].arrival_count + site->backends[1].arrival_count, before);
+}
+END_TEST
+
 Suite *
 suite_gateway_backend_leaving(void)
 {
@@ -55,6 +141,10 @@
     TCase *tests = tcase_create("backend leaving");
     tcase_set_timeout(tests, 30);
     tcase_add_test(tests, a_backend_that_says_it_leaves_gets_nothing_new_whatever_the_store_says);
+    tcase_add_test(tests, it_is_told_to_all_and_outlives_an_outage_of_the_store);
+    tcase_add_test(tests, an_entry_that_goes_and_comes_back_does_not_undo_it);
+    tcase_add_test(tests, a_new_life_serves_again);
+    tcase_add_test(tests, where_all_leave_callers_are_told_to_come_back);
     suite_add_tcase(suite, tests);
     return suite;
 }
--- a/test/gateway/test_notices.c
+++ b/test/gateway/test_notices.c
@@ -158,6 +158,15 @@
 }
 END_TEST
 
+START_TEST(a_backend_that_says_it_leaves_is_passed_over_for_good)
+{
+    backend_t backend = {.listed = true, .says_leaving = true, .limit = {true, 2, 100}};
+    ck_assert_int_eq(pass_over(&backend, true, 500), PASSED_LEAVES);
+    ck_assert_uint_eq(pass_over_wait_ms(&backend, 500), 0);
+    ck_assert(backend_is_leaving(&backend) && !backend_is_usable(&backend, 500));
+}
+END_TEST
+
 START_TEST(a_limited_backend_counts_for_the_slots_that_its_limit_keeps_busy)
 {
     ck_assert_double_eq_tol(named_limit_room(2, 4, 500), 1, 1e-9);
@@ -180,6 +189,7 @@
     tcase_add_test(tests, a_limit_of_nothing_lets_one_find_out);
     tcase_add_test(tests, a_lower_limit_binds_at_once);
     tcase_add_test(tests, a_backend_at_its_limit_is_passed_over_until_the_next_permit);
+    tcase_add_test(tests, a_backend_that_says_it_leaves_is_passed_over_for_good);
     tcase_add_test(tests, a_limited_backend_counts_for_the_slots_that_its_limit_keeps_busy);
     suite_add_tcase(suite, tests);
     return suite;
