--- a/standin/soak/judge.h
+++ b/standin/soak/judge.h
@@ -26,6 +26,8 @@
     RULE_DENIED,    /* a key that is there is denied, or an account far below its limit refused */
     RULE_QUOTA,     /* an account runs more in 5 s than its limit allows and operators bear */
     RULE_LIMIT,     /* a backend server gets more requests than it says that it takes */
+    RULE_REST,      /* or more than few while it wants rest from an instance */
+    RULE_TOLD,      /* or a new one from an instance that it told that it leaves */
     RULE_FOREIGN,   /* work for what an entry of another writer names */
     RULE_STOP,      /* a planned stop did not end by itself within the grace time */
     RULE_ENDED,     /* a process ended without being asked to */
--- a/standin/soak/says.c
+++ b/standin/soak/says.c
@@ -11,6 +11,7 @@
     LIMIT_FROM_MS = 4000, /* after it was first said: as operators bear it */
     KNOWN_MS = 500,       /* an instance is held to an answer from then on */
     ARRIVALS_MAX = 4096,  /* in a window */
+    REST_BORNE = 2,       /* requests in a time of rest, as operators bear it */
 };
 
 /* Beyond what the limit allows, as operators bear it. */
@@ -29,6 +30,13 @@
     uint64_t limit_since_ms; /* 0: it says none */
     uint64_t limit_until_ms;
     uint64_t *limit_told_ms; /* by instance, when an answer said so first; 0: none did */
+    uint64_t rest_ms;        /* that it asks for */
+    uint64_t rests_until_ms; /* it turns away until then */
+    uint64_t *rest_told_ms;  /* by instance, when it was last asked to leave it alone; 0: never */
+    uint64_t *rest_end_ms;   /* by instance, until when */
+    unsigned *rest_arrivals; /* by instance, in that time */
+    bool leaves;
+    uint64_t *leaves_told_ms; /* by instance, when an answer said so first; 0: none did */
     arrival_t arrivals[ARRIVALS_MAX];
     size_t arrival_count; /* of all time: the last ones are kept */
 };
@@ -39,6 +47,10 @@
     says_t *says = xcalloc(1, sizeof(*says));
     says->conf = *conf;
     says->limit_told_ms = xcalloc(conf->instances, sizeof(*says->limit_told_ms));
+    says->rest_told_ms = xcalloc(conf->instances, sizeof(*says->rest_told_ms));
+    says->rest_end_ms = xcalloc(conf->instances, sizeof(*says->rest_end_ms));
+    says->rest_arrivals = xcalloc(conf->instances, sizeof(*says->rest_arrivals));
+    says->leaves_told_ms = xcalloc(conf->instances, sizeof(*says->leaves_told_ms));
     return says;
 }
 
@@ -55,6 +67,11 @@
     says->id = id;
     forget_limit(says);
     says->arrival_count = 0;
+    says->rests_until_ms = 0;
+    says->leaves = false;
+    memset(says->rest_told_ms, 0, says->conf.instances * sizeof(*says->rest_told_ms));
+    memset(says->rest_end_ms, 0, says->conf.instances * sizeof(*says->rest_end_ms));
+    memset(says->leaves_told_ms, 0, says->conf.instances * sizeof(*says->leaves_told_ms));
 }
 
 void
@@ -66,21 +83,69 @@
     says->limit_until_ms = until_ms;
 }
 
+void
+says_rest(says_t *says, uint64_t rest_ms, uint64_t until_ms)
+{
+    says->rest_ms = rest_ms;
+    says->rests_until_ms = until_ms;
+}
+
+void
+says_leave(says_t *says)
+{
+    says->leaves = true;
+}
+
+bool
+says_turns_away(const says_t *says, uint64_t now_ms)
+{
+    return now_ms < says->rests_until_ms;
+}
+
 static bool
 names_limit(const says_t *says, uint64_t now_ms)
 {
     return says->limit_since_ms > 0 && now_ms < says->limit_until_ms;
 }
 
+static void
+append(char *out, size_t size, const char *name, double value)
+{
+    const size_t len = strlen(out);
+    snprintf(out + len, size - len, "%s: %g\r\n", name, value);
+}
+
 void
 says_write(says_t *says, uint32_t instance, uint64_t now_ms, char *out, size_t size)
 {
     out[0] = '\0';
-    if (!names_limit(says, now_ms))
+    if (names_limit(says, now_ms)) {
+        append(out, size, "Server-Limit", says->limit_per_s);
+        if (says->limit_told_ms[instance] == 0)
+            says->limit_told_ms[instance] = now_ms;
+    }
+    if (says->leaves) {
+        append(out, size, "Server-Leaving", 1);
+        if (says->leaves_told_ms[instance] == 0) {
+            judge_examine(says->conf.judge, RULE_TOLD);
+            says->leaves_told_ms[instance] = now_ms;
+        }
+    }
+}
+
+void
+says_write_refusal(says_t *says, uint32_t instance, uint64_t now_ms, char *out, size_t size)
+{
+    says_write(says, instance, now_ms, out, size);
+    if (!says_turns_away(says, now_ms))
         return;
-    snprintf(out, size, "Server-Limit: %g\r\n", says->limit_per_s);
-    if (says->limit_told_ms[instance] == 0)
-        says->limit_told_ms[instance] = now_ms;
+    append(out, size, "Retry-After", (double)says->rest_ms / 1000);
+    if (now_ms < says->rest_end_ms[instance])
+        return; /* it was asked before, and has sent all the same */
+    judge_examine(says->conf.judge, RULE_REST);
+    says->rest_told_ms[instance] = now_ms;
+    says->rest_end_ms[instance] = now_ms + says->rest_ms;
+    says->rest_arrivals[instance] = 0;
 }
 
 /* True if the instance is held to what it was told at that time. */
@@ -130,9 +195,50 @@
             request->instance + 1);
 }
 
+/* True if its process is the one that was told, and has not stood still since. */
+static bool
+still_knows(const says_t *says, uint32_t instance, uint64_t told_ms)
+{
+    const life_t *life = fleet_life(says->conf.fleet, instance);
+    return life != NULL && life->started_ms < told_ms && life->paused_ms < told_ms;
+}
+
+static void
+judge_rest(says_t *says, const soak_request_t *request, uint64_t now_ms)
+{
+    const uint32_t instance = request->instance;
+    const uint64_t told_ms = says->rest_told_ms[instance];
+    if (!is_bound(says, instance, told_ms, now_ms) || now_ms >= says->rest_end_ms[instance])
+        return;
+    if (++says->rest_arrivals[instance] > REST_BORNE)
+        judge_break(says->conf.judge, RULE_REST,
+                    "%" PRIu64 " from gateway-%" PRIu32
+                    " arrives at %s, which had asked for %" PRIu64 " ms of rest %" PRIu64
+                    " ms before; %u in that time",
+                    request->number, instance + 1, says->id, says->rest_ms, now_ms - told_ms,
+                    says->rest_arrivals[instance]);
+}
+
+/* Whether the instance is in touch does not matter: it was told to its face. */
+static void
+judge_leaving(says_t *says, const soak_request_t *request, uint64_t now_ms)
+{
+    const uint64_t told_ms = says->leaves_told_ms[request->instance];
+    const uint64_t known_ms = (uint64_t)(KNOWN_MS * says->conf.slack);
+    if (told_ms == 0 || request->sent_ms <= told_ms + known_ms ||
+        !still_knows(says, request->instance, told_ms))
+        return;
+    judge_break(says->conf.judge, RULE_TOLD,
+                "%" PRIu64 " from gateway-%" PRIu32 " arrives at %s, %" PRIu64
+                " ms after an answer told it that this leaves",
+                request->number, request->instance + 1, says->id, now_ms - told_ms);
+}
+
 void
 says_arrived(says_t *says, const soak_request_t *request, uint64_t now_ms)
 {
     says->arrivals[says->arrival_count++ % ARRIVALS_MAX] = (arrival_t){now_ms, request->instance};
     judge_limit(says, request, now_ms);
+    judge_rest(says, request, now_ms);
+    judge_leaving(says, request, now_ms);
 }
--- a/standin/soak/says.h
+++ b/standin/soak/says.h
@@ -24,7 +24,15 @@
 void says_reset(says_t *says, const char *id);
 /* It takes so many requests a second from all instances, for that time. */
 void says_limit(says_t *says, double per_s, uint64_t now_ms, uint64_t until_ms);
+/* It turns away what comes, and asks each instance for so long a rest, until that time. */
+void says_rest(says_t *says, uint64_t rest_ms, uint64_t until_ms);
+/* It leaves, and says so in all its answers from now on. */
+void says_leave(says_t *says);
+/* True if it turns requests away now. */
+bool says_turns_away(const says_t *says, uint64_t now_ms);
 /* Writes the fields of an answer to a request of that instance. */
 void says_write(says_t *says, uint32_t instance, uint64_t now_ms, char *out, size_t size);
+/* The same for one that turns the request away. */
+void says_write_refusal(says_t *says, uint32_t instance, uint64_t now_ms, char *out, size_t size);
 /* A request has arrived. */
 void says_arrived(says_t *says, const soak_request_t *request, uint64_t now_ms);
--- a/standin/soak/schedule.c
+++ b/standin/soak/schedule.c
@@ -44,6 +44,8 @@
     [TROUBLE_SERVER_EXCHANGED] = {"server-exchanged", 120000, EACH_SERVER, 0, 0},
     [TROUBLE_POISON] = {"poison", 12000, EACH_SITE, 5000, 9000},
     [TROUBLE_SERVER_LIMITS] = {"server-limits", 60000, EACH_SERVER, 9000, 6000},
+    [TROUBLE_SERVER_RESTS] = {"server-rests", 60000, EACH_SERVER, 1000, 4000},
+    [TROUBLE_SERVER_TELLS] = {"server-tells", 120000, EACH_SERVER, 4500, 3000},
     [TROUBLE_ROUTES] = {"routes", 12000, EACH_SITE, 4000, 6000},
 };
 
--- a/standin/soak/schedule.h
+++ b/standin/soak/schedule.h
@@ -31,6 +31,8 @@
     TROUBLE_POISON,           /* a request that ends backend servers comes for the length */
     TROUBLE_ROUTES,           /* the configuration grows by thousands of routes for the length */
     TROUBLE_SERVER_LIMITS,    /* says that it takes few requests, for the length */
+    TROUBLE_SERVER_RESTS,     /* turns all away for the length, and asks for rest */
+    TROUBLE_SERVER_TELLS,     /* leaves, and says so in its answers alone; else as leaves */
     TROUBLE_COUNT,
 } trouble_kind_t;
 
--- a/standin/soak/servers.c
+++ b/standin/soak/servers.c
@@ -27,13 +27,16 @@
     STORE_CALM_MS = 4000,
     POISON_UNLIST_MS = 1500, /* from the end under a poison request until the entry goes */
     BORN_BASE_MS = 1000,     /* the lives of a backend server begin after this time */
-    SAYS_MAX = 96,           /* bytes of what a backend server says of itself */
+    SAYS_MAX = 128,          /* bytes of what a backend server says of itself */
     SAME_ID_EVERY = 2,       /* one exchange of so many starts again under its id */
 };
 
 /* Limits that backend servers name, in requests a second. */
 static const double limits_per_s[] = {0.5, 1.3, 2, 5, 10};
 
+/* Rests that they ask for. */
+static const uint64_t rests_ms[] = {700, 1500, 3000, 5000};
+
 /* Names that no backend server has: those of entries of another writer begin so. */
 #define FOREIGN "foreign"
 
@@ -259,7 +262,8 @@
 {
     char said[SAYS_MAX] = "";
     if (request != NULL)
-        says_write(server->says, request->instance, server->servers->now_ms, said, sizeof(said));
+        says_write_refusal(server->says, request->instance, server->servers->now_ms, said,
+                           sizeof(said));
     refuse(req, HTTP_STATUS_SERVICE_UNAVAILABLE, said);
 }
 
@@ -329,7 +333,8 @@
     }
     if (request != NULL)
         says_arrived(server->says, request, server->servers->now_ms);
-    if (request == NULL || waiting(server) >= QUEUE || refuses(server, request)) {
+    if (request == NULL || waiting(server) >= QUEUE || refuses(server, request) ||
+        says_turns_away(server->says, server->servers->now_ms)) {
         turn_away(server, req, request);
         return;
     }
@@ -511,6 +516,15 @@
         says_limit(server->says, limits_per_s[trouble->variant % ALEN(limits_per_s)], now_ms,
                    now_ms + trouble->length_ms);
         return;
+    case TROUBLE_SERVER_RESTS:
+        says_rest(server->says, rests_ms[trouble->variant % ALEN(rests_ms)],
+                  now_ms + trouble->length_ms);
+        return;
+    case TROUBLE_SERVER_TELLS:
+        says_leave(server->says);
+        server->state = SERVER_LEAVES;
+        server->end_ms = now_ms + trouble->length_ms;
+        return;
     default:
         BUG("no trouble of a backend server");
     }
--- a/standin/soak/soak.c
+++ b/standin/soak/soak.c
@@ -129,6 +129,8 @@
     case TROUBLE_SERVER_DIES:
     case TROUBLE_SERVER_EXCHANGED:
     case TROUBLE_SERVER_LIMITS:
+    case TROUBLE_SERVER_RESTS:
+    case TROUBLE_SERVER_TELLS:
         servers_trouble(soak->servers, trouble, now_ms);
         break;
     case TROUBLE_POISON:
