--- a/gateway/membership/permit_exchange.c
+++ b/gateway/membership/permit_exchange.c
@@ -64,20 +64,25 @@
     return exchange->conf.region;
 }
 
+/* Of another region of a large fleet the next one is asked after each that gave no answer: whoever
+ * lives there sends the request on. */
 static const member_t *
 owner_of(const permit_exchange_t *exchange, const backend_t *backend)
 {
     const members_t *members = exchange->conf.members;
     const size_t region = owner_region(exchange, backend->region);
-    const owner_input_t input = {
+    owner_input_t input = {
         .members = members,
         .kind = OWNER_OF_BACKEND,
         .key = backend->key,
         .region = region,
         .is_judged = region == exchange->conf.region || members->count <= MEMBERS_MESH,
+        .rank = backend->permits_unanswered % OWNER_RANKS,
         .now_ms = now_of(exchange),
     };
-    return owner_find(&input);
+    const member_t *owner = owner_find(&input);
+    input.rank = 0;
+    return owner != NULL ? owner : owner_find(&input);
 }
 
 static bool
@@ -274,8 +279,10 @@
 void
 permit_cancel(permit_wait_t *wait, bool late)
 {
-    if (late)
+    if (late) {
+        wait->backend->permits_unanswered++;
         refuse(wait->exchange, wait->backend, UNANSWERED_MS);
+    }
     drop_wait(wait);
 }
 
@@ -300,6 +307,7 @@
         message->given && now_of(exchange) - wait->asked_ms <= (uint64_t)PERMIT_LIFE_MS;
     const permit_cb_t cb = wait->cb;
     void *ctx = wait->ctx;
+    wait->backend->permits_unanswered = 0;
     if (!given)
         refuse(exchange, wait->backend, message->wait_ms);
     drop_wait(wait);
--- a/gateway/policy/choice.c
+++ b/gateway/policy/choice.c
@@ -270,8 +270,8 @@
 
 /* Looks for a backend in one area after the other; false if none admits the request. */
 static bool
-pick(const choice_input_t *input, const candidate_t *candidates, size_t count, choice_t *choice,
-     double *score)
+pick(const choice_input_t *input, const candidate_t *candidates, size_t count,
+     const passed_best_t *passed, choice_t *choice)
 {
     choice_area_t areas[CHOICE_AREAS_MAX];
     candidate_t replicas[REPLICAS_MAX];
@@ -289,7 +289,9 @@
             continue;
         choice->reason = reason_of(elsewhere, admission, picked);
         choice->backend = replicas[picked].backend;
-        *score = replicas[picked].score;
+        if (passed->region == areas[0].region &&
+            (elsewhere || passed->score > replicas[picked].score))
+            choice->passed = passed->why;
         return true;
     }
     return false;
@@ -301,13 +303,9 @@
     static candidate_t candidates[CANDIDATES_MAX];
     passed_best_t passed = {0};
     choice_t choice = {0};
-    double score = 0;
     const size_t count = collect(input, candidates, &passed);
-    if (pick(input, candidates, count, &choice, &score)) {
-        const bool before = passed.region != choice.backend->region || passed.score > score;
-        choice.passed = before ? passed.why : PASSED_NOT;
+    if (pick(input, candidates, count, &passed, &choice))
         return choice;
-    }
     choice.passed = passed.why;
     choice.wait_ms = passed.wait_ms;
     if (count > 0)
--- a/gateway/state/backend.h
+++ b/gateway/state/backend.h
@@ -45,18 +45,19 @@
     uint64_t key;      /* hash of the id, for rendezvous hashing */
     wire_pool_t *pool; /* NULL in tests without connections */
     size_t refs;
-    uint64_t revision;       /* of the entry that `info` was read from */
-    bool listed;             /* false once it was taken out of the list */
-    bool hall_closed;        /* its data hall must get no requests */
-    bool departed;           /* another backend answers at its address */
-    bool says_leaving;       /* it told so in an answer: that stays, whatever its entry says */
-    rest_t rest;             /* that it asked this instance for */
-    backend_limit_t limit;   /* that it names in its answers */
-    double room;             /* slots for which it counts in plans; 0: for all */
-    uint64_t permit_from_ms; /* the next permit for it may be asked for */
-    unsigned permits_asked;  /* and not answered yet */
-    bool logged_unusable;    /* the log tells of a notice that could not be used */
-    uint64_t remove_at_ms;   /* when its absence from the store takes effect, 0 if it is there */
+    uint64_t revision;           /* of the entry that `info` was read from */
+    bool listed;                 /* false once it was taken out of the list */
+    bool hall_closed;            /* its data hall must get no requests */
+    bool departed;               /* another backend answers at its address */
+    bool says_leaving;           /* it told so in an answer: that stays, whatever its entry says */
+    rest_t rest;                 /* that it asked this instance for */
+    backend_limit_t limit;       /* that it names in its answers */
+    double room;                 /* slots for which it counts in plans; 0: for all */
+    uint64_t permit_from_ms;     /* the next permit for it may be asked for */
+    unsigned permits_asked;      /* and not answered yet */
+    unsigned permits_unanswered; /* requests for one since the last answer */
+    bool logged_unusable;        /* the log tells of a notice that could not be used */
+    uint64_t remove_at_ms; /* when its absence from the store takes effect, 0 if it is there */
     uint64_t cold_until_ms;
     bucket_t cold_tokens; /* this instance's part of the requests it can take while cold */
     uint32_t in_flight;   /* attempts of this instance */
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -4,6 +4,7 @@
 #
 #   SEED=7 DURATION=60 INSTANCES=9 scripts/soak.sh
 #
+# SAYS=1 leaves the other troubles out and has 24 backend servers name limits, ask for rest and leave.
 # POISON=5 leaves the other troubles out and has five requests come that end backend servers.
 #
 # The same seed, duration and number of instances give the same schedule of troubles, not the same
@@ -107,7 +108,7 @@
 echo "soak: seed=$SEED duration=${DURATION}s instances=$INSTANCES slack=$SLACK net=${NET}0 logs=$DIR"
 mkfifo "$DIR/reports" "$DIR/orders" || exit 2
 exec {reports}<>"$DIR/reports"
-"$BUILD/fake-site" -s "$SEED" -d "$DURATION" -n "$INSTANCES" -a "$NET" -x "$SLACK" ${POISON:+-q "$POISON"} \
+"$BUILD/fake-site" -s "$SEED" -d "$DURATION" -n "$INSTANCES" -a "$NET" -x "$SLACK" ${POISON:+-q "$POISON"} ${SAYS:+-w} \
     <"$DIR/reports" >"$DIR/orders" 2>"$DIR/site.out" {reports}>&- &
 site=$!
 trap 'clean_up' EXIT
--- a/standin/soak/says.c
+++ b/standin/soak/says.c
@@ -30,6 +30,8 @@
     uint64_t limit_since_ms; /* 0: it says none */
     uint64_t limit_until_ms;
     uint64_t *limit_told_ms; /* by instance, when an answer said so first; 0: none did */
+    says_use_t use;
+    uint64_t now_ms;         /* of the last request */
     uint64_t rest_ms;        /* that it asks for */
     uint64_t rests_until_ms; /* it turns away until then */
     uint64_t *rest_told_ms;  /* by instance, when it was last asked to leave it alone; 0: never */
@@ -54,6 +56,21 @@
     return says;
 }
 
+static uint64_t
+limit_from_ms(const says_t *says)
+{
+    return says->limit_since_ms + (uint64_t)(LIMIT_FROM_MS * says->conf.slack);
+}
+
+/* A limit ends, or its server does. */
+static void
+sum_up_limit(says_t *says, uint64_t now_ms)
+{
+    const uint64_t end_ms = now_ms < says->limit_until_ms ? now_ms : says->limit_until_ms;
+    if (says->limit_since_ms > 0 && end_ms > limit_from_ms(says))
+        says->use.offered += says->limit_per_s * (double)(end_ms - limit_from_ms(says)) / 1000;
+}
+
 static void
 forget_limit(says_t *says)
 {
@@ -65,6 +82,7 @@
 says_reset(says_t *says, const char *id)
 {
     says->id = id;
+    sum_up_limit(says, says->now_ms);
     forget_limit(says);
     says->arrival_count = 0;
     says->rests_until_ms = 0;
@@ -77,6 +95,7 @@
 void
 says_limit(says_t *says, double per_s, uint64_t now_ms, uint64_t until_ms)
 {
+    sum_up_limit(says, now_ms);
     forget_limit(says);
     says->limit_per_s = per_s;
     says->limit_since_ms = now_ms;
@@ -234,9 +253,19 @@
                 request->number, request->instance + 1, says->id, now_ms - told_ms);
 }
 
+says_use_t
+says_use(const says_t *says)
+{
+    says_t copy = *says;
+    sum_up_limit(&copy, says->now_ms);
+    return copy.use;
+}
+
 void
 says_arrived(says_t *says, const soak_request_t *request, uint64_t now_ms)
 {
+    says->now_ms = now_ms;
+    says->use.got += names_limit(says, now_ms) && now_ms >= limit_from_ms(says);
     says->arrivals[says->arrival_count++ % ARRIVALS_MAX] = (arrival_t){now_ms, request->instance};
     judge_limit(says, request, now_ms);
     judge_rest(says, request, now_ms);
--- a/standin/soak/says.h
+++ b/standin/soak/says.h
@@ -34,5 +34,11 @@
 void says_write(says_t *says, uint32_t instance, uint64_t now_ms, char *out, size_t size);
 /* The same for one that turns the request away. */
 void says_write_refusal(says_t *says, uint32_t instance, uint64_t now_ms, char *out, size_t size);
+/* Over its limits so far, from some seconds after they were named until they ended. */
+typedef struct {
+    double offered; /* requests */
+    double got;
+} says_use_t;
+says_use_t says_use(const says_t *says);
 /* A request has arrived. */
 void says_arrived(says_t *says, const soak_request_t *request, uint64_t now_ms);
--- a/standin/soak/schedule.c
+++ b/standin/soak/schedule.c
@@ -127,6 +127,13 @@
     return schedule;
 }
 
+static bool
+is_said(trouble_kind_t kind)
+{
+    return kind == TROUBLE_SERVER_LIMITS || kind == TROUBLE_SERVER_RESTS ||
+           kind == TROUBLE_SERVER_TELLS;
+}
+
 schedule_t
 schedule_draw(const schedule_conf_t *conf)
 {
@@ -136,7 +143,8 @@
     rng_t rng = {conf->seed};
     for (trouble_kind_t kind = 0; kind < TROUBLE_COUNT; kind++) {
         rng_t own = {rng_next(&rng)}; /* a kind's draws do not shift those of the next */
-        draw_kind(&schedule, conf, kind, &own);
+        if (!conf->says || is_said(kind))
+            draw_kind(&schedule, conf, kind, &own);
     }
     if (schedule.count > 0)
         qsort(schedule.items, schedule.count, sizeof(schedule.items[0]), by_time);
--- a/standin/soak/schedule.h
+++ b/standin/soak/schedule.h
@@ -49,6 +49,7 @@
     uint64_t length_ms;
     uint32_t instances;
     uint32_t servers;
+    bool says;       /* only what backend servers say of themselves */
     uint32_t poison; /* in place of what is drawn: so many TROUBLE_POISON together */
 } schedule_conf_t;
 
--- a/standin/soak/servers.c
+++ b/standin/soak/servers.c
@@ -593,3 +593,15 @@
 {
     return servers->runs;
 }
+
+void
+servers_print(const servers_t *servers, FILE *out)
+{
+    says_use_t sum = {0};
+    for (uint32_t i = 0; i < servers->conf.count; i++) {
+        const says_use_t use = says_use(servers->items[i].says);
+        sum.offered += use.offered;
+        sum.got += use.got;
+    }
+    fprintf(out, "limits: offered %.0f requests, got %.0f\n", sum.offered, sum.got);
+}
--- a/standin/soak/servers.h
+++ b/standin/soak/servers.h
@@ -37,5 +37,7 @@
 /* Carries out a trouble that strikes a backend server. */
 void servers_trouble(servers_t *servers, const trouble_t *trouble, uint64_t now_ms);
 void servers_tick(servers_t *servers, uint64_t now_ms);
+/* A line that sums up what the limits offered and what was used of it. */
+void servers_print(const servers_t *servers, FILE *out);
 /* Requests that were run. */
 uint64_t servers_runs(const servers_t *servers);
--- a/standin/soak/soak.c
+++ b/standin/soak/soak.c
@@ -26,8 +26,8 @@
     GRACE_MS = 6000, /* as in the settings that scripts/soak.sh writes */
     END_MS = 15000,  /* after the length: above the grace time and what follows it */
     LINE_MAX_LEN = 128,
-    SERVERS_MIN = 12,    /* one of both services in each data hall */
-    SERVERS_POISON = 24, /* as many as a service of the users' small sites has */
+    SERVERS_MIN = 12,   /* one of both services in each data hall */
+    SERVERS_SMALL = 24, /* as many as a service of the users' small sites has */
     CALLERS_EACH = 12,
     /* The users' site promises 2.5 s for both; the rest is for a busy machine. */
     CONFIG_BOUND_MS = 3500,
@@ -187,8 +187,8 @@
 static uint32_t
 server_count(const soak_conf_t *conf)
 {
-    if (conf->poison > 0)
-        return SERVERS_POISON;
+    if (conf->poison > 0 || conf->says)
+        return SERVERS_SMALL;
     return conf->instances > SERVERS_MIN ? conf->instances : SERVERS_MIN;
 }
 
@@ -200,6 +200,7 @@
         .length_ms = soak->conf.length_ms,
         .instances = soak->conf.instances,
         .servers = server_count(&soak->conf),
+        .says = soak->conf.says,
         .poison = soak->conf.poison,
     };
     soak->schedule = schedule_draw(&conf);
@@ -318,6 +319,7 @@
             operator_version(soak->ops), standin_store_calls(soak->store), soak->stalls);
     callers_print(soak->callers, stderr);
     poison_print(soak->poison, stderr);
+    servers_print(soak->servers, stderr);
     const bool held = judge_report(&soak->judge, stderr);
     if (soak->interrupted || !fleet_is_over(soak->fleet)) {
         fputs("not finished\n", stderr);
