--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -162,7 +162,7 @@
 init_notices(gateway_t *gateway)
 {
     catalog_t *catalog = &gateway->router.catalog;
-    const notice_news_conf_t news_conf = {
+    const notice_conf_t conf = {
         .loop = gateway->loop,
         .members = &gateway->members,
         .catalog = catalog,
@@ -170,18 +170,10 @@
         .own = gateway->settings.peer,
         .region = gateway->router.region,
     };
-    notice_news_init(&gateway->notice_news, &news_conf);
+    notice_news_init(&gateway->notice_news, &conf);
+    permit_exchange_init(&gateway->permit_exchange, &conf);
     catalog->on_notice = notice_news_tell;
     catalog->ctx = &gateway->notice_news;
-    const permit_exchange_conf_t permit_conf = {
-        .loop = gateway->loop,
-        .members = &gateway->members,
-        .catalog = catalog,
-        .hub = gateway->hub,
-        .own = gateway->settings.peer,
-        .region = gateway->router.region,
-    };
-    permit_exchange_init(&gateway->permit_exchange, &permit_conf);
 }
 
 static void
--- a/gateway/membership/notice_message.c
+++ b/gateway/membership/notice_message.c
@@ -1,21 +1,8 @@
 #include "gateway/membership/notice_message.h"
+#include "gateway/membership/message_age.h"
 
 #include <math.h>
 
-static uint32_t
-age_of(uint64_t at_ms, uint64_t now_ms)
-{
-    const uint64_t age_ms = now_ms - at_ms;
-    return age_ms < UINT32_MAX ? (uint32_t)age_ms : UINT32_MAX;
-}
-
-/* At least 1: 0 stands for nothing said. */
-static uint64_t
-time_of(uint32_t age_ms, uint64_t now_ms)
-{
-    return now_ms > age_ms ? now_ms - age_ms : 1;
-}
-
 void
 notice_message_fill(Iris__BackendNotice *out, const notice_t *notice, uint64_t now_ms)
 {
@@ -26,9 +13,9 @@
     out->tells_limit = notice->limit.said_ms > 0;
     out->names_limit = notice->limit.named;
     out->limit_per_s = notice->limit.per_s;
-    out->limit_age_ms = age_of(notice->limit.said_ms, now_ms);
+    out->limit_age_ms = message_age_ms(notice->limit.said_ms, now_ms);
     out->leaves = notice->leaves;
-    out->leaves_age_ms = notice->leaves ? age_of(notice->leaves_ms, now_ms) : 0;
+    out->leaves_age_ms = notice->leaves ? message_age_ms(notice->leaves_ms, now_ms) : 0;
 }
 
 bool
@@ -41,9 +28,9 @@
     if (message->tells_limit && usable) {
         out->limit.named = message->names_limit;
         out->limit.per_s = message->limit_per_s;
-        out->limit.said_ms = time_of(message->limit_age_ms, now_ms);
+        out->limit.said_ms = message_time_ms(message->limit_age_ms, now_ms);
     }
     out->leaves = message->leaves;
-    out->leaves_ms = time_of(message->leaves_age_ms, now_ms);
+    out->leaves_ms = message_time_ms(message->leaves_age_ms, now_ms);
     return true;
 }
--- a/gateway/membership/notice_news.c
+++ b/gateway/membership/notice_news.c
@@ -10,7 +10,7 @@
 #define MESSAGES_PER_S 2000.0
 
 void
-notice_news_init(notice_news_t *news, const notice_news_conf_t *conf)
+notice_news_init(notice_news_t *news, const notice_conf_t *conf)
 {
     *news = (notice_news_t){.conf = *conf};
     bucket_init(&news->messages, MESSAGES_PER_S, MESSAGES_PER_S, loop_now(conf->loop));
@@ -47,7 +47,7 @@
 static audience_t
 audience_of(sending_t *sending)
 {
-    const notice_news_conf_t *conf = &sending->news->conf;
+    const notice_conf_t *conf = &sending->news->conf;
     return (audience_t){
         .members = conf->members,
         .own = conf->own,
--- a/gateway/membership/notice_news.h
+++ b/gateway/membership/notice_news.h
@@ -25,6 +25,7 @@
     NOTICES_AN_ANSWER = 64,
 };
 
+/* Of what instances tell each other of backend servers; also of permits. */
 typedef struct {
     uv_loop_t *loop;
     members_t *members;
@@ -32,14 +33,14 @@
     peer_hub_t *hub;
     addr_t own; /* where peers reach this instance */
     size_t region;
-} notice_news_conf_t;
+} notice_conf_t;
 
 typedef struct {
-    notice_news_conf_t conf;
+    notice_conf_t conf;
     bucket_t messages; /* that may be sent */
 } notice_news_t;
 
-void notice_news_init(notice_news_t *news, const notice_news_conf_t *conf);
+void notice_news_init(notice_news_t *news, const notice_conf_t *conf);
 /* Tells what is untold; `ctx` is the notice_news_t. What exceeds the bound on messages waits for
  * the next call. */
 void notice_news_tell(void *ctx);
--- a/gateway/membership/permit_exchange.c
+++ b/gateway/membership/permit_exchange.c
@@ -35,7 +35,7 @@
 }
 
 void
-permit_exchange_init(permit_exchange_t *exchange, const permit_exchange_conf_t *conf)
+permit_exchange_init(permit_exchange_t *exchange, const notice_conf_t *conf)
 {
     *exchange = (permit_exchange_t){.conf = *conf};
 }
--- a/gateway/membership/permit_exchange.h
+++ b/gateway/membership/permit_exchange.h
@@ -12,21 +12,8 @@
  */
 #pragma once
 
-#include <uv.h>
-
-#include "gateway/membership/members.h"
-#include "gateway/state/catalog.h"
+#include "gateway/membership/notice_news.h"
 #include "gateway/state/permits.h"
-#include "peer/link.h"
-
-typedef struct {
-    uv_loop_t *loop;
-    members_t *members;
-    catalog_t *catalog;
-    peer_hub_t *hub;
-    addr_t own; /* where peers reach this instance */
-    size_t region;
-} permit_exchange_conf_t;
 
 /* The answer has come. Not called after permit_cancel(). */
 typedef void (*permit_cb_t)(void *ctx, bool given);
@@ -34,7 +21,7 @@
 typedef struct permit_wait permit_wait_t;
 
 typedef struct {
-    permit_exchange_conf_t conf;
+    notice_conf_t conf;
     permits_t permits;
     permit_wait_t *waits;
     uint64_t number; /* of the last request */
@@ -46,7 +33,7 @@
     PERMIT_ASKED, /* the callback tells */
 } permit_verdict_t;
 
-void permit_exchange_init(permit_exchange_t *exchange, const permit_exchange_conf_t *conf);
+void permit_exchange_init(permit_exchange_t *exchange, const notice_conf_t *conf);
 /* A request is about to be sent to that backend. `wait` is set if an answer is to come. */
 permit_verdict_t permit_ask(permit_exchange_t *exchange, backend_t *backend, permit_cb_t cb,
                             void *ctx, permit_wait_t **wait);
--- a/gateway/membership/suspect_message.c
+++ b/gateway/membership/suspect_message.c
@@ -1,21 +1,8 @@
 #include "gateway/membership/suspect_message.h"
+#include "gateway/membership/message_age.h"
 
 #include <stdio.h>
 
-static uint32_t
-age_of(uint64_t at_ms, uint64_t now_ms)
-{
-    const uint64_t age_ms = now_ms > at_ms ? now_ms - at_ms : 0;
-    return age_ms < UINT32_MAX ? (uint32_t)age_ms : UINT32_MAX;
-}
-
-/* 1 at the least: 0 stands for never. */
-static uint64_t
-time_of(uint32_t age_ms, uint64_t now_ms)
-{
-    return now_ms > age_ms ? now_ms - age_ms : 1;
-}
-
 void
 suspect_message_fill(suspect_message_t *out, const suspect_t *suspect, uint64_t now_ms)
 {
@@ -28,7 +15,7 @@
         out->ends[count].life = suspect->ends[i].life;
         out->ends[count].under = suspect->ends[i].under;
         out->ends[count].version = suspect->ends[i].version;
-        out->ends[count].age_ms = age_of(suspect->ends[i].at_ms, now_ms);
+        out->ends[count].age_ms = message_age_ms(suspect->ends[i].at_ms, now_ms);
         out->end_list[count] = &out->ends[count];
         count++;
     }
@@ -38,10 +25,10 @@
     out->message.ends = out->end_list;
     out->message.cleared = (uint32_t)suspect->cleared;
     if (suspect->cleared != CLEARED_NOT)
-        out->message.cleared_age_ms = age_of(suspect->cleared_ms, now_ms);
+        out->message.cleared_age_ms = message_age_ms(suspect->cleared_ms, now_ms);
     out->message.good_version = suspect->good_version;
     if (suspect->good_version != 0)
-        out->message.good_age_ms = age_of(suspect->good_ms, now_ms);
+        out->message.good_age_ms = message_age_ms(suspect->good_ms, now_ms);
     if (suspect->trial_until_ms > now_ms)
         out->message.trial_left_ms = (uint32_t)(suspect->trial_until_ms - now_ms);
     out->message.text = (char *)(uintptr_t)suspect->text; /* not written to */
@@ -56,16 +43,16 @@
             .life = message->ends[i]->life,
             .under = message->ends[i]->under,
             .version = message->ends[i]->version,
-            .at_ms = time_of(message->ends[i]->age_ms, now_ms),
+            .at_ms = message_time_ms(message->ends[i]->age_ms, now_ms),
             .sure = true,
         };
     if (message->cleared != CLEARED_NOT) {
         out->cleared = message->cleared == CLEARED_LIFTED ? CLEARED_LIFTED : CLEARED_FINISHED;
-        out->cleared_ms = time_of(message->cleared_age_ms, now_ms);
+        out->cleared_ms = message_time_ms(message->cleared_age_ms, now_ms);
     }
     out->good_version = message->good_version;
     if (message->good_version != 0)
-        out->good_ms = time_of(message->good_age_ms, now_ms);
+        out->good_ms = message_time_ms(message->good_age_ms, now_ms);
     const uint32_t trial_left_ms =
         message->trial_left_ms < QUARANTINE_TRIAL_MS ? message->trial_left_ms : QUARANTINE_TRIAL_MS;
     out->trial_until_ms = trial_left_ms > 0 ? now_ms + trial_left_ms : 0;
--- a/test/gateway/site.c
+++ b/test/gateway/site.c
@@ -435,6 +435,21 @@
     return ask(fleet->site, "GET", path);
 }
 
+size_t
+ask_for(const instances_t *fleet, size_t instances, uint64_t span_ms)
+{
+    enum { PAUSE_MS = 10 };
+    site_t *site = fleet->site;
+    size_t not_served = 0;
+    const uint64_t until = uv_now(&site->loop) + span_ms;
+    for (unsigned i = 0; uv_now(&site->loop) < until; i++) {
+        site->callers = fleet->callers[i % instances];
+        not_served += ask_about(site, "GET", "/safe/object", i % OBJECTS).status != 200;
+        pass(site, PAUSE_MS);
+    }
+    return not_served;
+}
+
 scripted_t *
 first_backend(site_t *site, const char *path)
 {
--- a/test/gateway/site.h
+++ b/test/gateway/site.h
@@ -12,7 +12,14 @@
 #include "standin/backend.h"
 #include "wire/client.h"
 
-enum { PATIENCE_MS = 8000, BACKENDS_MAX = 8, TIMEOUT_MS = 900, ARRIVALS_MAX = 4096, FLEET_MAX = 9 };
+enum {
+    PATIENCE_MS = 8000,
+    BACKENDS_MAX = 8,
+    TIMEOUT_MS = 900,
+    ARRIVALS_MAX = 4096,
+    FLEET_MAX = 9,
+    OBJECTS = 50
+};
 
 typedef struct site site_t;
 
@@ -144,3 +151,6 @@
 void add_instances(instances_t *fleet, size_t count);
 /* A GET through one of them. */
 reply_t ask_through(const instances_t *fleet, size_t instance, const char *path);
+/* Asks through some of the instances, one after the other, for one of OBJECTS after the other, for
+ * so long; returns how many requests were not served. */
+size_t ask_for(const instances_t *fleet, size_t instances, uint64_t span_ms);
--- a/test/gateway/test_backend_leaving.c
+++ b/test/gateway/test_backend_leaving.c
@@ -15,36 +15,22 @@
 #include "test/gateway/site.h"
 #include "test/suites.h"
 
-enum { BACKENDS = 4, INSTANCES = 3, OBJECTS = 50, SETTLE_MS = 400, SPAN_MS = 1500 };
-
-static void
-ask_for(const instances_t *fleet, uint64_t span_ms, size_t *not_served)
-{
-    site_t *site = fleet->site;
-    const uint64_t until = uv_now(&site->loop) + span_ms;
-    for (unsigned i = 0; uv_now(&site->loop) < until; i++) {
-        site->callers = fleet->callers[i % fleet->count];
-        *not_served += ask_about(site, "GET", "/safe/object", i % OBJECTS).status != 200;
-        pass(site, 10);
-    }
-}
+enum { BACKENDS = 4, INSTANCES = 3, SETTLE_MS = 400, SPAN_MS = 1500 };
 
 START_TEST(a_backend_that_says_it_leaves_gets_nothing_new_whatever_the_store_says)
 {
-    size_t not_served = 0;
     const instances_t fleet = new_instances(BACKENDS, INSTANCES);
     site_t *site = fleet.site;
     scripted_t *leaving = &site->backends[0];
-    ask_for(&fleet, SETTLE_MS, &not_served);
+    ck_assert_uint_eq(ask_for(&fleet, fleet.count, SETTLE_MS), 0);
     leaving->says = "Server-Leaving: 1\r\n";
-    ask_for(&fleet, SETTLE_MS, &not_served);
+    ck_assert_uint_eq(ask_for(&fleet, fleet.count, SETTLE_MS), 0);
     const size_t before = leaving->arrival_count;
-    ask_for(&fleet, SPAN_MS, &not_served);
+    ck_assert_uint_eq(ask_for(&fleet, fleet.count, SPAN_MS), 0);
     put_backend(site, leaving, "ready"); /* a newer entry of the same life */
     put_config(site, NULL);
-    ask_for(&fleet, SPAN_MS, &not_served);
+    ck_assert_uint_eq(ask_for(&fleet, fleet.count, SPAN_MS), 0);
     ck_assert_uint_eq(leaving->arrival_count, before);
-    ck_assert_uint_eq(not_served, 0);
 }
 END_TEST
 
@@ -57,33 +43,29 @@
 /* One instance hears it and tells the others, while nobody hears the store. */
 START_TEST(it_is_told_to_all_and_outlives_an_outage_of_the_store)
 {
-    size_t not_served = 0;
     instances_t fleet = new_instances(BACKENDS, INSTANCES);
     site_t *site = fleet.site;
     scripted_t *leaving = &site->backends[0];
     standin_store_set_mode(site->store, STANDIN_STORE_BUSY);
     leaving->says = "Server-Leaving: 1\r\n";
-    const instances_t first = {.site = site, .callers = {fleet.callers[0]}, .count = 1};
-    ask_for(&first, SETTLE_MS, &not_served);
+    ck_assert_uint_eq(ask_for(&fleet, 1, SETTLE_MS), 0);
     for (size_t i = 0; i < INSTANCES; i++)
         ck_assert(!backend_is_usable(seen_by(&fleet, i), uv_now(&site->loop)));
     const size_t before = leaving->arrival_count;
     standin_store_forget(site->store); /* a new list is taken */
     standin_store_set_mode(site->store, STANDIN_STORE_SERVES);
-    ask_for(&fleet, SPAN_MS, &not_served);
+    ck_assert_uint_eq(ask_for(&fleet, fleet.count, SPAN_MS), 0);
     ck_assert_uint_eq(leaving->arrival_count, before);
-    ck_assert_uint_eq(not_served, 0);
 }
 END_TEST
 
 START_TEST(an_entry_that_goes_and_comes_back_does_not_undo_it)
 {
-    size_t not_served = 0;
     instances_t fleet = new_instances(BACKENDS, 1);
     site_t *site = fleet.site;
     scripted_t *leaving = &site->backends[0];
     leaving->says = "Server-Leaving: 1\r\n";
-    ask_for(&fleet, SETTLE_MS, &not_served);
+    ask_for(&fleet, fleet.count, SETTLE_MS);
     standin_store_remove(site->store, "servers", leaving->id);
     RUN_UNTIL(site, seen_by(&fleet, 0) == NULL);
     put_backend(site, leaving, "ready");
@@ -94,7 +76,6 @@
 
 START_TEST(a_new_life_serves_again)
 {
-    size_t not_served = 0;
     instances_t fleet = new_instances(BACKENDS, 1);
     site_t *site = fleet.site;
     scripted_t *leaving = &site->backends[0];
@@ -102,7 +83,7 @@
     leaving->says = "Server-Leaving: 1\r\n";
     put_backend(site, leaving, "ready");
     RUN_UNTIL(site, seen_by(&fleet, 0)->info.born == leaving->born);
-    ask_for(&fleet, SETTLE_MS, &not_served);
+    ask_for(&fleet, fleet.count, SETTLE_MS);
     ck_assert(seen_by(&fleet, 0)->says_leaving);
     leaving->says = NULL;
     leaving->born = 2000;
@@ -116,12 +97,11 @@
 START_TEST(where_all_leave_callers_are_told_to_come_back)
 {
     enum { LEAVING = 2 };
-    size_t not_served = 0;
     instances_t fleet = new_instances(LEAVING, 1);
     site_t *site = fleet.site;
     for (size_t i = 0; i < LEAVING; i++)
         site->backends[i].says = "Server-Leaving: 1\r\n";
-    ask_for(&fleet, SETTLE_MS, &not_served);
+    ask_for(&fleet, fleet.count, SETTLE_MS);
     const size_t before = site->backends[0].arrival_count + site->backends[1].arrival_count;
     for (size_t i = 0; i < 10; i++) {
         const uint64_t begun_ms = uv_now(&site->loop);
--- a/test/gateway/test_backend_limit.c
+++ b/test/gateway/test_backend_limit.c
@@ -19,7 +19,6 @@
 enum {
     BACKENDS = 4,
     INSTANCES = 3,
-    OBJECTS = 50,
     LIMIT_PER_S = 2,
     SETTLE_MS = 1000, /* the limit is known by then */
     WINDOW_MS = 4000,
@@ -30,22 +29,6 @@
     SPAN_LEAST = LIMIT_PER_S * SPAN_MS / 1000 * 8 / 10,
 };
 
-/* Asks at some of the instances, one after the other, for one object after the other; returns how
- * many were not served. */
-static size_t
-ask_for(const instances_t *fleet, size_t instances, uint64_t span_ms)
-{
-    site_t *site = fleet->site;
-    size_t not_served = 0;
-    const uint64_t until = uv_now(&site->loop) + span_ms;
-    for (unsigned i = 0; uv_now(&site->loop) < until; i++) {
-        site->callers = fleet->callers[i % instances];
-        not_served += ask_about(site, "GET", "/safe/object", i % OBJECTS).status != 200;
-        pass(site, 10);
-    }
-    return not_served;
-}
-
 static void
 check_limit_is_kept(size_t callers_at)
 {
--- a/test/gateway/test_backend_rest.c
+++ b/test/gateway/test_backend_rest.c
@@ -18,21 +18,7 @@
 #include "test/gateway/site.h"
 #include "test/suites.h"
 
-enum { BACKENDS = 4, OBJECTS = 50, REST_MS = 1500, KNOWN_MS = 500, BORNE = 2 };
-
-static size_t
-ask_for(const instances_t *fleet, uint64_t span_ms)
-{
-    site_t *site = fleet->site;
-    size_t not_served = 0;
-    const uint64_t until = uv_now(&site->loop) + span_ms;
-    for (unsigned i = 0; uv_now(&site->loop) < until; i++) {
-        site->callers = fleet->callers[i % fleet->count];
-        not_served += ask_about(site, "GET", "/safe/object", i % OBJECTS).status != 200;
-        pass(site, 10);
-    }
-    return not_served;
-}
+enum { BACKENDS = 4, REST_MS = 1500, KNOWN_MS = 500, BORNE = 2 };
 
 /* It turns away whatever comes from now on. */
 static uint64_t
@@ -42,7 +28,7 @@
     backend->says = says;
     const size_t before = backend->arrival_count;
     while (backend->arrival_count == before)
-        ask_for(fleet, 20);
+        ask_for(fleet, 1, 20);
     return backend->arrivals[before];
 }
 
@@ -50,9 +36,9 @@
 {
     const instances_t fleet = new_instances(BACKENDS, 1);
     scripted_t *tired = &fleet.site->backends[0];
-    ask_for(&fleet, KNOWN_MS);
+    ask_for(&fleet, 1, KNOWN_MS);
     const uint64_t asked_ms = ask_for_rest(&fleet, tired, "Retry-After: 1.5\r\n");
-    ck_assert_uint_eq(ask_for(&fleet, REST_MS), 0);
+    ck_assert_uint_eq(ask_for(&fleet, 1, REST_MS), 0);
     ck_assert_uint_le(arrivals_between(tired, asked_ms + KNOWN_MS, asked_ms + REST_MS), BORNE);
 }
 END_TEST
@@ -62,15 +48,15 @@
 {
     const instances_t fleet = new_instances(BACKENDS, 1);
     scripted_t *tired = &fleet.site->backends[0];
-    ask_for(&fleet, KNOWN_MS);
+    ask_for(&fleet, 1, KNOWN_MS);
     const uint64_t asked_ms = ask_for_rest(&fleet, tired, "Retry-After: 0.6\r\n");
     tired->behaviour = DOES_HOLD; /* the one that finds out gets no answer for a while */
-    ask_for(&fleet, 1000);
+    ask_for(&fleet, 1, 1000);
     ck_assert_uint_eq(arrivals_between(tired, asked_ms + 550, UINT64_MAX), 1);
     tired->behaviour = DOES_ANSWER;
     tired->says = NULL;
     const uint64_t from_ms = uv_now(&fleet.site->loop);
-    ask_for(&fleet, 1500);
+    ask_for(&fleet, 1, 1500);
     ck_assert_uint_ge(arrivals_between(tired, from_ms, UINT64_MAX), 10);
 }
 END_TEST
@@ -83,7 +69,7 @@
     all_do(site, DOES_REFUSE);
     site->backends[0].says = "Retry-After: 2\r\n";
     site->backends[1].says = "Retry-After: 1\r\n";
-    ask_for(&fleet, 200);
+    ask_for(&fleet, 1, 200);
     const size_t before = site->backends[0].arrival_count + site->backends[1].arrival_count;
     for (size_t i = 0; i < ASKED; i++) {
         const uint64_t begun_ms = uv_now(&site->loop);
@@ -107,7 +93,7 @@
     const instances_t fleet = new_instances(BACKENDS, 1);
     scripted_t *full = &fleet.site->backends[0];
     full->behaviour = DOES_REFUSE;
-    ck_assert_uint_eq(ask_for(&fleet, 1000), 0);
+    ck_assert_uint_eq(ask_for(&fleet, 1, 1000), 0);
     ck_assert_uint_ge(full->arrival_count, 10);
 }
 END_TEST
