--- a/test/gateway/test_endpoints.c
+++ b/test/gateway/test_endpoints.c
@@ -53,6 +53,39 @@
     wire_pool_free(pool);
 }
 
+START_TEST(pages_tell_what_backends_told_of_themselves)
+{
+    static page_t page;
+    site_t *site = new_ready_site(1);
+    scripted_t *backend = &site->backends[0];
+    backend->says = "Server-Limit: 0.5\r\n";
+    ask(site, "GET", "/safe/x");
+    RUN_UNTIL(site, ask(site, "GET", "/safe/x").status == 503);
+    read_page(site, "/explain?host=h.example&path=/safe/x&object=7", &page);
+    ck_assert_ptr_nonnull(strstr(page.text, "would go to none, reason passed, passed over before "
+                                            "it: at_limit"));
+    ck_assert_ptr_nonnull(strstr(page.text, "at the limit that it names"));
+    ck_assert_ptr_nonnull(strstr(page.text, "takes 0.5/s, as told "));
+    read_page(site, "/metrics", &page);
+    ck_assert_ptr_nonnull(strstr(page.text, "irisstall_upstreams_in_state{state=\"limited\"} 1"));
+    ck_assert_ptr_nonnull(strstr(page.text, "irisstall_upstreams_in_state{state=\"resting\"} 0"));
+    ck_assert_ptr_nonnull(strstr(page.text, "irisstall_requests_total{outcome=\"passed_over\"}"));
+}
+END_TEST
+
+START_TEST(what_a_backend_gives_in_no_usable_form_is_counted)
+{
+    static page_t page;
+    site_t *site = new_ready_site(1);
+    site->backends[0].says = "Server-Limit: few\r\nServer-Leaving: 1\r\nServer-Leaving: 1\r\n";
+    for (size_t i = 0; i < 3; i++)
+        ck_assert_int_eq(ask(site, "GET", "/safe/x").status, 200);
+    read_page(site, "/metrics", &page);
+    ck_assert_ptr_nonnull(strstr(page.text, "irisstall_notices_unusable_total 6"));
+    ck_assert_ptr_nonnull(strstr(page.text, "irisstall_upstreams_in_state{state=\"limited\"} 0"));
+}
+END_TEST
+
 START_TEST(metrics_tell_what_is_believed)
 {
     static page_t page;
@@ -169,6 +202,8 @@
     Suite *suite = suite_create("gateway: endpoints");
     TCase *tests = tcase_create("endpoints");
     tcase_set_timeout(tests, 120);
+    tcase_add_test(tests, pages_tell_what_backends_told_of_themselves);
+    tcase_add_test(tests, what_a_backend_gives_in_no_usable_form_is_counted);
     tcase_add_test(tests, metrics_tell_what_is_believed);
     tcase_add_test(tests, a_configuration_that_is_not_usable_is_told);
     tcase_add_test(tests, a_route_that_cannot_be_read_is_not_denied);
