Notices are forgotten by when they were said: peers reminded each other for ever

What would have been seen: a leaving backend server's notice went on in heartbeats for as long as two instances lived. Cause: an entry's age was counted from when it was last heard, from whomever.

--- a/gateway/state/catalog_notices.c
+++ b/gateway/state/catalog_notices.c
@@ -62,7 +62,7 @@
 catalog_take_notice(catalog_t *catalog, const notice_t *news, notice_source_t source)
 {
     const uint64_t now_ms = loop_now(catalog->loop);
-    const notice_change_t change = notices_take(&catalog->notices, news, now_ms);
+    const notice_change_t change = notices_take(&catalog->notices, news);
     backend_t *backend = backends_find(&catalog->backends, name_str(&news->backend));
     if (backend != NULL)
         catalog_apply_notice(catalog, backend);
--- a/gateway/state/notices.c
+++ b/gateway/state/notices.c
@@ -110,13 +110,12 @@
 }
 
 notice_change_t
-notices_take(notices_t *notices, const notice_t *news, uint64_t now_ms)
+notices_take(notices_t *notices, const notice_t *news)
 {
     notice_change_t change = {0};
     notice_t *notice = entry_of(notices, news);
     if (notice == NULL)
         return change;
-    notice->touched_ms = now_ms;
     change.limit = take_limit(notice, &news->limit);
     if (news->leaves && !notice->leaves) {
         notice->leaves = true;
@@ -135,12 +134,18 @@
         notice->untold = false;
 }
 
+static uint64_t
+said_last_ms(const notice_t *notice)
+{
+    return notice->limit.said_ms > notice->leaves_ms ? notice->limit.said_ms : notice->leaves_ms;
+}
+
 void
 notices_expire(notices_t *notices, uint64_t now_ms)
 {
     size_t kept = 0;
     for (size_t i = 0; i < notices->count; i++) {
-        if (now_ms - notices->items[i].touched_ms < KEPT_MS)
+        if (now_ms - said_last_ms(&notices->items[i]) < KEPT_MS)
             notices->items[kept++] = notices->items[i];
     }
     notices->count = kept;
--- a/gateway/state/notices.h
+++ b/gateway/state/notices.h
@@ -40,7 +40,6 @@
     backend_limit_t limit;
     bool leaves;
     uint64_t leaves_ms;        /* loop time since when that is known to hold */
-    uint64_t touched_ms;       /* when it was last heard of */
     backend_limit_t announced; /* the limit as it was last when it was news */
     bool untold;               /* others are to know of that, or that it leaves */
 } notice_t;
@@ -61,9 +60,10 @@
 const notice_t *notices_find(const notices_t *notices, str_t backend, uint64_t born);
 /* Takes over what is newer in `news`: its life, its limit if `limit.said_ms` is set, that it
  * leaves. */
-notice_change_t notices_take(notices_t *notices, const notice_t *news, uint64_t now_ms);
+notice_change_t notices_take(notices_t *notices, const notice_t *news);
 /* Others know: the one of that backend, if there is one, need not be told. */
 void notices_mark_told(notices_t *notices, str_t backend);
-/* Regular work: forgets what has not been heard of for long. */
+/* Regular work: forgets what no backend server has said for long. What peers tell is as old as its
+ * age, so that they do not remind each other for ever. */
 void notices_expire(notices_t *notices, uint64_t now_ms);
 void notices_free(notices_t *notices);
--- a/test/gateway/test_notices.c
+++ b/test/gateway/test_notices.c
@@ -24,19 +24,19 @@
     enum { NONE = -1 };
     notices_t notices = {0};
     notice_t news = limit_of("i-1", 0, 2, 500);
-    ck_assert(notices_take(&notices, &news, 600).limit);
+    ck_assert(notices_take(&notices, &news).limit);
     /* The request was sent before the one that was answered with the limit. */
     news = limit_of("i-1", 0, NONE, 400);
-    ck_assert(!notices_take(&notices, &news, 900).limit);
+    ck_assert(!notices_take(&notices, &news).limit);
     ck_assert(find(&notices, 0)->limit.named);
     news = limit_of("i-1", 0, 1, 450);
-    ck_assert(!notices_take(&notices, &news, 910).limit);
+    ck_assert(!notices_take(&notices, &news).limit);
     ck_assert_double_eq(find(&notices, 0)->limit.per_s, 2);
     /* A later one lifts it, and then an older one does not bring it back. */
     news = limit_of("i-1", 0, NONE, 700);
-    ck_assert(notices_take(&notices, &news, 920).limit);
+    ck_assert(notices_take(&notices, &news).limit);
     news = limit_of("i-1", 0, 2, 650);
-    ck_assert(!notices_take(&notices, &news, 930).limit);
+    ck_assert(!notices_take(&notices, &news).limit);
     ck_assert(!find(&notices, 0)->limit.named);
     notices_free(&notices);
 }
@@ -49,7 +49,7 @@
     const bool news[] = {true, false, false, true, true};
     for (size_t i = 0; i < ALEN(limits); i++) {
         const notice_t notice = limit_of("i-1", 0, limits[i], 100 + i);
-        ck_assert(notices_take(&notices, &notice, 100 + i).limit == news[i]);
+        ck_assert(notices_take(&notices, &notice).limit == news[i]);
         ck_assert_double_eq(find(&notices, 0)->limit.per_s, limits[i]);
     }
     notices_free(&notices);
@@ -61,15 +61,15 @@
     notices_t notices = {0};
     notice_t news = limit_of("i-1", 10, 2, 500);
     news.leaves = true;
-    notices_take(&notices, &news, 500);
+    notices_take(&notices, &news);
     ck_assert(find(&notices, 10)->leaves);
     ck_assert_ptr_null(find(&notices, 20));
     news = limit_of("i-1", 20, 5, 600);
-    notices_take(&notices, &news, 600);
+    notices_take(&notices, &news);
     ck_assert(!find(&notices, 20)->leaves);
     news = limit_of("i-1", 10, 1, 700); /* of the earlier life, late */
     news.leaves = true;
-    notices_take(&notices, &news, 700);
+    notices_take(&notices, &news);
     ck_assert_double_eq(find(&notices, 20)->limit.per_s, 5);
     ck_assert(!find(&notices, 20)->leaves);
     notices_free(&notices);
@@ -81,19 +81,42 @@
     notices_t notices = {0};
     notice_t news = limit_of("i-1", 0, 2, 500);
     news.leaves = true;
-    ck_assert(notices_take(&notices, &news, 500).leaves);
+    ck_assert(notices_take(&notices, &news).leaves);
     news = limit_of("i-1", 0, 2, 600);
-    ck_assert(!notices_take(&notices, &news, 600).leaves);
+    ck_assert(!notices_take(&notices, &news).leaves);
     ck_assert(find(&notices, 0)->leaves);
     notices_free(&notices);
 }
 END_TEST
 
+START_TEST(instances_do_not_remind_each_other_for_ever)
+{
+    enum { HEARTBEAT_MS = 400, LONG_MS = 600000 };
+    notices_t one = {0};
+    notices_t other = {0};
+    notice_t news = limit_of("i-1", 0, 2, 500);
+    news.leaves = true;
+    news.leaves_ms = 500;
+    notices_take(&one, &news);
+    for (uint64_t now_ms = 1000; now_ms < LONG_MS; now_ms += HEARTBEAT_MS) {
+        if (one.count > 0)
+            notices_take(&other, &one.items[0]);
+        if (other.count > 0)
+            notices_take(&one, &other.items[0]);
+        notices_expire(&one, now_ms);
+        notices_expire(&other, now_ms);
+    }
+    ck_assert_uint_eq(one.count + other.count, 0);
+    notices_free(&one);
+    notices_free(&other);
+}
+END_TEST
+
 START_TEST(what_says_nothing_has_no_entry)
 {
     notices_t notices = {0};
     const notice_t news = limit_of("i-1", 0, -1, 500);
-    ck_assert(!notices_take(&notices, &news, 500).limit);
+    ck_assert(!notices_take(&notices, &news).limit);
     ck_assert_uint_eq(notices.count, 0);
     notices_free(&notices);
 }
@@ -184,6 +207,7 @@
     tcase_add_test(tests, each_limit_is_kept_and_those_far_from_the_last_are_news);
     tcase_add_test(tests, a_later_life_begins_without_a_notice);
     tcase_add_test(tests, leaving_stays_for_a_life);
+    tcase_add_test(tests, instances_do_not_remind_each_other_for_ever);
     tcase_add_test(tests, what_says_nothing_has_no_entry);
     tcase_add_test(tests, permits_do_not_pile_up_while_an_instance_stands_still);
     tcase_add_test(tests, a_limit_of_nothing_lets_one_find_out);
