--- a/test/gateway/test_backend_leaving.c
+++ b/test/gateway/test_backend_leaving.c
@@ -59,6 +59,21 @@
 }
 END_TEST
 
+START_TEST(an_instance_that_starts_knows_it_before_it_sends)
+{
+    instances_t fleet = new_instances(BACKENDS, 1);
+    site_t *site = fleet.site;
+    scripted_t *leaving = &site->backends[0];
+    leaving->says = "Server-Leaving: 1\r\n";
+    ask_for(&fleet, fleet.count, SETTLE_MS);
+    const size_t before = leaving->arrival_count;
+    add_instances(&fleet, 2);
+    ck_assert(!backend_is_usable(seen_by(&fleet, 1), uv_now(&site->loop)));
+    ck_assert_uint_eq(ask_for(&fleet, fleet.count, SETTLE_MS), 0);
+    ck_assert_uint_eq(leaving->arrival_count, before);
+}
+END_TEST
+
 START_TEST(an_entry_that_goes_and_comes_back_does_not_undo_it)
 {
     instances_t fleet = new_instances(BACKENDS, 1);
@@ -122,6 +137,7 @@
     tcase_set_timeout(tests, 30);
     tcase_add_test(tests, a_backend_that_says_it_leaves_gets_nothing_new_whatever_the_store_says);
     tcase_add_test(tests, it_is_told_to_all_and_outlives_an_outage_of_the_store);
+    tcase_add_test(tests, an_instance_that_starts_knows_it_before_it_sends);
     tcase_add_test(tests, an_entry_that_goes_and_comes_back_does_not_undo_it);
     tcase_add_test(tests, a_new_life_serves_again);
     tcase_add_test(tests, where_all_leave_callers_are_told_to_come_back);
--- a/test/gateway/test_backend_rest.c
+++ b/test/gateway/test_backend_rest.c
@@ -61,6 +61,30 @@
 }
 END_TEST
 
+/* Those that come together at its end do not go there together. */
+START_TEST(of_several_requests_one_finds_out)
+{
+    enum { TOGETHER = 4 };
+    const char *request = "GET /safe/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: t\r\n"
+                          "Affinity-Key: 7\r\nDeadline-Ms: 800\r\n\r\n";
+    const instances_t fleet = new_instances(2, 1);
+    site_t *site = fleet.site;
+    scripted_t *tired = first_backend(site, "/safe/x");
+    reply_t replies[TOGETHER];
+    tired->behaviour = DOES_REFUSE;
+    tired->says = "Retry-After: 0.3\r\n";
+    ck_assert_int_eq(ask(site, "GET", "/safe/x").status, 200);
+    pass(site, 400);
+    tired->behaviour = DOES_HOLD;
+    const size_t before = tired->arrival_count;
+    for (size_t i = 0; i < TOGETHER; i++)
+        call(site, &replies[i], request);
+    for (size_t i = 0; i < TOGETHER; i++)
+        RUN_UNTIL(site, replies[i].done);
+    ck_assert_uint_eq(tired->arrival_count, before + 1);
+}
+END_TEST
+
 START_TEST(where_all_rest_callers_are_told_when_to_come_back)
 {
     enum { ASKED = 20 };
@@ -139,6 +163,7 @@
     tcase_set_timeout(tests, 30);
     tcase_add_test(tests, a_backend_that_asks_for_rest_gets_it);
     tcase_add_test(tests, after_the_rest_one_finds_out_and_the_others_follow);
+    tcase_add_test(tests, of_several_requests_one_finds_out);
     tcase_add_test(tests, where_all_rest_callers_are_told_when_to_come_back);
     tcase_add_test(tests, one_that_turns_away_without_a_wish_is_asked_again);
     tcase_add_test(tests, the_longer_of_two_wishes_holds_up_to_a_bound);
