--- a/test/gateway/limit_model.c
+++ b/test/gateway/limit_model.c
@@ -89,7 +89,8 @@
 static bool
 is_down(const model_t *model, unsigned index)
 {
-    return in_trouble(model) && model->conf.trouble == LIMIT_OWNER_ENDS && index == 0;
+    return in_trouble(model) && (model->conf.trouble == LIMIT_ALL_END ||
+                                 (model->conf.trouble == LIMIT_OWNER_ENDS && index == 0));
 }
 
 static bool
@@ -305,9 +306,22 @@
     }
 }
 
+/* What has started again knows of no permits that were given out. */
+static void
+forget_permits(model_t *model)
+{
+    const bool all = model->conf.trouble == LIMIT_ALL_END;
+    for (unsigned i = 0; i < model->conf.instances; i++) {
+        if (all || (model->conf.trouble == LIMIT_OWNER_ENDS && i == 0))
+            permits_free(&model->nodes[i].permits);
+    }
+}
+
 static void
 step(model_t *model)
 {
+    if (model->now_ms == TROUBLE_MS + STILL_MS)
+        forget_permits(model);
     events_t *events = &model->ring[model->now_ms % HORIZON_MS];
     events_t due = *events;
     *events = (events_t){0};
--- a/test/gateway/limit_model.h
+++ b/test/gateway/limit_model.h
@@ -24,6 +24,7 @@
     LIMIT_OWNER_STILL, /* the owner stands still for some seconds */
     LIMIT_ALL_STILL,   /* and all others with it, but for the callers */
     LIMIT_OWNER_ENDS,  /* its process ends, and starts again some seconds later */
+    LIMIT_ALL_END,     /* all processes end, and start again some seconds later */
     LIMIT_TROUBLE_COUNT,
 } limit_trouble_t;
 
--- a/test/gateway/test_limit_model.c
+++ b/test/gateway/test_limit_model.c
@@ -24,8 +24,8 @@
 print_row(const limit_conf_t *conf, const limit_result_t *result)
 {
     static const char *const ways[] = {"even", "senders", "permits"};
-    static const char *const troubles[] = {"none", "half cut off", "owner still", "all still",
-                                           "owner ends"};
+    static const char *const troubles[] = {"none",      "half cut off", "owner still",
+                                           "all still", "owner ends",   "all end"};
     if (getenv("LIMIT_MODEL_TABLE") != NULL && conf->seed == 1)
         printf("| %s | %u%s | %g | %s | %u of %g | %.2f | %.0f |\n", troubles[conf->trouble],
                conf->instances, conf->callers_at > 0 ? ", callers at 6" : "", conf->limit_per_s,
