--- a/ctl/instance_cmd.c
+++ b/ctl/instance_cmd.c
@@ -23,6 +23,10 @@
         return xasprintf("/accounts");
     if (strcmp(argv[0], "account") == 0 && argc == 3 && strcmp(argv[1], "show") == 0)
         return xasprintf("/accounts?account=%s", argv[2]);
+    if (strcmp(argv[0], "rollout") == 0 && argc == 2 && strcmp(argv[1], "list") == 0)
+        return xasprintf("/rollouts");
+    if (strcmp(argv[0], "rollout") == 0 && argc == 3 && strcmp(argv[1], "show") == 0)
+        return xasprintf("/rollouts?service=%s", argv[2]);
     if (strcmp(argv[0], "table") == 0 && argc >= 2 && strcmp(argv[1], "show") == 0)
         return xasprintf("/table?service=%s", argc > 2 ? argv[2] : "");
     if (strcmp(argv[0], "status") == 0)
--- a/gateway/admin.c
+++ b/gateway/admin.c
@@ -10,6 +10,7 @@
 #include "gateway/admin.h"
 #include "gateway/inspect.h"
 #include "gateway/inspect_accounts.h"
+#include "gateway/inspect_rollouts.h"
 #include "gateway/inspect_suspects.h"
 
 enum { FINGERPRINT_DIGITS = 16 };
@@ -83,8 +84,9 @@
         [VIEW_CONFIG] = "kind=\"config\"",
         [VIEW_BACKENDS] = "kind=\"backends\"",
         [VIEW_CLOSURES] = "kind=\"closures\"",
+        [VIEW_ROLLOUTS] = "kind=\"rollouts\"",
     };
-    for (view_kind_t kind = 0; kind < VIEW_WATCHED; kind++) {
+    for (view_kind_t kind = 0; kind < views->count; kind++) {
         counter_set(counter_get("irisstall_in_force_after_ms", kinds[kind],
                                 "Age of the last change when it came into force, milliseconds."),
                     views->ages[kind].last_ms);
@@ -115,6 +117,20 @@
               (int64_t)accounts->ledgers.count);
 }
 
+static void
+set_rollout_gauges(const rollouts_t *rollouts)
+{
+    int64_t running = 0;
+    int64_t rolled_back = 0;
+    for (size_t i = 0; i < rollouts->count; i++) {
+        running += rollouts->items[i]->state == ROLLOUT_RUNNING;
+        rolled_back += rollouts->items[i]->state == ROLLOUT_ROLLED_BACK;
+    }
+    set_gauge("irisstall_rollouts_running", "Roll-outs under way.", running);
+    set_gauge("irisstall_rollouts_rolled_back", "Orders whose version was rolled back.",
+              rolled_back);
+}
+
 static void
 respond_metrics(const admin_t *admin, wire_request_t *req)
 {
@@ -143,6 +159,7 @@
     set_gauge("irisstall_suspects", "Requests and families under which backend servers ended.",
               (int64_t)admin->suspects->count);
     set_account_gauges(admin->accounts);
+    set_rollout_gauges(&router->rollouts);
     set_gauge("irisstall_requests_active", "Requests under way.",
               (int64_t)admin->exchanges->active);
     set_gauge("irisstall_caller_connections", "Open connections of callers.",
@@ -211,6 +228,8 @@
         inspect_suspects(admin->suspects, loop_now(admin->router->loop), &text);
     else if (str_eq(path, STR("/accounts")))
         inspect_accounts(admin->accounts, wire_head_query(&req->head, STR("account")), &text);
+    else if (str_eq(path, STR("/rollouts")))
+        inspect_rollouts(admin->router, wire_head_query(&req->head, STR("service")), &text);
     else if (str_eq(path, STR("/explain")))
         inspect_explain(admin->router, wire_head_query(&req->head, STR("host")),
                         wire_head_query(&req->head, STR("path")),
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -87,6 +87,7 @@
                 .constant = settings->retry_constant,
                 .window_ms = settings->retry_window_ms,
             },
+        .exposure = {.share = settings->expose_share, .slack = settings->expose_slack},
     };
     router_init(&gateway->router, gateway->loop, &conf);
     gateway->exchanges = (exchanges_t){
@@ -121,6 +122,8 @@
 static void
 init_views(gateway_t *gateway)
 {
+    /* The orders of roll-outs come last among the kinds. */
+    gateway->views.count = gateway->settings.expose_share > 0 ? VIEW_WATCHED : VIEW_ROLLOUTS;
     gateway->views.on_change = gateway_on_view_change;
     gateway->views.ctx = gateway;
     const store_watch_conf_t watch_conf = {
@@ -203,6 +206,7 @@
         .relay = &gateway->view_relay,
         .suspect_gossip = &gateway->suspect_news,
         .notice_gossip = &gateway->notice_news,
+        .rollouts = &gateway->router.rollouts,
         .hub = gateway->hub,
         .incarnation = rng_next(&gateway->router.rng),
     };
@@ -219,6 +223,22 @@
     discovery_init(&gateway->discovery, &discovery_conf);
 }
 
+static void
+init_rollouts(gateway_t *gateway)
+{
+    const rollout_record_conf_t conf = {
+        .loop = gateway->loop,
+        .store = gateway->ports->store,
+        .members = &gateway->members,
+        .rollouts = &gateway->router.rollouts,
+        .instance = name_str(&gateway->settings.name),
+        .region = gateway->router.region,
+    };
+    rollout_record_init(&gateway->rollout_record, &conf);
+    gateway->router.rollouts.on_verdict = gateway_on_rollout_verdict;
+    gateway->router.rollouts.ctx = gateway;
+}
+
 static void
 init_accounts(gateway_t *gateway)
 {
@@ -256,6 +276,7 @@
     init_views(gateway);
     init_notices(gateway);
     init_membership(gateway);
+    init_rollouts(gateway);
     init_accounts(gateway);
     gateway_reload(gateway, settings);
     const resume_conf_t resume_conf = {
--- a/gateway/gateway_events.c
+++ b/gateway/gateway_events.c
@@ -31,7 +31,7 @@
 static bool
 has_all_views(const views_t *views)
 {
-    for (view_kind_t kind = 0; kind < VIEW_WATCHED; kind++) {
+    for (view_kind_t kind = 0; kind < views->count; kind++) {
         if (!views->items[kind].known)
             return false;
     }
@@ -68,6 +68,9 @@
     case VIEW_CLOSURES:
         catalog_apply_closures(catalog, view);
         break;
+    case VIEW_ROLLOUTS:
+        rollouts_apply(&gateway->router.rollouts, view, loop_now(gateway->loop));
+        break;
     case VIEW_INSTANCES:
         BUG("not a watched kind");
     }
@@ -104,6 +107,13 @@
     free(items);
 }
 
+void
+gateway_on_rollout_verdict(void *ctx)
+{
+    gateway_t *gateway = ctx;
+    gateway->heartbeat.is_due = true;
+}
+
 void
 gateway_on_peer_refused(void *ctx, const addr_t *to)
 {
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -16,6 +16,7 @@
 #include "gateway/membership/permit_exchange.h"
 #include "gateway/path/exchange.h"
 #include "gateway/resume.h"
+#include "gateway/state/rollout_record.h"
 
 struct gateway {
     uv_loop_t *loop;
@@ -34,6 +35,7 @@
     suspect_gossip_t suspect_news;
     notice_gossip_t notice_news;
     permit_exchange_t permit_exchange;
+    rollout_record_t rollout_record;
     account_uses_t account_uses;
     account_sync_t account_news;
     peer_hub_t *hub;
@@ -55,6 +57,8 @@
 void gateway_apply_config(void *ctx);
 void gateway_on_view_change(void *ctx, view_kind_t kind);
 void gateway_on_delta(void *ctx, const view_delta_t *delta);
+/* A roll-out was decided here: the next tick tells the peers. */
+void gateway_on_rollout_verdict(void *ctx);
 void gateway_on_peer_refused(void *ctx, const addr_t *to);
 void gateway_on_peer_message(void *ctx, peer_conn_t *conn, const Iris__Envelope *message);
 
--- a/gateway/gateway_tick.c
+++ b/gateway/gateway_tick.c
@@ -75,6 +75,18 @@
     heartbeat_retry_unheard(&gateway->heartbeat);
 }
 
+/* Completes roll-outs whose traffic has moved everywhere and records their states. */
+static void
+record_rollouts(gateway_t *gateway)
+{
+    const rollout_gossip_t gossip =
+        heartbeat_rollouts(&gateway->heartbeat, loop_now(gateway->loop));
+    bool all_moved[ROLLOUTS_MAX] = {0};
+    for (size_t i = 0; i < gossip.rollouts->count; i++)
+        all_moved[i] = rollout_gossip_all_moved(&gossip, gossip.rollouts->items[i]);
+    rollout_record_tick(&gateway->rollout_record, all_moved);
+}
+
 void
 gateway_on_tick(uv_timer_t *timer)
 {
@@ -96,6 +108,8 @@
     close_idle_connections(gateway);
     if (!router_is_ready(&gateway->router) && !gateway->stopping)
         reconnect_unheard_peers(gateway);
+    if (!gateway->stopping && gateway->router.rollouts.count > 0)
+        record_rollouts(gateway);
     heartbeat_tick(&gateway->heartbeat, now_ms);
     log_flush();
     if (gateway->stopping)
--- a/gateway/inspect.c
+++ b/gateway/inspect.c
@@ -117,8 +117,9 @@
         [VIEW_CONFIG] = "configuration",
         [VIEW_BACKENDS] = "list of backend servers",
         [VIEW_CLOSURES] = "closed places",
+        [VIEW_ROLLOUTS] = "roll-outs",
     };
-    for (view_kind_t kind = 0; kind < VIEW_WATCHED; kind++) {
+    for (view_kind_t kind = 0; kind < views->count; kind++) {
         const view_age_t *age = &views->ages[kind];
         wire_text_printf(out, "%s: last change in force after %u ms, at most %u ms\n", kinds[kind],
                          age->last_ms, age->highest_ms);
--- a/gateway/membership/heartbeat.c
+++ b/gateway/membership/heartbeat.c
@@ -125,6 +125,17 @@
     heartbeat->is_due = true;
 }
 
+rollout_gossip_t
+heartbeat_rollouts(const heartbeat_t *heartbeat, uint64_t now_ms)
+{
+    return (rollout_gossip_t){
+        .members = heartbeat->conf.members,
+        .rollouts = heartbeat->conf.rollouts,
+        .self = members_find_or_add(heartbeat->conf.members, &heartbeat->conf.settings->peer),
+        .now_ms = now_ms,
+    };
+}
+
 void
 heartbeat_send(heartbeat_t *heartbeat, uint64_t now_ms)
 {
@@ -137,6 +148,7 @@
         .watch = heartbeat->conf.watch,
         .suspect_gossip = heartbeat->conf.suspect_gossip,
         .notice_gossip = heartbeat->conf.notice_gossip,
+        .rollouts = heartbeat_rollouts(heartbeat, now_ms),
         .resumed = heartbeat->resumed,
         .backends = heartbeat->conf.backends,
         .round = heartbeat->round,
@@ -201,6 +213,7 @@
         .watch = heartbeat->conf.watch,
         .suspect_gossip = heartbeat->conf.suspect_gossip,
         .notice_gossip = heartbeat->conf.notice_gossip,
+        .rollouts = heartbeat_rollouts(heartbeat, now_ms),
         .backends = heartbeat->conf.backends,
         .round = heartbeat->replies_sent++,
         .is_reply = true,
@@ -326,6 +339,10 @@
     member->announced |= was_announced;
     suspect_gossip_merge(heartbeat->conf.suspect_gossip, message->suspects, message->n_suspects);
     notice_gossip_merge(heartbeat->conf.notice_gossip, message->notices, message->n_notices);
+    if (message->n_rollouts > 0) {
+        const rollout_gossip_t rollouts = heartbeat_rollouts(heartbeat, now_ms);
+        rollout_gossip_merge(&rollouts, member, message->rollouts, message->n_rollouts);
+    }
     if (is_new || message->resumed)
         reply_to_new_member(heartbeat, member, was_announced, now_ms);
     if (message->was_announced)
--- a/gateway/membership/heartbeat.h
+++ b/gateway/membership/heartbeat.h
@@ -26,6 +26,7 @@
     view_relay_t *relay;
     suspect_gossip_t *suspect_gossip;
     notice_gossip_t *notice_gossip;
+    rollouts_t *rollouts;
     peer_hub_t *hub;
     uint64_t incarnation; /* random number chosen at process start */
 } heartbeat_conf_t;
@@ -62,6 +63,8 @@
 void heartbeat_tick(heartbeat_t *heartbeat, uint64_t now_ms);
 void heartbeat_receive(heartbeat_t *heartbeat, const Iris__GatewayHeartbeat *message,
                        uint64_t now_ms);
+/* Returns the exchange of roll-outs with the members. */
+rollout_gossip_t heartbeat_rollouts(const heartbeat_t *heartbeat, uint64_t now_ms);
 /* Adds the address of an instance, which gets heartbeats from now on. `announced`: its entry is in
  * the store. */
 void heartbeat_add_address(heartbeat_t *heartbeat, const addr_t *peer, const name_t *hall,
--- a/gateway/membership/heartbeat_message.c
+++ b/gateway/membership/heartbeat_message.c
@@ -15,7 +15,7 @@
 static void
 fill_views(heartbeat_message_t *out, const views_t *views)
 {
-    for (size_t kind = 0; kind < VIEW_WATCHED; kind++) {
+    for (size_t kind = 0; kind < views->count; kind++) {
         const view_t *view = &views->items[kind];
         iris__view_state__init(&out->views[kind]);
         out->views[kind].at = view->at;
@@ -23,7 +23,7 @@
         out->views[kind].known = view->known;
         out->view_list[kind] = &out->views[kind];
     }
-    out->message.n_views = VIEW_WATCHED;
+    out->message.n_views = views->count;
     out->message.views = out->view_list;
 }
 
@@ -132,6 +132,16 @@
     out->message.notices = out->notice_list;
 }
 
+static void
+fill_rollouts(heartbeat_message_t *out, const heartbeat_source_t *source)
+{
+    const size_t count = rollout_gossip_fill(&source->rollouts, out->rollouts);
+    for (size_t i = 0; i < count; i++)
+        out->rollout_list[i] = &out->rollouts[i].message;
+    out->message.n_rollouts = count;
+    out->message.rollouts = out->rollout_list;
+}
+
 static void
 fill_self(heartbeat_message_t *out, const heartbeat_source_t *source)
 {
@@ -173,6 +183,8 @@
     fill_demands(out, source);
     fill_suspects(out, source);
     fill_notices(out, source);
+    if (source->rollouts.rollouts->count > 0)
+        fill_rollouts(out, source);
     if (!source->is_reply)
         fill_outcomes(out, source);
     if (source->is_reply || source->round % PEERS_PERIOD < PEERS_ROUNDS)
--- a/gateway/membership/heartbeat_message.h
+++ b/gateway/membership/heartbeat_message.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "gateway/membership/notice_gossip.h"
+#include "gateway/membership/rollout_gossip.h"
 #include "gateway/membership/suspect_gossip.h"
 #include "gateway/state/backends.h"
 #include "gateway/state/store_watch.h"
@@ -37,6 +38,8 @@
     Iris__Suspect *suspect_list[SUSPECTS_PER_REPLY];
     Iris__BackendNotice notices[NOTICES_PER_REPLY];
     Iris__BackendNotice *notice_list[NOTICES_PER_REPLY];
+    rollout_message_t rollouts[ROLLOUT_REPORTS_MAX];
+    Iris__RolloutReport *rollout_list[ROLLOUT_REPORTS_MAX];
     char peer_texts[HEARTBEAT_PEERS_MAX][ADDR_TEXT_MAX];
     char own_peer[ADDR_TEXT_MAX];
     char own_callers[ADDR_TEXT_MAX];
@@ -50,6 +53,7 @@
     const store_watch_t *watch;
     const suspect_gossip_t *suspect_gossip;
     const notice_gossip_t *notice_gossip;
+    rollout_gossip_t rollouts;
     bool resumed;               /* this instance stalled and missed messages */
     const backends_t *backends; /* their unsent outcomes are moved into the message */
     unsigned round;             /* number of the heartbeat; only some carry addresses */
--- a/gateway/path/attempt.c
+++ b/gateway/path/attempt.c
@@ -48,6 +48,7 @@
     attempt_t *attempt = ctx;
     reported_load_t load;
     attempt->head_seen = true;
+    attempt->head_ms = loop_now(attempt->loop);
     attempt->verdict = attempt->dialect->judge(head);
     attempt->status = head->status;
     attempt->length = length;
@@ -208,6 +209,7 @@
     attempt->sent = false;
     attempt->closed = false;
     attempt->head_seen = false;
+    attempt->head_ms = 0;
     attempt->paused = false;
     attempt->slots_full = false;
     attempt->recorded = false;
--- a/gateway/path/attempt.h
+++ b/gateway/path/attempt.h
@@ -43,9 +43,10 @@
     backend_t *backend; /* NULL while no attempt is in progress */
     wire_call_t *call;
     uint64_t sent_ms;
-    bool sent;   /* bytes may have been sent; kept after the end */
-    bool closed; /* the other side closed or reset the connection; kept after the end */
-    bool queued; /* all slots of the backend were in use when it was sent */
+    uint64_t head_ms; /* loop time of the head of the response; 0 before */
+    bool sent;        /* bytes may have been sent; kept after the end */
+    bool closed;      /* the other side closed or reset the connection; kept after the end */
+    bool queued;      /* all slots of the backend were in use when it was sent */
     bool head_seen;
     bool streaming;
     bool paused;
--- a/gateway/path/dispatch.c
+++ b/gateway/path/dispatch.c
@@ -114,11 +114,32 @@
         dispatch_send(ex, ex->choice.backend);
 }
 
+/* Records the end of the last attempt for a roll-out of the service. */
+static void
+record_for_rollout(const exchange_t *ex, bool failed, bool cancelled)
+{
+    const attempt_t *attempt = &ex->attempt;
+    const backend_t *backend = exchange_last_tried(ex);
+    const uint64_t now_ms = exchange_now_ms(ex);
+    const uint64_t until_ms = attempt->head_ms > 0 ? attempt->head_ms : now_ms;
+    const rollout_attempt_t record = {
+        .backend = backend,
+        .route = ex->route->key,
+        .has_object = router_has_object(ex->route, ex->metadata.object),
+        .failed = failed,
+        .comparable = !attempt->queued && !backend_is_cold(backend, attempt->sent_ms),
+        .latency_ms = (double)(until_ms - attempt->sent_ms),
+        .cancelled = cancelled,
+    };
+    router_record_rollout(ex->owner->router, ex->service, &record);
+}
+
 void
 dispatch_cancel(exchange_t *ex)
 {
     if (ex->attempt.call == NULL)
         return;
+    record_for_rollout(ex, false, true);
     attempt_cancel(&ex->attempt);
     ex->sends += ex->attempt.sent;
     ex->may_have_run |= ex->attempt.sent;
@@ -242,6 +263,11 @@
     ex->possible_runs += outcome != ATTEMPT_NOT_RUN;
     if (ex->attempt.closed)
         record_connection_closed(ex);
+    if (outcome != ATTEMPT_NOT_RUN)
+        record_for_rollout(ex,
+                           outcome != ATTEMPT_ANSWERED ||
+                               ex->attempt.status >= HTTP_STATUS_INTERNAL_SERVER_ERROR,
+                           false);
     switch (outcome) {
     case ATTEMPT_ANSWERED:
         on_answered(ex);
--- a/gateway/policy/choice.c
+++ b/gateway/policy/choice.c
@@ -2,6 +2,7 @@
 
 #include "gateway/policy/choice_areas.h"
 #include "gateway/policy/replicas.h"
+#include "gateway/policy/rollout.h"
 
 /* Upper bound on the share of a region's backends that are avoided. */
 #define AVOIDED_MAX_SHARE 0.6
@@ -45,12 +46,28 @@
     return false;
 }
 
+static bool
+allows_version(const choice_versions_t *versions, const backend_t *backend)
+{
+    const uint64_t version = backend->info.version;
+    if (versions->only != 0)
+        return version == versions->only &&
+               (versions->server_cut == 0 ||
+                rollout_server_hash(backend->key) <= versions->server_cut);
+    for (size_t i = 0; i < CHOICE_VERSIONS_MAX; i++) {
+        if (versions->except[i] != 0 && version == versions->except[i])
+            return false;
+    }
+    return true;
+}
+
 /* True if the backend matches the request's constraints, whatever its state. */
 static bool
 is_eligible(const choice_input_t *input, const backend_t *backend)
 {
     return name_eq(&backend->info.service, input->service) && !was_tried(input, backend) &&
            (input->version == 0 || backend->info.version == input->version) &&
+           allows_version(&input->versions, backend) &&
            choice_allows_region(input, backend->region);
 }
 
--- a/gateway/policy/choice.h
+++ b/gateway/policy/choice.h
@@ -16,6 +16,7 @@
  *  - A request under which a backend server has ended (quarantine.h) goes to the least loaded
  *    backend of the area, warm ones first, whatever its object: if that backend ends too, fewer
  *    requests are lost with it.
+ *  - During a roll-out (rollout.h) a request may be restricted to some software versions.
  *  - A backend may be skipped because of what it reported about itself (backend_skip.h); the next
  *    one in the ranking then gets the request.
  *  - Avoided backends (health.h) rank behind all others of their region, unless too many would be
@@ -54,6 +55,15 @@
     uint64_t wait_ms;          /* CHOICE_ALL_SKIPPED: time until one is available; 0: not known */
 } choice_t;
 
+enum { CHOICE_VERSIONS_MAX = 4 };
+
+/* Software versions that a request may go to; zeroed: any. */
+typedef struct {
+    uint64_t only;                        /* 0: any but those below */
+    uint64_t except[CHOICE_VERSIONS_MAX]; /* 0: none */
+    uint64_t server_cut; /* of the only one, backends up to this hash (rollout.h); 0: all */
+} choice_versions_t;
+
 typedef struct {
     const backends_t *backends;
     const topology_t *topology;
@@ -65,10 +75,11 @@
     size_t own_region;
     uint64_t object; /* hash of the object, or a random number without one */
     bool has_object;
-    uint64_t version;        /* restricts to backends of this software version; 0: any */
-    bool suspected;          /* a backend server has ended under the request (quarantine.h) */
-    bool may_request_permit; /* a permit may be requested (backend_skip.h) */
-    double object_demand;    /* slots kept busy by requests about the object */
+    uint64_t version;           /* restricts to backends of this software version; 0: any */
+    choice_versions_t versions; /* restricts to some of them, during a roll-out */
+    bool suspected;             /* a backend server has ended under the request (quarantine.h) */
+    bool may_request_permit;    /* a permit may be requested (backend_skip.h) */
+    double object_demand;       /* slots kept busy by requests about the object */
     uint64_t now_ms;
     uint64_t own_key;             /* this instance's key in `senders` */
     const cold_sender_t *senders; /* all instances known so far */
--- a/gateway/ports.h
+++ b/gateway/ports.h
@@ -21,10 +21,19 @@
     VIEW_CONFIG,                   /* operators' configuration */
     VIEW_BACKENDS,                 /* list of backend servers */
     VIEW_CLOSURES,                 /* data halls closed to requests */
+    VIEW_ROLLOUTS,                 /* orders to move a service to another software version */
     VIEW_INSTANCES,                /* instances of this system */
     VIEW_WATCHED = VIEW_INSTANCES, /* kinds below this value are watched continuously */
 } view_kind_t;
 
+/* Where a roll-out stands. */
+typedef enum {
+    ROLLOUT_NONE, /* nothing recorded for the ordered version */
+    ROLLOUT_RUNNING,
+    ROLLOUT_COMPLETED,
+    ROLLOUT_ROLLED_BACK,
+} rollout_state_t;
+
 /* An object of the store. The strings are owned by the code that passes the item. */
 typedef struct {
     str_t name;
@@ -63,15 +72,32 @@
                   void *cb_ctx);
     /* Creates an object of VIEW_INSTANCES. */
     void (*announce)(void *ctx, str_t name, str_t address, str_t hall, store_cb_t cb, void *cb_ctx);
+    /* Records the state of an object of VIEW_ROLLOUTS, unless its revision is no longer `revision`:
+     * STORE_CONFLICT. */
+    void (*record_rollout)(void *ctx, str_t name, uint64_t revision, rollout_state_t state,
+                           str_t version, store_cb_t cb, void *cb_ctx);
     void *ctx;
 } store_port_t;
 
 /* ---- stored objects ---- */
 
+enum { ROLLOUT_VERSION_MAX = 63 }; /* bytes of a software version's name */
+
+/* An order to move the traffic of a service to the backend servers of one software version. */
+typedef struct {
+    name_t service;
+    char version_name[ROLLOUT_VERSION_MAX + 1];
+    uint64_t version; /* as in backend_info_t */
+    uint32_t duration_ms;
+    rollout_state_t recorded; /* in the store, for this version */
+} rollout_order_t;
+
 typedef struct {
     /* Returns a new reference, or NULL with an error if the object is invalid. */
     config_t *(*config)(str_t body, err_t *err);
     bool (*backend)(str_t name, str_t body, backend_info_t *out, err_t *err);
+    /* Decodes an order. `out` holds what could be read of an invalid one. */
+    bool (*rollout)(str_t body, rollout_order_t *out, err_t *err);
     /* Decodes an instance's peer address and data hall. */
     bool (*instance)(str_t body, addr_t *out, name_t *hall, err_t *err);
 } decoder_port_t;
--- a/gateway/router.c
+++ b/gateway/router.c
@@ -39,6 +39,8 @@
     xassert(name_set(&router->hall, conf->hall));
     router->services.own_region = router->region;
     catalog_init(&router->catalog, loop, conf->topology, conf->decoder);
+    router->rollouts.decoder = conf->decoder;
+    router->rollouts.exposure = conf->exposure;
 }
 
 bool
@@ -80,7 +82,8 @@
     const size_t count = router->topology->region_count;
     const str_t name = name_str(&service->name);
     region_plan_input_t input = {0};
-    catalog_slots_by_region(&router->catalog, name, input.slots);
+    catalog_slots_by_region(&router->catalog, name, rollouts_find(&router->rollouts, name),
+                            input.slots);
     for (size_t i = 0; i < count; i++)
         input.demand[i] = members_demand(members, name, i, router->region, now_ms);
     region_plan_update(&service->plan, &input, count, router->region, now_ms);
@@ -132,6 +135,7 @@
     object_rates_decay(&router->objects, now_ms);
     router->traffic_scale = traffic_scale(router, members);
     update_room(router);
+    rollouts_tick(&router->rollouts, &router->catalog.backends, &router->services, now_ms);
     for (size_t i = 0; i < router->services.count; i++) {
         service_update_demand(router->services.items[i], now_ms);
         update_plan(router, router->services.items[i], members);
@@ -229,6 +233,35 @@
     return count;
 }
 
+/* True if an attempt of the request went to the target of the roll-out. */
+static bool
+tried_target(const router_request_t *request, const rollout_t *rollout)
+{
+    for (size_t i = 0; i < request->tried_count; i++) {
+        if (request->tried[i]->info.version == rollout->order.version)
+            return true;
+    }
+    return false;
+}
+
+/* Chooses among the versions that a roll-out of the service allows. A request that is bound to a
+ * version keeps it, unless that one was rolled back. */
+static choice_t
+choose_version(router_t *router, const router_request_t *request, choice_input_t *input)
+{
+    const rollout_t *rollout = rollouts_find(&router->rollouts, name_str(&request->service->name));
+    if (rollout == NULL || (input->version != 0 && rollout->state != ROLLOUT_ROLLED_BACK))
+        return choice_make(input);
+    const rollout_versions_t versions =
+        rollout_versions(rollout, rng_unit(&router->rng), tried_target(request, rollout));
+    input->versions = versions.first;
+    const choice_t choice = choice_make(input);
+    if (choice.backend != NULL || !versions.has_second)
+        return choice;
+    input->versions = versions.second;
+    return choice_make(input);
+}
+
 choice_t
 router_pick(router_t *router, const router_request_t *request)
 {
@@ -249,7 +282,7 @@
         .median_ms = route_stats_median_ms(&router->routes, route->key),
         .lost_ms = request->prior_wait_ms,
     };
-    const choice_t choice = choice_make(&input);
+    const choice_t choice = choose_version(router, request, &input);
     if (choice.backend != NULL && backend_is_cold(choice.backend, input.now_ms))
         cold_start_count_send(&choice.backend->cold_tokens, input.now_ms);
     return choice;
@@ -362,6 +395,14 @@
     return slow_after_ms(route->latency_objective_ms, median_ms);
 }
 
+void
+router_record_rollout(router_t *router, const service_t *service, const rollout_attempt_t *attempt)
+{
+    rollout_t *rollout = rollouts_find(&router->rollouts, name_str(&service->name));
+    if (rollout != NULL)
+        rollout_record(rollout, attempt);
+}
+
 retry_context_t
 router_retry_context(router_t *router, service_t *service)
 {
--- a/gateway/router.h
+++ b/gateway/router.h
@@ -14,6 +14,7 @@
 #include "gateway/policy/retry.h"
 #include "gateway/state/catalog.h"
 #include "gateway/state/object_rates.h"
+#include "gateway/state/rollouts.h"
 #include "gateway/state/route_stats.h"
 #include "gateway/state/services.h"
 #include "gateway/state/traffic.h"
@@ -31,6 +32,7 @@
     str_t instance; /* name of this instance */
     str_t hall;     /* data hall of this instance */
     router_retry_bounds_t retry_bounds;
+    rollout_exposure_t exposure; /* of a bad version; share 0: orders are not read */
 } router_conf_t;
 
 typedef struct {
@@ -47,6 +49,7 @@
     services_t services;
     traffic_t traffic;
     object_rates_t objects;
+    rollouts_t rollouts;
     double traffic_scale; /* requests of the own region per request of this instance */
     route_stats_t routes;
     cold_sender_t senders[MEMBERS_MAX]; /* all instances known */
@@ -125,5 +128,8 @@
 /* Returns the time in milliseconds after which an attempt on this route is overdue, 0 if unknown.
  * */
 uint32_t router_slow_ms(router_t *router, const config_route_t *route);
+/* Records the end of an attempt for a roll-out of its service. */
+void router_record_rollout(router_t *router, const service_t *service,
+                           const rollout_attempt_t *attempt);
 /* Returns the retry budget of a service. */
 retry_context_t router_retry_context(router_t *router, service_t *service);
--- a/gateway/settings.c
+++ b/gateway/settings.c
@@ -37,6 +37,8 @@
     double retry_ratio;
     double retry_constant;
     double retry_window_s;
+    double expose_share;
+    double expose_slack;
 } raw_t;
 
 #define TEXT(key, flags)                                                                           \
@@ -75,6 +77,8 @@
     NUMBER(retry_ratio),
     NUMBER(retry_constant),
     NUMBER(retry_window_s),
+    OPTIONAL_NUMBER(expose_share),
+    OPTIONAL_NUMBER(expose_slack),
     CYAML_FIELD_END};
 
 static const cyaml_schema_value_t schema = {CYAML_VALUE_MAPPING(CYAML_FLAG_POINTER, raw_t, fields)};
@@ -142,6 +146,8 @@
         .retry_ratio = raw->retry_ratio,
         .retry_constant = raw->retry_constant,
         .retry_window_ms = (uint64_t)(raw->retry_window_s * MS_PER_S),
+        .expose_share = raw->expose_share,
+        .expose_slack = raw->expose_slack,
         .has_admin = raw->admin != NULL,
     };
     if (raw->admin != NULL && !read_addr("admin", raw->admin, &out->admin, err))
@@ -159,6 +165,8 @@
            read_number("grace_s", raw->grace_s, 0, err) &&
            read_number("retry_ratio", raw->retry_ratio, 0, err) &&
            read_number("retry_constant", raw->retry_constant, 0, err) &&
+           read_number("expose_share", raw->expose_share, 0, err) &&
+           read_number("expose_slack", raw->expose_slack, 0, err) &&
            read_number("retry_window_s", raw->retry_window_s, WINDOW_MIN_S, err) &&
            read_seeds(raw, out, err) && read_places(raw, out, err);
 }
--- a/gateway/settings.h
+++ b/gateway/settings.h
@@ -31,6 +31,10 @@
     double retry_ratio;      /* see retry_budget.h */
     double retry_constant;
     uint64_t retry_window_ms;
+    /* Share of a service's requests that a bad version may get during a roll-out; 0: orders of
+     * roll-outs are not read. */
+    double expose_share;
+    double expose_slack; /* requests that it may get beyond that */
 } gateway_settings_t;
 
 /* Returns true if this instance is a seed. An instance without seeds counts as one, since it has no
--- a/gateway/state/catalog.c
+++ b/gateway/state/catalog.c
@@ -148,13 +148,15 @@
 }
 
 void
-catalog_slots_by_region(const catalog_t *catalog, str_t service, double *slots)
+catalog_slots_by_region(const catalog_t *catalog, str_t service, const rollout_t *rollout,
+                        double *slots)
 {
     const uint64_t now_ms = loop_now(catalog->loop);
     for (size_t i = 0; i < catalog->backends.count; i++) {
         const backend_t *backend = catalog->backends.items[i];
         if (backend->region < catalog->topology->region_count &&
-            name_eq(&backend->info.service, service) && backend_is_usable(backend, now_ms))
+            name_eq(&backend->info.service, service) && backend_is_usable(backend, now_ms) &&
+            (rollout == NULL || rollout_counts_room(rollout, backend)))
             slots[backend->region] += backend_plan_slots(backend);
     }
 }
--- a/gateway/state/catalog.h
+++ b/gateway/state/catalog.h
@@ -12,6 +12,7 @@
 #include "gateway/ports.h"
 #include "gateway/state/backends.h"
 #include "gateway/state/departures.h"
+#include "gateway/state/rollouts.h"
 #include "gateway/state/view.h"
 
 enum {
@@ -89,5 +90,7 @@
 /* True once requests can be decided. */
 bool catalog_is_complete(const catalog_t *catalog);
 /* Adds the slots of a service's usable backends to `slots`, which has an element for each region of
- * the topology. Backends without a region are skipped. */
-void catalog_slots_by_region(const catalog_t *catalog, str_t service, double *slots);
+ * the topology. Backends without a region are skipped, and those that a roll-out of the service
+ * keeps out of use; `rollout` may be NULL. */
+void catalog_slots_by_region(const catalog_t *catalog, str_t service, const rollout_t *rollout,
+                             double *slots);
--- a/gateway/state/store_calls.c
+++ b/gateway/state/store_calls.c
@@ -7,22 +7,22 @@
 #include "base/log.h"
 
 static const char *const kind_names[] = {
-    [VIEW_CONFIG] = "config",
-    [VIEW_BACKENDS] = "backends",
-    [VIEW_CLOSURES] = "closures",
-    [VIEW_INSTANCES] = "instances",
+    [VIEW_CONFIG] = "config",     [VIEW_BACKENDS] = "backends",   [VIEW_CLOSURES] = "closures",
+    [VIEW_ROLLOUTS] = "rollouts", [VIEW_INSTANCES] = "instances",
 };
 
 static const char *const call_names[] = {
     [STORE_CALL_LIST] = "list",
     [STORE_CALL_WATCH] = "watch",
     [STORE_CALL_ANNOUNCE] = "announce",
+    [STORE_CALL_RECORD] = "record",
 };
 
 static const char *const reason_names[] = {
     [STORE_REASON_START] = "start",        [STORE_REASON_NEXT_PAGE] = "page",
     [STORE_REASON_CHANGES] = "changes",    [STORE_REASON_HISTORY_GONE] = "history",
     [STORE_REASON_PEER_REFERRAL] = "peer", [STORE_REASON_RECOVERY_PROBE] = "return",
+    [STORE_REASON_ROLLOUT] = "rollout",
 };
 
 void
--- a/gateway/state/store_watch.c
+++ b/gateway/state/store_watch.c
@@ -432,8 +432,9 @@
     const uint64_t now_ms = loop_now(watch->conf.loop);
     if (now_ms < watch->probe_at_ms)
         return;
-    for (unsigned i = 1; i <= VIEW_WATCHED; i++) {
-        const view_kind_t next = (watch->last_probed + i) % VIEW_WATCHED;
+    const size_t kinds = watch->conf.views->count;
+    for (size_t i = 1; i <= kinds; i++) {
+        const view_kind_t next = (watch->last_probed + i) % kinds;
         if (!is_due(&watch->kinds[next]))
             continue;
         watch->last_probed = next;
@@ -455,7 +456,7 @@
         probe(watch);
         return;
     }
-    for (view_kind_t i = 0; i < VIEW_WATCHED; i++) {
+    for (view_kind_t i = 0; i < watch->conf.views->count; i++) {
         if (is_due(&watch->kinds[i]))
             call_store(&watch->kinds[i]);
     }
@@ -468,7 +469,7 @@
         return STORE_AGE_NONE;
     const uint64_t now_ms = loop_now(watch->conf.loop);
     uint64_t age_ms = 0;
-    for (view_kind_t i = 0; i < VIEW_WATCHED; i++) {
+    for (view_kind_t i = 0; i < watch->conf.views->count; i++) {
         const kind_watch_t *kind = &watch->kinds[i];
         if (kind->answered_ms == 0)
             return STORE_AGE_NONE;
--- a/gateway/state/view_push.c
+++ b/gateway/state/view_push.c
@@ -255,7 +255,7 @@
 void
 view_push_tick(view_push_t *push)
 {
-    for (view_kind_t kind = 0; kind < VIEW_WATCHED; kind++)
+    for (view_kind_t kind = 0; kind < push->conf.views->count; kind++)
         send_due(push, kind);
 }
 
--- a/gateway/state/view_relay.c
+++ b/gateway/state/view_relay.c
@@ -187,7 +187,7 @@
 void
 view_relay_on_request(view_relay_t *relay, peer_conn_t *conn, const Iris__ViewRequest *request)
 {
-    if (request->kind >= VIEW_WATCHED || !relay->conf.views->items[request->kind].known)
+    if (request->kind >= relay->conf.views->count || !relay->conf.views->items[request->kind].known)
         return; /* unknown kind, or no data yet: the peer asks another instance later */
     if (!reply_changes(relay, conn, request) && !reply_packed(relay, conn, request))
         reply_whole(relay, conn, request);
@@ -238,7 +238,7 @@
 void
 view_relay_compare(view_relay_t *relay, const member_t *member)
 {
-    for (view_kind_t kind = 0; kind < VIEW_WATCHED; kind++) {
+    for (view_kind_t kind = 0; kind < relay->conf.views->count; kind++) {
         const member_view_t *theirs = &member->views[kind];
         view_t *ours = &relay->conf.views->items[kind];
         if (!theirs->known)
@@ -295,8 +295,8 @@
 void
 view_relay_on_update(view_relay_t *relay, const peer_conn_t *conn, Iris__ViewUpdate *update)
 {
-    if (update->kind >= VIEW_WATCHED)
-        return; /* a kind added by a newer version */
+    if (update->kind >= relay->conf.views->count)
+        return; /* a kind added by a newer version, or not in use */
     if (update->at == 0) {
         store_watch_read_once(relay->conf.watch, update->kind);
         return;
--- a/gateway/state/views.h
+++ b/gateway/state/views.h
@@ -10,6 +10,7 @@
 #include "gateway/state/view_age.h"
 
 typedef struct {
+    size_t count;               /* kinds in use, the first ones */
     view_t items[VIEW_WATCHED]; /* indexed by view_kind_t */
     view_age_t ages[VIEW_WATCHED];
     /* Called after a view has changed. */
--- a/peer/peer.pb-c.c
+++ b/peer/peer.pb-c.c
@@ -817,6 +817,96 @@
   assert(message->base.descriptor == &iris__permit_answer__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   iris__rollout_route__init
+                     (Iris__RolloutRoute         *message)
+{
+  static const Iris__RolloutRoute init_value = IRIS__ROLLOUT_ROUTE__INIT;
+  *message = init_value;
+}
+size_t iris__rollout_route__get_packed_size
+                     (const Iris__RolloutRoute *message)
+{
+  assert(message->base.descriptor == &iris__rollout_route__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t iris__rollout_route__pack
+                     (const Iris__RolloutRoute *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &iris__rollout_route__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t iris__rollout_route__pack_to_buffer
+                     (const Iris__RolloutRoute *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &iris__rollout_route__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Iris__RolloutRoute *
+       iris__rollout_route__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Iris__RolloutRoute *)
+     protobuf_c_message_unpack (&iris__rollout_route__descriptor,
+                                allocator, len, data);
+}
+void   iris__rollout_route__free_unpacked
+                     (Iris__RolloutRoute *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &iris__rollout_route__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   iris__rollout_report__init
+                     (Iris__RolloutReport         *message)
+{
+  static const Iris__RolloutReport init_value = IRIS__ROLLOUT_REPORT__INIT;
+  *message = init_value;
+}
+size_t iris__rollout_report__get_packed_size
+                     (const Iris__RolloutReport *message)
+{
+  assert(message->base.descriptor == &iris__rollout_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t iris__rollout_report__pack
+                     (const Iris__RolloutReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &iris__rollout_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t iris__rollout_report__pack_to_buffer
+                     (const Iris__RolloutReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &iris__rollout_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Iris__RolloutReport *
+       iris__rollout_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Iris__RolloutReport *)
+     protobuf_c_message_unpack (&iris__rollout_report__descriptor,
+                                allocator, len, data);
+}
+void   iris__rollout_report__free_unpacked
+                     (Iris__RolloutReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &iris__rollout_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   iris__gateway_heartbeat__init
                      (Iris__GatewayHeartbeat         *message)
 {
@@ -2904,7 +2994,252 @@
   (ProtobufCMessageInit) iris__permit_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor iris__gateway_heartbeat__field_descriptors[30] =
+static const ProtobufCFieldDescriptor iris__rollout_route__field_descriptors[6] =
+{
+  {
+    "route",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Iris__RolloutRoute, route),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "has_objects",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Iris__RolloutRoute, has_objects),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Iris__RolloutRoute, n_target),
+    offsetof(Iris__RolloutRoute, target),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "base_responses",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Iris__RolloutRoute, base_responses),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "base_failures",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Iris__RolloutRoute, base_failures),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "base_latency",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Iris__RolloutRoute, n_base_latency),
+    offsetof(Iris__RolloutRoute, base_latency),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned iris__rollout_route__field_indices_by_name[] = {
+  4,   /* field[4] = base_failures */
+  5,   /* field[5] = base_latency */
+  3,   /* field[3] = base_responses */
+  1,   /* field[1] = has_objects */
+  0,   /* field[0] = route */
+  2,   /* field[2] = target */
+};
+static const ProtobufCIntRange iris__rollout_route__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor iris__rollout_route__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "iris.RolloutRoute",
+  "RolloutRoute",
+  "Iris__RolloutRoute",
+  "iris",
+  sizeof(Iris__RolloutRoute),
+  6,
+  iris__rollout_route__field_descriptors,
+  iris__rollout_route__field_indices_by_name,
+  1,  iris__rollout_route__number_ranges,
+  (ProtobufCMessageInit) iris__rollout_route__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor iris__rollout_report__field_descriptors[9] =
+{
+  {
+    "order",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Iris__RolloutReport, order),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "elapsed_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Iris__RolloutReport, elapsed_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ramp_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Iris__RolloutReport, ramp_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rolled_back",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Iris__RolloutReport, rolled_back),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bad_route",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Iris__RolloutReport, bad_route),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "moved",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Iris__RolloutReport, moved),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "region_moved",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Iris__RolloutReport, region_moved),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "routes",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Iris__RolloutReport, n_routes),
+    offsetof(Iris__RolloutReport, routes),
+    &iris__rollout_route__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "region_routes",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Iris__RolloutReport, n_region_routes),
+    offsetof(Iris__RolloutReport, region_routes),
+    &iris__rollout_route__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned iris__rollout_report__field_indices_by_name[] = {
+  4,   /* field[4] = bad_route */
+  1,   /* field[1] = elapsed_ms */
+  5,   /* field[5] = moved */
+  0,   /* field[0] = order */
+  2,   /* field[2] = ramp_ms */
+  6,   /* field[6] = region_moved */
+  8,   /* field[8] = region_routes */
+  3,   /* field[3] = rolled_back */
+  7,   /* field[7] = routes */
+};
+static const ProtobufCIntRange iris__rollout_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor iris__rollout_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "iris.RolloutReport",
+  "RolloutReport",
+  "Iris__RolloutReport",
+  "iris",
+  sizeof(Iris__RolloutReport),
+  9,
+  iris__rollout_report__field_descriptors,
+  iris__rollout_report__field_indices_by_name,
+  1,  iris__rollout_report__number_ranges,
+  (ProtobufCMessageInit) iris__rollout_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor iris__gateway_heartbeat__field_descriptors[31] =
 {
   {
     "instance",
@@ -3266,6 +3601,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rollouts",
+    31,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Iris__GatewayHeartbeat, n_rollouts),
+    offsetof(Iris__GatewayHeartbeat, rollouts),
+    &iris__rollout_report__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned iris__gateway_heartbeat__field_indices_by_name[] = {
   22,   /* field[22] = announced */
@@ -3292,6 +3639,7 @@
   12,   /* field[12] = region_members */
   18,   /* field[18] = requests_per_s */
   26,   /* field[26] = resumed */
+  30,   /* field[30] = rollouts */
   7,   /* field[7] = store_age_ms */
   8,   /* field[8] = store_failing */
   24,   /* field[24] = suspects */
@@ -3302,7 +3650,7 @@
 static const ProtobufCIntRange iris__gateway_heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 30 }
+  { 0, 31 }
 };
 const ProtobufCMessageDescriptor iris__gateway_heartbeat__descriptor =
 {
@@ -3312,7 +3660,7 @@
   "Iris__GatewayHeartbeat",
   "iris",
   sizeof(Iris__GatewayHeartbeat),
-  30,
+  31,
   iris__gateway_heartbeat__field_descriptors,
   iris__gateway_heartbeat__field_indices_by_name,
   1,  iris__gateway_heartbeat__number_ranges,
--- a/peer/peer.pb-c.h
+++ b/peer/peer.pb-c.h
@@ -33,6 +33,8 @@
 typedef struct Iris__BackendNotices Iris__BackendNotices;
 typedef struct Iris__PermitRequest Iris__PermitRequest;
 typedef struct Iris__PermitAnswer Iris__PermitAnswer;
+typedef struct Iris__RolloutRoute Iris__RolloutRoute;
+typedef struct Iris__RolloutReport Iris__RolloutReport;
 typedef struct Iris__GatewayHeartbeat Iris__GatewayHeartbeat;
 typedef struct Iris__ViewItem Iris__ViewItem;
 typedef struct Iris__ViewUpdate Iris__ViewUpdate;
@@ -430,6 +432,91 @@
     , NULL, 0, 0, 0 }
 
 
+/*
+ * Gateway: responses of a service on one route during a roll-out; see gateway/policy/rollout.h.
+ */
+struct  Iris__RolloutRoute
+{
+  ProtobufCMessage base;
+  /*
+   * key; 0: all routes
+   */
+  uint64_t route;
+  /*
+   * backend servers keep objects of its requests in memory
+   */
+  protobuf_c_boolean has_objects;
+  /*
+   * of each group of the target: responses, failures, slow ones
+   */
+  size_t n_target;
+  uint32_t *target;
+  /*
+   * of the other versions, within the last seconds
+   */
+  uint32_t base_responses;
+  uint32_t base_failures;
+  /*
+   * of the other versions, since the order, by bucket
+   */
+  size_t n_base_latency;
+  uint32_t *base_latency;
+};
+#define IRIS__ROLLOUT_ROUTE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&iris__rollout_route__descriptor) \
+    , 0, 0, 0,NULL, 0, 0, 0,NULL }
+
+
+/*
+ * Gateway: how far a roll-out has come at the sender.
+ */
+struct  Iris__RolloutReport
+{
+  ProtobufCMessage base;
+  /*
+   * hash of what was ordered
+   */
+  uint64_t order;
+  /*
+   * since the order
+   */
+  uint32_t elapsed_ms;
+  /*
+   * since its share began to rise; 0: it has not
+   */
+  uint32_t ramp_ms;
+  /*
+   * why, 0: it was not; a rollout_reason_t
+   */
+  uint32_t rolled_back;
+  /*
+   * that decided
+   */
+  uint64_t bad_route;
+  /*
+   * none of the sender's requests is or will be at another version
+   */
+  protobuf_c_boolean moved;
+  /*
+   * the same of all instances of its region
+   */
+  protobuf_c_boolean region_moved;
+  /*
+   * counts of the sender
+   */
+  size_t n_routes;
+  Iris__RolloutRoute **routes;
+  /*
+   * counts of its region, for other regions
+   */
+  size_t n_region_routes;
+  Iris__RolloutRoute **region_routes;
+};
+#define IRIS__ROLLOUT_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&iris__rollout_report__descriptor) \
+    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
+
+
 /*
  * Gateway: the state of one instance, sent several times a second to the others.
  */
@@ -535,6 +622,11 @@
    */
   size_t n_notices;
   Iris__BackendNotice **notices;
+  /*
+   * that run, or ended lately
+   */
+  size_t n_rollouts;
+  Iris__RolloutReport **rollouts;
   /*
    * it takes BackendNotices, and PermitRequest as the owner
    */
@@ -542,7 +634,7 @@
 };
 #define IRIS__GATEWAY_HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&iris__gateway_heartbeat__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 struct  Iris__ViewItem
@@ -1309,6 +1401,44 @@
 void   iris__permit_answer__free_unpacked
                      (Iris__PermitAnswer *message,
                       ProtobufCAllocator *allocator);
+/* Iris__RolloutRoute methods */
+void   iris__rollout_route__init
+                     (Iris__RolloutRoute         *message);
+size_t iris__rollout_route__get_packed_size
+                     (const Iris__RolloutRoute   *message);
+size_t iris__rollout_route__pack
+                     (const Iris__RolloutRoute   *message,
+                      uint8_t             *out);
+size_t iris__rollout_route__pack_to_buffer
+                     (const Iris__RolloutRoute   *message,
+                      ProtobufCBuffer     *buffer);
+Iris__RolloutRoute *
+       iris__rollout_route__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   iris__rollout_route__free_unpacked
+                     (Iris__RolloutRoute *message,
+                      ProtobufCAllocator *allocator);
+/* Iris__RolloutReport methods */
+void   iris__rollout_report__init
+                     (Iris__RolloutReport         *message);
+size_t iris__rollout_report__get_packed_size
+                     (const Iris__RolloutReport   *message);
+size_t iris__rollout_report__pack
+                     (const Iris__RolloutReport   *message,
+                      uint8_t             *out);
+size_t iris__rollout_report__pack_to_buffer
+                     (const Iris__RolloutReport   *message,
+                      ProtobufCBuffer     *buffer);
+Iris__RolloutReport *
+       iris__rollout_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   iris__rollout_report__free_unpacked
+                     (Iris__RolloutReport *message,
+                      ProtobufCAllocator *allocator);
 /* Iris__GatewayHeartbeat methods */
 void   iris__gateway_heartbeat__init
                      (Iris__GatewayHeartbeat         *message);
@@ -1650,6 +1780,12 @@
 typedef void (*Iris__PermitAnswer_Closure)
                  (const Iris__PermitAnswer *message,
                   void *closure_data);
+typedef void (*Iris__RolloutRoute_Closure)
+                 (const Iris__RolloutRoute *message,
+                  void *closure_data);
+typedef void (*Iris__RolloutReport_Closure)
+                 (const Iris__RolloutReport *message,
+                  void *closure_data);
 typedef void (*Iris__GatewayHeartbeat_Closure)
                  (const Iris__GatewayHeartbeat *message,
                   void *closure_data);
@@ -1719,6 +1855,8 @@
 extern const ProtobufCMessageDescriptor iris__backend_notices__descriptor;
 extern const ProtobufCMessageDescriptor iris__permit_request__descriptor;
 extern const ProtobufCMessageDescriptor iris__permit_answer__descriptor;
+extern const ProtobufCMessageDescriptor iris__rollout_route__descriptor;
+extern const ProtobufCMessageDescriptor iris__rollout_report__descriptor;
 extern const ProtobufCMessageDescriptor iris__gateway_heartbeat__descriptor;
 extern const ProtobufCMessageDescriptor iris__view_item__descriptor;
 extern const ProtobufCMessageDescriptor iris__view_update__descriptor;
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -7,6 +7,8 @@
 # SAYS=1 leaves the other troubles out and has 24 backend servers name limits, ask for rest and leave.
 # POISON=5 leaves the other troubles out and has five requests come that end backend servers.
 #
+# ROLLOUTS=1 has operators order roll-outs besides, good and bad ones.
+#
 # The same seed, duration and number of instances give the same schedule of troubles, not the same
 # run. fake-site (standin/soak/) decides and judges; this script starts the processes and carries
 # out its orders. Ends by itself, and leaves no process behind. Exit 0 if every rule held.
@@ -50,6 +52,8 @@
 retry_ratio: 0.2
 retry_constant: $((50 + $2 % 10))
 retry_window_s: 10
+${ROLLOUTS:+expose_share: 0.1
+expose_slack: 50}
 YAML
     mv "$DIR/$1.yaml.new" "$DIR/$1.yaml"
 }
@@ -108,7 +112,7 @@
 echo "soak: seed=$SEED duration=${DURATION}s instances=$INSTANCES slack=$SLACK net=${NET}0 logs=$DIR"
 mkfifo "$DIR/reports" "$DIR/orders" || exit 2
 exec {reports}<>"$DIR/reports"
-"$BUILD/fake-site" -s "$SEED" -d "$DURATION" -n "$INSTANCES" -a "$NET" -x "$SLACK" ${POISON:+-q "$POISON"} ${SAYS:+-w} \
+"$BUILD/fake-site" -s "$SEED" -d "$DURATION" -n "$INSTANCES" -a "$NET" -x "$SLACK" ${POISON:+-q "$POISON"} ${SAYS:+-w} ${ROLLOUTS:+-o} \
     <"$DIR/reports" >"$DIR/orders" 2>"$DIR/site.out" {reports}>&- &
 site=$!
 trap 'clean_up' EXIT
--- a/standin/soak/judge.c
+++ b/standin/soak/judge.c
@@ -18,7 +18,8 @@
     [RULE_QUOTA] = {"quota", true},      [RULE_LIMIT] = {"limit", false},
     [RULE_REST] = {"rest", true},        [RULE_TOLD] = {"told", false},
     [RULE_FOREIGN] = {"foreign", true},  [RULE_STOP] = {"stop", true},
-    [RULE_ENDED] = {"ended", true},
+    [RULE_ENDED] = {"ended", true},      [RULE_EXPOSED] = {"exposed", false},
+    [RULE_ROLLOUT] = {"rollout", false},
 };
 
 void
--- a/standin/soak/judge.h
+++ b/standin/soak/judge.h
@@ -31,6 +31,8 @@
     RULE_FOREIGN,   /* work for what an entry of another writer names */
     RULE_STOP,      /* a planned stop did not end by itself within the grace time */
     RULE_ENDED,     /* a process ended without being asked to */
+    RULE_EXPOSED,   /* a bad version gets more requests than a roll-out may expose, or late ones */
+    RULE_ROLLOUT,   /* a bad version is completed, or a good one rolled back */
     RULE_COUNT,
 } rule_t;
 
--- a/standin/soak/server.h
+++ b/standin/soak/server.h
@@ -28,12 +28,15 @@
     wire_request_t *req;
     uint64_t number;
     bool running; /* in a slot; else it waits for one */
+    bool fails;   /* its response is a failure of the software version */
 } work_t;
 
 struct server {
     servers_t *servers;
     uint32_t place;
-    uint32_t start; /* how many there were at this place */
+    uint32_t start;   /* how many there were at this place */
+    unsigned version; /* of its software */
+    bool retired;     /* ended by a roll-out: not replaced */
     char id[SERVER_ID_MAX];
     uint64_t born_ms; /* when its life began */
     wire_listener_t *listener;
@@ -53,6 +56,8 @@
 struct servers {
     servers_conf_t conf;
     server_t *items;
+    uint32_t count;   /* in use: the first ones, and those that roll-outs started */
+    orders_t *orders; /* NULL without roll-outs */
     uint64_t now_ms;
     uint64_t runs;
 };
--- a/standin/soak/server_work.c
+++ b/standin/soak/server_work.c
@@ -84,9 +84,13 @@
         work->running = true;
         server->running++;
         soak_request_t *request = requests_find(server->servers->conf.requests, str_from(id));
+        uint64_t ms = work_ms(work->number);
         if (request != NULL)
             judge_run(server->servers, request, server);
-        uv_timer_start(&work->timer, on_worked, work_ms(work->number), 0);
+        if (request != NULL && server->servers->orders != NULL && server->place % 2 == 0)
+            work->fails = orders_run(server->servers->orders, request, server->version, &ms,
+                                     server->servers->now_ms);
+        uv_timer_start(&work->timer, on_worked, ms, 0);
     }
 }
 
@@ -137,6 +141,17 @@
     }
 }
 
+/* The software fails: the request has run. */
+static void
+answer_failure(wire_request_t *req, const soak_request_t *request)
+{
+    char fields[128];
+    const int len = snprintf(fields, sizeof(fields),
+                             "Attempt-Id: %" PRIu64 "\r\nResponse-Signature: s%" PRIu64 "\r\n",
+                             request->number, request->number);
+    wire_respond(req, HTTP_STATUS_INTERNAL_SERVER_ERROR, (str_t){fields, (size_t)len}, STR(""));
+}
+
 /* True if the request has ended the backend server. */
 static bool
 ends_server(server_t *server, const soak_request_t *request)
@@ -160,10 +175,13 @@
     soak_request_t *request = requests_find(server->servers->conf.requests, str_from(id));
     if (ends_server(server, request))
         return;
+    const bool fails = work->fails;
     drop_work(work);
     req->on_disconnect = NULL;
     req->ctx = NULL;
-    if (request != NULL)
+    if (request != NULL && fails)
+        answer_failure(req, request);
+    else if (request != NULL)
         answer(server, req, request);
     else
         wire_respond_abort(req);
--- a/standin/soak/servers.c
+++ b/standin/soak/servers.c
@@ -23,13 +23,21 @@
 static const char *const halls[] = {"toledo-hall",   "alpena-hall", "gary-hall",
                                     "sandusky-hall", "sarnia-hall", "racine-hall"};
 
+static const char *
+server_service(const server_t *server)
+{
+    return server->place % 2 == 0 ? ORDERS_SERVICE : "right";
+}
+
 static json_t *
 spec_of(const server_t *server)
 {
     char text[ADDR_TEXT_MAX];
+    char version[16];
+    snprintf(version, sizeof(version), "v%u", server->version);
     return json_pack("{s:s, s:I, s:{s:s, s:s, s:s, s:i}}", "address",
                      addr_format(&server->addr, text), "born", (json_int_t)server->born_ms, "info",
-                     "service", server->place % 2 == 0 ? "left" : "right", "version", "v1", "zone",
+                     "service", server_service(server), "version", version, "zone",
                      halls[server->place / 2 % ALEN(halls)], "capacity", SERVER_SLOTS);
 }
 
@@ -204,7 +212,7 @@
         remove_entry(server);
         server_end(server, now_ms);
     }
-    if (server->state == SERVER_DEAD && now_ms >= server->replace_ms) {
+    if (server->state == SERVER_DEAD && !server->retired && now_ms >= server->replace_ms) {
         addr_set_port(&server->addr, 0);
         open_listener(server);
         begin(server);
@@ -215,33 +223,99 @@
 servers_tick(servers_t *servers, uint64_t now_ms)
 {
     servers->now_ms = now_ms;
-    for (uint32_t i = 0; i < servers->conf.count; i++)
+    for (uint32_t i = 0; i < servers->count; i++)
         tick(&servers->items[i], now_ms);
 }
 
+static void
+add_server(servers_t *servers, uint32_t place, unsigned version)
+{
+    const servers_conf_t *conf = &servers->conf;
+    const says_conf_t says = {conf->judge, conf->fleet, conf->instances, conf->slack};
+    server_t *server = &servers->items[servers->count++];
+    char text[ADDR_TEXT_MAX];
+    server->servers = servers;
+    server->place = place;
+    server->version = version;
+    server->says = says_new(&says);
+    snprintf(text, sizeof(text), "%s:0", conf->host);
+    xassert(addr_parse(str_from(text), &server->addr));
+    open_listener(server);
+    begin(server);
+}
+
 servers_t *
 servers_new(const servers_conf_t *conf)
 {
     servers_t *servers = xcalloc(1, sizeof(*servers));
     servers->conf = *conf;
-    servers->items = xcalloc(conf->count, sizeof(servers->items[0]));
-    const says_conf_t says = {conf->judge, conf->fleet, conf->instances, conf->slack};
-    for (uint32_t i = 0; i < conf->count; i++) {
+    servers->items = xcalloc((SERVERS_ROLLOUTS_MAX + 1) * conf->count, sizeof(servers->items[0]));
+    for (uint32_t i = 0; i < conf->count; i++)
+        add_server(servers, i, 1);
+    put_foreign_entries(&servers->items[0]);
+    return servers;
+}
+
+/* ---- roll-outs ---- */
+
+void
+servers_set_orders(servers_t *servers, orders_t *orders)
+{
+    servers->orders = orders;
+}
+
+static bool
+is_ordered_service(const server_t *server)
+{
+    return server->place % 2 == 0;
+}
+
+void
+servers_start_version(void *ctx, unsigned version)
+{
+    servers_t *servers = ctx;
+    if (servers->count + servers->conf.count > (SERVERS_ROLLOUTS_MAX + 1) * servers->conf.count)
+        return; /* an order for a version without backend servers */
+    for (uint32_t place = 0; place < servers->conf.count; place += 2)
+        add_server(servers, place + servers->count - servers->count % 2, version);
+}
+
+void
+servers_end_others(void *ctx, unsigned version, uint64_t now_ms)
+{
+    servers_t *servers = ctx;
+    for (uint32_t i = 0; i < servers->count; i++) {
         server_t *server = &servers->items[i];
-        char text[ADDR_TEXT_MAX];
-        server->servers = servers;
-        server->place = i;
-        server->says = says_new(&says);
-        snprintf(text, sizeof(text), "%s:0", conf->host);
-        xassert(addr_parse(str_from(text), &server->addr));
-        open_listener(server);
-        begin(server);
-        if (i == 0)
-            put_foreign_entries(server);
+        if (!is_ordered_service(server) || server->version == version || server->retired)
+            continue;
+        server->retired = true;
+        remove_entry(server);
+        if (server->state != SERVER_DEAD)
+            server_end(server, now_ms);
+    }
+}
+
+void
+servers_drain_version(void *ctx, unsigned version, uint64_t now_ms)
+{
+    enum { DRAIN_MS = 5000 };
+    servers_t *servers = ctx;
+    for (uint32_t i = 0; i < servers->count; i++) {
+        server_t *server = &servers->items[i];
+        if (!is_ordered_service(server) || server->version != version || server->retired)
+            continue;
+        server->retired = true;
+        if (server->state == SERVER_DEAD)
+            continue;
+        put_entry(server, "draining");
+        server->state = SERVER_LEAVES;
+        server->told_ms = now_ms;
+        server->end_ms = now_ms + DRAIN_MS;
     }
-    return servers;
 }
 
+/* ---- report ---- */
+
 uint64_t
 servers_runs(const servers_t *servers)
 {
@@ -252,7 +326,7 @@
 servers_print(const servers_t *servers, FILE *out)
 {
     says_use_t sum = {0};
-    for (uint32_t i = 0; i < servers->conf.count; i++) {
+    for (uint32_t i = 0; i < servers->count; i++) {
         const says_use_t use = says_use(servers->items[i].says);
         sum.offered += use.offered;
         sum.got += use.got;
--- a/standin/soak/servers.h
+++ b/standin/soak/servers.h
@@ -13,6 +13,7 @@
 #include "standin/soak/says.h"
 #include "standin/soak/fleet.h"
 #include "standin/soak/operator.h"
+#include "standin/soak/orders.h"
 #include "standin/soak/requests.h"
 
 typedef struct servers servers_t;
@@ -33,10 +34,19 @@
     uint64_t leaving_bound_ms; /* from the entry until nothing new arrives any more */
 } servers_conf_t;
 
+/* Backend servers of one service that a roll-out starts: as many as there are at first. */
+enum { SERVERS_ROLLOUTS_MAX = 16 };
+
 servers_t *servers_new(const servers_conf_t *conf);
 /* Carries out a trouble that strikes a backend server. */
 void servers_trouble(servers_t *servers, const trouble_t *trouble, uint64_t now_ms);
 void servers_tick(servers_t *servers, uint64_t now_ms);
+/* From now on the runs of ORDERS_SERVICE are told to the roll-outs. */
+void servers_set_orders(servers_t *servers, orders_t *orders);
+/* Callbacks of orders_conf_t; `ctx` is the servers. */
+void servers_start_version(void *ctx, unsigned version);
+void servers_end_others(void *ctx, unsigned version, uint64_t now_ms);
+void servers_drain_version(void *ctx, unsigned version, uint64_t now_ms);
 /* A line that sums up what the limits offered and what was used of it. */
 void servers_print(const servers_t *servers, FILE *out);
 /* Requests that were run. */
--- a/standin/soak/soak.c
+++ b/standin/soak/soak.c
@@ -54,6 +54,7 @@
     servers_t *servers;
     callers_t *callers;
     poison_t *poison;
+    orders_t *orders; /* NULL without roll-outs */
     uint64_t begun_ms;
     uint64_t ticked_ms;
     unsigned stalls;
@@ -177,6 +178,8 @@
     fleet_tick(soak->fleet, now_ms);
     operator_tick(soak->ops, now_ms);
     servers_tick(soak->servers, now_ms);
+    if (soak->orders != NULL && !soak->finishing)
+        orders_tick(soak->orders, now_ms);
     callers_tick(soak->callers, now_ms);
     poison_tick(soak->poison, now_ms);
     advance(soak, now_ms);
@@ -272,6 +275,27 @@
     soak->servers = servers_new(&conf);
 }
 
+static void
+make_orders(soak_t *soak)
+{
+    const orders_conf_t conf = {
+        .store = soak->store,
+        .fleet = soak->fleet,
+        .ops = soak->ops,
+        .judge = &soak->judge,
+        .seed = soak->conf.seed,
+        .slack = soak->conf.slack,
+        .start = servers_start_version,
+        .end_others = servers_end_others,
+        .drain = servers_drain_version,
+        .ctx = soak->servers,
+    };
+    if (!soak->conf.rollouts)
+        return;
+    soak->orders = orders_new(&conf);
+    servers_set_orders(soak->servers, soak->orders);
+}
+
 static void
 make_callers(soak_t *soak)
 {
@@ -320,6 +344,8 @@
     callers_print(soak->callers, stderr);
     poison_print(soak->poison, stderr);
     servers_print(soak->servers, stderr);
+    if (soak->orders != NULL)
+        orders_print(soak->orders, stderr);
     const bool held = judge_report(&soak->judge, stderr);
     if (soak->interrupted || !fleet_is_over(soak->fleet)) {
         fputs("not finished\n", stderr);
@@ -340,6 +366,7 @@
     make_fleet(soak);
     make_poison(soak);
     make_servers(soak);
+    make_orders(soak);
     make_callers(soak);
     begin(soak);
     uv_run(soak->loop, UV_RUN_DEFAULT);
--- a/standin/soak/soak.h
+++ b/standin/soak/soak.h
@@ -15,6 +15,7 @@
     uint32_t instances;
     const char *net; /* the loopback network to use, as "127.1.2." */
     double slack;    /* times the bounds in time, for slow builds */
+    bool rollouts;   /* roll-outs besides */
     bool says;       /* no other troubles than what backend servers say of themselves */
     uint32_t poison; /* no other troubles, and so many requests that end backend servers at once */
 } soak_conf_t;
--- a/standin/store.c
+++ b/standin/store.c
@@ -8,7 +8,7 @@
 #include "standin/store.h"
 #include "wire/listener.h"
 
-enum { KIND_MAX = 64, PAGE_DEFAULT = 500 };
+enum { KIND_MAX = 160, PAGE_DEFAULT = 500 };
 
 static const char *const path_prefix = "/v1/objects/";
 
@@ -57,6 +57,7 @@
     uint64_t revision;
     uint64_t oldest; /* watches from before get 410 */
     uint64_t calls;
+    uint64_t conflicts;
     uint64_t delay_ms;
     size_t piece; /* bytes of answers sent at once, 0: all */
     uint64_t pause_ms;
@@ -321,6 +322,39 @@
     json_decref(root);
 }
 
+/* PUT of KIND/NAME/status; holds only for the revision in the metadata, if one is given. */
+static void
+answer_put_status(standin_store_t *store, wire_request_t *req, const char *path)
+{
+    char kind[KIND_MAX];
+    char name[KIND_MAX];
+    char rest[KIND_MAX];
+    if (sscanf(path, "%159[^/]/%159[^/]/%159s", kind, name, rest) != 3 ||
+        strcmp(rest, "status") != 0) {
+        wire_respond(req, HTTP_STATUS_NOT_FOUND, STR(""), STR(""));
+        return;
+    }
+    json_t *root = json_loadb(req->body, req->body_len, 0, NULL);
+    json_t *wanted = json_object_get(json_object_get(root, "metadata"), "revision");
+    object_t *object = find(store, kind, name);
+    if (object == NULL || object->gone) {
+        wire_respond(req, HTTP_STATUS_NOT_FOUND, STR(""), STR(""));
+    } else if (wanted != NULL && (uint64_t)json_integer_value(wanted) != object->revision) {
+        store->conflicts++;
+        wire_respond(req, HTTP_STATUS_CONFLICT, STR(""), STR("{}"));
+    } else {
+        json_t *status = json_object_get(root, "status");
+        if (!json_equal(status, json_object_get(object->value, "status")))
+            change(store, kind, name, json_incref(json_object_get(object->value, "spec")),
+                   json_incref(status), false);
+        if (store->mode == STANDIN_STORE_LOSES)
+            wire_respond_abort(req);
+        else
+            wire_respond(req, HTTP_STATUS_OK, STR(""), STR("{}"));
+    }
+    json_decref(root);
+}
+
 static void
 refuse_list(standin_store_t *store, wire_request_t *req)
 {
@@ -342,7 +376,9 @@
     uint64_t from;
     if (strcmp(kind, store->held_kind) == 0)
         return;
-    if (req->head.method == HTTP_POST)
+    if (req->head.method == HTTP_PUT)
+        answer_put_status(store, req, kind);
+    else if (req->head.method == HTTP_POST)
         answer_post(store, req, kind);
     else if (str_to_u64(wire_head_query(&req->head, STR("watch")), &from))
         start_watch(store, req, kind, from);
@@ -519,3 +555,19 @@
     const object_t *object = find(store, kind, name);
     return object != NULL && !object->gone;
 }
+
+uint64_t
+standin_store_conflicts(const standin_store_t *store)
+{
+    return store->conflicts;
+}
+
+const char *
+standin_store_status(const standin_store_t *store, const char *kind, const char *name,
+                     const char *field)
+{
+    const object_t *object = find(store, kind, name);
+    if (object == NULL || object->gone)
+        return NULL;
+    return json_string_value(json_object_get(json_object_get(object->value, "status"), field));
+}
--- a/test/gateway/main.c
+++ b/test/gateway/main.c
@@ -37,6 +37,8 @@
     srunner_add_suite(runner, suite_gateway_backend_backoff());
     srunner_add_suite(runner, suite_gateway_notices());
     srunner_add_suite(runner, suite_gateway_limit_model());
+    srunner_add_suite(runner, suite_gateway_rollout());
+    srunner_add_suite(runner, suite_gateway_rollout_model());
     srunner_add_suite(runner, suite_gateway_suspects());
     srunner_add_suite(runner, suite_gateway_suspension());
     srunner_add_suite(runner, suite_gateway_breaker());
--- a/test/gateway/site.c
+++ b/test/gateway/site.c
@@ -152,6 +152,14 @@
     }
 }
 
+static const char *
+software_version(const scripted_t *backend)
+{
+    if (backend->version != NULL)
+        return backend->version;
+    return backend->survives_poison ? "v2" : "v1";
+}
+
 void
 put_backend(site_t *site, scripted_t *backend, const char *state)
 {
@@ -161,7 +169,7 @@
         site->store, "servers", backend->id,
         json_pack("{s:s, s:I, s:{s:s, s:s, s:s, s:i}}", "address", addr_format(&addr, text), "born",
                   (json_int_t)backend->born, "info", "service", "svc", "version",
-                  backend->survives_poison ? "v2" : "v1", "zone", "a1", "capacity", 4),
+                  software_version(backend), "zone", "a1", "capacity", 4),
         json_pack("{s:s, s:i, s:i}", "state", state, "callSeq", 1, "coldRemainingMs", 0));
 }
 
@@ -223,6 +231,7 @@
         .retry_ratio = 0.2,
         .retry_constant = 58,
         .retry_window_ms = 10000,
+        .expose_share = site->expose_share,
     };
     name_set(&settings.name, str_from(name));
     name_set(&settings.hall, STR("a1"));
--- a/test/gateway/site.h
+++ b/test/gateway/site.h
@@ -48,6 +48,7 @@
     uint64_t born;        /* start time in its store entry */
     bool survives_poison; /* runs another software version that survives poison requests */
     behaviour_t behaviour;
+    const char *version;             /* software version in its store entry; NULL: v1 */
     const char *extra_headers;       /* header lines added to every response; NULL if none */
     uint64_t arrivals[ARRIVALS_MAX]; /* loop times of its first requests */
     size_t arrival_count;
@@ -85,6 +86,7 @@
     unsigned version;
     unsigned extra_routes;
     const char *accounts; /* client accounts of the configuration as JSON; NULL if none */
+    double expose_share;  /* setting of gateways started from now on */
     const char *poison;   /* requests containing this text crash the backend; NULL if none */
     size_t ends;          /* number of backend crashes */
 };
--- /dev/null
+++ b/test/gateway/test_rollout_model.c
@@ -0,0 +1,112 @@
+/* A bad version gets more of a service's requests than operators allow, or a good one is rolled
+ * back or moved too late, over fleets of three sizes with faults. */
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "base/xmalloc.h"
+#include "test/gateway/rollout_model.h"
+#include "test/suites.h"
+
+static const unsigned sizes[] = {9, 67, 300};
+/* 200 plays of bad versions in all. */
+static const unsigned seeds[] = {4, 3, 1};
+
+static void
+print_row(const rollout_model_conf_t *conf, const rollout_model_result_t *result)
+{
+    if (getenv("ROLLOUT_MODEL_TABLE") != NULL)
+        printf("instances=%u kind=%d fault=%d seed=%llu requests=%u exposed=%u late=%u "
+               "completed_ms=%llu rolled_back_ms=%llu at_stopped=%u\n",
+               conf->instances, conf->kind, conf->fault, (unsigned long long)conf->seed,
+               result->requests, result->exposed, result->late_exposed,
+               (unsigned long long)result->completed_ms, (unsigned long long)result->rolled_back_ms,
+               result->at_stopped);
+    fflush(stdout);
+}
+
+static void
+check_bad(const rollout_model_conf_t *conf)
+{
+    const rollout_model_result_t result = rollout_model_run(conf);
+    const double bound = ROLLOUT_MODEL_SHARE * result.requests + ROLLOUT_MODEL_SLACK;
+    print_row(conf, &result);
+    ck_assert_msg(result.exposed <= bound,
+                  "%u of %u requests at a bad version: kind %d, fault %d, %u instances, seed %llu",
+                  result.exposed, result.requests, conf->kind, conf->fault, conf->instances,
+                  (unsigned long long)conf->seed);
+    ck_assert_msg(result.late_exposed == 0 && result.completed_ms == 0,
+                  "%u requests after the bound, completed after %llu ms: kind %d, fault %d, "
+                  "%u instances, seed %llu",
+                  result.late_exposed, (unsigned long long)result.completed_ms, conf->kind,
+                  conf->fault, conf->instances, (unsigned long long)conf->seed);
+    /* What is bad only under load, or among backend servers that fail themselves, may stay suspect
+     * instead. */
+    if (conf->fault != ROLLOUT_FAULT_BAD_SERVERS && conf->kind != VERSION_LOADED)
+        ck_assert_uint_gt(result.rolled_back_ms, 0);
+}
+
+START_TEST(bad_versions_are_rolled_back)
+{
+    const rollout_fault_t fault = (rollout_fault_t)_i;
+    for (version_kind_t kind = VERSION_FAILING; kind < VERSION_KINDS; kind++) {
+        for (size_t i = 0; i < ALEN(sizes); i++) {
+            for (uint64_t seed = 1; seed <= seeds[i]; seed++)
+                check_bad(&(rollout_model_conf_t){
+                    .instances = sizes[i], .kind = kind, .fault = fault, .seed = seed});
+        }
+    }
+}
+END_TEST
+
+START_TEST(good_versions_complete_by_the_deadline)
+{
+    enum { PLAYS = 100, LATE_MAX = 5 };
+    unsigned late = 0;
+    for (uint64_t seed = 1; seed <= PLAYS; seed++) {
+        /* One play in ten with the largest fleet, which takes most of the time. */
+        const unsigned instances = seed % 10 == 0 ? sizes[2] : sizes[seed % 2];
+        const rollout_model_conf_t conf = {
+            .instances = instances, .kind = VERSION_GOOD, .seed = seed};
+        const rollout_model_result_t result = rollout_model_run(&conf);
+        print_row(&conf, &result);
+        ck_assert_msg(result.rolled_back_ms == 0,
+                      "good version rolled back: %u instances, seed %llu", instances,
+                      (unsigned long long)seed);
+        ck_assert_msg(result.at_stopped == 0, "%u requests under way at the old version: seed %llu",
+                      result.at_stopped, (unsigned long long)seed);
+        late += result.completed_ms == 0 || result.completed_ms > ROLLOUT_MODEL_DURATION_MS;
+    }
+    ck_assert_uint_le(late, LATE_MAX);
+}
+END_TEST
+
+START_TEST(good_versions_are_not_rolled_back_by_faults)
+{
+    for (size_t i = 0; i < ALEN(sizes); i++) {
+        for (uint64_t seed = 1; seed <= seeds[i]; seed++) {
+            const rollout_model_conf_t conf = {.instances = sizes[i],
+                                               .kind = VERSION_GOOD,
+                                               .fault = (rollout_fault_t)_i,
+                                               .seed = seed};
+            const rollout_model_result_t result = rollout_model_run(&conf);
+            print_row(&conf, &result);
+            ck_assert_msg(result.rolled_back_ms == 0, "fault %d, %u instances, seed %llu", _i,
+                          sizes[i], (unsigned long long)seed);
+            ck_assert_uint_eq(result.at_stopped, 0);
+        }
+    }
+}
+END_TEST
+
+Suite *
+suite_gateway_rollout_model(void)
+{
+    Suite *suite = suite_create("gateway: model of roll-outs");
+    TCase *tests = tcase_create("model");
+    tcase_set_timeout(tests, 240);
+    tcase_add_loop_test(tests, bad_versions_are_rolled_back, 0, ROLLOUT_FAULTS);
+    tcase_add_test(tests, good_versions_complete_by_the_deadline);
+    tcase_add_loop_test(tests, good_versions_are_not_rolled_back_by_faults, 0, ROLLOUT_FAULTS);
+    suite_add_tcase(suite, tests);
+    return suite;
+}
--- a/test/suites.h
+++ b/test/suites.h
@@ -54,3 +54,5 @@
 Suite *suite_gateway_suspects(void);
 Suite *suite_gateway_suspension(void);
 Suite *suite_gateway_endpoints(void);
+Suite *suite_gateway_rollout_model(void);
+Suite *suite_gateway_rollout(void);
