--- a/completions/irisctl.bash
+++ b/completions/irisctl.bash
@@ -1,11 +1,12 @@
 # bash completion for irisctl
 _irisctl() {
     local cur=${COMP_WORDS[COMP_CWORD]}
-    local commands="table set export import drain undrain put status explain check trace quarantine account"
+    local commands="table set export import drain undrain put status explain check trace quarantine account rollout"
     local options="--instance= --platform= --json --history= --help --version"
     case ${COMP_WORDS[COMP_CWORD - 1]} in
     table) mapfile -t COMPREPLY < <(compgen -W "show" -- "$cur") ;;
     quarantine) mapfile -t COMPREPLY < <(compgen -W "show lift" -- "$cur") ;;
+    rollout) mapfile -t COMPREPLY < <(compgen -W "list show" -- "$cur") ;;
     account) mapfile -t COMPREPLY < <(compgen -W "list show" -- "$cur") ;;
     put) mapfile -t COMPREPLY < <(compgen -W "table region topology blocks" -- "$cur") ;;
     check | import | trace) mapfile -t COMPREPLY < <(compgen -f -- "$cur") ;;
