--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -151,6 +151,7 @@
     const view_relay_conf_t relay_conf = {
         .loop = gateway->loop,
         .hub = gateway->hub,
+        .members = &gateway->members,
         .views = &gateway->views,
         .watch = &gateway->store_watch,
         .push = &gateway->view_push,
--- a/gateway/gateway_events.c
+++ b/gateway/gateway_events.c
@@ -124,6 +124,19 @@
     }
 }
 
+/* Notes a newer configuration at once; gateway_compare_config() looks at all members. */
+static void
+note_peer_config(gateway_t *gateway, const Iris__GatewayHeartbeat *message)
+{
+    const view_t *view = &gateway->views.items[VIEW_CONFIG];
+    if (message->n_views <= VIEW_CONFIG)
+        return;
+    const Iris__ViewState *theirs = message->views[VIEW_CONFIG];
+    const bool newer = theirs->known && theirs->at > view->at && theirs->digest != view->digest;
+    if (newer && theirs->at > gateway->router.catalog.newer_revision)
+        gateway->router.catalog.newer_revision = theirs->at;
+}
+
 void
 gateway_on_peer_message(void *ctx, peer_conn_t *conn, const Iris__Envelope *message)
 {
@@ -131,7 +144,7 @@
     switch (message->body_case) {
     case IRIS__ENVELOPE__BODY_GATEWAY:
         heartbeat_receive(&gateway->heartbeat, message->gateway, loop_now(gateway->loop));
-        gateway_compare_config(gateway);
+        note_peer_config(gateway, message->gateway);
         resume_on_peer_update(&gateway->resume);
         break;
     case IRIS__ENVELOPE__BODY_VIEW_UPDATE:
--- a/gateway/gateway_tick.c
+++ b/gateway/gateway_tick.c
@@ -72,7 +72,7 @@
 reconnect_unheard_peers(gateway_t *gateway)
 {
     peer_hub_sweep_unconnected(gateway->hub, CONNECT_MS);
-    heartbeat_retry_unheard(&gateway->heartbeat);
+    heartbeat_greet(&gateway->heartbeat, loop_now(gateway->loop));
 }
 
 /* Completes roll-outs whose traffic has moved everywhere and records their states. */
--- a/gateway/inspect_accounts.c
+++ b/gateway/inspect_accounts.c
@@ -33,6 +33,18 @@
                      state_of(use, loop_now(sync->conf.loop)), name_of(sync, use->owner));
 }
 
+/* Name of the region or data hall that is the mesh. */
+static const char *
+mesh_name(const topology_t *topology, size_t mesh)
+{
+    if (mesh < topology->region_count)
+        return topology->regions[mesh].ptr;
+    const size_t hall = mesh - TOPOLOGY_REGIONS_MAX - 1;
+    return mesh > TOPOLOGY_REGIONS_MAX && hall < topology->hall_count
+               ? topology->halls[hall].name.ptr
+               : "-";
+}
+
 /* Writes the ledger of an account that this instance owns in its region. */
 static void
 print_ledger(const account_sync_t *sync, const ledger_t *ledger, wire_text_t *out)
@@ -47,13 +59,10 @@
                          name_of(sync, ledger->reporters[i].source),
                          ledger->reporters[i].share_per_s,
                          now_ms - ledger->reporters[i].last_report_ms);
-    for (size_t i = 0; i < ledger->peer_count; i++) {
-        const size_t region = ledger->peers[i].region;
-        const topology_t *topology = sync->conf.topology;
+    for (size_t i = 0; i < ledger->peer_count; i++)
         wire_text_printf(out, "  region %-24s asked %8.1f/s, heard %" PRIu64 " ms ago\n",
-                         region < topology->region_count ? topology->regions[region].ptr : "-",
+                         mesh_name(sync->conf.topology, ledger->peers[i].mesh),
                          ledger->peers[i].demand_per_s, now_ms - ledger->peers[i].last_exchange_ms);
-    }
 }
 
 void
--- a/gateway/membership/account_exchange.c
+++ b/gateway/membership/account_exchange.c
@@ -1,7 +1,7 @@
 /*
  * Exchange of sums between the owners of an account.
  *
- * An owner sends its sums to the owners it hears. In a region where it hears none it tries one
+ * An owner sends its sums to the owners it hears. In a mesh where it hears none it tries one
  * instance after another until an owner answers; an instance that is not the owner forwards the
  * message once.
  */
@@ -15,7 +15,7 @@
 enum {
     /* Owners silent for longer get no sums; equals SILENT_MS of the ledgers. */
     PEER_EXPIRE_MS = 1200,
-    CANDIDATE_TRY_MS = 100,     /* time per instance of a region without a known owner */
+    CANDIDATE_TRY_MS = 100,     /* time per instance of a mesh without a known owner */
     SUMS_PER_MESSAGE_MAX = 256, /* 8 kB */
 };
 
@@ -84,7 +84,7 @@
         .members = sync->conf.members,
         .kind = OWNER_OF_ACCOUNT,
         .key = account,
-        .region = sync->conf.region,
+        .mesh = members_own_mesh(sync->conf.members, sync->conf.region),
         .liveness_known = true,
         .now_ms = loop_now(sync->conf.loop),
     };
@@ -97,15 +97,15 @@
     return member != NULL && addr_eq(&member->peer, &sync->conf.own);
 }
 
-/* The instance to try in a region without a known owner. */
+/* The instance to try in a mesh without a known owner. */
 static const member_t *
-pick_candidate(const account_sync_t *sync, const ledger_t *ledger, size_t region, uint64_t now_ms)
+pick_candidate(const account_sync_t *sync, const ledger_t *ledger, size_t mesh, uint64_t now_ms)
 {
     owner_input_t input = {
         .members = sync->conf.members,
         .kind = OWNER_OF_ACCOUNT,
         .key = ledger->id,
-        .region = region,
+        .mesh = mesh,
         .rank = (now_ms - ledger->created_ms) / CANDIDATE_TRY_MS % OWNER_RANKS,
         .now_ms = now_ms,
     };
@@ -118,7 +118,7 @@
 queue_sum(account_sync_t *sync, ledger_t *ledger, sum_queue_t *queue, bool is_release,
           uint64_t now_ms)
 {
-    bool heard[TOPOLOGY_REGIONS_MAX + 1] = {false};
+    bool heard[MEMBERS_MESHES_MAX] = {false};
     const ledger_exchange_t exchange = ledger_next_exchange(ledger, now_ms);
     Iris__AccountSum sum = IRIS__ACCOUNT_SUM__INIT;
     sum.account = ledger->id;
@@ -131,15 +131,18 @@
         const ledger_peer_t *peer = &ledger->peers[i];
         if (now_ms - peer->last_exchange_ms > PEER_EXPIRE_MS)
             continue;
-        heard[peer->region] = true;
+        heard[peer->mesh] = true;
         queue_push(queue, &peer->addr, &sum);
     }
-    for (size_t region = 0; region < sync->conf.topology->region_count; region++) {
-        const member_t *member = region == sync->conf.region
-                                     ? account_exchange_find_owner(sync, ledger->id)
-                                     : pick_candidate(sync, ledger, region, now_ms);
-        if (!heard[region] && member != NULL && !is_self(sync, member))
+    const topology_t *topology = sync->conf.topology;
+    const size_t own_mesh = members_own_mesh(sync->conf.members, sync->conf.region);
+    for (size_t hall = 0; hall < topology->hall_count; hall++) {
+        const size_t mesh = members_mesh_at(sync->conf.members, topology->halls[hall].region, hall);
+        const member_t *member = mesh == own_mesh ? account_exchange_find_owner(sync, ledger->id)
+                                                  : pick_candidate(sync, ledger, mesh, now_ms);
+        if (!heard[mesh] && member != NULL && !is_self(sync, member))
             queue_push(queue, &member->peer, &sum);
+        heard[mesh] = true;
     }
 }
 
@@ -172,7 +175,7 @@
 
 /* Records a sum in the ledger. Returns false if this instance does not own the account. */
 static bool
-apply_sum(account_sync_t *sync, const Iris__AccountSum *sum, const addr_t *from, size_t region)
+apply_sum(account_sync_t *sync, const Iris__AccountSum *sum, const addr_t *from, size_t mesh)
 {
     const uint64_t now_ms = loop_now(sync->conf.loop);
     const config_t *config = sync->conf.catalog->config;
@@ -184,7 +187,7 @@
         return false;
     const ledger_exchange_t exchange = {
         .source = sum->source,
-        .region = region,
+        .mesh = mesh,
         .addr = *from,
         .used = sum->used,
         .age_ms = sum->age_ms,
@@ -200,11 +203,13 @@
 {
     addr_t from;
     sum_queue_t queue = {0};
+    const size_t hall = topology_hall(sync->conf.topology, str_from(message->place));
     const size_t region = topology_region_of(sync->conf.topology, str_from(message->place));
+    const size_t mesh = members_mesh_at(sync->conf.members, region, hall);
     if (!addr_parse(str_from(message->address), &from) || addr_eq(&from, &sync->conf.own))
         return;
     for (size_t i = 0; i < message->n_sums; i++) {
-        if (apply_sum(sync, message->sums[i], &from, region) || message->forwarded)
+        if (apply_sum(sync, message->sums[i], &from, mesh) || message->forwarded)
             continue;
         const member_t *owner = account_exchange_find_owner(sync, message->sums[i]->account);
         if (owner != NULL && !addr_eq(&owner->peer, &from))
--- a/gateway/membership/account_grant.c
+++ b/gateway/membership/account_grant.c
@@ -43,8 +43,9 @@
 static bool
 accepts_grants(const account_sync_t *sync, const member_t *member)
 {
-    return member->region == sync->conf.region && member->supports_accounts &&
-           member_alive(member, account_sync_now(sync));
+    const members_t *members = sync->conf.members;
+    return members_mesh(members, member) == members_own_mesh(members, sync->conf.region) &&
+           member->supports_accounts && member_alive(member, account_sync_now(sync));
 }
 
 static void
@@ -60,7 +61,7 @@
 /* Also reaches instances that have not seen the account yet; otherwise each of them could admit one
  * request too many. */
 static void
-send_grants_to_region(account_sync_t *sync, ledger_t *ledger)
+send_grants_to_mesh(account_sync_t *sync, ledger_t *ledger)
 {
     for (size_t i = 0; i < sync->conf.members->count; i++) {
         if (accepts_grants(sync, &sync->conf.members->items[i]))
@@ -84,7 +85,7 @@
     const bool changed = ledger_update_limited(ledger, account_sync_now(sync));
     if (changed) {
         log_limited(sync, ledger);
-        send_grants_to_region(sync, ledger);
+        send_grants_to_mesh(sync, ledger);
     }
     return changed;
 }
@@ -119,7 +120,7 @@
         const uint64_t before = ledger_predecessor(ledger);
         ledger_report(ledger, source, &report, now_ms);
         if (!account_grant_update_limited(sync, ledger) && ledger_predecessor(ledger) != before)
-            send_grants_to_region(sync, ledger);
+            send_grants_to_mesh(sync, ledger);
         fill_grant(sync, ledger, source, answer);
     }
     answer->told_used = use->used;
--- a/gateway/membership/account_sync.c
+++ b/gateway/membership/account_sync.c
@@ -57,15 +57,17 @@
         uv_timer_stop(&sync->ledger_timer);
 }
 
-/* True if more than half of the region's known instances are alive. */
+/* True if more than half of the mesh's known instances are alive. */
 static bool
 is_majority(const account_sync_t *sync)
 {
+    const members_t *members = sync->conf.members;
     size_t known = 0;
     size_t alive = 0;
-    for (size_t i = 0; i < sync->conf.members->count; i++) {
-        const member_t *member = &sync->conf.members->items[i];
-        if (!member->heard || member->region != sync->conf.region)
+    for (size_t i = 0; i < members->count; i++) {
+        const member_t *member = &members->items[i];
+        if (!member->heard ||
+            members_mesh(members, member) != members_own_mesh(members, sync->conf.region))
             continue;
         known++;
         alive += member_alive(member, account_sync_now(sync));
--- a/gateway/membership/broadcast.c
+++ b/gateway/membership/broadcast.c
@@ -3,7 +3,7 @@
 enum {
     REPLICAS = 3,          /* two may be lost or unreachable */
     PICKED_MAX = REPLICAS, /* the larger of the two */
-    RELAYS_PER_REGION = 2, /* instances of another region that forward */
+    RELAYS_PER_MESH = 2,   /* instances of another mesh that forward */
 };
 
 static bool
@@ -19,22 +19,29 @@
     return member->heard && broadcast->accepts(member) && !addr_eq(&member->peer, &broadcast->own);
 }
 
+static bool
+is_in_own_mesh(const broadcast_t *broadcast, const member_t *member)
+{
+    return members_mesh(broadcast->members, member) ==
+           members_own_mesh(broadcast->members, broadcast->region);
+}
+
 static void
 send_one(const broadcast_t *broadcast, const member_t *member)
 {
     broadcast->send(broadcast->ctx, member,
-                    !is_full_mesh(broadcast) && member->region != broadcast->region);
+                    !is_full_mesh(broadcast) && !is_in_own_mesh(broadcast, member));
 }
 
 void
-broadcast_to_region(const broadcast_t *broadcast)
+broadcast_to_mesh(const broadcast_t *broadcast)
 {
     const members_t *members = broadcast->members;
     for (size_t i = 0; i < members->count; i++) {
         const member_t *member = &members->items[i];
-        const bool in_own_region =
-            member->region == broadcast->region && member_alive(member, broadcast->now_ms);
-        if (is_recipient(broadcast, member) && (in_own_region || is_full_mesh(broadcast)))
+        const bool near =
+            is_in_own_mesh(broadcast, member) && member_alive(member, broadcast->now_ms);
+        if (is_recipient(broadcast, member) && (near || is_full_mesh(broadcast)))
             send_one(broadcast, member);
     }
 }
@@ -45,21 +52,21 @@
 } picked_t;
 
 static bool
-is_candidate(const broadcast_t *broadcast, const member_t *member, size_t region)
+is_candidate(const broadcast_t *broadcast, const member_t *member, size_t mesh)
 {
-    const bool in_own_region = region == broadcast->region;
-    return member->region == region && is_recipient(broadcast, member) && !member->leaving &&
-           (!in_own_region || member_alive(member, broadcast->now_ms));
+    return members_mesh(broadcast->members, member) == mesh && is_recipient(broadcast, member) &&
+           !member->leaving &&
+           (!is_in_own_mesh(broadcast, member) || member_alive(member, broadcast->now_ms));
 }
 
 static void
-send_to_picked(const broadcast_t *broadcast, size_t region, size_t count, uint64_t seed)
+send_to_picked(const broadcast_t *broadcast, size_t mesh, size_t count, uint64_t seed)
 {
     const members_t *members = broadcast->members;
     picked_t picked[PICKED_MAX] = {0};
     for (size_t i = 0; i < members->count; i++) {
         const member_t *member = &members->items[i];
-        if (!is_candidate(broadcast, member, region))
+        if (!is_candidate(broadcast, member, mesh))
             continue;
         picked_t next = {str_hash(name_str(&member->instance), seed), member};
         for (size_t k = 0; k < count; k++) {
@@ -80,19 +87,26 @@
 broadcast_to_replicas(const broadcast_t *broadcast, uint64_t seed)
 {
     if (is_full_mesh(broadcast))
-        broadcast_to_region(broadcast);
+        broadcast_to_mesh(broadcast);
     else
-        send_to_picked(broadcast, broadcast->region, REPLICAS, seed);
+        send_to_picked(broadcast, members_own_mesh(broadcast->members, broadcast->region), REPLICAS,
+                       seed);
 }
 
 void
 broadcast_to_all(const broadcast_t *broadcast, uint64_t seed)
 {
-    broadcast_to_region(broadcast);
+    bool known[MEMBERS_MESHES_MAX] = {false};
+    broadcast_to_mesh(broadcast);
     if (is_full_mesh(broadcast))
         return;
-    for (size_t region = 0; region < TOPOLOGY_REGIONS_MAX; region++) {
-        if (region != broadcast->region)
-            send_to_picked(broadcast, region, RELAYS_PER_REGION, seed);
+    for (size_t i = 0; i < broadcast->members->count; i++) {
+        const member_t *member = &broadcast->members->items[i];
+        if (member->region < TOPOLOGY_REGIONS_MAX && !is_in_own_mesh(broadcast, member))
+            known[members_mesh(broadcast->members, member)] = true;
+    }
+    for (size_t mesh = 0; mesh < MEMBERS_MESHES_MAX; mesh++) {
+        if (known[mesh])
+            send_to_picked(broadcast, mesh, RELAYS_PER_MESH, seed);
     }
 }
--- a/gateway/membership/broadcast.h
+++ b/gateway/membership/broadcast.h
@@ -2,7 +2,8 @@
  * Broadcast: selects the instances that receive an update at once.
  *
  * In a full mesh an update goes directly to all instances. In a larger fleet it goes to all
- * instances of the own region and to two relays in each other region, which forward it in theirs.
+ * instances of the own mesh (members.h) and to two relays in each other mesh, which forward it in
+ * theirs.
  *
  * Owns nothing. Depends on members.h; time is passed in.
  */
@@ -10,23 +11,23 @@
 
 #include "gateway/membership/members.h"
 
-/* Sends to one instance. `relay`: the receiver forwards to its region. */
+/* Sends to one instance. `relay`: the receiver forwards to its mesh. */
 typedef void (*broadcast_send_t)(void *ctx, const member_t *member, bool relay);
 
 typedef struct {
     const members_t *members;
-    addr_t own; /* address for peers */
-    size_t region;
+    addr_t own;    /* address for peers */
+    size_t region; /* of this instance */
     uint64_t now_ms;
     bool (*accepts)(const member_t *member); /* true if it supports this kind of update */
     broadcast_send_t send;
     void *ctx;
 } broadcast_t;
 
-/* Sends to all alive instances of the own region, or to all instances in a full mesh. */
-void broadcast_to_region(const broadcast_t *broadcast);
-/* Sends to the replicas in the own region, which are the same for a given seed on every sender; in
+/* Sends to all alive instances of the own mesh, or to all instances in a full mesh. */
+void broadcast_to_mesh(const broadcast_t *broadcast);
+/* Sends to the replicas in the own mesh, which are the same for a given seed on every sender; in
  * a full mesh to all instances. */
 void broadcast_to_replicas(const broadcast_t *broadcast, uint64_t seed);
-/* Sends to the own region, and through relays to the others. */
+/* Sends to the own mesh, and through relays to the others. */
 void broadcast_to_all(const broadcast_t *broadcast, uint64_t seed);
--- a/gateway/membership/heartbeat.c
+++ b/gateway/membership/heartbeat.c
@@ -10,10 +10,24 @@
  * log. */
 enum { HEARD_LOG_LINES_MAX = 16 };
 
+/* Between two contacts to a member that was not heard yet, while there is something to tell: the
+ * interval of ticks. */
+enum { GREETING_INTERVAL_MS = 200 };
+
+/* Sets the member's data hall and with it its region. */
+static void
+set_hall(const heartbeat_t *heartbeat, member_t *member, const name_t *hall)
+{
+    const topology_t *topology = &heartbeat->conf.settings->topology;
+    member->hall = *hall;
+    member->hall_index = topology_hall(topology, name_str(hall));
+    member->region = topology_region_of(topology, name_str(hall));
+}
+
 static size_t
-region_of(const heartbeat_t *heartbeat, const name_t *hall)
+own_mesh(const heartbeat_t *heartbeat)
 {
-    return topology_region_of(&heartbeat->conf.settings->topology, name_str(hall));
+    return members_own_mesh(heartbeat->conf.members, heartbeat->conf.region);
 }
 
 static bool
@@ -22,12 +36,12 @@
     return addr_eq(peer, &heartbeat->conf.settings->peer);
 }
 
-/* In a large fleet, members of other regions send heartbeats only occasionally. */
+/* In a large fleet, members of other meshes send heartbeats only occasionally. */
 static bool
 is_heard_regularly(const heartbeat_t *heartbeat, const member_t *member)
 {
     return heartbeat->conf.members->count <= MEMBERS_FULL_MESH_MAX ||
-           member->region == heartbeat->conf.region;
+           members_mesh(heartbeat->conf.members, member) == own_mesh(heartbeat);
 }
 
 /* Adds the service's demand; replaces the smallest one if the list is full. */
@@ -58,7 +72,7 @@
     self->heard = true;
     self->heard_ms = now_ms;
     self->instance = settings->name;
-    self->hall = settings->hall;
+    set_hall(heartbeat, self, &settings->hall);
     self->region = heartbeat->conf.region;
     self->callers = settings->callers;
     self->incarnation = heartbeat->conf.incarnation;
@@ -83,6 +97,9 @@
 heartbeat_init(heartbeat_t *heartbeat, const heartbeat_conf_t *conf, uint64_t now_ms)
 {
     *heartbeat = (heartbeat_t){.conf = *conf};
+    conf->members->own_hall =
+        topology_hall(&conf->settings->topology, name_str(&conf->settings->hall));
+    conf->members->own_turn = member_key(name_str(&conf->settings->name)) % MEMBERS_MAX;
     update_self(heartbeat, now_ms);
 }
 
@@ -114,17 +131,6 @@
     heartbeat_send(heartbeat, now_ms);
 }
 
-void
-heartbeat_retry_unheard(heartbeat_t *heartbeat)
-{
-    members_t *members = heartbeat->conf.members;
-    for (size_t i = 0; i < members->count; i++) {
-        if (!members->items[i].heard)
-            members->items[i].sent_ms = 0;
-    }
-    heartbeat->is_due = true;
-}
-
 rollout_gossip_t
 heartbeat_rollouts(const heartbeat_t *heartbeat, uint64_t now_ms)
 {
@@ -136,45 +142,92 @@
     };
 }
 
-void
-heartbeat_send(heartbeat_t *heartbeat, uint64_t now_ms)
+static heartbeat_source_t
+source_of(heartbeat_t *heartbeat, uint64_t now_ms)
 {
-    members_t *members = heartbeat->conf.members;
-    update_self(heartbeat, now_ms);
-    const heartbeat_source_t source = {
-        .self = members_find_or_add(members, &heartbeat->conf.settings->peer),
-        .members = members,
+    return (heartbeat_source_t){
+        .self = members_find_or_add(heartbeat->conf.members, &heartbeat->conf.settings->peer),
+        .members = heartbeat->conf.members,
         .views = heartbeat->conf.views,
         .watch = heartbeat->conf.watch,
         .suspect_gossip = heartbeat->conf.suspect_gossip,
         .notice_gossip = heartbeat->conf.notice_gossip,
         .rollouts = heartbeat_rollouts(heartbeat, now_ms),
-        .resumed = heartbeat->resumed,
         .backends = heartbeat->conf.backends,
-        .round = heartbeat->round,
         .now_ms = now_ms,
     };
-    heartbeat_message_t message = {0};
-    heartbeat_message_fill(&message, &source);
-    heartbeat->round++;
-    heartbeat->sent_ms = now_ms;
-    heartbeat->is_due = false;
-    heartbeat->resumed = false;
-    heartbeat->store_failing = store_watch_is_failing(heartbeat->conf.watch);
+}
+
+/* Sends the message to the selected members. */
+static void
+send_to(heartbeat_t *heartbeat, heartbeat_message_t *message, const bool *targets, uint64_t now_ms)
+{
+    members_t *members = heartbeat->conf.members;
     Iris__Envelope envelope = IRIS__ENVELOPE__INIT;
     envelope.schema = PEER_SCHEMA;
     envelope.body_case = IRIS__ENVELOPE__BODY_GATEWAY;
-    envelope.gateway = &message.message;
+    envelope.gateway = &message->message;
     for (size_t i = 0; i < members->count; i++) {
         member_t *member = &members->items[i];
-        if (is_self(heartbeat, &member->peer) ||
-            !members_is_target(members, i, heartbeat->conf.region, heartbeat->round, now_ms))
+        if (!targets[i] || is_self(heartbeat, &member->peer))
             continue;
         member->sent_ms = now_ms;
         peer_send(heartbeat->conf.hub, &member->peer, &envelope);
     }
 }
 
+void
+heartbeat_send(heartbeat_t *heartbeat, uint64_t now_ms)
+{
+    static bool targets[MEMBERS_MAX];
+    members_t *members = heartbeat->conf.members;
+    update_self(heartbeat, now_ms);
+    heartbeat_source_t source = source_of(heartbeat, now_ms);
+    source.resumed = heartbeat->resumed;
+    source.round = heartbeat->round;
+    heartbeat_message_t message = {0};
+    heartbeat_message_fill(&message, &source);
+    heartbeat->round++;
+    heartbeat->sent_ms = now_ms;
+    heartbeat->is_due = false;
+    heartbeat->resumed = false;
+    heartbeat->store_failing = store_watch_is_failing(heartbeat->conf.watch);
+    members_select_targets(members, heartbeat->conf.region, heartbeat->round, now_ms, targets);
+    send_to(heartbeat, &message, targets, now_ms);
+}
+
+/* True if the member is to be contacted before the next regular heartbeat: it was not heard, and
+ * belongs to the own mesh or, as a seed, to none known yet. */
+static bool
+is_to_be_greeted(const heartbeat_t *heartbeat, const member_t *member, uint64_t now_ms)
+{
+    const size_t mesh = members_mesh(heartbeat->conf.members, member);
+    return !member->heard && now_ms - member->sent_ms >= GREETING_INTERVAL_MS &&
+           (heartbeat->conf.members->count <= MEMBERS_FULL_MESH_MAX ||
+            mesh == own_mesh(heartbeat) || mesh == TOPOLOGY_NO_REGION);
+}
+
+void
+heartbeat_greet(heartbeat_t *heartbeat, uint64_t now_ms)
+{
+    static bool targets[MEMBERS_MAX];
+    const members_t *members = heartbeat->conf.members;
+    bool any = false;
+    for (size_t i = 0; i < members->count; i++) {
+        targets[i] = is_to_be_greeted(heartbeat, &members->items[i], now_ms);
+        any |= targets[i];
+    }
+    heartbeat->greeting_due = false;
+    if (!any)
+        return;
+    update_self(heartbeat, now_ms);
+    heartbeat_source_t source = source_of(heartbeat, now_ms);
+    source.is_greeting = true;
+    heartbeat_message_t message = {0};
+    heartbeat_message_fill(&message, &source);
+    send_to(heartbeat, &message, targets, now_ms);
+}
+
 /* Logs members that have become lost. */
 static void
 log_lost(heartbeat_t *heartbeat, uint64_t now_ms)
@@ -191,36 +244,27 @@
 }
 
 static size_t
-max_addresses_for(const heartbeat_t *heartbeat, const member_t *new_member)
+max_addresses(const heartbeat_t *heartbeat)
 {
-    if (new_member->region != heartbeat->conf.region && new_member->region_members > 1)
-        return 0;
     return settings_is_seed(heartbeat->conf.settings) ? HEARTBEAT_PEERS_MAX
                                                       : HEARTBEAT_PEERS_NON_SEED_MAX;
 }
 
-/* Replies to a new or restarted member with the known addresses and views, so that it need not read
- * the store. Addresses go to another region only if the member knows nobody there, which bounds the
- * traffic when a fleet starts. */
+/* Replies to a new or restarted member with the known addresses of its mesh and the views, so that
+ * it need not read the store. Members of another mesh get addresses only if they know nobody there,
+ * which bounds the traffic when a fleet starts. */
 static void
 reply_to_new_member(heartbeat_t *heartbeat, const member_t *member, bool was_announced,
                     uint64_t now_ms)
 {
-    const heartbeat_source_t source = {
-        .self = members_find_or_add(heartbeat->conf.members, &heartbeat->conf.settings->peer),
-        .members = heartbeat->conf.members,
-        .views = heartbeat->conf.views,
-        .watch = heartbeat->conf.watch,
-        .suspect_gossip = heartbeat->conf.suspect_gossip,
-        .notice_gossip = heartbeat->conf.notice_gossip,
-        .rollouts = heartbeat_rollouts(heartbeat, now_ms),
-        .backends = heartbeat->conf.backends,
-        .round = heartbeat->replies_sent++,
-        .is_reply = true,
-        .addresses_max = max_addresses_for(heartbeat, member),
-        .was_announced = was_announced,
-        .now_ms = now_ms,
-    };
+    const size_t mesh = members_mesh(heartbeat->conf.members, member);
+    const bool needs_addresses = mesh == own_mesh(heartbeat) || member->mesh_members <= 1;
+    heartbeat_source_t source = source_of(heartbeat, now_ms);
+    source.round = heartbeat->replies_sent++;
+    source.is_reply = true;
+    source.receiver_mesh = mesh;
+    source.addresses_max = needs_addresses ? max_addresses(heartbeat) : 0;
+    source.was_announced = was_announced;
     heartbeat_message_t message = {0};
     heartbeat_message_fill(&message, &source);
     Iris__Envelope envelope = IRIS__ENVELOPE__INIT;
@@ -249,8 +293,11 @@
                  heartbeat->heard_log_lines, HEARD_LOG_LINES_MAX);
     heartbeat->heard_log_lines = 0;
     heartbeat->is_due |= store_status_changed(heartbeat);
+    members_update_meshes(heartbeat->conf.members);
     if (heartbeat->is_due || now_ms - heartbeat->sent_ms + SEND_EARLY_MS >= interval_ms)
         heartbeat_send(heartbeat, now_ms);
+    else if (heartbeat->greeting_due)
+        heartbeat_greet(heartbeat, now_ms);
 }
 
 void
@@ -264,9 +311,8 @@
     member->announced |= announced;
     if (member->heard)
         return;
-    heartbeat->is_due |= heartbeat->conf.members->count > known;
-    member->hall = *hall;
-    member->region = region_of(heartbeat, hall);
+    heartbeat->greeting_due |= heartbeat->conf.members->count > known;
+    set_hall(heartbeat, member, hall);
 }
 
 /* Skips invalid addresses. */
@@ -332,8 +378,7 @@
         member->accounts_avoided_until_ms = 0;
     member->logged_alive = true;
     member->instance = sender.instance;
-    member->hall = sender.hall;
-    member->region = region_of(heartbeat, &sender.hall);
+    set_hall(heartbeat, member, &sender.hall);
     member->callers = sender.callers;
     heartbeat_message_apply(message, member);
     member->announced |= was_announced;
--- a/gateway/membership/heartbeat.h
+++ b/gateway/membership/heartbeat.h
@@ -43,6 +43,7 @@
     unsigned heard_log_lines; /* "instance heard" events since the last tick */
     bool resumed;             /* the process stalled: peers resend messages it missed */
     bool is_due;              /* send at the next tick, whatever the interval */
+    bool greeting_due;        /* the same to members that were not heard yet */
 } heartbeat_t;
 
 /* Adds this instance to the table of members. */
@@ -55,8 +56,8 @@
 void heartbeat_send(heartbeat_t *heartbeat, uint64_t now_ms);
 /* Sends a heartbeat that requests the messages missed while the process was stalled. */
 void heartbeat_resume(heartbeat_t *heartbeat, uint64_t now_ms);
-/* Makes a heartbeat due at the next tick, including to members that were never heard. */
-void heartbeat_retry_unheard(heartbeat_t *heartbeat);
+/* Sends a heartbeat to the members of the own mesh that were not heard yet, and to seeds. */
+void heartbeat_greet(heartbeat_t *heartbeat, uint64_t now_ms);
 /* Records that this instance's entry is in the store. */
 void heartbeat_set_announced(heartbeat_t *heartbeat);
 /* Sends a heartbeat if the interval has passed or a change is due. */
--- a/gateway/membership/heartbeat_message.c
+++ b/gateway/membership/heartbeat_message.c
@@ -35,49 +35,57 @@
     demand->slots = (float)slots;
 }
 
-/* Sends the own demand, and the region's total for instances of other regions. */
+/* Sends the own demand, and the mesh's total for instances of other meshes. */
 static void
 fill_demands(heartbeat_message_t *out, const heartbeat_source_t *source)
 {
     const member_t *self = source->self;
     for (size_t i = 0; i < self->demand_count; i++) {
         const name_t *service = &self->demands[i].service;
-        const double region_slots = members_demand(source->members, name_str(service), self->region,
-                                                   self->region, source->now_ms);
+        const double mesh_slots =
+            members_mesh_demand(source->members, name_str(service), self->region, source->now_ms);
         fill_demand(&out->demands[i], service, self->demands[i].slots);
-        fill_demand(&out->region_demands[i], service, region_slots);
+        fill_demand(&out->mesh_demands[i], service, mesh_slots);
         out->demand_list[i] = &out->demands[i];
-        out->region_demand_list[i] = &out->region_demands[i];
+        out->mesh_demand_list[i] = &out->mesh_demands[i];
     }
     out->message.n_demands = self->demand_count;
     out->message.demands = out->demand_list;
-    out->message.n_region_demands = self->demand_count;
-    out->message.region_demands = out->region_demand_list;
+    out->message.n_mesh_demands = self->demand_count;
+    out->message.mesh_demands = out->mesh_demand_list;
 }
 
-/* Sends a part of the known addresses, rotating with each round. */
+static void
+add_peer(heartbeat_message_t *out, const member_t *member)
+{
+    const size_t index = out->message.n_peers++;
+    Iris__PeerAddress *peer = &out->peers[index];
+    iris__peer_address__init(peer);
+    addr_format(&member->peer, out->peer_texts[index]);
+    peer->address = out->peer_texts[index];
+    peer->place = message_text(&member->hall);
+    out->peer_list[index] = peer;
+}
+
+/* Sends a part of the known addresses, rotating with each round; a reply those of the receiver's
+ * mesh. */
 static void
 fill_peers(heartbeat_message_t *out, const heartbeat_source_t *source)
 {
     const members_t *members = source->members;
-    const size_t max = source->is_reply ? source->addresses_max : HEARTBEAT_PEERS_MAX;
+    const bool is_large = members->count > HEARTBEAT_PEERS_MAX;
+    const size_t regular = is_large ? HEARTBEAT_PEERS_LARGE_MAX : HEARTBEAT_PEERS_MAX;
+    const size_t max = source->is_reply ? source->addresses_max : regular;
     const size_t step = source->is_reply ? max : max / PEERS_PERIOD;
-    const size_t start = (size_t)source->round * step;
-    size_t count = 0;
-    for (size_t i = 0; i < members->count && count < max; i++) {
+    const size_t start = members->own_turn + (size_t)source->round * step;
+    out->message.peers = out->peer_list;
+    for (size_t i = 0; i < members->count && out->message.n_peers < max; i++) {
         const member_t *member = &members->items[(start + i) % members->count];
-        if (!member->heard)
-            continue;
-        Iris__PeerAddress *peer = &out->peers[count];
-        iris__peer_address__init(peer);
-        addr_format(&member->peer, out->peer_texts[count]);
-        peer->address = out->peer_texts[count];
-        peer->place = message_text(&member->hall);
-        out->peer_list[count] = peer;
-        count++;
+        const bool wanted =
+            !source->is_reply || members_mesh(members, member) == source->receiver_mesh;
+        if (member->heard && wanted)
+            add_peer(out, member);
     }
-    out->message.n_peers = count;
-    out->message.peers = out->peer_list;
 }
 
 /* Sends outcomes of backends with recent failures. */
@@ -165,12 +173,14 @@
     message->gives_permits = true;
     message->resumed = source->resumed;
     message->announced = self->announced;
-    message->region_members =
-        (uint32_t)members_count_alive_in_region(source->members, self->region, source->now_ms);
+    message->mesh_members =
+        (uint32_t)members_count_alive_in_mesh(source->members, self->region, source->now_ms);
     message->interval_ms = self->interval_ms;
     message->link_bytes_per_s = (float)self->capacity.link_bytes_per_s;
     message->cpu_cores = (float)self->capacity.cpu_cores;
     message->requests_per_s = (float)self->capacity.requests_per_s;
+    message->mesh_requests_per_s =
+        (float)members_mesh_requests_per_s(source->members, self->region, source->now_ms);
     message->bytes_per_s = (float)self->capacity.bytes_per_s;
 }
 
@@ -185,9 +195,9 @@
     fill_notices(out, source);
     if (source->rollouts.rollouts->count > 0)
         fill_rollouts(out, source);
-    if (!source->is_reply)
+    if (!source->is_reply && !source->is_greeting)
         fill_outcomes(out, source);
-    if (source->is_reply || source->round % PEERS_PERIOD < PEERS_ROUNDS)
+    if (source->is_reply || (!source->is_greeting && source->round % PEERS_PERIOD < PEERS_ROUNDS))
         fill_peers(out, source);
     out->message.was_announced = source->was_announced;
 }
@@ -253,15 +263,16 @@
     member->supports_accounts = message->reads_accounts;
     member->supports_permits = message->gives_permits;
     member->interval_ms = message->interval_ms;
-    member->region_members = message->region_members;
+    member->mesh_members = message->mesh_members;
     member->capacity = (member_capacity_t){
         .link_bytes_per_s = message->link_bytes_per_s,
         .cpu_cores = message->cpu_cores,
         .requests_per_s = message->requests_per_s,
         .bytes_per_s = message->bytes_per_s,
     };
+    member->mesh_requests_per_s = message->mesh_requests_per_s;
     read_views(message, member);
     member->demand_count = read_demands(message->demands, message->n_demands, member->demands);
-    member->region_demand_count =
-        read_demands(message->region_demands, message->n_region_demands, member->region_demands);
+    member->mesh_demand_count =
+        read_demands(message->mesh_demands, message->n_mesh_demands, member->mesh_demands);
 }
--- a/gateway/membership/heartbeat_message.h
+++ b/gateway/membership/heartbeat_message.h
@@ -15,8 +15,9 @@
 #include "peer/peer.pb-c.h"
 
 enum {
-    HEARTBEAT_PEERS_MAX = 64, /* addresses per heartbeat */
-    /* Addresses in a reply from a non-seed instance; every member of the region sends one. */
+    HEARTBEAT_PEERS_MAX = 64,       /* addresses per reply, and per heartbeat of a small fleet */
+    HEARTBEAT_PEERS_LARGE_MAX = 16, /* addresses per heartbeat of a large fleet */
+    /* Addresses in a reply from a non-seed instance; every member of the mesh sends one. */
     HEARTBEAT_PEERS_NON_SEED_MAX = 16,
     HEARTBEAT_OUTCOMES_MAX = 64, /* backends per heartbeat; bounds its size */
 };
@@ -28,8 +29,8 @@
     Iris__ViewState *view_list[VIEW_WATCHED];
     Iris__Demand demands[MEMBER_DEMANDS_MAX];
     Iris__Demand *demand_list[MEMBER_DEMANDS_MAX];
-    Iris__Demand region_demands[MEMBER_DEMANDS_MAX];
-    Iris__Demand *region_demand_list[MEMBER_DEMANDS_MAX];
+    Iris__Demand mesh_demands[MEMBER_DEMANDS_MAX];
+    Iris__Demand *mesh_demand_list[MEMBER_DEMANDS_MAX];
     Iris__PeerAddress peers[HEARTBEAT_PEERS_MAX];
     Iris__PeerAddress *peer_list[HEARTBEAT_PEERS_MAX];
     Iris__Outcomes outcomes[HEARTBEAT_OUTCOMES_MAX];
@@ -57,7 +58,9 @@
     bool resumed;               /* this instance stalled and missed messages */
     const backends_t *backends; /* their unsent outcomes are moved into the message */
     unsigned round;             /* number of the heartbeat; only some carry addresses */
+    bool is_greeting;           /* to members not heard yet: without outcomes and addresses */
     bool is_reply;              /* to a new or restarted member: without outcomes */
+    size_t receiver_mesh;       /* of a reply, which carries addresses of that mesh */
     size_t addresses_max;       /* limit of addresses in a reply */
     bool was_announced;         /* the receiver was announced in the store before */
     uint64_t now_ms;
--- a/gateway/membership/members.c
+++ b/gateway/membership/members.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -12,6 +13,9 @@
     RETRY_SILENT_MS = 1200, /* interval of retries to a silent member */
     /* An idle watch answers after at most 3 s; the rest allows for latency. */
     WATCHER_AGE_MAX_MS = 3500,
+    /* Three and two and a quarter of the longest intervals. */
+    LOST_MAX_MS = 3600,
+    UNLISTED_MAX_MS = 2700,
 };
 
 /* Intervals without a heartbeat after which an instance counts as lost: 1.8 s in a small region. */
@@ -19,27 +23,85 @@
 /* Intervals after which it is no longer listed to callers: 1.3 s in a small region. */
 #define UNLISTED_INTERVALS 3.25
 
+/* ---- table ---- */
+
+/* Returns the slot that holds the address, or the empty one where it belongs. */
+static uint32_t *
+find_slot(const members_t *members, const addr_t *peer)
+{
+    size_t at = addr_hash(peer) % members->slot_count;
+    while (members->slots[at] != 0 && !addr_eq(&members->items[members->slots[at] - 1].peer, peer))
+        at = (at + 1) % members->slot_count;
+    return &members->slots[at];
+}
+
+static void
+grow(members_t *members)
+{
+    members->size = members->size > 0 ? members->size * 2 : INITIAL_CAPACITY;
+    members->items = xrealloc(members->items, members->size * sizeof(*members->items));
+    members->slot_count = members->size * 2;
+    free(members->slots);
+    members->slots = xcalloc(members->slot_count, sizeof(*members->slots));
+    for (size_t i = 0; i < members->count; i++)
+        *find_slot(members, &members->items[i].peer) = (uint32_t)i + 1;
+}
+
 member_t *
 members_find_or_add(members_t *members, const addr_t *peer)
 {
-    for (size_t i = 0; i < members->count; i++) {
-        if (addr_eq(&members->items[i].peer, peer))
-            return &members->items[i];
-    }
+    if (members->count == members->size)
+        grow(members);
+    uint32_t *slot = find_slot(members, peer);
+    if (*slot != 0)
+        return &members->items[*slot - 1];
     if (members->count == MEMBERS_MAX) {
         LOG_WARN("member table is full: members=%zu", members->count);
         return NULL;
     }
-    if (members->count == members->size) {
-        members->size = members->size > 0 ? members->size * 2 : INITIAL_CAPACITY;
-        members->items = xrealloc(members->items, members->size * sizeof(*members->items));
-    }
     member_t *member = &members->items[members->count++];
-    *member =
-        (member_t){.peer = *peer, .region = TOPOLOGY_NO_REGION, .store_age_ms = STORE_AGE_NONE};
+    *slot = (uint32_t)members->count;
+    *member = (member_t){
+        .peer = *peer,
+        .region = TOPOLOGY_NO_REGION,
+        .hall_index = TOPOLOGY_NO_HALL,
+        .store_age_ms = STORE_AGE_NONE,
+    };
     return member;
 }
 
+/* ---- meshes ---- */
+
+void
+members_update_meshes(members_t *members)
+{
+    size_t known[TOPOLOGY_REGIONS_MAX + 1] = {0};
+    for (size_t i = 0; i < members->count; i++)
+        known[members->items[i].region]++;
+    for (size_t region = 0; region < TOPOLOGY_REGIONS_MAX; region++)
+        members->split[region] |= known[region] > MEMBERS_REGION_MESH_MAX;
+}
+
+size_t
+members_mesh_at(const members_t *members, size_t region, size_t hall_index)
+{
+    return members->split[region] ? TOPOLOGY_REGIONS_MAX + 1 + hall_index : region;
+}
+
+size_t
+members_mesh(const members_t *members, const member_t *member)
+{
+    return members_mesh_at(members, member->region, member->hall_index);
+}
+
+size_t
+members_own_mesh(const members_t *members, size_t region)
+{
+    return members_mesh_at(members, region, members->own_hall);
+}
+
+/* ---- liveness ---- */
+
 static double
 interval_of(const member_t *member)
 {
@@ -50,13 +112,13 @@
 static uint64_t
 member_lost_after_ms(const member_t *member)
 {
-    return (uint64_t)(LOST_INTERVALS * interval_of(member));
+    return (uint64_t)fmin(LOST_INTERVALS * interval_of(member), LOST_MAX_MS);
 }
 
 uint64_t
 member_unlisted_after_ms(const member_t *member)
 {
-    return (uint64_t)(UNLISTED_INTERVALS * interval_of(member));
+    return (uint64_t)fmin(UNLISTED_INTERVALS * interval_of(member), UNLISTED_MAX_MS);
 }
 
 bool
@@ -66,14 +128,15 @@
 }
 
 size_t
-members_rank_in_region(const members_t *members, str_t own, size_t region, bool served,
-                       uint64_t now_ms)
+members_rank_in_mesh(const members_t *members, str_t own, size_t region, bool served,
+                     uint64_t now_ms)
 {
+    const size_t mesh = members_own_mesh(members, region);
     size_t rank = 0;
     for (size_t i = 0; i < members->count; i++) {
         const member_t *member = &members->items[i];
-        if (!member_alive(member, now_ms) || member->leaving || member->region != region ||
-            (served && member->store_failing))
+        if (members_mesh(members, member) != mesh || !member_alive(member, now_ms) ||
+            member->leaving || (served && member->store_failing))
             continue;
         rank += str_compare(name_str(&member->instance), own) < 0;
     }
@@ -112,8 +175,10 @@
 members_watch_store(const members_t *members, size_t region, uint32_t age_ms, uint64_t now_ms)
 {
     const bool all_send_changes = members->count <= MEMBERS_FULL_MESH_MAX;
+    const size_t mesh = members_own_mesh(members, region);
     for (size_t i = 0; i < members->count; i++) {
-        const bool sends_changes = all_send_changes || members->items[i].region == region;
+        const bool sends_changes =
+            all_send_changes || members_mesh(members, &members->items[i]) == mesh;
         if (sends_changes && has_recent_answer(&members->items[i], age_ms, now_ms))
             return true;
     }
@@ -169,56 +234,85 @@
     return 0;
 }
 
-static double
-own_region_demand(const members_t *members, str_t service, size_t region, uint64_t now_ms)
+/* ---- totals ---- */
+
+double
+members_mesh_demand(const members_t *members, str_t service, size_t region, uint64_t now_ms)
 {
+    const size_t mesh = members_own_mesh(members, region);
     double slots = 0;
     for (size_t i = 0; i < members->count; i++) {
         const member_t *member = &members->items[i];
-        if (member_alive(member, now_ms) && member->region == region)
+        if (members_mesh(members, member) == mesh && member_alive(member, now_ms))
             slots += find_demand(member->demands, member->demand_count, service);
     }
     return slots;
 }
 
-/* Returns the member of the region that was heard last, or NULL. */
-static const member_t *
-latest_in_region(const members_t *members, size_t region)
+/* The member of each mesh that was heard last, or NULL. */
+typedef struct {
+    const member_t *items[MEMBERS_MESHES_MAX];
+} latest_t;
+
+/* Finds them for the meshes of a region, or of all if `region` is TOPOLOGY_NO_REGION. */
+static void
+find_latest(const members_t *members, size_t region, latest_t *out)
 {
-    const member_t *latest = NULL;
+    *out = (latest_t){0};
     for (size_t i = 0; i < members->count; i++) {
         const member_t *member = &members->items[i];
-        if (member->heard && member->region == region &&
-            (latest == NULL || member->heard_ms > latest->heard_ms))
-            latest = member;
+        if (!member->heard || (region != TOPOLOGY_NO_REGION && member->region != region))
+            continue;
+        const member_t **latest = &out->items[members_mesh(members, member)];
+        if (*latest == NULL || member->heard_ms > (*latest)->heard_ms)
+            *latest = member;
     }
-    return latest;
 }
 
 double
 members_demand(const members_t *members, str_t service, size_t region, size_t own_region,
                uint64_t now_ms)
 {
-    if (region == own_region)
-        return own_region_demand(members, service, region, now_ms);
-    const member_t *latest = latest_in_region(members, region);
-    if (latest == NULL || !member_alive(latest, now_ms))
-        return 0;
-    return find_demand(latest->region_demands, latest->region_demand_count, service);
+    const size_t own_mesh = members_own_mesh(members, own_region);
+    double slots = region == own_region ? members_mesh_demand(members, service, region, now_ms) : 0;
+    latest_t latest;
+    find_latest(members, region, &latest);
+    for (size_t mesh = 0; mesh < MEMBERS_MESHES_MAX; mesh++) {
+        const member_t *member = latest.items[mesh];
+        if (member != NULL && mesh != own_mesh && member_alive(member, now_ms))
+            slots += find_demand(member->mesh_demands, member->mesh_demand_count, service);
+    }
+    return slots;
 }
 
 double
-members_requests_per_s(const members_t *members, size_t region, uint64_t now_ms)
+members_mesh_requests_per_s(const members_t *members, size_t region, uint64_t now_ms)
 {
+    const size_t mesh = members_own_mesh(members, region);
     double sum = 0;
     for (size_t i = 0; i < members->count; i++) {
         const member_t *member = &members->items[i];
-        if (member->region == region && member_alive(member, now_ms))
+        if (members_mesh(members, member) == mesh && member_alive(member, now_ms))
             sum += member->capacity.requests_per_s;
     }
     return sum;
 }
 
+double
+members_requests_per_s(const members_t *members, size_t region, uint64_t now_ms)
+{
+    const size_t own_mesh = members_own_mesh(members, region);
+    double sum = members_mesh_requests_per_s(members, region, now_ms);
+    latest_t latest;
+    find_latest(members, region, &latest);
+    for (size_t mesh = 0; mesh < MEMBERS_MESHES_MAX; mesh++) {
+        const member_t *member = latest.items[mesh];
+        if (member != NULL && mesh != own_mesh && member_alive(member, now_ms))
+            sum += member->mesh_requests_per_s;
+    }
+    return sum;
+}
+
 size_t
 members_count_alive(const members_t *members, uint64_t now_ms)
 {
@@ -229,27 +323,32 @@
 }
 
 size_t
-members_count_alive_in_region(const members_t *members, size_t region, uint64_t now_ms)
+members_count_alive_in_mesh(const members_t *members, size_t region, uint64_t now_ms)
 {
+    const size_t mesh = members_own_mesh(members, region);
     size_t count = 0;
     for (size_t i = 0; i < members->count; i++)
-        count += member_alive(&members->items[i], now_ms) && members->items[i].region == region;
+        count += members_mesh(members, &members->items[i]) == mesh &&
+                 member_alive(&members->items[i], now_ms);
     return count;
 }
 
 size_t
 members_total(const members_t *members, size_t own_region)
 {
-    size_t heard[TOPOLOGY_REGIONS_MAX + 1] = {0};
+    size_t heard[MEMBERS_MESHES_MAX] = {0};
+    const size_t own_mesh = members_own_mesh(members, own_region);
     size_t total = 0;
+    latest_t latest;
     for (size_t i = 0; i < members->count; i++) {
         if (members->items[i].heard)
-            heard[members->items[i].region]++;
+            heard[members_mesh(members, &members->items[i])]++;
     }
-    for (size_t region = 0; region <= TOPOLOGY_REGIONS_MAX; region++) {
-        const member_t *latest = region != own_region ? latest_in_region(members, region) : NULL;
-        const size_t reported = latest != NULL ? latest->region_members : 0;
-        total += reported > heard[region] ? reported : heard[region];
+    find_latest(members, TOPOLOGY_NO_REGION, &latest);
+    for (size_t mesh = 0; mesh < MEMBERS_MESHES_MAX; mesh++) {
+        const member_t *member = mesh != own_mesh ? latest.items[mesh] : NULL;
+        const size_t reported = member != NULL ? member->mesh_members : 0;
+        total += reported > heard[mesh] ? reported : heard[mesh];
     }
     return total;
 }
@@ -258,38 +357,41 @@
 members_interval_ms(const members_t *members, size_t region, uint64_t now_ms)
 {
     const size_t scaled =
-        HEARTBEAT_MS_PER_MEMBER * members_count_alive_in_region(members, region, now_ms);
+        HEARTBEAT_MS_PER_MEMBER * members_count_alive_in_mesh(members, region, now_ms);
     if (scaled < HEARTBEAT_MIN_MS)
         return HEARTBEAT_MIN_MS;
     return scaled < HEARTBEAT_MAX_MS ? (uint32_t)scaled : HEARTBEAT_MAX_MS;
 }
 
-/* Returns the member's position in its region and sets `count` to the region's size. */
-static size_t
-index_in_region(const members_t *members, size_t index, size_t *count)
+/* ---- heartbeats ---- */
+
+/* True if it is the turn of the member at `position` of a mesh of `count`. */
+static bool
+is_in_turn(const members_t *members, size_t position, size_t count, unsigned round)
 {
-    size_t position = 0;
-    *count = 0;
-    for (size_t i = 0; i < members->count; i++) {
-        if (members->items[i].region != members->items[index].region)
-            continue;
-        position += i < index;
-        (*count)++;
-    }
-    return position;
+    const size_t turn = (members->own_turn + (size_t)round * MEMBERS_PER_REMOTE_MESH) % count;
+    return (position + count - turn) % count < MEMBERS_PER_REMOTE_MESH;
 }
 
-bool
-members_is_target(const members_t *members, size_t index, size_t own_region, unsigned round,
-                  uint64_t now_ms)
+void
+members_select_targets(const members_t *members, size_t own_region, unsigned round, uint64_t now_ms,
+                       bool *targets)
 {
-    const member_t *member = &members->items[index];
-    if (members->count <= MEMBERS_FULL_MESH_MAX || member->region == own_region)
-        return member_alive(member, now_ms) || now_ms - member->sent_ms >= RETRY_SILENT_MS;
-    size_t count;
-    const size_t position = index_in_region(members, index, &count);
-    const size_t turn = (size_t)round * MEMBERS_PER_REMOTE_REGION % count;
-    return (position + count - turn) % count < MEMBERS_PER_REMOTE_REGION;
+    size_t counts[MEMBERS_MESHES_MAX] = {0};
+    size_t positions[MEMBERS_MESHES_MAX] = {0};
+    const size_t own_mesh = members_own_mesh(members, own_region);
+    for (size_t i = 0; i < members->count; i++)
+        counts[members_mesh(members, &members->items[i])]++;
+    for (size_t i = 0; i < members->count; i++) {
+        const member_t *member = &members->items[i];
+        const size_t mesh = members_mesh(members, member);
+        if (members->count <= MEMBERS_FULL_MESH_MAX || mesh == own_mesh)
+            targets[i] =
+                member_alive(member, now_ms) || now_ms - member->sent_ms >= RETRY_SILENT_MS;
+        else
+            targets[i] = is_in_turn(members, positions[mesh], counts[mesh], round);
+        positions[mesh]++;
+    }
 }
 
 uint64_t
@@ -305,7 +407,8 @@
     for (size_t i = 0; i < members->count && count < max; i++) {
         const member_t *member = &members->items[i];
         if (member->heard)
-            out[count++] = (cold_sender_t){member_key(name_str(&member->instance)), member->region};
+            out[count++] = (cold_sender_t){member_key(name_str(&member->instance)),
+                                           members_mesh(members, member)};
     }
     return count;
 }
@@ -314,5 +417,6 @@
 members_free(members_t *members)
 {
     free(members->items);
+    free(members->slots);
     *members = (members_t){0};
 }
--- a/gateway/membership/members.h
+++ b/gateway/membership/members.h
@@ -5,9 +5,15 @@
  * heartbeats. Members are keyed by their peer address. A silent member is kept and retried, since a
  * restarted instance returns at the same address.
  *
- * Up to MEMBERS_FULL_MESH_MAX instances form a full mesh. In a larger fleet an instance sends
- * heartbeats to all members of its region and to MEMBERS_PER_REMOTE_REGION of each other region in
- * turn; every heartbeat carries the total demand and the size of the sender's region.
+ * Instances that exchange heartbeats all-to-all form a mesh:
+ *
+ *  - up to MEMBERS_FULL_MESH_MAX instances the whole fleet;
+ *  - in a larger fleet each region;
+ *  - in a region of more than MEMBERS_REGION_MESH_MAX instances each data hall.
+ *
+ * An instance sends heartbeats to all members of its mesh and to MEMBERS_PER_REMOTE_MESH of each
+ * other mesh in turn; every heartbeat carries the total demand and the size of the sender's mesh.
+ * What an instance costs others so grows with its mesh, not with the fleet.
  *
  * Owns the table of members. Depends on nothing; time is passed in. Filled by heartbeat.h.
  */
@@ -22,8 +28,13 @@
 enum {
     MEMBERS_MAX = 2048,         /* design size: 1,400 instances */
     MEMBERS_FULL_MESH_MAX = 16, /* largest fleet that forms a full mesh */
-    /* Members of each other region that get a heartbeat per round. */
-    MEMBERS_PER_REMOTE_REGION = 1,
+    /* Largest region whose members form one mesh. Monotone within the life of a process, since it
+     * is compared with the members ever known. */
+    MEMBERS_REGION_MESH_MAX = 64,
+    /* Members of each other mesh that get a heartbeat per round. */
+    MEMBERS_PER_REMOTE_MESH = 1,
+    /* Meshes are numbered: regions first, then data halls. */
+    MEMBERS_MESHES_MAX = TOPOLOGY_REGIONS_MAX + 1 + TOPOLOGY_HALLS_MAX + 1,
     /* Services in a heartbeat, those with the greatest demand. */
     MEMBER_DEMANDS_MAX = 16,
     /* Milliseconds between heartbeats: HEARTBEAT_MS_PER_MEMBER for each member of the region,
@@ -64,6 +75,7 @@
     name_t instance;
     name_t hall;
     size_t region;
+    size_t hall_index;    /* in the topology; TOPOLOGY_NO_HALL if unknown */
     addr_t callers;       /* address for callers */
     uint64_t incarnation; /* random number chosen at process start */
     uint64_t heard_ms;    /* time of its last heartbeat; the fields below date from it */
@@ -81,34 +93,47 @@
     member_view_t views[VIEW_WATCHED];
     member_demand_t demands[MEMBER_DEMANDS_MAX];
     size_t demand_count;
-    member_demand_t region_demands[MEMBER_DEMANDS_MAX]; /* totals of its region */
-    size_t region_demand_count;
+    member_demand_t mesh_demands[MEMBER_DEMANDS_MAX]; /* totals of its mesh */
+    size_t mesh_demand_count;
     member_capacity_t capacity;
-    uint32_t region_members; /* alive members of its region, as it reports */
-    uint32_t interval_ms;    /* between its heartbeats, 0 if unknown */
-    uint64_t sent_ms;        /* time of the last heartbeat sent to it */
-    bool logged_alive;       /* logged as alive */
+    uint32_t mesh_members;      /* alive members of its mesh, as it reports */
+    double mesh_requests_per_s; /* of all members of its mesh, as it reports */
+    uint32_t interval_ms;       /* between its heartbeats, 0 if unknown */
+    uint64_t sent_ms;           /* time of the last heartbeat sent to it */
+    bool logged_alive;          /* logged as alive */
 } member_t;
 
 typedef struct {
     member_t *items;
     size_t count;
     size_t size;
+    uint32_t *slots; /* hash table by address: index into items plus 1, 0 for none */
+    size_t slot_count;
+    bool split[TOPOLOGY_REGIONS_MAX + 1]; /* regions whose data halls are meshes */
+    size_t own_hall;                      /* index of this instance's data hall */
+    uint64_t own_turn; /* where this instance begins with the members of other meshes */
 } members_t;
 
 /* Returns the member at the address, added if it is new; NULL if the table is full. Adding a member
  * may move the others. */
 member_t *members_find_or_add(members_t *members, const addr_t *peer);
 bool member_alive(const member_t *member, uint64_t now_ms);
-/* Number of alive members of the region whose name sorts before `own`: all, or if `served` only
+/* Marks the regions that have become too large to be one mesh. */
+void members_update_meshes(members_t *members);
+/* Returns the mesh of a data hall in a region. */
+size_t members_mesh_at(const members_t *members, size_t region, size_t hall_index);
+size_t members_mesh(const members_t *members, const member_t *member);
+/* Returns the mesh of this instance; `region` is its region. */
+size_t members_own_mesh(const members_t *members, size_t region);
+/* Number of alive members of the own mesh whose name sorts before `own`: all, or if `served` only
  * those whose store requests succeed. */
-size_t members_rank_in_region(const members_t *members, str_t own, size_t region, bool served,
-                              uint64_t now_ms);
-/* Maximum age in milliseconds of a watcher's last answer from the store for its region to rely on
+size_t members_rank_in_mesh(const members_t *members, str_t own, size_t region, bool served,
+                            uint64_t now_ms);
+/* Maximum age in milliseconds of a watcher's last answer from the store for its mesh to rely on
  * it. Allows for an idle watch of 3 s and the heartbeat interval. */
 uint32_t members_store_age_max_ms(const members_t *members, size_t region, uint64_t now_ms);
-/* True if an alive member that forwards changes to the region got an answer from the store within
- * `age_ms`: a member of that region, or any member in a full mesh. */
+/* True if an alive member that forwards changes to this instance got an answer from the store
+ * within `age_ms`: a member of its mesh, or any member in a full mesh. */
 bool members_watch_store(const members_t *members, size_t region, uint32_t age_ms, uint64_t now_ms);
 /* True if the store is down as far as known: it answers no alive member and fails for
  * MEMBERS_OUTAGE_QUORUM of them, or for all if there are fewer. `own_failing` gives the state of
@@ -127,22 +152,26 @@
 bool members_store_serves(const members_t *members, uint32_t age_ms, uint64_t now_ms);
 /* Milliseconds of silence after which an instance is not listed in the directory. */
 uint64_t member_unlisted_after_ms(const member_t *member);
-/* Slots of a service that the callers of a region use: for the own region the sum over alive
- * members, for another region the total reported by the member heard last. */
+/* Slots of a service that the callers of a region use: in the own mesh the sum over alive members,
+ * in each other mesh the total reported by the member heard last. */
 double members_demand(const members_t *members, str_t service, size_t region, size_t own_region,
                       uint64_t now_ms);
-/* Requests per second of the region's alive members. */
+/* The same for one service in the own mesh. */
+double members_mesh_demand(const members_t *members, str_t service, size_t region, uint64_t now_ms);
+/* Requests per second of the own mesh's alive members. */
+double members_mesh_requests_per_s(const members_t *members, size_t region, uint64_t now_ms);
+/* Requests per second of the own region, other meshes as reported. */
 double members_requests_per_s(const members_t *members, size_t region, uint64_t now_ms);
-/* Number of alive members in all regions, and in one. */
+/* Number of alive members in all meshes, and in the own one. */
 size_t members_count_alive(const members_t *members, uint64_t now_ms);
-size_t members_count_alive_in_region(const members_t *members, size_t region, uint64_t now_ms);
-/* Number of instances in all regions: those in the table, or more if other regions report more. */
+size_t members_count_alive_in_mesh(const members_t *members, size_t region, uint64_t now_ms);
+/* Number of instances in all meshes: those in the table, or more if other meshes report more. */
 size_t members_total(const members_t *members, size_t own_region);
-/* Milliseconds between heartbeats of an instance of the region. */
+/* Milliseconds between heartbeats of an instance of the own mesh. */
 uint32_t members_interval_ms(const members_t *members, size_t region, uint64_t now_ms);
-/* True if the member gets a heartbeat in this round. */
-bool members_is_target(const members_t *members, size_t index, size_t own_region, unsigned round,
-                       uint64_t now_ms);
+/* Sets `targets` for each member that gets a heartbeat in this round. */
+void members_select_targets(const members_t *members, size_t own_region, unsigned round,
+                            uint64_t now_ms, bool *targets);
 /* Lists all members ever heard as senders to cold backends; returns their number. */
 size_t members_cold_senders(const members_t *members, cold_sender_t *out, size_t max);
 /* Hash of an instance's name, its key among those senders. */
--- a/gateway/membership/notice_gossip.c
+++ b/gateway/membership/notice_gossip.c
@@ -127,7 +127,7 @@
     copy.items = message->items;
     send_ctx_t send = {gossip, &copy};
     const broadcast_t broadcast = make_broadcast(&send);
-    broadcast_to_region(&broadcast);
+    broadcast_to_mesh(&broadcast);
 }
 
 size_t
--- a/gateway/membership/owner.c
+++ b/gateway/membership/owner.c
@@ -18,8 +18,8 @@
 {
     const bool is_supported =
         input->kind == OWNER_OF_ACCOUNT ? member->supports_accounts : member->supports_permits;
-    if (!member->heard || member->region != input->region || member->leaving || !is_supported ||
-        member->refuses_connections)
+    if (!member->heard || members_mesh(input->members, member) != input->mesh || member->leaving ||
+        !is_supported || member->refuses_connections)
         return false;
     return !input->liveness_known || member_alive(member, input->now_ms);
 }
--- a/gateway/membership/permit_exchange.c
+++ b/gateway/membership/permit_exchange.c
@@ -43,41 +43,50 @@
 /* ---- owner ---- */
 
 static bool
-has_members(const members_t *members, size_t region)
+has_members(const members_t *members, size_t mesh)
 {
     for (size_t i = 0; i < members->count; i++) {
-        if (members->items[i].heard && members->items[i].region == region)
+        if (members->items[i].heard && members_mesh(members, &members->items[i]) == mesh)
             return true;
     }
     return false;
 }
 
-/* The backend's region, or the first region with a member if it has none. */
 static size_t
-owner_region(const permit_exchange_t *exchange, size_t region)
+own_mesh(const permit_exchange_t *exchange)
 {
-    for (size_t i = 0; i <= TOPOLOGY_REGIONS_MAX; i++) {
-        if (has_members(exchange->conf.members, region))
-            return region;
-        region = i;
+    return members_own_mesh(exchange->conf.members, exchange->conf.region);
+}
+
+/* The backend's mesh, or the first one with a member if it has none. */
+static size_t
+owner_mesh(const permit_exchange_t *exchange, const backend_t *backend)
+{
+    const members_t *members = exchange->conf.members;
+    const size_t hall =
+        topology_hall(exchange->conf.catalog->topology, name_str(&backend->info.hall));
+    size_t mesh = members_mesh_at(members, backend->region, hall);
+    for (size_t i = 0; i < MEMBERS_MESHES_MAX; i++) {
+        if (has_members(members, mesh))
+            return mesh;
+        mesh = i;
     }
-    return exchange->conf.region;
+    return own_mesh(exchange);
 }
 
-/* In a large fleet, the liveness of other regions is not known: each timeout moves on to the next
+/* In a large fleet, the liveness of other meshes is not known: each timeout moves on to the next
  * candidate, which forwards the request. */
 static const member_t *
 find_owner(const permit_exchange_t *exchange, const backend_t *backend)
 {
     const members_t *members = exchange->conf.members;
-    const size_t region = owner_region(exchange, backend->region);
+    const size_t mesh = owner_mesh(exchange, backend);
     owner_input_t input = {
         .members = members,
         .kind = OWNER_OF_BACKEND,
         .key = backend->key,
-        .region = region,
-        .liveness_known =
-            region == exchange->conf.region || members->count <= MEMBERS_FULL_MESH_MAX,
+        .mesh = mesh,
+        .liveness_known = mesh == own_mesh(exchange) || members->count <= MEMBERS_FULL_MESH_MAX,
         .rank = backend->permits_unanswered % OWNER_RANKS,
         .now_ms = current_ms(exchange),
     };
@@ -101,7 +110,7 @@
     size_t live = 0;
     for (size_t i = 0; i < members->count; i++) {
         const member_t *member = &members->items[i];
-        if (!member->heard || member->region != exchange->conf.region ||
+        if (!member->heard || members_mesh(members, member) != own_mesh(exchange) ||
             member->refuses_connections || now_ms - member->heard_ms > MEMBER_EXPIRE_MS)
             continue;
         known++;
--- a/gateway/membership/rollout_gossip.c
+++ b/gateway/membership/rollout_gossip.c
@@ -3,6 +3,9 @@
 /* Time for which a verdict is repeated; several heartbeats of a large region. */
 enum { VERDICT_REPEATED_MS = 10000 };
 
+/* Age up to which what another mesh said counts: its members send to this one only in turn. */
+enum { OTHER_MESH_MAX_MS = 8000 };
+
 /* A group is sent as its three fields. */
 enum { GROUP_FIELDS = 3 };
 _Static_assert(sizeof(rollout_group_t) == GROUP_FIELDS * sizeof(uint32_t), "fields of a group");
@@ -36,20 +39,26 @@
     return count;
 }
 
+static size_t
+own_mesh(const rollout_gossip_t *gossip)
+{
+    return members_own_mesh(gossip->members, gossip->self->region);
+}
+
 /* True if the report is one that this instance hears directly. */
 static bool
-is_of_region(const rollout_gossip_t *gossip, const rollout_report_t *report)
+is_of_mesh(const rollout_gossip_t *gossip, const rollout_report_t *report)
 {
-    return !report->is_region && report->region == gossip->self->region &&
+    return !report->is_mesh && report->mesh == own_mesh(gossip) &&
            gossip->now_ms - report->heard_ms <= ROLLOUT_REPORT_MAX_MS;
 }
 
 static void
-sum_region(const rollout_gossip_t *gossip, const rollout_t *rollout, rollout_counts_t *out)
+sum_mesh(const rollout_gossip_t *gossip, const rollout_t *rollout, rollout_counts_t *out)
 {
     rollout_own_counts(rollout, out);
     for (size_t i = 0; i < rollout->report_count; i++) {
-        if (is_of_region(gossip, &rollout->reports[i]))
+        if (is_of_mesh(gossip, &rollout->reports[i]))
             rollout_counts_add(out, &rollout->reports[i].counts);
     }
 }
@@ -59,22 +68,23 @@
 {
     for (size_t i = 0; i < rollout->report_count; i++) {
         const rollout_report_t *report = &rollout->reports[i];
-        if (!report->is_region && report->source == source &&
+        if (!report->is_mesh && report->source == source &&
             gossip->now_ms - report->heard_ms <= ROLLOUT_REPORT_MAX_MS)
             return report;
     }
     return NULL;
 }
 
-/* True if all live members of the own region have moved. */
+/* True if all live members of the own mesh have moved. */
 static bool
-region_moved(const rollout_gossip_t *gossip, const rollout_t *rollout)
+mesh_moved(const rollout_gossip_t *gossip, const rollout_t *rollout)
 {
     if (!rollout->moved)
         return false;
     for (size_t i = 0; i < gossip->members->count; i++) {
         const member_t *member = &gossip->members->items[i];
-        if (member->region != gossip->self->region || !member_alive(member, gossip->now_ms) ||
+        if (members_mesh(gossip->members, member) != own_mesh(gossip) ||
+            !member_alive(member, gossip->now_ms) ||
             member->incarnation == gossip->self->incarnation)
             continue;
         const rollout_report_t *report = find_report(gossip, rollout, member->incarnation);
@@ -97,17 +107,16 @@
     message->rolled_back = rollout->state == ROLLOUT_ROLLED_BACK ? rollout->reason : 0;
     message->bad_route = rollout->bad_route;
     message->moved = rollout->moved;
-    message->region_moved = region_moved(gossip, rollout);
+    message->mesh_moved = mesh_moved(gossip, rollout);
     if (rollout->state != ROLLOUT_RUNNING)
         return;
     rollout_own_counts(rollout, &out->own);
     message->n_routes = fill_routes(out->routes, out->route_list, &out->own);
     message->routes = out->route_list;
-    out->region = (rollout_counts_t){0};
-    sum_region(gossip, rollout, &out->region);
-    message->n_region_routes =
-        fill_routes(out->region_routes, out->region_route_list, &out->region);
-    message->region_routes = out->region_route_list;
+    out->mesh = (rollout_counts_t){0};
+    sum_mesh(gossip, rollout, &out->mesh);
+    message->n_mesh_routes = fill_routes(out->mesh_routes, out->mesh_route_list, &out->mesh);
+    message->mesh_routes = out->mesh_route_list;
 }
 
 /* A verdict that was only read from the store reaches the peers from there. */
@@ -164,18 +173,19 @@
 merge_report(const rollout_gossip_t *gossip, const member_t *sender,
              const Iris__RolloutReport *message, rollout_t *rollout)
 {
-    const bool same_region = sender->region == gossip->self->region;
+    const size_t mesh = members_mesh(gossip->members, sender);
+    const bool same_mesh = mesh == own_mesh(gossip);
     rollout_report_t report = {
         .source = sender->incarnation,
-        .region = sender->region,
-        .is_region = !same_region,
-        .moved = same_region ? message->moved : message->region_moved,
+        .mesh = mesh,
+        .is_mesh = !same_mesh,
+        .moved = same_mesh ? message->moved : message->mesh_moved,
         .heard_ms = gossip->now_ms,
     };
-    if (same_region)
+    if (same_mesh)
         read_routes(message->routes, message->n_routes, &report.counts);
     else
-        read_routes(message->region_routes, message->n_region_routes, &report.counts);
+        read_routes(message->mesh_routes, message->n_mesh_routes, &report.counts);
     rollout_adopt_times(rollout, message->elapsed_ms, message->ramp_ms, gossip->now_ms);
     rollout_add_report(rollout, &report);
 }
@@ -201,12 +211,12 @@
 /* ---- completion ---- */
 
 static bool
-is_other_region_moved(const rollout_gossip_t *gossip, const rollout_t *rollout, size_t region)
+is_other_mesh_moved(const rollout_gossip_t *gossip, const rollout_t *rollout, size_t mesh)
 {
     for (size_t i = 0; i < rollout->report_count; i++) {
         const rollout_report_t *report = &rollout->reports[i];
-        if (report->is_region && report->region == region)
-            return report->moved && gossip->now_ms - report->heard_ms <= ROLLOUT_REPORT_MAX_MS;
+        if (report->is_mesh && report->mesh == mesh)
+            return report->moved && gossip->now_ms - report->heard_ms <= OTHER_MESH_MAX_MS;
     }
     return false;
 }
@@ -214,12 +224,14 @@
 bool
 rollout_gossip_all_moved(const rollout_gossip_t *gossip, const rollout_t *rollout)
 {
-    if (!region_moved(gossip, rollout))
+    if (!mesh_moved(gossip, rollout))
         return false;
     for (size_t i = 0; i < gossip->members->count; i++) {
         const member_t *member = &gossip->members->items[i];
-        if (member->region != gossip->self->region && member_alive(member, gossip->now_ms) &&
-            !is_other_region_moved(gossip, rollout, member->region))
+        const size_t mesh = members_mesh(gossip->members, member);
+        const bool may_live =
+            member->heard && gossip->now_ms - member->heard_ms <= OTHER_MESH_MAX_MS;
+        if (mesh != own_mesh(gossip) && may_live && !is_other_mesh_moved(gossip, rollout, mesh))
             return false;
     }
     return true;
--- a/gateway/membership/rollout_gossip.h
+++ b/gateway/membership/rollout_gossip.h
@@ -1,8 +1,8 @@
 /*
  * Roll-out gossip: heartbeats carry what an instance counted and decided about running roll-outs.
  *
- * An instance sends its own counts, which its region hears, and the sum of its region for the
- * others. Nothing is sent while no order runs; a verdict is repeated for some seconds. Tells
+ * An instance sends its own counts, which its mesh (members.h) hears, and the sum of its mesh for
+ * the others. Nothing is sent while no order runs; a verdict is repeated for some seconds. Tells
  * whether all instances known have moved to the target, as the versions before it may then be
  * stopped: an instance that does not report the order has not.
  *
@@ -23,10 +23,10 @@
     Iris__RolloutReport message;
     Iris__RolloutRoute routes[ROLLOUT_ROUTE_MESSAGES_MAX];
     Iris__RolloutRoute *route_list[ROLLOUT_ROUTE_MESSAGES_MAX];
-    Iris__RolloutRoute region_routes[ROLLOUT_ROUTE_MESSAGES_MAX];
-    Iris__RolloutRoute *region_route_list[ROLLOUT_ROUTE_MESSAGES_MAX];
+    Iris__RolloutRoute mesh_routes[ROLLOUT_ROUTE_MESSAGES_MAX];
+    Iris__RolloutRoute *mesh_route_list[ROLLOUT_ROUTE_MESSAGES_MAX];
     rollout_counts_t own; /* the latencies of the messages point into these */
-    rollout_counts_t region;
+    rollout_counts_t mesh;
 } rollout_message_t;
 
 typedef struct {
@@ -42,5 +42,5 @@
 /* Applies the reports of a peer. */
 void rollout_gossip_merge(const rollout_gossip_t *gossip, const member_t *sender,
                           Iris__RolloutReport *const *reports, size_t count);
-/* True if every live instance known, in all regions, has moved to the target of the order. */
+/* True if every live instance known, in all meshes, has moved to the target of the order. */
 bool rollout_gossip_all_moved(const rollout_gossip_t *gossip, const rollout_t *rollout);
--- a/gateway/membership/suspect_gossip.c
+++ b/gateway/membership/suspect_gossip.c
@@ -74,7 +74,7 @@
         broadcast_to_replicas(&broadcast, seed);
         break;
     case SEND_TO_REGION:
-        broadcast_to_region(&broadcast);
+        broadcast_to_mesh(&broadcast);
         break;
     case SEND_TO_ALL:
         broadcast_to_all(&broadcast, seed);
--- a/gateway/membership/topology.c
+++ b/gateway/membership/topology.c
@@ -33,11 +33,18 @@
 }
 
 size_t
-topology_region_of(const topology_t *topology, str_t hall)
+topology_hall(const topology_t *topology, str_t hall)
 {
     for (size_t i = 0; i < topology->hall_count; i++) {
         if (name_eq(&topology->halls[i].name, hall))
-            return topology->halls[i].region;
+            return i;
     }
-    return TOPOLOGY_NO_REGION;
+    return TOPOLOGY_NO_HALL;
+}
+
+size_t
+topology_region_of(const topology_t *topology, str_t hall)
+{
+    const size_t index = topology_hall(topology, hall);
+    return index != TOPOLOGY_NO_HALL ? topology->halls[index].region : TOPOLOGY_NO_REGION;
 }
--- a/gateway/membership/topology.h
+++ b/gateway/membership/topology.h
@@ -14,6 +14,7 @@
     TOPOLOGY_HALLS_MAX = 256,                  /* design size: 54 data halls */
     TOPOLOGY_REGIONS_MAX = 64,                 /* design size: 26 regions */
     TOPOLOGY_NO_REGION = TOPOLOGY_REGIONS_MAX, /* index for data halls without a region */
+    TOPOLOGY_NO_HALL = TOPOLOGY_HALLS_MAX,     /* index for data halls that are not listed */
 };
 
 typedef struct {
@@ -30,6 +31,8 @@
 
 /* Returns false if a name is invalid or a list is full. */
 bool topology_add(topology_t *topology, str_t hall, str_t region);
+/* Returns the index of a data hall, or TOPOLOGY_NO_HALL if it is unknown. */
+size_t topology_hall(const topology_t *topology, str_t hall);
 /* Returns the region of a data hall, or TOPOLOGY_NO_REGION if it is unknown. */
 size_t topology_region_of(const topology_t *topology, str_t hall);
 /* Returns the index of a region by name, or TOPOLOGY_NO_REGION if it is unknown. */
--- a/gateway/policy/choice.c
+++ b/gateway/policy/choice.c
@@ -71,6 +71,14 @@
            choice_allows_region(input, backend->region);
 }
 
+static size_t
+mesh_of(const choice_input_t *input, const backend_t *backend)
+{
+    const size_t hall = topology_hall(input->topology, name_str(&backend->info.hall));
+    return input->hall_meshes != NULL && hall != TOPOLOGY_NO_HALL ? input->hall_meshes[hall]
+                                                                  : backend->region;
+}
+
 /* True if the backend is warm, or this instance may send it a request under cold-start pacing. */
 static bool
 within_cold_start_rate(const choice_input_t *input, backend_t *backend)
@@ -78,8 +86,8 @@
     if (!backend_is_cold(backend, input->now_ms))
         return true;
     return input->senders_settled && cold_start_may_send(&backend->cold_tokens, input->now_ms) &&
-           cold_start_is_sender(backend->key, backend->region, input->own_key, input->senders,
-                                input->sender_count);
+           cold_start_is_sender(backend->key, mesh_of(input, backend), input->own_key,
+                                input->senders, input->sender_count);
 }
 
 /* Share of a region's backends that may be avoided. */
--- a/gateway/policy/choice.h
+++ b/gateway/policy/choice.h
@@ -84,8 +84,9 @@
     uint64_t own_key;             /* this instance's key in `senders` */
     const cold_sender_t *senders; /* all instances known so far */
     size_t sender_count;
-    bool senders_settled;    /* the list of instances is complete */
-    backend_t *const *tried; /* backends already tried, excluded */
+    const size_t *hall_meshes; /* meshes of the senders by data hall; NULL: the regions */
+    bool senders_settled;      /* the list of instances is complete */
+    backend_t *const *tried;   /* backends already tried, excluded */
     size_t tried_count;
     admission_request_t request;
 } choice_input_t;
--- a/gateway/policy/cold_start.c
+++ b/gateway/policy/cold_start.c
@@ -20,22 +20,22 @@
 }
 
 bool
-cold_start_is_sender(uint64_t backend_key, size_t backend_region, uint64_t own_key,
+cold_start_is_sender(uint64_t backend_key, size_t backend_mesh, uint64_t own_key,
                      const cold_sender_t *instances, size_t count)
 {
-    bool own_in_region = false;
-    bool any_in_region = false;
+    bool own_in_mesh = false;
+    bool any_in_mesh = false;
     for (size_t i = 0; i < count; i++) {
-        const bool in_region = instances[i].region == backend_region;
-        any_in_region |= in_region;
-        own_in_region |= in_region && instances[i].key == own_key;
+        const bool in_mesh = instances[i].mesh == backend_mesh;
+        any_in_mesh |= in_mesh;
+        own_in_mesh |= in_mesh && instances[i].key == own_key;
     }
-    if (any_in_region && !own_in_region)
+    if (any_in_mesh && !own_in_mesh)
         return false;
     const uint64_t own_rank = rank(backend_key, own_key);
     size_t before = 0;
     for (size_t i = 0; i < count; i++) {
-        if (any_in_region && instances[i].region != backend_region)
+        if (any_in_mesh && instances[i].mesh != backend_mesh)
             continue;
         before += rank(backend_key, instances[i].key) < own_rank;
     }
--- a/gateway/policy/cold_start.h
+++ b/gateway/policy/cold_start.h
@@ -1,9 +1,9 @@
 /*
  * Cold-start pacing: which instances send to a cold backend server, and at which rate.
  *
- * Two instances send: the first two by rendezvous hash among the instances of the backend's region,
- * or of all regions if that one has none. Each sends at 0.4 of the configured rate with a burst of
- * one request.
+ * Two instances send: the first two by rendezvous hash among the instances of the backend's mesh
+ * (membership/members.h), or of all meshes if that one has none. Each sends at 0.4 of the
+ * configured rate with a burst of one request.
  *
  * A higher rate overloads a cold backend, and instances have no time to agree on the senders. Lost
  * instances stay in the list, so that a partition does not make new senders; two diverging lists
@@ -23,12 +23,12 @@
 /* An instance that may be chosen as a sender. */
 typedef struct {
     uint64_t key; /* hash of the instance's name */
-    size_t region;
+    size_t mesh;
 } cold_sender_t;
 
 /* True if the instance `own_key` sends to the backend while it is cold. `instances` includes this
  * instance. */
-bool cold_start_is_sender(uint64_t backend_key, size_t backend_region, uint64_t own_key,
+bool cold_start_is_sender(uint64_t backend_key, size_t backend_mesh, uint64_t own_key,
                           const cold_sender_t *instances, size_t count);
 /* Starts pacing for a backend that has become cold; `per_s` is the rate it can take, 0 for no
  * limit. */
--- a/gateway/router.c
+++ b/gateway/router.c
@@ -96,6 +96,8 @@
     const uint64_t now_ms = loop_now(router->loop);
     router->instances = (unsigned)members_total(members, router->region);
     router->live_instances = (unsigned)members_count_alive(members, now_ms);
+    for (size_t i = 0; i < router->topology->hall_count; i++)
+        router->hall_meshes[i] = members_mesh_at(members, router->topology->halls[i].region, i);
     router->sender_count = members_cold_senders(members, router->senders, MEMBERS_MAX);
     router->senders_settled = now_ms - router->started_ms > SETTLED_AFTER_MS;
 }
@@ -202,6 +204,7 @@
         .own_key = router->key,
         .senders = router->senders,
         .sender_count = router->sender_count,
+        .hall_meshes = router->hall_meshes,
         .senders_settled = router->senders_settled,
     };
 }
--- a/gateway/router.h
+++ b/gateway/router.h
@@ -54,6 +54,7 @@
     route_stats_t routes;
     cold_sender_t senders[MEMBERS_MAX]; /* all instances known */
     size_t sender_count;
+    size_t hall_meshes[TOPOLOGY_HALLS_MAX]; /* meshes of the senders, by data hall */
     bool senders_settled;
     unsigned live_instances; /* instances known to be alive, including this one */
     unsigned instances;      /* total number of instances, from members_total() */
--- a/gateway/state/account_lease.c
+++ b/gateway/state/account_lease.c
@@ -160,14 +160,14 @@
     return silent_reporter_per_s(ledger, reporter) * span_ms / MS_PER_S;
 }
 
-/* True if another owner of the same region has been heard since; that owner accounts for the
+/* True if another owner of the same mesh has been heard since; that owner accounts for the
  * instances which do not report to it. */
 static bool
 is_superseded(const ledger_t *ledger, const ledger_peer_t *peer)
 {
     for (size_t i = 0; i < ledger->peer_count; i++) {
         const ledger_peer_t *other = &ledger->peers[i];
-        if (other->region == peer->region &&
+        if (other->mesh == peer->mesh &&
             other->last_exchange_ms > peer->last_exchange_ms + PEER_SUPERSEDED_MS)
             return true;
     }
--- a/gateway/state/account_ledger.c
+++ b/gateway/state/account_ledger.c
@@ -233,7 +233,7 @@
     ledger_peer_t *peer = &ledger->peers[ledger->peer_count++];
     *peer = (ledger_peer_t){
         .source = exchange->source,
-        .region = exchange->region,
+        .mesh = exchange->mesh,
         .used = is_new ? 0 : exchange->used,
     };
     if (is_older && ledger->inherited.owner == 0)
--- a/gateway/state/account_ledger.h
+++ b/gateway/state/account_ledger.h
@@ -43,7 +43,7 @@
 /* The owner of another region, or a further owner in the own region. */
 typedef struct {
     uint64_t source; /* of its ledger */
-    size_t region;
+    size_t mesh;
     addr_t addr;
     double used; /* as of its last exchange */
     double demand_per_s;
@@ -100,7 +100,7 @@
 /* One account in an exchange between owners. */
 typedef struct {
     uint64_t source;
-    size_t region;
+    size_t mesh;
     addr_t addr;
     double used;     /* since the ledger's creation */
     uint64_t age_ms; /* of the ledger */
--- a/gateway/state/receivers.c
+++ b/gateway/state/receivers.c
@@ -24,6 +24,7 @@
 receivers_select(const receivers_input_t *input, uint64_t at)
 {
     const members_t *members = input->members;
+    const size_t own_mesh = members_own_mesh(members, input->region);
     receivers_t receivers = {.items = xcalloc(members->count + 1, sizeof(*receivers.items))};
     receivers.items[receivers.count++] = (receiver_t){.key = rank_key(input->instance, at)};
     for (size_t i = 0; i < members->count; i++) {
@@ -31,7 +32,7 @@
         const str_t name = name_str(&member->instance);
         if (!member_alive(member, input->now_ms) || str_eq(name, input->instance))
             continue;
-        if (input->all_regions || member->region == input->region)
+        if (input->all_meshes || members_mesh(members, member) == own_mesh)
             receivers.items[receivers.count++] =
                 (receiver_t){rank_key(name, at), &member->peer, member->view_format};
     }
@@ -44,10 +45,12 @@
 bool
 receivers_accept_packed_lists(const receivers_input_t *input)
 {
+    const size_t own_mesh = members_own_mesh(input->members, input->region);
     for (size_t i = 0; i < input->members->count; i++) {
         const member_t *member = &input->members->items[i];
         const bool is_self = name_eq(&member->instance, input->instance);
-        if (!is_self && member_alive(member, input->now_ms) && member->region == input->region &&
+        if (!is_self && member_alive(member, input->now_ms) &&
+            members_mesh(input->members, member) == own_mesh &&
             member->view_format < VIEW_FORMAT_PACKED_LIST)
             return false;
     }
--- a/gateway/state/receivers.h
+++ b/gateway/state/receivers.h
@@ -24,15 +24,15 @@
 
 typedef struct {
     const members_t *members;
-    str_t instance; /* name of this instance */
-    size_t region;
-    bool all_regions; /* otherwise the own region only */
+    str_t instance;  /* name of this instance */
+    size_t region;   /* of this instance */
+    bool all_meshes; /* otherwise the own mesh only */
     uint64_t now_ms;
 } receivers_input_t;
 
 /* Lists the live instances that get the change up to revision `at`. The order is the same on all
  * instances, except where they disagree on which members are alive. */
 receivers_t receivers_select(const receivers_input_t *input, uint64_t at);
-/* True if all live instances of the own region accept VIEW_FORMAT_PACKED_LIST. */
+/* True if all live instances of the own mesh accept VIEW_FORMAT_PACKED_LIST. */
 bool receivers_accept_packed_lists(const receivers_input_t *input);
 void receivers_free(receivers_t *receivers);
--- a/gateway/state/rollout.c
+++ b/gateway/state/rollout.c
@@ -185,8 +185,8 @@
 {
     for (size_t i = 0; i < rollout->report_count; i++) {
         rollout_report_t *known = &rollout->reports[i];
-        const bool same = report->is_region ? known->is_region && known->region == report->region
-                                            : !known->is_region && known->source == report->source;
+        const bool same = report->is_mesh ? known->is_mesh && known->mesh == report->mesh
+                                          : !known->is_mesh && known->source == report->source;
         if (!same)
             continue;
         *known = *report;
--- a/gateway/state/rollout.h
+++ b/gateway/state/rollout.h
@@ -30,8 +30,8 @@
 /* What a peer reports of an order. */
 typedef struct {
     uint64_t source;   /* incarnation of the peer */
-    size_t region;     /* of the peer */
-    bool is_region;    /* the sum of its region, for instances of other regions */
+    size_t mesh;       /* of the peer, see membership/members.h */
+    bool is_mesh;      /* the sum of its mesh, for instances of other meshes */
     bool moved;        /* none of its requests is or will be at another version */
     uint64_t heard_ms; /* loop time */
     rollout_counts_t counts;
--- a/gateway/state/rollout_record.c
+++ b/gateway/state/rollout_record.c
@@ -72,8 +72,8 @@
 static uint64_t
 delay_ms(const rollout_record_t *record, uint64_t now_ms)
 {
-    const size_t rank = members_rank_in_region(record->conf.members, name_str(&record->instance),
-                                               record->conf.region, true, now_ms);
+    const size_t rank = members_rank_in_mesh(record->conf.members, name_str(&record->instance),
+                                             record->conf.region, true, now_ms);
     if (rank >= WRITERS)
         return UINT64_MAX;
     return rank * WRITER_STEP_MS + record->conf.region * REGION_STEP_MS;
--- a/gateway/state/store_watch.c
+++ b/gateway/state/store_watch.c
@@ -62,12 +62,12 @@
 static size_t
 rank_of(const store_watch_t *watch, bool served, uint64_t now_ms)
 {
-    return members_rank_in_region(watch->conf.members, name_str(&watch->instance),
-                                  watch->conf.region, served, now_ms);
+    return members_rank_in_mesh(watch->conf.members, name_str(&watch->instance), watch->conf.region,
+                                served, now_ms);
 }
 
 static bool
-region_has_watcher(const store_watch_t *watch, uint64_t now_ms)
+mesh_has_watcher(const store_watch_t *watch, uint64_t now_ms)
 {
     const uint32_t age_max_ms =
         members_store_age_max_ms(watch->conf.members, watch->conf.region, now_ms);
@@ -82,12 +82,12 @@
     return now_ms - watch->started_ms >= store_schedule_startup_delay_ms(key, watch->conf.is_seed);
 }
 
-/* True if no instance of the region seems to watch the store and this one is next in rank to do
+/* True if no instance of the mesh seems to watch the store and this one is next in rank to do
  * so. */
 static bool
 should_take_over(store_watch_t *watch, uint64_t now_ms)
 {
-    if (region_has_watcher(watch, now_ms)) {
+    if (mesh_has_watcher(watch, now_ms)) {
         watch->unwatched_ms = 0;
         return false;
     }
@@ -209,7 +209,7 @@
     if (needs_single_list(kind))
         return pause_ms < RETRY_MAX_MS ? pause_ms : RETRY_MAX_MS;
     const size_t instances =
-        members_count_alive_in_region(watch->conf.members, watch->conf.region, now_ms);
+        members_count_alive_in_mesh(watch->conf.members, watch->conf.region, now_ms);
     const uint64_t probe_pause_ms =
         store_schedule_probe_interval_ms(rank_of(watch, false, now_ms), instances);
     return store_watch_is_failing(watch) || pause_ms > probe_pause_ms ? probe_pause_ms : pause_ms;
--- a/gateway/state/view_push.c
+++ b/gateway/state/view_push.c
@@ -12,8 +12,8 @@
 #include "gateway/state/receivers.h"
 #include "gateway/state/view_message.h"
 
-/* Larger changes are sent within the own region only. */
-enum { CROSS_REGION_MAX_BYTES = 60000 };
+/* Larger changes are sent within the own mesh only. */
+enum { CROSS_MESH_MAX_BYTES = 60000 };
 
 void
 view_push_init(view_push_t *push, const view_push_conf_t *conf)
@@ -81,8 +81,8 @@
         .members = push->conf.members,
         .instance = name_str(&push->instance),
         .region = push->conf.region,
-        .all_regions =
-            push->conf.members->count <= MEMBERS_FULL_MESH_MAX && bytes <= CROSS_REGION_MAX_BYTES,
+        .all_meshes =
+            push->conf.members->count <= MEMBERS_FULL_MESH_MAX && bytes <= CROSS_MESH_MAX_BYTES,
         .now_ms = loop_now(push->conf.loop),
     };
 }
--- a/gateway/state/view_push.h
+++ b/gateway/state/view_push.h
@@ -1,8 +1,8 @@
 /*
  * View push: sends changes of the views to other instances unsolicited.
  *
- * Changes read from the store are sent to all instances, or only to those of the own region if the
- * fleet or the change is large; each region has its own watchers. policy/relay.h decides which
+ * Changes read from the store are sent to all instances, or only to those of the own mesh if the
+ * fleet or the change is large; each mesh has its own watchers. policy/relay.h decides which
  * instance sends to which and how often. An object that changed several times is sent once, in its
  * current state. A change may start from an earlier base revision if that does not make it larger,
  * so that a peer that missed changes can still apply it. A peer whose connection is backed up is
@@ -25,7 +25,7 @@
     /* Earlier base revisions kept per view, covering a few seconds of frequent changes. */
     PUSH_BASES_MAX = 8,
     /* Revisions remembered as already forwarded, covering a few seconds of changes from all
-     * watchers of a region. */
+     * watchers of a mesh. */
     PUSH_FORWARDED_MAX = 32,
 };
 
--- a/gateway/state/view_relay.c
+++ b/gateway/state/view_relay.c
@@ -13,7 +13,7 @@
 
 enum {
     REQUEST_INTERVAL_MS = 600, /* minimum interval between requests for a view */
-    /* A starting instance first requests views from peers of its own region, as whole views are
+    /* A starting instance first requests views from peers of its own mesh, as whole views are
      * large. Exceeds the time in which those peers are discovered. */
     START_OWN_REGION_MS = 600,
     START_REQUEST_INTERVAL_MS = 200, /* until the view is known */
@@ -229,7 +229,8 @@
     const uint64_t now_ms = loop_now(relay->conf.loop);
     relay_lag_t *lag = &relay->kinds[kind].lag;
     if (!relay->conf.views->items[kind].known)
-        return member->region == relay->conf.region ||
+        return members_mesh(relay->conf.members, member) ==
+                   members_own_mesh(relay->conf.members, relay->conf.region) ||
                now_ms - relay->started_ms >= START_OWN_REGION_MS;
     relay_lag_detected(lag, at, now_ms);
     return relay_lag_should_pull(lag, at, now_ms);
--- a/gateway/state/view_relay.h
+++ b/gateway/state/view_relay.h
@@ -22,6 +22,7 @@
 typedef struct {
     uv_loop_t *loop;
     peer_hub_t *hub;
+    const members_t *members;
     views_t *views;
     store_watch_t *watch;
     view_push_t *push;       /* forwards changes received from peers */
--- a/peer/peer.pb-c.c
+++ b/peer/peer.pb-c.c
@@ -3172,12 +3172,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "region_moved",
+    "mesh_moved",
     7,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Iris__RolloutReport, region_moved),
+    offsetof(Iris__RolloutReport, mesh_moved),
     NULL,
     NULL,
     0,             /* flags */
@@ -3196,12 +3196,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "region_routes",
+    "mesh_routes",
     9,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Iris__RolloutReport, n_region_routes),
-    offsetof(Iris__RolloutReport, region_routes),
+    offsetof(Iris__RolloutReport, n_mesh_routes),
+    offsetof(Iris__RolloutReport, mesh_routes),
     &iris__rollout_route__descriptor,
     NULL,
     0,             /* flags */
@@ -3211,11 +3211,11 @@
 static const unsigned iris__rollout_report__field_indices_by_name[] = {
   4,   /* field[4] = bad_route */
   1,   /* field[1] = elapsed_ms */
+  6,   /* field[6] = mesh_moved */
+  8,   /* field[8] = mesh_routes */
   5,   /* field[5] = moved */
   0,   /* field[0] = order */
   2,   /* field[2] = ramp_ms */
-  6,   /* field[6] = region_moved */
-  8,   /* field[8] = region_routes */
   3,   /* field[3] = rolled_back */
   7,   /* field[7] = routes */
 };
@@ -3239,7 +3239,7 @@
   (ProtobufCMessageInit) iris__rollout_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor iris__gateway_heartbeat__field_descriptors[31] =
+static const ProtobufCFieldDescriptor iris__gateway_heartbeat__field_descriptors[32] =
 {
   {
     "instance",
@@ -3386,24 +3386,24 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "region_members",
+    "mesh_members",
     13,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Iris__GatewayHeartbeat, region_members),
+    offsetof(Iris__GatewayHeartbeat, mesh_members),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "region_demands",
+    "mesh_demands",
     14,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Iris__GatewayHeartbeat, n_region_demands),
-    offsetof(Iris__GatewayHeartbeat, region_demands),
+    offsetof(Iris__GatewayHeartbeat, n_mesh_demands),
+    offsetof(Iris__GatewayHeartbeat, mesh_demands),
     &iris__demand__descriptor,
     NULL,
     0,             /* flags */
@@ -3613,6 +3613,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "mesh_requests_per_s",
+    32,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Iris__GatewayHeartbeat, mesh_requests_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned iris__gateway_heartbeat__field_indices_by_name[] = {
   22,   /* field[22] = announced */
@@ -3626,6 +3638,9 @@
   14,   /* field[14] = interval_ms */
   6,   /* field[6] = leaving */
   16,   /* field[16] = link_bytes_per_s */
+  13,   /* field[13] = mesh_demands */
+  12,   /* field[12] = mesh_members */
+  31,   /* field[31] = mesh_requests_per_s */
   28,   /* field[28] = notices */
   15,   /* field[15] = outcomes */
   3,   /* field[3] = peer_address */
@@ -3635,8 +3650,6 @@
   21,   /* field[21] = reads_lists */
   25,   /* field[25] = reads_suspects */
   5,   /* field[5] = ready */
-  13,   /* field[13] = region_demands */
-  12,   /* field[12] = region_members */
   18,   /* field[18] = requests_per_s */
   26,   /* field[26] = resumed */
   30,   /* field[30] = rollouts */
@@ -3650,7 +3663,7 @@
 static const ProtobufCIntRange iris__gateway_heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 31 }
+  { 0, 32 }
 };
 const ProtobufCMessageDescriptor iris__gateway_heartbeat__descriptor =
 {
@@ -3660,7 +3673,7 @@
   "Iris__GatewayHeartbeat",
   "iris",
   sizeof(Iris__GatewayHeartbeat),
-  31,
+  32,
   iris__gateway_heartbeat__field_descriptors,
   iris__gateway_heartbeat__field_indices_by_name,
   1,  iris__gateway_heartbeat__number_ranges,
--- a/peer/peer.pb-c.h
+++ b/peer/peer.pb-c.h
@@ -498,19 +498,19 @@
    */
   protobuf_c_boolean moved;
   /*
-   * the same of all instances of its region
+   * the same of all instances of its mesh
    */
-  protobuf_c_boolean region_moved;
+  protobuf_c_boolean mesh_moved;
   /*
    * counts of the sender
    */
   size_t n_routes;
   Iris__RolloutRoute **routes;
   /*
-   * counts of its region, for other regions
+   * counts of its mesh, for other meshes
    */
-  size_t n_region_routes;
-  Iris__RolloutRoute **region_routes;
+  size_t n_mesh_routes;
+  Iris__RolloutRoute **mesh_routes;
 };
 #define IRIS__ROLLOUT_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&iris__rollout_report__descriptor) \
@@ -551,16 +551,16 @@
   size_t n_peers;
   Iris__PeerAddress **peers;
   /*
-   * living instances of its region
+   * living instances of its mesh, that is its region or data hall
    */
-  uint32_t region_members;
+  uint32_t mesh_members;
   /*
-   * the same of its whole region
+   * the same of its whole mesh
    */
-  size_t n_region_demands;
-  Iris__Demand **region_demands;
+  size_t n_mesh_demands;
+  Iris__Demand **mesh_demands;
   /*
-   * between two of its heartbeats to its region
+   * between two of its heartbeats to its mesh
    */
   uint32_t interval_ms;
   /*
@@ -622,6 +622,10 @@
    */
   size_t n_notices;
   Iris__BackendNotice **notices;
+  /*
+   * that its mesh carries
+   */
+  float mesh_requests_per_s;
   /*
    * that run, or ended lately
    */
@@ -634,7 +638,7 @@
 };
 #define IRIS__GATEWAY_HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&iris__gateway_heartbeat__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0, 0,NULL, 0 }
 
 
 struct  Iris__ViewItem
--- a/test/gateway/account_model.c
+++ b/test/gateway/account_model.c
@@ -368,14 +368,14 @@
     message.exchange = ledger_next_exchange(ledger, model->now_ms);
     if (leaves)
         message.exchange.demand_per_s = 0;
-    message.exchange.region = node->region;
+    message.exchange.mesh = node->region;
     message.exchange.addr.v4.sin_port =
         (in_port_t)self; /* the instance's index instead of an address */
     for (unsigned region = 0; region < REGIONS; region++) {
         const unsigned rank = (unsigned)((model->now_ms - ledger->created_ms) / 100 % 8);
         bool heard = false;
         for (size_t i = 0; i < ledger->peer_count; i++) {
-            if (ledger->peers[i].region != region ||
+            if (ledger->peers[i].mesh != region ||
                 model->now_ms - ledger->peers[i].last_exchange_ms > 1200)
                 continue;
             heard = true;
--- a/test/gateway/limit_model.c
+++ b/test/gateway/limit_model.c
@@ -274,7 +274,7 @@
 {
     cold_sender_t all[COLD_SENDERS_MAX];
     for (unsigned i = 0; i < model->conf.instances; i++)
-        all[i] = (cold_sender_t){.key = 1000 + 77 * i, .region = region_of(i)};
+        all[i] = (cold_sender_t){.key = 1000 + 77 * i, .mesh = region_of(i)};
     return cold_start_is_sender(31, 0, all[index].key, all, model->conf.instances);
 }
 
--- a/test/gateway/test_choice.c
+++ b/test/gateway/test_choice.c
@@ -419,7 +419,7 @@
 {
     choice_fixture_t *fixture = new_choice();
     backend_t *cold = add_backend(fixture, "u1", "a1");
-    const cold_sender_t self = {.key = 7, .region = 0};
+    const cold_sender_t self = {.key = 7, .mesh = 0};
     cold->cold_until_ms = 9000;
     cold_start_begin(&cold->cold_tokens, 10, 5000);
     fixture->input.own_key = 7;
--- a/test/gateway/test_cold_start.c
+++ b/test/gateway/test_cold_start.c
@@ -8,7 +8,7 @@
     enum { PEERS = 9 };
     cold_sender_t all[PEERS];
     for (size_t i = 0; i < PEERS; i++)
-        all[i] = (cold_sender_t){.key = 1000 + 77 * i, .region = i % 3};
+        all[i] = (cold_sender_t){.key = 1000 + 77 * i, .mesh = i % 3};
     for (uint64_t backend = 1; backend < 300; backend++) {
         size_t senders = 0;
         size_t split_senders = 0;
--- a/test/gateway/test_members.c
+++ b/test/gateway/test_members.c
@@ -34,10 +34,10 @@
     members_t members = {0};
     add_member(&members, "a-1", "a1", 0, 1);
     add_member(&members, "a-2", "a1", 0, 2);
-    ck_assert_uint_eq(members_rank_in_region(&members, STR("a-1"), 0, true, 10500), 0);
-    ck_assert_uint_eq(members_rank_in_region(&members, STR("a-2"), 0, true, 10500), 1);
+    ck_assert_uint_eq(members_rank_in_mesh(&members, STR("a-1"), 0, true, 10500), 0);
+    ck_assert_uint_eq(members_rank_in_mesh(&members, STR("a-2"), 0, true, 10500), 1);
     members.items[1].heard_ms = 14000;
-    ck_assert_uint_eq(members_rank_in_region(&members, STR("a-2"), 0, true, 14000), 0);
+    ck_assert_uint_eq(members_rank_in_mesh(&members, STR("a-2"), 0, true, 14000), 0);
     members.items[1].store_age_ms = 500;
     ck_assert(members_watch_store(&members, 0, 3000, 14000));
     ck_assert(!members_watch_store(&members, 0, 400, 14000));
@@ -48,14 +48,14 @@
 
 START_TEST(large_fleet_limits_heartbeats_between_regions)
 {
-    enum { REGION_SIZE = 50, ROUNDS = REGION_SIZE / MEMBERS_PER_REMOTE_REGION };
+    enum { REGION_SIZE = 50, ROUNDS = REGION_SIZE / MEMBERS_PER_REMOTE_MESH };
     members_t members = {0};
     bool targeted[2 * REGION_SIZE] = {false};
     for (unsigned i = 0; i < 2 * REGION_SIZE; i++) {
         char name[16];
         snprintf(name, sizeof(name), "g-%u", i);
         member_t *member = add_member(&members, name, "a1", i % 2, (uint16_t)(i + 1));
-        member->region_members = REGION_SIZE;
+        member->mesh_members = REGION_SIZE;
         member->heard = i % 2 == 0 || i < 4; /* few of the remote region have been heard */
     }
     ck_assert_uint_eq(members_total(&members, 0), 2 * REGION_SIZE);
@@ -64,14 +64,16 @@
     for (unsigned round = 0; round < ROUNDS; round++) {
         size_t region_count = 0;
         size_t remote_count = 0;
+        bool selected[2 * REGION_SIZE];
+        members_select_targets(&members, 0, round, 10100, selected);
         for (size_t i = 0; i < members.count; i++) {
-            if (!members_is_target(&members, i, 0, round, 10100))
+            if (!selected[i])
                 continue;
             targeted[i] = true;
             *(i % 2 == 0 ? &region_count : &remote_count) += 1;
         }
         ck_assert_uint_eq(region_count, REGION_SIZE);
-        ck_assert_uint_eq(remote_count, MEMBERS_PER_REMOTE_REGION);
+        ck_assert_uint_eq(remote_count, MEMBERS_PER_REMOTE_MESH);
     }
     for (size_t i = 0; i < ALEN(targeted); i++)
         ck_assert(targeted[i]);
@@ -79,6 +81,107 @@
 }
 END_TEST
 
+/* Data halls of one region, `size` instances in all. */
+static members_t
+new_large_region(unsigned halls, unsigned size)
+{
+    members_t members = {0};
+    for (unsigned i = 0; i < size; i++) {
+        char name[16];
+        char hall[16];
+        snprintf(name, sizeof(name), "g-%u", i);
+        snprintf(hall, sizeof(hall), "a%u", i % halls);
+        member_t *member = add_member(&members, name, hall, 0, (uint16_t)(i + 1));
+        member->hall_index = i % halls;
+        member->mesh_members = size / halls;
+    }
+    members_update_meshes(&members);
+    return members;
+}
+
+/* Heartbeats of one instance in a round, with `size` instances in the fleet. */
+static size_t
+count_targets(unsigned halls, unsigned size)
+{
+    static bool targets[MEMBERS_MAX];
+    members_t members = new_large_region(halls, size);
+    size_t count = 0;
+    members_select_targets(&members, 0, 0, 10100, targets);
+    for (size_t i = 0; i < members.count; i++)
+        count += targets[i];
+    members_free(&members);
+    return count;
+}
+
+START_TEST(heartbeats_do_not_grow_with_the_fleet)
+{
+    enum { HALL = 110 };
+    const size_t at_990 = count_targets(9, 9 * HALL);
+    const size_t at_1980 = count_targets(18, 18 * HALL);
+    ck_assert_uint_le(at_990, HALL + 9);
+    ck_assert_uint_le(at_1980 * 10, at_990 * 12);
+}
+END_TEST
+
+START_TEST(data_halls_of_a_large_region_are_meshes)
+{
+    enum { HALLS = 3, SIZE = 90 };
+    members_t members = new_large_region(HALLS, SIZE);
+    ck_assert(members.split[0]);
+    members.own_hall = 1;
+    ck_assert_uint_eq(members_count_alive_in_mesh(&members, 0, 10100), SIZE / HALLS);
+    ck_assert_uint_eq(members_total(&members, 0), SIZE);
+    for (size_t i = 0; i < members.count; i++) {
+        members.items[i].demand_count = 1;
+        members.items[i].mesh_demand_count = 1;
+        name_set(&members.items[i].demands[0].service, STR("svc"));
+        name_set(&members.items[i].mesh_demands[0].service, STR("svc"));
+        members.items[i].demands[0].slots = 1;
+        members.items[i].mesh_demands[0].slots = SIZE / HALLS;
+    }
+    ck_assert(members_mesh_demand(&members, STR("svc"), 0, 10100) == SIZE / HALLS);
+    ck_assert(members_demand(&members, STR("svc"), 0, 0, 10100) == SIZE);
+    size_t watchers = 0;
+    for (size_t i = 0; i < members.count; i++) {
+        members.own_hall = members.items[i].hall_index;
+        watchers += store_schedule_watches(
+            members_rank_in_mesh(&members, name_str(&members.items[i].instance), 0, true, 10100));
+    }
+    ck_assert_uint_eq(watchers, 2 * HALLS);
+    members_free(&members);
+}
+END_TEST
+
+START_TEST(lost_instance_is_known_within_four_seconds)
+{
+    member_t member = {.heard = true, .heard_ms = 10000, .interval_ms = HEARTBEAT_MAX_MS};
+    ck_assert(member_alive(&member, 10000 + 2 * HEARTBEAT_MAX_MS + 400));
+    ck_assert(!member_alive(&member, 13700));
+    ck_assert_uint_lt(member_unlisted_after_ms(&member), 3000);
+    member.interval_ms = HEARTBEAT_MIN_MS;
+    ck_assert(member_alive(&member, 11800));
+    ck_assert(!member_alive(&member, 11900));
+}
+END_TEST
+
+START_TEST(members_are_found_by_address)
+{
+    members_t members = {0};
+    for (unsigned i = 0; i < 1000; i++) {
+        char name[16];
+        snprintf(name, sizeof(name), "g-%u", i);
+        add_member(&members, name, "a1", 0, (uint16_t)(i + 1));
+    }
+    ck_assert_uint_eq(members.count, 1000);
+    for (unsigned i = 0; i < 1000; i++) {
+        const addr_t peer = members.items[i].peer;
+        ck_assert_ptr_eq(members_find_or_add(&members, &peer), &members.items[i]);
+    }
+    ck_assert_uint_eq(members.count, 1000);
+    members_free(&members);
+}
+END_TEST
+
 /* With more services than a heartbeat holds, those with the greatest demand are sent. */
 START_TEST(heartbeat_carries_greatest_demands)
 {
@@ -116,9 +219,9 @@
     name_set(&own->demands[0].service, STR("svc"));
     own->demands[0].slots = 4;
     member_t *other = add_member(&members, "b-1", "b1", 1, 2);
-    other->region_demand_count = 1;
-    name_set(&other->region_demands[0].service, STR("svc"));
-    other->region_demands[0].slots = 70;
+    other->mesh_demand_count = 1;
+    name_set(&other->mesh_demands[0].service, STR("svc"));
+    other->mesh_demands[0].slots = 70;
     ck_assert(members_demand(&members, STR("svc"), 0, 0, 10100) == 4);
     ck_assert(members_demand(&members, STR("svc"), 1, 0, 10100) == 70);
     ck_assert(members_demand(&members, STR("svc"), 1, 0, 30000) == 0);
@@ -134,12 +237,9 @@
     add_member(&members, "a-2", "a1", 0, 2);
     add_member(&members, "a-3", "a1", 0, 3);
     size_t watchers = 0;
-    watchers +=
-        store_schedule_watches(members_rank_in_region(&members, STR("a-1"), 0, true, 10100));
-    watchers +=
-        store_schedule_watches(members_rank_in_region(&members, STR("a-2"), 0, true, 10100));
-    watchers +=
-        store_schedule_watches(members_rank_in_region(&members, STR("a-3"), 0, true, 10100));
+    watchers += store_schedule_watches(members_rank_in_mesh(&members, STR("a-1"), 0, true, 10100));
+    watchers += store_schedule_watches(members_rank_in_mesh(&members, STR("a-2"), 0, true, 10100));
+    watchers += store_schedule_watches(members_rank_in_mesh(&members, STR("a-3"), 0, true, 10100));
     ck_assert_uint_eq(watchers, 2);
     members_free(&members);
 }
@@ -174,10 +274,10 @@
     add_member(&members, "a-2", "a1", 0, 2);
     add_member(&members, "a-3", "a1", 0, 3);
     members.items[0].store_failing = true;
-    ck_assert_uint_eq(members_rank_in_region(&members, STR("a-1"), 0, true, 10500),
+    ck_assert_uint_eq(members_rank_in_mesh(&members, STR("a-1"), 0, true, 10500),
                       0); /* keeps trying */
-    ck_assert_uint_eq(members_rank_in_region(&members, STR("a-2"), 0, true, 10500), 0);
-    ck_assert_uint_eq(members_rank_in_region(&members, STR("a-3"), 0, true, 10500), 1);
+    ck_assert_uint_eq(members_rank_in_mesh(&members, STR("a-2"), 0, true, 10500), 0);
+    ck_assert_uint_eq(members_rank_in_mesh(&members, STR("a-3"), 0, true, 10500), 1);
     /* The store is not down while it serves other instances. */
     ck_assert(!members_store_is_down(&members, STR("a-1"), true, 3500, 10500));
     members.items[1].store_failing = true;
@@ -282,6 +382,10 @@
 {
     Suite *suite = suite_create("gateway: members");
     TCase *tests = tcase_create("members");
+    tcase_add_test(tests, heartbeats_do_not_grow_with_the_fleet);
+    tcase_add_test(tests, data_halls_of_a_large_region_are_meshes);
+    tcase_add_test(tests, lost_instance_is_known_within_four_seconds);
+    tcase_add_test(tests, members_are_found_by_address);
     tcase_add_test(tests, silent_members_are_not_counted);
     tcase_add_test(tests, large_fleet_limits_heartbeats_between_regions);
     tcase_add_test(tests, heartbeat_carries_greatest_demands);
