--- a/test/gateway/test_outage.c
+++ b/test/gateway/test_outage.c
@@ -156,6 +156,7 @@
     fixture->loop.time = START_MS;
     fixture->port = (store_port_t){.list = on_list_call, .watch = on_watch_call, .ctx = fixture};
     fixture->topology = three_regions();
+    fixture->views.count = VIEW_ROLLOUTS; /* without orders of roll-outs */
     fixture->views.on_change = on_view_change;
     fixture->views.ctx = fixture;
     catalog_init(&fixture->catalog, &fixture->loop, &fixture->topology, &decoder);
