--- a/test/gateway/test_choice.c
+++ b/test/gateway/test_choice.c
@@ -91,6 +91,39 @@
 }
 END_TEST
 
+START_TEST(long_list_is_covered_by_its_slices)
+{
+    enum { BACKENDS = 3000, SLICES = 5 };
+    static bool seen[BACKENDS];
+    choice_fixture_t *fixture = new_choice();
+    size_t cursor = 0;
+    for (int i = 0; i < BACKENDS; i++) {
+        char id[16];
+        snprintf(id, sizeof(id), "u%04d", i);
+        add_backend(fixture, id, "a1");
+    }
+    for (int tick = 0; tick < SLICES; tick++) {
+        const backends_slice_t slice = backends_next_slice(&fixture->backends, &cursor);
+        ck_assert_uint_le(slice.to - slice.from, BACKENDS / SLICES + 1);
+        for (size_t i = slice.from; i < slice.to; i++)
+            seen[i] = true;
+    }
+    for (int i = 0; i < BACKENDS; i++)
+        ck_assert(seen[i]);
+    free_choice(fixture);
+}
+END_TEST
+
+START_TEST(backends_of_other_services_are_told_apart)
+{
+    choice_fixture_t *fixture = new_choice();
+    const backend_t *backend = add_backend(fixture, "u1", "a1");
+    ck_assert(backend_is_of(backend, STR("svc"), backend_service_key(STR("svc"))));
+    ck_assert(!backend_is_of(backend, STR("svd"), backend_service_key(STR("svd"))));
+    free_choice(fixture);
+}
+END_TEST
+
 START_TEST(choice_remaps_only_objects_of_a_leaving_backend)
 {
     choice_fixture_t *fixture = new_choice();
@@ -442,6 +475,8 @@
 {
     Suite *suite = suite_create("gateway: choice");
     TCase *tests = tcase_create("choice");
+    tcase_add_test(tests, long_list_is_covered_by_its_slices);
+    tcase_add_test(tests, backends_of_other_services_are_told_apart);
     tcase_add_test(tests, choice_is_the_same_on_every_instance);
     tcase_add_test(tests, choice_remaps_only_objects_of_a_leaving_backend);
     tcase_add_test(tests, choice_stays_with_the_backend_holding_the_object);
