--- a/gateway/state/rollout.h
+++ b/gateway/state/rollout.h
@@ -45,12 +45,12 @@
     uint64_t started_ms;   /* loop time of the order */
     uint64_t ramp_from_ms; /* loop time at which the ramp began; 0 if it has not */
     rollout_state_t state; /* ROLLOUT_RUNNING, or a verdict */
-    uint64_t decided_ms;   /* loop time of the verdict; 0 if it was read from the store */
+    uint64_t decided_ms;   /* loop time at which the state was reached here */
     rollout_reason_t reason;
     uint64_t bad_route;    /* key of the route that decided, 0 for all routes */
     unsigned ramps_broken; /* times that it became suspect after the ramp had begun */
     uint64_t suspect_until_ms;
-    bool suspect;        /* may be bad: its share does not rise */
+    bool suspect;        /* may be bad: its share is that of the canary */
     bool judged;         /* the target was good on enough responses */
     bool committed;      /* no request falls back to another version any more */
     bool moved;          /* none of this instance's requests is or will be at another version */
