--- a/peer/conn.h
+++ b/peer/conn.h
@@ -21,7 +21,7 @@
     uint64_t used_ms;       /* last use: opened, or a message was queued */
     uint64_t progress_ms;   /* when output last progressed or was first queued */
     size_t last_queue_size; /* unsent bytes of the current write at the last check */
-    char *in; /* start of a frame whose rest has not arrived */
+    char *in;               /* start of a frame whose rest has not arrived */
     size_t in_len;
     char *out; /* frames queued behind the connect or the current write */
     size_t out_len;
--- a/test/gateway/test_members.c
+++ b/test/gateway/test_members.c
@@ -125,11 +125,11 @@
 
 START_TEST(data_halls_of_a_large_region_are_meshes)
 {
-    enum { HALLS = 3, SIZE = 90 };
+    enum { HALLS = 3, HALL_SIZE = 30, SIZE = HALLS * HALL_SIZE };
     members_t members = new_large_region(HALLS, SIZE);
     ck_assert(members.split[0]);
     members.own_hall = 1;
-    ck_assert_uint_eq(members_count_alive_in_mesh(&members, 0, 10100), SIZE / HALLS);
+    ck_assert_uint_eq(members_count_alive_in_mesh(&members, 0, 10100), HALL_SIZE);
     ck_assert_uint_eq(members_total(&members, 0), SIZE);
     for (size_t i = 0; i < members.count; i++) {
         members.items[i].demand_count = 1;
@@ -137,9 +137,9 @@
         name_set(&members.items[i].demands[0].service, STR("svc"));
         name_set(&members.items[i].mesh_demands[0].service, STR("svc"));
         members.items[i].demands[0].slots = 1;
-        members.items[i].mesh_demands[0].slots = SIZE / HALLS;
+        members.items[i].mesh_demands[0].slots = HALL_SIZE;
     }
-    ck_assert(members_mesh_demand(&members, STR("svc"), 0, 10100) == SIZE / HALLS);
+    ck_assert(members_mesh_demand(&members, STR("svc"), 0, 10100) == HALL_SIZE);
     ck_assert(members_demand(&members, STR("svc"), 0, 0, 10100) == SIZE);
     size_t watchers = 0;
     for (size_t i = 0; i < members.count; i++) {
