Members: a look-up does not move the table

The table grew when it was full and an address was looked up, also one that was there: callers that held a member wrote to freed memory. The table grows only when a member is added.

The test holds the table while it looks up; it failed before.

--- a/gateway/membership/members.c
+++ b/gateway/membership/members.c
@@ -50,17 +50,16 @@
 member_t *
 members_find_or_add(members_t *members, const addr_t *peer)
 {
-    if (members->count == members->size)
-        grow(members);
-    uint32_t *slot = find_slot(members, peer);
-    if (*slot != 0)
-        return &members->items[*slot - 1];
+    if (members->slot_count > 0 && *find_slot(members, peer) != 0)
+        return &members->items[*find_slot(members, peer) - 1];
     if (members->count == MEMBERS_MAX) {
         LOG_WARN("member table is full: members=%zu", members->count);
         return NULL;
     }
+    if (members->count == members->size)
+        grow(members);
     member_t *member = &members->items[members->count++];
-    *slot = (uint32_t)members->count;
+    *find_slot(members, peer) = (uint32_t)members->count;
     *member = (member_t){
         .peer = *peer,
         .region = TOPOLOGY_NO_REGION,
--- a/test/gateway/test_members.c
+++ b/test/gateway/test_members.c
@@ -164,6 +164,23 @@
 }
 END_TEST
 
+/* Callers hold a member while they look up another one. */
+START_TEST(looking_up_a_member_does_not_move_the_others)
+{
+    members_t members = {0};
+    for (unsigned i = 0; i < 300; i++) {
+        char name[16];
+        snprintf(name, sizeof(name), "g-%u", i);
+        add_member(&members, name, "a1", 0, (uint16_t)(i + 1));
+        const member_t *items = members.items;
+        const addr_t first = members.items[0].peer;
+        ck_assert_ptr_eq(members_find_or_add(&members, &first), items);
+        ck_assert_ptr_eq(members.items, items);
+    }
+    members_free(&members);
+}
+END_TEST
+
 START_TEST(members_are_found_by_address)
 {
     members_t members = {0};
@@ -386,6 +403,7 @@
     tcase_add_test(tests, data_halls_of_a_large_region_are_meshes);
     tcase_add_test(tests, lost_instance_is_known_within_four_seconds);
     tcase_add_test(tests, members_are_found_by_address);
+    tcase_add_test(tests, looking_up_a_member_does_not_move_the_others);
     tcase_add_test(tests, silent_members_are_not_counted);
     tcase_add_test(tests, large_fleet_limits_heartbeats_between_regions);
     tcase_add_test(tests, heartbeat_carries_greatest_demands);
