--- a/gateway/membership/members.c
+++ b/gateway/membership/members.c
@@ -29,9 +29,10 @@
 static uint32_t *
 find_slot(const members_t *members, const addr_t *peer)
 {
-    size_t at = addr_hash(peer) % members->slot_count;
+    const size_t mask = members->slot_count - 1; /* a power of two */
+    size_t at = addr_hash(peer) & mask;
     while (members->slots[at] != 0 && !addr_eq(&members->items[members->slots[at] - 1].peer, peer))
-        at = (at + 1) % members->slot_count;
+        at = (at + 1) & mask;
     return &members->slots[at];
 }
 
