Try a suspect version on other backend servers, at the load it will have

The part of the target's backend servers in use was twice the share, so that each worked at half of its later load, and six times the share while the version was suspect: a version bad only under load showed it when most requests were exposed already, and looked good each time it was suspected.

The part is as large as the share. A suspicion starts the canary over on other backend servers and forgets what was counted of the target; peers adopt the number of suspicions, and counts of the part used before are left out. The third gives the version up.

--- a/gateway/membership/rollout_gossip.c
+++ b/gateway/membership/rollout_gossip.c
@@ -106,6 +106,7 @@
         message->ramp_ms = (uint32_t)(now_ms - rollout->ramp_from_ms + 1);
     message->rolled_back = rollout->state == ROLLOUT_ROLLED_BACK ? rollout->reason : 0;
     message->bad_route = rollout->bad_route;
+    message->suspicions = rollout->suspicions;
     message->moved = rollout->moved;
     message->mesh_moved = mesh_moved(gossip, rollout);
     if (rollout->state != ROLLOUT_RUNNING)
@@ -182,11 +183,15 @@
         .moved = same_mesh ? message->moved : message->mesh_moved,
         .heard_ms = gossip->now_ms,
     };
+    rollout_adopt_suspicions(rollout, message->suspicions, gossip->now_ms);
+    const bool same_servers = message->suspicions == rollout->suspicions;
     if (same_mesh)
         read_routes(message->routes, message->n_routes, &report.counts);
     else
         read_routes(message->mesh_routes, message->n_mesh_routes, &report.counts);
     rollout_adopt_times(rollout, message->elapsed_ms, message->ramp_ms, gossip->now_ms);
+    if (!same_servers)
+        rollout_clear_target(&report.counts);
     rollout_add_report(rollout, &report);
 }
 
--- a/gateway/policy/choice.c
+++ b/gateway/policy/choice.c
@@ -53,7 +53,7 @@
     if (versions->only != 0)
         return version == versions->only &&
                (versions->server_cut == 0 ||
-                rollout_server_hash(backend->key) <= versions->server_cut);
+                rollout_server_hash(backend->key, versions->server_turn) <= versions->server_cut);
     for (size_t i = 0; i < CHOICE_VERSIONS_MAX; i++) {
         if (versions->except[i] != 0 && version == versions->except[i])
             return false;
--- a/gateway/policy/choice.h
+++ b/gateway/policy/choice.h
@@ -61,6 +61,7 @@
 typedef struct {
     uint64_t only;                        /* 0: any but those below */
     uint64_t except[CHOICE_VERSIONS_MAX]; /* 0: none */
+    unsigned server_turn;                 /* for the hash: rollout_server_hash() */
     uint64_t server_cut; /* of the only one, backends up to this hash (rollout.h); 0: all */
 } choice_versions_t;
 
--- a/gateway/policy/rollout.c
+++ b/gateway/policy/rollout.c
@@ -2,6 +2,7 @@
 
 #include <math.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "base/str.h"
 
@@ -12,10 +13,6 @@
 /* Part of the ordered time before the ramp, and of the ramp. */
 #define RAMP_FROM 0.5
 #define RAMP_PART 0.2
-/* Backend servers in use per share of the traffic. Responses about objects new to them keep their
- * slots busy for several times as long, which makes up for the lower rate. */
-#define SERVERS_PER_SHARE 2.0
-#define SERVERS_IF_SUSPECT 6.0
 /* Slots needed per slot that callers use. */
 #define SLOTS_PER_DEMAND 1.2
 
@@ -43,7 +40,7 @@
     ROUTE_JUDGED_MIN = 15, /* the same on each route with a part of the traffic */
     BASE_LATENCY_MIN = 20, /* latencies needed for limits */
     MS_PER_S = 1000,
-    RAMPS_BROKEN_MAX = 3,
+    SUSPICIONS_MAX = 3,
     SERVER_SEED = 73, /* must be the same on every instance */
 };
 
@@ -89,6 +86,14 @@
     }
 }
 
+void
+rollout_clear_target(rollout_counts_t *counts)
+{
+    memset(counts->all.target, 0, sizeof(counts->all.target));
+    for (size_t i = 0; i < counts->route_count; i++)
+        memset(counts->routes[i].target, 0, sizeof(counts->routes[i].target));
+}
+
 /* ---- latencies ---- */
 
 size_t
@@ -281,9 +286,9 @@
 /* ---- schedule ---- */
 
 bool
-rollout_is_given_up(unsigned ramps_broken)
+rollout_is_given_up(unsigned suspicions)
 {
-    return ramps_broken >= RAMPS_BROKEN_MAX;
+    return suspicions >= SUSPICIONS_MAX;
 }
 
 bool
@@ -317,16 +322,15 @@
 }
 
 double
-rollout_server_share(double share, bool suspect)
+rollout_server_share(double share)
 {
-    const double part = (suspect ? SERVERS_IF_SUSPECT : SERVERS_PER_SHARE) * share;
-    return part < 1 ? part : 1;
+    return share < 1 ? share : 1;
 }
 
 uint64_t
-rollout_server_hash(uint64_t key)
+rollout_server_hash(uint64_t key, unsigned suspicions)
 {
-    return str_hash((str_t){(const char *)&key, sizeof(key)}, SERVER_SEED);
+    return str_hash((str_t){(const char *)&key, sizeof(key)}, SERVER_SEED + suspicions);
 }
 
 bool
--- a/gateway/policy/rollout.h
+++ b/gateway/policy/rollout.h
@@ -6,9 +6,10 @@
  *    bad version may get. Then its share rises to all requests within a fifth of the time;
  *    what is left is for requests under way at other versions. Without a verdict on enough
  *    responses the share stays where it is; a version that becomes suspect starts over.
- *  - Servers. While the share is small only a part of the target's backend servers gets requests,
- *    so that each works under about the load that it will have later: some versions are bad only
- *    under load. More are used while the version is suspect, to tell its faults from theirs.
+ *  - Servers. While the share is small only as large a part of the target's backend servers gets
+ *    requests, so that each works under the load that it will have later: some versions are bad
+ *    only under load. Each time the version becomes suspect others are used, to tell its faults
+ *    from theirs; the third time it is given up.
  *  - Verdict, for each route and for all routes together, from the responses of
  *    the last seconds: the version is bad if clearly more of its responses fail, or arrive several
  *    times later, than those of the versions before it. A quarter of its backend servers, those
@@ -72,11 +73,13 @@
 void rollout_counts_add(rollout_counts_t *sum, const rollout_counts_t *counts);
 /* Returns the counts of a route, added if it is new; NULL if there are too many. */
 rollout_route_t *rollout_counts_route(rollout_counts_t *counts, uint64_t route);
+/* Forgets the responses of the target. */
+void rollout_clear_target(rollout_counts_t *counts);
 /* Returns the bucket of a latency. */
 size_t rollout_bucket(double latency_ms);
-/* True if the version is given up for being suspect that often after its ramp had begun: what is
- * bad only under load looks good in between. */
-bool rollout_is_given_up(unsigned ramps_broken);
+/* True if the version is given up for being suspect that often, each time on other backend
+ * servers. */
+bool rollout_is_given_up(unsigned suspicions);
 /* Returns the sum over the groups. */
 rollout_group_t rollout_sum_groups(const rollout_route_t *route);
 /* Returns the latency in milliseconds beyond which a response on the route counts as slow, from
@@ -110,8 +113,9 @@
 /* Returns the share of the service's requests for the target version, 1 at the end of the ramp. */
 double rollout_share(const rollout_schedule_t *schedule);
 /* Returns the part of the target's backend servers that get requests at this share. */
-double rollout_server_share(double share, bool suspect);
-/* Hash by which the target's backend servers are taken into use; `key`: backend_t.key. */
-uint64_t rollout_server_hash(uint64_t key);
+double rollout_server_share(double share);
+/* Hash by which the target's backend servers are taken into use. `key`: backend_t.key;
+ * `suspicions`: how often the version became suspect, so that others are used each time. */
+uint64_t rollout_server_hash(uint64_t key, unsigned suspicions);
 /* True if the slots of the target can bear all requests. `demand`: slots that callers use. */
 bool rollout_target_bears(double target_slots, double demand);
--- a/gateway/state/rollout.c
+++ b/gateway/state/rollout.c
@@ -29,7 +29,7 @@
         [ROLLOUT_REASON_NONE] = "-",
         [ROLLOUT_REASON_FAILING] = "responses fail",
         [ROLLOUT_REASON_SLOW] = "responses are slow",
-        [ROLLOUT_REASON_SUSPECT] = "suspect again and again under load",
+        [ROLLOUT_REASON_SUSPECT] = "suspect on one part of its backend servers after the other",
         [ROLLOUT_REASON_NO_BACKEND] = "no backend server until the deadline",
         [ROLLOUT_REASON_INVALID] = "invalid order",
         [ROLLOUT_REASON_RECORDED] = "recorded in the store",
@@ -82,7 +82,8 @@
     const uint64_t target = rollout->order.version;
     choice_versions_t others = {.except = {target}};
     memcpy(&others.except[1], rollout->superseded, sizeof(rollout->superseded));
-    const choice_versions_t only_target = {.only = target, .server_cut = rollout->server_cut};
+    const choice_versions_t only_target = {
+        .only = target, .server_turn = rollout->suspicions, .server_cut = rollout->server_cut};
     if (rollout->state == ROLLOUT_ROLLED_BACK)
         return (rollout_versions_t){.first = others};
     if (rollout->state == ROLLOUT_COMPLETED && !is_just_completed(rollout))
@@ -199,6 +200,25 @@
     rollout->reports[rollout->report_count++] = *report;
 }
 
+void
+rollout_adopt_suspicions(rollout_t *rollout, unsigned suspicions, uint64_t now_ms)
+{
+    if (rollout->state == ROLLOUT_RUNNING && suspicions > rollout->suspicions)
+        rollout_suspect(rollout, suspicions, now_ms);
+}
+
+void
+rollout_suspect(rollout_t *rollout, unsigned suspicions, uint64_t now_ms)
+{
+    rollout->suspicions = suspicions;
+    rollout->suspect_until_ms = now_ms + ROLLOUT_WINDOW_MS;
+    rollout->ramp_from_ms = 0;
+    rollout->judged = false;
+    rollout->committed = false;
+    for (size_t i = 0; i < ALEN(rollout->window); i++)
+        rollout_clear_target(&rollout->window[i]);
+}
+
 void
 rollout_adopt_times(rollout_t *rollout, uint64_t elapsed_ms, uint64_t ramp_ms, uint64_t now_ms)
 {
--- a/gateway/state/rollout.h
+++ b/gateway/state/rollout.h
@@ -21,7 +21,7 @@
     ROLLOUT_REASON_NONE,
     ROLLOUT_REASON_FAILING,    /* a clear share of its responses failed */
     ROLLOUT_REASON_SLOW,       /* a clear share of its responses was late */
-    ROLLOUT_REASON_SUSPECT,    /* suspect each time its share had risen */
+    ROLLOUT_REASON_SUSPECT,    /* suspect on one part of its backend servers after the other */
     ROLLOUT_REASON_NO_BACKEND, /* no backend server of that version until the deadline */
     ROLLOUT_REASON_INVALID,    /* the order could not be read */
     ROLLOUT_REASON_RECORDED,   /* the store says so */
@@ -47,8 +47,8 @@
     rollout_state_t state; /* ROLLOUT_RUNNING, or a verdict */
     uint64_t decided_ms;   /* loop time at which the state was reached here */
     rollout_reason_t reason;
-    uint64_t bad_route;    /* key of the route that decided, 0 for all routes */
-    unsigned ramps_broken; /* times that it became suspect after the ramp had begun */
+    uint64_t bad_route;  /* key of the route that decided, 0 for all routes */
+    unsigned suspicions; /* times that it became suspect, at any instance */
     uint64_t suspect_until_ms;
     bool suspect;        /* may be bad: its share is that of the canary */
     bool judged;         /* the target was good on enough responses */
@@ -99,6 +99,11 @@
 /* A peer knows the order for `elapsed_ms` and its ramp for `ramp_ms`, 0 if it has not begun. */
 void rollout_adopt_times(rollout_t *rollout, uint64_t elapsed_ms, uint64_t ramp_ms,
                          uint64_t now_ms);
+/* Starts over with the canary, on other backend servers of the target, without what was counted of
+ * it; `suspicions`: the new number of them. */
+void rollout_suspect(rollout_t *rollout, unsigned suspicions, uint64_t now_ms);
+/* A peer knows of so many suspicions. */
+void rollout_adopt_suspicions(rollout_t *rollout, unsigned suspicions, uint64_t now_ms);
 /* Ends the order on this instance. */
 void rollout_decide(rollout_t *rollout, rollout_state_t state, rollout_reason_t reason,
                     uint64_t now_ms);
--- a/gateway/state/rollout_progress.c
+++ b/gateway/state/rollout_progress.c
@@ -59,25 +59,17 @@
     }
 }
 
-/* Returns to the canary; the ramp begins anew once the suspicion is over. */
-static void
-hold_back(rollout_t *rollout, uint64_t now_ms)
-{
-    rollout->suspect_until_ms = now_ms + ROLLOUT_WINDOW_MS;
-    rollout->ramps_broken += rollout->ramp_from_ms > 0;
-    rollout->ramp_from_ms = 0;
-    rollout->committed = false;
-}
-
 static void
 judge(rollouts_t *rollouts, rollout_t *rollout, uint64_t now_ms)
 {
     uint64_t route;
     const rollout_verdict_t verdict = rollout_judge(&rollout->merged, &route);
-    if (verdict == ROLLOUT_SUSPECT)
-        hold_back(rollout, now_ms);
+    /* Until then counts of the backend servers used before may still arrive. */
+    const bool is_settled = now_ms >= rollout->suspect_until_ms;
+    if (verdict == ROLLOUT_SUSPECT && is_settled)
+        rollout_suspect(rollout, rollout->suspicions + 1, now_ms);
     rollout->suspect = now_ms < rollout->suspect_until_ms;
-    if (rollout_is_given_up(rollout->ramps_broken)) {
+    if (rollout_is_given_up(rollout->suspicions)) {
         rollout_adopt_rollback(rollouts, rollout, ROLLOUT_REASON_SUSPECT, route, now_ms);
         return;
     }
@@ -86,7 +78,7 @@
     case ROLLOUT_SUSPECT:
         break;
     case ROLLOUT_GOOD:
-        rollout->judged = true;
+        rollout->judged |= is_settled;
         break;
     case ROLLOUT_FAILING:
         rollout_adopt_rollback(rollouts, rollout, ROLLOUT_REASON_FAILING, route, now_ms);
@@ -126,7 +118,7 @@
         if (!rollout_is_target(rollout, backend)) {
             sums.at_others += backend->in_flight;
         } else if (backend_is_usable(backend, now_ms)) {
-            sums.hashes[sums.targets++] = rollout_server_hash(backend->key);
+            sums.hashes[sums.targets++] = rollout_server_hash(backend->key, rollout->suspicions);
             sums.target_slots += backend_plan_slots(backend);
         }
     }
@@ -137,7 +129,7 @@
 static void
 select_servers(rollout_t *rollout, server_sums_t *sums)
 {
-    const double part = rollout_server_share(rollout->share, rollout->suspect);
+    const double part = rollout_server_share(rollout->share);
     const size_t wanted = (size_t)(part * (double)sums->targets + 0.5);
     rollout->target_servers = (uint32_t)sums->targets;
     rollout->server_cut = UINT64_MAX;
--- a/peer/peer.pb-c.c
+++ b/peer/peer.pb-c.c
@@ -3097,7 +3097,7 @@
   (ProtobufCMessageInit) iris__rollout_route__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor iris__rollout_report__field_descriptors[9] =
+static const ProtobufCFieldDescriptor iris__rollout_report__field_descriptors[10] =
 {
   {
     "order",
@@ -3207,6 +3207,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "suspicions",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Iris__RolloutReport, suspicions),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned iris__rollout_report__field_indices_by_name[] = {
   4,   /* field[4] = bad_route */
@@ -3218,11 +3230,12 @@
   2,   /* field[2] = ramp_ms */
   3,   /* field[3] = rolled_back */
   7,   /* field[7] = routes */
+  9,   /* field[9] = suspicions */
 };
 static const ProtobufCIntRange iris__rollout_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor iris__rollout_report__descriptor =
 {
@@ -3232,7 +3245,7 @@
   "Iris__RolloutReport",
   "iris",
   sizeof(Iris__RolloutReport),
-  9,
+  10,
   iris__rollout_report__field_descriptors,
   iris__rollout_report__field_indices_by_name,
   1,  iris__rollout_report__number_ranges,
--- a/peer/peer.pb-c.h
+++ b/peer/peer.pb-c.h
@@ -506,6 +506,10 @@
    */
   size_t n_routes;
   Iris__RolloutRoute **routes;
+  /*
+   * times that the version became suspect
+   */
+  uint32_t suspicions;
   /*
    * counts of its mesh, for other meshes
    */
@@ -514,7 +518,7 @@
 };
 #define IRIS__ROLLOUT_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&iris__rollout_report__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0,NULL }
 
 
 /*
--- a/test/gateway/rollout_model.c
+++ b/test/gateway/rollout_model.c
@@ -320,7 +320,8 @@
     if (versions->only != 0)
         return version == versions->only &&
                (versions->server_cut == 0 ||
-                rollout_server_hash(server->backend.key) <= versions->server_cut);
+                rollout_server_hash(server->backend.key, versions->server_turn) <=
+                    versions->server_cut);
     return version != versions->except[0];
 }
 
