--- a/scripts/soak-kept.sh
+++ b/scripts/soak-kept.sh
@@ -6,8 +6,10 @@
 broken=0
 while read -r seed duration instances why; do
     [ "${seed:0:1}" = "#" ] && continue
+    rollouts=""
+    [[ $why == roll-outs:* ]] && rollouts=1
     out=${TMPDIR:-/tmp}/soak-$seed-$instances.out
-    if SEED=$seed DURATION=$duration INSTANCES=$instances scripts/soak.sh >"$out" 2>&1 </dev/null; then
+    if ROLLOUTS=$rollouts SEED=$seed DURATION=$duration INSTANCES=$instances scripts/soak.sh >"$out" 2>&1 </dev/null; then
         echo "soak seed=$seed duration=$duration instances=$instances: held ($why)"
     else
         echo "soak seed=$seed duration=$duration instances=$instances: BROKEN ($why): $out"
--- a/standin/store.c
+++ b/standin/store.c
@@ -57,7 +57,6 @@
     uint64_t revision;
     uint64_t oldest; /* watches from before get 410 */
     uint64_t calls;
-    uint64_t conflicts;
     uint64_t delay_ms;
     size_t piece; /* bytes of answers sent at once, 0: all */
     uint64_t pause_ms;
@@ -340,7 +339,6 @@
     if (object == NULL || object->gone) {
         wire_respond(req, HTTP_STATUS_NOT_FOUND, STR(""), STR(""));
     } else if (wanted != NULL && (uint64_t)json_integer_value(wanted) != object->revision) {
-        store->conflicts++;
         wire_respond(req, HTTP_STATUS_CONFLICT, STR(""), STR("{}"));
     } else {
         json_t *status = json_object_get(root, "status");
@@ -557,9 +555,9 @@
 }
 
 uint64_t
-standin_store_conflicts(const standin_store_t *store)
+standin_store_revision(const standin_store_t *store)
 {
-    return store->conflicts;
+    return store->revision;
 }
 
 const char *
--- a/standin/store.h
+++ b/standin/store.h
@@ -46,8 +46,8 @@
 void standin_store_fail_watches(standin_store_t *store, int status);
 uint64_t standin_store_calls(const standin_store_t *store);
 bool standin_store_has(const standin_store_t *store, const char *kind, const char *name);
-/* Writes that were refused because the object had another revision. */
-uint64_t standin_store_conflicts(const standin_store_t *store);
+/* The revision of the last change. */
+uint64_t standin_store_revision(const standin_store_t *store);
 /* A text in an object's status; NULL if there is none. */
 const char *standin_store_status(const standin_store_t *store, const char *kind, const char *name,
                                  const char *field);
--- a/test/gateway/test_rollout.c
+++ b/test/gateway/test_rollout.c
@@ -293,6 +293,58 @@
 }
 END_TEST
 
+typedef struct {
+    store_outcome_t outcomes[2];
+    size_t count;
+} writes_t;
+
+static void
+on_recorded(void *ctx, const store_answer_t *answer)
+{
+    writes_t *writes = ctx;
+    writes->outcomes[writes->count++] = answer->outcome;
+}
+
+/* Two instances record different states, both as of the same revision of the order. */
+START_TEST(second_of_two_writers_meets_a_conflict)
+{
+    site_t *site = new_site(OLD);
+    writes_t writes = {0};
+    order_version(site, "v2");
+    const uint64_t revision = standin_store_revision(site->store);
+    site->store_port.record_rollout(site->store_port.ctx, STR("svc"), revision, ROLLOUT_ROLLED_BACK,
+                                    STR("v2"), on_recorded, &writes);
+    RUN_UNTIL(site, writes.count == 1);
+    site->store_port.record_rollout(site->store_port.ctx, STR("svc"), revision, ROLLOUT_COMPLETED,
+                                    STR("v2"), on_recorded, &writes);
+    RUN_UNTIL(site, writes.count == 2);
+    ck_assert_int_eq(writes.outcomes[0], STORE_OK);
+    ck_assert_int_eq(writes.outcomes[1], STORE_CONFLICT);
+    ck_assert(recorded_as(site, "rolled_back"));
+}
+END_TEST
+
+/* Another instance was first: its final state holds here too, and is not written over. */
+START_TEST(final_state_of_another_writer_holds)
+{
+    site_t *site = new_rollout_site(DOES_ANSWER);
+    RUN_UNTIL(site, is_ready(site));
+    order_version(site, "v2");
+    RUN_UNTIL(site, recorded_as(site, "running"));
+    standin_store_put(site->store, "rollouts", "svc",
+                      json_pack("{s:s, s:s, s:i}", "service", "svc", "targetVersion", "v2",
+                                "durationS", DURATION_S),
+                      json_pack("{s:s, s:s}", "state", "rolled_back", "targetVersion", "v2"));
+    run_loop_ms(site, 500);
+    const size_t runs = target_runs(site);
+    const uint64_t until = uv_now(&site->loop) + DURATION_S * 1000;
+    for (unsigned i = 0; uv_now(&site->loop) < until; i++)
+        ck_assert_int_eq(ask_about(site, "GET", "/safe/x", i % OBJECTS).status, 200);
+    ck_assert_uint_eq(target_runs(site), runs);
+    ck_assert(recorded_as(site, "rolled_back"));
+}
+END_TEST
+
 START_TEST(orders_are_not_read_without_the_setting)
 {
     site_t *site = new_site(OLD);
@@ -347,6 +399,8 @@
     tcase_add_test(site, replaced_order_starts_anew);
     tcase_add_test(site, verdict_is_recorded_once_the_store_is_back);
     tcase_add_test(site, lost_answer_of_the_record_does_no_harm);
+    tcase_add_test(site, second_of_two_writers_meets_a_conflict);
+    tcase_add_test(site, final_state_of_another_writer_holds);
     tcase_add_test(site, orders_are_not_read_without_the_setting);
     tcase_add_test(site, instances_move_together_and_one_records);
     suite_add_tcase(suite, site);
