Roll-outs: read-through; a suspicion forgets what peers counted before

Tolerated and capacity for borne and bears, one function for what makes bad responses count, a report's is_sum, named ends of orders in the soak. Counts that peers had sent of the backend servers used before a suspicion were kept for up to 3 s.

--- a/gateway/membership/members.c
+++ b/gateway/membership/members.c
@@ -13,14 +13,14 @@
     RETRY_SILENT_MS = 1200, /* interval of retries to a silent member */
     /* An idle watch answers after at most 3 s; the rest allows for latency. */
     WATCHER_AGE_MAX_MS = 3500,
-    /* Three and two and a quarter of the longest intervals. */
+    /* Upper bounds of the two times below: 3 and 2.25 times HEARTBEAT_MAX_MS. */
     LOST_MAX_MS = 3600,
     UNLISTED_MAX_MS = 2700,
 };
 
-/* Intervals without a heartbeat after which an instance counts as lost: 1.8 s in a small region. */
+/* Intervals without a heartbeat after which an instance counts as lost: 1.8 s in a small mesh. */
 #define LOST_INTERVALS 4.5
-/* Intervals after which it is no longer listed to callers: 1.3 s in a small region. */
+/* Intervals after which it is no longer listed to callers: 1.3 s in a small mesh. */
 #define UNLISTED_INTERVALS 3.25
 
 /* ---- table ---- */
--- a/gateway/membership/rollout_gossip.c
+++ b/gateway/membership/rollout_gossip.c
@@ -45,11 +45,11 @@
     return members_own_mesh(gossip->members, gossip->self->region);
 }
 
-/* True if the report is one that this instance hears directly. */
+/* True if the report is recent and from a member of the own mesh about itself. */
 static bool
-is_of_mesh(const rollout_gossip_t *gossip, const rollout_report_t *report)
+is_of_own_member(const rollout_gossip_t *gossip, const rollout_report_t *report)
 {
-    return !report->is_mesh && report->mesh == own_mesh(gossip) &&
+    return !report->is_sum && report->mesh == own_mesh(gossip) &&
            gossip->now_ms - report->heard_ms <= ROLLOUT_REPORT_MAX_MS;
 }
 
@@ -58,7 +58,7 @@
 {
     rollout_own_counts(rollout, out);
     for (size_t i = 0; i < rollout->report_count; i++) {
-        if (is_of_mesh(gossip, &rollout->reports[i]))
+        if (is_of_own_member(gossip, &rollout->reports[i]))
             rollout_counts_add(out, &rollout->reports[i].counts);
     }
 }
@@ -68,7 +68,7 @@
 {
     for (size_t i = 0; i < rollout->report_count; i++) {
         const rollout_report_t *report = &rollout->reports[i];
-        if (!report->is_mesh && report->source == source &&
+        if (!report->is_sum && report->source == source &&
             gossip->now_ms - report->heard_ms <= ROLLOUT_REPORT_MAX_MS)
             return report;
     }
@@ -179,7 +179,7 @@
     rollout_report_t report = {
         .source = sender->incarnation,
         .mesh = mesh,
-        .is_mesh = !same_mesh,
+        .is_sum = !same_mesh,
         .moved = same_mesh ? message->moved : message->mesh_moved,
         .heard_ms = gossip->now_ms,
     };
@@ -220,7 +220,7 @@
 {
     for (size_t i = 0; i < rollout->report_count; i++) {
         const rollout_report_t *report = &rollout->reports[i];
-        if (report->is_mesh && report->mesh == mesh)
+        if (report->is_sum && report->mesh == mesh)
             return report->moved && gossip->now_ms - report->heard_ms <= OTHER_MESH_MAX_MS;
     }
     return false;
--- a/gateway/policy/rollout.c
+++ b/gateway/policy/rollout.c
@@ -16,14 +16,17 @@
 /* Slots needed per slot that callers use. */
 #define SLOTS_PER_DEMAND 1.2
 
-/* Share of failures or of slow responses borne beyond a multiple of that of the other versions. */
-#define FAILURES_BORNE 0.03
-#define SLOW_BORNE 0.1
+/* Shares of failures and of slow responses tolerated on top of those of the other versions;
+ * failures of theirs count this many times. */
+#define FAILURES_TOLERATED 0.03
+#define SLOW_TOLERATED 0.1
 #define BASE_MULTIPLE 2.0
 /* Part of the groups that is left out of a verdict, those with the most bad responses. */
 #define LEFT_OUT_PART 0.25
-/* Standard deviations by which a count must exceed what is borne. */
-#define MARGIN 2.0
+/* Standard deviations by which a count must exceed what is tolerated: for a verdict, for a
+ * suspicion. */
+#define VERDICT_MARGIN 2.0
+#define SUSPICION_MARGIN 1.0
 /* A response is slow beyond this multiple of what the other versions need. */
 #define SLOW_MULTIPLE 2.5
 /* A run without the object in memory takes up to this multiple of the median. */
@@ -159,12 +162,21 @@
 
 /* ---- verdict ---- */
 
-/* True if `bad` of `count` is clearly more than the share that is borne. */
+/* What makes a number of bad responses count. */
+typedef struct {
+    double least;  /* bad responses */
+    double margin; /* standard deviations beyond the tolerated number */
+} evidence_t;
+
+static const evidence_t for_verdict = {BAD_MIN, VERDICT_MARGIN};
+static const evidence_t for_suspicion = {SUSPECT_MIN, SUSPICION_MARGIN};
+
+/* True if `bad` of `count` responses are more than the tolerated share. */
 static bool
-is_clearly_above(double bad, double count, double borne)
+exceeds(double bad, double count, double tolerated, evidence_t evidence)
 {
-    const double expected = borne * count;
-    return bad >= BAD_MIN && bad > expected + MARGIN * sqrt(expected);
+    const double expected = tolerated * count;
+    return bad >= evidence.least && bad > expected + evidence.margin * sqrt(expected);
 }
 
 rollout_group_t
@@ -201,7 +213,7 @@
     for (size_t i = 0; i < ROLLOUT_GROUPS; i++)
         used += route->target[i].responses > 0;
     qsort(sorted.target, ROLLOUT_GROUPS, sizeof(sorted.target[0]), compare_groups);
-    /* Two groups or one do not tell whose the fault is. */
+    /* With two groups or one, a fault of the version and of a server look the same. */
     const size_t left_out = used > 2 ? (size_t)ceil(LEFT_OUT_PART * (double)used) : 0;
     for (size_t i = 0; i < left_out; i++)
         sorted.target[i] = (rollout_group_t){0};
@@ -209,41 +221,40 @@
 }
 
 static double
-failures_borne(const rollout_route_t *route)
+failures_tolerated(const rollout_route_t *route)
 {
-    /* One failure more than seen, of as many responses as make that rate believable. */
+    /* Adds one failure in JUDGED_MIN responses, so that few responses do not give a rate of 0. */
     const double base_rate =
         (route->base.failures + 1.0) / ((double)route->base.responses + JUDGED_MIN);
-    return FAILURES_BORNE + BASE_MULTIPLE * base_rate;
+    return FAILURES_TOLERATED + BASE_MULTIPLE * base_rate;
 }
 
-static bool
-fails(const rollout_route_t *route)
+static double
+slow_tolerated(const rollout_route_t *route)
 {
-    const rollout_group_t target = sum_without_worst(route);
-    return is_clearly_above(target.failures, target.responses, failures_borne(route));
+    return SLOW_TOLERATED + base_slow_share(route);
 }
 
 static bool
-is_slow(const rollout_route_t *route)
+fails(const rollout_route_t *route)
 {
     const rollout_group_t target = sum_without_worst(route);
-    return is_clearly_above(target.slow, target.responses, SLOW_BORNE + base_slow_share(route));
+    return exceeds(target.failures, target.responses, failures_tolerated(route), for_verdict);
 }
 
 static bool
-is_above(double bad, double count, double borne)
+is_slow(const rollout_route_t *route)
 {
-    const double expected = borne * count;
-    return bad >= SUSPECT_MIN && bad > expected + sqrt(expected);
+    const rollout_group_t target = sum_without_worst(route);
+    return exceeds(target.slow, target.responses, slow_tolerated(route), for_verdict);
 }
 
 static bool
 is_suspect(const rollout_route_t *route)
 {
     const rollout_group_t target = rollout_sum_groups(route);
-    return is_above(target.failures, target.responses, failures_borne(route)) ||
-           is_above(target.slow, target.responses, SLOW_BORNE + base_slow_share(route));
+    return exceeds(target.failures, target.responses, failures_tolerated(route), for_suspicion) ||
+           exceeds(target.slow, target.responses, slow_tolerated(route), for_suspicion);
 }
 
 static rollout_verdict_t
@@ -258,7 +269,7 @@
     return rollout_sum_groups(route).responses >= JUDGED_MIN ? ROLLOUT_GOOD : ROLLOUT_UNJUDGED;
 }
 
-/* A route with little of the service's traffic does not hold up the others. */
+/* A route with little of the service's traffic does not delay the ramp. */
 static bool
 has_enough_responses(const rollout_route_t *route, const rollout_route_t *all)
 {
@@ -321,12 +332,6 @@
     return canary * pow(1 / canary, (double)schedule->ramp_ms / length_ms);
 }
 
-double
-rollout_server_share(double share)
-{
-    return share < 1 ? share : 1;
-}
-
 uint64_t
 rollout_server_hash(uint64_t key, unsigned suspicions)
 {
@@ -334,7 +339,7 @@
 }
 
 bool
-rollout_target_bears(double target_slots, double demand)
+rollout_target_has_capacity(double target_slots, double demand)
 {
     return target_slots > 0 && target_slots >= SLOTS_PER_DEMAND * demand;
 }
--- a/gateway/policy/rollout.h
+++ b/gateway/policy/rollout.h
@@ -10,13 +10,13 @@
  *    requests, so that each works under the load that it will have later: some versions are bad
  *    only under load. Each time the version becomes suspect others are used, to tell its faults
  *    from theirs; the third time it is given up.
- *  - Verdict, for each route and for all routes together, from the responses of
- *    the last seconds: the version is bad if clearly more of its responses fail, or arrive several
- *    times later, than those of the versions before it. A quarter of its backend servers, those
- *    with the most bad responses, is left out: faults of single ones are not the version's.
- *  - Like with like. A backend server that does not have a request's object in memory runs it
- *    several times as long, and those of a new version have few: on routes with objects a response
- *    counts as slow only beyond several times such a run.
+ *  - Verdict, for each route and for all routes together, from the responses of the last seconds:
+ *    the version is bad if clearly more of its responses fail, or arrive several times later, than
+ *    those of the versions before it. The quarter of its backend servers with the most bad
+ * responses is left out, so that a fault of single ones is not taken for one of the version.
+ *  - Objects in memory. A backend server that does not have a request's object in memory runs the
+ *    request several times as long, and those of a new version have few objects. On routes with
+ *    objects a response therefore counts as slow only beyond several times such a run.
  *
  * All instances decide from the counts of all (state/rollouts.h). Pure; times are in milliseconds
  * and passed in.
@@ -64,7 +64,7 @@
 typedef enum {
     ROLLOUT_UNJUDGED, /* too few responses */
     ROLLOUT_GOOD,     /* so far */
-    ROLLOUT_SUSPECT,  /* more bad responses than are borne, but too few for a verdict */
+    ROLLOUT_SUSPECT,  /* more bad responses than are tolerated, but too few for a verdict */
     ROLLOUT_FAILING,
     ROLLOUT_SLOW,
 } rollout_verdict_t;
@@ -75,7 +75,7 @@
 rollout_route_t *rollout_counts_route(rollout_counts_t *counts, uint64_t route);
 /* Forgets the responses of the target. */
 void rollout_clear_target(rollout_counts_t *counts);
-/* Returns the bucket of a latency. */
+/* Returns the index of a latency in rollout_base_counts_t.latency. */
 size_t rollout_bucket(double latency_ms);
 /* True if the version is given up for being suspect that often, each time on other backend
  * servers. */
@@ -112,10 +112,8 @@
 bool rollout_ramp_is_due(const rollout_schedule_t *schedule);
 /* Returns the share of the service's requests for the target version, 1 at the end of the ramp. */
 double rollout_share(const rollout_schedule_t *schedule);
-/* Returns the part of the target's backend servers that get requests at this share. */
-double rollout_server_share(double share);
-/* Hash by which the target's backend servers are taken into use. `key`: backend_t.key;
- * `suspicions`: how often the version became suspect, so that others are used each time. */
+/* Hash that orders the target's backend servers: those with the lowest get requests first. `key`:
+ * backend_t.key; `suspicions`: how often the version became suspect, which changes the order. */
 uint64_t rollout_server_hash(uint64_t key, unsigned suspicions);
-/* True if the slots of the target can bear all requests. `demand`: slots that callers use. */
-bool rollout_target_bears(double target_slots, double demand);
+/* True if the slots of the target suffice for all requests. `demand`: slots that callers use. */
+bool rollout_target_has_capacity(double target_slots, double demand);
--- a/gateway/state/rollout.c
+++ b/gateway/state/rollout.c
@@ -8,7 +8,7 @@
 #include "base/log.h"
 #include "base/xmalloc.h"
 
-enum { REPORTS_MAX = 4096 }; /* members and regions */
+enum { REPORTS_MAX = 4096 }; /* members and meshes */
 
 const char *
 rollout_state_name(rollout_state_t state)
@@ -186,8 +186,8 @@
 {
     for (size_t i = 0; i < rollout->report_count; i++) {
         rollout_report_t *known = &rollout->reports[i];
-        const bool same = report->is_mesh ? known->is_mesh && known->mesh == report->mesh
-                                          : !known->is_mesh && known->source == report->source;
+        const bool same = report->is_sum ? known->is_sum && known->mesh == report->mesh
+                                         : !known->is_sum && known->source == report->source;
         if (!same)
             continue;
         *known = *report;
@@ -217,6 +217,8 @@
     rollout->committed = false;
     for (size_t i = 0; i < ALEN(rollout->window); i++)
         rollout_clear_target(&rollout->window[i]);
+    for (size_t i = 0; i < rollout->report_count; i++)
+        rollout_clear_target(&rollout->reports[i].counts);
 }
 
 void
--- a/gateway/state/rollout.h
+++ b/gateway/state/rollout.h
@@ -31,7 +31,7 @@
 typedef struct {
     uint64_t source;   /* incarnation of the peer */
     size_t mesh;       /* of the peer, see membership/members.h */
-    bool is_mesh;      /* the sum of its mesh, for instances of other meshes */
+    bool is_sum;       /* of all members of its mesh */
     bool moved;        /* none of its requests is or will be at another version */
     uint64_t heard_ms; /* loop time */
     rollout_counts_t counts;
--- a/gateway/state/rollout_progress.c
+++ b/gateway/state/rollout_progress.c
@@ -129,11 +129,10 @@
 static void
 select_servers(rollout_t *rollout, server_sums_t *sums)
 {
-    const double part = rollout_server_share(rollout->share);
-    const size_t wanted = (size_t)(part * (double)sums->targets + 0.5);
+    const size_t wanted = (size_t)(rollout->share * (double)sums->targets + 0.5);
     rollout->target_servers = (uint32_t)sums->targets;
     rollout->server_cut = UINT64_MAX;
-    if (part >= 1 || sums->targets == 0)
+    if (rollout->share >= 1 || sums->targets == 0)
         return;
     qsort(sums->hashes, sums->targets, sizeof(*sums->hashes), compare_hashes);
     rollout->server_cut = sums->hashes[wanted > 0 ? wanted - 1 : 0];
@@ -164,16 +163,17 @@
 
 /* Begins the ramp and commits to the target when they are due. */
 static void
-advance(rollout_t *rollout, const rollout_schedule_t *schedule, bool bears, uint64_t now_ms)
+advance(rollout_t *rollout, const rollout_schedule_t *schedule, bool has_capacity, uint64_t now_ms)
 {
-    if (rollout->ramp_from_ms == 0 && bears && !rollout->suspect && rollout_ramp_is_due(schedule)) {
+    if (rollout->ramp_from_ms == 0 && has_capacity && !rollout->suspect &&
+        rollout_ramp_is_due(schedule)) {
         rollout->ramp_from_ms = now_ms;
         LOG_INFO("roll-out ramp begins: service=%s version=%s after_ms=%llu responses=%u",
                  rollout->order.service.ptr, rollout->order.version_name,
                  (unsigned long long)schedule->elapsed_ms,
                  rollout_sum_groups(&rollout->merged.all).responses);
     }
-    if (rollout->committed || rollout->share < 1 || rollout->suspect || !bears)
+    if (rollout->committed || rollout->share < 1 || rollout->suspect || !has_capacity)
         return;
     rollout->committed = true;
     LOG_INFO("roll-out gets all requests: service=%s version=%s after_ms=%llu",
@@ -199,9 +199,10 @@
         return;
     server_sums_t sums = sum_servers(rollout, backends, now_ms);
     const rollout_schedule_t schedule = schedule_of(rollouts, rollout, now_ms);
-    const bool bears = rollout_target_bears(sums.target_slots, demand_of(services, rollout));
+    const bool has_capacity =
+        rollout_target_has_capacity(sums.target_slots, demand_of(services, rollout));
     rollout->share = rollout_share(&schedule);
-    advance(rollout, &schedule, bears, now_ms);
+    advance(rollout, &schedule, has_capacity, now_ms);
     select_servers(rollout, &sums);
     rollout->moved = rollout->committed && sums.at_others == 0;
     free(sums.hashes);
--- a/standin/soak/orders.c
+++ b/standin/soak/orders.c
@@ -26,6 +26,8 @@
 
 typedef enum { STAGE_REST, STAGE_ORDERED, STAGE_ROLLED_BACK } stage_t;
 
+typedef enum { END_COMPLETED, END_ROLLED_BACK, END_GIVEN_UP, ENDS } end_t;
+
 struct orders {
     orders_conf_t conf;
     rng_t rng;
@@ -35,12 +37,13 @@
     uint64_t next_ms; /* of the next order */
     uint64_t ordered_ms;
     uint64_t drain_ms;
-    uint64_t requests;               /* of the service, from the order to its deadline */
-    uint64_t exposed;                /* of these, at the ordered version, from instances in touch */
-    unsigned bad;                    /* bad responses */
-    uint64_t bad_ms;                 /* of the 50th; 0 before */
-    bool judged;                     /* the exposure, at the deadline */
-    unsigned counts[ORDER_KINDS][4]; /* ordered, completed, rolled back, given up */
+    uint64_t requests; /* of the service, from the order to its deadline */
+    uint64_t exposed;  /* of these, at the ordered version, from instances in touch */
+    unsigned bad;      /* bad responses */
+    uint64_t bad_ms;   /* of the 50th; 0 before */
+    bool judged;       /* the exposure, at the deadline */
+    unsigned ordered[ORDER_KINDS];
+    unsigned ended[ORDER_KINDS][ENDS];
 };
 
 orders_t *
@@ -67,7 +70,7 @@
     orders->bad = 0;
     orders->bad_ms = 0;
     orders->judged = false;
-    orders->counts[orders->kind][0]++;
+    orders->ordered[orders->kind]++;
     snprintf(version, sizeof(version), "v%u", orders->version);
     standin_store_put(orders->conf.store, "rollouts", ORDERS_SERVICE,
                       json_pack("{s:s, s:s, s:i}", "service", ORDERS_SERVICE, "targetVersion",
@@ -85,9 +88,9 @@
 }
 
 static void
-end_order(orders_t *orders, unsigned column, uint64_t now_ms)
+end_order(orders_t *orders, end_t how, uint64_t now_ms)
 {
-    orders->counts[orders->kind][column]++;
+    orders->ended[orders->kind][how]++;
     orders->stage = STAGE_REST;
     orders->next_ms = now_ms + GAP_MS;
 }
@@ -101,7 +104,7 @@
         judge_break(judge, RULE_ROLLOUT, "bad version v%u (kind %d) is completed", orders->version,
                     orders->kind);
     orders->conf.end_others(orders->conf.ctx, orders->version, now_ms);
-    end_order(orders, 1, now_ms);
+    end_order(orders, END_COMPLETED, now_ms);
 }
 
 static void
@@ -154,14 +157,14 @@
                 judge_break(orders->conf.judge, RULE_ROLLOUT, "bad version v%u is not rolled back",
                             orders->version);
             orders->conf.drain(orders->conf.ctx, orders->version, now_ms);
-            end_order(orders, 3, now_ms);
+            end_order(orders, END_GIVEN_UP, now_ms);
         }
         break;
     case STAGE_ROLLED_BACK:
         if (now_ms < orders->drain_ms)
             break;
         orders->conf.drain(orders->conf.ctx, orders->version, now_ms);
-        end_order(orders, 2, now_ms);
+        end_order(orders, END_ROLLED_BACK, now_ms);
         break;
     }
 }
@@ -216,6 +219,6 @@
     static const char *const names[] = {"good", "failing", "slow"};
     for (size_t i = 0; i < ORDER_KINDS; i++)
         fprintf(out, "roll-outs, %s: ordered %u, completed %u, rolled back %u, given up %u\n",
-                names[i], orders->counts[i][0], orders->counts[i][1], orders->counts[i][2],
-                orders->counts[i][3]);
+                names[i], orders->ordered[i], orders->ended[i][END_COMPLETED],
+                orders->ended[i][END_ROLLED_BACK], orders->ended[i][END_GIVEN_UP]);
 }
--- a/test/gateway/test_members.c
+++ b/test/gateway/test_members.c
@@ -120,6 +120,8 @@
     const size_t at_1980 = count_targets(18, 18 * HALL);
     ck_assert_uint_le(at_990, HALL + 9);
     ck_assert_uint_le(at_1980 * 10, at_990 * 12);
+    /* With as many data halls, twice as large, no faster than the fleet. */
+    ck_assert_uint_le(count_targets(9, 9 * 2 * HALL), 2 * at_990);
 }
 END_TEST
 
