Count the work that requests offer to each region, by urgency

Demand is measured from requests in progress, which grows with the queues at backend servers and says nothing of urgency or of requests that are bound to a region. The order under shortage and the plan of regions need what would be served if there were room.

Services of which work is counted (rules: [pressure], or backend servers that report the pace of their work as a fourth figure of their load) keep averages by region and urgency; heartbeats pass them on.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -87,6 +87,7 @@
                 .constant = settings->retry_constant,
                 .window_ms = settings->retry_window_ms,
             },
+        .orders_shortage = settings->orders_shortage,
         .exposure = {.share = settings->expose_share, .slack = settings->expose_slack},
     };
     router_init(&gateway->router, gateway->loop, &conf);
--- a/gateway/membership/heartbeat.c
+++ b/gateway/membership/heartbeat.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #define LOG_MODULE "members"
 #include "base/log.h"
 #include "base/xmalloc.h"
@@ -44,6 +46,9 @@
            members_mesh(heartbeat->conf.members, member) == own_mesh(heartbeat);
 }
 
+/* Slots below which offered work is not told; the averages never quite reach 0. */
+#define OFFERED_MIN_SLOTS 0.001
+
 /* Adds the service's demand; replaces the smallest one if the list is full. */
 static void
 add_demand(member_t *self, const service_t *service)
@@ -62,6 +67,35 @@
         *least = demand;
 }
 
+/* Sets the offered work of this instance's callers for the services of which it is counted. */
+static void
+update_offers(member_t *self, const services_t *services, size_t region_count)
+{
+    enum { ITEMS_MAX = MEMBER_DEMANDS_MAX * MEMBER_OFFERS_MAX };
+    static member_offer_t items[ITEMS_MAX];
+    size_t count = 0;
+    for (size_t i = 0; i < services->count; i++) {
+        const service_t *service = services->items[i];
+        if (service->offered == NULL)
+            continue;
+        const offered_totals_t *work = &service->offered->average;
+        for (size_t region = 0; region < region_count && count < ITEMS_MAX; region++) {
+            if (offered_totals_slots(work, region) < OFFERED_MIN_SLOTS)
+                continue;
+            items[count] = (member_offer_t){
+                .service = service->name, .region = region, .bound = work->bound[region]};
+            memcpy(items[count].slots, work->slots[region], sizeof(items[count].slots));
+            count++;
+        }
+    }
+    member_offer_t *copy = NULL;
+    if (count > 0) {
+        copy = xcalloc(count, sizeof(*copy));
+        memcpy(copy, items, count * sizeof(*copy));
+    }
+    member_offers_set(&self->offers, copy, count);
+}
+
 /* Updates this instance's entry in the table of members. */
 static void
 update_self(heartbeat_t *heartbeat, uint64_t now_ms)
@@ -91,6 +125,7 @@
     self->demand_count = 0;
     for (size_t i = 0; i < services->count; i++)
         add_demand(self, services->items[i]);
+    update_offers(self, services, settings->topology.region_count);
 }
 
 void
@@ -148,6 +183,7 @@
     return (heartbeat_source_t){
         .self = members_find_or_add(heartbeat->conf.members, &heartbeat->conf.settings->peer),
         .members = heartbeat->conf.members,
+        .topology = &heartbeat->conf.settings->topology,
         .views = heartbeat->conf.views,
         .watch = heartbeat->conf.watch,
         .suspect_gossip = heartbeat->conf.suspect_gossip,
@@ -380,7 +416,7 @@
     member->instance = sender.instance;
     set_hall(heartbeat, member, &sender.hall);
     member->callers = sender.callers;
-    heartbeat_message_apply(message, member);
+    heartbeat_message_apply(message, &heartbeat->conf.settings->topology, member);
     member->announced |= was_announced;
     suspect_gossip_merge(heartbeat->conf.suspect_gossip, message->suspects, message->n_suspects);
     notice_gossip_merge(heartbeat->conf.notice_gossip, message->notices, message->n_notices);
--- a/gateway/membership/members.c
+++ b/gateway/membership/members.c
@@ -285,6 +285,54 @@
     return slots;
 }
 
+void
+members_add_offers(const member_offers_t *offers, str_t service, offered_totals_t *out)
+{
+    for (size_t i = 0; i < offers->count; i++) {
+        const member_offer_t *offer = &offers->items[i];
+        if (!name_eq(&offer->service, service))
+            continue;
+        for (size_t k = 0; k < URGENCY_LEVELS; k++)
+            out->slots[offer->region][k] += offer->slots[k];
+        out->bound[offer->region] += offer->bound;
+    }
+}
+
+void
+members_mesh_offered(const members_t *members, str_t service, size_t own_region, uint64_t now_ms,
+                     offered_totals_t *out)
+{
+    const size_t mesh = members_own_mesh(members, own_region);
+    *out = (offered_totals_t){0};
+    for (size_t i = 0; i < members->count; i++) {
+        const member_t *member = &members->items[i];
+        if (members_mesh(members, member) == mesh && member_alive(member, now_ms))
+            members_add_offers(&member->offers, service, out);
+    }
+}
+
+void
+members_offered(const members_t *members, str_t service, size_t own_region, uint64_t now_ms,
+                offered_totals_t *out)
+{
+    const size_t own_mesh = members_own_mesh(members, own_region);
+    latest_t latest;
+    members_mesh_offered(members, service, own_region, now_ms, out);
+    find_latest(members, TOPOLOGY_NO_REGION, &latest);
+    for (size_t mesh = 0; mesh < MEMBERS_MESHES_MAX; mesh++) {
+        const member_t *member = latest.items[mesh];
+        if (member != NULL && mesh != own_mesh && member_alive(member, now_ms))
+            members_add_offers(&member->mesh_offers, service, out);
+    }
+}
+
+void
+member_offers_set(member_offers_t *offers, member_offer_t *items, size_t count)
+{
+    free(offers->items);
+    *offers = (member_offers_t){items, count};
+}
+
 double
 members_mesh_requests_per_s(const members_t *members, size_t region, uint64_t now_ms)
 {
@@ -416,6 +464,10 @@
 void
 members_free(members_t *members)
 {
+    for (size_t i = 0; i < members->count; i++) {
+        member_offers_set(&members->items[i].offers, NULL, 0);
+        member_offers_set(&members->items[i].mesh_offers, NULL, 0);
+    }
     free(members->items);
     free(members->slots);
     *members = (members_t){0};
--- a/gateway/membership/members.h
+++ b/gateway/membership/members.h
@@ -23,6 +23,7 @@
 #include "gateway/policy/cold_start.h"
 #include "gateway/ports.h"
 #include "gateway/membership/topology.h"
+#include "gateway/state/offered_work.h"
 #include "gateway/state/view_format.h"
 
 enum {
@@ -37,6 +38,8 @@
     MEMBERS_MESHES_MAX = TOPOLOGY_REGIONS_MAX + 1 + TOPOLOGY_HALLS_MAX + 1,
     /* Services in a heartbeat, those with the greatest demand. */
     MEMBER_DEMANDS_MAX = 16,
+    /* Regions of one service in a heartbeat for which offered work is told. */
+    MEMBER_OFFERS_MAX = 16,
     /* Milliseconds between heartbeats: HEARTBEAT_MS_PER_MEMBER for each member of the region,
      * within these limits. Bounds the traffic of large fleets. */
     HEARTBEAT_MIN_MS = 400,
@@ -54,6 +57,20 @@
     double slots;
 } member_demand_t;
 
+/* Offered work of one service in one region; see offered_work.h. */
+typedef struct {
+    name_t service;
+    size_t region; /* that is to serve it */
+    double slots[URGENCY_LEVELS];
+    double bound;
+} member_offer_t;
+
+/* What a member told of offered work. Allocated only for members that tell of any. */
+typedef struct {
+    member_offer_t *items;
+    size_t count;
+} member_offers_t;
+
 /* A member's state of one view; see view.h. */
 typedef struct {
     uint64_t at;
@@ -95,6 +112,8 @@
     size_t demand_count;
     member_demand_t mesh_demands[MEMBER_DEMANDS_MAX]; /* totals of its mesh */
     size_t mesh_demand_count;
+    member_offers_t offers;
+    member_offers_t mesh_offers; /* totals of its mesh */
     member_capacity_t capacity;
     uint32_t mesh_members;      /* alive members of its mesh, as it reports */
     double mesh_requests_per_s; /* of all members of its mesh, as it reports */
@@ -158,6 +177,17 @@
                       uint64_t now_ms);
 /* The same for one service in the own mesh. */
 double members_mesh_demand(const members_t *members, str_t service, size_t region, uint64_t now_ms);
+/* Work of a service that is offered to all regions: in the own mesh the sum over alive members, in
+ * each other mesh the total reported by the member heard last. */
+void members_offered(const members_t *members, str_t service, size_t own_region, uint64_t now_ms,
+                     offered_totals_t *out);
+/* The same of the own mesh alone. */
+void members_mesh_offered(const members_t *members, str_t service, size_t own_region,
+                          uint64_t now_ms, offered_totals_t *out);
+/* Adds what a member told of a service to `out`. */
+void members_add_offers(const member_offers_t *offers, str_t service, offered_totals_t *out);
+/* Replaces what a member told; takes ownership of `items`, which may be NULL. */
+void member_offers_set(member_offers_t *offers, member_offer_t *items, size_t count);
 /* Requests per second of the own mesh's alive members. */
 double members_mesh_requests_per_s(const members_t *members, size_t region, uint64_t now_ms);
 /* Requests per second of the own region, other meshes as reported. */
--- a/gateway/path/dispatch.c
+++ b/gateway/path/dispatch.c
@@ -235,6 +235,9 @@
     record_finished(ex);
     router_count_answer(ex->owner->router, ex->route, ex->service,
                         (double)(exchange_now_ms(ex) - attempt->sent_ms));
+    if (!attempt->queued && !attempt->slots_full)
+        router_count_work(ex->owner->router, ex->route, ex->service, exchange_last_tried(ex),
+                          (double)(exchange_now_ms(ex) - attempt->sent_ms));
     if (retry_replaces_answer(attempt->status, ex->route->repeatable, attempt->streaming) &&
         may_retry(ex)) {
         ex->may_have_run = true;
--- a/gateway/policy/choice.c
+++ b/gateway/policy/choice.c
@@ -340,6 +340,22 @@
     return choice;
 }
 
+size_t
+choice_first_candidates(const choice_input_t *input, backend_t **out, size_t max)
+{
+    static candidate_t candidates[CANDIDATES_MAX];
+    best_skipped_t skipped = {0};
+    choice_area_t areas[CHOICE_AREAS_MAX];
+    candidate_t first[REPLICAS_MAX];
+    const size_t count = collect_candidates(input, candidates, &skipped);
+    choice_list_areas(input, areas);
+    const size_t wanted = max < REPLICAS_MAX ? max : REPLICAS_MAX;
+    const size_t found = find_replicas(input, candidates, count, &areas[0], first, wanted);
+    for (size_t i = 0; i < found; i++)
+        out[i] = first[i].backend;
+    return found;
+}
+
 const char *
 choice_reason_name(choice_reason_t reason)
 {
--- a/gateway/policy/choice.h
+++ b/gateway/policy/choice.h
@@ -93,4 +93,12 @@
 } choice_input_t;
 
 choice_t choice_make(const choice_input_t *input);
+/* Lists the backends that the request would be offered first, at most `max`; returns their number.
+ */
+size_t choice_first_candidates(const choice_input_t *input, backend_t **out, size_t max);
+/* Returns the region that is to serve the request: the planned one, or another if it may not be
+ * served there. */
+size_t choice_planned_region(const choice_input_t *input);
+/* Number of regions that may serve the request. */
+size_t choice_allowed_regions(const choice_input_t *input);
 const char *choice_reason_name(choice_reason_t reason);
--- a/gateway/policy/choice_areas.c
+++ b/gateway/policy/choice_areas.c
@@ -61,8 +61,8 @@
     return last;
 }
 
-static size_t
-planned_region(const choice_input_t *input)
+size_t
+choice_planned_region(const choice_input_t *input)
 {
     const double point = choice_hash_to_unit(input->object);
     const size_t planned = input->route->large ? region_plan_pick_large(input->plan, point)
@@ -70,12 +70,21 @@
     return choice_allows_region(input, planned) ? planned : pick_allowed_region(input, point);
 }
 
+size_t
+choice_allowed_regions(const choice_input_t *input)
+{
+    size_t count = 0;
+    for (size_t i = 0; i < input->topology->region_count; i++)
+        count += choice_allows_region(input, i);
+    return count;
+}
+
 size_t
 choice_list_areas(const choice_input_t *input, choice_area_t *areas)
 {
     size_t count = 0;
     const bool large = input->route->large;
-    const size_t planned = planned_region(input);
+    const size_t planned = choice_planned_region(input);
     const bool own_hall_first = large && planned == input->own_region;
     if (own_hall_first)
         areas[count++] = (choice_area_t){planned, HALL_SCOPE_OWN};
--- a/gateway/router.c
+++ b/gateway/router.c
@@ -29,6 +29,7 @@
         .loop = loop,
         .topology = conf->topology,
         .retry_bounds = conf->retry_bounds,
+        .orders_shortage = conf->orders_shortage,
         .rng = rng_system(),
         .key = member_key(conf->instance),
         .region = topology_region_of(conf->topology, conf->hall),
@@ -62,6 +63,20 @@
 
 /* ---- periodic updates ---- */
 
+/* Updates the offered work of a service, if it is counted. */
+static void
+update_offered(router_t *router, service_t *service, const members_t *members)
+{
+    const uint64_t now_ms = loop_now(router->loop);
+    if (router->orders_shortage || service->tells_pace)
+        service_count_offered(service);
+    if (service->offered == NULL)
+        return;
+    offered_work_update(service->offered, now_ms);
+    members_offered(members, name_str(&service->name), router->region, now_ms,
+                    service->fleet_offered);
+}
+
 static void
 log_plan(service_t *service, const region_plan_input_t *input, size_t region)
 {
@@ -140,6 +155,7 @@
     rollouts_tick(&router->rollouts, &router->catalog.backends, &router->services, now_ms);
     for (size_t i = 0; i < router->services.count; i++) {
         service_update_demand(router->services.items[i], now_ms);
+        update_offered(router, router->services.items[i], members);
         update_plan(router, router->services.items[i], members);
     }
     catalog_tick(&router->catalog);
@@ -266,6 +282,24 @@
     return choice_make(input);
 }
 
+/* Expected time in milliseconds that a request keeps a slot busy. */
+static double
+expected_work_ms(const router_t *router, const config_route_t *route, const service_t *service)
+{
+    const double work_ms = route_stats_work_ms(&router->routes, route->key);
+    return work_ms > 0 ? work_ms : service->latency_ms;
+}
+
+/* Counts the work that a new request offers to the region it is to be served in. */
+static void
+count_offered(router_t *router, const router_request_t *request, size_t region, size_t allowed)
+{
+    const config_route_t *route = request->route;
+    const int priority = request->account != NULL ? request->account->priority : route->priority;
+    offered_work_count(request->service->offered, region, urgency_of(priority), allowed == 1,
+                       expected_work_ms(router, route, request->service));
+}
+
 choice_t
 router_pick(router_t *router, const router_request_t *request)
 {
@@ -286,6 +320,9 @@
         .median_ms = route_stats_median_ms(&router->routes, route->key),
         .lost_ms = request->prior_wait_ms,
     };
+    if (service->offered != NULL && request->tried_count == 0)
+        count_offered(router, request, choice_planned_region(&input),
+                      choice_allowed_regions(&input));
     const choice_t choice = choose_version(router, request, &input);
     if (choice.backend != NULL && backend_is_cold(choice.backend, input.now_ms))
         cold_start_count_send(&choice.backend->cold_tokens, input.now_ms);
@@ -392,6 +429,15 @@
     service_answered(service, latency_ms);
 }
 
+void
+router_count_work(router_t *router, const config_route_t *route, service_t *service,
+                  const backend_t *backend, double latency_ms)
+{
+    const double slowdown = backend_slowdown(backend, loop_now(router->loop));
+    service->tells_pace |= slowdown > 0;
+    route_stats_count_work(&router->routes, route->key, latency_ms, slowdown);
+}
+
 uint32_t
 router_slow_ms(router_t *router, const config_route_t *route)
 {
--- a/gateway/router.h
+++ b/gateway/router.h
@@ -33,12 +33,14 @@
     str_t hall;     /* data hall of this instance */
     router_retry_bounds_t retry_bounds;
     rollout_exposure_t exposure; /* of a bad version; share 0: orders are not read */
+    bool orders_shortage;        /* from the settings */
 } router_conf_t;
 
 typedef struct {
     uv_loop_t *loop;
     const topology_t *topology;
     router_retry_bounds_t retry_bounds;
+    bool orders_shortage; /* under a shortage of slots, urgency decides what is refused */
     name_t instance;
     name_t hall;
     size_t region;
@@ -126,6 +128,9 @@
 /* Records the latency of a complete response. */
 void router_count_answer(router_t *router, const config_route_t *route, service_t *service,
                          double latency_ms);
+/* Records the latency of a complete response that did not queue at its backend. */
+void router_count_work(router_t *router, const config_route_t *route, service_t *service,
+                       const backend_t *backend, double latency_ms);
 /* Returns the time in milliseconds after which an attempt on this route is overdue, 0 if unknown.
  * */
 uint32_t router_slow_ms(router_t *router, const config_route_t *route);
--- a/gateway/settings.c
+++ b/gateway/settings.c
@@ -5,7 +5,7 @@
 #include "base/yaml.h"
 #include "gateway/settings.h"
 
-enum { TEXT_MAX = 255, MS_PER_S = 1000, BYTES_PER_MBIT = 125000 };
+enum { RULES_MAX = 64, TEXT_MAX = 255, MS_PER_S = 1000, BYTES_PER_MBIT = 125000 };
 
 /* lower bounds that catch typing errors */
 #define TTL_MIN_S 0.1
@@ -39,6 +39,8 @@
     double retry_window_s;
     double expose_share;
     double expose_slack;
+    char **rules;
+    unsigned rules_count;
 } raw_t;
 
 #define TEXT(key, flags)                                                                           \
@@ -46,7 +48,7 @@
 #define NUMBER(key) CYAML_FIELD_FLOAT(#key, CYAML_FLAG_DEFAULT, raw_t, key)
 #define OPTIONAL_NUMBER(key) CYAML_FIELD_FLOAT(#key, CYAML_FLAG_OPTIONAL, raw_t, key)
 
-static const cyaml_schema_value_t seed_schema = {
+static const cyaml_schema_value_t text_schema = {
     CYAML_VALUE_STRING(CYAML_FLAG_POINTER, char, 0, TEXT_MAX)};
 
 static const cyaml_schema_field_t place_fields[] = {
@@ -67,7 +69,7 @@
     TEXT(admin, CYAML_FLAG_OPTIONAL),
     TEXT(store, 0),
     CYAML_FIELD_SEQUENCE("seeds", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, raw_t, seeds,
-                         &seed_schema, 0, GATEWAY_SEEDS_MAX),
+                         &text_schema, 0, GATEWAY_SEEDS_MAX),
     CYAML_FIELD_SEQUENCE("places", CYAML_FLAG_POINTER, raw_t, places, &place_schema, 1,
                          TOPOLOGY_HALLS_MAX),
     OPTIONAL_NUMBER(link_mbps),
@@ -79,6 +81,8 @@
     NUMBER(retry_window_s),
     OPTIONAL_NUMBER(expose_share),
     OPTIONAL_NUMBER(expose_slack),
+    CYAML_FIELD_SEQUENCE("rules", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, raw_t, rules,
+                         &text_schema, 0, RULES_MAX),
     CYAML_FIELD_END};
 
 static const cyaml_schema_value_t schema = {CYAML_VALUE_MAPPING(CYAML_FLAG_POINTER, raw_t, fields)};
@@ -135,6 +139,17 @@
     return true;
 }
 
+/* Names of rules that this version does not know are ignored. */
+static bool
+has_rule(const raw_t *raw, const char *name)
+{
+    for (unsigned i = 0; i < raw->rules_count; i++) {
+        if (strcmp(raw->rules[i], name) == 0)
+            return true;
+    }
+    return false;
+}
+
 static bool
 validate(const raw_t *raw, gateway_settings_t *out, err_t *err)
 {
@@ -149,6 +164,7 @@
         .expose_share = raw->expose_share,
         .expose_slack = raw->expose_slack,
         .has_admin = raw->admin != NULL,
+        .orders_shortage = has_rule(raw, "pressure"),
     };
     if (raw->admin != NULL && !read_addr("admin", raw->admin, &out->admin, err))
         return false;
--- a/gateway/settings.h
+++ b/gateway/settings.h
@@ -35,6 +35,8 @@
      * roll-outs are not read. */
     double expose_share;
     double expose_slack; /* requests that it may get beyond that */
+    /* Under a shortage of slots, urgency decides what is refused (policy/shortage.h). */
+    bool orders_shortage;
 } gateway_settings_t;
 
 /* Returns true if this instance is a seed. An instance without seeds counts as one, since it has no
--- a/gateway/state/backend.c
+++ b/gateway/state/backend.c
@@ -11,11 +11,17 @@
     SERVICE_HASH_SEED = 43, /* arbitrary */
     /* Half-life of the load that a response reported. */
     LOAD_HALF_LIFE_MS = 400,
+    /* Age up to which a reported slowdown is used: work of others on the same machine comes and
+     * goes several times a second. */
+    SLOWDOWN_AGE_MAX_MS = 300,
 };
 
 /* Weight of a new response in the moving average of service times. */
 #define SERVICE_TIME_GAIN 0.1
 
+/* Reported pace of a backend at which work takes as long as usual. */
+#define PACE_USUAL_PERCENT 100.0
+
 backend_t *
 backend_new(const backend_info_t *info, size_t region, wire_pool_t *pool)
 {
@@ -104,6 +110,18 @@
     const double total = (double)load->running + load->waiting;
     backend->other_load = total > backend->in_flight ? total - backend->in_flight : 0;
     backend->load_reported_ms = now_ms;
+    if (load->pace_percent == 0)
+        return;
+    backend->slowdown = load->pace_percent / PACE_USUAL_PERCENT;
+    backend->slowdown_ms = now_ms;
+}
+
+double
+backend_slowdown(const backend_t *backend, uint64_t now_ms)
+{
+    const bool known =
+        backend->slowdown > 0 && now_ms - backend->slowdown_ms <= SLOWDOWN_AGE_MAX_MS;
+    return known ? backend->slowdown : 0;
 }
 
 bool
--- a/gateway/state/backend.h
+++ b/gateway/state/backend.h
@@ -38,6 +38,7 @@
     uint32_t running; /* requests in its slots */
     uint32_t waiting; /* requests in its queue */
     uint32_t slots;
+    uint32_t pace_percent; /* how long work takes at present, 100 as usual; 0: not reported */
 } reported_load_t;
 
 typedef struct {
@@ -66,6 +67,8 @@
     uint64_t sends;       /* total attempts of this instance */
     double other_load;    /* requests of other instances, as of load_reported_ms */
     uint64_t load_reported_ms;
+    double slowdown; /* factor on service times, as of slowdown_ms; 0: never reported */
+    uint64_t slowdown_ms;
     breaker_t breaker;
     health_t health;
     bool logged_avoided;    /* logged as avoided */
@@ -98,6 +101,9 @@
 /* Estimated number of requests at the backend, running and queued, from all instances. */
 double backend_load(const backend_t *backend, uint64_t now_ms);
 void backend_report_load(backend_t *backend, const reported_load_t *load, uint64_t now_ms);
+/* Factor by which work takes longer there than usual, as reported within the last 300 ms; 0 if not
+ * known. */
+double backend_slowdown(const backend_t *backend, uint64_t now_ms);
 bool backend_is_cold(const backend_t *backend, uint64_t now_ms);
 /* Marks it cold for at least `cold_ms` from now on. */
 void backend_extend_cold(backend_t *backend, uint64_t cold_ms, uint64_t now_ms);
--- a/gateway/state/route_stats.c
+++ b/gateway/state/route_stats.c
@@ -5,6 +5,8 @@
 #define LEFT_TIME_GAIN 0.02
 /* Step of the median estimate towards a new value, as a fraction of it. */
 #define MEDIAN_STEP 0.02
+/* Weight of a new response in the moving average of work. */
+#define WORK_GAIN 0.05
 
 static route_stat_t *
 get_slot(route_stats_t *stats, uint64_t route_key)
@@ -33,6 +35,23 @@
         *median *= measured_ms > *median ? 1 + MEDIAN_STEP : 1 - MEDIAN_STEP;
 }
 
+double
+route_stats_work_ms(const route_stats_t *stats, uint64_t route_key)
+{
+    const route_stat_t *slot = &stats->slots[route_key % ROUTE_STATS_SLOTS];
+    return slot->route_key == route_key ? slot->work_ms : 0;
+}
+
+void
+route_stats_count_work(route_stats_t *stats, uint64_t route_key, double latency_ms, double slowdown)
+{
+    const double work_ms = latency_measured_ms(latency_ms) / (slowdown > 0 ? slowdown : 1);
+    double *average = &get_slot(stats, route_key)->work_ms;
+    if (*average == 0)
+        *average = work_ms;
+    *average += WORK_GAIN * (work_ms - *average);
+}
+
 double
 route_stats_count_caller(route_stats_t *stats, uint64_t route_key, uint32_t left_ms)
 {
--- a/gateway/state/route_stats.h
+++ b/gateway/state/route_stats.h
@@ -18,6 +18,9 @@
     double average_left_ms;
     /* Estimated median latency of complete responses; 0 before the first. */
     double median_ms;
+    /* Moving average of the time that a backend worked on a request, without queueing and at the
+     * usual pace; 0 before the first. */
+    double work_ms;
 } route_stat_t;
 
 typedef struct {
@@ -27,5 +30,11 @@
 /* Estimated median latency of the route's responses in milliseconds; 0 before the first. */
 double route_stats_median_ms(const route_stats_t *stats, uint64_t route_key);
 void route_stats_count_answer(route_stats_t *stats, uint64_t route_key, double latency_ms);
+/* Estimated time in milliseconds that a request keeps a slot busy; 0 before the first response. */
+double route_stats_work_ms(const route_stats_t *stats, uint64_t route_key);
+/* Counts a response that did not queue; `slowdown` is the factor by which its backend was slower
+ * than usual, 0 if not known. */
+void route_stats_count_work(route_stats_t *stats, uint64_t route_key, double latency_ms,
+                            double slowdown);
 /* Counts a caller that still waits for `left_ms`; returns the average in milliseconds. */
 double route_stats_count_caller(route_stats_t *stats, uint64_t route_key, uint32_t left_ms);
--- a/gateway/state/services.c
+++ b/gateway/state/services.c
@@ -72,12 +72,24 @@
 void
 services_free(services_t *services)
 {
-    for (size_t i = 0; i < services->count; i++)
+    for (size_t i = 0; i < services->count; i++) {
+        free(services->items[i]->offered);
+        free(services->items[i]->fleet_offered);
         free(services->items[i]);
+    }
     free(services->items);
     *services = (services_t){0};
 }
 
+void
+service_count_offered(service_t *service)
+{
+    if (service->offered != NULL)
+        return;
+    service->offered = xcalloc(1, sizeof(*service->offered));
+    service->fleet_offered = xcalloc(1, sizeof(*service->fleet_offered));
+}
+
 void
 service_update_demand(service_t *service, uint64_t now_ms)
 {
--- a/gateway/state/services.h
+++ b/gateway/state/services.h
@@ -9,6 +9,7 @@
 #include "base/str.h"
 #include "gateway/policy/region_plan.h"
 #include "gateway/policy/retry_budget.h"
+#include "gateway/state/offered_work.h"
 
 typedef struct {
     name_t name;
@@ -18,6 +19,11 @@
     double demand;      /* slots: moving average of in_flight and of refused requests */
     uint64_t demand_ms; /* last update of the average */
     double latency_ms;  /* moving average over complete responses; 0 before the first */
+    bool tells_pace;    /* a backend reported the pace of its work */
+    /* Work that this instance's callers offer, and all instances' callers together. NULL until it
+     * is counted (router_t.orders_shortage, tells_pace): then others decide by it. */
+    offered_work_t *offered;
+    offered_totals_t *fleet_offered;
 } service_t;
 
 typedef struct {
@@ -34,6 +40,8 @@
 service_t *services_get(services_t *services, str_t name);
 void services_free(services_t *services);
 
+/* Counts the offered work of the service from now on. */
+void service_count_offered(service_t *service);
 /* Updates the moving average of the demand. */
 void service_update_demand(service_t *service, uint64_t now_ms);
 void service_attempt_started(service_t *service, uint64_t now_ms);
--- a/peer/peer.pb-c.c
+++ b/peer/peer.pb-c.c
@@ -367,6 +367,51 @@
   assert(message->base.descriptor == &iris__view_state__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   iris__offered_work__init
+                     (Iris__OfferedWork         *message)
+{
+  static const Iris__OfferedWork init_value = IRIS__OFFERED_WORK__INIT;
+  *message = init_value;
+}
+size_t iris__offered_work__get_packed_size
+                     (const Iris__OfferedWork *message)
+{
+  assert(message->base.descriptor == &iris__offered_work__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t iris__offered_work__pack
+                     (const Iris__OfferedWork *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &iris__offered_work__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t iris__offered_work__pack_to_buffer
+                     (const Iris__OfferedWork *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &iris__offered_work__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Iris__OfferedWork *
+       iris__offered_work__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Iris__OfferedWork *)
+     protobuf_c_message_unpack (&iris__offered_work__descriptor,
+                                allocator, len, data);
+}
+void   iris__offered_work__free_unpacked
+                     (Iris__OfferedWork *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &iris__offered_work__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   iris__demand__init
                      (Iris__Demand         *message)
 {
@@ -2211,7 +2256,71 @@
   (ProtobufCMessageInit) iris__view_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor iris__demand__field_descriptors[2] =
+static const ProtobufCFieldDescriptor iris__offered_work__field_descriptors[3] =
+{
+  {
+    "region",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Iris__OfferedWork, region),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slots",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FLOAT,
+    offsetof(Iris__OfferedWork, n_slots),
+    offsetof(Iris__OfferedWork, slots),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bound",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Iris__OfferedWork, bound),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned iris__offered_work__field_indices_by_name[] = {
+  2,   /* field[2] = bound */
+  0,   /* field[0] = region */
+  1,   /* field[1] = slots */
+};
+static const ProtobufCIntRange iris__offered_work__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor iris__offered_work__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "iris.OfferedWork",
+  "OfferedWork",
+  "Iris__OfferedWork",
+  "iris",
+  sizeof(Iris__OfferedWork),
+  3,
+  iris__offered_work__field_descriptors,
+  iris__offered_work__field_indices_by_name,
+  1,  iris__offered_work__number_ranges,
+  (ProtobufCMessageInit) iris__offered_work__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor iris__demand__field_descriptors[3] =
 {
   {
     "service",
@@ -2237,15 +2346,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "offered",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Iris__Demand, n_offered),
+    offsetof(Iris__Demand, offered),
+    &iris__offered_work__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned iris__demand__field_indices_by_name[] = {
+  2,   /* field[2] = offered */
   0,   /* field[0] = service */
   1,   /* field[1] = slots */
 };
 static const ProtobufCIntRange iris__demand__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor iris__demand__descriptor =
 {
@@ -2255,7 +2377,7 @@
   "Iris__Demand",
   "iris",
   sizeof(Iris__Demand),
-  2,
+  3,
   iris__demand__field_descriptors,
   iris__demand__field_indices_by_name,
   1,  iris__demand__number_ranges,
--- a/peer/peer.pb-c.h
+++ b/peer/peer.pb-c.h
@@ -23,6 +23,7 @@
 typedef struct Iris__BorrowRequest Iris__BorrowRequest;
 typedef struct Iris__BorrowAnswer Iris__BorrowAnswer;
 typedef struct Iris__ViewState Iris__ViewState;
+typedef struct Iris__OfferedWork Iris__OfferedWork;
 typedef struct Iris__Demand Iris__Demand;
 typedef struct Iris__Outcomes Iris__Outcomes;
 typedef struct Iris__PeerAddress Iris__PeerAddress;
@@ -199,6 +200,32 @@
     , 0, 0, 0 }
 
 
+/*
+ * Slots of one service that requests would keep busy in one region, whether they are admitted or
+ * not; see gateway/state/offered_work.h.
+ */
+struct  Iris__OfferedWork
+{
+  ProtobufCMessage base;
+  /*
+   * that is to serve them
+   */
+  char *region;
+  /*
+   * by urgency, the most urgent first
+   */
+  size_t n_slots;
+  float *slots;
+  /*
+   * of these, for requests that no other region may serve
+   */
+  float bound;
+};
+#define IRIS__OFFERED_WORK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&iris__offered_work__descriptor) \
+    , (char *)protobuf_c_empty_string, 0,NULL, 0 }
+
+
 /*
  * Slots of one service that the callers of an instance keep busy.
  */
@@ -207,10 +234,15 @@
   ProtobufCMessage base;
   char *service;
   float slots;
+  /*
+   * only where work is counted by urgency
+   */
+  size_t n_offered;
+  Iris__OfferedWork **offered;
 };
 #define IRIS__DEMAND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&iris__demand__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0,NULL }
 
 
 /*
@@ -1219,6 +1251,25 @@
 void   iris__view_state__free_unpacked
                      (Iris__ViewState *message,
                       ProtobufCAllocator *allocator);
+/* Iris__OfferedWork methods */
+void   iris__offered_work__init
+                     (Iris__OfferedWork         *message);
+size_t iris__offered_work__get_packed_size
+                     (const Iris__OfferedWork   *message);
+size_t iris__offered_work__pack
+                     (const Iris__OfferedWork   *message,
+                      uint8_t             *out);
+size_t iris__offered_work__pack_to_buffer
+                     (const Iris__OfferedWork   *message,
+                      ProtobufCBuffer     *buffer);
+Iris__OfferedWork *
+       iris__offered_work__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   iris__offered_work__free_unpacked
+                     (Iris__OfferedWork *message,
+                      ProtobufCAllocator *allocator);
 /* Iris__Demand methods */
 void   iris__demand__init
                      (Iris__Demand         *message);
@@ -1758,6 +1809,9 @@
 typedef void (*Iris__ViewState_Closure)
                  (const Iris__ViewState *message,
                   void *closure_data);
+typedef void (*Iris__OfferedWork_Closure)
+                 (const Iris__OfferedWork *message,
+                  void *closure_data);
 typedef void (*Iris__Demand_Closure)
                  (const Iris__Demand *message,
                   void *closure_data);
@@ -1853,6 +1907,7 @@
 extern const ProtobufCMessageDescriptor iris__borrow_request__descriptor;
 extern const ProtobufCMessageDescriptor iris__borrow_answer__descriptor;
 extern const ProtobufCMessageDescriptor iris__view_state__descriptor;
+extern const ProtobufCMessageDescriptor iris__offered_work__descriptor;
 extern const ProtobufCMessageDescriptor iris__demand__descriptor;
 extern const ProtobufCMessageDescriptor iris__outcomes__descriptor;
 extern const ProtobufCMessageDescriptor iris__peer_address__descriptor;
--- a/test/gateway/test_backend_incarnations.c
+++ b/test/gateway/test_backend_incarnations.c
@@ -179,7 +179,7 @@
     test_catalog_t *test = new_test_catalog();
     put_entry(test, "i-1", "draining", 1000);
     backend_t *old = backend_ref(find_backend(test, "i-1"));
-    const reported_load_t load = {4, 9, 4};
+    const reported_load_t load = {.running = 4, .waiting = 9, .slots = 4};
     backend_attempt_started(old);
     backend_report_load(old, &load, test->loop.time);
     backend_extend_cold(old, 5000, test->loop.time);
