A rolled-back order does not leave its service without backend servers

Where no backend server of another version is listed, an invalid order no longer excludes its target, and a verdict against the target no longer excludes the superseded versions.

--- a/gateway/gateway_events.c
+++ b/gateway/gateway_events.c
@@ -64,12 +64,14 @@
     case VIEW_BACKENDS:
         catalog_apply_backends(catalog, view, store_watch_outage_state(&gateway->store_watch));
         catalog_apply_closures(catalog, &gateway->views.items[VIEW_CLOSURES]);
+        rollouts_update_others(&gateway->router.rollouts, &catalog->backends);
         break;
     case VIEW_CLOSURES:
         catalog_apply_closures(catalog, view);
         break;
     case VIEW_ROLLOUTS:
         rollouts_apply(&gateway->router.rollouts, view, loop_now(gateway->loop));
+        rollouts_update_others(&gateway->router.rollouts, &catalog->backends);
         break;
     case VIEW_INSTANCES:
         BUG("not a watched kind");
--- a/gateway/state/rollout.c
+++ b/gateway/state/rollout.c
@@ -76,12 +76,27 @@
     return rollout->state == ROLLOUT_COMPLETED && rollout->share == 1;
 }
 
+/* Versions other than the target and those superseded. A service that has no other is not left
+ * without backend servers once its order is rolled back: an invalid order says nothing against its
+ * target, a verdict against the target says nothing against the superseded ones. */
+static choice_versions_t
+other_versions(const rollout_t *rollout)
+{
+    choice_versions_t others = {.except = {rollout->order.version}};
+    const bool rolled_back = rollout->state == ROLLOUT_ROLLED_BACK;
+    if (rolled_back && rollout->lacks_others && rollout->reason != ROLLOUT_REASON_INVALID)
+        return others;
+    memcpy(&others.except[1], rollout->superseded, sizeof(rollout->superseded));
+    if (rolled_back && rollout->lacks_others)
+        others.except[0] = 0;
+    return others;
+}
+
 rollout_versions_t
 rollout_versions(const rollout_t *rollout, double point, bool tried_target)
 {
     const uint64_t target = rollout->order.version;
-    choice_versions_t others = {.except = {target}};
-    memcpy(&others.except[1], rollout->superseded, sizeof(rollout->superseded));
+    const choice_versions_t others = other_versions(rollout);
     const choice_versions_t only_target = {
         .only = target, .server_turn = rollout->suspicions, .server_cut = rollout->server_cut};
     if (rollout->state == ROLLOUT_ROLLED_BACK)
@@ -105,7 +120,7 @@
     if (rollout->state == ROLLOUT_COMPLETED)
         return true;
     if (rollout->state == ROLLOUT_ROLLED_BACK)
-        return !target;
+        return !target || (rollout->lacks_others && rollout->reason == ROLLOUT_REASON_INVALID);
     return target == rollout->committed;
 }
 
--- a/gateway/state/rollout.h
+++ b/gateway/state/rollout.h
@@ -58,10 +58,11 @@
     uint64_t server_cut; /* backend servers whose hash is not above this get the requests */
     uint32_t target_servers;
     uint64_t superseded[ROLLOUT_SUPERSEDED_MAX]; /* versions; 0: none */
-    rollout_counts_t window[2];                  /* own counts: current window, the one before */
-    uint64_t window_ms;                          /* start of the current one */
-    uint64_t counted_from_ms;                    /* start of the one before */
-    rollout_counts_t merged;                     /* of all instances, as of the last tick */
+    bool lacks_others;          /* no backend server of a version not named above is listed */
+    rollout_counts_t window[2]; /* own counts: current window, the one before */
+    uint64_t window_ms;         /* start of the current one */
+    uint64_t counted_from_ms;   /* start of the one before */
+    rollout_counts_t merged;    /* of all instances, as of the last tick */
     rollout_report_t *reports;
     size_t report_count;
     bool is_counting; /* holds reports */
--- a/gateway/state/rollouts.c
+++ b/gateway/state/rollouts.c
@@ -156,6 +156,38 @@
         apply_item(rollouts, &view->items[i], now_ms);
 }
 
+/* True if the version is neither the target nor superseded. */
+static bool
+is_other_version(const rollout_t *rollout, const backend_t *backend)
+{
+    for (size_t i = 0; i < ROLLOUT_SUPERSEDED_MAX; i++) {
+        if (rollout->superseded[i] != 0 && rollout->superseded[i] == backend->info.version)
+            return false;
+    }
+    return !rollout_is_target(rollout, backend);
+}
+
+static bool
+lacks_others(const rollout_t *rollout, const backends_t *backends)
+{
+    const str_t service = name_str(&rollout->order.service);
+    const uint64_t service_key = backend_service_key(service);
+    for (size_t i = 0; i < backends->count; i++) {
+        const backend_t *backend = backends->items[i];
+        if (backend->listed && backend_is_of(backend, service, service_key) &&
+            is_other_version(rollout, backend))
+            return false;
+    }
+    return true;
+}
+
+void
+rollouts_update_others(rollouts_t *rollouts, const backends_t *backends)
+{
+    for (size_t i = 0; i < rollouts->count; i++)
+        rollouts->items[i]->lacks_others = lacks_others(rollouts->items[i], backends);
+}
+
 rollout_t *
 rollouts_find(const rollouts_t *rollouts, str_t service)
 {
--- a/gateway/state/rollouts.h
+++ b/gateway/state/rollouts.h
@@ -35,6 +35,9 @@
 /* Reads the orders from the view. The time of a new one counts from here, or from when the first
  * peer heard of it (rollout_adopt_times()). */
 void rollouts_apply(rollouts_t *rollouts, const view_t *view, uint64_t now_ms);
+/* Updates which orders leave their service without a backend server; called after changes of the
+ * orders or of the list of backend servers. */
+void rollouts_update_others(rollouts_t *rollouts, const backends_t *backends);
 /* Merges the counts and decides; called several times a second. */
 void rollouts_tick(rollouts_t *rollouts, const backends_t *backends, const services_t *services,
                    uint64_t now_ms);
--- a/test/gateway/test_rollout.c
+++ b/test/gateway/test_rollout.c
@@ -246,6 +246,53 @@
 }
 END_TEST
 
+START_TEST(invalid_order_for_the_serving_version_stops_nothing)
+{
+    site_t *site = new_site(OLD);
+    site->expose_share = 0.4;
+    use_gateway(site, start_gateway(site, "g-1", &site->store_port, NULL));
+    RUN_UNTIL(site, is_ready(site));
+    standin_store_put(site->store, "rollouts", "svc",
+                      json_pack("{s:s, s:s}", "service", "svc", "targetVersion", "v1"), NULL);
+    RUN_UNTIL(site, recorded_as(site, "rolled_back"));
+    ck_assert_int_eq(ask(site, "GET", "/safe/x").status, 200);
+}
+END_TEST
+
+/* The version that serves has been ordered itself, and is replaced by a bad one before it ends. */
+START_TEST(bad_order_after_one_for_the_serving_version_keeps_serving)
+{
+    site_t *site = new_rollout_site(DOES_FAIL);
+    RUN_UNTIL(site, is_ready(site));
+    order_version(site, "v1");
+    RUN_UNTIL(site, recorded_as(site, "running"));
+    order_version(site, "v2");
+    const size_t failed = send_until_recorded(site, "rolled_back", 2 * DURATION_S * 1000);
+    const size_t runs = target_runs(site);
+    for (unsigned i = 0; i < 20; i++)
+        ck_assert_int_eq(ask_about(site, "GET", "/safe/x", i % OBJECTS).status, 200);
+    ck_assert_uint_eq(target_runs(site), runs);
+    ck_assert_uint_le(failed, total_runs(site) / 4);
+}
+END_TEST
+
+/* The invalid order lets the unfinished target of the one before have no requests. */
+START_TEST(invalid_order_does_not_admit_the_replaced_version)
+{
+    site_t *site = new_rollout_site(DOES_FAIL);
+    RUN_UNTIL(site, is_ready(site));
+    order_version(site, "v2");
+    RUN_UNTIL(site, recorded_as(site, "running"));
+    standin_store_put(site->store, "rollouts", "svc",
+                      json_pack("{s:s, s:s}", "service", "svc", "targetVersion", "v1"), NULL);
+    RUN_UNTIL(site, recorded_as(site, "rolled_back"));
+    const size_t runs = target_runs(site);
+    for (unsigned i = 0; i < 20; i++)
+        ck_assert_int_eq(ask_about(site, "GET", "/safe/x", i % OBJECTS).status, 200);
+    ck_assert_uint_eq(target_runs(site), runs);
+}
+END_TEST
+
 START_TEST(replaced_order_starts_anew)
 {
     site_t *site = new_rollout_site(DOES_ANSWER);
@@ -396,6 +443,9 @@
     tcase_add_test(site, failing_version_is_rolled_back_and_gets_no_more);
     tcase_add_test(site, version_without_backends_waits_until_its_deadline);
     tcase_add_test(site, invalid_order_is_rolled_back_and_serving_goes_on);
+    tcase_add_test(site, invalid_order_for_the_serving_version_stops_nothing);
+    tcase_add_test(site, bad_order_after_one_for_the_serving_version_keeps_serving);
+    tcase_add_test(site, invalid_order_does_not_admit_the_replaced_version);
     tcase_add_test(site, replaced_order_starts_anew);
     tcase_add_test(site, verdict_is_recorded_once_the_store_is_back);
     tcase_add_test(site, lost_answer_of_the_record_does_no_harm);
