--- a/test/gateway/test_platform.c
+++ b/test/gateway/test_platform.c
@@ -529,6 +529,29 @@
     return xasprintf("%.*s%s%s", (int)(at - valid_settings), valid_settings, to, at + strlen(from));
 }
 
+/* Guards against an order under shortage that acts where the settings do not ask for it. */
+START_TEST(rules_turn_on_what_they_name)
+{
+    static const struct {
+        const char *rules;
+        bool orders_shortage;
+    } cases[] = {
+        {"grace_s: 6", false},
+        {"rules: []\ngrace_s: 6", false},
+        {"rules: [base, drain]\ngrace_s: 6", false},
+        {"rules: [base, pressure, unknown]\ngrace_s: 6", true},
+    };
+    static gateway_settings_t settings;
+    for (size_t i = 0; i < ALEN(cases); i++) {
+        char *text = modified_settings("grace_s: 6", cases[i].rules);
+        err_t err = {0};
+        ck_assert_msg(load_settings(text, &settings, &err), "%s", err.detail);
+        ck_assert_int_eq(settings.orders_shortage, cases[i].orders_shortage);
+        free(text);
+    }
+}
+END_TEST
+
 START_TEST(validates_settings)
 {
     static const struct {
@@ -585,6 +608,7 @@
     tcase_add_test(tests, parses_watch_events);
     tcase_add_test(tests, rejects_malformed_page);
     tcase_add_test(tests, validates_settings);
+    tcase_add_test(tests, rules_turn_on_what_they_name);
     suite_add_tcase(suite, tests);
     return suite;
 }
