Choose by expected response time where work is counted; pass queues on

Cause: an instance of a fleet of 80 meets a given backend server once in a dozen seconds, and halved what it had reported every 400 ms. Requests went into queues of several seconds, timed out there and were sent again.

Change: policy/response_time estimates when a response would come: run with or without the object, slow moment, queue, way. Where the first backend server of an object is known to be slow or full, choice takes the lowest estimate within the objective among its replicas and the next in the ranking. All of it for services whose work is counted only.

--- a/gateway/membership/heartbeat.c
+++ b/gateway/membership/heartbeat.c
@@ -429,5 +429,6 @@
     if (message->was_announced)
         heartbeat_set_announced(heartbeat);
     add_outcomes(heartbeat->conf.backends, message, now_ms);
+    load_gossip_merge(heartbeat->conf.backends, message->loads, message->n_loads, now_ms);
     view_relay_compare(heartbeat->conf.relay, member);
 }
--- a/gateway/membership/heartbeat_message.c
+++ b/gateway/membership/heartbeat_message.c
@@ -188,6 +188,13 @@
     out->message.rollouts = out->rollout_list;
 }
 
+static void
+fill_loads(heartbeat_message_t *out, const heartbeat_source_t *source)
+{
+    out->message.n_loads = load_gossip_fill(&out->loads, source->backends, source->now_ms);
+    out->message.loads = out->loads.list;
+}
+
 static void
 fill_self(heartbeat_message_t *out, const heartbeat_source_t *source)
 {
@@ -233,8 +240,10 @@
     fill_notices(out, source);
     if (source->rollouts.rollouts->count > 0)
         fill_rollouts(out, source);
-    if (!source->is_reply && !source->is_greeting)
+    if (!source->is_reply && !source->is_greeting) {
         fill_outcomes(out, source);
+        fill_loads(out, source);
+    }
     if (source->is_reply || (!source->is_greeting && source->round % PEERS_PERIOD < PEERS_ROUNDS))
         fill_peers(out, source);
     out->message.was_announced = source->was_announced;
--- a/gateway/membership/heartbeat_message.h
+++ b/gateway/membership/heartbeat_message.h
@@ -7,6 +7,7 @@
  */
 #pragma once
 
+#include "gateway/membership/load_gossip.h"
 #include "gateway/membership/notice_gossip.h"
 #include "gateway/membership/rollout_gossip.h"
 #include "gateway/membership/suspect_gossip.h"
@@ -48,6 +49,7 @@
     Iris__Suspect *suspect_list[SUSPECTS_PER_REPLY];
     Iris__BackendNotice notices[NOTICES_PER_REPLY];
     Iris__BackendNotice *notice_list[NOTICES_PER_REPLY];
+    load_message_t loads;
     rollout_message_t rollouts[ROLLOUT_REPORTS_MAX];
     Iris__RolloutReport *rollout_list[ROLLOUT_REPORTS_MAX];
     char peer_texts[HEARTBEAT_PEERS_MAX][ADDR_TEXT_MAX];
--- a/gateway/policy/choice.h
+++ b/gateway/policy/choice.h
@@ -11,6 +11,11 @@
  *  - Route and client account may each be restricted to regions; both restrictions apply. Requests
  *    that may not go to the planned region are spread over the allowed ones in the plan's
  *    proportions.
+ *  - Where the service's work is counted, an object's backend that is known to be slow or full at
+ *    this moment gives the request to the one with the lowest expected response time
+ *    (response_time.h): another of the object's backends, or the next in the ranking, which then
+ *    loads the object too. That one copy is opened only within the objective and while slots are
+ *    spare, and it is not used again once the first backend is as usual.
  *  - A request without an object considers eight backends per region in random order.
  *  - Requests with large responses try the instance's own data hall first.
  *  - A request under which a backend server has ended (quarantine.h) goes to the least loaded
@@ -46,6 +51,7 @@
     CHOICE_FULL,         /* none: no usable backend admits the request */
     CHOICE_ALL_SKIPPED,  /* none: all candidates are skipped (backend_skip.h) */
     CHOICE_NONE,         /* none: no usable backend */
+    CHOICE_FASTER,       /* its response is expected before that of the first in the ranking */
 } choice_reason_t;
 
 typedef struct {
@@ -81,6 +87,10 @@
     bool suspected;             /* a backend server has ended under the request (quarantine.h) */
     bool may_request_permit;    /* a permit may be requested (backend_skip.h) */
     double object_demand;       /* slots kept busy by requests about the object */
+    bool by_response_time;      /* the next three are given and decide, too */
+    double object_per_s;        /* requests about the object in the own region */
+    double work_ms;             /* run of the request with its object in memory; 0: not known */
+    double service_work_ms;     /* mean run of the service's requests; 0: not known */
     uint64_t now_ms;
     uint64_t own_key;             /* this instance's key in `senders` */
     const cold_sender_t *senders; /* all instances known so far */
--- a/gateway/router.c
+++ b/gateway/router.c
@@ -143,6 +143,32 @@
     }
 }
 
+static bool
+counts_any_work(const services_t *services)
+{
+    for (size_t i = 0; i < services->count; i++) {
+        if (service_counts_work(services->items[i]))
+            return true;
+    }
+    return false;
+}
+
+/* Tells the backends of services whose work is counted how fast their queues drain. */
+static void
+update_drains(router_t *router)
+{
+    const backends_t *backends = &router->catalog.backends;
+    if (!counts_any_work(&router->services))
+        return;
+    for (size_t i = 0; i < backends->count; i++) {
+        backend_t *backend = backends->items[i];
+        const service_t *service =
+            services_find(&router->services, name_str(&backend->info.service));
+        if (service != NULL && service_counts_work(service))
+            backend->drain_work_ms = service->work_ms;
+    }
+}
+
 void
 router_tick(router_t *router, const members_t *members)
 {
@@ -152,6 +178,7 @@
     object_rates_decay(&router->objects, now_ms);
     router->traffic_scale = traffic_scale(router, members);
     update_room(router);
+    update_drains(router);
     rollouts_tick(&router->rollouts, &router->catalog.backends, &router->services, now_ms);
     for (size_t i = 0; i < router->services.count; i++) {
         service_update_demand(router->services.items[i], now_ms);
@@ -300,6 +327,30 @@
                        expected_work_ms(router, route, request->service));
 }
 
+/* Estimated run in milliseconds with the object in memory, 0 if not known: the mean includes runs
+ * without it, the median queues. */
+static double
+work_in_memory_ms(const router_t *router, const config_route_t *route)
+{
+    const double mean_ms = route_stats_work_ms(&router->routes, route->key);
+    const double median_ms = route_stats_median_ms(&router->routes, route->key);
+    return median_ms > 0 && median_ms < mean_ms ? median_ms : mean_ms;
+}
+
+/* Sets what the choice by response time needs, where it applies. */
+static void
+set_response_time(const router_t *router, const config_route_t *route, const service_t *service,
+                  choice_input_t *input)
+{
+    input->by_response_time = service_counts_work(service);
+    if (!input->by_response_time)
+        return;
+    input->object_per_s =
+        object_rates_before_per_s(&router->objects, input->object) * router->traffic_scale;
+    input->work_ms = work_in_memory_ms(router, route);
+    input->service_work_ms = service->work_ms;
+}
+
 choice_t
 router_pick(router_t *router, const router_request_t *request)
 {
@@ -320,6 +371,7 @@
         .median_ms = route_stats_median_ms(&router->routes, route->key),
         .lost_ms = request->prior_wait_ms,
     };
+    set_response_time(router, route, service, &input);
     if (service->offered != NULL && request->tried_count == 0)
         count_offered(router, request, choice_planned_region(&input),
                       choice_allowed_regions(&input));
@@ -339,6 +391,8 @@
         choice_input(router, route, service, known != NULL ? &known->plan : &no_plan, object);
     input.has_object = true;
     input.may_request_permit = true;
+    if (known != NULL)
+        set_response_time(router, route, known, &input);
     input.request =
         (admission_request_t){.objective_ms = route->latency_objective_ms, .left_ms = UINT32_MAX};
     return input;
@@ -436,6 +490,7 @@
     const double slowdown = backend_slowdown(backend, loop_now(router->loop));
     service->tells_pace |= slowdown > 0;
     route_stats_count_work(&router->routes, route->key, latency_ms, slowdown);
+    service_worked(service, latency_ms, slowdown);
 }
 
 uint32_t
--- a/gateway/state/backend.c
+++ b/gateway/state/backend.c
@@ -39,6 +39,7 @@
 {
     backend->info = *info;
     backend->service_key = backend_service_key(name_str(&info->service));
+    backend->life = backend_incarnation_key(backend);
 }
 
 uint64_t
@@ -97,19 +98,51 @@
     return (left > right) - (left < right);
 }
 
+/* What is left after `age_ms` of the requests of other instances. */
+static double
+other_load_after(const backend_t *backend, double age_ms)
+{
+    if (backend->drain_work_ms <= 0)
+        return backend->other_load * exp2(-age_ms / LOAD_HALF_LIFE_MS);
+    const double queue = fmin(backend->waiting, backend->other_load);
+    const double drained_per_ms = backend->info.capacity / backend->drain_work_ms;
+    if (age_ms * drained_per_ms < queue)
+        return backend->other_load - age_ms * drained_per_ms;
+    const double empty_ms = age_ms - queue / drained_per_ms;
+    return (backend->other_load - queue) * exp2(-empty_ms / LOAD_HALF_LIFE_MS);
+}
+
 double
 backend_load(const backend_t *backend, uint64_t now_ms)
 {
     const double age_ms = (double)(now_ms - backend->load_reported_ms);
-    return backend->in_flight + backend->other_load * exp2(-age_ms / LOAD_HALF_LIFE_MS);
+    return backend->in_flight + other_load_after(backend, age_ms);
+}
+
+static void
+set_load(backend_t *backend, uint32_t requests, uint32_t waiting, uint64_t at_ms)
+{
+    backend->other_load = requests > backend->in_flight ? requests - backend->in_flight : 0;
+    backend->reported_requests = requests;
+    backend->waiting = waiting;
+    backend->load_reported_ms = at_ms;
+}
+
+void
+backend_merge_load(backend_t *backend, uint32_t requests, uint64_t at_ms)
+{
+    const uint32_t slots = backend->info.capacity;
+    if (at_ms <= backend->load_reported_ms)
+        return;
+    set_load(backend, requests, requests > slots ? requests - slots : 0, at_ms);
+    backend->load_unsent = false;
 }
 
 void
 backend_report_load(backend_t *backend, const reported_load_t *load, uint64_t now_ms)
 {
-    const double total = (double)load->running + load->waiting;
-    backend->other_load = total > backend->in_flight ? total - backend->in_flight : 0;
-    backend->load_reported_ms = now_ms;
+    set_load(backend, load->running + load->waiting, load->waiting, now_ms);
+    backend->load_unsent = load->waiting > 0;
     if (load->pace_percent == 0)
         return;
     backend->slowdown = load->pace_percent / PACE_USUAL_PERCENT;
--- a/gateway/state/backend.h
+++ b/gateway/state/backend.h
@@ -46,6 +46,7 @@
     size_t region;        /* index in the topology, TOPOLOGY_NO_REGION if unknown */
     uint64_t key;         /* hash of the id, for rendezvous hashing */
     uint64_t service_key; /* hash of the service's name, compared before it */
+    uint64_t life;        /* backend_incarnation_key() */
     wire_pool_t *pool;    /* NULL in tests without connections */
     size_t refs;
     uint64_t revision;           /* of the entry that `info` was read from */
@@ -62,12 +63,16 @@
     bool logged_unusable;        /* an unusable notice of it was logged */
     uint64_t remove_at_ms;       /* when its absence from the store takes effect; 0: present */
     uint64_t cold_until_ms;
-    bucket_t cold_tokens; /* this instance's part of the requests it can take while cold */
-    uint32_t in_flight;   /* attempts of this instance */
-    uint64_t sends;       /* total attempts of this instance */
-    double other_load;    /* requests of other instances, as of load_reported_ms */
+    bucket_t cold_tokens;       /* this instance's part of the requests it can take while cold */
+    uint32_t in_flight;         /* attempts of this instance */
+    uint64_t sends;             /* total attempts of this instance */
+    double other_load;          /* requests of other instances, as of load_reported_ms */
+    uint32_t reported_requests; /* of all instances, running and queued; the next two as well */
+    uint32_t waiting;           /* of these, in its queue */
     uint64_t load_reported_ms;
-    double slowdown; /* factor on service times, as of slowdown_ms; 0: never reported */
+    bool load_unsent;     /* it reported a queue that other instances were not told */
+    double drain_work_ms; /* mean run of its service where work is counted; 0: not counted */
+    double slowdown;      /* factor on service times, as of slowdown_ms; 0: never reported */
     uint64_t slowdown_ms;
     breaker_t breaker;
     health_t health;
@@ -98,9 +103,14 @@
 uint64_t backend_incarnation_hash(str_t id, uint64_t born);
 /* Slots of the backend in region plans: fewer than its capacity while it has a rate limit. */
 double backend_plan_slots(const backend_t *backend);
-/* Estimated number of requests at the backend, running and queued, from all instances. */
+/* Estimated number of requests at the backend, running and queued, from all instances. What it
+ * reported loses half every 400 ms; where work is counted, its queue first drains at the rate at
+ * which its slots finish work. */
 double backend_load(const backend_t *backend, uint64_t now_ms);
 void backend_report_load(backend_t *backend, const reported_load_t *load, uint64_t now_ms);
+/* A report to another instance at `at_ms`: `requests` were running and queued. Ignored unless it is
+ * newer than the last one. */
+void backend_merge_load(backend_t *backend, uint32_t requests, uint64_t at_ms);
 /* Factor by which work takes longer there than usual, as reported within the last 300 ms; 0 if not
  * known. */
 double backend_slowdown(const backend_t *backend, uint64_t now_ms);
--- a/gateway/state/object_rates.c
+++ b/gateway/state/object_rates.c
@@ -21,13 +21,26 @@
         rates->counts[row][column_of(object, row)] += 1;
 }
 
-double
-object_rates_per_s(const object_rates_t *rates, uint64_t object)
+static float
+count_of(const object_rates_t *rates, uint64_t object)
 {
     float min = rates->counts[0][column_of(object, 0)];
     for (unsigned row = 1; row < OBJECT_RATES_ROWS; row++)
         min = fminf(min, rates->counts[row][column_of(object, row)]);
-    return min >= COUNT_MIN ? min / DECAY_S : 0;
+    return min;
+}
+
+double
+object_rates_per_s(const object_rates_t *rates, uint64_t object)
+{
+    const float count = count_of(rates, object);
+    return count >= COUNT_MIN ? count / DECAY_S : 0;
+}
+
+double
+object_rates_before_per_s(const object_rates_t *rates, uint64_t object)
+{
+    return fmaxf(count_of(rates, object) - 1, 0) / DECAY_S;
 }
 
 void
--- a/gateway/state/object_rates.h
+++ b/gateway/state/object_rates.h
@@ -22,5 +22,8 @@
 void object_rates_count(object_rates_t *rates, uint64_t object);
 /* Estimated requests a second for an object; 0 if there are too few. */
 double object_rates_per_s(const object_rates_t *rates, uint64_t object);
+/* The same from any number of requests, without the one counted last: unreliable for a single
+ * object, of use where the error costs one run. */
+double object_rates_before_per_s(const object_rates_t *rates, uint64_t object);
 /* Applies the decay up to now. */
 void object_rates_decay(object_rates_t *rates, uint64_t now_ms);
--- a/gateway/state/services.c
+++ b/gateway/state/services.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/xmalloc.h"
+#include "gateway/state/latency.h"
 #include "gateway/state/services.h"
 
 enum {
@@ -121,6 +122,21 @@
     service->latency_ms += LATENCY_GAIN * (latency_ms - service->latency_ms);
 }
 
+void
+service_worked(service_t *service, double latency_ms, double slowdown)
+{
+    const double work_ms = latency_measured_ms(latency_ms) / (slowdown > 0 ? slowdown : 1);
+    if (service->work_ms == 0)
+        service->work_ms = work_ms;
+    service->work_ms += LATENCY_GAIN * (work_ms - service->work_ms);
+}
+
+bool
+service_counts_work(const service_t *service)
+{
+    return service->offered != NULL || service->tells_pace;
+}
+
 void
 service_refused(service_t *service, uint64_t now_ms)
 {
--- a/gateway/state/services.h
+++ b/gateway/state/services.h
@@ -19,6 +19,7 @@
     double demand;      /* slots: moving average of in_flight and of refused requests */
     uint64_t demand_ms; /* last update of the average */
     double latency_ms;  /* moving average over complete responses; 0 before the first */
+    double work_ms;     /* the same without queueing and at the usual pace; 0 before the first */
     bool tells_pace;    /* a backend reported the pace of its work */
     /* Work that this instance's callers offer, and all instances' callers together. NULL until it
      * is counted (router_t.orders_shortage, tells_pace): then others decide by it. */
@@ -48,5 +49,9 @@
 void service_attempt_finished(service_t *service, uint64_t now_ms);
 /* A complete response arrived after `latency_ms`. */
 void service_answered(service_t *service, double latency_ms);
+/* The response had not queued; its backend was slower than usual by `slowdown`, 0 if not known. */
+void service_worked(service_t *service, double latency_ms, double slowdown);
+/* True if requests are sent by their expected response time, and queues known accordingly. */
+bool service_counts_work(const service_t *service);
 /* A request was not admitted; it still counts towards the demand. */
 void service_refused(service_t *service, uint64_t now_ms);
--- a/peer/peer.pb-c.c
+++ b/peer/peer.pb-c.c
@@ -502,6 +502,51 @@
   assert(message->base.descriptor == &iris__outcomes__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   iris__backend_load__init
+                     (Iris__BackendLoad         *message)
+{
+  static const Iris__BackendLoad init_value = IRIS__BACKEND_LOAD__INIT;
+  *message = init_value;
+}
+size_t iris__backend_load__get_packed_size
+                     (const Iris__BackendLoad *message)
+{
+  assert(message->base.descriptor == &iris__backend_load__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t iris__backend_load__pack
+                     (const Iris__BackendLoad *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &iris__backend_load__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t iris__backend_load__pack_to_buffer
+                     (const Iris__BackendLoad *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &iris__backend_load__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Iris__BackendLoad *
+       iris__backend_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Iris__BackendLoad *)
+     protobuf_c_message_unpack (&iris__backend_load__descriptor,
+                                allocator, len, data);
+}
+void   iris__backend_load__free_unpacked
+                     (Iris__BackendLoad *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &iris__backend_load__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   iris__peer_address__init
                      (Iris__PeerAddress         *message)
 {
@@ -2461,6 +2506,70 @@
   (ProtobufCMessageInit) iris__outcomes__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor iris__backend_load__field_descriptors[3] =
+{
+  {
+    "life",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Iris__BackendLoad, life),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "requests",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Iris__BackendLoad, requests),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Iris__BackendLoad, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned iris__backend_load__field_indices_by_name[] = {
+  2,   /* field[2] = age_ms */
+  0,   /* field[0] = life */
+  1,   /* field[1] = requests */
+};
+static const ProtobufCIntRange iris__backend_load__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor iris__backend_load__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "iris.BackendLoad",
+  "BackendLoad",
+  "Iris__BackendLoad",
+  "iris",
+  sizeof(Iris__BackendLoad),
+  3,
+  iris__backend_load__field_descriptors,
+  iris__backend_load__field_indices_by_name,
+  1,  iris__backend_load__number_ranges,
+  (ProtobufCMessageInit) iris__backend_load__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor iris__peer_address__field_descriptors[2] =
 {
   {
@@ -3374,7 +3483,7 @@
   (ProtobufCMessageInit) iris__rollout_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor iris__gateway_heartbeat__field_descriptors[32] =
+static const ProtobufCFieldDescriptor iris__gateway_heartbeat__field_descriptors[33] =
 {
   {
     "instance",
@@ -3760,6 +3869,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "loads",
+    33,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Iris__GatewayHeartbeat, n_loads),
+    offsetof(Iris__GatewayHeartbeat, loads),
+    &iris__backend_load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned iris__gateway_heartbeat__field_indices_by_name[] = {
   22,   /* field[22] = announced */
@@ -3773,6 +3894,7 @@
   14,   /* field[14] = interval_ms */
   6,   /* field[6] = leaving */
   16,   /* field[16] = link_bytes_per_s */
+  32,   /* field[32] = loads */
   13,   /* field[13] = mesh_demands */
   12,   /* field[12] = mesh_members */
   31,   /* field[31] = mesh_requests_per_s */
@@ -3798,7 +3920,7 @@
 static const ProtobufCIntRange iris__gateway_heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 32 }
+  { 0, 33 }
 };
 const ProtobufCMessageDescriptor iris__gateway_heartbeat__descriptor =
 {
@@ -3808,7 +3930,7 @@
   "Iris__GatewayHeartbeat",
   "iris",
   sizeof(Iris__GatewayHeartbeat),
-  32,
+  33,
   iris__gateway_heartbeat__field_descriptors,
   iris__gateway_heartbeat__field_indices_by_name,
   1,  iris__gateway_heartbeat__number_ranges,
--- a/peer/peer.pb-c.h
+++ b/peer/peer.pb-c.h
@@ -26,6 +26,7 @@
 typedef struct Iris__OfferedWork Iris__OfferedWork;
 typedef struct Iris__Demand Iris__Demand;
 typedef struct Iris__Outcomes Iris__Outcomes;
+typedef struct Iris__BackendLoad Iris__BackendLoad;
 typedef struct Iris__PeerAddress Iris__PeerAddress;
 typedef struct Iris__SuspectEnd Iris__SuspectEnd;
 typedef struct Iris__Suspect Iris__Suspect;
@@ -264,6 +265,30 @@
     , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
+/*
+ * A backend server with a queue, as it reported to the sender.
+ */
+struct  Iris__BackendLoad
+{
+  ProtobufCMessage base;
+  /*
+   * hash of its id and of when it began
+   */
+  uint64_t life;
+  /*
+   * running and queued
+   */
+  uint32_t requests;
+  /*
+   * of the report
+   */
+  uint32_t age_ms;
+};
+#define IRIS__BACKEND_LOAD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&iris__backend_load__descriptor) \
+    , 0, 0, 0 }
+
+
 struct  Iris__PeerAddress
 {
   ProtobufCMessage base;
@@ -667,6 +692,11 @@
    */
   size_t n_rollouts;
   Iris__RolloutReport **rollouts;
+  /*
+   * the newest of backend servers with a queue
+   */
+  size_t n_loads;
+  Iris__BackendLoad **loads;
   /*
    * it takes BackendNotices, and PermitRequest as the owner
    */
@@ -674,7 +704,7 @@
 };
 #define IRIS__GATEWAY_HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&iris__gateway_heartbeat__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0, 0,NULL, 0,NULL, 0 }
 
 
 struct  Iris__ViewItem
@@ -1308,6 +1338,25 @@
 void   iris__outcomes__free_unpacked
                      (Iris__Outcomes *message,
                       ProtobufCAllocator *allocator);
+/* Iris__BackendLoad methods */
+void   iris__backend_load__init
+                     (Iris__BackendLoad         *message);
+size_t iris__backend_load__get_packed_size
+                     (const Iris__BackendLoad   *message);
+size_t iris__backend_load__pack
+                     (const Iris__BackendLoad   *message,
+                      uint8_t             *out);
+size_t iris__backend_load__pack_to_buffer
+                     (const Iris__BackendLoad   *message,
+                      ProtobufCBuffer     *buffer);
+Iris__BackendLoad *
+       iris__backend_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   iris__backend_load__free_unpacked
+                     (Iris__BackendLoad *message,
+                      ProtobufCAllocator *allocator);
 /* Iris__PeerAddress methods */
 void   iris__peer_address__init
                      (Iris__PeerAddress         *message);
@@ -1818,6 +1867,9 @@
 typedef void (*Iris__Outcomes_Closure)
                  (const Iris__Outcomes *message,
                   void *closure_data);
+typedef void (*Iris__BackendLoad_Closure)
+                 (const Iris__BackendLoad *message,
+                  void *closure_data);
 typedef void (*Iris__PeerAddress_Closure)
                  (const Iris__PeerAddress *message,
                   void *closure_data);
@@ -1910,6 +1962,7 @@
 extern const ProtobufCMessageDescriptor iris__offered_work__descriptor;
 extern const ProtobufCMessageDescriptor iris__demand__descriptor;
 extern const ProtobufCMessageDescriptor iris__outcomes__descriptor;
+extern const ProtobufCMessageDescriptor iris__backend_load__descriptor;
 extern const ProtobufCMessageDescriptor iris__peer_address__descriptor;
 extern const ProtobufCMessageDescriptor iris__suspect_end__descriptor;
 extern const ProtobufCMessageDescriptor iris__suspect__descriptor;
