Plan regions by offered work, so that they refuse alike

The plan measured demand from requests in progress, which grows with the queues: 1,012 slots of demand were seen in a region where 144 slots are and some 250 of work were offered. Work that only one region may serve did not count there, so the region with the fewest backend servers kept its own callers' requests besides.

For services whose offered work is counted, shares now follow from offered work: policy/region_targets fills all regions to the same use of their slots, bound work included. Under shortage (0.8 of all slots) shares follow the work of the moment within 0.12 in 2 s, below the platform's bound on shifts; requests with large responses then leave like others. An overdue attempt keeps its turn while its region is offered more than it has slots; its replacement would queue behind others. Services whose work is not counted have the same plans as before (a test plays figures of the version before).

--- a/gateway/membership/members.c
+++ b/gateway/membership/members.c
@@ -326,6 +326,34 @@
     }
 }
 
+/* Of offered work, the part that other regions may serve too. */
+static double
+free_work(const offered_totals_t *totals)
+{
+    double slots = 0;
+    for (size_t i = 0; i < TOPOLOGY_REGIONS_MAX; i++)
+        slots += offered_totals_slots(totals, i) - totals->bound[i];
+    return slots > 0 ? slots : 0;
+}
+
+double
+members_free_work(const members_t *members, str_t service, size_t region, size_t own_region,
+                  uint64_t now_ms)
+{
+    const size_t own_mesh = members_own_mesh(members, own_region);
+    offered_totals_t work = {0};
+    latest_t latest;
+    if (region == own_region)
+        members_mesh_offered(members, service, own_region, now_ms, &work);
+    find_latest(members, region, &latest);
+    for (size_t mesh = 0; mesh < MEMBERS_MESHES_MAX; mesh++) {
+        const member_t *member = latest.items[mesh];
+        if (member != NULL && mesh != own_mesh && member_alive(member, now_ms))
+            members_add_offers(&member->mesh_offers, service, &work);
+    }
+    return free_work(&work);
+}
+
 void
 member_offers_set(member_offers_t *offers, member_offer_t *items, size_t count)
 {
--- a/gateway/membership/members.h
+++ b/gateway/membership/members.h
@@ -184,6 +184,9 @@
 /* The same of the own mesh alone. */
 void members_mesh_offered(const members_t *members, str_t service, size_t own_region,
                           uint64_t now_ms, offered_totals_t *out);
+/* Slots of work that the callers of a region offer to any region and that others may serve too. */
+double members_free_work(const members_t *members, str_t service, size_t region, size_t own_region,
+                         uint64_t now_ms);
 /* Adds what a member told of a service to `out`. */
 void members_add_offers(const member_offers_t *offers, str_t service, offered_totals_t *out);
 /* Replaces what a member told; takes ownership of `items`, which may be NULL. */
--- a/gateway/path/time_limit.c
+++ b/gateway/path/time_limit.c
@@ -27,6 +27,7 @@
         .request = dispatch_retry_input(ex),
         .sent = wire_call_stage(attempt->call) != WIRE_UNSENT,
         .backend_avoided = health_is_avoided(&attempt->backend->health, exchange_now_ms(ex)),
+        .region_full = service_region_is_full(ex->service, attempt->backend->region),
     };
     const retry_context_t account = router_retry_context(ex->owner->router, ex->service);
     ex->retry = retry_decide_overdue(&input, &account);
--- a/gateway/policy/region_plan.c
+++ b/gateway/policy/region_plan.c
@@ -11,20 +11,50 @@
 /* Use of all slots that is assumed before any demand is measured; high, since backends without
  * objects in memory work on each request for longer. */
 #define INITIAL_USE 0.7
-/* Bounds on the shares moved per second: away from the own region, back to it, and after a loss of
- * slots. The first two are below the platform's bound on traffic shifts (0.15 in 2 s); the last one
- * exceeds it, as a sudden loss is exempt. */
-#define OUTBOUND_PER_S 0.03
-#define RETURN_PER_S 0.004
-#define REBALANCE_PER_S 0.25
-/* Distance from the target below which nothing moves: moved objects run cold. */
-#define DEAD_BAND 0.08
+/* Bounds on the shares moved per second, distances and times. */
+typedef struct {
+    double outbound_per_s;  /* away from the own region */
+    double return_per_s;    /* back to it */
+    double rebalance_per_s; /* for some seconds after a loss of slots */
+    double dead_band;       /* distance from the target below which nothing moves */
+} plan_terms_t;
+
+/* Moved objects run cold. The first two bounds are below the platform's bound on traffic shifts
+ * (0.15 in 2 s); the third one exceeds it, as a sudden loss is exempt. */
+static const plan_terms_t usual_terms = {
+    .outbound_per_s = 0.03,
+    .return_per_s = 0.004,
+    .rebalance_per_s = 0.25,
+    .dead_band = 0.08,
+};
+/* For counted work. Only a large loss of slots exceeds the platform's bound. */
+static const plan_terms_t counted_terms = {
+    .outbound_per_s = 0.03,
+    .return_per_s = 0.004,
+    .rebalance_per_s = 0.06,
+    .dead_band = 0.08,
+};
+/* For counted work while slots are short: a share that is off by 0.02 in a region with a tenth of
+ * all slots has some 0.02 more of its callers' requests refused. What runs cold after a move costs
+ * less than refusals, and offered work does not fall while callers are refused. */
+static const plan_terms_t short_terms = {
+    .outbound_per_s = 0.06,
+    .return_per_s = 0.06,
+    .rebalance_per_s = 0.06,
+    .dead_band = 0.02,
+};
+/* Use of all slots by offered work from which these terms hold. Backends are loaded unevenly, so
+ * requests are refused before all slots are needed. */
+#define SHORT_USE 0.8
 /* Time constant, in milliseconds, of the decay of peak demand. */
 #define PEAK_DECAY_MS 40000.0
 /* Loss of a region's slots, as a share, that counts as sudden, and the time in milliseconds for
  * which shares then move fast. */
 #define SUDDEN_LOSS 0.15
 enum { REBALANCE_MS = 4000 };
+/* Loss after which the platform's bound would leave requests without slots for too long, as that of
+ * one of two data halls: shares of any service then move as fast as usual_terms allow. */
+#define LARGE_LOSS 0.4
 #define MS_PER_S 1000.0
 
 static double
@@ -63,6 +93,24 @@
     target[own] = all_spare > 0 ? local : 1;
 }
 
+/* The same for counted work: at its recent peaks, or as it is now while slots are short. */
+static void
+counted_shares(region_plan_t *plan, const region_plan_input_t *input, double *target)
+{
+    region_work_t work;
+    memcpy(work.slots, input->slots, sizeof(work.slots));
+    memcpy(work.demand, input->demand, sizeof(work.demand));
+    memcpy(work.bound, input->bound, sizeof(work.bound));
+    plan->use = region_targets_use(&work, plan->region_count, TARGET_USE);
+    plan->is_short = plan->use >= SHORT_USE;
+    if (!plan->is_short) {
+        memcpy(work.demand, plan->peak, sizeof(work.demand));
+        memcpy(work.bound, plan->bound, sizeof(work.bound));
+        plan->use = region_targets_use(&work, plan->region_count, TARGET_USE);
+    }
+    region_targets_shares(&work, plan->region_count, plan->own, plan->use, target);
+}
+
 /* Detects a sudden loss of slots in any region. */
 static void
 detect_slot_loss(region_plan_t *plan, const region_plan_input_t *input, size_t region_count,
@@ -71,19 +119,32 @@
     for (size_t i = 0; i < region_count; i++) {
         if (input->slots[i] < (1 - SUDDEN_LOSS) * plan->slots[i])
             plan->rebalance_until_ms = now_ms + REBALANCE_MS;
+        if (input->slots[i] < (1 - LARGE_LOSS) * plan->slots[i])
+            plan->large_loss_until_ms = now_ms + REBALANCE_MS;
         plan->slots[i] = input->slots[i];
     }
 }
 
+static const plan_terms_t *
+terms_of(const region_plan_t *plan, const region_plan_input_t *input, uint64_t now_ms)
+{
+    if (!input->counted || now_ms < plan->large_loss_until_ms)
+        return &usual_terms;
+    return plan->is_short ? &short_terms : &counted_terms;
+}
+
 /* Updates the decaying peak demand of each region. */
 static void
 update_peak(region_plan_t *plan, const region_plan_input_t *input, size_t region_count,
             uint64_t now_ms)
 {
     const double keep = exp(-(double)(now_ms - plan->updated_ms) / PEAK_DECAY_MS);
-    for (size_t i = 0; i < region_count; i++)
+    for (size_t i = 0; i < region_count; i++) {
         plan->peak[i] = fmax(keep * plan->peak[i], input->demand[i]);
-    plan->measured_peak = fmax(keep * plan->measured_peak, sum(input->demand, region_count));
+        plan->bound[i] = fmax(keep * plan->bound[i], input->bound[i]);
+    }
+    const double measured = sum(input->demand, region_count) + sum(input->bound, region_count);
+    plan->measured_peak = fmax(keep * plan->measured_peak, measured);
 }
 
 /* Sets the shares at once while no demand was seen: backends become known one by one. */
@@ -103,18 +164,18 @@
 
 /* Moves the shares towards the target, within the rate limits. */
 static void
-move_shares(region_plan_t *plan, const double *target, uint64_t now_ms)
+move_shares(region_plan_t *plan, const double *target, const plan_terms_t *terms, uint64_t now_ms)
 {
     double distance = 0;
     for (size_t i = 0; i < plan->region_count; i++)
         distance += fabs(target[i] - plan->share[i]) / 2;
     const bool lost = now_ms < plan->rebalance_until_ms;
     const bool returning = target[plan->own] > plan->share[plan->own];
-    const double usual_per_s = returning ? RETURN_PER_S : OUTBOUND_PER_S;
-    const double per_s = lost ? REBALANCE_PER_S : usual_per_s;
+    const double usual_per_s = returning ? terms->return_per_s : terms->outbound_per_s;
+    const double per_s = lost ? terms->rebalance_per_s : usual_per_s;
     const double step = per_s * (double)(now_ms - plan->updated_ms) / MS_PER_S;
     plan->updated_ms = now_ms;
-    if (distance <= (plan->converging || lost ? 0 : DEAD_BAND)) {
+    if (distance <= (plan->converging || lost ? 0 : terms->dead_band)) {
         plan->converging = false;
         return;
     }
@@ -134,14 +195,18 @@
     plan->own = own;
     plan->region_count = region_count;
     detect_slot_loss(plan, input, region_count, now_ms);
-    plan->demand_seen |= sum(input->demand, region_count) > 0;
+    plan->demand_seen |= sum(input->demand, region_count) + sum(input->bound, region_count) > 0;
     if (!plan->started || !plan->demand_seen) {
         initialize_shares(plan, input, region_count, now_ms);
         return;
     }
-    target_shares(input, plan->peak, region_count, own, target);
+    plan->use = 0;
+    if (input->counted)
+        counted_shares(plan, input, target);
+    else
+        target_shares(input, plan->peak, region_count, own, target);
     update_peak(plan, input, region_count, now_ms);
-    move_shares(plan, target, now_ms);
+    move_shares(plan, target, terms_of(plan, input, now_ms), now_ms);
 }
 
 size_t
@@ -165,7 +230,8 @@
 size_t
 region_plan_pick_large(const region_plan_t *plan, double point)
 {
-    const double stays = plan->share[plan->own] * LARGE_USE / TARGET_USE;
+    const double use = fmax(plan->use, TARGET_USE);
+    const double stays = plan->share[plan->own] * fmax(1, LARGE_USE / use);
     return point < stays ? plan->own : region_plan_pick(plan, point);
 }
 
--- a/gateway/policy/region_plan.h
+++ b/gateway/policy/region_plan.h
@@ -9,6 +9,18 @@
  *  - Until demand is seen, shares follow the slots at once.
  *  - Requests with large responses leave the region only for what exceeds 0.88 of the slots.
  *
+ * For a service whose offered work is counted (region_plan_input_t.counted):
+ *
+ *  - The shares follow from offered work, which does not grow with queues, and even out what the
+ *    callers of all regions get, bound work included (region_targets.h).
+ *  - While it needs more than 0.8 of all slots, they follow it as it is now instead of its peaks,
+ *    6% per second in both directions, and differences from 0.02 on count. Otherwise they move as
+ *    above, but also after a loss of slots by at most 6% per second, so that no more than 0.12
+ *    moves in 2 s (the platform's bound is 0.15). Only the loss of 0.4 of a region's slots or
+ *    more, as with a data hall, moves 25% per second.
+ *  - Requests with large responses leave the region like others once more than 0.88 of all slots
+ *    are needed.
+ *
  * An object that moves runs cold at first, and the platform limits how fast the traffic of a region
  * may shift. Shares based on current instead of peak demand would move objects back and forth.
  *
@@ -16,11 +28,13 @@
  */
 #pragma once
 
-#include "gateway/membership/topology.h"
+#include "gateway/policy/region_targets.h"
 
 typedef struct {
     double slots[TOPOLOGY_REGIONS_MAX];  /* slots of usable backends */
     double demand[TOPOLOGY_REGIONS_MAX]; /* slots that the region's callers keep busy */
+    bool counted; /* demand is offered work without the bound part, which is: */
+    double bound[TOPOLOGY_REGIONS_MAX]; /* slots of work that only this region may serve */
 } region_plan_input_t;
 
 typedef struct {
@@ -33,9 +47,13 @@
     bool converging;                    /* the shares are moving to the target */
     double slots[TOPOLOGY_REGIONS_MAX]; /* at the last update */
     double peak[TOPOLOGY_REGIONS_MAX];  /* decaying peak demand in slots */
-    double measured_peak;        /* of all regions together, without the initial assumption */
-    double logged_share;         /* own share that was logged last */
-    uint64_t rebalance_until_ms; /* shares move fast until then, after a loss of slots */
+    double bound[TOPOLOGY_REGIONS_MAX]; /* the same of bound work */
+    double measured_peak; /* of all regions together, without the initial assumption */
+    double use;          /* counted work: use of all slots that the shares aim at; 0: not counted */
+    bool is_short;       /* counted work: slots are short */
+    double logged_share; /* own share that was logged last */
+    uint64_t rebalance_until_ms;  /* shares move fast until then, after a loss of slots */
+    uint64_t large_loss_until_ms; /* the same after a loss of 0.4 of a region's slots */
 } region_plan_t;
 
 void region_plan_update(region_plan_t *plan, const region_plan_input_t *input, size_t region_count,
--- a/gateway/policy/retry.c
+++ b/gateway/policy/retry.c
@@ -46,6 +46,8 @@
         return RETRY_MAY_HAVE_RUN;
     if (!input->backend_avoided)
         return RETRY_NOT_AVOIDED;
+    if (input->region_full && input->sent)
+        return RETRY_REGION_FULL;
     /* The overdue attempt counts like one that has ended: its replacement is an extra send. */
     retry_input_t request = input->request;
     request.sends += input->sent;
@@ -61,6 +63,7 @@
         [RETRY_MAY_HAVE_RUN] = "may_have_run", [RETRY_ATTEMPTS_EXHAUSTED] = "used_up",
         [RETRY_NO_TIME] = "no_time",           [RETRY_OVER_BUDGET] = "over_budget",
         [RETRY_QUARANTINED] = "held",          [RETRY_NOT_AVOIDED] = "not_avoided",
+        [RETRY_REGION_FULL] = "region_full",
     };
     return names[verdict];
 }
--- a/gateway/router.c
+++ b/gateway/router.c
@@ -85,9 +85,10 @@
     if (fabs(share - plan->logged_share) < PLAN_LOG_STEP)
         return;
     plan->logged_share = share;
-    LOG_INFO("region plan changed: service=%s own_share=%.2f room=%.0f demand=%.1f peak=%.1f",
+    LOG_INFO("region plan changed: service=%s own_share=%.2f room=%.0f demand=%.1f peak=%.1f "
+             "bound=%.1f use=%.2f",
              service->name.ptr, share, input->slots[region], input->demand[region],
-             plan->peak[region]);
+             plan->peak[region], input->bound[region], plan->use);
 }
 
 static void
@@ -96,11 +97,15 @@
     const uint64_t now_ms = loop_now(router->loop);
     const size_t count = router->topology->region_count;
     const str_t name = name_str(&service->name);
-    region_plan_input_t input = {0};
+    region_plan_input_t input = {.counted = service->offered != NULL};
     catalog_slots_by_region(&router->catalog, name, rollouts_find(&router->rollouts, name),
                             input.slots);
-    for (size_t i = 0; i < count; i++)
-        input.demand[i] = members_demand(members, name, i, router->region, now_ms);
+    for (size_t i = 0; i < count; i++) {
+        input.demand[i] = input.counted
+                              ? members_free_work(members, name, i, router->region, now_ms)
+                              : members_demand(members, name, i, router->region, now_ms);
+        input.bound[i] = input.counted ? service->fleet_offered->bound[i] : 0;
+    }
     region_plan_update(&service->plan, &input, count, router->region, now_ms);
     log_plan(service, &input, router->region);
 }
--- a/gateway/state/services.c
+++ b/gateway/state/services.c
@@ -90,6 +90,14 @@
     service->fleet_offered = xcalloc(1, sizeof(*service->fleet_offered));
 }
 
+bool
+service_region_is_full(const service_t *service, size_t region)
+{
+    if (service->fleet_offered == NULL || region >= TOPOLOGY_REGIONS_MAX)
+        return false;
+    return offered_totals_slots(service->fleet_offered, region) > service->plan.slots[region];
+}
+
 void
 service_update_demand(service_t *service, uint64_t now_ms)
 {
--- a/gateway/state/services.h
+++ b/gateway/state/services.h
@@ -42,6 +42,8 @@
 
 /* Counts the offered work of the service from now on. */
 void service_count_offered(service_t *service);
+/* True if the region is offered more work than it has slots; false while work is not counted. */
+bool service_region_is_full(const service_t *service, size_t region);
 /* Updates the moving average of the demand. */
 void service_update_demand(service_t *service, uint64_t now_ms);
 void service_attempt_started(service_t *service, uint64_t now_ms);
--- a/test/gateway/main.c
+++ b/test/gateway/main.c
@@ -14,6 +14,7 @@
     srunner_add_suite(runner, suite_gateway_accounts());
     srunner_add_suite(runner, suite_gateway_view());
     srunner_add_suite(runner, suite_gateway_region_plan());
+    srunner_add_suite(runner, suite_gateway_region_targets());
     srunner_add_suite(runner, suite_gateway_choice());
     srunner_add_suite(runner, suite_gateway_health());
     srunner_add_suite(runner, suite_gateway_cold_start());
--- a/test/gateway/test_members.c
+++ b/test/gateway/test_members.c
@@ -248,6 +248,31 @@
 }
 END_TEST
 
+/* Work that other regions may not serve must not count as work that could go there. */
+START_TEST(free_work_of_callers_counts_by_their_region)
+{
+    members_t members = {0};
+    member_t *own = add_member(&members, "a-1", "a1", 0, 1);
+    member_offer_t *offers = xcalloc(2, sizeof(*offers));
+    offers[0] = (member_offer_t){.region = 0, .slots = {3, 1}, .bound = 1};
+    offers[1] = (member_offer_t){.region = 1, .slots = {0, 2}, .bound = 0.5};
+    name_set(&offers[0].service, STR("svc"));
+    name_set(&offers[1].service, STR("svc"));
+    member_offers_set(&own->offers, offers, 2);
+    member_t *other = add_member(&members, "b-1", "b1", 1, 2);
+    member_offer_t *total = xcalloc(1, sizeof(*total));
+    *total = (member_offer_t){.region = 0, .slots = {70}, .bound = 20};
+    name_set(&total->service, STR("svc"));
+    member_offers_set(&other->mesh_offers, total, 1);
+    ck_assert_double_eq_tol(members_free_work(&members, STR("svc"), 0, 0, 10100), 4.5, 0.001);
+    ck_assert_double_eq_tol(members_free_work(&members, STR("svc"), 1, 0, 10100), 50, 0.001);
+    ck_assert_double_eq_tol(members_free_work(&members, STR("other"), 1, 0, 10100), 0, 0.001);
+    /* A silent instance tells nothing any more. */
+    ck_assert_double_eq_tol(members_free_work(&members, STR("svc"), 1, 0, 30000), 0, 0.001);
+    members_free(&members);
+}
+END_TEST
+
 START_TEST(each_region_has_two_store_watchers)
 {
     /* A watcher whose requests go unanswered is not detected for seconds, so two watch. */
@@ -410,6 +435,7 @@
     tcase_add_test(tests, large_fleet_limits_heartbeats_between_regions);
     tcase_add_test(tests, heartbeat_carries_greatest_demands);
     tcase_add_test(tests, remote_region_demand_is_as_reported);
+    tcase_add_test(tests, free_work_of_callers_counts_by_their_region);
     tcase_add_test(tests, each_region_has_two_store_watchers);
     tcase_add_test(tests, long_heartbeat_interval_does_not_fail_store_check);
     tcase_add_test(tests, next_instance_watches_when_first_is_refused);
--- a/test/gateway/test_region_plan.c
+++ b/test/gateway/test_region_plan.c
@@ -89,6 +89,40 @@
 }
 END_TEST
 
+/* Load of a service whose offered work is not counted: a burst, then a region loses slots. */
+static region_plan_input_t
+load_at(uint64_t at_ms)
+{
+    region_plan_input_t input = weak_region(at_ms < 10000 || at_ms > 13000 ? 40 : 90);
+    input.demand[1] = at_ms > 20000 ? 70 : 45;
+    input.slots[2] = at_ms > 30000 ? 55 : 90;
+    return input;
+}
+
+/* Where offered work is not counted, shares are those of the versions that never counted it. */
+START_TEST(plan_without_counted_work_is_as_before)
+{
+    static const struct {
+        uint64_t at_ms;
+        double share[3];
+    } rows[] = {
+        {1000, {0.44231, 0.25962, 0.29808}},  {12000, {0.44053, 0.26762, 0.29185}},
+        {20000, {0.43342, 0.29962, 0.26697}}, {31000, {0.68314, 0.27516, 0.04170}},
+        {40000, {0.69733, 0.26311, 0.03956}}, {90000, {0.69733, 0.26311, 0.03956}},
+    };
+    region_plan_t plan = {0};
+    uint64_t at = 1000;
+    for (size_t i = 0; i < ALEN(rows); i++) {
+        for (; at <= rows[i].at_ms; at += 200) {
+            const region_plan_input_t input = load_at(at);
+            region_plan_update(&plan, &input, 3, 1, at);
+        }
+        for (int k = 0; k < 3; k++)
+            ck_assert_double_eq_tol(plan.share[k], rows[i].share[k], 0.0001);
+    }
+}
+END_TEST
+
 static config_t *
 one_service(str_t body, err_t *err)
 {
@@ -173,6 +207,7 @@
     tcase_add_test(tests, plan_spreads_overload_evenly);
     tcase_add_test(tests, plan_reacts_quickly_to_lost_slots);
     tcase_add_test(tests, plan_follows_slots_until_demand_is_seen);
+    tcase_add_test(tests, plan_without_counted_work_is_as_before);
     tcase_add_test(tests, plans_exist_before_the_first_request);
     tcase_add_test(tests, plan_change_moves_few_points);
     tcase_add_test(tests, plan_keeps_large_responses_local_longer);
--- a/test/suites.h
+++ b/test/suites.h
@@ -29,6 +29,7 @@
 Suite *suite_gateway_breaker(void);
 Suite *suite_gateway_view(void);
 Suite *suite_gateway_region_plan(void);
+Suite *suite_gateway_region_targets(void);
 Suite *suite_gateway_choice(void);
 Suite *suite_gateway_health(void);
 Suite *suite_gateway_cold_start(void);
