Know where requests queue; overdue attempts keep their turn there

After the end of the load offered work falls within seconds, but the queues in a region that was offered too much take longer, and attempts of an account bound to it were replaced there.

policy/region_backlog keeps the work offered beyond the slots of each region until they have worked it off, and retry_decide_overdue goes by it. A gauge tells the own region's. docs/design/gateway/region-plan.md has the design.

--- a/gateway/admin.c
+++ b/gateway/admin.c
@@ -73,6 +73,11 @@
         counter_set(counter_get("irisstall_slots_use_percent", labels,
                                 "Highest demand lately measured, as a share of all slots."),
                     (int64_t)(PERCENT * region_plan_use(&service->plan)));
+        if (service->offered == NULL)
+            continue;
+        counter_set(counter_get("irisstall_own_region_wait_ms", labels,
+                                "Work that waits in the own region, in milliseconds per slot."),
+                    (int64_t)service->backlog.wait_ms[service->plan.own]);
     }
 }
 
--- /dev/null
+++ b/gateway/policy/region_backlog.h
@@ -0,0 +1,34 @@
+/*
+ * Region backlog: how much work waits in each region because more was offered than it has slots.
+ *
+ * Load: callers of one region, or an account that only this region may serve, offer more than its
+ * slots for seconds. The queues at its backends then outlast the load, and a request that is sent
+ * to another backend of the region only joins the end of another queue.
+ *
+ *  - Work offered beyond the slots waits; it is worked off as fast as the slots allow. No instance
+ *    sees the queues, but all know what was offered and what the slots are.
+ *  - At most 4 s of work per slot wait: what would wait longer was refused or given up.
+ *  - A region is full while more than 0.2 s of work per slot wait; less is a queue that a request
+ *    may well stand.
+ *
+ * Time is passed in.
+ */
+#pragma once
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "gateway/membership/topology.h"
+
+typedef struct {
+    double wait_ms[TOPOLOGY_REGIONS_MAX]; /* work that waits, in milliseconds per slot */
+    uint64_t updated_ms;
+} region_backlog_t;
+
+/* Adds the work offered since the last update, less what the slots have worked off; `offered` and
+ * `slots` are slots by region. */
+void region_backlog_update(region_backlog_t *backlog, const double *offered, const double *slots,
+                           size_t count, uint64_t now_ms);
+/* True if a request would have to queue in the region. */
+bool region_backlog_is_full(const region_backlog_t *backlog, size_t region);
--- a/gateway/policy/retry.h
+++ b/gateway/policy/retry.h
@@ -15,9 +15,9 @@
  *
  * A response of the backend is replaced only if it is a 5xx other than 504, the request may be
  * repeated, and nothing of the response was forwarded yet. An overdue attempt is replaced only if
- * its backend is avoided (health.h). It is not replaced in a region that is offered more work than
- * it has slots: it waits for its turn there, which the replacement would have to begin anew behind
- * others, while the backend may still run the first one. Requests that only this region may serve
+ * its backend is avoided (health.h). It is not replaced in a region where others wait for
+ * slots (region_backlog.h): it has its turn in a queue, and the replacement would join the end of
+ * another one, while the backend may still run the first. Requests that only this region may serve
  * would otherwise be sent time and again, until nearly all that runs there was sent twice.
  *
  * Stateless except for the budget, which is passed in.
@@ -41,7 +41,7 @@
     RETRY_OVER_BUDGET,        /* the retry budget of the service is exhausted */
     RETRY_QUARANTINED,        /* quarantined: backends have ended under it */
     RETRY_NOT_AVOIDED,        /* overdue, but the backend is not avoided */
-    RETRY_REGION_FULL,        /* overdue, but the region is short of slots */
+    RETRY_REGION_FULL,        /* overdue, but requests queue in its region */
     RETRY_VERDICT_COUNT,      /* number of verdicts */
 } retry_verdict_t;
 
@@ -76,7 +76,7 @@
     retry_input_t request; /* sends without that of the overdue attempt */
     bool sent;             /* the overdue attempt may have sent bytes */
     bool backend_avoided;
-    bool region_full; /* the backend's region is offered more work than it has slots */
+    bool region_full; /* requests queue in the backend's region (region_backlog.h) */
 } retry_overdue_t;
 
 /* Decides for an attempt that is overdue (slow.h) and has not received any response. */
--- a/gateway/router.c
+++ b/gateway/router.c
@@ -107,6 +107,7 @@
         input.bound[i] = input.counted ? service->fleet_offered->bound[i] : 0;
     }
     region_plan_update(&service->plan, &input, count, router->region, now_ms);
+    service_update_backlog(service, count, now_ms);
     log_plan(service, &input, router->region);
 }
 
--- a/gateway/state/services.c
+++ b/gateway/state/services.c
@@ -93,9 +93,18 @@
 bool
 service_region_is_full(const service_t *service, size_t region)
 {
-    if (service->fleet_offered == NULL || region >= TOPOLOGY_REGIONS_MAX)
-        return false;
-    return offered_totals_slots(service->fleet_offered, region) > service->plan.slots[region];
+    return service->offered != NULL && region_backlog_is_full(&service->backlog, region);
+}
+
+void
+service_update_backlog(service_t *service, size_t region_count, uint64_t now_ms)
+{
+    double offered[TOPOLOGY_REGIONS_MAX];
+    if (service->fleet_offered == NULL)
+        return;
+    for (size_t i = 0; i < region_count; i++)
+        offered[i] = offered_totals_slots(service->fleet_offered, i);
+    region_backlog_update(&service->backlog, offered, service->plan.slots, region_count, now_ms);
 }
 
 void
--- a/gateway/state/services.h
+++ b/gateway/state/services.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "base/str.h"
+#include "gateway/policy/region_backlog.h"
 #include "gateway/policy/region_plan.h"
 #include "gateway/policy/retry_budget.h"
 #include "gateway/state/offered_work.h"
@@ -24,6 +25,7 @@
      * is counted (router_t.orders_shortage, tells_pace): then others decide by it. */
     offered_work_t *offered;
     offered_totals_t *fleet_offered;
+    region_backlog_t backlog; /* of counted work */
 } service_t;
 
 typedef struct {
@@ -42,8 +44,10 @@
 
 /* Counts the offered work of the service from now on. */
 void service_count_offered(service_t *service);
-/* True if the region is offered more work than it has slots; false while work is not counted. */
+/* True if a request would have to queue in the region; false while work is not counted. */
 bool service_region_is_full(const service_t *service, size_t region);
+/* Updates the work that waits in each region, from the fleet's offered work and the plan. */
+void service_update_backlog(service_t *service, size_t region_count, uint64_t now_ms);
 /* Updates the moving average of the demand. */
 void service_update_demand(service_t *service, uint64_t now_ms);
 void service_attempt_started(service_t *service, uint64_t now_ms);
--- a/test/gateway/test_region_targets.c
+++ b/test/gateway/test_region_targets.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/xmalloc.h"
+#include "gateway/policy/region_backlog.h"
 #include "gateway/policy/region_plan.h"
 #include "test/suites.h"
 
@@ -255,6 +256,39 @@
 }
 END_TEST
 
+/* The queues outlast the load that made them: a region is full until these are worked off. */
+START_TEST(region_stays_full_until_its_queues_are_worked_off)
+{
+    const double slots[] = {400, 100, 0};
+    double offered[] = {390, 150, 0};
+    region_backlog_t backlog = {0};
+    uint64_t at = 0;
+    for (; at <= 1000; at += TICK_MS)
+        region_backlog_update(&backlog, offered, slots, REGIONS, at);
+    ck_assert(!region_backlog_is_full(&backlog, 0));
+    ck_assert(region_backlog_is_full(&backlog, SMALL));
+    ck_assert(!region_backlog_is_full(&backlog, 2));
+    /* 0.5 s of work per slot wait: without load it takes as long to work them off. */
+    offered[SMALL] = 0;
+    region_backlog_update(&backlog, offered, slots, REGIONS, at);
+    ck_assert(region_backlog_is_full(&backlog, SMALL));
+    region_backlog_update(&backlog, offered, slots, REGIONS, at + TICK_MS);
+    ck_assert(!region_backlog_is_full(&backlog, SMALL));
+    /* However much was offered, what waits is bounded. */
+    offered[SMALL] = 1000;
+    for (at += 2 * TICK_MS; at < 20000; at += TICK_MS)
+        region_backlog_update(&backlog, offered, slots, REGIONS, at);
+    offered[SMALL] = 50;
+    for (; at < 28000; at += TICK_MS)
+        region_backlog_update(&backlog, offered, slots, REGIONS, at);
+    ck_assert(!region_backlog_is_full(&backlog, SMALL));
+    /* All slots of a region are lost. */
+    offered[2] = 1;
+    region_backlog_update(&backlog, offered, slots, REGIONS, at);
+    ck_assert(region_backlog_is_full(&backlog, 2));
+}
+END_TEST
+
 Suite *
 suite_gateway_region_targets(void)
 {
@@ -269,6 +303,7 @@
     tcase_add_test(tests, callers_get_as_much_while_demand_wanders);
     tcase_add_test(tests, use_follows_all_work);
     tcase_add_test(tests, large_responses_leave_when_all_slots_are_needed);
+    tcase_add_test(tests, region_stays_full_until_its_queues_are_worked_off);
     suite_add_tcase(suite, tests);
     return suite;
 }
