Refuse by urgency and account while a region is short of slots

Nothing decided by the priority of routes and client accounts.

Each instance now asks, before it chooses a backend server for a new request, whether the region admits it (gateway/order): shares by urgency from the work that all instances' callers offer (policy/shortage), max-min fair shares by work among accounts of like urgency (policy/fair_share), the more urgent routes and callers who came back first within these. Acts only with rules: [pressure] and accounts or routes of different urgency; otherwise no decision changes and no random number is drawn (test). The log and metrics tell reason=shortage.

Heartbeats also tell how many attempts found all slots of their backend server busy, which corrects the room. Of other meshes only the total told last is kept, for 5 s: its members tell it in turn, and totals fell to the own mesh's in the gaps. A permit that is refused no longer counts a request's work twice.

--- a/gateway/membership/heartbeat.c
+++ b/gateway/membership/heartbeat.c
@@ -83,17 +83,17 @@
             if (offered_totals_slots(work, region) < OFFERED_MIN_SLOTS)
                 continue;
             items[count] = (member_offer_t){
-                .service = service->name, .region = region, .bound = work->bound[region]};
+                .service = service->name,
+                .region = region,
+                .bound = work->bound[region],
+                .attempts = work->attempts[region],
+                .busy = work->busy[region],
+            };
             memcpy(items[count].slots, work->slots[region], sizeof(items[count].slots));
             count++;
         }
     }
-    member_offer_t *copy = NULL;
-    if (count > 0) {
-        copy = xcalloc(count, sizeof(*copy));
-        memcpy(copy, items, count * sizeof(*copy));
-    }
-    member_offers_set(&self->offers, copy, count);
+    member_offers_set(&self->offers, items, count, self->heard_ms);
 }
 
 /* Updates this instance's entry in the table of members. */
@@ -416,7 +416,9 @@
     member->instance = sender.instance;
     set_hall(heartbeat, member, &sender.hall);
     member->callers = sender.callers;
-    heartbeat_message_apply(message, &heartbeat->conf.settings->topology, member);
+    heartbeat_message_apply(message, member);
+    offer_message_apply(message, &heartbeat->conf.settings->topology, heartbeat->conf.members,
+                        member, heartbeat->conf.region, now_ms);
     member->announced |= was_announced;
     suspect_gossip_merge(heartbeat->conf.suspect_gossip, message->suspects, message->n_suspects);
     notice_gossip_merge(heartbeat->conf.notice_gossip, message->notices, message->n_notices);
--- a/gateway/membership/heartbeat_message.c
+++ b/gateway/membership/heartbeat_message.c
@@ -1,7 +1,5 @@
 #include "gateway/membership/heartbeat_message.h"
 
-#include <string.h>
-
 #include "base/xmalloc.h"
 
 /* Addresses are sent in PEERS_ROUNDS of every PEERS_PERIOD rounds. */
@@ -37,39 +35,17 @@
     demand->slots = (float)slots;
 }
 
-/* Adds the offered work of a service to its demand. */
-static void
-fill_offers(Iris__Demand *demand, offered_message_t *out, const offered_totals_t *work,
-            const topology_t *topology)
-{
-    size_t count = 0;
-    for (size_t i = 0; i < topology->region_count && count < MEMBER_OFFERS_MAX; i++) {
-        if (offered_totals_slots(work, i) <= 0)
-            continue;
-        Iris__OfferedWork *item = &out->items[count];
-        iris__offered_work__init(item);
-        item->region = message_text(&topology->regions[i]);
-        for (size_t k = 0; k < URGENCY_LEVELS; k++)
-            out->slots[count][k] = (float)work->slots[i][k];
-        item->n_slots = URGENCY_LEVELS;
-        item->slots = out->slots[count];
-        item->bound = (float)work->bound[i];
-        out->list[count++] = item;
-    }
-    demand->n_offered = count;
-    demand->offered = out->list;
-}
-
 static void
 fill_offered_work(heartbeat_message_t *out, const heartbeat_source_t *source, const name_t *service,
                   size_t index)
 {
     offered_totals_t work = {0};
     members_add_offers(&source->self->offers, name_str(service), &work);
-    fill_offers(&out->demands[index], &out->offers[index], &work, source->topology);
+    offer_message_fill(&out->offers[index], &work, source->topology, &out->demands[index]);
     members_mesh_offered(source->members, name_str(service), source->self->region, source->now_ms,
                          &work);
-    fill_offers(&out->mesh_demands[index], &out->mesh_offers[index], &work, source->topology);
+    offer_message_fill(&out->mesh_offers[index], &work, source->topology,
+                       &out->mesh_demands[index]);
 }
 
 /* Sends the own demand, and the mesh's total for instances of other meshes. */
@@ -263,45 +239,6 @@
     return valid_count;
 }
 
-static size_t
-find_region(const topology_t *topology, str_t name)
-{
-    for (size_t i = 0; i < topology->region_count; i++) {
-        if (name_eq(&topology->regions[i], name))
-            return i;
-    }
-    return TOPOLOGY_NO_REGION;
-}
-
-/* Reads what `demands` tell of offered work; regions that are not known here are skipped. */
-static void
-read_offers(Iris__Demand *const *demands, size_t count, const topology_t *topology,
-            member_offers_t *out)
-{
-    static member_offer_t items[MEMBER_DEMANDS_MAX * MEMBER_OFFERS_MAX];
-    size_t read_count = 0;
-    for (size_t i = 0; i < count && i < MEMBER_DEMANDS_MAX; i++) {
-        for (size_t k = 0; k < demands[i]->n_offered && k < MEMBER_OFFERS_MAX; k++) {
-            const Iris__OfferedWork *work = demands[i]->offered[k];
-            member_offer_t *item = &items[read_count];
-            *item = (member_offer_t){.region = find_region(topology, str_from(work->region)),
-                                     .bound = work->bound};
-            if (item->region == TOPOLOGY_NO_REGION ||
-                !name_set(&item->service, str_from(demands[i]->service)))
-                continue;
-            for (size_t level = 0; level < work->n_slots && level < URGENCY_LEVELS; level++)
-                item->slots[level] = work->slots[level];
-            read_count++;
-        }
-    }
-    member_offer_t *copy = NULL;
-    if (read_count > 0) {
-        copy = xcalloc(read_count, sizeof(*copy));
-        memcpy(copy, items, read_count * sizeof(*copy));
-    }
-    member_offers_set(out, copy, read_count);
-}
-
 /* Views missing from the message, as from older versions, are unknown. */
 static void
 read_views(const Iris__GatewayHeartbeat *message, member_t *member)
@@ -327,8 +264,7 @@
 }
 
 void
-heartbeat_message_apply(const Iris__GatewayHeartbeat *message, const topology_t *topology,
-                        member_t *member)
+heartbeat_message_apply(const Iris__GatewayHeartbeat *message, member_t *member)
 {
     member->incarnation = message->incarnation;
     member->ready = message->ready;
@@ -353,6 +289,4 @@
     member->demand_count = read_demands(message->demands, message->n_demands, member->demands);
     member->mesh_demand_count =
         read_demands(message->mesh_demands, message->n_mesh_demands, member->mesh_demands);
-    read_offers(message->demands, message->n_demands, topology, &member->offers);
-    read_offers(message->mesh_demands, message->n_mesh_demands, topology, &member->mesh_offers);
 }
--- a/gateway/membership/heartbeat_message.h
+++ b/gateway/membership/heartbeat_message.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "gateway/membership/notice_gossip.h"
+#include "gateway/membership/offer_message.h"
 #include "gateway/membership/rollout_gossip.h"
 #include "gateway/membership/suspect_gossip.h"
 #include "gateway/state/backends.h"
@@ -22,13 +23,6 @@
     HEARTBEAT_OUTCOMES_MAX = 64, /* backends per heartbeat; bounds its size */
 };
 
-/* Offered work of one service. */
-typedef struct {
-    Iris__OfferedWork items[MEMBER_OFFERS_MAX];
-    Iris__OfferedWork *list[MEMBER_OFFERS_MAX];
-    float slots[MEMBER_OFFERS_MAX][URGENCY_LEVELS];
-} offered_message_t;
-
 /* A message and the buffers it points to. */
 typedef struct {
     Iris__GatewayHeartbeat message;
@@ -38,8 +32,8 @@
     Iris__Demand *demand_list[MEMBER_DEMANDS_MAX];
     Iris__Demand mesh_demands[MEMBER_DEMANDS_MAX];
     Iris__Demand *mesh_demand_list[MEMBER_DEMANDS_MAX];
-    offered_message_t offers[MEMBER_DEMANDS_MAX];
-    offered_message_t mesh_offers[MEMBER_DEMANDS_MAX];
+    offer_message_t offers[MEMBER_DEMANDS_MAX];
+    offer_message_t mesh_offers[MEMBER_DEMANDS_MAX];
     Iris__PeerAddress peers[HEARTBEAT_PEERS_MAX];
     Iris__PeerAddress *peer_list[HEARTBEAT_PEERS_MAX];
     Iris__Outcomes outcomes[HEARTBEAT_OUTCOMES_MAX];
@@ -89,6 +83,5 @@
 
 /* Returns false if an address or a name is invalid. */
 bool heartbeat_message_sender(const Iris__GatewayHeartbeat *message, heartbeat_sender_t *out);
-/* Copies the sender's state to its member, except the identity. */
-void heartbeat_message_apply(const Iris__GatewayHeartbeat *message, const topology_t *topology,
-                             member_t *member);
+/* Copies the sender's state to its member, except the identity and the offered work. */
+void heartbeat_message_apply(const Iris__GatewayHeartbeat *message, member_t *member);
--- a/gateway/membership/members.c
+++ b/gateway/membership/members.c
@@ -295,6 +295,8 @@
         for (size_t k = 0; k < URGENCY_LEVELS; k++)
             out->slots[offer->region][k] += offer->slots[k];
         out->bound[offer->region] += offer->bound;
+        out->attempts[offer->region] += offer->attempts;
+        out->busy[offer->region] += offer->busy;
     }
 }
 
@@ -316,21 +318,27 @@
                 offered_totals_t *out)
 {
     const size_t own_mesh = members_own_mesh(members, own_region);
-    latest_t latest;
     members_mesh_offered(members, service, own_region, now_ms, out);
-    find_latest(members, TOPOLOGY_NO_REGION, &latest);
     for (size_t mesh = 0; mesh < MEMBERS_MESHES_MAX; mesh++) {
-        const member_t *member = latest.items[mesh];
-        if (member != NULL && mesh != own_mesh && member_alive(member, now_ms))
-            members_add_offers(&member->mesh_offers, service, out);
+        const member_offers_t *offers = &members->mesh_offers[mesh];
+        const bool in_use = mesh > TOPOLOGY_REGIONS_MAX || !members->split[mesh];
+        if (in_use && mesh != own_mesh && now_ms - offers->told_ms <= OFFERS_KEPT_MS)
+            members_add_offers(offers, service, out);
     }
 }
 
 void
-member_offers_set(member_offers_t *offers, member_offer_t *items, size_t count)
+member_offers_set(member_offers_t *offers, const member_offer_t *items, size_t count,
+                  uint64_t now_ms)
 {
-    free(offers->items);
-    *offers = (member_offers_t){items, count};
+    if (offers->count != count) {
+        free(offers->items);
+        offers->items = count > 0 ? xcalloc(count, sizeof(*items)) : NULL;
+        offers->count = count;
+    }
+    if (count > 0)
+        memcpy(offers->items, items, count * sizeof(*items));
+    offers->told_ms = now_ms;
 }
 
 double
@@ -464,10 +472,10 @@
 void
 members_free(members_t *members)
 {
-    for (size_t i = 0; i < members->count; i++) {
-        member_offers_set(&members->items[i].offers, NULL, 0);
-        member_offers_set(&members->items[i].mesh_offers, NULL, 0);
-    }
+    for (size_t i = 0; i < members->count; i++)
+        free(members->items[i].offers.items);
+    for (size_t i = 0; i < MEMBERS_MESHES_MAX; i++)
+        free(members->mesh_offers[i].items);
     free(members->items);
     free(members->slots);
     *members = (members_t){0};
--- a/gateway/membership/members.h
+++ b/gateway/membership/members.h
@@ -40,6 +40,9 @@
     MEMBER_DEMANDS_MAX = 16,
     /* Regions of one service in a heartbeat for which offered work is told. */
     MEMBER_OFFERS_MAX = 16,
+    /* How long the total of another mesh is used. Its members tell it in turn, so that there may be
+     * gaps of several intervals. */
+    OFFERS_KEPT_MS = 5000,
     /* Milliseconds between heartbeats: HEARTBEAT_MS_PER_MEMBER for each member of the region,
      * within these limits. Bounds the traffic of large fleets. */
     HEARTBEAT_MIN_MS = 400,
@@ -63,12 +66,15 @@
     size_t region; /* that is to serve it */
     double slots[URGENCY_LEVELS];
     double bound;
+    double attempts;
+    double busy;
 } member_offer_t;
 
-/* What a member told of offered work. Allocated only for members that tell of any. */
+/* What was told of offered work. Allocated only if any was. */
 typedef struct {
     member_offer_t *items;
     size_t count;
+    uint64_t told_ms;
 } member_offers_t;
 
 /* A member's state of one view; see view.h. */
@@ -112,8 +118,7 @@
     size_t demand_count;
     member_demand_t mesh_demands[MEMBER_DEMANDS_MAX]; /* totals of its mesh */
     size_t mesh_demand_count;
-    member_offers_t offers;
-    member_offers_t mesh_offers; /* totals of its mesh */
+    member_offers_t offers; /* of the members of the own mesh only */
     member_capacity_t capacity;
     uint32_t mesh_members;      /* alive members of its mesh, as it reports */
     double mesh_requests_per_s; /* of all members of its mesh, as it reports */
@@ -128,8 +133,9 @@
     size_t size;
     uint32_t *slots; /* hash table by address: index into items plus 1, 0 for none */
     size_t slot_count;
-    bool split[TOPOLOGY_REGIONS_MAX + 1]; /* regions whose data halls are meshes */
-    size_t own_hall;                      /* index of this instance's data hall */
+    bool split[TOPOLOGY_REGIONS_MAX + 1];            /* regions whose data halls are meshes */
+    member_offers_t mesh_offers[MEMBERS_MESHES_MAX]; /* totals of other meshes, as told last */
+    size_t own_hall;                                 /* index of this instance's data hall */
     uint64_t own_turn; /* where this instance begins with the members of other meshes */
 } members_t;
 
@@ -178,7 +184,7 @@
 /* The same for one service in the own mesh. */
 double members_mesh_demand(const members_t *members, str_t service, size_t region, uint64_t now_ms);
 /* Work of a service that is offered to all regions: in the own mesh the sum over alive members, in
- * each other mesh the total reported by the member heard last. */
+ * each other mesh the total told last, for OFFERS_KEPT_MS. */
 void members_offered(const members_t *members, str_t service, size_t own_region, uint64_t now_ms,
                      offered_totals_t *out);
 /* The same of the own mesh alone. */
@@ -186,8 +192,9 @@
                           uint64_t now_ms, offered_totals_t *out);
 /* Adds what a member told of a service to `out`. */
 void members_add_offers(const member_offers_t *offers, str_t service, offered_totals_t *out);
-/* Replaces what a member told; takes ownership of `items`, which may be NULL. */
-void member_offers_set(member_offers_t *offers, member_offer_t *items, size_t count);
+/* Replaces what was told by a copy of `items`. */
+void member_offers_set(member_offers_t *offers, const member_offer_t *items, size_t count,
+                       uint64_t now_ms);
 /* Requests per second of the own mesh's alive members. */
 double members_mesh_requests_per_s(const members_t *members, size_t region, uint64_t now_ms);
 /* Requests per second of the own region, other meshes as reported. */
--- a/gateway/path/completion.c
+++ b/gateway/path/completion.c
@@ -74,12 +74,18 @@
     send_final_response(ex, &response);
 }
 
+static bool
+is_full(choice_reason_t reason)
+{
+    return reason == CHOICE_FULL || reason == CHOICE_SHORTAGE;
+}
+
 void
 completion_refuse_no_backend(exchange_t *ex)
 {
     if (ex->choice.reason != CHOICE_ALL_SKIPPED) {
-        completion_refuse(ex, ex->choice.reason == CHOICE_FULL ? OUTCOME_NO_CAPACITY
-                                                               : OUTCOME_NO_BACKEND);
+        completion_refuse(ex,
+                          is_full(ex->choice.reason) ? OUTCOME_NO_CAPACITY : OUTCOME_NO_BACKEND);
         return;
     }
     const double point = rng_unit(&ex->owner->router->rng);
--- a/gateway/path/dispatch.c
+++ b/gateway/path/dispatch.c
@@ -24,6 +24,7 @@
         .may_request_permit = may_request_permit && ex->permits_refused < PERMIT_REFUSALS_MAX,
         .tried = ex->tried,
         .tried_count = ex->tried_count,
+        .is_first = !ex->chosen_for,
     };
     return router_pick(ex->owner->router, &request);
 }
@@ -102,6 +103,7 @@
     permit_result_t verdict = PERMIT_REFUSED;
     while (verdict == PERMIT_REFUSED) {
         ex->choice = dispatch_choose(ex, true);
+        ex->chosen_for = true;
         if (ex->choice.backend == NULL) {
             router_count_refused(ex->owner->router, ex->service);
             completion_refuse_no_backend(ex);
@@ -264,6 +266,8 @@
                             ex->attempt.sent_ms);
     ex->sends += ex->attempt.sent;
     ex->possible_runs += outcome != ATTEMPT_NOT_RUN;
+    if (ex->attempt.head_seen)
+        router_count_attempt(ex->service, exchange_last_tried(ex), ex->attempt.slots_full);
     if (ex->attempt.closed)
         record_connection_closed(ex);
     if (outcome != ATTEMPT_NOT_RUN)
--- a/gateway/policy/choice.c
+++ b/gateway/policy/choice.c
@@ -367,6 +367,7 @@
         [CHOICE_FULL] = "full",
         [CHOICE_ALL_SKIPPED] = "passed",
         [CHOICE_NONE] = "none",
+        [CHOICE_SHORTAGE] = "shortage",
     };
     return names[reason];
 }
--- a/gateway/policy/choice.h
+++ b/gateway/policy/choice.h
@@ -46,6 +46,7 @@
     CHOICE_FULL,         /* none: no usable backend admits the request */
     CHOICE_ALL_SKIPPED,  /* none: all candidates are skipped (backend_skip.h) */
     CHOICE_NONE,         /* none: no usable backend */
+    CHOICE_SHORTAGE,     /* none: the region is short of slots, and others go first (shortage.h) */
 } choice_reason_t;
 
 typedef struct {
--- /dev/null
+++ b/gateway/policy/fair_share.h
@@ -0,0 +1,37 @@
+/*
+ * Fair shares: which part of each client account's requests is admitted while a region is short of
+ * slots (shortage.h).
+ *
+ * Load it answers: among accounts of like urgency, one offers many times its usual work.
+ *
+ * Inputs: the work of each account in slots (account_work.h) and the share of the urgency's work
+ * that is admitted.
+ *
+ * Max-min fairness (Bertsekas and Gallager, Data Networks, 1987): there is one limit for all
+ * accounts; those that offer less get all of their requests admitted, the others work up to the
+ * limit. An account that offers more takes no room of another. It is work that is compared, not
+ * requests: long requests use up the share sooner than short ones.
+ *
+ * Requests without an account get the share of their urgency.
+ *
+ * See docs/design/gateway/shortage.md. fair_share_t is part of its service.
+ */
+#pragma once
+
+#include "gateway/policy/shortage.h"
+#include "gateway/state/account_work.h"
+
+/* Slots up to which the work of one account is admitted; 0: no limit. */
+typedef struct {
+    double limit[TOPOLOGY_REGIONS_MAX][URGENCY_LEVELS];
+} fair_share_t;
+
+/* Highest work of one account with which all fit into `room`; 0 if all fit without a limit. Sorts
+ * `work`. */
+double fair_share_limit(double *work, size_t count, double room);
+/* Renews the limits. */
+void fair_share_update(fair_share_t *fair, const account_work_t *work, const shortage_t *shortage,
+                       size_t region_count);
+/* Share of the requests of an account that is admitted. */
+double fair_share_of_account(const fair_share_t *fair, const account_work_t *work, uint64_t account,
+                             size_t region, unsigned urgency);
--- /dev/null
+++ b/gateway/policy/shortage.c
@@ -0,0 +1,152 @@
+#include "gateway/policy/shortage.h"
+
+#include <math.h>
+
+enum { MS_PER_S = 1000 };
+
+/* Use of the slots above which requests wait for them too often. */
+#define ROOM_PER_SLOT 0.8
+/* A region is short until less than this part of its room is asked for. */
+#define SHORT_UNTIL 0.9
+/* Share of a level, as a part of the most urgent one's; at least a quarter must be kept. */
+#define SHARE_MIN_PART 0.3
+/* Share of a route within its level, as a part of the level's. */
+#define ROUTE_MIN_PART 0.5
+/* Greatest changes of shares, per second. */
+#define FALL_PER_S 0.5
+#define RISE_PER_S 0.2
+/* Shares of attempts that find all slots busy, above and below which the room is corrected. */
+#define BUSY_HIGH 0.3
+#define BUSY_LOW 0.15
+/* Greatest change of the correction, per second, and its limit. */
+#define CORRECTION_PER_S 0.05
+#define CORRECTION_MAX 0.5
+/* Share of its time that a caller who came back after a refusal has lost. */
+#define CAME_BACK_SHARE 0.1
+
+static double
+clamp(double value, double low, double high)
+{
+    return fmin(fmax(value, low), high);
+}
+
+double
+shortage_room(const shortage_t *shortage, size_t region, double slots)
+{
+    return slots * ROOM_PER_SLOT * (1 - shortage->withheld[region]);
+}
+
+static void
+correct_room(shortage_t *shortage, const shortage_input_t *input, size_t region, double passed_s)
+{
+    const double attempts = input->work->attempts[region];
+    const double busy = attempts > 0 ? input->work->busy[region] / attempts : 0;
+    double change = 0;
+    if (busy > BUSY_HIGH)
+        change = (busy - BUSY_HIGH) / (1 - BUSY_HIGH);
+    else if (busy < BUSY_LOW)
+        change = -1;
+    shortage->withheld[region] =
+        clamp(shortage->withheld[region] + change * CORRECTION_PER_S * passed_s, 0, CORRECTION_MAX);
+}
+
+/* Fills `room` with the offered work: the least share of each level first, then in order. */
+static void
+fill_room(const double *work, double room, double least, double *shares)
+{
+    double left = room;
+    for (size_t i = 0; i < URGENCY_LEVELS; i++)
+        left -= least * work[i];
+    for (size_t i = 0; i < URGENCY_LEVELS; i++) {
+        const double given = clamp(left, 0, (1 - least) * work[i]);
+        shares[i] = work[i] > 0 ? least + given / work[i] : 1;
+        left -= given;
+    }
+}
+
+/* Share that each level keeps. */
+static double
+least_share(const double *work, double room)
+{
+    double others = 0;
+    for (size_t i = 1; i < URGENCY_LEVELS; i++)
+        others += work[i];
+    const double first_level = work[0] + SHARE_MIN_PART * others;
+    return SHARE_MIN_PART * (first_level > room ? room / first_level : 1);
+}
+
+static void
+update_region(shortage_t *shortage, const shortage_input_t *input, size_t region, double passed_s)
+{
+    double shares[URGENCY_LEVELS] = {1, 1, 1, 1};
+    const double *work = input->work->slots[region];
+    const double room = shortage_room(shortage, region, input->slots[region]);
+    const double offered = offered_totals_slots(input->work, region);
+    const double limit = shortage->is_short[region] ? SHORT_UNTIL * room : room;
+    shortage->is_short[region] = input->slots[region] > 0 && offered > limit;
+    if (shortage->is_short[region] && offered > room)
+        fill_room(work, room, least_share(work, room), shares);
+    for (size_t i = 0; i < URGENCY_LEVELS; i++) {
+        double *held = &shortage->held[region][i];
+        *held += clamp(1 - shares[i] - *held, -RISE_PER_S * passed_s, FALL_PER_S * passed_s);
+    }
+}
+
+void
+shortage_update(shortage_t *shortage, const shortage_input_t *input, uint64_t now_ms)
+{
+    const bool is_first = shortage->updated_ms == 0;
+    const double passed_s = is_first ? 0 : (double)(now_ms - shortage->updated_ms) / MS_PER_S;
+    shortage->updated_ms = now_ms;
+    for (size_t i = 0; i < input->region_count; i++) {
+        correct_room(shortage, input, i, passed_s);
+        update_region(shortage, input, i, passed_s);
+    }
+}
+
+double
+shortage_admitted_share(const shortage_t *shortage, size_t region, unsigned urgency)
+{
+    const bool known =
+        shortage != NULL && region < TOPOLOGY_REGIONS_MAX && urgency < URGENCY_LEVELS;
+    return known ? 1 - shortage->held[region][urgency] : 1;
+}
+
+bool
+shortage_is_short(const shortage_t *shortage, size_t region)
+{
+    return shortage != NULL && region < TOPOLOGY_REGIONS_MAX && shortage->is_short[region];
+}
+
+bool
+shortage_caller_returned(double lost_ms, uint32_t left_ms)
+{
+    return lost_ms > CAME_BACK_SHARE * (left_ms + lost_ms);
+}
+
+/* Share of the callers who came back (`returned`), or of the others, where `share` of both together
+ * is admitted and `part` of the work is for those who came back. */
+static double
+share_of_caller(double share, double part, bool returned)
+{
+    const double of_returned = part > share ? share / part : 1;
+    if (returned)
+        return of_returned;
+    return part < 1 ? clamp((share - part * of_returned) / (1 - part), 0, 1) : share;
+}
+
+double
+shortage_share_of_rank(const offered_mix_t *mix, const shortage_rank_t *rank, double share)
+{
+    const double *work = mix->slots[rank->urgency];
+    double shares[URGENCY_LEVELS];
+    double all = 0;
+    for (size_t i = 0; i < URGENCY_LEVELS; i++)
+        all += work[i];
+    const double of_route = work[rank->route_urgency];
+    if (of_route <= 0)
+        return share;
+    fill_room(work, share * all, ROUTE_MIN_PART * share, shares);
+    const double returned = mix->returned[rank->urgency][rank->route_urgency] / of_route;
+    return share_of_caller(shares[rank->route_urgency], returned, rank->returned);
+}
--- a/gateway/router.c
+++ b/gateway/router.c
@@ -6,6 +6,7 @@
 #include "base/log.h"
 #include "base/loop_time.h"
 #include "base/xmalloc.h"
+#include "gateway/order.h"
 #include "gateway/policy/rate_limit.h"
 #include "gateway/policy/slow.h"
 #include "gateway/policy/traffic_split.h"
@@ -57,6 +58,7 @@
         return;
     /* Creates the region plans, so that they exist when the first requests arrive. */
     const config_t *config = router->catalog.config;
+    router->has_order = router->orders_shortage && order_applies(config);
     for (size_t i = 0; i < config->service_count; i++)
         services_get(&router->services, name_str(&config->services[i].name));
 }
@@ -77,6 +79,16 @@
                     service->fleet_offered);
 }
 
+/* Updates the order under shortage; without one all requests are admitted. */
+static void
+update_order(const router_t *router, service_t *service, const double *slots)
+{
+    if (router->has_order)
+        order_update(service, router->topology, slots, loop_now(router->loop));
+    else
+        service_end_order(service);
+}
+
 static void
 log_plan(service_t *service, const region_plan_input_t *input, size_t region)
 {
@@ -99,6 +111,7 @@
     region_plan_input_t input = {0};
     catalog_slots_by_region(&router->catalog, name, rollouts_find(&router->rollouts, name),
                             input.slots);
+    update_order(router, service, input.slots);
     for (size_t i = 0; i < count; i++)
         input.demand[i] = members_demand(members, name, i, router->region, now_ms);
     region_plan_update(&service->plan, &input, count, router->region, now_ms);
@@ -290,14 +303,37 @@
     return work_ms > 0 ? work_ms : service->latency_ms;
 }
 
-/* Counts the work that a new request offers to the region it is to be served in. */
-static void
-count_offered(router_t *router, const router_request_t *request, size_t region, size_t allowed)
+/* Describes the work of a request. */
+static order_request_t
+order_request(const router_t *router, const router_request_t *request, const choice_input_t *input)
 {
     const config_route_t *route = request->route;
-    const int priority = request->account != NULL ? request->account->priority : route->priority;
-    offered_work_count(request->service->offered, region, urgency_of(priority), allowed == 1,
-                       expected_work_ms(router, route, request->service));
+    const config_account_t *account = request->account;
+    return (order_request_t){
+        .offered =
+            {
+                .region = choice_planned_region(input),
+                .urgency = urgency_of(account != NULL ? account->priority : route->priority),
+                .route_urgency = urgency_of(route->priority),
+                .bound = choice_allowed_regions(input) == 1,
+                .returned = shortage_caller_returned(request->prior_wait_ms, request->left_ms),
+                .work_ms = expected_work_ms(router, route, request->service),
+            },
+        .account = account,
+    };
+}
+
+/* Counts a new request and decides whether the order under shortage admits it. */
+static bool
+admit_new(router_t *router, const router_request_t *request, const choice_input_t *input)
+{
+    service_t *service = request->service;
+    if (service->offered == NULL || !request->is_first)
+        return true;
+    const order_request_t ordered = order_request(router, request, input);
+    offered_work_count(service->offered, &ordered.offered);
+    order_count(service, &ordered);
+    return order_admits(service, &ordered, &router->rng);
 }
 
 choice_t
@@ -320,9 +356,8 @@
         .median_ms = route_stats_median_ms(&router->routes, route->key),
         .lost_ms = request->prior_wait_ms,
     };
-    if (service->offered != NULL && request->tried_count == 0)
-        count_offered(router, request, choice_planned_region(&input),
-                      choice_allowed_regions(&input));
+    if (!admit_new(router, request, &input))
+        return (choice_t){.reason = CHOICE_SHORTAGE};
     const choice_t choice = choose_version(router, request, &input);
     if (choice.backend != NULL && backend_is_cold(choice.backend, input.now_ms))
         cold_start_count_send(&choice.backend->cold_tokens, input.now_ms);
@@ -421,6 +456,13 @@
     backend_attempt_finished(backend);
 }
 
+void
+router_count_attempt(service_t *service, const backend_t *backend, bool busy)
+{
+    if (service->offered != NULL)
+        offered_work_count_attempt(service->offered, backend->region, busy);
+}
+
 void
 router_count_answer(router_t *router, const config_route_t *route, service_t *service,
                     double latency_ms)
--- a/gateway/router.h
+++ b/gateway/router.h
@@ -41,6 +41,7 @@
     const topology_t *topology;
     router_retry_bounds_t retry_bounds;
     bool orders_shortage; /* under a shortage of slots, urgency decides what is refused */
+    bool has_order;       /* the configuration has something to order (order.h) */
     name_t instance;
     name_t hall;
     size_t region;
@@ -77,6 +78,7 @@
                               */
     backend_t *const *tried;
     size_t tried_count;
+    bool is_first; /* no backend was asked for before */
 } router_request_t;
 
 /* Objects referenced by `conf` must outlive the router. */
@@ -125,6 +127,8 @@
 void router_attempt_started(router_t *router, service_t *service, backend_t *backend);
 void router_attempt_finished(router_t *router, service_t *service, backend_t *backend,
                              uint64_t sent_ms);
+/* Counts an attempt that was answered; `busy`: its backend had no free slot. */
+void router_count_attempt(service_t *service, const backend_t *backend, bool busy);
 /* Records the latency of a complete response. */
 void router_count_answer(router_t *router, const config_route_t *route, service_t *service,
                          double latency_ms);
--- a/gateway/state/offered_work.h
+++ b/gateway/state/offered_work.h
@@ -22,19 +22,41 @@
 typedef struct {
     double slots[TOPOLOGY_REGIONS_MAX][URGENCY_LEVELS];
     double bound[TOPOLOGY_REGIONS_MAX]; /* of these, for requests that no other region may serve */
+    /* Attempts that ended there, a second, and those that found all slots of their backend busy. */
+    double attempts[TOPOLOGY_REGIONS_MAX];
+    double busy[TOPOLOGY_REGIONS_MAX];
 } offered_totals_t;
 
+/* What a level of urgency consists of, by the urgency of the routes; slots over all regions. The
+ * two differ where the priority of a client account takes precedence over that of the route. */
+typedef struct {
+    double slots[URGENCY_LEVELS][URGENCY_LEVELS];
+    double returned[URGENCY_LEVELS][URGENCY_LEVELS]; /* for callers who came back when refused */
+} offered_mix_t;
+
 typedef struct {
     offered_totals_t average; /* slots: moving average */
-    offered_totals_t pending; /* slot milliseconds since the last update */
+    offered_totals_t pending; /* slot milliseconds and attempts since the last update */
+    offered_mix_t mix;        /* of this instance's callers; not told to others */
+    offered_mix_t pending_mix;
     uint64_t updated_ms;
 } offered_work_t;
 
 /* Returns the level of urgency of a priority; 0 is the most urgent. */
 unsigned urgency_of(int priority);
-/* Counts a request that is expected to keep a slot of `region` busy for `work_ms`. */
-void offered_work_count(offered_work_t *work, size_t region, unsigned urgency, bool bound,
-                        double work_ms);
+/* A request that is offered to a region. */
+typedef struct {
+    size_t region;    /* that is to serve it */
+    unsigned urgency; /* of the client account, or of the route without one */
+    unsigned route_urgency;
+    bool bound;     /* no other region may serve it */
+    bool returned;  /* its caller came back after a refusal */
+    double work_ms; /* time for which it is expected to keep a slot busy */
+} offered_request_t;
+
+void offered_work_count(offered_work_t *work, const offered_request_t *request);
+/* Counts an attempt that ended; `busy`: its backend server had no free slot. */
+void offered_work_count_attempt(offered_work_t *work, size_t region, bool busy);
 /* Updates the averages. */
 void offered_work_update(offered_work_t *work, uint64_t now_ms);
 /* Adds `other` to `totals`. */
--- a/gateway/state/services.c
+++ b/gateway/state/services.c
@@ -75,6 +75,7 @@
     for (size_t i = 0; i < services->count; i++) {
         free(services->items[i]->offered);
         free(services->items[i]->fleet_offered);
+        service_end_order(services->items[i]);
         free(services->items[i]);
     }
     free(services->items);
@@ -90,6 +91,28 @@
     service->fleet_offered = xcalloc(1, sizeof(*service->fleet_offered));
 }
 
+void
+service_order_work(service_t *service)
+{
+    if (service->shortage != NULL)
+        return;
+    service_count_offered(service);
+    service->shortage = xcalloc(1, sizeof(*service->shortage));
+    service->account_work = xcalloc(1, sizeof(*service->account_work));
+    service->fair_share = xcalloc(1, sizeof(*service->fair_share));
+}
+
+void
+service_end_order(service_t *service)
+{
+    free(service->shortage);
+    free(service->account_work);
+    free(service->fair_share);
+    service->shortage = NULL;
+    service->account_work = NULL;
+    service->fair_share = NULL;
+}
+
 void
 service_update_demand(service_t *service, uint64_t now_ms)
 {
--- a/gateway/state/services.h
+++ b/gateway/state/services.h
@@ -9,6 +9,8 @@
 #include "base/str.h"
 #include "gateway/policy/region_plan.h"
 #include "gateway/policy/retry_budget.h"
+#include "gateway/policy/fair_share.h"
+#include "gateway/policy/shortage.h"
 #include "gateway/state/offered_work.h"
 
 typedef struct {
@@ -24,6 +26,11 @@
      * is counted (router_t.orders_shortage, tells_pace): then others decide by it. */
     offered_work_t *offered;
     offered_totals_t *fleet_offered;
+    /* Admitted shares by region, urgency and account (order.h); NULL unless the settings and the
+     * configuration ask for an order. */
+    shortage_t *shortage;
+    account_work_t *account_work;
+    fair_share_t *fair_share;
 } service_t;
 
 typedef struct {
@@ -42,6 +49,10 @@
 
 /* Counts the offered work of the service from now on. */
 void service_count_offered(service_t *service);
+/* Creates the state for an order under shortage, with offered work counted. */
+void service_order_work(service_t *service);
+/* Removes it: all requests are admitted. */
+void service_end_order(service_t *service);
 /* Updates the moving average of the demand. */
 void service_update_demand(service_t *service, uint64_t now_ms);
 void service_attempt_started(service_t *service, uint64_t now_ms);
--- a/peer/peer.pb-c.c
+++ b/peer/peer.pb-c.c
@@ -2256,7 +2256,7 @@
   (ProtobufCMessageInit) iris__view_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor iris__offered_work__field_descriptors[3] =
+static const ProtobufCFieldDescriptor iris__offered_work__field_descriptors[5] =
 {
   {
     "region",
@@ -2294,16 +2294,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "attempts",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Iris__OfferedWork, attempts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "busy",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Iris__OfferedWork, busy),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned iris__offered_work__field_indices_by_name[] = {
+  3,   /* field[3] = attempts */
   2,   /* field[2] = bound */
+  4,   /* field[4] = busy */
   0,   /* field[0] = region */
   1,   /* field[1] = slots */
 };
 static const ProtobufCIntRange iris__offered_work__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor iris__offered_work__descriptor =
 {
@@ -2313,7 +2339,7 @@
   "Iris__OfferedWork",
   "iris",
   sizeof(Iris__OfferedWork),
-  3,
+  5,
   iris__offered_work__field_descriptors,
   iris__offered_work__field_indices_by_name,
   1,  iris__offered_work__number_ranges,
--- a/peer/peer.pb-c.h
+++ b/peer/peer.pb-c.h
@@ -220,10 +220,18 @@
    * of these, for requests that no other region may serve
    */
   float bound;
+  /*
+   * that ended there, a second
+   */
+  float attempts;
+  /*
+   * of these, the ones that found all slots of their backend server busy
+   */
+  float busy;
 };
 #define IRIS__OFFERED_WORK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&iris__offered_work__descriptor) \
-    , (char *)protobuf_c_empty_string, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0 }
 
 
 /*
--- a/test/gateway/main.c
+++ b/test/gateway/main.c
@@ -48,6 +48,10 @@
     srunner_add_suite(runner, suite_gateway_lifetime());
     srunner_add_suite(runner, suite_gateway_listener());
     srunner_add_suite(runner, suite_gateway_route_stats());
+    srunner_add_suite(runner, suite_gateway_offered_work());
+    srunner_add_suite(runner, suite_gateway_shortage());
+    srunner_add_suite(runner, suite_gateway_fair_share());
+    srunner_add_suite(runner, suite_gateway_order());
     srunner_add_suite(runner, suite_gateway_silent());
     srunner_add_suite(runner, suite_gateway_soak());
     srunner_run_all(runner, CK_NORMAL);
