--- a/gateway/policy/choice.c
+++ b/gateway/policy/choice.c
@@ -471,6 +471,7 @@
         [CHOICE_ALL_SKIPPED] = "passed",
         [CHOICE_NONE] = "none",
         [CHOICE_FASTER] = "faster",
+        [CHOICE_SHORTAGE] = "shortage",
     };
     return names[reason];
 }
--- a/gateway/policy/choice.h
+++ b/gateway/policy/choice.h
@@ -52,6 +52,7 @@
     CHOICE_ALL_SKIPPED,  /* none: all candidates are skipped (backend_skip.h) */
     CHOICE_NONE,         /* none: no usable backend */
     CHOICE_FASTER,       /* its response is expected before that of the first in the ranking */
+    CHOICE_SHORTAGE,     /* none: the region is short of slots, and others go first (shortage.h) */
 } choice_reason_t;
 
 typedef struct {
--- a/gateway/state/services.h
+++ b/gateway/state/services.h
@@ -10,6 +10,8 @@
 #include "gateway/policy/region_backlog.h"
 #include "gateway/policy/region_plan.h"
 #include "gateway/policy/retry_budget.h"
+#include "gateway/policy/fair_share.h"
+#include "gateway/policy/shortage.h"
 #include "gateway/state/offered_work.h"
 
 typedef struct {
@@ -27,6 +29,11 @@
     offered_work_t *offered;
     offered_totals_t *fleet_offered;
     region_backlog_t backlog; /* of counted work */
+    /* Admitted shares by region, urgency and account (order.h); NULL unless the settings and the
+     * configuration ask for an order. */
+    shortage_t *shortage;
+    account_work_t *account_work;
+    fair_share_t *fair_share;
 } service_t;
 
 typedef struct {
@@ -49,6 +56,10 @@
 bool service_region_is_full(const service_t *service, size_t region);
 /* Updates the work that waits in each region, from the fleet's offered work and the plan. */
 void service_update_backlog(service_t *service, size_t region_count, uint64_t now_ms);
+/* Creates the state for an order under shortage, with offered work counted. */
+void service_order_work(service_t *service);
+/* Removes it: all requests are admitted. */
+void service_end_order(service_t *service);
 /* Updates the moving average of the demand. */
 void service_update_demand(service_t *service, uint64_t now_ms);
 void service_attempt_started(service_t *service, uint64_t now_ms);
--- a/test/gateway/test_members.c
+++ b/test/gateway/test_members.c
@@ -253,17 +253,16 @@
 {
     members_t members = {0};
     member_t *own = add_member(&members, "a-1", "a1", 0, 1);
-    member_offer_t *offers = xcalloc(2, sizeof(*offers));
+    member_offer_t offers[2] = {0};
     offers[0] = (member_offer_t){.region = 0, .slots = {3, 1}, .bound = 1};
     offers[1] = (member_offer_t){.region = 1, .slots = {0, 2}, .bound = 0.5};
     name_set(&offers[0].service, STR("svc"));
     name_set(&offers[1].service, STR("svc"));
-    member_offers_set(&own->offers, offers, 2);
+    member_offers_set(&own->offers, offers, 2, 10100);
     member_t *other = add_member(&members, "b-1", "b1", 1, 2);
-    member_offer_t *total = xcalloc(1, sizeof(*total));
-    *total = (member_offer_t){.region = 0, .slots = {70}, .bound = 20};
-    name_set(&total->service, STR("svc"));
-    member_offers_set(&other->mesh_offers, total, 1);
+    member_offer_t total = {.region = 0, .slots = {70}, .bound = 20};
+    name_set(&total.service, STR("svc"));
+    member_offers_set(&members.mesh_offers[members_mesh(&members, other)], &total, 1, 10100);
     ck_assert_double_eq_tol(members_free_work(&members, STR("svc"), 0, 0, 10100), 4.5, 0.001);
     ck_assert_double_eq_tol(members_free_work(&members, STR("svc"), 1, 0, 10100), 50, 0.001);
     ck_assert_double_eq_tol(members_free_work(&members, STR("other"), 1, 0, 10100), 0, 0.001);
