Bound what is held for slow readers over all connections

Each response could hold 256 kB for a caller that does not read, without a bound over all of them, request bodies likewise; a response was given up only at its deadline, and a backend server that ended one that nobody read was held to have failed.

Unread responses share 8 MB by dynamic thresholds, reads of the response are no larger than what it may still hold, request bodies share 8 MB and are refused with 503 unread beyond that, and a response of which nothing is read for slow_reader_s is given up.

--- a/gateway/admin.c
+++ b/gateway/admin.c
@@ -164,6 +164,10 @@
               (int64_t)admin->exchanges->active);
     set_gauge("irisstall_caller_connections", "Open connections of callers.",
               (int64_t)wire_listener_connections(admin->callers));
+    set_gauge("irisstall_response_bytes_held", "Unread bytes held for callers, all responses.",
+              (int64_t)wire_listener_held(admin->callers));
+    set_gauge("irisstall_body_bytes_held", "Bytes held or announced of callers' request bodies.",
+              (int64_t)wire_listener_bodies(admin->callers));
     set_gauge("irisstall_log_lines_dropped", "Log lines that were dropped.",
               (int64_t)log_dropped());
     size_t len;
@@ -183,6 +187,8 @@
         .views = admin->views,
         .ready = admin->heartbeat->ready,
         .leaving = admin->heartbeat->leaving,
+        .response_bytes = wire_listener_held(admin->callers),
+        .body_bytes = wire_listener_bodies(admin->callers),
     };
     inspect_status(&status, out);
 }
--- a/gateway/inspect.c
+++ b/gateway/inspect.c
@@ -144,6 +144,8 @@
     else
         wire_text_printf(out, "store followed here, last answer %u ms ago\n", age_ms);
     print_ages(status->views, out);
+    wire_text_printf(out, "held for callers: responses %zu bytes, bodies %zu bytes\n",
+                     status->response_bytes, status->body_bytes);
     if (router->catalog.unusable_count > 0)
         wire_text_printf(out, "entries that name no backend server to use: %zu\n",
                          router->catalog.unusable_count);
--- a/gateway/inspect.h
+++ b/gateway/inspect.h
@@ -22,6 +22,8 @@
     const views_t *views;
     bool ready;
     bool leaving;
+    size_t response_bytes; /* held for callers that have not read them */
+    size_t body_bytes;     /* held or announced of request bodies */
 } inspect_status_t;
 
 void inspect_status(const inspect_status_t *status, wire_text_t *out);
--- a/gateway/listeners.c
+++ b/gateway/listeners.c
@@ -1,6 +1,7 @@
 #include "gateway/listeners.h"
 
 #include "base/xmalloc.h"
+#include "gateway/policy/slow_reader.h"
 
 enum {
     /* readiness, directory and admin ports, whose requests have a few hundred bytes */
@@ -23,14 +24,27 @@
     .max_connections = SMALL_CONNECTIONS_MAX,
 };
 
-static const wire_limits_t default_caller_limits = {
-    .max_head = DEFAULT_HEAD_MAX,
-    .max_body = DEFAULT_BODY_MAX,
+static const config_limits_t default_limits = {
+    .max_head_bytes = DEFAULT_HEAD_MAX,
+    .max_body_bytes = DEFAULT_BODY_MAX,
     .head_timeout_ms = HEAD_TIMEOUT_MS,
     .idle_timeout_ms = IDLE_TIMEOUT_MS,
-    .max_connections = CALLER_CONNECTIONS_MAX,
 };
 
+static wire_limits_t
+caller_limits(const listeners_t *listeners, const config_limits_t *limits)
+{
+    return (wire_limits_t){
+        .max_head = limits->max_head_bytes,
+        .max_body = limits->max_body_bytes,
+        .head_timeout_ms = limits->head_timeout_ms,
+        .idle_timeout_ms = limits->idle_timeout_ms,
+        .max_connections = CALLER_CONNECTIONS_MAX,
+        .max_bodies = SLOW_READER_BODIES_MAX,
+        .stall_timeout_ms = listeners->slow_reader_ms,
+    };
+}
+
 typedef struct {
     wire_listener_t **listener;
     addr_t *addr;
@@ -52,8 +66,10 @@
 listeners_open(listeners_t *listeners, uv_loop_t *loop, gateway_settings_t *settings,
                const listener_handlers_t *handlers, err_t *err)
 {
+    listeners->slow_reader_ms = settings->slow_reader_ms;
+    const wire_limits_t limits = caller_limits(listeners, &default_limits);
     const port_t ports[] = {
-        {&listeners->callers, &settings->callers, handlers->callers, &default_caller_limits},
+        {&listeners->callers, &settings->callers, handlers->callers, &limits},
         {&listeners->readiness, &settings->readiness, handlers->readiness, &small_limits},
         {&listeners->directory, &settings->directory, handlers->directory, &small_limits},
         {&listeners->admin, &settings->admin, handlers->admin, &small_limits},
@@ -69,12 +85,6 @@
 void
 listeners_apply_limits(listeners_t *listeners, const config_limits_t *limits)
 {
-    const wire_limits_t caller_limits = {
-        .max_head = limits->max_head_bytes,
-        .max_body = limits->max_body_bytes,
-        .head_timeout_ms = limits->head_timeout_ms,
-        .idle_timeout_ms = limits->idle_timeout_ms,
-        .max_connections = CALLER_CONNECTIONS_MAX,
-    };
-    wire_listener_set_limits(listeners->callers, &caller_limits);
+    const wire_limits_t applied = caller_limits(listeners, limits);
+    wire_listener_set_limits(listeners->callers, &applied);
 }
--- a/gateway/listeners.h
+++ b/gateway/listeners.h
@@ -22,7 +22,8 @@
     wire_listener_t *callers;
     wire_listener_t *readiness;
     wire_listener_t *directory;
-    wire_listener_t *admin; /* NULL without an admin address in the settings */
+    wire_listener_t *admin;  /* NULL without an admin address in the settings */
+    uint64_t slow_reader_ms; /* from the settings */
 } listeners_t;
 
 /* Opens all ports. Port 0 in `settings` is replaced by the port assigned by the system. */
--- a/gateway/path/attempt.c
+++ b/gateway/path/attempt.c
@@ -9,6 +9,7 @@
 #include "base/xmalloc.h"
 #include "gateway/path/attempt.h"
 #include "gateway/policy/slow.h"
+#include "gateway/policy/slow_reader.h"
 
 enum {
     /* several round trips between regions */
@@ -21,8 +22,6 @@
     /* Responses up to this size are buffered before they are forwarded, so that a broken one can be
      * replaced; larger ones are streamed. */
     BUFFER_MAX = 16384,
-    /* Reading the response pauses above this number of unsent bytes to the caller. */
-    BACKLOG_MAX = 262144,
 };
 
 static void
@@ -68,6 +67,32 @@
         start_streaming(attempt);
 }
 
+/* Unread bytes that the response may hold at present. */
+static size_t
+allowance(const attempt_t *attempt)
+{
+    return slow_reader_allowance(wire_respond_total_backlog(attempt->req));
+}
+
+static size_t
+on_read_max(void *ctx)
+{
+    const attempt_t *attempt = ctx;
+    const size_t backlog = wire_respond_backlog(attempt->req);
+    const size_t most = allowance(attempt);
+    return most > backlog + SLOW_READER_MIN ? most - backlog : SLOW_READER_MIN;
+}
+
+static void
+pause_for_slow_caller(attempt_t *attempt)
+{
+    if (attempt->paused || wire_respond_backlog(attempt->req) < allowance(attempt))
+        return;
+    attempt->paused = true;
+    attempt->was_paused = true;
+    wire_call_pause(attempt->call);
+}
+
 static void
 on_data(void *ctx, const char *ptr, size_t len)
 {
@@ -83,10 +108,7 @@
         start_streaming(attempt);
     wire_respond_data(attempt->req, ptr, len);
     wire_respond_flush(attempt->req);
-    if (!attempt->paused && wire_respond_backlog(attempt->req) > BACKLOG_MAX) {
-        attempt->paused = true;
-        wire_call_pause(attempt->call);
-    }
+    pause_for_slow_caller(attempt);
 }
 
 void
@@ -145,8 +167,11 @@
              "detail=\"%s\"",
              STR_ARG(attempt->id), attempt->fingerprint, addr_format(&attempt->req->caller, caller),
              backend->info.id.ptr, end->stage, err_name(end->err.code), end->err.detail);
-    attempt_record(attempt, true);
-    breaker_record_failure(&backend->breaker, now);
+    /* A backend server ends a response that nobody reads; that says nothing against it. */
+    if (!attempt->was_paused) {
+        attempt_record(attempt, true);
+        breaker_record_failure(&backend->breaker, now);
+    }
     if (attempt->streaming)
         return ATTEMPT_TRUNCATED;
     const bool declared_not_run = attempt->head_seen && (attempt->verdict == VERDICT_NOT_RUN ||
@@ -199,6 +224,7 @@
 {
     static const wire_call_cbs_t cbs = {
         .matches = on_match,
+        .read_max = on_read_max,
         .on_head = on_head,
         .on_data = on_data,
         .on_end = on_end,
@@ -211,6 +237,7 @@
     attempt->head_seen = false;
     attempt->head_ms = 0;
     attempt->paused = false;
+    attempt->was_paused = false;
     attempt->slots_full = false;
     attempt->recorded = false;
     attempt->slow_ms = conf->slow_ms;
--- a/gateway/path/attempt.h
+++ b/gateway/path/attempt.h
@@ -50,6 +50,7 @@
     bool head_seen;
     bool streaming;
     bool paused;
+    bool was_paused;  /* reading was paused since the request was sent */
     bool slots_full;  /* the response reported that all slots of the backend are in use */
     bool recorded;    /* the outcome is recorded in the backend's health */
     uint32_t slow_ms; /* from slow_after_ms(); 0 if no limit */
--- a/gateway/settings.c
+++ b/gateway/settings.c
@@ -5,6 +5,8 @@
 #include "base/yaml.h"
 #include "gateway/settings.h"
 
+/* Backend servers end a response that nobody reads after some seconds as well. */
+enum { SLOW_READER_DEFAULT_MS = 5000 };
 enum { RULES_MAX = 64, TEXT_MAX = 255, MS_PER_S = 1000, BYTES_PER_MBIT = 125000 };
 
 /* lower bounds that catch typing errors */
@@ -39,6 +41,7 @@
     double retry_window_s;
     double expose_share;
     double expose_slack;
+    double slow_reader_s;
     char **rules;
     unsigned rules_count;
 } raw_t;
@@ -81,6 +84,7 @@
     NUMBER(retry_window_s),
     OPTIONAL_NUMBER(expose_share),
     OPTIONAL_NUMBER(expose_slack),
+    OPTIONAL_NUMBER(slow_reader_s),
     CYAML_FIELD_SEQUENCE("rules", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, raw_t, rules,
                          &text_schema, 0, RULES_MAX),
     CYAML_FIELD_END};
@@ -164,6 +168,8 @@
         .expose_share = raw->expose_share,
         .expose_slack = raw->expose_slack,
         .has_admin = raw->admin != NULL,
+        .slow_reader_ms = raw->slow_reader_s > 0 ? (uint64_t)(raw->slow_reader_s * MS_PER_S)
+                                                 : SLOW_READER_DEFAULT_MS,
         .orders_shortage = has_rule(raw, "pressure"),
     };
     if (raw->admin != NULL && !read_addr("admin", raw->admin, &out->admin, err))
@@ -183,6 +189,7 @@
            read_number("retry_constant", raw->retry_constant, 0, err) &&
            read_number("expose_share", raw->expose_share, 0, err) &&
            read_number("expose_slack", raw->expose_slack, 0, err) &&
+           read_number("slow_reader_s", raw->slow_reader_s, 0, err) &&
            read_number("retry_window_s", raw->retry_window_s, WINDOW_MIN_S, err) &&
            read_seeds(raw, out, err) && read_places(raw, out, err);
 }
--- a/gateway/settings.h
+++ b/gateway/settings.h
@@ -35,6 +35,8 @@
      * roll-outs are not read. */
     double expose_share;
     double expose_slack; /* requests that it may get beyond that */
+    /* Time after which a response is given up of which its caller reads nothing. */
+    uint64_t slow_reader_ms;
     /* Under a shortage of slots, urgency decides what is refused (policy/shortage.h). */
     bool orders_shortage;
 } gateway_settings_t;
--- a/test/gateway/main.c
+++ b/test/gateway/main.c
@@ -49,6 +49,7 @@
     srunner_add_suite(runner, suite_gateway_listener());
     srunner_add_suite(runner, suite_gateway_route_stats());
     srunner_add_suite(runner, suite_gateway_silent());
+    srunner_add_suite(runner, suite_gateway_slow_reader());
     srunner_add_suite(runner, suite_gateway_soak());
     srunner_run_all(runner, CK_NORMAL);
     const int failed = srunner_ntests_failed(runner);
--- a/wire/client.h
+++ b/wire/client.h
@@ -34,6 +34,8 @@
 typedef struct {
     /* Optional. True if the response belongs to this call. */
     bool (*matches)(void *ctx, const wire_head_t *head);
+    /* Optional. Upper bound of the next read of the response, in bytes, above 0. */
+    size_t (*read_max)(void *ctx);
     /* `length` is the body length, WIRE_CHUNKED or WIRE_UNTIL_CLOSE. */
     void (*on_head)(void *ctx, const wire_head_t *head, int64_t length);
     void (*on_data)(void *ctx, const char *ptr, size_t len);
--- a/wire/client_call.c
+++ b/wire/client_call.c
@@ -14,9 +14,13 @@
 static void
 on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
 {
-    (void)handle;
+    const client_conn_t *conn = handle->data;
+    const wire_call_t *call = conn->call;
+    size_t size = READ_SIZE;
     (void)suggested;
-    *buf = uv_buf_init(read_buffer, sizeof(read_buffer));
+    if (call != NULL && call->cbs.read_max != NULL && call->cbs.read_max(call->ctx) < size)
+        size = call->cbs.read_max(call->ctx);
+    *buf = uv_buf_init(read_buffer, (unsigned)size);
 }
 
 void
--- a/wire/listener.c
+++ b/wire/listener.c
@@ -5,6 +5,7 @@
 #include <http_parser.h>
 
 #define LOG_MODULE "listener"
+#include "base/counter.h"
 #include "base/log.h"
 #include "base/loop_time.h"
 #include "base/tcp.h"
@@ -16,7 +17,8 @@
     READ_SIZE = 65536,
     SWEEP_INTERVAL_MS = 250, /* granularity of the idle and head timeouts */
     CLOSE_LINGER_MS = 1000,  /* wait for the client to close after the last response */
-    /* A connection whose output makes no progress for this time is closed. */
+    /* A connection whose output makes no progress for this time is closed, if the limits give no
+     * other. */
     WRITE_STALL_TIMEOUT_MS = 5000,
     /* A sweep that runs later than this after its request is deferred once. */
     SWEEP_LATE_MS = 2 * SWEEP_INTERVAL_MS,
@@ -84,6 +86,8 @@
 {
     const size_t left = uv_stream_get_write_queue_size((const uv_stream_t *)&conn->tcp);
     const bool response_ended = conn->state == STATE_IDLE || conn->state == STATE_CLOSING;
+    if (left != conn->unwritten)
+        conn->output_progress_ms = loop_now(conn->listener->loop);
     if (response_ended && left != conn->unwritten)
         conn->last_progress_ms = loop_now(conn->listener->loop);
     conn->unwritten = left;
@@ -110,17 +114,48 @@
         wire_conn_close(conn);
 }
 
+/* True if bytes of a response wait and the client has taken none of them for too long. */
+static bool
+is_stalled(const wire_conn_t *conn)
+{
+    const wire_limits_t *limits = &conn->listener->limits;
+    const uint64_t limit_ms =
+        limits->stall_timeout_ms > 0 ? limits->stall_timeout_ms : WRITE_STALL_TIMEOUT_MS;
+    return conn->unwritten > 0 && conn->listener->sweep_ms >= conn->output_progress_ms + limit_ms;
+}
+
+/* The handler of a request in progress sees a disconnect and stops its run. */
+static void
+give_up_response(wire_conn_t *conn)
+{
+    char caller[ADDR_TEXT_MAX];
+    counter_add(counter_get("irisstall_responses_given_up_total", NULL,
+                            "Responses given up because their callers did not read them."),
+                1);
+    LOG_WARN("response given up, caller does not read it: caller=%s unwritten=%zu stalled_ms=%llu",
+             addr_format(&conn->req.caller, caller), conn->unwritten,
+             (unsigned long long)(conn->listener->sweep_ms - conn->output_progress_ms));
+    if (conn->state == STATE_ANSWERING)
+        wire_conn_on_disconnect(conn);
+    else
+        abort_conn(conn);
+}
+
 /* Closes an idle connection in both directions at once. A request that races with the close is then
  * answered by a reset without being read, so the client knows that it can retry safely. */
 static void
 sweep_conn(wire_conn_t *conn)
 {
     track_output_progress(conn);
+    if (is_stalled(conn)) {
+        give_up_response(conn);
+        return;
+    }
     const uint64_t now = conn->listener->sweep_ms;
     const uint64_t age = now > conn->last_progress_ms ? now - conn->last_progress_ms : 0;
     switch (conn->state) {
     case STATE_IDLE:
-        if (age >= (conn->unwritten > 0 ? WRITE_STALL_TIMEOUT_MS : effective_idle_limit_ms(conn)))
+        if (conn->unwritten == 0 && age >= effective_idle_limit_ms(conn))
             wire_conn_close(conn);
         break;
     case STATE_READING:
@@ -130,9 +165,7 @@
     case STATE_ANSWERING:
         break;
     case STATE_CLOSING:
-        if (conn->unwritten > 0 && age > WRITE_STALL_TIMEOUT_MS)
-            abort_conn(conn);
-        else if (conn->unwritten == 0 && age > CLOSE_LINGER_MS)
+        if (conn->unwritten == 0 && age > CLOSE_LINGER_MS)
             wire_conn_close(conn);
         break;
     }
@@ -226,6 +259,18 @@
     return listener->conn_count;
 }
 
+size_t
+wire_listener_held(const wire_listener_t *listener)
+{
+    return listener->held;
+}
+
+size_t
+wire_listener_bodies(const wire_listener_t *listener)
+{
+    return listener->bodies;
+}
+
 void
 wire_listener_drain(wire_listener_t *listener)
 {
--- a/wire/listener.h
+++ b/wire/listener.h
@@ -30,6 +30,10 @@
     uint64_t head_timeout_ms; /* from a request's first byte to its last */
     uint64_t idle_timeout_ms; /* between requests */
     size_t max_connections;   /* connections above the limit are closed immediately */
+    size_t max_bodies; /* bytes of request bodies over all connections; a single one may exceed it.
+                          0: none */
+    /* Time without any byte taken by the client after which a response is given up; 0: 5 s. */
+    uint64_t stall_timeout_ms;
 } wire_limits_t;
 
 typedef void (*wire_handler_t)(void *ctx, wire_request_t *req);
@@ -56,6 +60,10 @@
  * next response. */
 void wire_listener_set_limits(wire_listener_t *listener, const wire_limits_t *limits);
 size_t wire_listener_connections(const wire_listener_t *listener);
+/* Response bytes of all connections that are not yet written to the socket. */
+size_t wire_listener_held(const wire_listener_t *listener);
+/* Bytes held for request bodies of all connections, announced lengths included. */
+size_t wire_listener_bodies(const wire_listener_t *listener);
 /* Adds "Connection: close" to all further responses. */
 void wire_listener_drain(wire_listener_t *listener);
 /* Accepts the connections in the backlog, then closes the listening socket. */
@@ -82,3 +90,5 @@
 void wire_respond(wire_request_t *req, int status, str_t fields, str_t body);
 /* Response bytes not yet written to the socket. */
 size_t wire_respond_backlog(const wire_request_t *req);
+/* The same of all connections of the request's listener. */
+size_t wire_respond_total_backlog(const wire_request_t *req);
--- a/wire/request_reader.c
+++ b/wire/request_reader.c
@@ -20,6 +20,8 @@
     conn->req.body = NULL;
     conn->req.body_len = 0;
     conn->body_size = 0;
+    conn->body_expected = 0;
+    wire_conn_update_held(conn);
     conn->req.on_disconnect = NULL;
     conn->req.on_drain = NULL;
     conn->request_complete = false;
@@ -40,8 +42,10 @@
 {
     LOG_DBG("request rejected: status=%d", status);
     conn->keep_alive = false;
+    conn->body_expected = 0;
     wire_conn_set_state(conn, STATE_ANSWERING);
-    wire_respond(&conn->req, status, STR(""), STR(""));
+    const bool retries = status == HTTP_STATUS_SERVICE_UNAVAILABLE;
+    wire_respond(&conn->req, status, retries ? STR("Retry-After: 1\r\n") : STR(""), STR(""));
 }
 
 static int
@@ -83,6 +87,17 @@
     return conn->req.head.len > conn->listener->limits.max_head;
 }
 
+/* True if the bodies of all connections fit with `bytes` of this one. The only one always does, so
+ * that the limit on a single body is the configured one. */
+static bool
+has_room_for_body(wire_conn_t *conn, size_t bytes)
+{
+    const size_t max = conn->listener->limits.max_bodies;
+    const size_t others = conn->listener->bodies - conn->body_held;
+    conn->over_bodies = max > 0 && bytes > 0 && others > 0 && others + bytes > max;
+    return !conn->over_bodies;
+}
+
 static int
 on_headers_complete(http_parser *parser)
 {
@@ -92,6 +107,10 @@
     const uint64_t length = parser->content_length;
     if (length != UINT64_MAX && length > conn->listener->limits.max_body)
         return -1;
+    conn->body_expected = length != UINT64_MAX ? (size_t)length : 0;
+    if (!has_room_for_body(conn, conn->body_expected))
+        return -1;
+    wire_conn_update_held(conn);
     conn->req.head.method = parser->method;
     conn->head_only = parser->method == HTTP_HEAD;
     conn->keep_alive = http_should_keep_alive(parser) != 0;
@@ -102,6 +121,14 @@
     return 0;
 }
 
+/* Allocation for a body of at least `bytes`: grows by doubling, up to the announced length. */
+static size_t
+larger_body_size(const wire_conn_t *conn, size_t bytes)
+{
+    const size_t size = conn->body_size * 2 > bytes ? conn->body_size * 2 : bytes;
+    return size > conn->body_expected && bytes <= conn->body_expected ? conn->body_expected : size;
+}
+
 static int
 on_body(http_parser *parser, const char *ptr, size_t len)
 {
@@ -110,9 +137,12 @@
     if (req->body_len + len > conn->listener->limits.max_body)
         return -1;
     if (req->body_len + len > conn->body_size) {
-        conn->body_size =
-            conn->body_size * 2 > req->body_len + len ? conn->body_size * 2 : req->body_len + len;
+        const size_t size = larger_body_size(conn, req->body_len + len);
+        if (size > conn->body_expected && !has_room_for_body(conn, size))
+            return -1;
+        conn->body_size = size;
         req->body = xrealloc(req->body, conn->body_size);
+        wire_conn_update_held(conn);
     }
     memcpy(req->body + req->body_len, ptr, len);
     req->body_len += len;
@@ -158,6 +188,8 @@
     if (head_too_large(conn) || HTTP_PARSER_ERRNO(&conn->parser) == HPE_HEADER_OVERFLOW)
         return HTTP_STATUS_REQUEST_HEADER_FIELDS_TOO_LARGE;
     const uint64_t length = conn->parser.content_length;
+    if (conn->over_bodies)
+        return HTTP_STATUS_SERVICE_UNAVAILABLE;
     if (conn->req.body_len > 0 ||
         (length != UINT64_MAX && length > conn->listener->limits.max_body))
         return HTTP_STATUS_PAYLOAD_TOO_LARGE;
--- a/wire/respond.c
+++ b/wire/respond.c
@@ -53,6 +53,8 @@
         wire_text_add(&conn->out, "\r\n", 2);
     if (conn->out.len >= WIRE_FLUSH_SIZE)
         wire_conn_flush(conn);
+    else
+        wire_conn_update_held(conn);
 }
 
 void
@@ -97,6 +99,12 @@
     wire_respond_end(req);
 }
 
+size_t
+wire_respond_total_backlog(const wire_request_t *req)
+{
+    return ((const wire_conn_t *)req)->listener->held;
+}
+
 size_t
 wire_respond_backlog(const wire_request_t *req)
 {
--- a/wire/server_conn.c
+++ b/wire/server_conn.c
@@ -61,6 +61,28 @@
              conn->listener->port, left, (int)conn->state, (unsigned long long)state_age_ms(conn));
 }
 
+/* ---- sums over all connections ---- */
+
+static void
+update_sum(size_t *sum, size_t *part, size_t value)
+{
+    *sum = *sum - *part + value;
+    *part = value;
+}
+
+void
+wire_conn_update_held(wire_conn_t *conn)
+{
+    wire_listener_t *listener = conn->listener;
+    const size_t held = conn->closed ? 0 : conn->in_flight + conn->out.len;
+    const bool expects_body = !conn->closed && conn->body_expected > conn->body_size;
+    const size_t body = expects_body ? conn->body_expected : conn->body_size;
+    if (held == 0)
+        conn->output_progress_ms = loop_now(listener->loop);
+    update_sum(&listener->held, &conn->held, held);
+    update_sum(&listener->bodies, &conn->body_held, conn->closed ? 0 : body);
+}
+
 /* ---- closing ---- */
 
 static void
@@ -71,6 +93,7 @@
     if (conn->next != NULL)
         conn->next->slot = conn->slot;
     conn->listener->conn_count--;
+    wire_conn_update_held(conn);
 }
 
 void
@@ -137,6 +160,8 @@
     free(write);
     if (conn->closed)
         return;
+    conn->output_progress_ms = loop_now(conn->listener->loop);
+    wire_conn_update_held(conn);
     if (status != 0) {
         wire_conn_on_disconnect(conn);
         return;
@@ -177,6 +202,7 @@
         free(conn->out.ptr);
         conn->out = (wire_text_t){0};
     }
+    wire_conn_update_held(conn);
 }
 
 static void
--- a/wire/server_conn.h
+++ b/wire/server_conn.h
@@ -37,6 +37,8 @@
     void (*on_response_end)(wire_conn_t *conn);
     wire_conn_t *conns;
     size_t conn_count;
+    size_t held;   /* unwritten response bytes of all connections */
+    size_t bodies; /* bytes held or announced for request bodies of all connections */
     uint16_t port;
     bool draining;
     bool closing; /* closes the listening socket at the next sweep */
@@ -55,12 +57,17 @@
     uint64_t idle_limit_ms;    /* idle timeout in force when the last response began */
     size_t unwritten;          /* bytes of output left at the last sweep */
     size_t body_size;          /* allocated size of the request's body */
+    size_t body_expected;      /* its announced length; 0 if not known */
     char *pipelined;           /* input received after the current request */
     size_t pipelined_len;
     wire_text_t out;  /* response bytes not passed to libuv yet */
     size_t in_flight; /* bytes passed to libuv and not written yet */
-    bool keep_alive;  /* stays open after the current response */
-    bool head_sent;   /* the response has begun */
+    size_t held;      /* this connection's part of the listener's sums */
+    size_t body_held;
+    uint64_t output_progress_ms; /* the client last took bytes of the response, or none waited */
+    bool over_bodies;            /* the body exceeded the limit over all connections */
+    bool keep_alive;             /* stays open after the current response */
+    bool head_sent;              /* the response has begun */
     bool chunked;
     bool until_close;       /* the response is delimited by the close */
     bool head_only;         /* the method is HEAD: the response has no body */
@@ -71,6 +78,8 @@
 };
 
 void wire_conn_set_state(wire_conn_t *conn, wire_state_t state);
+/* Updates the sums of the listener after a change of the output or the request's body. */
+void wire_conn_update_held(wire_conn_t *conn);
 /* Writes buffered bytes to the socket. */
 void wire_conn_flush(wire_conn_t *conn);
 void wire_conn_close(wire_conn_t *conn);
