Client: a pool may be freed by the end of its last call

client_call_end() released the pool after on_end had freed it, when on_end dropped the last reference to the owner: double free. The pool is held during the callback. The test of load probes that drops a backend while it is asked failed with "free(): double free detected" before.

--- a/wire/client_call.c
+++ b/wire/client_call.c
@@ -45,7 +45,9 @@
     }
     if (!call->done) {
         call->done = true;
+        pool->holds++; /* the callback may free the pool */
         call->cbs.on_end(call->ctx, &call->result);
+        pool->holds--;
     }
     free(call);
     wire_pool_release(pool);
--- a/wire/client_conn.h
+++ b/wire/client_conn.h
@@ -19,6 +19,7 @@
     size_t idle_count;
     size_t busy_count;
     client_conn_t *idle; /* most recently used first */
+    unsigned holds;      /* functions in progress that use the pool afterwards */
     bool freed;
 };
 
--- a/wire/pool.c
+++ b/wire/pool.c
@@ -12,7 +12,7 @@
 void
 wire_pool_release(wire_pool_t *pool)
 {
-    if (pool->freed && pool->busy_count == 0 && pool->idle_count == 0)
+    if (pool->freed && pool->holds == 0 && pool->busy_count == 0 && pool->idle_count == 0)
         free(pool);
 }
 
@@ -139,10 +139,10 @@
 wire_pool_free(wire_pool_t *pool)
 {
     pool->freed = true;
-    pool->busy_count++; /* keeps the pool alive during the loop below */
+    pool->holds++;
     while (pool->idle != NULL)
         client_conn_close_idle(pool->idle);
-    pool->busy_count--;
+    pool->holds--;
     wire_pool_release(pool);
 }
 
