Ask backend servers for their load before a request is sent

Backend servers that share machines are slowed for half a second at a time and say so, but answers tell it too late: an instance meets a given backend server every dozen seconds. A request now has its first candidate asked over the health path, and the second if the first is slowed or full, and waits for that 25 ms at most (policy/load_probe, path/load_probes; the choice is unchanged). Only for services whose backend servers report their pace; heartbeats tell that to instances that know nothing yet. Counters, a gauge, a line in irisctl status, the soak's INTERFERENCE=1.

--- a/gateway/admin.c
+++ b/gateway/admin.c
@@ -160,6 +160,8 @@
               (int64_t)admin->suspects->count);
     set_account_gauges(admin->accounts);
     set_rollout_gauges(&router->rollouts);
+    set_gauge("irisstall_load_probes_outstanding", "Probes of backend servers' load under way.",
+              (int64_t)admin->exchanges->load_probes.budget.outstanding);
     set_gauge("irisstall_requests_active", "Requests under way.",
               (int64_t)admin->exchanges->active);
     set_gauge("irisstall_caller_connections", "Open connections of callers.",
@@ -181,6 +183,7 @@
         .members = admin->members,
         .store_watch = admin->store_watch,
         .views = admin->views,
+        .load_probes = &admin->exchanges->load_probes,
         .ready = admin->heartbeat->ready,
         .leaving = admin->heartbeat->leaving,
     };
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -98,6 +98,7 @@
         .account_uses = &gateway->account_uses,
         .permits = &gateway->permit_exchange,
     };
+    load_probes_init(&gateway->exchanges.load_probes, &gateway->router, gateway->ports->dialect);
 }
 
 static bool
--- a/gateway/inspect.c
+++ b/gateway/inspect.c
@@ -126,6 +126,20 @@
     }
 }
 
+static void
+print_load_probes(const load_probes_t *probes, wire_text_t *out)
+{
+    if (probes->choices == 0)
+        return;
+    wire_text_printf(out,
+                     "load probes: %llu answered, %llu without result, %u under way; load known "
+                     "for %llu of %llu choices\n",
+                     (unsigned long long)probes->answered,
+                     (unsigned long long)probes->without_result, probes->budget.outstanding,
+                     (unsigned long long)probes->choices_known,
+                     (unsigned long long)probes->choices);
+}
+
 void
 inspect_status(const inspect_status_t *status, wire_text_t *out)
 {
@@ -144,6 +158,7 @@
     else
         wire_text_printf(out, "store followed here, last answer %u ms ago\n", age_ms);
     print_ages(status->views, out);
+    print_load_probes(status->load_probes, out);
     if (router->catalog.unusable_count > 0)
         wire_text_printf(out, "entries that name no backend server to use: %zu\n",
                          router->catalog.unusable_count);
@@ -207,6 +222,9 @@
                          backend->info.id.ptr, backend->info.hall.ptr, backend_load(backend, now),
                          backend->info.capacity, backend->service_time_ms,
                          backend_state_text(backend, now));
+        if (backend_slowdown(backend, now) > 0)
+            wire_text_printf(out, ", work takes %.1f times as long",
+                             backend_slowdown(backend, now));
         print_backend_notices(backend, now, out);
         wire_text_str(out, STR("\n"));
     }
--- a/gateway/inspect.h
+++ b/gateway/inspect.h
@@ -8,6 +8,7 @@
  */
 #pragma once
 
+#include "gateway/path/load_probes.h"
 #include "gateway/router.h"
 #include "gateway/state/store_watch.h"
 #include "wire/head.h"
@@ -20,6 +21,7 @@
     const members_t *members;
     const store_watch_t *store_watch;
     const views_t *views;
+    const load_probes_t *load_probes;
     bool ready;
     bool leaving;
 } inspect_status_t;
--- a/gateway/membership/heartbeat.c
+++ b/gateway/membership/heartbeat.c
@@ -51,9 +51,13 @@
 
 /* Adds the service's demand; replaces the smallest one if the list is full. */
 static void
-add_demand(member_t *self, const service_t *service)
+add_demand(member_t *self, const service_t *service, uint64_t now_ms)
 {
-    const member_demand_t demand = {service->name, service->demand};
+    const member_demand_t demand = {
+        .service = service->name,
+        .slots = service->demand,
+        .told_pace = service_was_told_pace(service, now_ms),
+    };
     if (self->demand_count < MEMBER_DEMANDS_MAX) {
         self->demands[self->demand_count++] = demand;
         return;
@@ -124,7 +128,7 @@
     };
     self->demand_count = 0;
     for (size_t i = 0; i < services->count; i++)
-        add_demand(self, services->items[i]);
+        add_demand(self, services->items[i], now_ms);
     update_offers(self, services, settings->topology.region_count);
 }
 
@@ -392,6 +396,19 @@
         LOG_INFO("instance leaving: instance=%s", message->instance);
 }
 
+/* Notes which services' backends reported the pace of their work to the sender. */
+static void
+note_pace(const services_t *services, const Iris__GatewayHeartbeat *message, uint64_t now_ms)
+{
+    for (size_t i = 0; i < message->n_demands; i++) {
+        if (!message->demands[i]->told_pace)
+            continue;
+        service_t *service = services_find(services, str_from(message->demands[i]->service));
+        if (service != NULL)
+            service->pace_heard_ms = now_ms;
+    }
+}
+
 void
 heartbeat_receive(heartbeat_t *heartbeat, const Iris__GatewayHeartbeat *message, uint64_t now_ms)
 {
@@ -418,6 +435,7 @@
     member->callers = sender.callers;
     heartbeat_message_apply(message, &heartbeat->conf.settings->topology, member);
     member->announced |= was_announced;
+    note_pace(heartbeat->conf.services, message, now_ms);
     suspect_gossip_merge(heartbeat->conf.suspect_gossip, message->suspects, message->n_suspects);
     notice_gossip_merge(heartbeat->conf.notice_gossip, message->notices, message->n_notices);
     if (message->n_rollouts > 0) {
--- a/gateway/membership/heartbeat_message.c
+++ b/gateway/membership/heartbeat_message.c
@@ -83,6 +83,7 @@
             members_mesh_demand(source->members, name_str(service), self->region, source->now_ms);
         fill_demand(&out->demands[i], service, self->demands[i].slots);
         fill_demand(&out->mesh_demands[i], service, mesh_slots);
+        out->demands[i].told_pace = self->demands[i].told_pace;
         fill_offered_work(out, source, service, i);
         out->demand_list[i] = &out->demands[i];
         out->mesh_demand_list[i] = &out->mesh_demands[i];
--- a/gateway/membership/members.h
+++ b/gateway/membership/members.h
@@ -55,6 +55,7 @@
 typedef struct {
     name_t service;
     double slots;
+    bool told_pace; /* its backend servers reported their pace; of the own demands only */
 } member_demand_t;
 
 /* Offered work of one service in one region; see offered_work.h. */
--- a/gateway/path/dispatch.c
+++ b/gateway/path/dispatch.c
@@ -6,12 +6,12 @@
 #include "gateway/path/end_check.h"
 #include "gateway/path/completion.h"
 
-choice_t
-dispatch_choose(const exchange_t *ex, bool may_request_permit)
+static router_request_t
+router_request(const exchange_t *ex, bool may_request_permit)
 {
     const uint32_t given_up_in_ms =
         exchange_remaining_ms(ex) > 0 ? (uint32_t)exchange_remaining_ms(ex) : 1;
-    const router_request_t request = {
+    return (router_request_t){
         .route = ex->route,
         .account = ex->account,
         .service = ex->service,
@@ -25,6 +25,12 @@
         .tried = ex->tried,
         .tried_count = ex->tried_count,
     };
+}
+
+choice_t
+dispatch_choose(const exchange_t *ex, bool may_request_permit)
+{
+    const router_request_t request = router_request(ex, may_request_permit);
     return router_pick(ex->owner->router, &request);
 }
 
@@ -96,10 +102,80 @@
     return verdict;
 }
 
+/* ---- load probes ---- */
+
+static void
+on_probe_end(void *ctx)
+{
+    dispatch_next(ctx);
+}
+
+void
+dispatch_on_probe_timeout(exchange_t *ex)
+{
+    load_probes_cancel(&ex->probe_wait);
+    dispatch_next(ex);
+}
+
+/* Returns the path over which the service's backends are asked for their load; empty if they are
+ * not. A request under which a backend server has ended goes to the least loaded one of all, so its
+ * candidates are not known. */
+static str_t
+probed_path(const exchange_t *ex)
+{
+    const uint64_t now_ms = exchange_now_ms(ex);
+    if (ex->tried_count > 0 || !service_reports_pace(ex->service, now_ms) ||
+        suspects_has_evidence(ex->owner->suspects, &ex->fingerprint))
+        return STR("");
+    const config_service_t *service = config_service(ex->config, name_str(&ex->service->name));
+    return service != NULL && service->health_path != NULL ? str_from(service->health_path)
+                                                           : STR("");
+}
+
+/* Begins the wait of a request: finds its first candidates. */
+static void
+begin_probe_wait(exchange_t *ex)
+{
+    const router_request_t request = router_request(ex, true);
+    ex->candidate_count = router_first_candidates(ex->owner->router, &request, ex->candidates,
+                                                  LOAD_PROBE_CANDIDATES_MAX);
+    for (size_t i = 0; i < ex->candidate_count; i++)
+        backend_ref(ex->candidates[i]);
+    ex->probe_wait.cb = on_probe_end;
+    ex->probe_wait.ctx = ex;
+    ex->probe_wait_until_ms =
+        exchange_now_ms(ex) + load_probe_wait_ms(ex->route->latency_objective_ms);
+}
+
+/* Asks the first candidates for their load before the first send. Returns false if the request is
+ * to choose now. */
+static bool
+await_load(exchange_t *ex)
+{
+    if (ex->load_probed)
+        return false;
+    const str_t path = probed_path(ex);
+    if (path.len > 0) {
+        load_probes_t *probes = &ex->owner->load_probes;
+        if (ex->probe_wait_until_ms == 0)
+            begin_probe_wait(ex);
+        if (exchange_now_ms(ex) < ex->probe_wait_until_ms &&
+            load_probes_await(probes, path, ex->candidates, ex->candidate_count, &ex->probe_wait)) {
+            exchange_set_timer(ex);
+            return true;
+        }
+        load_probes_count_choice(probes, ex->candidates, ex->candidate_count);
+    }
+    exchange_end_probe_wait(ex);
+    return false;
+}
+
 void
 dispatch_next(exchange_t *ex)
 {
     permit_result_t verdict = PERMIT_REFUSED;
+    if (await_load(ex))
+        return;
     while (verdict == PERMIT_REFUSED) {
         ex->choice = dispatch_choose(ex, true);
         if (ex->choice.backend == NULL) {
--- a/gateway/path/dispatch.h
+++ b/gateway/path/dispatch.h
@@ -18,6 +18,8 @@
 void dispatch_next(exchange_t *ex);
 /* Handles a permit request that timed out. */
 void dispatch_on_permit_timeout(exchange_t *ex);
+/* Chooses without the answers of load probes that did not come in time. */
+void dispatch_on_probe_timeout(exchange_t *ex);
 /* Resends a request whose connection was closed, after the delay. */
 void dispatch_resend(exchange_t *ex);
 /* Cancels the attempt in progress, if any. */
--- a/gateway/path/exchange.c
+++ b/gateway/path/exchange.c
@@ -151,6 +151,7 @@
     }
     ex->is_trial = quarantine.verdict == QUARANTINE_TRIAL;
     router_count_request(router, ex->service);
+    load_probes_count_request(&exchanges->load_probes, ex->service);
     ex->object = router_object(router, ex->route, ex->metadata.object);
     ex->deadline_at_ms = deadline_of(ex);
     if (ex->metadata.has_deadline)
--- a/gateway/path/exchange.h
+++ b/gateway/path/exchange.h
@@ -11,6 +11,7 @@
 #pragma once
 
 #include "gateway/membership/permit_exchange.h"
+#include "gateway/path/load_probes.h"
 #include "gateway/ports.h"
 #include "gateway/router.h"
 #include "gateway/state/account_uses.h"
@@ -23,6 +24,7 @@
     suspects_t *suspects;
     account_uses_t *account_uses;
     permit_exchange_t *permits;
+    load_probes_t load_probes;
     size_t active; /* exchanges in progress */
 } exchanges_t;
 
--- a/gateway/path/exchange_state.c
+++ b/gateway/path/exchange_state.c
@@ -34,6 +34,8 @@
         next = ex->resend_at_ms;
     if (ex->permit != NULL && ex->permit_wait_until_ms < next)
         next = ex->permit_wait_until_ms;
+    if (ex->probe_wait.probe != NULL && ex->probe_wait_until_ms < next)
+        next = ex->probe_wait_until_ms;
     uv_timer_start(&ex->timer, ex->on_timer, next > now ? next - now : 0, 0);
 }
 
@@ -71,11 +73,22 @@
     ex->permit_backend = NULL;
 }
 
+void
+exchange_end_probe_wait(exchange_t *ex)
+{
+    load_probes_cancel(&ex->probe_wait);
+    ex->load_probed = true;
+    for (size_t i = 0; i < ex->candidate_count; i++)
+        backend_unref(ex->candidates[i]);
+    ex->candidate_count = 0;
+}
+
 void
 exchange_release(exchange_t *ex)
 {
     xassert(!ex->done);
     exchange_cancel_permit(ex, false);
+    exchange_end_probe_wait(ex);
     release_account_use(ex);
     ex->done = true;
     ex->owner->active--;
--- a/gateway/path/exchange_state.h
+++ b/gateway/path/exchange_state.h
@@ -37,9 +37,14 @@
     uv_timer_t timer;              /* fires at the earliest of these times */
     uv_timer_cb on_timer;          /* set by exchange.c */
     attempt_t attempt;
-    pending_permit_t *permit;             /* pending permit request; NULL if none */
-    backend_t *permit_backend;            /* backend of the pending permit, a counted reference */
-    unsigned permits_refused;             /* permits refused for this request */
+    pending_permit_t *permit;     /* pending permit request; NULL if none */
+    backend_t *permit_backend;    /* backend of the pending permit, a counted reference */
+    unsigned permits_refused;     /* permits refused for this request */
+    load_probe_wait_t probe_wait; /* for the load of a candidate */
+    uint64_t probe_wait_until_ms; /* loop time at which this ends; 0 before the first wait */
+    bool load_probed;             /* the candidates were asked, or are not to be */
+    backend_t *candidates[LOAD_PROBE_CANDIDATES_MAX]; /* to be asked; counted references */
+    size_t candidate_count;
     choice_t choice;                      /* last choice; its backend may no longer exist */
     retry_verdict_t retry;                /* result of the last retry decision */
     backend_t *tried[RETRY_BACKENDS_MAX]; /* in order; counted references */
@@ -58,10 +63,12 @@
 uint64_t exchange_remaining_ms(const exchange_t *ex);
 /* Returns the backend server of the latest attempt, NULL before the first one. */
 backend_t *exchange_last_tried(const exchange_t *ex);
-/* Arms the timer for the earliest event: attempt overdue, resend, end of the permit wait or
- * deadline. */
+/* Arms the timer for the earliest event: attempt overdue, resend, end of the wait for a permit or
+ * for a load probe, or deadline. */
 void exchange_set_timer(exchange_t *ex);
 /* Cancels a pending permit request. `late` is true if no answer came in time. */
 void exchange_cancel_permit(exchange_t *ex, bool late);
+/* Ends the wait for load probes, if any. */
+void exchange_end_probe_wait(exchange_t *ex);
 /* Releases a completed exchange; it is freed once its timer is closed. */
 void exchange_release(exchange_t *ex);
--- a/gateway/path/time_limit.c
+++ b/gateway/path/time_limit.c
@@ -68,6 +68,8 @@
     }
     if (ex->permit != NULL && exchange_now_ms(ex) >= ex->permit_wait_until_ms)
         dispatch_on_permit_timeout(ex);
+    else if (ex->probe_wait.probe != NULL && exchange_now_ms(ex) >= ex->probe_wait_until_ms)
+        dispatch_on_probe_timeout(ex);
     else if (ex->resend_at_ms != 0 && exchange_now_ms(ex) >= ex->resend_at_ms)
         dispatch_resend(ex);
     else
--- a/gateway/ports.h
+++ b/gateway/ports.h
@@ -147,6 +147,8 @@
     response_verdict_t (*judge)(const wire_head_t *head);
     /* Returns false if the response reports no load. */
     bool (*load)(const wire_head_t *head, reported_load_t *out);
+    /* Name of the field that holds the id of the backend in a response on the health path. */
+    str_t probed_id;
     /* Reads the notices in a response. */
     void (*notice)(const wire_head_t *head, backend_statement_t *out);
     /* Appends the header fields of a response for the caller. */
--- a/gateway/router.c
+++ b/gateway/router.c
@@ -300,11 +300,12 @@
                        expected_work_ms(router, route, request->service));
 }
 
-choice_t
-router_pick(router_t *router, const router_request_t *request)
+/* Returns the input of a choice for the request. */
+static choice_input_t
+request_input(const router_t *router, const router_request_t *request)
 {
     const config_route_t *route = request->route;
-    service_t *service = request->service;
+    const service_t *service = request->service;
     choice_input_t input =
         choice_input(router, route, name_str(&service->name), &service->plan, request->object);
     input.account = request->account;
@@ -320,6 +321,22 @@
         .median_ms = route_stats_median_ms(&router->routes, route->key),
         .lost_ms = request->prior_wait_ms,
     };
+    return input;
+}
+
+size_t
+router_first_candidates(const router_t *router, const router_request_t *request, backend_t **out,
+                        size_t max)
+{
+    const choice_input_t input = request_input(router, request);
+    return choice_first_candidates(&input, out, max);
+}
+
+choice_t
+router_pick(router_t *router, const router_request_t *request)
+{
+    const service_t *service = request->service;
+    choice_input_t input = request_input(router, request);
     if (service->offered != NULL && request->tried_count == 0)
         count_offered(router, request, choice_planned_region(&input),
                       choice_allowed_regions(&input));
@@ -417,6 +434,8 @@
 router_attempt_finished(router_t *router, service_t *service, backend_t *backend, uint64_t sent_ms)
 {
     service_attempt_finished(service, loop_now(router->loop));
+    if (backend->slowdown > 0 && backend->slowdown_ms >= sent_ms)
+        service->pace_reported_ms = backend->slowdown_ms;
     backoff_attempt_ended(&backend->backoff, sent_ms, false);
     backend_attempt_finished(backend);
 }
--- a/gateway/router.h
+++ b/gateway/router.h
@@ -101,6 +101,10 @@
  * */
 size_t router_usable_versions(const router_t *router, const service_t *service, uint64_t *out,
                               size_t max);
+/* Lists the backends that the request would be offered first, at most `max`; returns their number.
+ */
+size_t router_first_candidates(const router_t *router, const router_request_t *request,
+                               backend_t **out, size_t max);
 choice_t router_pick(router_t *router, const router_request_t *request);
 /* Returns the input for the decision that router_pick() would make, without side effects; for the
  * admin pages. */
--- a/gateway/state/backend.c
+++ b/gateway/state/backend.c
@@ -114,6 +114,13 @@
         return;
     backend->slowdown = load->pace_percent / PACE_USUAL_PERCENT;
     backend->slowdown_ms = now_ms;
+    backend->probes.uses = 0;
+}
+
+void
+backend_forget_slowdown(backend_t *backend)
+{
+    backend->slowdown = 0;
 }
 
 double
--- a/gateway/state/backend.h
+++ b/gateway/state/backend.h
@@ -16,6 +16,7 @@
 #include "gateway/policy/breaker.h"
 #include "gateway/policy/health.h"
 #include "gateway/policy/backoff.h"
+#include "gateway/policy/load_probe.h"
 #include "gateway/state/notices.h"
 
 typedef struct wire_pool wire_pool_t;
@@ -69,6 +70,7 @@
     uint64_t load_reported_ms;
     double slowdown; /* factor on service times, as of slowdown_ms; 0: never reported */
     uint64_t slowdown_ms;
+    load_probe_record_t probes;
     breaker_t breaker;
     health_t health;
     bool logged_avoided;    /* logged as avoided */
@@ -104,6 +106,8 @@
 /* Factor by which work takes longer there than usual, as reported within the last 300 ms; 0 if not
  * known. */
 double backend_slowdown(const backend_t *backend, uint64_t now_ms);
+/* Drops the reported slowdown: another backend responded at the address. */
+void backend_forget_slowdown(backend_t *backend);
 bool backend_is_cold(const backend_t *backend, uint64_t now_ms);
 /* Marks it cold for at least `cold_ms` from now on. */
 void backend_extend_cold(backend_t *backend, uint64_t cold_ms, uint64_t now_ms);
--- a/gateway/state/config.c
+++ b/gateway/state/config.c
@@ -1,3 +1,4 @@
+#include <ctype.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -50,6 +51,18 @@
     route->target_count = 0;
 }
 
+void
+config_set_health_path(config_service_t *service, str_t path)
+{
+    if (path.len == 0 || path.ptr[0] != '/')
+        return;
+    for (size_t i = 0; i < path.len; i++) {
+        if (!isgraph((unsigned char)path.ptr[i]))
+            return;
+    }
+    service->health_path = xmemdup0(path.ptr, path.len);
+}
+
 void
 config_unref(config_t *config)
 {
@@ -57,6 +70,8 @@
         return;
     for (size_t i = 0; i < config->route_count; i++)
         config_route_clear(&config->routes[i]);
+    for (size_t i = 0; i < config->service_count; i++)
+        free(config->services[i].health_path);
     free(config->routes);
     free(config->services);
     config_free_accounts(config);
--- a/gateway/state/config.h
+++ b/gateway/state/config.h
@@ -72,6 +72,7 @@
     uint32_t max_connections; /* that a backend accepts from all instances together */
     uint32_t cold_ms;         /* how long a backend stays cold after its start */
     double cold_per_s;        /* requests a second that a cold backend can take, 0 for no limit */
+    char *health_path;        /* starts with a slash; NULL if none is configured */
 } config_service_t;
 
 typedef struct {
@@ -108,6 +109,8 @@
 /* Removes the route's targets: its requests are not served, and they do not match a shorter
  * prefix. */
 void config_route_remove_targets(config_route_t *route);
+/* Copies the path, unless it does not start with a slash or cannot stand in a request line. */
+void config_set_health_path(config_service_t *service, str_t path);
 /* Enables client accounts and allocates that many accounts and keys. */
 void config_add_accounts(config_t *config, size_t account_count, size_t key_count);
 /* Set an account's name and add a key to it; both copy the string. */
--- a/gateway/state/services.c
+++ b/gateway/state/services.c
@@ -8,6 +8,8 @@
 enum {
     ITEMS_START = 16,
     DEMAND_TAU_MS = 2000, /* time constant of the moving average of the demand */
+    /* Without a report for so long, the backends of a service may have stopped to send any. */
+    PACE_REPORT_AGE_MAX_MS = 60000,
 };
 
 /* Weight of a new response in the moving average of latencies. */
@@ -90,6 +92,24 @@
     service->fleet_offered = xcalloc(1, sizeof(*service->fleet_offered));
 }
 
+static bool
+is_recent(uint64_t at_ms, uint64_t now_ms)
+{
+    return at_ms != 0 && now_ms - at_ms < PACE_REPORT_AGE_MAX_MS;
+}
+
+bool
+service_was_told_pace(const service_t *service, uint64_t now_ms)
+{
+    return is_recent(service->pace_reported_ms, now_ms);
+}
+
+bool
+service_reports_pace(const service_t *service, uint64_t now_ms)
+{
+    return service_was_told_pace(service, now_ms) || is_recent(service->pace_heard_ms, now_ms);
+}
+
 void
 service_update_demand(service_t *service, uint64_t now_ms)
 {
--- a/gateway/state/services.h
+++ b/gateway/state/services.h
@@ -24,6 +24,10 @@
      * is counted (router_t.orders_shortage, tells_pace): then others decide by it. */
     offered_work_t *offered;
     offered_totals_t *fleet_offered;
+    /* Latest report of a backend's pace to this instance, and latest heartbeat that told of one to
+     * a peer; 0: none. */
+    uint64_t pace_reported_ms;
+    uint64_t pace_heard_ms;
 } service_t;
 
 typedef struct {
@@ -42,6 +46,10 @@
 
 /* Counts the offered work of the service from now on. */
 void service_count_offered(service_t *service);
+/* True if a backend reported its pace to this instance within the last minute. */
+bool service_was_told_pace(const service_t *service, uint64_t now_ms);
+/* The same, or a peer's heartbeat told of it within that time. */
+bool service_reports_pace(const service_t *service, uint64_t now_ms);
 /* Updates the moving average of the demand. */
 void service_update_demand(service_t *service, uint64_t now_ms);
 void service_attempt_started(service_t *service, uint64_t now_ms);
--- a/peer/peer.pb-c.c
+++ b/peer/peer.pb-c.c
@@ -2320,7 +2320,7 @@
   (ProtobufCMessageInit) iris__offered_work__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor iris__demand__field_descriptors[3] =
+static const ProtobufCFieldDescriptor iris__demand__field_descriptors[4] =
 {
   {
     "service",
@@ -2358,16 +2358,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "told_pace",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Iris__Demand, told_pace),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned iris__demand__field_indices_by_name[] = {
   2,   /* field[2] = offered */
   0,   /* field[0] = service */
   1,   /* field[1] = slots */
+  3,   /* field[3] = told_pace */
 };
 static const ProtobufCIntRange iris__demand__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor iris__demand__descriptor =
 {
@@ -2377,7 +2390,7 @@
   "Iris__Demand",
   "iris",
   sizeof(Iris__Demand),
-  3,
+  4,
   iris__demand__field_descriptors,
   iris__demand__field_indices_by_name,
   1,  iris__demand__number_ranges,
--- a/peer/peer.pb-c.h
+++ b/peer/peer.pb-c.h
@@ -239,10 +239,14 @@
    */
   size_t n_offered;
   Iris__OfferedWork **offered;
+  /*
+   * its backend servers reported the pace of their work to the sender
+   */
+  protobuf_c_boolean told_pace;
 };
 #define IRIS__DEMAND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&iris__demand__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0 }
 
 
 /*
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -7,6 +7,8 @@
 # SAYS=1 leaves the other troubles out and has 24 backend servers name limits, ask for rest and leave.
 # POISON=5 leaves the other troubles out and has five requests come that end backend servers.
 #
+# INTERFERENCE=1 has backend servers slowed at times besides, who say so.
+#
 # ROLLOUTS=1 has operators order roll-outs besides, good and bad ones.
 #
 # The same seed, duration and number of instances give the same schedule of troubles, not the same
@@ -112,7 +114,7 @@
 echo "soak: seed=$SEED duration=${DURATION}s instances=$INSTANCES slack=$SLACK net=${NET}0 logs=$DIR"
 mkfifo "$DIR/reports" "$DIR/orders" || exit 2
 exec {reports}<>"$DIR/reports"
-"$BUILD/fake-site" -s "$SEED" -d "$DURATION" -n "$INSTANCES" -a "$NET" -x "$SLACK" ${POISON:+-q "$POISON"} ${SAYS:+-w} ${ROLLOUTS:+-o} \
+"$BUILD/fake-site" -s "$SEED" -d "$DURATION" -n "$INSTANCES" -a "$NET" -x "$SLACK" ${POISON:+-q "$POISON"} ${INTERFERENCE:+-i} ${SAYS:+-w} ${ROLLOUTS:+-o} \
     <"$DIR/reports" >"$DIR/orders" 2>"$DIR/site.out" {reports}>&- &
 site=$!
 trap 'clean_up' EXIT
--- a/standin/fake_site.c
+++ b/standin/fake_site.c
@@ -315,8 +315,8 @@
 {
     fputs(
         "usage: fake-site [-n GATEWAYS] [-r REQUESTS/S] [-d SECONDS] [-u TIMES]\n"
-        "       fake-site -s SEED [-n GATEWAYS] [-d SECONDS] [-a NET] [-x TIMES] [-q COUNT] [-w] "
-        "[-o]\n"
+        "       fake-site -s SEED [-n GATEWAYS] [-d SECONDS] [-a NET] [-x TIMES] [-q COUNT] [-i] "
+        "[-w] [-o]\n"
         "  -u: so many times the 24 backend servers\n"
         "  the store listens on 127.0.0.1:18140, gateway I is expected at 127.0.1.I:18141\n"
         "  -s: a soak with troubles drawn from this seed, for scripts/soak.sh: orders on standard\n"
@@ -325,6 +325,7 @@
         "  -x: so many times its bounds in time, for slow builds\n"
         "  -q: no other troubles, and so many requests at once that end backend servers, from 5 s\n"
         "      on, for 16 s\n"
+        "  -i: backend servers are slowed at times besides, and say so\n"
         "  -o: operators order roll-outs besides\n"
         "  -w: no other troubles than what backend servers say of themselves, 24 of them\n",
         out);
@@ -356,7 +357,7 @@
 parse_options(int argc, char **argv, fake_t *fake, options_t *out)
 {
     int option;
-    while ((option = getopt(argc, argv, "n:r:d:u:s:a:x:q:woh")) != -1) {
+    while ((option = getopt(argc, argv, "n:r:d:u:s:a:x:q:iwoh")) != -1) {
         switch (option) {
         case 'n':
             fake->gateway_count = strtoul(optarg, NULL, 10);
@@ -377,6 +378,9 @@
         case 'q':
             out->soak.poison = (uint32_t)strtoul(optarg, NULL, 10);
             break;
+        case 'i':
+            out->soak.interference = true;
+            break;
         case 'o':
             out->soak.rollouts = true;
             break;
--- a/standin/soak/fleet.c
+++ b/standin/soak/fleet.c
@@ -32,6 +32,7 @@
     fleet_conf_t conf;
     instance_t *items;
     uint64_t stalled_ms;
+    uint64_t lives;
     bool finishing;
 };
 
@@ -131,6 +132,7 @@
 {
     instance_t *instance = &fleet->items[number];
     instance->life = xcalloc(1, sizeof(*instance->life));
+    fleet->lives++;
     *instance->life = (life_t){.instance = number, .pid = pid, .started_ms = now_ms};
     instance->ordered = false;
     instance->paused = false;
@@ -251,6 +253,12 @@
     return true;
 }
 
+uint64_t
+fleet_lives(const fleet_t *fleet)
+{
+    return fleet->lives;
+}
+
 life_t *
 fleet_life(const fleet_t *fleet, uint32_t instance)
 {
--- a/standin/soak/fleet.h
+++ b/standin/soak/fleet.h
@@ -53,6 +53,8 @@
 void fleet_finish(fleet_t *fleet, uint64_t now_ms);
 bool fleet_is_over(const fleet_t *fleet);
 
+/* Processes that were started so far. */
+uint64_t fleet_lives(const fleet_t *fleet);
 /* The process that runs, NULL if none does. */
 life_t *fleet_life(const fleet_t *fleet, uint32_t instance);
 /* Running, long enough since its start, with no trouble for some seconds. */
--- a/standin/soak/judge.h
+++ b/standin/soak/judge.h
@@ -33,6 +33,8 @@
     RULE_ENDED,     /* a process ended without being asked to */
     RULE_EXPOSED,   /* a bad version gets more requests than a roll-out may expose, or late ones */
     RULE_ROLLOUT,   /* a bad version is completed, or a good one rolled back */
+    RULE_PROBED,    /* a backend server is asked for its load that does not report its pace, or
+                       more often than requests come */
     RULE_COUNT,
 } rule_t;
 
--- a/standin/soak/operator.c
+++ b/standin/soak/operator.c
@@ -119,8 +119,8 @@
 static json_t *
 service(void)
 {
-    return json_pack("{s:i, s:f, s:f}", "maxConns", MAX_CONNECTIONS, "coldStartS", 0.0, "coldPerS",
-                     100.0);
+    return json_pack("{s:i, s:s, s:f, s:f}", "maxConns", MAX_CONNECTIONS, "healthPath", "/health",
+                     "coldStartS", 0.0, "coldPerS", 100.0);
 }
 
 /* Draws what else this version changes, besides the routes it adds and takes away. */
--- a/standin/soak/server.h
+++ b/standin/soak/server.h
@@ -60,6 +60,8 @@
     orders_t *orders; /* NULL without roll-outs */
     uint64_t now_ms;
     uint64_t runs;
+    uint64_t slowed_runs;
+    uint64_t probes; /* requests on the health path */
 };
 
 /* ---- servers.c ---- */
--- a/standin/soak/server_work.c
+++ b/standin/soak/server_work.c
@@ -20,7 +20,14 @@
         8, /* of answers: one in chunks, one up to the connection's end, the rest with a length */
     PIECE = 16384, /* bytes of an answer that are made at once */
     STORE_CALM_MS = 4000,
-    SAYS_MAX = 128, /* bytes of what a backend server says of itself */
+    /* Others on the same machine slow a backend server down for this long, one of so many at any
+     * moment, and work then takes this long. */
+    SLOWED_MS = 600,
+    SLOWED_EVERY = 7,
+    SLOWED_PERCENT = 250,
+    USUAL_PERCENT = 100,
+    PROBES_SAVED = 16, /* that an instance may send before requests come */
+    SAYS_MAX = 128,    /* bytes of what a backend server says of itself */
 };
 
 static void
@@ -50,6 +57,29 @@
     return (draw >> 32) % limit_ms;
 }
 
+/* How long work takes at present, in percent of its usual time. */
+static unsigned
+pace_percent(const server_t *server)
+{
+    const servers_t *servers = server->servers;
+    if (!servers->conf.interference)
+        return USUAL_PERCENT;
+    const uint64_t span = servers->now_ms / SLOWED_MS;
+    return str_hash(str_from(server->id), span) % SLOWED_EVERY == 0 ? SLOWED_PERCENT
+                                                                    : USUAL_PERCENT;
+}
+
+/* Writes the header line with the load. */
+static void
+write_load(const server_t *server, char *out, size_t size)
+{
+    if (server->servers->conf.interference)
+        snprintf(out, size, "Server-Load: %u,0,%d,%u\r\n", server->running, SERVER_SLOTS,
+                 pace_percent(server));
+    else
+        snprintf(out, size, "Server-Load: %u,0,%d\r\n", server->running, SERVER_SLOTS);
+}
+
 static void
 judge_run(servers_t *servers, soak_request_t *request, const server_t *server)
 {
@@ -90,7 +120,9 @@
         if (request != NULL && server->servers->orders != NULL && server->place % 2 == 0)
             work->fails = orders_run(server->servers->orders, request, server->version, &ms,
                                      server->servers->now_ms);
-        uv_timer_start(&work->timer, on_worked, ms, 0);
+        const unsigned percent = pace_percent(server);
+        server->servers->slowed_runs += percent > USUAL_PERCENT;
+        uv_timer_start(&work->timer, on_worked, ms * percent / USUAL_PERCENT, 0);
     }
 }
 
@@ -125,12 +157,14 @@
 {
     char fields[256];
     char said[SAYS_MAX];
+    char load[64];
     const bool cut = request->number % CUT_EVERY == 0;
     says_write(server->says, request->instance, server->servers->now_ms, said, sizeof(said));
+    write_load(server, load, sizeof(load));
     const int len = snprintf(fields, sizeof(fields),
                              "Attempt-Id: %" PRIu64 "\r\nResponse-Signature: s%" PRIu64 "\r\n"
-                             "Server-Load: %u,0,%d\r\n%s",
-                             request->number, request->number, server->running, SERVER_SLOTS, said);
+                             "%s%s",
+                             request->number, request->number, load, said);
     wire_respond_head(req, HTTP_STATUS_OK, (str_t){fields, (size_t)len}, framing(request));
     send_body(req, request->number, cut ? request->answer_len / 2 : request->answer_len);
     if (cut) {
@@ -267,6 +301,26 @@
     return str_hash(str_from(server->id), request->number) % REFUSE_EVERY == 0;
 }
 
+/* Answers a request on the health path. */
+static void
+on_probe(const server_t *server, wire_request_t *req)
+{
+    servers_t *servers = server->servers;
+    const servers_conf_t *conf = &servers->conf;
+    char fields[128];
+    char load[64];
+    judge_examine(conf->judge, RULE_PROBED);
+    servers->probes++;
+    if (!conf->interference)
+        judge_break(conf->judge, RULE_PROBED, "%s is asked, and never told its pace", server->id);
+    if (servers->probes > requests_count(conf->requests) + PROBES_SAVED * fleet_lives(conf->fleet))
+        judge_break(conf->judge, RULE_PROBED, "%" PRIu64 " probes for %" PRIu64 " requests",
+                    servers->probes, requests_count(conf->requests));
+    write_load(server, load, sizeof(load));
+    const int len = snprintf(fields, sizeof(fields), "Instance-Id: %s\r\n%s", server->id, load);
+    wire_respond(req, HTTP_STATUS_OK, (str_t){fields, (size_t)len}, STR(""));
+}
+
 void
 server_on_request(void *ctx, wire_request_t *req)
 {
@@ -278,6 +332,10 @@
         wire_respond_abort(req); /* on a connection that the end has not closed yet */
         return;
     }
+    if (str_eq(wire_head_path(&req->head), STR("/health"))) {
+        on_probe(server, req);
+        return;
+    }
     if (str_starts_with(expected, STR(SERVER_FOREIGN)))
         judge_break(server->servers->conf.judge, RULE_FOREIGN, "%.*s is sent for %.*s", STR_ARG(id),
                     STR_ARG(expected));
--- a/standin/soak/servers.c
+++ b/standin/soak/servers.c
@@ -332,4 +332,7 @@
         sum.got += use.got;
     }
     fprintf(out, "limits: offered %.0f requests, got %.0f\n", sum.offered, sum.got);
+    if (servers->conf.interference)
+        fprintf(out, "interference: slowed runs %" PRIu64 ", probes %" PRIu64 "\n",
+                servers->slowed_runs, servers->probes);
 }
--- a/standin/soak/servers.h
+++ b/standin/soak/servers.h
@@ -30,6 +30,7 @@
     const char *host; /* address to listen on */
     uint32_t count;
     uint32_t instances;
+    bool interference;         /* they are slowed at times, and report the pace of their work */
     double slack;              /* times the bounds in time, for slow builds */
     uint64_t leaving_bound_ms; /* from the entry until nothing new arrives any more */
 } servers_conf_t;
--- a/standin/soak/soak.c
+++ b/standin/soak/soak.c
@@ -269,6 +269,7 @@
         .host = host,
         .count = server_count(&soak->conf),
         .instances = soak->conf.instances,
+        .interference = soak->conf.interference,
         .slack = soak->conf.slack,
         .leaving_bound_ms = (uint64_t)(LEAVING_BOUND_MS * soak->conf.slack),
     };
--- a/standin/soak/soak.h
+++ b/standin/soak/soak.h
@@ -13,10 +13,11 @@
     uint64_t seed;
     uint64_t length_ms; /* of the troubles; the planned stop of all comes after it */
     uint32_t instances;
-    const char *net; /* the loopback network to use, as "127.1.2." */
-    double slack;    /* times the bounds in time, for slow builds */
-    bool rollouts;   /* roll-outs besides */
-    bool says;       /* no other troubles than what backend servers say of themselves */
+    const char *net;   /* the loopback network to use, as "127.1.2." */
+    double slack;      /* times the bounds in time, for slow builds */
+    bool rollouts;     /* roll-outs besides */
+    bool interference; /* backend servers are slowed at times, and say so */
+    bool says;         /* no other troubles than what backend servers say of themselves */
     uint32_t poison; /* no other troubles, and so many requests that end backend servers at once */
 } soak_conf_t;
 
--- a/test/gateway/main.c
+++ b/test/gateway/main.c
@@ -16,6 +16,7 @@
     srunner_add_suite(runner, suite_gateway_region_plan());
     srunner_add_suite(runner, suite_gateway_choice());
     srunner_add_suite(runner, suite_gateway_health());
+    srunner_add_suite(runner, suite_gateway_load_probe());
     srunner_add_suite(runner, suite_gateway_cold_start());
     srunner_add_suite(runner, suite_gateway_retry());
     srunner_add_suite(runner, suite_gateway_backend_incarnations());
--- a/test/gateway/site.c
+++ b/test/gateway/site.c
@@ -22,13 +22,23 @@
     return backend->extra_headers != NULL ? backend->extra_headers : "";
 }
 
+/* Returns the header line with the load. */
+static const char *
+load_header_line(const scripted_t *backend)
+{
+    static char line[64];
+    if (backend->pace_percent == 0)
+        return "Server-Load: 1,0,4\r\n";
+    snprintf(line, sizeof(line), "Server-Load: 1,0,4,%u\r\n", backend->pace_percent);
+    return line;
+}
+
 static void
 answer(const scripted_t *backend, standin_conn_t *conn, str_t id, const char *rest)
 {
     char text[512];
-    snprintf(text, sizeof(text),
-             "HTTP/1.1 200 OK\r\nAttempt-Id: %.*s\r\nServer-Load: 1,0,4\r\n%s%s", STR_ARG(id),
-             extra_header_lines(backend), rest);
+    snprintf(text, sizeof(text), "HTTP/1.1 200 OK\r\nAttempt-Id: %.*s\r\n%s%s%s", STR_ARG(id),
+             load_header_line(backend), extra_header_lines(backend), rest);
     standin_send(conn, str_from(text));
 }
 
@@ -68,10 +78,37 @@
     uv_timer_start(&backend->restart, on_restart, RESTART_MS, 0);
 }
 
+static void
+on_probe(scripted_t *backend, standin_conn_t *conn)
+{
+    char text[256];
+    const bool is_other = backend->probe_behaviour == PROBE_OTHER_ID;
+    backend->probes++;
+    switch (backend->probe_behaviour) {
+    case PROBE_ANSWERS:
+    case PROBE_OTHER_ID:
+        snprintf(text, sizeof(text),
+                 "HTTP/1.1 200 OK\r\nInstance-Id: %s%s\r\n%sContent-Length: 0\r\n\r\n",
+                 is_other ? "other-" : "", backend->id, load_header_line(backend));
+        standin_send(conn, str_from(text));
+        break;
+    case PROBE_HOLDS:
+        break;
+    case PROBE_BREAKS_DOWN:
+        crash_backend(backend);
+        break;
+    }
+}
+
 static void
 on_backend_request(void *ctx, standin_conn_t *conn, str_t text)
 {
+    static const char health[] = "GET /health ";
     scripted_t *backend = ctx;
+    if (text.len > strlen(health) && memcmp(text.ptr, health, strlen(health)) == 0) {
+        on_probe(backend, conn);
+        return;
+    }
     const char *poison = backend->site->poison;
     const str_t id = standin_field(text, "Attempt-Id");
     char other[64];
@@ -205,10 +242,10 @@
         json_object_set_new(routes, name, route(prefix, "safe"));
     }
     json_t *config =
-        json_pack("{s:s, s:o, s:{s:{s:i, s:f, s:f}}, s:{s:i, s:i, s:i, s:i}}", "version", version,
-                  "routes", routes, "services", "svc", "maxConns", 100, "coldStartS", 0.5,
-                  "coldPerS", 10.0, "limits", "maxHeaderBytes", 2000, "maxBodyBytes", 4000,
-                  "headerTimeoutMs", 400, "idleTimeoutMs", 5000);
+        json_pack("{s:s, s:o, s:{s:{s:i, s:s, s:f, s:f}}, s:{s:i, s:i, s:i, s:i}}", "version",
+                  version, "routes", routes, "services", "svc", "maxConns", 100, "healthPath",
+                  "/health", "coldStartS", 0.5, "coldPerS", 10.0, "limits", "maxHeaderBytes", 2000,
+                  "maxBodyBytes", 4000, "headerTimeoutMs", 400, "idleTimeoutMs", 5000);
     if (site->accounts != NULL)
         json_object_set_new(config, "tenants", json_loads(site->accounts, 0, NULL));
     standin_store_put(site->store, "config", "main", config, NULL);
--- a/test/gateway/site.h
+++ b/test/gateway/site.h
@@ -41,6 +41,14 @@
     DOES_CRASH, /* its process ends while running the request and restarts later */
 } behaviour_t;
 
+/* What a backend server does with a request on its health path. */
+typedef enum {
+    PROBE_ANSWERS,
+    PROBE_HOLDS,       /* never responds */
+    PROBE_OTHER_ID,    /* responds as another backend server */
+    PROBE_BREAKS_DOWN, /* its process ends and restarts later */
+} probe_behaviour_t;
+
 typedef struct {
     site_t *site;
     standin_backend_t *standin;
@@ -48,7 +56,10 @@
     uint64_t born;        /* start time in its store entry */
     bool survives_poison; /* runs another software version that survives poison requests */
     behaviour_t behaviour;
-    const char *version;             /* software version in its store entry; NULL: v1 */
+    const char *version;   /* software version in its store entry; NULL: v1 */
+    unsigned pace_percent; /* fourth figure of its load; 0: it reports three */
+    probe_behaviour_t probe_behaviour;
+    size_t probes;                   /* requests on its health path */
     const char *extra_headers;       /* header lines added to every response; NULL if none */
     uint64_t arrivals[ARRIVALS_MAX]; /* loop times of its first requests */
     size_t arrival_count;
--- a/test/gateway/test_config.c
+++ b/test/gateway/test_config.c
@@ -1,5 +1,6 @@
-/* Configuration: route look-up and the table of services. */
+/* Configuration: route look-up, health paths and the table of services. */
 #include <stdio.h>
+#include <stdlib.h>
 
 #include "gateway/state/services.h"
 #include "gateway/state/config.h"
@@ -24,6 +25,22 @@
 }
 END_TEST
 
+/* The path goes into request lines: it must not be able to add a field or a second request. */
+START_TEST(health_path_fits_into_a_request_line)
+{
+    config_service_t service = {0};
+    config_set_health_path(&service, STR(""));
+    config_set_health_path(&service, STR("health"));
+    config_set_health_path(&service, STR("/a b"));
+    config_set_health_path(&service, STR("/a\r\nX: y"));
+    config_set_health_path(&service, (str_t){"/a\0b", 4});
+    ck_assert_ptr_null(service.health_path);
+    config_set_health_path(&service, STR("/health?deep=1"));
+    ck_assert_str_eq(service.health_path, "/health?deep=1");
+    free(service.health_path);
+}
+END_TEST
+
 /* Pointers stay valid whatever the order of insertion. */
 START_TEST(services_get_returns_same_entry)
 {
@@ -53,6 +70,7 @@
     Suite *suite = suite_create("gateway: config");
     TCase *tests = tcase_create("config");
     tcase_add_test(tests, longest_prefix_wins);
+    tcase_add_test(tests, health_path_fits_into_a_request_line);
     tcase_add_test(tests, services_get_returns_same_entry);
     suite_add_tcase(suite, tests);
     return suite;
--- a/test/suites.h
+++ b/test/suites.h
@@ -31,6 +31,7 @@
 Suite *suite_gateway_region_plan(void);
 Suite *suite_gateway_choice(void);
 Suite *suite_gateway_health(void);
+Suite *suite_gateway_load_probe(void);
 Suite *suite_gateway_cold_start(void);
 Suite *suite_gateway_retry(void);
 Suite *suite_gateway_backend_incarnations(void);
