--- a/gateway/router.c
+++ b/gateway/router.c
@@ -393,11 +393,12 @@
     input->service_work_ms = service->work_ms;
 }
 
-choice_t
-router_pick(router_t *router, const router_request_t *request)
+/* Returns the input of a choice for the request. */
+static choice_input_t
+request_input(const router_t *router, const router_request_t *request)
 {
     const config_route_t *route = request->route;
-    service_t *service = request->service;
+    const service_t *service = request->service;
     choice_input_t input =
         choice_input(router, route, name_str(&service->name), &service->plan, request->object);
     input.account = request->account;
@@ -414,6 +415,21 @@
         .lost_ms = request->prior_wait_ms,
     };
     set_response_time(router, route, service, &input);
+    return input;
+}
+
+size_t
+router_first_candidates(const router_t *router, const router_request_t *request, backend_t **out,
+                        size_t max)
+{
+    const choice_input_t input = request_input(router, request);
+    return choice_first_candidates(&input, out, max);
+}
+
+choice_t
+router_pick(router_t *router, const router_request_t *request)
+{
+    choice_input_t input = request_input(router, request);
     if (!admit_new(router, request, &input))
         return (choice_t){.reason = CHOICE_SHORTAGE};
     const choice_t choice = choose_version(router, request, &input);
@@ -512,6 +528,8 @@
 router_attempt_finished(router_t *router, service_t *service, backend_t *backend, uint64_t sent_ms)
 {
     service_attempt_finished(service, loop_now(router->loop));
+    if (backend->slowdown > 0 && backend->slowdown_ms >= sent_ms)
+        service->pace_reported_ms = backend->slowdown_ms;
     backoff_attempt_ended(&backend->backoff, sent_ms, false);
     backend_attempt_finished(backend);
 }
--- a/gateway/state/backend.h
+++ b/gateway/state/backend.h
@@ -16,6 +16,7 @@
 #include "gateway/policy/breaker.h"
 #include "gateway/policy/health.h"
 #include "gateway/policy/backoff.h"
+#include "gateway/policy/load_probe.h"
 #include "gateway/state/notices.h"
 
 typedef struct wire_pool wire_pool_t;
@@ -74,6 +75,7 @@
     double drain_work_ms; /* mean run of its service where work is counted; 0: not counted */
     double slowdown;      /* factor on service times, as of slowdown_ms; 0: never reported */
     uint64_t slowdown_ms;
+    load_probe_record_t probes;
     breaker_t breaker;
     health_t health;
     bool logged_avoided;    /* logged as avoided */
@@ -114,6 +116,8 @@
 /* Factor by which work takes longer there than usual, as reported within the last 300 ms; 0 if not
  * known. */
 double backend_slowdown(const backend_t *backend, uint64_t now_ms);
+/* Drops the reported slowdown: another backend responded at the address. */
+void backend_forget_slowdown(backend_t *backend);
 bool backend_is_cold(const backend_t *backend, uint64_t now_ms);
 /* Marks it cold for at least `cold_ms` from now on. */
 void backend_extend_cold(backend_t *backend, uint64_t cold_ms, uint64_t now_ms);
--- a/gateway/state/services.h
+++ b/gateway/state/services.h
@@ -34,6 +34,10 @@
     shortage_t *shortage;
     account_work_t *account_work;
     fair_share_t *fair_share;
+    /* Latest report of a backend's pace to this instance, and latest heartbeat that told of one to
+     * a peer; 0: none. */
+    uint64_t pace_reported_ms;
+    uint64_t pace_heard_ms;
 } service_t;
 
 typedef struct {
@@ -60,6 +64,10 @@
 void service_order_work(service_t *service);
 /* Removes it: all requests are admitted. */
 void service_end_order(service_t *service);
+/* True if a backend reported its pace to this instance within the last minute. */
+bool service_was_told_pace(const service_t *service, uint64_t now_ms);
+/* The same, or a peer's heartbeat told of it within that time. */
+bool service_reports_pace(const service_t *service, uint64_t now_ms);
 /* Updates the moving average of the demand. */
 void service_update_demand(service_t *service, uint64_t now_ms);
 void service_attempt_started(service_t *service, uint64_t now_ms);
--- a/test/suites.h
+++ b/test/suites.h
@@ -38,6 +38,7 @@
 Suite *suite_gateway_response_time(void);
 Suite *suite_gateway_choice(void);
 Suite *suite_gateway_health(void);
+Suite *suite_gateway_load_probe(void);
 Suite *suite_gateway_cold_start(void);
 Suite *suite_gateway_retry(void);
 Suite *suite_gateway_backend_incarnations(void);
