Assume a queue where attempts are overdue; operators see queues

Cause: a backend server whose queue is longer than its callers wait reports nothing, since its responses come too late. Other instances took it for empty and sent to it.

--- a/gateway/inspect.c
+++ b/gateway/inspect.c
@@ -165,6 +165,20 @@
         wire_text_str(out, STR(", told that it leaves"));
 }
 
+/* Writes the queue and the pace that a backend reported, if its work is counted. */
+static void
+print_reported_load(const backend_t *backend, uint64_t now, wire_text_t *out)
+{
+    const double slowdown = backend_slowdown(backend, now);
+    if (backend->drain_work_ms <= 0)
+        return;
+    if (backend->waiting > 0)
+        wire_text_printf(out, ", %u waited %llu ms ago", backend->waiting,
+                         (unsigned long long)(now - backend->load_reported_ms));
+    if (slowdown > 0)
+        wire_text_printf(out, ", work takes %.1f times as long", slowdown);
+}
+
 static const char *
 backend_state_text(const backend_t *backend, uint64_t now)
 {
@@ -207,6 +221,7 @@
                          backend->info.id.ptr, backend->info.hall.ptr, backend_load(backend, now),
                          backend->info.capacity, backend->service_time_ms,
                          backend_state_text(backend, now));
+        print_reported_load(backend, now, out);
         print_backend_notices(backend, now, out);
         wire_text_str(out, STR("\n"));
     }
--- a/gateway/membership/load_gossip.c
+++ b/gateway/membership/load_gossip.c
@@ -1,5 +1,16 @@
 #include "gateway/membership/load_gossip.h"
 
+#include "base/counter.h"
+
+static void
+count_reports(const char *labels, size_t count)
+{
+    if (count > 0)
+        counter_add(counter_get("irisstall_queue_reports_total", labels,
+                                "Reports of queues at backend servers passed between instances."),
+                    count);
+}
+
 size_t
 load_gossip_fill(load_message_t *out, const backends_t *backends, uint64_t now_ms)
 {
@@ -13,6 +24,7 @@
         item->age_ms = reports[i].age_ms;
         out->list[i] = item;
     }
+    count_reports("way=\"sent\"", count);
     return count;
 }
 
@@ -30,4 +42,5 @@
         };
     }
     load_reports_apply(backends, reports, read, now_ms);
+    count_reports("way=\"received\"", read);
 }
--- a/gateway/path/access_log.c
+++ b/gateway/path/access_log.c
@@ -30,6 +30,17 @@
                 1);
 }
 
+/* Counts requests that left the first backend in the ranking for a faster response. */
+static void
+count_faster(const access_record_t *access)
+{
+    if (access->choice == CHOICE_FASTER)
+        counter_add(counter_get("irisstall_sent_to_faster_total", NULL,
+                                "Requests sent to another backend server than usual because its "
+                                "response was expected earlier."),
+                    1);
+}
+
 /* Returns true if sampling drops the request from the log. */
 static bool
 is_sampled_out(const access_record_t *access)
@@ -57,6 +68,7 @@
 {
     count_outcome(access->outcome);
     count_late(access);
+    count_faster(access);
     if (is_sampled_out(access))
         return;
     LOG_INFO("request ended: id=%.*s request=%016" PRIx64 " outcome=%s status=%d service=%s "
--- a/gateway/path/dispatch.c
+++ b/gateway/path/dispatch.c
@@ -134,6 +134,16 @@
     router_record_rollout(ex->owner->router, ex->service, &record);
 }
 
+static void
+count_attempt_end(exchange_t *ex)
+{
+    backend_t *backend = exchange_last_tried(ex);
+    router_attempt_finished(ex->owner->router, ex->service, backend, ex->attempt.sent_ms);
+    if (ex->is_overdue)
+        backend_overdue_ended(backend);
+    ex->is_overdue = false;
+}
+
 void
 dispatch_cancel(exchange_t *ex)
 {
@@ -144,8 +154,7 @@
     ex->sends += ex->attempt.sent;
     ex->may_have_run |= ex->attempt.sent;
     ex->possible_runs += ex->attempt.sent;
-    router_attempt_finished(ex->owner->router, ex->service, exchange_last_tried(ex),
-                            ex->attempt.sent_ms);
+    count_attempt_end(ex);
 }
 
 /* ---- results of attempts ---- */
@@ -260,8 +269,7 @@
 dispatch_on_attempt_end(void *ctx, attempt_outcome_t outcome)
 {
     exchange_t *ex = ctx;
-    router_attempt_finished(ex->owner->router, ex->service, exchange_last_tried(ex),
-                            ex->attempt.sent_ms);
+    count_attempt_end(ex);
     ex->sends += ex->attempt.sent;
     ex->possible_runs += outcome != ATTEMPT_NOT_RUN;
     if (ex->attempt.closed)
--- a/gateway/path/exchange_state.h
+++ b/gateway/path/exchange_state.h
@@ -31,6 +31,7 @@
     fingerprint_t fingerprint;
     uint64_t object;         /* from router_object() */
     uint64_t deadline_at_ms; /* loop time of the deadline */
+    bool is_overdue;         /* the attempt is counted as overdue at its backend */
     uint64_t overdue_at_ms;  /* loop time at which the attempt is overdue; 0 if passed or unset */
     uint64_t resend_at_ms;   /* loop time of the next resend; 0 if not set */
     uint64_t permit_wait_until_ms; /* loop time at which waiting for a permit ends */
--- a/gateway/path/time_limit.c
+++ b/gateway/path/time_limit.c
@@ -42,6 +42,9 @@
     ex->overdue_at_ms = 0;
     if (attempt->call == NULL || attempt->head_seen)
         return;
+    if (!ex->is_overdue)
+        backend_attempt_overdue(attempt->backend, exchange_now_ms(ex));
+    ex->is_overdue = true;
     if (attempt_is_slow(attempt))
         attempt_record(attempt, true);
     if (!may_replace_overdue(ex))
--- a/gateway/state/backend.c
+++ b/gateway/state/backend.c
@@ -16,6 +16,10 @@
     SLOWDOWN_AGE_MAX_MS = 300,
 };
 
+/* Upper bound on the queue that is assumed from overdue attempts, in requests per slot: more than
+ * admission_decide() lets queue. */
+#define ASSUMED_QUEUE_MAX 2.0
+
 /* Weight of a new response in the moving average of service times. */
 #define SERVICE_TIME_GAIN 0.1
 
@@ -143,12 +147,42 @@
 {
     set_load(backend, load->running + load->waiting, load->waiting, now_ms);
     backend->load_unsent = load->waiting > 0;
+    backend->heard_ms = now_ms;
     if (load->pace_percent == 0)
         return;
     backend->slowdown = load->pace_percent / PACE_USUAL_PERCENT;
     backend->slowdown_ms = now_ms;
 }
 
+void
+backend_attempt_overdue(backend_t *backend, uint64_t now_ms)
+{
+    if (backend->overdue++ == 0)
+        backend->overdue_since_ms = now_ms;
+}
+
+void
+backend_overdue_ended(backend_t *backend)
+{
+    backend->overdue--;
+}
+
+bool
+backend_assume_queue(backend_t *backend, uint64_t now_ms)
+{
+    const bool tells_pace = backend->slowdown > 0;
+    if (backend->overdue == 0 || backend->drain_work_ms <= 0 || tells_pace ||
+        backend->heard_ms >= backend->overdue_since_ms)
+        return false;
+    /* An attempt becomes overdue after more than a run without the object in memory: then a run in
+     * each slot was ahead of it. */
+    const double runs = 1 + (double)(now_ms - backend->overdue_since_ms) / backend->drain_work_ms;
+    const uint32_t slots = backend->info.capacity;
+    const uint32_t waiting = (uint32_t)(slots * fmin(runs, ASSUMED_QUEUE_MAX));
+    set_load(backend, slots + waiting, waiting, now_ms);
+    return true;
+}
+
 double
 backend_slowdown(const backend_t *backend, uint64_t now_ms)
 {
--- a/gateway/state/backend.h
+++ b/gateway/state/backend.h
@@ -70,9 +70,12 @@
     uint32_t reported_requests; /* of all instances, running and queued; the next two as well */
     uint32_t waiting;           /* of these, in its queue */
     uint64_t load_reported_ms;
-    bool load_unsent;     /* it reported a queue that other instances were not told */
-    double drain_work_ms; /* mean run of its service where work is counted; 0: not counted */
-    double slowdown;      /* factor on service times, as of slowdown_ms; 0: never reported */
+    uint64_t heard_ms;         /* time of the last report that it made to this instance */
+    uint32_t overdue;          /* attempts of this instance that are overdue (policy/slow.h) */
+    uint64_t overdue_since_ms; /* when the first of these became so */
+    bool load_unsent;          /* it reported a queue that other instances were not told */
+    double drain_work_ms;      /* mean run of its service where work is counted; 0: not counted */
+    double slowdown;           /* factor on service times, as of slowdown_ms; 0: never reported */
     uint64_t slowdown_ms;
     breaker_t breaker;
     health_t health;
@@ -111,6 +114,13 @@
 /* A report to another instance at `at_ms`: `requests` were running and queued. Ignored unless it is
  * newer than the last one. */
 void backend_merge_load(backend_t *backend, uint32_t requests, uint64_t at_ms);
+/* Count the attempts of this instance that are overdue, and those of them that ended. */
+void backend_attempt_overdue(backend_t *backend, uint64_t now_ms);
+void backend_overdue_ended(backend_t *backend);
+/* A backend that has not responded since attempts became overdue has a queue that grows with the
+ * time: sets its load accordingly. Returns false if it responded, none is overdue, or it reports
+ * the pace of its work: then a slow moment may be the reason. */
+bool backend_assume_queue(backend_t *backend, uint64_t now_ms);
 /* Factor by which work takes longer there than usual, as reported within the last 300 ms; 0 if not
  * known. */
 double backend_slowdown(const backend_t *backend, uint64_t now_ms);
--- a/gateway/state/load_reports.c
+++ b/gateway/state/load_reports.c
@@ -22,8 +22,9 @@
     size_t count = 0;
     for (size_t i = 0; i < backends->count; i++) {
         backend_t *backend = backends->items[i];
+        const bool is_silent = backend->overdue > 0 && backend_assume_queue(backend, now_ms);
         const uint64_t age_ms = now_ms - backend->load_reported_ms;
-        if (!backend->load_unsent)
+        if (!backend->load_unsent && !is_silent)
             continue;
         backend->load_unsent = false;
         if (backend->drain_work_ms <= 0 || age_ms > LOAD_REPORT_AGE_MAX_MS)
--- a/gateway/state/load_reports.h
+++ b/gateway/state/load_reports.h
@@ -4,7 +4,8 @@
  * An instance of a large fleet meets a given backend server once in many seconds, and its queue
  * drains within fewer. Of what backend servers reported to this instance, the newest reports of
  * queues are passed on, once each; a report from another instance counts as one of its age unless
- * the own one is newer. Only of services whose work is counted.
+ * the own one is newer. A backend server that leaves attempts overdue reports nothing; a queue is
+ * assumed then and passed on, as long as it is silent. Only of services whose work is counted.
  *
  * Keeps its marks in the backends. Time is passed in.
  */
@@ -26,8 +27,9 @@
     uint32_t age_ms;
 } load_report_t;
 
-/* Stores up to LOAD_REPORTS_MAX reports that were not passed on yet, the newest ones, and returns
- * their number. What is left out is not passed on later. */
+/* Sets the load of backends that leave attempts overdue. Stores up to LOAD_REPORTS_MAX reports that
+ * were not passed on yet, the newest ones, and returns their number. What is left out is not passed
+ * on later. */
 size_t load_reports_take(const backends_t *backends, uint64_t now_ms, load_report_t *out);
 /* Applies reports from another instance; backends that are not known here are skipped. */
 void load_reports_apply(const backends_t *backends, const load_report_t *reports, size_t count,
--- a/test/gateway/test_response_time.c
+++ b/test/gateway/test_response_time.c
@@ -423,6 +423,37 @@
 }
 END_TEST
 
+START_TEST(queue_is_assumed_where_attempts_are_overdue)
+{
+    fixture_t *one = new_fixture(1);
+    fixture_t *two = new_fixture(1);
+    backend_t *backend = one->backends.items[0];
+    report(backend, 1, 0, 0);
+    ck_assert_uint_eq(pass_on(one, two, NOW_MS), 0);
+    backend_attempt_overdue(backend, NOW_MS + 2000);
+    backend_attempt_overdue(backend, NOW_MS + 2100);
+    ck_assert_uint_gt(pass_on(one, two, NOW_MS + 2200), 0);
+    ck_assert_double_ge(backend_load(two->backends.items[0], NOW_MS + 2200), 2 * SLOTS);
+    two->input.now_ms = NOW_MS + 2200;
+    ck_assert_chosen(&two->input, NULL, CHOICE_FULL);
+    /* It grows, within a bound, and is told again while the backend server is silent. */
+    ck_assert_uint_gt(pass_on(one, two, NOW_MS + 9000), 0);
+    ck_assert_double_eq_tol(backend_load(two->backends.items[0], NOW_MS + 9000), 3 * SLOTS, 0.01);
+    report(backend, 1, 0, 0);
+    backend->heard_ms = NOW_MS + 9100; /* it responded */
+    ck_assert_uint_eq(pass_on(one, two, NOW_MS + 9200), 0);
+    backend->heard_ms = 0;
+    backend->slowdown = 1; /* it reports its pace: a slow moment may be the reason */
+    ck_assert_uint_eq(pass_on(one, two, NOW_MS + 9250), 0);
+    backend->slowdown = 0;
+    backend_overdue_ended(backend);
+    backend_overdue_ended(backend);
+    ck_assert_uint_eq(pass_on(one, two, NOW_MS + 9300), 0);
+    free_fixture(one);
+    free_fixture(two);
+}
+END_TEST
+
 START_TEST(passed_on_reports_are_few_and_the_newest)
 {
     enum { BACKENDS = 300, BYTES_EACH_MAX = 18 };
@@ -474,6 +505,7 @@
     tcase_add_test(tests, requests_are_not_sent_into_a_queue_reported_a_second_ago);
     tcase_add_test(tests, queues_are_passed_on_once_with_their_age);
     tcase_add_test(tests, newer_own_report_and_other_incarnation_are_kept);
+    tcase_add_test(tests, queue_is_assumed_where_attempts_are_overdue);
     tcase_add_test(tests, passed_on_reports_are_few_and_the_newest);
     tcase_add_test(tests, nothing_is_passed_on_where_no_work_is_counted);
     suite_add_tcase(suite, tests);
