--- a/test/gateway/test_region_plan.c
+++ b/test/gateway/test_region_plan.c
@@ -1,9 +1,11 @@
 /* Region plan: shares follow slots and demand in steps. */
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include <uv.h>
 
+#include "base/loop_time.h"
 #include "base/xmalloc.h"
 #include "gateway/policy/region_plan.h"
 #include "gateway/router.h"
@@ -160,6 +162,82 @@
 }
 END_TEST
 
+/* A gateway in region c, whose 2 backend servers have 8 slots; a and b have 40 each. */
+static void
+init_small_region(router_t *router, const router_conf_t *conf, uv_loop_t *loop)
+{
+    view_t view = {0};
+    const store_item_t item = {.name = STR("main"), .revision = 1, .body = STR("{}")};
+    router_init(router, loop, conf);
+    view_replace(&view, &item, 1, 1);
+    router_apply_config(router, &view);
+    view_free(&view);
+    for (int i = 0; i < 22; i++) {
+        backend_info_t info = {.capacity = 4};
+        char id[16];
+        snprintf(id, sizeof(id), "s-%d", i);
+        name_set(&info.id, str_from(id));
+        name_set(&info.service, STR("svc"));
+        name_set(&info.hall, i < 10 ? STR("a1") : i < 20 ? STR("b1") : STR("c1"));
+        backends_put(&router->catalog.backends, &info, conf->topology, loop, loop_now(loop));
+    }
+}
+
+/* The own instance tells of requests in 30 slots, and of offered work for 6 slots, 4 of which only
+ * its region may serve. */
+static void
+add_teller(members_t *members, size_t region, uint64_t now_ms)
+{
+    addr_t addr;
+    ck_assert(addr_parse(STR("10.0.0.1:1"), &addr));
+    member_t *own = members_find_or_add(members, &addr);
+    own->heard = true;
+    own->heard_ms = now_ms;
+    own->region = region;
+    own->demand_count = 1;
+    name_set(&own->demands[0].service, STR("svc"));
+    own->demands[0].slots = 30;
+    member_offer_t *offer = xcalloc(1, sizeof(*offer));
+    *offer = (member_offer_t){.region = region, .slots = {6}, .bound = 4};
+    name_set(&offer->service, STR("svc"));
+    member_offers_set(&own->offers, offer, 1);
+}
+
+/* Offered work decides only where the settings ask for it to be counted. */
+START_TEST(plan_goes_by_offered_work_where_it_is_counted)
+{
+    static const decoder_port_t decoder = {.config = one_service};
+    const topology_t topology = three_regions();
+    for (int counted = 0; counted <= 1; counted++) {
+        static router_t router;
+        members_t members = {0};
+        uv_loop_t loop;
+        uv_loop_init(&loop);
+        const router_conf_t conf = {.topology = &topology,
+                                    .decoder = &decoder,
+                                    .instance = STR("g-1"),
+                                    .hall = STR("c1"),
+                                    .orders_shortage = counted};
+        init_small_region(&router, &conf, &loop);
+        add_teller(&members, router.region, loop_now(&loop));
+        router_tick(&router, &members);
+        const region_plan_t *plan = &router.services.items[0]->plan;
+        ck_assert_double_eq_tol(plan->slots[router.region], 8, 0.001);
+        router_tick(&router, &members);
+        ck_assert_double_eq_tol(plan->measured_peak, counted ? 6 : 30, 0.001);
+        ck_assert_double_eq_tol(plan->bound[router.region], counted ? 4 : 0, 0.001);
+        ck_assert((plan->use > 0) == counted);
+        ck_assert(!service_region_is_full(router.services.items[0], router.region));
+        members_free(&members);
+        backends_free(&router.catalog.backends);
+        uv_run(&loop, UV_RUN_NOWAIT);
+        config_unref(router.catalog.config);
+        services_free(&router.services);
+        uv_loop_close(&loop);
+    }
+}
+END_TEST
+
 START_TEST(plan_change_moves_few_points)
 {
     region_plan_t before = {.share = {0.5, 0.3, 0.2}, .region_count = 3, .own = 0, .started = true};
@@ -209,6 +287,7 @@
     tcase_add_test(tests, plan_follows_slots_until_demand_is_seen);
     tcase_add_test(tests, plan_without_counted_work_is_as_before);
     tcase_add_test(tests, plans_exist_before_the_first_request);
+    tcase_add_test(tests, plan_goes_by_offered_work_where_it_is_counted);
     tcase_add_test(tests, plan_change_moves_few_points);
     tcase_add_test(tests, plan_keeps_large_responses_local_longer);
     suite_add_tcase(suite, tests);
