--- a/gateway/membership/load_gossip.c
+++ b/gateway/membership/load_gossip.c
@@ -32,7 +32,7 @@
 load_gossip_merge(const backends_t *backends, Iris__BackendLoad *const *items, size_t count,
                   uint64_t now_ms)
 {
-    load_report_t reports[LOAD_REPORTS_MAX];
+    load_report_t reports[LOAD_REPORTS_MAX] = {0};
     size_t read = 0;
     for (; read < count && read < LOAD_REPORTS_MAX; read++) {
         reports[read] = (load_report_t){
--- a/gateway/path/attempt.c
+++ b/gateway/path/attempt.c
@@ -19,6 +19,9 @@
      * backend leaves their outcome unknown. */
     IDLE_MAX_REPEATABLE_MS = 6000,
     IDLE_MAX_ONCE_MS = 3000,
+    /* Time that a response waited for its caller from which its end is not held against the backend
+     * server: these end responses that nobody reads after some seconds. */
+    WAITED_FOR_CALLER_MS = 400,
     /* Responses up to this size are buffered before they are forwarded, so that a broken one can be
      * replaced; larger ones are streamed. */
     BUFFER_MAX = 16384,
@@ -31,7 +34,8 @@
     wire_respond_head(attempt->req, attempt->status,
                       (str_t){attempt->fields.ptr, attempt->fields.len}, attempt->length);
     wire_respond_data(attempt->req, attempt->body.ptr, attempt->body.len);
-    attempt->body.len = 0;
+    free(attempt->body.ptr);
+    attempt->body = (wire_text_t){0};
 }
 
 static bool
@@ -89,7 +93,7 @@
     if (attempt->paused || wire_respond_backlog(attempt->req) < allowance(attempt))
         return;
     attempt->paused = true;
-    attempt->was_paused = true;
+    attempt->paused_from_ms = loop_now(attempt->loop);
     wire_call_pause(attempt->call);
 }
 
@@ -111,10 +115,29 @@
     pause_for_slow_caller(attempt);
 }
 
+static uint64_t
+paused_ms(const attempt_t *attempt)
+{
+    const uint64_t now = loop_now(attempt->loop);
+    return attempt->paused_ms + (attempt->paused ? now - attempt->paused_from_ms : 0);
+}
+
+uint64_t
+attempt_elapsed_ms(const attempt_t *attempt)
+{
+    return loop_now(attempt->loop) - attempt->sent_ms - paused_ms(attempt);
+}
+
+bool
+attempt_waited_for_caller(const attempt_t *attempt)
+{
+    return paused_ms(attempt) >= WAITED_FOR_CALLER_MS;
+}
+
 void
 attempt_record(attempt_t *attempt, bool failed)
 {
-    if (attempt->recorded)
+    if (attempt->recorded || (failed && attempt_waited_for_caller(attempt)))
         return;
     attempt->recorded = true;
     health_record(&attempt->backend->health, failed, loop_now(attempt->loop));
@@ -126,7 +149,7 @@
     const uint64_t now = loop_now(attempt->loop);
     const slow_input_t input = {
         .slow_ms = attempt->slow_ms,
-        .elapsed_ms = now - attempt->sent_ms,
+        .elapsed_ms = attempt_elapsed_ms(attempt),
         .queued = attempt->queued,
         .cold = backend_is_cold(attempt->backend, now),
     };
@@ -140,7 +163,7 @@
     const uint64_t now = loop_now(attempt->loop);
     switch (attempt->verdict) {
     case VERDICT_RESPONSE:
-        backend_answered(backend, (double)(now - attempt->sent_ms), attempt->queued);
+        backend_answered(backend, (double)attempt_elapsed_ms(attempt), attempt->queued);
         attempt_record(attempt, attempt->status >= HTTP_STATUS_INTERNAL_SERVER_ERROR ||
                                     attempt_is_slow(attempt));
         return ATTEMPT_ANSWERED;
@@ -167,11 +190,9 @@
              "detail=\"%s\"",
              STR_ARG(attempt->id), attempt->fingerprint, addr_format(&attempt->req->caller, caller),
              backend->info.id.ptr, end->stage, err_name(end->err.code), end->err.detail);
-    /* A backend server ends a response that nobody reads; that says nothing against it. */
-    if (!attempt->was_paused) {
-        attempt_record(attempt, true);
+    attempt_record(attempt, true);
+    if (!attempt_waited_for_caller(attempt))
         breaker_record_failure(&backend->breaker, now);
-    }
     if (attempt->streaming)
         return ATTEMPT_TRUNCATED;
     const bool declared_not_run = attempt->head_seen && (attempt->verdict == VERDICT_NOT_RUN ||
@@ -237,7 +258,7 @@
     attempt->head_seen = false;
     attempt->head_ms = 0;
     attempt->paused = false;
-    attempt->was_paused = false;
+    attempt->paused_ms = 0;
     attempt->slots_full = false;
     attempt->recorded = false;
     attempt->slow_ms = conf->slow_ms;
@@ -272,6 +293,7 @@
 {
     if (!attempt->paused || attempt->call == NULL)
         return;
+    attempt->paused_ms = paused_ms(attempt);
     attempt->paused = false;
     wire_call_resume(attempt->call);
 }
--- a/gateway/path/attempt.h
+++ b/gateway/path/attempt.h
@@ -49,11 +49,12 @@
     bool queued;      /* all slots of the backend were in use when it was sent */
     bool head_seen;
     bool streaming;
-    bool paused;
-    bool was_paused;  /* reading was paused since the request was sent */
-    bool slots_full;  /* the response reported that all slots of the backend are in use */
-    bool recorded;    /* the outcome is recorded in the backend's health */
-    uint32_t slow_ms; /* from slow_after_ms(); 0 if no limit */
+    bool paused;             /* reading waits for the caller */
+    uint64_t paused_from_ms; /* loop time of that */
+    uint64_t paused_ms;      /* of earlier pauses since the request was sent */
+    bool slots_full;         /* the response reported that all slots of the backend are in use */
+    bool recorded;           /* the outcome is recorded in the backend's health */
+    uint32_t slow_ms;        /* from slow_after_ms(); 0 if no limit */
     response_verdict_t verdict;
     int status;
     size_t received; /* bytes of responses, over all attempts */
@@ -76,6 +77,12 @@
  * attempt has ended. The exchange must hold a reference to the backend. */
 void attempt_start(attempt_t *attempt, const attempt_conf_t *conf);
 /* Records the outcome in the backend's health, at most once per attempt. */
+/* Time in milliseconds since the request was sent, without that in which the caller did not read.
+ */
+uint64_t attempt_elapsed_ms(const attempt_t *attempt);
+/* True if the caller kept the backend waiting for so long that the end of the attempt says nothing
+ * about the backend. */
+bool attempt_waited_for_caller(const attempt_t *attempt);
 void attempt_record(attempt_t *attempt, bool failed);
 /* Returns true if the attempt is slow enough to count as a failure of the backend. */
 bool attempt_is_slow(const attempt_t *attempt);
--- a/gateway/path/completion.c
+++ b/gateway/path/completion.c
@@ -16,7 +16,7 @@
     const lateness_input_t input = {
         .objective_ms = ex->route->latency_objective_ms,
         .elapsed_ms = now - ex->req->begun_ms,
-        .attempt_ms = now - attempt->sent_ms,
+        .attempt_ms = attempt_elapsed_ms(attempt),
         .prior_wait_ms = ex->prior_wait_ms,
         .typical_ms = backend->service_time_ms,
         .slow_ms = attempt->slow_ms,
--- a/gateway/path/dispatch.c
+++ b/gateway/path/dispatch.c
@@ -321,10 +321,10 @@
     const attempt_t *attempt = &ex->attempt;
     record_finished(ex);
     router_count_answer(ex->owner->router, ex->route, ex->service,
-                        (double)(exchange_now_ms(ex) - attempt->sent_ms));
+                        (double)attempt_elapsed_ms(attempt));
     if (!attempt->queued && !attempt->slots_full)
         router_count_work(ex->owner->router, ex->route, ex->service, exchange_last_tried(ex),
-                          (double)(exchange_now_ms(ex) - attempt->sent_ms));
+                          (double)attempt_elapsed_ms(attempt));
     if (retry_replaces_answer(attempt->status, ex->route->repeatable, attempt->streaming) &&
         may_retry(ex)) {
         ex->may_have_run = true;
@@ -352,9 +352,11 @@
     ex->possible_runs += outcome != ATTEMPT_NOT_RUN;
     if (ex->attempt.head_seen)
         router_count_attempt(ex->service, exchange_last_tried(ex), ex->attempt.slots_full);
-    if (ex->attempt.closed)
+    const bool says_nothing =
+        outcome != ATTEMPT_ANSWERED && attempt_waited_for_caller(&ex->attempt);
+    if (ex->attempt.closed && !says_nothing)
         record_connection_closed(ex);
-    if (outcome != ATTEMPT_NOT_RUN)
+    if (outcome != ATTEMPT_NOT_RUN && !says_nothing)
         record_for_rollout(ex,
                            outcome != ATTEMPT_ANSWERED ||
                                ex->attempt.status >= HTTP_STATUS_INTERNAL_SERVER_ERROR,
--- a/gateway/policy/slow_reader.h
+++ b/gateway/policy/slow_reader.h
@@ -24,8 +24,8 @@
     /* Allowance of one response: a read of the socket and what a usual link has in flight. */
     SLOW_READER_MAX = 256 << 10,
     SLOW_READER_MIN = 4 << 10,
-    /* Memory for request bodies of all callers, which are held until their responses. One larger
-     * body is taken while there is no other. */
+    /* Memory for large request bodies of all callers, which are held until their responses. One
+     * that is larger is taken while there is no other. */
     SLOW_READER_BODIES_MAX = 8 << 20,
 };
 
--- a/gateway/settings.c
+++ b/gateway/settings.c
@@ -5,13 +5,14 @@
 #include "base/yaml.h"
 #include "gateway/settings.h"
 
-/* Backend servers end a response that nobody reads after some seconds as well. */
+/* A caller that reads nothing for this time has most likely gone. */
 enum { SLOW_READER_DEFAULT_MS = 5000 };
 enum { RULES_MAX = 64, TEXT_MAX = 255, MS_PER_S = 1000, BYTES_PER_MBIT = 125000 };
 
 /* lower bounds that catch typing errors */
 #define TTL_MIN_S 0.1
 #define WINDOW_MIN_S 1
+#define SLOW_READER_MIN_S 1
 
 /* File contents as parsed by libcyaml; values are validated afterwards. */
 typedef struct {
@@ -189,7 +190,8 @@
            read_number("retry_constant", raw->retry_constant, 0, err) &&
            read_number("expose_share", raw->expose_share, 0, err) &&
            read_number("expose_slack", raw->expose_slack, 0, err) &&
-           read_number("slow_reader_s", raw->slow_reader_s, 0, err) &&
+           (raw->slow_reader_s == 0 ||
+            read_number("slow_reader_s", raw->slow_reader_s, SLOW_READER_MIN_S, err)) &&
            read_number("retry_window_s", raw->retry_window_s, WINDOW_MIN_S, err) &&
            read_seeds(raw, out, err) && read_places(raw, out, err);
 }
--- a/wire/client_call.c
+++ b/wire/client_call.c
@@ -16,11 +16,10 @@
 {
     const client_conn_t *conn = handle->data;
     const wire_call_t *call = conn->call;
-    size_t size = READ_SIZE;
+    const size_t max =
+        call != NULL && call->cbs.read_max != NULL ? call->cbs.read_max(call->ctx) : READ_SIZE;
     (void)suggested;
-    if (call != NULL && call->cbs.read_max != NULL && call->cbs.read_max(call->ctx) < size)
-        size = call->cbs.read_max(call->ctx);
-    *buf = uv_buf_init(read_buffer, (unsigned)size);
+    *buf = uv_buf_init(read_buffer, max < READ_SIZE ? (unsigned)max : READ_SIZE);
 }
 
 void
--- a/wire/listener.c
+++ b/wire/listener.c
@@ -86,8 +86,9 @@
 {
     const size_t left = uv_stream_get_write_queue_size((const uv_stream_t *)&conn->tcp);
     const bool response_ended = conn->state == STATE_IDLE || conn->state == STATE_CLOSING;
-    if (left != conn->unwritten)
+    if (conn->passed - left > conn->taken)
         conn->output_progress_ms = loop_now(conn->listener->loop);
+    conn->taken = conn->passed - left;
     if (response_ended && left != conn->unwritten)
         conn->last_progress_ms = loop_now(conn->listener->loop);
     conn->unwritten = left;
@@ -146,6 +147,8 @@
 static void
 sweep_conn(wire_conn_t *conn)
 {
+    if (conn->closed)
+        return;
     track_output_progress(conn);
     if (is_stalled(conn)) {
         give_up_response(conn);
--- a/wire/request_reader.c
+++ b/wire/request_reader.c
@@ -4,6 +4,7 @@
 #include <http_parser.h>
 
 #define LOG_MODULE "listener"
+#include "base/counter.h"
 #include "base/log.h"
 #include "base/loop_time.h"
 #include "base/xmalloc.h"
@@ -12,6 +13,13 @@
 /* Limit of pipelined input; above it, the connection is closed after the current response. */
 enum { PIPELINED_MAX = 65536 };
 
+/* A client that sends requests without reading the responses has to read first. */
+static bool
+may_begin_request(const wire_conn_t *conn)
+{
+    return conn->in_flight + conn->out.len <= WIRE_PIPELINE_BACKLOG;
+}
+
 void
 request_reader_next(wire_conn_t *conn)
 {
@@ -27,7 +35,7 @@
     conn->request_complete = false;
     conn->head_sent = false;
     wire_conn_set_state(conn, STATE_IDLE);
-    if (conn->pipelined_len == 0)
+    if (conn->pipelined_len == 0 || !may_begin_request(conn))
         return;
     char *pipelined = conn->pipelined;
     const size_t len = conn->pipelined_len;
@@ -41,6 +49,10 @@
 request_reader_refuse(wire_conn_t *conn, int status)
 {
     LOG_DBG("request rejected: status=%d", status);
+    if (conn->over_bodies)
+        counter_add(counter_get("irisstall_bodies_refused_total", NULL,
+                                "Requests refused because the bodies of all take too much memory."),
+                    1);
     conn->keep_alive = false;
     conn->body_expected = 0;
     wire_conn_set_state(conn, STATE_ANSWERING);
@@ -87,14 +99,14 @@
     return conn->req.head.len > conn->listener->limits.max_head;
 }
 
-/* True if the bodies of all connections fit with `bytes` of this one. The only one always does, so
- * that the limit on a single body is the configured one. */
+/* True if the large bodies of all connections fit with `bytes` of this one. Small ones and the only
+ * large one always do, so that the limit on a single body is the configured one. */
 static bool
 has_room_for_body(wire_conn_t *conn, size_t bytes)
 {
     const size_t max = conn->listener->limits.max_bodies;
     const size_t others = conn->listener->bodies - conn->body_held;
-    conn->over_bodies = max > 0 && bytes > 0 && others > 0 && others + bytes > max;
+    conn->over_bodies = max > 0 && bytes > WIRE_SMALL_BODY && others > 0 && others + bytes > max;
     return !conn->over_bodies;
 }
 
@@ -110,7 +122,6 @@
     conn->body_expected = length != UINT64_MAX ? (size_t)length : 0;
     if (!has_room_for_body(conn, conn->body_expected))
         return -1;
-    wire_conn_update_held(conn);
     conn->req.head.method = parser->method;
     conn->head_only = parser->method == HTTP_HEAD;
     conn->keep_alive = http_should_keep_alive(parser) != 0;
@@ -138,7 +149,7 @@
         return -1;
     if (req->body_len + len > conn->body_size) {
         const size_t size = larger_body_size(conn, req->body_len + len);
-        if (size > conn->body_expected && !has_room_for_body(conn, size))
+        if (!has_room_for_body(conn, size))
             return -1;
         conn->body_size = size;
         req->body = xrealloc(req->body, conn->body_size);
@@ -203,7 +214,8 @@
         wire_conn_log_late_input(conn, len);
         return;
     }
-    if (conn->state == STATE_ANSWERING) {
+    const bool waits = conn->state == STATE_IDLE && !may_begin_request(conn);
+    if (conn->state == STATE_ANSWERING || waits) {
         buffer_pipelined(conn, ptr, len);
         return;
     }
--- a/wire/server_conn.c
+++ b/wire/server_conn.c
@@ -75,8 +75,7 @@
 {
     wire_listener_t *listener = conn->listener;
     const size_t held = conn->closed ? 0 : conn->in_flight + conn->out.len;
-    const bool expects_body = !conn->closed && conn->body_expected > conn->body_size;
-    const size_t body = expects_body ? conn->body_expected : conn->body_size;
+    const size_t body = conn->body_size > WIRE_SMALL_BODY ? conn->body_size : 0;
     if (held == 0)
         conn->output_progress_ms = loop_now(listener->loop);
     update_sum(&listener->held, &conn->held, held);
@@ -160,7 +159,6 @@
     free(write);
     if (conn->closed)
         return;
-    conn->output_progress_ms = loop_now(conn->listener->loop);
     wire_conn_update_held(conn);
     if (status != 0) {
         wire_conn_on_disconnect(conn);
@@ -168,6 +166,8 @@
     }
     if (conn->in_flight == 0 && conn->state == STATE_ANSWERING && conn->req.on_drain != NULL)
         conn->req.on_drain(conn->req.ctx);
+    else if (conn->state == STATE_IDLE && conn->pipelined_len > 0)
+        conn->listener->on_response_end(conn); /* the next request waited for this */
 }
 
 void
@@ -183,6 +183,7 @@
             written = (size_t)n;
     }
     const size_t left = conn->out.len - written;
+    conn->passed += conn->out.len;
     if (left > 0) {
         write_t *write = xmalloc(sizeof(*write));
         write->conn = conn;
@@ -192,6 +193,7 @@
         conn->in_flight += left;
         if (uv_write(&write->req, (uv_stream_t *)&conn->tcp, &buf, 1, on_written) != 0) {
             conn->in_flight -= left;
+            conn->passed -= left;
             free(write->bytes);
             free(write);
             conn->keep_alive = false;
--- a/wire/server_conn.h
+++ b/wire/server_conn.h
@@ -13,6 +13,12 @@
 /* Buffered response bytes above which they are written without an explicit flush. */
 enum { WIRE_FLUSH_SIZE = 16384 };
 
+/* Request bodies up to this size do not count towards the limit over all connections. */
+enum { WIRE_SMALL_BODY = 65536 };
+
+/* Unwritten response bytes above which the next request of a connection is not begun. */
+enum { WIRE_PIPELINE_BACKLOG = 65536 };
+
 typedef struct wire_conn wire_conn_t;
 
 typedef enum {
@@ -64,7 +70,9 @@
     size_t in_flight; /* bytes passed to libuv and not written yet */
     size_t held;      /* this connection's part of the listener's sums */
     size_t body_held;
-    uint64_t output_progress_ms; /* the client last took bytes of the response, or none waited */
+    uint64_t passed;             /* bytes of responses passed to libuv */
+    uint64_t taken;              /* of these, written to the socket at the last sweep */
+    uint64_t output_progress_ms; /* when that last grew, or no bytes waited */
     bool over_bodies;            /* the body exceeded the limit over all connections */
     bool keep_alive;             /* stays open after the current response */
     bool head_sent;              /* the response has begun */
