--- a/gateway/policy/region_plan.h
+++ b/gateway/policy/region_plan.h
@@ -24,7 +24,8 @@
  * An object that moves runs cold at first, and the platform limits how fast the traffic of a region
  * may shift. Shares based on current instead of peak demand would move objects back and forth.
  *
- * See docs/design/gateway/choice.md. region_plan_t is part of its service; the time is passed in.
+ * See docs/design/gateway/choice.md and region-plan.md there. region_plan_t is part of its service;
+ * the time is passed in.
  */
 #pragma once
 
