--- a/gateway/router.c
+++ b/gateway/router.c
@@ -164,8 +164,10 @@
         backend_t *backend = backends->items[i];
         const service_t *service =
             services_find(&router->services, name_str(&backend->info.service));
-        if (service != NULL && service_counts_work(service))
-            backend->drain_work_ms = service->work_ms;
+        if (service == NULL || !service_counts_work(service))
+            continue;
+        backend->drain_work_ms = service->work_ms;
+        backend->tells_pace = service->tells_pace;
     }
 }
 
--- a/gateway/state/backend.h
+++ b/gateway/state/backend.h
@@ -74,6 +74,7 @@
     uint32_t overdue;          /* attempts of this instance that are overdue (policy/slow.h) */
     uint64_t overdue_since_ms; /* when the first of these became so */
     bool load_unsent;          /* it reported a queue that other instances were not told */
+    bool tells_pace;           /* backends of its service report the pace of their work */
     double drain_work_ms;      /* mean run of its service where work is counted; 0: not counted */
     double slowdown;           /* factor on service times, as of slowdown_ms; 0: never reported */
     uint64_t slowdown_ms;
@@ -118,8 +119,8 @@
 void backend_attempt_overdue(backend_t *backend, uint64_t now_ms);
 void backend_overdue_ended(backend_t *backend);
 /* A backend that has not responded since attempts became overdue has a queue that grows with the
- * time: sets its load accordingly. Returns false if it responded, none is overdue, or it reports
- * the pace of its work: then a slow moment may be the reason. */
+ * time: sets its load accordingly. Returns false if it responded, none is overdue, or its service
+ * reports the pace of work: then a slow moment may be the reason. */
 bool backend_assume_queue(backend_t *backend, uint64_t now_ms);
 /* Factor by which work takes longer there than usual, as reported within the last 300 ms; 0 if not
  * known. */
