Show the order under shortage: status, gauges, design note

irisctl status tells which region is short of slots for a service, the work and the room, and what it admits by urgency; irisstall_admitted_share_percent tells it of the own region, four series a service that has an order.

A test plays a refusal through the request path: 503 with Retry-After, no run. The header gives the reason of the room (wait by Erlang C).

--- a/gateway/admin.c
+++ b/gateway/admin.c
@@ -59,6 +59,23 @@
     set_state_gauge("resting", resting);
 }
 
+/* The share of each urgency that the own region admits. */
+static void
+set_shortage_gauges(const service_t *service)
+{
+    enum { PERCENT = 100 };
+    char labels[NAME_MAX_LEN + 32];
+    if (service->shortage == NULL)
+        return;
+    for (unsigned i = 0; i < URGENCY_LEVELS; i++) {
+        const double share = shortage_admitted_share(service->shortage, service->plan.own, i);
+        snprintf(labels, sizeof(labels), "service=\"%s\",urgency=\"%u\"", service->name.ptr, i);
+        counter_set(counter_get("irisstall_admitted_share_percent", labels,
+                                "Share of the requests that the own region admits, by urgency."),
+                    (int64_t)(PERCENT * share));
+    }
+}
+
 static void
 set_plan_gauges(const router_t *router)
 {
@@ -73,6 +90,7 @@
         counter_set(counter_get("irisstall_slots_use_percent", labels,
                                 "Highest demand lately measured, as a share of all slots."),
                     (int64_t)(PERCENT * region_plan_use(&service->plan)));
+        set_shortage_gauges(service);
     }
 }
 
--- a/gateway/inspect.c
+++ b/gateway/inspect.c
@@ -126,6 +126,25 @@
     }
 }
 
+/* Writes which regions are short of slots for a service and what they admit. */
+static void
+print_shortage(const service_t *service, const topology_t *topology, wire_text_t *out)
+{
+    enum { PERCENT = 100 };
+    for (size_t i = 0; i < topology->region_count; i++) {
+        if (!shortage_is_short(service->shortage, i))
+            continue;
+        wire_text_printf(out, "%s short of slots in %s: work for %.0f of %.0f, admits by urgency",
+                         service->name.ptr, topology->regions[i].ptr,
+                         offered_totals_slots(service->fleet_offered, i),
+                         shortage_room(service->shortage, i, service->plan.slots[i]));
+        for (unsigned k = 0; k < URGENCY_LEVELS; k++)
+            wire_text_printf(out, " %.0f%%",
+                             PERCENT * shortage_admitted_share(service->shortage, i, k));
+        wire_text_str(out, STR("\n"));
+    }
+}
+
 void
 inspect_status(const inspect_status_t *status, wire_text_t *out)
 {
@@ -147,6 +166,8 @@
     if (router->catalog.unusable_count > 0)
         wire_text_printf(out, "entries that name no backend server to use: %zu\n",
                          router->catalog.unusable_count);
+    for (size_t i = 0; i < router->services.count; i++)
+        print_shortage(router->services.items[i], router->topology, out);
     for (size_t i = 0; i < status->members->count; i++) {
         if (status->members->items[i].heard)
             print_member(&status->members->items[i], now, out);
--- a/gateway/path/dispatch.c
+++ b/gateway/path/dispatch.c
@@ -24,7 +24,7 @@
         .may_request_permit = may_request_permit && ex->permits_refused < PERMIT_REFUSALS_MAX,
         .tried = ex->tried,
         .tried_count = ex->tried_count,
-        .is_first = !ex->chosen_for,
+        .is_first = !ex->choice_made,
     };
     return router_pick(ex->owner->router, &request);
 }
@@ -103,7 +103,7 @@
     permit_result_t verdict = PERMIT_REFUSED;
     while (verdict == PERMIT_REFUSED) {
         ex->choice = dispatch_choose(ex, true);
-        ex->chosen_for = true;
+        ex->choice_made = true;
         if (ex->choice.backend == NULL) {
             router_count_refused(ex->owner->router, ex->service);
             completion_refuse_no_backend(ex);
--- a/gateway/path/exchange_state.h
+++ b/gateway/path/exchange_state.h
@@ -40,7 +40,7 @@
     pending_permit_t *permit;             /* pending permit request; NULL if none */
     backend_t *permit_backend;            /* backend of the pending permit, a counted reference */
     unsigned permits_refused;             /* permits refused for this request */
-    bool chosen_for;                      /* a backend server was asked for before */
+    bool choice_made;                     /* `choice` was made at least once */
     choice_t choice;                      /* last choice; its backend may no longer exist */
     retry_verdict_t retry;                /* result of the last retry decision */
     backend_t *tried[RETRY_BACKENDS_MAX]; /* in order; counted references */
--- a/gateway/policy/shortage.h
+++ b/gateway/policy/shortage.h
@@ -9,9 +9,9 @@
  * (offered_work.h); the slots of usable backend servers by region; how many attempts found all
  * slots of their backend server busy.
  *
- *  - Nothing is held back while the offered work is within the room: 0.8 of the slots. Above that,
- *    the ten or so slots of a backend server are all busy for a fifth of the requests, and their
- *    wait makes responses late.
+ *  - Nothing is held back while the offered work is within the room: 0.8 of the slots. At that use
+ *    the mean wait for one of ten slots is a fifth of a request's work (Erlang C) and doubles by
+ *    0.87: queues then make responses late.
  *  - Above it the region is short. The room goes to the most urgent level first, then to the next.
  *    Each level keeps at least 0.3 of the share of the most urgent one, so that no kind of request
  *    is served less than a quarter as often as all, however much work one request of it is; the
@@ -24,8 +24,8 @@
  * up delays everything behind it, while room that is given back late costs only that room.
  *  - Work is counted at its mean. What that does not tell (runs without the object in memory, work
  *    of instances behind a cut) shows in attempts that find all slots busy. While more than 0.3 of
- *    them do, the room shrinks, by at most 0.05 a second and to no less than half, as for a cut
- *    that hides half of the work; it grows back while fewer than 0.15 do.
+ *    them do, as at 0.8 of ten slots, the room shrinks, by at most 0.05 a second and to no less
+ * than half, as for a cut that hides half of the work; it grows back while fewer than 0.15 do.
  *  - A region without usable backend servers is not short: its requests go to other regions.
  *
  * Shares follow from what all instances tell each other, so that all decide alike without a
--- a/gateway/state/account_work.c
+++ b/gateway/state/account_work.c
@@ -9,15 +9,16 @@
 /* Slots below which an account is removed. */
 #define SLOTS_MIN 0.001
 
-static account_work_item_t *
+/* Returns the index of an item, the number of items if there is none. */
+static size_t
 find(const account_work_t *work, uint64_t account, size_t region, unsigned urgency)
 {
     for (size_t i = 0; i < work->count; i++) {
         const account_work_item_t *item = &work->items[i];
         if (item->account == account && item->region == region && item->urgency == urgency)
-            return (account_work_item_t *)item;
+            return i;
     }
-    return NULL;
+    return work->count;
 }
 
 /* Slots as of the next update, about. */
@@ -45,12 +46,13 @@
 account_work_count(account_work_t *work, uint64_t account, size_t region, unsigned urgency,
                    double work_ms)
 {
-    account_work_item_t *item = find(work, account, region, urgency);
-    if (item == NULL) {
-        item = take_item(work);
-        *item = (account_work_item_t){.account = account, .region = region, .urgency = urgency};
+    const size_t index = find(work, account, region, urgency);
+    if (index < work->count) {
+        work->items[index].pending += work_ms;
+        return;
     }
-    item->pending += work_ms;
+    *take_item(work) = (account_work_item_t){
+        .account = account, .region = region, .urgency = urgency, .pending = work_ms};
 }
 
 void
@@ -75,8 +77,8 @@
 double
 account_work_slots(const account_work_t *work, uint64_t account, size_t region, unsigned urgency)
 {
-    const account_work_item_t *item = find(work, account, region, urgency);
-    return item != NULL ? item->slots : 0;
+    const size_t index = find(work, account, region, urgency);
+    return index < work->count ? work->items[index].slots : 0;
 }
 
 size_t
--- a/gateway/state/offered_work.h
+++ b/gateway/state/offered_work.h
@@ -2,9 +2,10 @@
  * Offered work: how many slots the requests for a service would keep busy, by the region that is to
  * serve them and by urgency, whether they are admitted or not.
  *
- * Owns one instance's moving averages, which heartbeats send to the others. The totals of all
- * instances tell each of them which regions are short of slots. Demand measured from the requests
- * in progress (services.h) cannot tell that: it grows with the queues. Time is passed in.
+ * Owns one instance's moving averages, which heartbeats send to the others, and beside them how
+ * many attempts found all slots of their backend server busy. The totals of all instances tell each
+ * of them which regions are short of slots. Demand measured from the requests in progress
+ * (services.h) cannot tell that: it grows with the queues. Time is passed in.
  */
 #pragma once
 
--- a/test/gateway/test_order.c
+++ b/test/gateway/test_order.c
@@ -5,9 +5,11 @@
 #include <uv.h>
 
 #include "base/xmalloc.h"
+#include "gateway/gateway_state.h"
 #include "gateway/order.h"
 #include "gateway/router.h"
 #include "test/gateway/fixture.h"
+#include "test/gateway/site.h"
 #include "test/suites.h"
 
 enum { START_MS = 100000, TICK_MS = 100, BACKENDS = 4, SLOTS = 4, ROUTES = 2 };
@@ -252,6 +254,28 @@
 }
 END_TEST
 
+/* A refusal for want of slots promises that the request has not run. */
+START_TEST(refused_request_gets_503_and_does_not_run)
+{
+    site_t *site = new_ready_site(2);
+    router_t *router = &site->gateway->router;
+    ck_assert_int_eq(ask(site, "GET", "/safe/x").status, 200);
+    router->orders_shortage = router->has_order = true;
+    service_t *service = services_find(&router->services, STR("svc"));
+    service_order_work(service);
+    /* Above 1, since updates release some of it. */
+    for (size_t i = 0; i < TOPOLOGY_REGIONS_MAX; i++)
+        service->shortage->held[i][urgency_of(1)] = 2;
+    const size_t runs = total_runs(site);
+    const reply_t refused = ask(site, "GET", "/safe/x");
+    ck_assert_int_eq(refused.status, 503);
+    ck_assert_str_ne(refused.retry_after, "");
+    ck_assert_uint_eq(total_runs(site), runs);
+    service_end_order(service);
+    ck_assert_int_eq(ask(site, "GET", "/safe/x").status, 200);
+}
+END_TEST
+
 Suite *
 suite_gateway_order(void)
 {
@@ -262,6 +286,7 @@
     tcase_add_test(tests, admitted_requests_are_not_asked_or_counted_again);
     tcase_add_test(tests, without_an_order_no_decision_changes);
     tcase_add_test(tests, order_applies_to_accounts_or_routes_that_differ);
+    tcase_add_test(tests, refused_request_gets_503_and_does_not_run);
     suite_add_tcase(suite, tests);
     return suite;
 }
