Tell refused callers when there will be room

Every refusal for lack of room named 0.4 s, whatever room there was to be. Callers come back once, so that those refused again had come for nothing.

policy/return_time decides from the backend server's queue, the room that requests of like or greater urgency leave in the region, this instance's share of it and what it has promised already (state/returns, a calendar of 10 s per service and region). A caller gets the first time with room that it waits for, or the longest true time if there is none. Instances recognise callers that come as told by the time they have lost; these queue up to the load of new requests without regard to the objective. Services whose offered work is not counted keep 0.4 s.

Log keys retry_after_ms and returned, irisstall_returns_total{result}, irisstall_returns_expected_slot_ms, a line in irisctl status.

--- a/gateway/admin.c
+++ b/gateway/admin.c
@@ -76,6 +76,19 @@
     }
 }
 
+static void
+set_return_gauge(const services_t *services)
+{
+    double expected_ms = 0;
+    for (size_t i = 0; i < services->count; i++) {
+        if (services->items[i]->returns != NULL)
+            expected_ms += returns_total_ms(services->items[i]->returns);
+    }
+    set_gauge("irisstall_returns_expected_slot_ms",
+              "Work of refused callers told to come back, in slot milliseconds.",
+              (int64_t)expected_ms);
+}
+
 /* Sets the gauges for the delay between a change of a view and its activation. */
 static void
 set_age_gauges(const views_t *views)
@@ -153,6 +166,7 @@
     set_age_gauges(admin->views);
     set_backend_gauges(router);
     set_plan_gauges(router);
+    set_return_gauge(&router->services);
     set_gauge("irisstall_requests_held",
               "Requests and families refused now, as backend servers ended under them.",
               (int64_t)suspects_held(admin->suspects, loop_now(router->loop)));
--- a/gateway/inspect.c
+++ b/gateway/inspect.c
@@ -126,6 +126,18 @@
     }
 }
 
+/* Writes the work of refused callers that this instance told to come back, by service. */
+static void
+print_returns(const services_t *services, wire_text_t *out)
+{
+    for (size_t i = 0; i < services->count; i++) {
+        const service_t *service = services->items[i];
+        if (service->returns != NULL)
+            wire_text_printf(out, "refused callers expected: service %s, %.0f ms of slots\n",
+                             service->name.ptr, returns_total_ms(service->returns));
+    }
+}
+
 void
 inspect_status(const inspect_status_t *status, wire_text_t *out)
 {
@@ -147,6 +159,7 @@
     if (router->catalog.unusable_count > 0)
         wire_text_printf(out, "entries that name no backend server to use: %zu\n",
                          router->catalog.unusable_count);
+    print_returns(&router->services, out);
     for (size_t i = 0; i < status->members->count; i++) {
         if (status->members->items[i].heard)
             print_member(&status->members->items[i], now, out);
--- a/gateway/path/completion.c
+++ b/gateway/path/completion.c
@@ -2,6 +2,7 @@
 
 #include <http_parser.h>
 
+#include "base/counter.h"
 #include "base/xmalloc.h"
 #include "gateway/path/access_log.h"
 #include "gateway/path/completion.h"
@@ -28,6 +29,28 @@
     return lateness_cause(&input);
 }
 
+/* Results of promises to refused callers; made here, kept or broken wherever the caller comes to.
+ */
+static void
+count_return(const char *labels)
+{
+    counter_add(counter_get("irisstall_returns_total", labels,
+                            "Refused callers told a time at which there is room, and how those "
+                            "who came then ended."),
+                1);
+}
+
+static void
+count_expected_end(const exchange_t *ex, outcome_t outcome)
+{
+    if (!ex->expected)
+        return;
+    if (outcome == OUTCOME_ANSWERED)
+        count_return("result=\"served\"");
+    else if (outcome == OUTCOME_NO_CAPACITY || outcome == OUTCOME_NOT_RUN)
+        count_return("result=\"refused_again\"");
+}
+
 static void
 log_end(const exchange_t *ex, int status, outcome_t outcome)
 {
@@ -50,8 +73,11 @@
         .late = outcome == OUTCOME_ANSWERED ? late_cause(ex, backend) : LATE_NONE,
         .elapsed_ms = exchange_now_ms(ex) - ex->req->begun_ms,
         .left_ms = exchange_remaining_ms(ex),
+        .retry_after_ms = ex->retry_after_ms,
+        .returned = ex->expected,
     };
     access_log(&access);
+    count_expected_end(ex, outcome);
     traffic_count(&ex->owner->router->traffic, ex->req->body_len + ex->attempt.received);
 }
 
@@ -60,6 +86,7 @@
 {
     wire_text_t fields = {0};
     ex->owner->dialect->write_gateway_response(ex->metadata.id, response->retry_after_ms, &fields);
+    ex->retry_after_ms = response->retry_after_ms;
     log_end(ex, response->status, response->outcome);
     wire_respond(ex->req, response->status, (str_t){fields.ptr, fields.len}, STR(""));
     free(fields.ptr);
@@ -88,6 +115,15 @@
     send_final_response(ex, &response);
 }
 
+void
+completion_refuse_no_room(exchange_t *ex, outcome_t why, const return_time_t *time)
+{
+    const final_response_t response = final_response_no_room(why, time->after_ms);
+    if (time->expected)
+        count_return("result=\"expected\"");
+    send_final_response(ex, &response);
+}
+
 void
 completion_refuse_quarantined(exchange_t *ex, uint64_t held_ms)
 {
--- a/gateway/path/dispatch.c
+++ b/gateway/path/dispatch.c
@@ -6,12 +6,12 @@
 #include "gateway/path/end_check.h"
 #include "gateway/path/completion.h"
 
-choice_t
-dispatch_choose(const exchange_t *ex, bool may_request_permit)
+static router_request_t
+router_request(const exchange_t *ex, bool may_request_permit)
 {
     const uint32_t given_up_in_ms =
         exchange_remaining_ms(ex) > 0 ? (uint32_t)exchange_remaining_ms(ex) : 1;
-    const router_request_t request = {
+    return (router_request_t){
         .route = ex->route,
         .account = ex->account,
         .service = ex->service,
@@ -19,12 +19,19 @@
         .has_object = router_has_object(ex->route, ex->metadata.object),
         .left_ms = ex->metadata.has_deadline ? ex->metadata.deadline_ms : given_up_in_ms,
         .prior_wait_ms = ex->prior_wait_ms,
+        .expected = ex->expected,
         .version = ex->required_version,
         .suspected = suspects_has_evidence(ex->owner->suspects, &ex->fingerprint),
         .may_request_permit = may_request_permit && ex->permits_refused < PERMIT_REFUSALS_MAX,
         .tried = ex->tried,
         .tried_count = ex->tried_count,
     };
+}
+
+choice_t
+dispatch_choose(const exchange_t *ex, bool may_request_permit)
+{
+    const router_request_t request = router_request(ex, may_request_permit);
     return router_pick(ex->owner->router, &request);
 }
 
@@ -96,6 +103,45 @@
     return verdict;
 }
 
+/* ---- refusals ---- */
+
+/* True if the caller of a refused request is told when to come back. */
+static bool
+may_return(const exchange_t *ex)
+{
+    return ex->service->offered != NULL && !ex->may_have_run;
+}
+
+/* Refuses a request for which there is no room at present. */
+static void
+refuse_until_room(exchange_t *ex, outcome_t why)
+{
+    const router_request_t request = router_request(ex, true);
+    const return_time_t time = router_return_time(ex->owner->router, &request);
+    completion_refuse_no_room(ex, why, &time);
+}
+
+/* Refuses a request that no backend server is chosen for. */
+static void
+refuse_unsent(exchange_t *ex)
+{
+    router_count_refused(ex->owner->router, ex->service);
+    if (ex->choice.reason == CHOICE_FULL && may_return(ex))
+        refuse_until_room(ex, OUTCOME_NO_CAPACITY);
+    else
+        completion_refuse_no_backend(ex);
+}
+
+/* Refuses a request that its last backend server did not run and that isn't retried. */
+static void
+refuse_not_run(exchange_t *ex)
+{
+    if (ex->attempt.slots_full && may_return(ex))
+        refuse_until_room(ex, OUTCOME_NOT_RUN);
+    else
+        completion_refuse(ex, OUTCOME_NOT_RUN);
+}
+
 void
 dispatch_next(exchange_t *ex)
 {
@@ -103,8 +149,7 @@
     while (verdict == PERMIT_REFUSED) {
         ex->choice = dispatch_choose(ex, true);
         if (ex->choice.backend == NULL) {
-            router_count_refused(ex->owner->router, ex->service);
-            completion_refuse_no_backend(ex);
+            refuse_unsent(ex);
             return;
         }
         verdict = get_permit(ex, ex->choice.backend);
@@ -177,7 +222,7 @@
 retry_or_refuse(exchange_t *ex)
 {
     if (!may_retry(ex)) {
-        completion_refuse(ex, OUTCOME_NOT_RUN);
+        refuse_not_run(ex);
         return;
     }
     const uint32_t after_ms = retry_after_ms(ex->attempt.closed);
--- a/gateway/path/exchange.c
+++ b/gateway/path/exchange.c
@@ -125,6 +125,16 @@
     return ex->account_admitted;
 }
 
+/* Recognises a caller that comes back after a refusal, and whether it was told to come now. */
+static void
+record_caller(exchange_t *ex)
+{
+    const uint32_t left_ms = ex->metadata.deadline_ms;
+    ex->prior_wait_ms = router_record_caller(ex->owner->router, ex->route, ex->service, left_ms);
+    ex->expected =
+        ex->service->offered != NULL && return_time_is_expected(left_ms, ex->prior_wait_ms);
+}
+
 void
 exchange_start(exchanges_t *exchanges, wire_request_t *req)
 {
@@ -154,7 +164,7 @@
     ex->object = router_object(router, ex->route, ex->metadata.object);
     ex->deadline_at_ms = deadline_of(ex);
     if (ex->metadata.has_deadline)
-        ex->prior_wait_ms = router_record_caller(router, ex->route, ex->metadata.deadline_ms);
+        record_caller(ex);
     req->on_disconnect = on_caller_disconnected;
     req->on_drain = on_caller_drained;
     req->ctx = ex;
--- a/gateway/policy/admission.c
+++ b/gateway/policy/admission.c
@@ -41,6 +41,8 @@
     const double expected_ms = service_time_ms(request, backend) * (1 + queue_wait_factor(backend));
     if (expected_ms > request->left_ms)
         return false;
+    if (request->expected)
+        return load <= LOAD_MAX;
     if (is_retry_after_refusal(request))
         return load <= LATE_LOAD_MAX;
     return load <= LOAD_MAX && (request->objective_ms == 0 || expected_ms <= request->objective_ms);
--- a/gateway/policy/final_response.c
+++ b/gateway/policy/final_response.c
@@ -59,6 +59,12 @@
     return response;
 }
 
+final_response_t
+final_response_no_room(outcome_t why, uint32_t retry_after_ms)
+{
+    return (final_response_t){HTTP_STATUS_SERVICE_UNAVAILABLE, retry_after_ms, why};
+}
+
 final_response_t
 final_response_held(uint64_t held_ms)
 {
--- a/gateway/policy/final_response.h
+++ b/gateway/policy/final_response.h
@@ -56,6 +56,9 @@
  * time until the first one is available, 0 if not known; `point`: random in [0, 1), spreads the
  * retries of callers that were refused together. */
 final_response_t final_response_all_skipped(bool may_have_run, uint64_t wait_ms, double point);
+/* Returns the response to a request that has not run because of `why` and for which there is no
+ * room for `retry_after_ms` (return_time.h). */
+final_response_t final_response_no_room(outcome_t why, uint32_t retry_after_ms);
 /* Returns the response to a quarantined request of which nothing was sent; it may be retried after
  * `held_ms`. */
 final_response_t final_response_held(uint64_t held_ms);
--- a/gateway/router.c
+++ b/gateway/router.c
@@ -73,6 +73,7 @@
     if (service->offered == NULL)
         return;
     offered_work_update(service->offered, now_ms);
+    returns_advance(service->returns, now_ms);
     members_offered(members, name_str(&service->name), router->region, now_ms,
                     service->fleet_offered);
 }
@@ -290,21 +291,27 @@
     return work_ms > 0 ? work_ms : service->latency_ms;
 }
 
+static unsigned
+request_urgency(const router_request_t *request)
+{
+    return urgency_of(request->account != NULL ? request->account->priority
+                                               : request->route->priority);
+}
+
 /* Counts the work that a new request offers to the region it is to be served in. */
 static void
 count_offered(router_t *router, const router_request_t *request, size_t region, size_t allowed)
 {
-    const config_route_t *route = request->route;
-    const int priority = request->account != NULL ? request->account->priority : route->priority;
-    offered_work_count(request->service->offered, region, urgency_of(priority), allowed == 1,
-                       expected_work_ms(router, route, request->service));
+    offered_work_count(request->service->offered, region, request_urgency(request), allowed == 1,
+                       expected_work_ms(router, request->route, request->service));
 }
 
-choice_t
-router_pick(router_t *router, const router_request_t *request)
+/* Fills the input of the choice for a request. */
+static choice_input_t
+request_input(const router_t *router, const router_request_t *request)
 {
     const config_route_t *route = request->route;
-    service_t *service = request->service;
+    const service_t *service = request->service;
     choice_input_t input =
         choice_input(router, route, name_str(&service->name), &service->plan, request->object);
     input.account = request->account;
@@ -319,7 +326,16 @@
         .left_ms = request->left_ms,
         .median_ms = route_stats_median_ms(&router->routes, route->key),
         .lost_ms = request->prior_wait_ms,
+        .expected = request->expected,
     };
+    return input;
+}
+
+choice_t
+router_pick(router_t *router, const router_request_t *request)
+{
+    const service_t *service = request->service;
+    choice_input_t input = request_input(router, request);
     if (service->offered != NULL && request->tried_count == 0)
         count_offered(router, request, choice_planned_region(&input),
                       choice_allowed_regions(&input));
@@ -329,6 +345,91 @@
     return choice;
 }
 
+/* ---- refused callers ---- */
+
+/* The backend server that a refused request would have gone to; NULL if none. */
+static backend_t *
+refusing_backend(const choice_input_t *input)
+{
+    backend_t *first;
+    return choice_first_candidates(input, &first, 1) > 0 ? first : NULL;
+}
+
+static return_server_t
+return_server(const router_t *router, const choice_input_t *input, const backend_t *backend)
+{
+    if (backend == NULL)
+        return (return_server_t){0};
+    const double median_ms = route_stats_median_ms(&router->routes, input->route->key);
+    const double mean_ms = backend->service_time_ms;
+    return (return_server_t){
+        .load = backend_load(backend, input->now_ms),
+        .slots = backend->info.capacity,
+        .work_ms = median_ms > 0 && median_ms < mean_ms ? median_ms : mean_ms,
+        .promised_until = backend->returns_until_ms,
+    };
+}
+
+/* Part of the work offered to a region that comes from this instance's callers. */
+static double
+own_share(const router_t *router, const service_t *service, size_t region)
+{
+    const double all = offered_totals_slots(service->fleet_offered, region);
+    const double own = offered_totals_slots(&service->offered->average, region);
+    if (all > 0 && own > 0)
+        return own < all ? own / all : 1;
+    return 1.0 / (router->instances > 0 ? router->instances : 1);
+}
+
+static return_room_t
+return_room(const router_t *router, const service_t *service, size_t region, unsigned urgency)
+{
+    if (region >= TOPOLOGY_REGIONS_MAX)
+        return (return_room_t){0};
+    return_room_t room = {
+        .slots = service->plan.slots[region],
+        .admitted_share = 1,
+        .own_share = own_share(router, service, region),
+    };
+    /* Work is counted at the usual pace. */
+    const double slowdown = service->slowdown > 1 ? service->slowdown : 1;
+    for (unsigned level = 0; level <= urgency; level++)
+        room.ahead += service->fleet_offered->slots[region][level] * slowdown;
+    return room;
+}
+
+return_time_t
+router_return_time(router_t *router, const router_request_t *request)
+{
+    service_t *service = request->service;
+    choice_input_t choice = request_input(router, request);
+    choice.tried_count = 0; /* it is to come back to the backend server that was full */
+    const size_t region = choice_planned_region(&choice);
+    backend_t *backend = refusing_backend(&choice);
+    returns_advance(service->returns, choice.now_ms);
+    const return_input_t input = {
+        .server = return_server(router, &choice, backend),
+        .room = return_room(router, service, region, request_urgency(request)),
+        .promised = service->returns,
+        .region = region,
+        .now_ms = choice.now_ms,
+        .left_ms = request->left_ms,
+        .objective_ms = request->route->latency_objective_ms,
+        .usual_left_ms = route_stats_first_left_ms(&router->routes, request->route->key),
+        .lost_ms = request->prior_wait_ms,
+        .work_ms = expected_work_ms(router, request->route, service),
+        .spread = rng_unit(&router->rng),
+        .slot_chance = rng_unit(&router->rng),
+    };
+    const return_time_t time = return_time_decide(&input);
+    if (!time.expected)
+        return time;
+    returns_promise(service->returns, region, time.at_ms, input.work_ms);
+    if (backend != NULL)
+        backend->returns_until_ms = time.server_promised_until;
+    return time;
+}
+
 choice_input_t
 router_explain_input(const router_t *router, const config_route_t *route, str_t service,
                      uint64_t object)
@@ -345,9 +446,13 @@
 }
 
 double
-router_record_caller(router_t *router, const config_route_t *route, uint32_t left_ms)
+router_record_caller(router_t *router, const config_route_t *route, const service_t *service,
+                     uint32_t left_ms)
 {
-    const double usual_ms = route_stats_count_caller(&router->routes, route->key, left_ms);
+    const double all_ms = route_stats_count_caller(&router->routes, route->key, left_ms);
+    const double first_ms =
+        route_stats_count_first(&router->routes, route->key, left_ms, return_time_is_return);
+    const double usual_ms = service->offered != NULL ? first_ms : all_ms;
     return usual_ms > left_ms ? usual_ms - left_ms : 0;
 }
 
@@ -434,7 +539,10 @@
                   const backend_t *backend, double latency_ms)
 {
     const double slowdown = backend_slowdown(backend, loop_now(router->loop));
-    service->tells_pace |= slowdown > 0;
+    if (slowdown > 0) {
+        service->tells_pace = true;
+        service_count_slowdown(service, slowdown);
+    }
     route_stats_count_work(&router->routes, route->key, latency_ms, slowdown);
 }
 
--- a/gateway/router.h
+++ b/gateway/router.h
@@ -11,6 +11,7 @@
 #include "base/rng.h"
 #include "gateway/membership/members.h"
 #include "gateway/policy/choice.h"
+#include "gateway/policy/return_time.h"
 #include "gateway/policy/retry.h"
 #include "gateway/state/catalog.h"
 #include "gateway/state/object_rates.h"
@@ -71,6 +72,7 @@
     bool has_object;
     uint32_t left_ms;     /* time the caller will still wait */
     double prior_wait_ms; /* time already spent on refused requests, from router_record_caller() */
+    bool expected;        /* it was refused and told to come now (policy/return_time.h) */
     uint64_t version;     /* use only backends of this software version; 0 for any */
     bool suspected;       /* a backend server crashed while running it */
     bool may_request_permit; /* a backend that needs a permit may be chosen (policy/backend_skip.h)
@@ -109,7 +111,11 @@
 
 /* Records the remaining deadline of a caller. Returns the time in milliseconds that it has already
  * spent, more than 0 if it retries after a refusal. */
-double router_record_caller(router_t *router, const config_route_t *route, uint32_t left_ms);
+double router_record_caller(router_t *router, const config_route_t *route, const service_t *service,
+                            uint32_t left_ms);
+/* Decides when a caller for whose request there is no room is to come back, and records the
+ * promise. Only for services whose offered work is counted. */
+return_time_t router_return_time(router_t *router, const router_request_t *request);
 /* Counts a request; it adds to the retry budget of its service. */
 void router_count_request(router_t *router, service_t *service);
 /* Counts a request for which no backend was found. */
--- a/gateway/state/backend.h
+++ b/gateway/state/backend.h
@@ -67,7 +67,8 @@
     uint64_t sends;       /* total attempts of this instance */
     double other_load;    /* requests of other instances, as of load_reported_ms */
     uint64_t load_reported_ms;
-    double slowdown; /* factor on service times, as of slowdown_ms; 0: never reported */
+    uint64_t returns_until_ms; /* time from which its room is not promised to refused callers */
+    double slowdown;           /* factor on service times, as of slowdown_ms; 0: never reported */
     uint64_t slowdown_ms;
     breaker_t breaker;
     health_t health;
--- a/gateway/state/route_stats.h
+++ b/gateway/state/route_stats.h
@@ -6,6 +6,7 @@
  */
 #pragma once
 
+#include <stdbool.h>
 #include <stdint.h>
 
 /* With 10,000 routes in turn, about the maximum of a configuration, three quarters keep their slot.
@@ -16,6 +17,8 @@
     uint64_t route_key; /* config_route_t.key */
     /* Moving average of the time that callers still wait; 0 before the first. */
     double average_left_ms;
+    /* The same without callers that came back after a refusal; 0 before the first. */
+    double first_left_ms;
     /* Estimated median latency of complete responses; 0 before the first. */
     double median_ms;
     /* Moving average of the time that a backend worked on a request, without queueing and at the
@@ -38,3 +41,9 @@
                             double slowdown);
 /* Counts a caller that still waits for `left_ms`; returns the average in milliseconds. */
 double route_stats_count_caller(route_stats_t *stats, uint64_t route_key, uint32_t left_ms);
+/* The moving average without callers that came back; 0 before the first. */
+double route_stats_first_left_ms(const route_stats_t *stats, uint64_t route_key);
+/* Counts a caller for it, and returns it: `came_back` decides by the time left and lost. These
+ * count little, as many of them would hide the others, but for a while of nothing else. */
+double route_stats_count_first(route_stats_t *stats, uint64_t route_key, uint32_t left_ms,
+                               bool (*came_back)(double left_ms, double lost_ms));
--- a/gateway/state/services.c
+++ b/gateway/state/services.c
@@ -12,6 +12,8 @@
 
 /* Weight of a new response in the moving average of latencies. */
 #define LATENCY_GAIN 0.05
+/* The same for how much longer than usual work takes. */
+#define SLOWDOWN_GAIN 0.02
 
 /* Index of the first service whose name is not below `name`. */
 static size_t
@@ -75,6 +77,9 @@
     for (size_t i = 0; i < services->count; i++) {
         free(services->items[i]->offered);
         free(services->items[i]->fleet_offered);
+        if (services->items[i]->returns != NULL)
+            returns_free(services->items[i]->returns);
+        free(services->items[i]->returns);
         free(services->items[i]);
     }
     free(services->items);
@@ -88,6 +93,7 @@
         return;
     service->offered = xcalloc(1, sizeof(*service->offered));
     service->fleet_offered = xcalloc(1, sizeof(*service->fleet_offered));
+    service->returns = xcalloc(1, sizeof(*service->returns));
 }
 
 void
@@ -121,6 +127,14 @@
     service->latency_ms += LATENCY_GAIN * (latency_ms - service->latency_ms);
 }
 
+void
+service_count_slowdown(service_t *service, double slowdown)
+{
+    if (service->slowdown == 0)
+        service->slowdown = slowdown;
+    service->slowdown += SLOWDOWN_GAIN * (slowdown - service->slowdown);
+}
+
 void
 service_refused(service_t *service, uint64_t now_ms)
 {
--- a/gateway/state/services.h
+++ b/gateway/state/services.h
@@ -10,6 +10,7 @@
 #include "gateway/policy/region_plan.h"
 #include "gateway/policy/retry_budget.h"
 #include "gateway/state/offered_work.h"
+#include "gateway/state/returns.h"
 
 typedef struct {
     name_t name;
@@ -20,10 +21,13 @@
     uint64_t demand_ms; /* last update of the average */
     double latency_ms;  /* moving average over complete responses; 0 before the first */
     bool tells_pace;    /* a backend reported the pace of its work */
+    double
+        slowdown; /* moving average of how many times longer than usual work takes; 0: not told */
     /* Work that this instance's callers offer, and all instances' callers together. NULL until it
      * is counted (router_t.orders_shortage, tells_pace): then others decide by it. */
     offered_work_t *offered;
     offered_totals_t *fleet_offered;
+    returns_t *returns; /* refused callers that are expected; NULL if `offered` is */
 } service_t;
 
 typedef struct {
@@ -48,5 +52,7 @@
 void service_attempt_finished(service_t *service, uint64_t now_ms);
 /* A complete response arrived after `latency_ms`. */
 void service_answered(service_t *service, double latency_ms);
+/* A response arrived from a backend that works `slowdown` times as long as usual. */
+void service_count_slowdown(service_t *service, double slowdown);
 /* A request was not admitted; it still counts towards the demand. */
 void service_refused(service_t *service, uint64_t now_ms);
--- a/test/gateway/main.c
+++ b/test/gateway/main.c
@@ -44,6 +44,7 @@
     srunner_add_suite(runner, suite_gateway_breaker());
     srunner_add_suite(runner, suite_gateway_admission());
     srunner_add_suite(runner, suite_gateway_final_response());
+    srunner_add_suite(runner, suite_gateway_returns());
     srunner_add_suite(runner, suite_gateway_lateness());
     srunner_add_suite(runner, suite_gateway_lifetime());
     srunner_add_suite(runner, suite_gateway_listener());
--- a/test/gateway/site.c
+++ b/test/gateway/site.c
@@ -232,6 +232,7 @@
         .retry_constant = 58,
         .retry_window_ms = 10000,
         .expose_share = site->expose_share,
+        .orders_shortage = site->orders_shortage,
     };
     name_set(&settings.name, str_from(name));
     name_set(&settings.hall, STR("a1"));
--- a/test/gateway/site.h
+++ b/test/gateway/site.h
@@ -86,6 +86,7 @@
     unsigned version;
     unsigned extra_routes;
     const char *accounts; /* client accounts of the configuration as JSON; NULL if none */
+    bool orders_shortage; /* setting of gateways started from now on */
     double expose_share;  /* setting of gateways started from now on */
     const char *poison;   /* requests containing this text crash the backend; NULL if none */
     size_t ends;          /* number of backend crashes */
--- a/test/suites.h
+++ b/test/suites.h
@@ -25,6 +25,7 @@
 Suite *suite_gateway_silent(void);
 Suite *suite_gateway_listener(void);
 Suite *suite_gateway_final_response(void);
+Suite *suite_gateway_returns(void);
 Suite *suite_gateway_admission(void);
 Suite *suite_gateway_breaker(void);
 Suite *suite_gateway_view(void);
