--- a/gateway/path/dispatch.c
+++ b/gateway/path/dispatch.c
@@ -19,6 +19,7 @@
         .has_object = router_has_object(ex->route, ex->metadata.object),
         .left_ms = ex->metadata.has_deadline ? ex->metadata.deadline_ms : given_up_in_ms,
         .prior_wait_ms = ex->prior_wait_ms,
+        .expected = ex->expected,
         .version = ex->required_version,
         .suspected = suspects_has_evidence(ex->owner->suspects, &ex->fingerprint),
         .may_request_permit = may_request_permit && ex->permits_refused < PERMIT_REFUSALS_MAX,
@@ -171,6 +172,46 @@
     return false;
 }
 
+/* ---- refusals ---- */
+
+/* True if the caller of a refused request is told when to come back. */
+static bool
+may_return(const exchange_t *ex)
+{
+    return ex->service->offered != NULL && !ex->may_have_run;
+}
+
+/* Refuses a request for which there is no room at present. */
+static void
+refuse_until_room(exchange_t *ex, outcome_t why)
+{
+    const router_request_t request = router_request(ex, true);
+    const return_time_t time = router_return_time(ex->owner->router, &request);
+    completion_refuse_no_room(ex, why, &time);
+}
+
+/* Refuses a request that no backend server is chosen for. */
+static void
+refuse_unsent(exchange_t *ex)
+{
+    router_count_refused(ex->owner->router, ex->service);
+    if ((ex->choice.reason == CHOICE_FULL || ex->choice.reason == CHOICE_SHORTAGE) &&
+        may_return(ex))
+        refuse_until_room(ex, OUTCOME_NO_CAPACITY);
+    else
+        completion_refuse_no_backend(ex);
+}
+
+/* Refuses a request that its last backend server did not run and that isn't retried. */
+static void
+refuse_not_run(exchange_t *ex)
+{
+    if (ex->attempt.slots_full && may_return(ex))
+        refuse_until_room(ex, OUTCOME_NOT_RUN);
+    else
+        completion_refuse(ex, OUTCOME_NOT_RUN);
+}
+
 void
 dispatch_next(exchange_t *ex)
 {
@@ -181,8 +222,7 @@
         ex->choice = dispatch_choose(ex, true);
         ex->choice_made = true;
         if (ex->choice.backend == NULL) {
-            router_count_refused(ex->owner->router, ex->service);
-            completion_refuse_no_backend(ex);
+            refuse_unsent(ex);
             return;
         }
         verdict = get_permit(ex, ex->choice.backend);
@@ -264,7 +304,7 @@
 retry_or_refuse(exchange_t *ex)
 {
     if (!may_retry(ex)) {
-        completion_refuse(ex, OUTCOME_NOT_RUN);
+        refuse_not_run(ex);
         return;
     }
     const uint32_t after_ms = retry_after_ms(ex->attempt.closed);
--- a/gateway/state/backend.h
+++ b/gateway/state/backend.h
@@ -77,6 +77,7 @@
     bool load_unsent;          /* it reported a queue that other instances were not told */
     bool tells_pace;           /* backends of its service report the pace of their work */
     double drain_work_ms;      /* mean run of its service where work is counted; 0: not counted */
+    uint64_t returns_until_ms; /* time from which its room is not promised to refused callers */
     double slowdown;           /* factor on service times, as of slowdown_ms; 0: never reported */
     uint64_t slowdown_ms;
     load_probe_record_t probes;
--- a/gateway/state/services.h
+++ b/gateway/state/services.h
@@ -13,6 +13,7 @@
 #include "gateway/policy/fair_share.h"
 #include "gateway/policy/shortage.h"
 #include "gateway/state/offered_work.h"
+#include "gateway/state/returns.h"
 
 typedef struct {
     name_t name;
@@ -24,6 +25,8 @@
     double latency_ms;  /* moving average over complete responses; 0 before the first */
     double work_ms;     /* the same without queueing and at the usual pace; 0 before the first */
     bool tells_pace;    /* a backend reported the pace of its work */
+    double
+        slowdown; /* moving average of how many times longer than usual work takes; 0: not told */
     /* Work that this instance's callers offer, and all instances' callers together. NULL until it
      * is counted (router_t.orders_shortage, tells_pace): then others decide by it. */
     offered_work_t *offered;
@@ -38,6 +41,7 @@
      * a peer; 0: none. */
     uint64_t pace_reported_ms;
     uint64_t pace_heard_ms;
+    returns_t *returns; /* refused callers that are expected; NULL if `offered` is */
 } service_t;
 
 typedef struct {
@@ -78,5 +82,7 @@
 void service_worked(service_t *service, double latency_ms, double slowdown);
 /* True if requests are sent by their expected response time, and queues known accordingly. */
 bool service_counts_work(const service_t *service);
+/* A response arrived from a backend that works `slowdown` times as long as usual. */
+void service_count_slowdown(service_t *service, double slowdown);
 /* A request was not admitted; it still counts towards the demand. */
 void service_refused(service_t *service, uint64_t now_ms);
