--- a/gateway/path/time_limit.c
+++ b/gateway/path/time_limit.c
@@ -18,15 +18,15 @@
         completion_refuse(ex, OUTCOME_TIMEOUT);
 }
 
-/* True if the overdue attempt is expected in the queue of its backend, which has answered others
- * since it was sent, and requests queue all over the region. */
+/* True if the overdue attempt is expected in the queue of its backend, as requests queue all over
+ * the region. After it has kept its turn once the backend must have answered others meanwhile. */
 static bool
 waits_in_queue(const exchange_t *ex)
 {
     const backend_t *backend = ex->attempt.backend;
     return service_region_is_full(ex->service, backend->region) &&
            backend_is_usable(backend, exchange_now_ms(ex)) &&
-           backend->heard_ms >= ex->attempt.sent_ms;
+           (!ex->kept_turn || backend->heard_ms >= ex->attempt.sent_ms);
 }
 
 /* Returns true if the overdue attempt may be replaced by another one. */
@@ -60,7 +60,8 @@
     if (attempt_is_slow(attempt))
         attempt_record(attempt, true);
     if (!may_replace_overdue(ex)) {
-        if (ex->retry == RETRY_REGION_FULL) /* until the backend may have gone silent */
+        ex->kept_turn |= ex->retry == RETRY_REGION_FULL;
+        if (ex->retry == RETRY_REGION_FULL) /* the backend may have gone silent */
             ex->overdue_at_ms = exchange_now_ms(ex) + attempt->slow_ms;
         return;
     }
