--- a/gateway/policy/response_time.h
+++ b/gateway/policy/response_time.h
@@ -6,8 +6,8 @@
  *
  *     way + slowed(run + wait)
  *
- *  - The run takes `work_ms` with the object in memory and 3.3 times as long without it, weighted
- * by the probability `in_memory`.
+ *  - The run takes `work_ms` with the object in memory and 3.3 times as long without it, by the
+ *    probability `in_memory`.
  *  - The wait is that of admission.h: the work ahead of the request, over all slots. Requests ahead
  *    take `queue_work_ms` each.
  *  - A slow moment lasts about 600 ms, however long it has lasted already, so only the beginning of
