--- a/gateway/policy/shortage.c
+++ b/gateway/policy/shortage.c
@@ -12,8 +12,9 @@
 #define SHARE_MIN_PART 0.3
 /* Share of a route within its level, as a part of the level's. */
 #define ROUTE_MIN_PART 0.5
-/* Part of a route's share that goes to callers who came back, at most. */
-#define RETURNED_MAX_PART 0.7
+/* Part of a route's share that goes to callers who came back, at most, unless their part of the
+ * work is larger: their responses are late, and each takes the place of one in time. */
+#define RETURNED_MAX_PART 0.3
 /* Share that each request keeps, as a part of the share of all; at least a quarter is required. */
 #define ANY_MIN_PART 0.27
 /* Greatest changes of shares, per second. */
@@ -150,7 +151,8 @@
 static double
 share_of_caller(double share, double ratio, bool returned)
 {
-    const double given = fmin(ratio, RETURNED_MAX_PART * share);
+    const double equal = share * ratio / (1 + ratio);
+    const double given = fmin(ratio, fmax(RETURNED_MAX_PART * share, equal));
     if (returned)
         return ratio > 0 ? given / ratio : 1;
     return share - given;
--- a/gateway/policy/shortage.h
+++ b/gateway/policy/shortage.h
@@ -19,7 +19,8 @@
  *  - The priority of a client account decides before that of the route. Within a level, the more
  *    urgent routes go first, and each keeps half of what its level gets. Callers who were refused
  *    and came back go before new ones on routes of like urgency, since a second refusal costs them
- *    most, but they get at most 0.7 of the route's share: new callers are not all refused first.
+ *    most, but they get at most 0.3 of the route's share or their part of the work, if that is
+ *    more: most new callers are answered at their first try.
  *  - Whatever the order, each kind of request and each account keeps 0.27 of the share of all.
  *  - A region is short until the offered work is below 0.9 of the room.
  *  - Shares fall by at most 0.5 a second and rise by at most 0.2 a second: a queue that has built
--- a/test/gateway/test_shortage.c
+++ b/test/gateway/test_shortage.c
@@ -183,8 +183,8 @@
                 shortage_share_of_rank(&mix, &(shortage_rank_t){0, 1, false}, share);
             ck_assert_double_eq_tol(part * returned + others, share, 1e-9);
             ck_assert_double_ge(returned, others - 1e-9);
-            ck_assert_double_ge(others, 0.3 * share - 1e-9);
-            if (part <= 0.7 * share)
+            ck_assert_double_ge(others, 0.5 * share - 1e-9);
+            if (part <= 0.3 * share)
                 ck_assert_double_eq(returned, 1);
         }
     }
