Fair shares: no sort of an empty list

qsort() may not get a null pointer, whatever the count: the sanitizers ended the test limit_fills_the_room_and_binds_the_largest_only with it.

--- a/gateway/policy/fair_share.c
+++ b/gateway/policy/fair_share.c
@@ -26,6 +26,8 @@
 fair_share_limit(double *work, size_t count, double room)
 {
     double left = room;
+    if (count == 0)
+        return 0;
     qsort(work, count, sizeof(*work), compare);
     for (size_t i = 0; i < count; i++) {
         const double even = left / (double)(count - i);
