--- a/gateway/membership/heartbeat.c
+++ b/gateway/membership/heartbeat.c
@@ -3,6 +3,7 @@
 #define LOG_MODULE "members"
 #include "base/log.h"
 #include "base/xmalloc.h"
+#include "gateway/membership/member_offers.h"
 #include "gateway/membership/heartbeat.h"
 
 /* Heartbeats may be sent this much early, so that ticks of 200 ms do not delay them. */
--- a/gateway/membership/heartbeat_message.c
+++ b/gateway/membership/heartbeat_message.c
@@ -1,3 +1,4 @@
+#include "gateway/membership/member_offers.h"
 #include "gateway/membership/heartbeat_message.h"
 
 #include "base/xmalloc.h"
--- a/gateway/membership/members.h
+++ b/gateway/membership/members.h
@@ -184,21 +184,6 @@
                       uint64_t now_ms);
 /* The same for one service in the own mesh. */
 double members_mesh_demand(const members_t *members, str_t service, size_t region, uint64_t now_ms);
-/* Work of a service that is offered to all regions: in the own mesh the sum over alive members, in
- * each other mesh the total told last, for OFFERS_KEPT_MS. */
-void members_offered(const members_t *members, str_t service, size_t own_region, uint64_t now_ms,
-                     offered_totals_t *out);
-/* The same of the own mesh alone. */
-void members_mesh_offered(const members_t *members, str_t service, size_t own_region,
-                          uint64_t now_ms, offered_totals_t *out);
-/* Slots of work that the callers of a region offer to any region and that others may serve too. */
-double members_free_work(const members_t *members, str_t service, size_t region, size_t own_region,
-                         uint64_t now_ms);
-/* Adds what a member told of a service to `out`. */
-void members_add_offers(const member_offers_t *offers, str_t service, offered_totals_t *out);
-/* Replaces what was told by a copy of `items`. */
-void member_offers_set(member_offers_t *offers, const member_offer_t *items, size_t count,
-                       uint64_t now_ms);
 /* Requests per second of the own mesh's alive members. */
 double members_mesh_requests_per_s(const members_t *members, size_t region, uint64_t now_ms);
 /* Requests per second of the own region, other meshes as reported. */
--- a/gateway/membership/offer_message.h
+++ b/gateway/membership/offer_message.h
@@ -9,7 +9,7 @@
  */
 #pragma once
 
-#include "gateway/membership/members.h"
+#include "gateway/membership/member_offers.h"
 #include "peer/peer.pb-c.h"
 
 /* Offered work of one service, and the buffers of its message. */
--- a/gateway/router.c
+++ b/gateway/router.c
@@ -6,6 +6,7 @@
 #include "base/log.h"
 #include "base/loop_time.h"
 #include "base/xmalloc.h"
+#include "gateway/membership/member_offers.h"
 #include "gateway/order.h"
 #include "gateway/policy/rate_limit.h"
 #include "gateway/policy/slow.h"
--- a/test/gateway/test_members.c
+++ b/test/gateway/test_members.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 
 #include "base/xmalloc.h"
+#include "gateway/membership/member_offers.h"
 #include "gateway/membership/directory.h"
 #include "gateway/policy/subset.h"
 #include "gateway/policy/store_schedule.h"
--- a/test/gateway/test_region_plan.c
+++ b/test/gateway/test_region_plan.c
@@ -7,6 +7,7 @@
 
 #include "base/loop_time.h"
 #include "base/xmalloc.h"
+#include "gateway/membership/member_offers.h"
 #include "gateway/policy/region_plan.h"
 #include "gateway/router.h"
 #include "test/gateway/fixture.h"
