Router in three files; the share of a request is decided in policy/shortage

The bounds on what the order of routes and returns changes, and how the least share joins in, stood in gateway/order.c. No behaviour changes: shortage, order, fair share, response time, retry and returns pass as before.

--- a/gateway/membership/load_gossip.c
+++ b/gateway/membership/load_gossip.c
@@ -19,7 +19,7 @@
     for (size_t i = 0; i < count; i++) {
         Iris__BackendLoad *item = &out->items[i];
         iris__backend_load__init(item);
-        item->life = reports[i].life;
+        item->life = reports[i].incarnation_key;
         item->requests = reports[i].requests;
         item->age_ms = reports[i].age_ms;
         out->list[i] = item;
@@ -36,7 +36,7 @@
     size_t read = 0;
     for (; read < count && read < LOAD_REPORTS_MAX; read++) {
         reports[read] = (load_report_t){
-            .life = items[read]->life,
+            .incarnation_key = items[read]->life,
             .requests = items[read]->requests,
             .age_ms = items[read]->age_ms,
         };
--- a/gateway/order.c
+++ b/gateway/order.c
@@ -1,6 +1,5 @@
 #include "gateway/order.h"
 
-#include <math.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -11,12 +10,6 @@
 
 enum { LABELS_MAX = 32 };
 
-/* Bounds on what the order of routes and returns changes. */
-#define RANK_FACTOR_MIN 0.4
-#define RANK_FACTOR_MAX 2.0
-/* Least divisor of a share. */
-#define SHARE_MIN 0.01
-
 bool
 order_applies(const config_t *config)
 {
@@ -79,17 +72,6 @@
                                  request->offered.region, request->offered.urgency, share);
 }
 
-/* Factor by which the order of routes and returns changes the share of a request. Bounded, so that
- * it neither lifts an account far above its part nor takes it away. */
-static double
-rank_factor(const service_t *service, const offered_request_t *offered, double share)
-{
-    const shortage_rank_t rank = {offered->urgency, offered->route_urgency, offered->returned};
-    const double factor =
-        shortage_share_of_rank(&service->offered->mix, &rank, share) / fmax(share, SHARE_MIN);
-    return fmin(fmax(factor, RANK_FACTOR_MIN), RANK_FACTOR_MAX);
-}
-
 static void
 count_refused(unsigned urgency)
 {
@@ -100,15 +82,18 @@
                 1);
 }
 
-/* Share of the requests like this one that is admitted. */
+/* Share of the requests like this one that is admitted, where `share` of its urgency's is. */
 static double
-share_of(const service_t *service, const offered_request_t *offered, const order_request_t *request,
-         double share)
+share_of(const service_t *service, const order_request_t *request, double share)
 {
-    const double least =
-        shortage_least_share(service->shortage, service->fleet_offered, offered->region);
-    const double of_account = share_of_account(service, request, share);
-    return fmax(least, of_account * rank_factor(service, offered, share));
+    const offered_request_t *offered = &request->offered;
+    const shortage_rank_t rank = {offered->urgency, offered->route_urgency, offered->returned};
+    const shortage_shares_t shares = {
+        .urgency = share,
+        .account = share_of_account(service, request, share),
+        .least = shortage_least_share(service->shortage, service->fleet_offered, offered->region),
+    };
+    return shortage_share_of_request(&service->offered->mix, &rank, &shares);
 }
 
 bool
@@ -119,7 +104,7 @@
         shortage_admitted_share(service->shortage, offered->region, offered->urgency);
     if (share >= 1)
         return true;
-    const bool admitted = rng_unit(rng) < share_of(service, offered, request, share);
+    const bool admitted = rng_unit(rng) < share_of(service, request, share);
     if (request->account != NULL && !offered->returned)
         fair_share_count(service->fair_share, offered->region, offered->urgency, offered->work_ms,
                          admitted);
--- a/gateway/path/exchange_state.h
+++ b/gateway/path/exchange_state.h
@@ -41,7 +41,7 @@
     pending_permit_t *permit;     /* pending permit request; NULL if none */
     backend_t *permit_backend;    /* backend of the pending permit, a counted reference */
     unsigned permits_refused;     /* permits refused for this request */
-    bool kept_turn;               /* its attempt was overdue, but not replaced: RETRY_REGION_FULL */
+    bool stayed_in_queue;         /* its attempt was overdue, but not replaced: RETRY_REGION_FULL */
     bool choice_made;             /* `choice` was made at least once */
     load_probe_wait_t probe_wait; /* for the load of a candidate */
     uint64_t probe_wait_until_ms; /* loop time at which this ends; 0 before the first wait */
--- a/gateway/path/time_limit.c
+++ b/gateway/path/time_limit.c
@@ -26,7 +26,7 @@
     const backend_t *backend = ex->attempt.backend;
     return service_region_is_full(ex->service, backend->region) &&
            backend_is_usable(backend, exchange_now_ms(ex)) &&
-           (!ex->kept_turn || backend->heard_ms >= ex->attempt.sent_ms);
+           (!ex->stayed_in_queue || backend->heard_ms >= ex->attempt.sent_ms);
 }
 
 /* Returns true if the overdue attempt may be replaced by another one. */
@@ -60,7 +60,7 @@
     if (attempt_is_slow(attempt))
         attempt_record(attempt, true);
     if (!may_replace_overdue(ex)) {
-        ex->kept_turn |= ex->retry == RETRY_REGION_FULL;
+        ex->stayed_in_queue |= ex->retry == RETRY_REGION_FULL;
         if (ex->retry == RETRY_REGION_FULL) /* the backend may have gone silent */
             ex->overdue_at_ms = exchange_now_ms(ex) + attempt->slow_ms;
         return;
--- a/gateway/policy/shortage.c
+++ b/gateway/policy/shortage.c
@@ -17,6 +17,12 @@
 #define RETURNED_MAX_PART 0.3
 /* Share that each request keeps, as a part of the share of all; at least a quarter is required. */
 #define ANY_MIN_PART 0.27
+/* Bounds on the factor by which the order within an urgency changes the share of an account: it
+ * neither lifts an account far above its part nor takes that away. */
+#define RANK_FACTOR_MIN 0.4
+#define RANK_FACTOR_MAX 2.0
+/* Least divisor of a share. */
+#define SHARE_MIN 0.01
 /* Greatest changes of shares, per second. */
 #define FALL_PER_S 0.5
 #define RISE_PER_S 0.2
@@ -173,3 +179,12 @@
     const double ratio = mix->returned[rank->urgency][rank->route_urgency] / of_route;
     return share_of_caller(shares[rank->route_urgency], ratio, rank->returned);
 }
+
+double
+shortage_share_of_request(const offered_mix_t *mix, const shortage_rank_t *rank,
+                          const shortage_shares_t *shares)
+{
+    const double of_rank = shortage_share_of_rank(mix, rank, shares->urgency);
+    const double factor = of_rank / fmax(shares->urgency, SHARE_MIN);
+    return fmax(shares->least, shares->account * clamp(factor, RANK_FACTOR_MIN, RANK_FACTOR_MAX));
+}
--- a/gateway/policy/shortage.h
+++ b/gateway/policy/shortage.h
@@ -81,3 +81,14 @@
 /* Share of the requests of a rank that is admitted where `share` of its level is: routes of higher
  * urgency go first, and callers who came back before others on a route. */
 double shortage_share_of_rank(const offered_mix_t *mix, const shortage_rank_t *rank, double share);
+
+/* Shares that are admitted of the requests that a request belongs to. */
+typedef struct {
+    double urgency; /* all of its urgency */
+    double account; /* those of its client account; as `urgency` without one */
+    double least;   /* any: shortage_least_share() */
+} shortage_shares_t;
+
+/* Share of the requests of that rank and account that is admitted. */
+double shortage_share_of_request(const offered_mix_t *mix, const shortage_rank_t *rank,
+                                 const shortage_shares_t *shares);
--- a/gateway/router.c
+++ b/gateway/router.c
@@ -1,29 +1,19 @@
-#include <math.h>
-
 #include <uv.h>
 
 #define LOG_MODULE "router"
 #include "base/log.h"
 #include "base/loop_time.h"
 #include "base/xmalloc.h"
-#include "gateway/membership/member_offers.h"
 #include "gateway/order.h"
-#include "gateway/policy/rate_limit.h"
 #include "gateway/policy/slow.h"
 #include "gateway/policy/traffic_split.h"
-#include "gateway/router.h"
+#include "gateway/router_request.h"
 
 enum {
     OBJECT_SEED = 61, /* arbitrary, but must be the same on every instance */
-    /* Uptime after which the list of instances is complete enough for cold starts: several
-     * heartbeats of 0.4 s. */
-    SETTLED_AFTER_MS = 2500,
     MS_PER_S = 1000,
 };
 
-/* Minimum change of the own region's share that is logged. */
-#define PLAN_LOG_STEP 0.05
-
 void
 router_init(router_t *router, uv_loop_t *loop, const router_conf_t *conf)
 {
@@ -64,154 +54,6 @@
         services_get(&router->services, name_str(&config->services[i].name));
 }
 
-/* ---- periodic updates ---- */
-
-/* Updates the offered work of a service, if it is counted. */
-static void
-update_offered(router_t *router, service_t *service, const members_t *members)
-{
-    const uint64_t now_ms = loop_now(router->loop);
-    if (router->orders_shortage || service->tells_pace)
-        service_count_offered(service);
-    if (service->offered == NULL)
-        return;
-    offered_work_update(service->offered, now_ms);
-    returns_advance(service->returns, now_ms);
-    members_offered(members, name_str(&service->name), router->region, now_ms,
-                    service->fleet_offered);
-}
-
-/* Updates the order under shortage; without one all requests are admitted. */
-static void
-update_order(const router_t *router, service_t *service, const double *slots)
-{
-    if (router->has_order)
-        order_update(service, router->topology, slots, loop_now(router->loop));
-    else
-        service_end_order(service);
-}
-
-static void
-log_plan(service_t *service, const region_plan_input_t *input, size_t region)
-{
-    region_plan_t *plan = &service->plan;
-    const double share = plan->share[region];
-    if (fabs(share - plan->logged_share) < PLAN_LOG_STEP)
-        return;
-    plan->logged_share = share;
-    LOG_INFO("region plan changed: service=%s own_share=%.2f room=%.0f demand=%.1f peak=%.1f "
-             "bound=%.1f use=%.2f",
-             service->name.ptr, share, input->slots[region], input->demand[region],
-             plan->peak[region], input->bound[region], plan->use);
-}
-
-static void
-update_plan(router_t *router, service_t *service, const members_t *members)
-{
-    const uint64_t now_ms = loop_now(router->loop);
-    const size_t count = router->topology->region_count;
-    const str_t name = name_str(&service->name);
-    region_plan_input_t input = {.counted = service->offered != NULL};
-    catalog_slots_by_region(&router->catalog, name, rollouts_find(&router->rollouts, name),
-                            input.slots);
-    update_order(router, service, input.slots);
-    for (size_t i = 0; i < count; i++) {
-        input.demand[i] = input.counted
-                              ? members_free_work(members, name, i, router->region, now_ms)
-                              : members_demand(members, name, i, router->region, now_ms);
-        input.bound[i] = input.counted ? service->fleet_offered->bound[i] : 0;
-    }
-    region_plan_update(&service->plan, &input, count, router->region, now_ms);
-    service_update_backlog(service, count, now_ms);
-    log_plan(service, &input, router->region);
-}
-
-static void
-update_membership(router_t *router, const members_t *members)
-{
-    const uint64_t now_ms = loop_now(router->loop);
-    router->instances = (unsigned)members_total(members, router->region);
-    router->live_instances = (unsigned)members_count_alive(members, now_ms);
-    for (size_t i = 0; i < router->topology->hall_count; i++)
-        router->hall_meshes[i] = members_mesh_at(members, router->topology->halls[i].region, i);
-    router->sender_count = members_cold_senders(members, router->senders, MEMBERS_MAX);
-    router->senders_settled = now_ms - router->started_ms > SETTLED_AFTER_MS;
-}
-
-/* Requests handled by all instances of the own region, per request of this instance. */
-static double
-traffic_scale(const router_t *router, const members_t *members)
-{
-    const double own = router->traffic.requests_per_s;
-    const double all = members_requests_per_s(members, router->region, loop_now(router->loop));
-    return own > 0 && all > own ? all / own : 1;
-}
-
-/* Sets the effective slots of backends with a declared limit. */
-static void
-update_room(router_t *router)
-{
-    const backends_t *backends = &router->catalog.backends;
-    for (size_t i = 0; i < backends->count; i++) {
-        backend_t *backend = backends->items[i];
-        if (!backend->limit.is_set)
-            continue;
-        const service_t *service =
-            services_find(&router->services, name_str(&backend->info.service));
-        const double response_ms = service != NULL ? service->latency_ms : 0;
-        backend->plan_slots =
-            rate_limit_usable_slots(backend->limit.per_s, backend->info.capacity, response_ms);
-    }
-}
-
-static bool
-counts_any_work(const services_t *services)
-{
-    for (size_t i = 0; i < services->count; i++) {
-        if (service_counts_work(services->items[i]))
-            return true;
-    }
-    return false;
-}
-
-/* Tells the backends of services whose work is counted how fast their queues drain. */
-static void
-update_drains(router_t *router)
-{
-    const backends_t *backends = &router->catalog.backends;
-    if (!counts_any_work(&router->services))
-        return;
-    for (size_t i = 0; i < backends->count; i++) {
-        backend_t *backend = backends->items[i];
-        const service_t *service =
-            services_find(&router->services, name_str(&backend->info.service));
-        if (service == NULL || !service_counts_work(service))
-            continue;
-        backend->drain_work_ms = service->work_ms;
-        backend->tells_pace = service->tells_pace;
-    }
-}
-
-void
-router_tick(router_t *router, const members_t *members)
-{
-    const uint64_t now_ms = loop_now(router->loop);
-    update_membership(router, members);
-    traffic_update(&router->traffic, now_ms);
-    object_rates_decay(&router->objects, now_ms);
-    router->traffic_scale = traffic_scale(router, members);
-    update_room(router);
-    update_drains(router);
-    rollouts_tick(&router->rollouts, &router->catalog.backends, &router->services, now_ms);
-    for (size_t i = 0; i < router->services.count; i++) {
-        service_update_demand(router->services.items[i], now_ms);
-        update_offered(router, router->services.items[i], members);
-        update_plan(router, router->services.items[i], members);
-    }
-    catalog_tick(&router->catalog);
-    catalog_set_instances(&router->catalog, router->instances);
-}
-
 /* ---- one request ---- */
 
 service_t *
@@ -332,16 +174,16 @@
     return choice_make(input);
 }
 
-/* Expected time in milliseconds that a request keeps a slot busy. */
-static double
-expected_work_ms(const router_t *router, const config_route_t *route, const service_t *service)
+double
+router_expected_work_ms(const router_t *router, const config_route_t *route,
+                        const service_t *service)
 {
     const double work_ms = route_stats_work_ms(&router->routes, route->key);
     return work_ms > 0 ? work_ms : service->latency_ms;
 }
 
-static unsigned
-request_urgency(const router_request_t *request)
+unsigned
+router_request_urgency(const router_request_t *request)
 {
     return urgency_of(request->account != NULL ? request->account->priority
                                                : request->route->priority);
@@ -357,11 +199,11 @@
         .offered =
             {
                 .region = choice_planned_region(input),
-                .urgency = request_urgency(request),
+                .urgency = router_request_urgency(request),
                 .route_urgency = urgency_of(route->priority),
                 .bound = choice_allowed_regions(input) == 1,
                 .returned = shortage_caller_returned(request->prior_wait_ms, request->left_ms),
-                .work_ms = expected_work_ms(router, route, request->service),
+                .work_ms = router_expected_work_ms(router, route, request->service),
             },
         .account = account,
     };
@@ -404,9 +246,8 @@
     input->service_work_ms = service->work_ms;
 }
 
-/* Returns the input of a choice for the request. */
-static choice_input_t
-request_input(const router_t *router, const router_request_t *request)
+choice_input_t
+router_request_input(const router_t *router, const router_request_t *request)
 {
     const config_route_t *route = request->route;
     const service_t *service = request->service;
@@ -434,14 +275,14 @@
 router_first_candidates(const router_t *router, const router_request_t *request, backend_t **out,
                         size_t max)
 {
-    const choice_input_t input = request_input(router, request);
+    const choice_input_t input = router_request_input(router, request);
     return choice_first_candidates(&input, out, max);
 }
 
 choice_t
 router_pick(router_t *router, const router_request_t *request)
 {
-    choice_input_t input = request_input(router, request);
+    choice_input_t input = router_request_input(router, request);
     if (!admit_new(router, request, &input))
         return (choice_t){.reason = CHOICE_SHORTAGE};
     const choice_t choice = choose_version(router, request, &input);
@@ -450,91 +291,6 @@
     return choice;
 }
 
-/* ---- refused callers ---- */
-
-/* The backend server that a refused request would have gone to; NULL if none. */
-static backend_t *
-refusing_backend(const choice_input_t *input)
-{
-    backend_t *first;
-    return choice_first_candidates(input, &first, 1) > 0 ? first : NULL;
-}
-
-static return_server_t
-return_server(const router_t *router, const choice_input_t *input, const backend_t *backend)
-{
-    if (backend == NULL)
-        return (return_server_t){0};
-    const double median_ms = route_stats_median_ms(&router->routes, input->route->key);
-    const double mean_ms = backend->service_time_ms;
-    return (return_server_t){
-        .load = backend_load(backend, input->now_ms),
-        .slots = backend->info.capacity,
-        .work_ms = median_ms > 0 && median_ms < mean_ms ? median_ms : mean_ms,
-        .promised_until = backend->returns_until_ms,
-    };
-}
-
-/* Part of the work offered to a region that comes from this instance's callers. */
-static double
-own_share(const router_t *router, const service_t *service, size_t region)
-{
-    const double all = offered_totals_slots(service->fleet_offered, region);
-    const double own = offered_totals_slots(&service->offered->average, region);
-    if (all > 0 && own > 0)
-        return own < all ? own / all : 1;
-    return 1.0 / (router->instances > 0 ? router->instances : 1);
-}
-
-static return_room_t
-return_room(const router_t *router, const service_t *service, size_t region, unsigned urgency)
-{
-    if (region >= TOPOLOGY_REGIONS_MAX)
-        return (return_room_t){0};
-    return_room_t room = {
-        .slots = service->plan.slots[region],
-        .admitted_share = shortage_admitted_share(service->shortage, region, urgency),
-        .own_share = own_share(router, service, region),
-    };
-    /* Work is counted at the usual pace. */
-    const double slowdown = service->slowdown > 1 ? service->slowdown : 1;
-    for (unsigned level = 0; level <= urgency; level++)
-        room.ahead += service->fleet_offered->slots[region][level] * slowdown;
-    return room;
-}
-
-return_time_t
-router_return_time(router_t *router, const router_request_t *request)
-{
-    service_t *service = request->service;
-    choice_input_t choice = request_input(router, request);
-    choice.tried_count = 0; /* it is to come back to the backend server that was full */
-    const size_t region = choice_planned_region(&choice);
-    backend_t *backend = refusing_backend(&choice);
-    returns_advance(service->returns, choice.now_ms);
-    const return_input_t input = {
-        .server = return_server(router, &choice, backend),
-        .room = return_room(router, service, region, request_urgency(request)),
-        .promised = service->returns,
-        .region = region,
-        .now_ms = choice.now_ms,
-        .left_ms = request->left_ms,
-        .objective_ms = request->route->latency_objective_ms,
-        .usual_left_ms = route_stats_first_left_ms(&router->routes, request->route->key),
-        .lost_ms = request->prior_wait_ms,
-        .work_ms = expected_work_ms(router, request->route, service),
-        .spread = rng_unit(&router->rng),
-        .slot_chance = rng_unit(&router->rng),
-    };
-    const return_time_t time = return_time_decide(&input);
-    if (!time.expected)
-        return time;
-    returns_promise(service->returns, region, time.at_ms, input.work_ms);
-    if (backend != NULL)
-        backend->returns_until_ms = time.server_promised_until;
-    return time;
-}
-
 choice_input_t
 router_explain_input(const router_t *router, const config_route_t *route, str_t service,
                      uint64_t object)
--- a/gateway/state/backend.c
+++ b/gateway/state/backend.c
@@ -43,7 +43,7 @@
 {
     backend->info = *info;
     backend->service_key = backend_service_key(name_str(&info->service));
-    backend->life = backend_incarnation_key(backend);
+    backend->incarnation_key = backend_incarnation_key(backend);
 }
 
 uint64_t
--- a/gateway/state/backend.h
+++ b/gateway/state/backend.h
@@ -44,11 +44,11 @@
 
 typedef struct {
     backend_info_t info;
-    size_t region;        /* index in the topology, TOPOLOGY_NO_REGION if unknown */
-    uint64_t key;         /* hash of the id, for rendezvous hashing */
-    uint64_t service_key; /* hash of the service's name, compared before it */
-    uint64_t life;        /* backend_incarnation_key() */
-    wire_pool_t *pool;    /* NULL in tests without connections */
+    size_t region;            /* index in the topology, TOPOLOGY_NO_REGION if unknown */
+    uint64_t key;             /* hash of the id, for rendezvous hashing */
+    uint64_t service_key;     /* hash of the service's name, compared before it */
+    uint64_t incarnation_key; /* backend_incarnation_key() */
+    wire_pool_t *pool;        /* NULL in tests without connections */
     size_t refs;
     uint64_t revision;           /* of the entry that `info` was read from */
     bool listed;                 /* false once removed from the list */
--- a/gateway/state/load_reports.c
+++ b/gateway/state/load_reports.c
@@ -30,7 +30,7 @@
         if (backend->drain_work_ms <= 0 || age_ms > LOAD_REPORT_AGE_MAX_MS)
             continue;
         const load_report_t report = {
-            .life = backend->life,
+            .incarnation_key = backend->incarnation_key,
             .requests = backend->reported_requests,
             .age_ms = (uint32_t)age_ms,
         };
@@ -54,7 +54,7 @@
         return;
     for (size_t i = 0; i < backends->count; i++) {
         for (size_t k = 0; k < count; k++) {
-            if (backends->items[i]->life == reports[k].life)
+            if (backends->items[i]->incarnation_key == reports[k].incarnation_key)
                 apply_one(backends->items[i], &reports[k], now_ms);
         }
     }
--- a/gateway/state/load_reports.h
+++ b/gateway/state/load_reports.h
@@ -22,8 +22,8 @@
 };
 
 typedef struct {
-    uint64_t life;     /* backend_t.life */
-    uint32_t requests; /* running and queued */
+    uint64_t incarnation_key; /* backend_t.incarnation_key */
+    uint32_t requests;        /* running and queued */
     uint32_t age_ms;
 } load_report_t;
 
