Test, known red: callers of an instance that reaches no backend server

Gateways of a test can reach their backend servers over TCP forwarders that are cut: connections hang, are reset, or live on while new ones are refused.

--- a/test/gateway/main.c
+++ b/test/gateway/main.c
@@ -30,6 +30,7 @@
     srunner_add_suite(runner, suite_gateway_store());
     srunner_add_suite(runner, suite_gateway_outage());
     srunner_add_suite(runner, suite_gateway_deferred());
+    srunner_add_suite(runner, suite_gateway_partition());
     srunner_add_suite(runner, suite_gateway_peers());
     srunner_add_suite(runner, suite_gateway_view_relay());
     srunner_add_suite(runner, suite_gateway_relay());
--- a/test/gateway/site.c
+++ b/test/gateway/site.c
@@ -7,6 +7,7 @@
 #include "base/xmalloc.h"
 #include "platform/dialect.h"
 #include "platform/objects.h"
+#include "test/gateway/link.h"
 #include "test/gateway/site.h"
 
 void
@@ -277,7 +278,8 @@
     if (seed != NULL)
         settings.seeds[settings.seed_count++] = *seed;
     gateway_ports_t *ports = xcalloc(1, sizeof(*ports));
-    *ports = (gateway_ports_t){store, &platform_decoder, &platform_dialect, &platform_directory};
+    *ports = (gateway_ports_t){store, site->decoder != NULL ? site->decoder : &platform_decoder,
+                               &platform_dialect, &platform_directory};
     gateway_t *gateway = gateway_start(&site->loop, &settings, ports, &err);
     ck_assert_msg(gateway != NULL, "%s", err.detail);
     return gateway;
@@ -388,15 +390,21 @@
     site->callers = wire_pool_new(&site->loop, &gateway_settings(gateway)->callers, 100);
 }
 
-site_t *
-new_ready_site(size_t backends)
+static void
+start_first_gateway(site_t *site, size_t backends)
 {
-    site_t *site = new_site(backends);
     use_gateway(site, start_gateway(site, "g-1", &site->store_port, NULL));
     while (!is_ready(site))
         uv_run(&site->loop, UV_RUN_ONCE);
     for (size_t i = 0; i < backends; i++)
         site->backends[i].runs = 0;
+}
+
+site_t *
+new_ready_site(size_t backends)
+{
+    site_t *site = new_site(backends);
+    start_first_gateway(site, backends);
     return site;
 }
 
@@ -465,12 +473,30 @@
         RUN_UNTIL(fleet->site, gateway_live_instances(fleet->gateways[i]) == count);
 }
 
+static instances_t
+fleet_of(site_t *site, size_t instances)
+{
+    instances_t fleet = {.site = site, .count = 1};
+    fleet.gateways[0] = site->gateway;
+    fleet.callers[0] = site->callers;
+    add_instances(&fleet, instances);
+    return fleet;
+}
+
 instances_t
 new_instances(size_t backends, size_t instances)
 {
-    instances_t fleet = {.site = new_ready_site(backends), .count = 1};
-    fleet.gateways[0] = fleet.site->gateway;
-    fleet.callers[0] = fleet.site->callers;
+    return fleet_of(new_ready_site(backends), instances);
+}
+
+instances_t
+new_linked_instances(size_t backends, size_t linked, size_t instances)
+{
+    site_t *site = new_site(backends);
+    site->decoder = link_decoder(&site->loop);
+    start_first_gateway(site, backends);
+    instances_t fleet = fleet_of(site, linked);
+    site->decoder = NULL;
     add_instances(&fleet, instances);
     return fleet;
 }
--- a/test/gateway/site.h
+++ b/test/gateway/site.h
@@ -96,11 +96,12 @@
     scripted_t backends[BACKENDS_MAX];
     unsigned version;
     unsigned extra_routes;
-    const char *accounts; /* client accounts of the configuration as JSON; NULL if none */
-    bool orders_shortage; /* setting of gateways started from now on */
-    double expose_share;  /* setting of gateways started from now on */
-    const char *poison;   /* requests containing this text crash the backend; NULL if none */
-    size_t ends;          /* number of backend crashes */
+    const char *accounts;          /* client accounts of the configuration as JSON; NULL if none */
+    const decoder_port_t *decoder; /* of gateways started from now on; NULL: the platform's */
+    bool orders_shortage;          /* setting of gateways started from now on */
+    double expose_share;           /* setting of gateways started from now on */
+    const char *poison; /* requests containing this text crash the backend; NULL if none */
+    size_t ends;        /* number of backend crashes */
 };
 
 /* Runs the loop until the condition holds; fails after PATIENCE_MS. */
@@ -161,6 +162,8 @@
 
 /* Starts instances and waits until all are ready and know each other. */
 instances_t new_instances(size_t backends, size_t instances);
+/* Like new_instances(); the first `linked` ones reach the backend servers over links (link.h). */
+instances_t new_linked_instances(size_t backends, size_t linked, size_t instances);
 /* Starts further instances up to a total of `count`. */
 void add_instances(instances_t *fleet, size_t count);
 /* Sends a GET through one of the instances. */
--- a/test/suites.h
+++ b/test/suites.h
@@ -51,6 +51,7 @@
 Suite *suite_gateway_store(void);
 Suite *suite_gateway_outage(void);
 Suite *suite_gateway_deferred(void);
+Suite *suite_gateway_partition(void);
 Suite *suite_gateway_peers(void);
 Suite *suite_gateway_view_relay(void);
 Suite *suite_gateway_relay(void);
