--- a/gateway/admin.c
+++ b/gateway/admin.c
@@ -199,6 +199,10 @@
     set_rollout_gauges(&router->rollouts);
     set_gauge("irisstall_load_probes_outstanding", "Probes of backend servers' load under way.",
               (int64_t)admin->exchanges->load_probes.budget.outstanding);
+    set_gauge("irisstall_upstreams_reached", "1 if this instance reaches any upstream, else 0.",
+              admin->exchanges->reach->state.state != REACH_LOST);
+    set_gauge("irisstall_transit_active", "Requests of peers under way here.",
+              (int64_t)admin->exchanges->transit->received);
     set_gauge("irisstall_requests_active", "Requests under way.",
               (int64_t)admin->exchanges->active);
     set_gauge("irisstall_caller_connections", "Open connections of callers.",
@@ -225,6 +229,7 @@
         .store_watch = admin->store_watch,
         .views = admin->views,
         .load_probes = &admin->exchanges->load_probes,
+        .reach = &admin->exchanges->reach->state,
         .ready = admin->heartbeat->ready,
         .leaving = admin->heartbeat->leaving,
         .response_bytes = wire_listener_held(admin->callers),
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -20,6 +20,14 @@
         exchange_start(&gateway->exchanges, req);
 }
 
+/* After a suspension the sender has most likely given up. */
+static void
+on_transit_request(void *ctx, wire_request_t *req)
+{
+    gateway_t *gateway = ctx;
+    exchange_start_transit(&gateway->exchanges, req);
+}
+
 static void
 on_readiness_check(void *ctx, wire_request_t *req)
 {
@@ -97,10 +105,34 @@
         .suspects = &gateway->suspects,
         .account_uses = &gateway->account_uses,
         .permits = &gateway->permit_exchange,
+        .transit = &gateway->transit,
+        .reach = &gateway->reach,
     };
     load_probes_init(&gateway->exchanges.load_probes, &gateway->router, gateway->ports->dialect);
 }
 
+/* Initialises what an instance does that reaches no backend server. */
+static void
+init_transit(gateway_t *gateway)
+{
+    const reach_monitor_conf_t conf = {
+        .loop = gateway->loop,
+        .members = &gateway->members,
+        .backends = &gateway->router.catalog.backends,
+        .rng = &gateway->router.rng,
+        .on_change = gateway_on_reach_change,
+        .ctx = gateway,
+    };
+    reach_monitor_init(&gateway->reach, &conf);
+    gateway->transit = (transit_t){
+        .loop = gateway->loop,
+        .members = &gateway->members,
+        .router = &gateway->router,
+        .reach = &gateway->reach,
+        .own_peer = gateway->settings.peer,
+    };
+}
+
 static bool
 open_ports(gateway_t *gateway, err_t *err)
 {
@@ -109,6 +141,7 @@
         .readiness = on_readiness_check,
         .directory = on_directory_request,
         .admin = on_admin_request,
+        .transit = on_transit_request,
         .ctx = gateway,
     };
     addr_t *peer = &gateway->settings.peer;
@@ -212,6 +245,8 @@
         .rollouts = &gateway->router.rollouts,
         .hub = gateway->hub,
         .incarnation = rng_next(&gateway->router.rng),
+        .transit = gateway->listeners.transit_addr,
+        .reach = &gateway->reach.state,
     };
     heartbeat_init(&gateway->heartbeat, &heartbeat_conf, loop_now(gateway->loop));
     const discovery_conf_t discovery_conf = {
@@ -275,6 +310,7 @@
         free(gateway);
         return NULL;
     }
+    init_transit(gateway);
     deferred_init(&gateway->config_update, loop, gateway_apply_config, gateway);
     init_views(gateway);
     init_notices(gateway);
--- a/gateway/gateway_events.c
+++ b/gateway/gateway_events.c
@@ -116,6 +116,15 @@
     gateway->heartbeat.is_due = true;
 }
 
+void
+gateway_on_reach_change(void *ctx, bool lost)
+{
+    gateway_t *gateway = ctx;
+    if (!lost)
+        backends_forget_failures(&gateway->router.catalog.backends);
+    gateway->heartbeat.is_due = true;
+}
+
 void
 gateway_on_peer_refused(void *ctx, const addr_t *to)
 {
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -24,6 +24,8 @@
     const gateway_ports_t *ports;
     router_t router;
     exchanges_t exchanges;
+    reach_monitor_t reach;
+    transit_t transit;
     members_t members;
     views_t views;
     store_watch_t store_watch;
@@ -60,6 +62,8 @@
 void gateway_on_delta(void *ctx, const view_delta_t *delta);
 /* A roll-out was decided here: the next tick tells the peers. */
 void gateway_on_rollout_verdict(void *ctx);
+/* The backend servers are lost or reached again. */
+void gateway_on_reach_change(void *ctx, bool lost);
 void gateway_on_peer_refused(void *ctx, const addr_t *to);
 void gateway_on_peer_message(void *ctx, peer_conn_t *conn, const Iris__Envelope *message);
 
--- a/gateway/gateway_tick.c
+++ b/gateway/gateway_tick.c
@@ -24,6 +24,8 @@
     if (shutdown_refuses_connections(age_ms)) {
         wire_listener_stop_accepting(callers);
         wire_listener_close_idle(callers, shutdown_idle_max_ms(age_ms));
+        wire_listener_stop_accepting(gateway->listeners.transit);
+        wire_listener_close_idle(gateway->listeners.transit, shutdown_idle_max_ms(age_ms));
     }
     const shutdown_input_t input = {
         .age_ms = age_ms,
@@ -37,6 +39,7 @@
     LOG_INFO("stopped: after_ms=%llu requests_left=%zu", (unsigned long long)age_ms,
              gateway->exchanges.active);
     wire_listener_abort_responses(callers);
+    wire_listener_abort_responses(gateway->listeners.transit);
     uv_stop(gateway->loop);
 }
 
@@ -50,6 +53,7 @@
     gateway->stopping = true;
     gateway->stop_ms = loop_now(gateway->loop);
     wire_listener_drain(gateway->listeners.callers);
+    wire_listener_drain(gateway->listeners.transit);
     store_watch_stop(&gateway->store_watch);
     heartbeat_leave(&gateway->heartbeat, gateway->stop_ms);
 }
@@ -104,6 +108,8 @@
     suspect_gossip_send_unsent(&gateway->suspect_news);
     notice_gossip_send_unsent(&gateway->notice_news);
     permit_exchange_tick(&gateway->permit_exchange);
+    reach_monitor_tick(&gateway->reach);
+    transit_tick(&gateway->transit);
     if (!gateway->stopping)
         discovery_tick(&gateway->discovery, gateway->router.live_instances <= 1);
     close_idle_connections(gateway);
--- a/gateway/inspect.c
+++ b/gateway/inspect.c
@@ -126,6 +126,14 @@
     }
 }
 
+static void
+print_reach(const reachability_t *reach, uint64_t now, wire_text_t *out)
+{
+    if (reach->state == REACH_LOST)
+        wire_text_printf(out, "backend servers: none reached since %llu ms ago\n",
+                         (unsigned long long)(now - reach->lost_ms));
+}
+
 static void
 print_load_probes(const load_probes_t *probes, wire_text_t *out)
 {
@@ -191,6 +199,7 @@
     print_ages(status->views, out);
     wire_text_printf(out, "held for callers: responses %zu bytes, bodies %zu bytes\n",
                      status->response_bytes, status->body_bytes);
+    print_reach(status->reach, loop_now(status->router->loop), out);
     print_load_probes(status->load_probes, out);
     if (router->catalog.unusable_count > 0)
         wire_text_printf(out, "entries that name no backend server to use: %zu\n",
--- a/gateway/inspect.h
+++ b/gateway/inspect.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "gateway/path/load_probes.h"
+#include "gateway/policy/reachability.h"
 #include "gateway/router.h"
 #include "gateway/state/store_watch.h"
 #include "wire/head.h"
@@ -22,6 +23,7 @@
     const store_watch_t *store_watch;
     const views_t *views;
     const load_probes_t *load_probes;
+    const reachability_t *reach;
     bool ready;
     bool leaving;
     size_t response_bytes; /* held for callers that have not read them */
--- a/gateway/listeners.c
+++ b/gateway/listeners.c
@@ -13,6 +13,9 @@
     DEFAULT_HEAD_MAX = 16384,
     DEFAULT_BODY_MAX = 1 << 20,
     HEAD_TIMEOUT_MS = 3000,
+    /* header fields that instances add to requests in transit */
+    TRANSIT_FIELDS_MAX = 1024,
+    TRANSIT_CONNECTIONS_MAX = 512,
     IDLE_TIMEOUT_MS = 15000,
 };
 
@@ -45,6 +48,17 @@
     };
 }
 
+/* Limits for requests that a peer has read within the limits for callers. */
+static wire_limits_t
+transit_limits(const listeners_t *listeners, const config_limits_t *limits)
+{
+    wire_limits_t transit = caller_limits(listeners, limits);
+    transit.max_head += TRANSIT_FIELDS_MAX;
+    transit.idle_timeout_ms = IDLE_TIMEOUT_MS;
+    transit.max_connections = TRANSIT_CONNECTIONS_MAX;
+    return transit;
+}
+
 typedef struct {
     wire_listener_t **listener;
     addr_t *addr;
@@ -68,10 +82,14 @@
 {
     listeners->slow_reader_ms = settings->slow_reader_ms;
     const wire_limits_t limits = caller_limits(listeners, &default_limits);
+    const wire_limits_t transit = transit_limits(listeners, &default_limits);
+    listeners->transit_addr = settings->peer;
+    addr_set_port(&listeners->transit_addr, settings->transit_port);
     const port_t ports[] = {
         {&listeners->callers, &settings->callers, handlers->callers, &limits},
         {&listeners->readiness, &settings->readiness, handlers->readiness, &small_limits},
         {&listeners->directory, &settings->directory, handlers->directory, &small_limits},
+        {&listeners->transit, &listeners->transit_addr, handlers->transit, &transit},
         {&listeners->admin, &settings->admin, handlers->admin, &small_limits},
     };
     const size_t count = settings->has_admin ? ALEN(ports) : ALEN(ports) - 1;
@@ -86,5 +104,7 @@
 listeners_apply_limits(listeners_t *listeners, const config_limits_t *limits)
 {
     const wire_limits_t applied = caller_limits(listeners, limits);
+    const wire_limits_t transit = transit_limits(listeners, limits);
     wire_listener_set_limits(listeners->callers, &applied);
+    wire_listener_set_limits(listeners->transit, &transit);
 }
--- a/gateway/listeners.h
+++ b/gateway/listeners.h
@@ -1,5 +1,5 @@
 /*
- * Listeners: the ports of an instance for callers, the platform and operators.
+ * Listeners: the ports of an instance for callers, peers, the platform and operators.
  *
  * Owns the listeners and their limits. Relies on wire/listener.h; the handlers are provided by
  * the instance.
@@ -15,13 +15,16 @@
     wire_handler_t readiness;
     wire_handler_t directory;
     wire_handler_t admin;
-    void *ctx; /* argument of all four handlers */
+    wire_handler_t transit;
+    void *ctx; /* argument of all handlers */
 } listener_handlers_t;
 
 typedef struct {
     wire_listener_t *callers;
     wire_listener_t *readiness;
     wire_listener_t *directory;
+    wire_listener_t *transit; /* for requests of peers (path/transit.h) */
+    addr_t transit_addr;
     wire_listener_t *admin;  /* NULL without an admin address in the settings */
     uint64_t slow_reader_ms; /* from the settings */
 } listeners_t;
--- a/gateway/membership/heartbeat.c
+++ b/gateway/membership/heartbeat.c
@@ -89,6 +89,9 @@
     self->ready = heartbeat->ready;
     self->supports_accounts = true;
     self->supports_permits = true;
+    self->transit = heartbeat->conf.transit;
+    self->backends_lost = heartbeat->conf.reach->state == REACH_LOST;
+    self->backends_heard = reachability_hears_responses(heartbeat->conf.reach, now_ms);
     self->leaving = heartbeat->leaving;
     self->announced = heartbeat->announced;
     self->interval_ms = members_interval_ms(heartbeat->conf.members, self->region, now_ms);
@@ -157,6 +160,7 @@
 source_of(heartbeat_t *heartbeat, uint64_t now_ms)
 {
     return (heartbeat_source_t){
+        .link_in_doubt = reachability_is_doubtful(heartbeat->conf.reach),
         .self = members_find_or_add(heartbeat->conf.members, &heartbeat->conf.settings->peer),
         .members = heartbeat->conf.members,
         .topology = &heartbeat->conf.settings->topology,
--- a/gateway/membership/heartbeat.h
+++ b/gateway/membership/heartbeat.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "gateway/membership/heartbeat_message.h"
+#include "gateway/policy/reachability.h"
 #include "gateway/settings.h"
 #include "gateway/state/services.h"
 #include "gateway/state/traffic.h"
@@ -28,7 +29,9 @@
     notice_gossip_t *notice_gossip;
     rollouts_t *rollouts;
     peer_hub_t *hub;
-    uint64_t incarnation; /* random number chosen at process start */
+    uint64_t incarnation;        /* random number chosen at process start */
+    addr_t transit;              /* own address for requests in transit */
+    const reachability_t *reach; /* of the backend servers */
 } heartbeat_conf_t;
 
 typedef struct {
--- a/gateway/membership/heartbeat_message.c
+++ b/gateway/membership/heartbeat_message.c
@@ -104,14 +104,16 @@
     }
 }
 
-/* Sends outcomes of backends with recent failures. */
+/* Sends outcomes of backends with recent failures. If the own link is in doubt, they say nothing
+ * about the backends and are dropped. */
 static void
 fill_outcomes(heartbeat_message_t *out, const heartbeat_source_t *source)
 {
     size_t count = 0;
     for (size_t i = 0; i < source->backends->count; i++) {
         backend_t *backend = source->backends->items[i];
-        if (count < HEARTBEAT_OUTCOMES_MAX && health_has_unsent(&backend->health, source->now_ms)) {
+        if (!source->link_in_doubt && count < HEARTBEAT_OUTCOMES_MAX &&
+            health_has_unsent(&backend->health, source->now_ms)) {
             Iris__Outcomes *outcomes = &out->outcomes[count];
             iris__outcomes__init(outcomes);
             outcomes->backend = message_text(&backend->info.id);
@@ -194,6 +196,9 @@
     message->reads_suspects = true;
     message->reads_accounts = true;
     message->gives_permits = true;
+    message->transit_port = addr_port(&self->transit);
+    message->backends_lost = self->backends_lost;
+    message->backends_heard = self->backends_heard;
     message->resumed = source->resumed;
     message->announced = self->announced;
     message->mesh_members =
@@ -296,6 +301,10 @@
     member->supports_suspects = message->reads_suspects;
     member->supports_accounts = message->reads_accounts;
     member->supports_permits = message->gives_permits;
+    member->transit = member->peer;
+    addr_set_port(&member->transit, (uint16_t)message->transit_port);
+    member->backends_lost = message->backends_lost;
+    member->backends_heard = message->backends_heard;
     member->interval_ms = message->interval_ms;
     member->mesh_members = message->mesh_members;
     member->capacity = (member_capacity_t){
--- a/gateway/membership/heartbeat_message.h
+++ b/gateway/membership/heartbeat_message.h
@@ -63,6 +63,7 @@
     rollout_gossip_t rollouts;
     bool resumed;               /* this instance stalled and missed messages */
     const backends_t *backends; /* their unsent outcomes are moved into the message */
+    bool link_in_doubt;         /* to the backends (policy/reachability.h) */
     unsigned round;             /* number of the heartbeat; only some carry addresses */
     bool is_greeting;           /* to members not heard yet: without outcomes and addresses */
     bool is_reply;              /* to a new or restarted member: without outcomes */
--- a/gateway/membership/members.c
+++ b/gateway/membership/members.c
@@ -149,6 +149,17 @@
     return WATCHER_AGE_MAX_MS + members_interval_ms(members, region, now_ms);
 }
 
+bool
+members_hear_backends(const members_t *members, uint64_t now_ms)
+{
+    for (size_t i = 0; i < members->count; i++) {
+        const member_t *member = &members->items[i];
+        if (member->backends_heard && !member->backends_lost && member_alive(member, now_ms))
+            return true;
+    }
+    return false;
+}
+
 uint64_t
 members_newer_view(const members_t *members, view_kind_t kind, uint64_t at, uint64_t digest,
                    uint64_t now_ms)
--- a/gateway/membership/members.h
+++ b/gateway/membership/members.h
@@ -112,6 +112,9 @@
     bool supports_suspects;    /* accepts messages about suspects */
     bool supports_accounts;    /* accepts messages about client accounts */
     bool supports_permits;     /* accepts notices and grants permits */
+    addr_t transit;            /* address for requests in transit; port 0: takes none */
+    bool backends_lost;        /* reaches no backend server */
+    bool backends_heard;       /* one responded to it lately */
     bool refuses_connections;  /* refused a connection since its last heartbeat */
     uint64_t accounts_avoided_until_ms; /* did not answer an account report */
     member_view_t views[VIEW_WATCHED];
@@ -169,6 +172,8 @@
                            uint64_t now_ms);
 /* True if the store fails for an alive member. */
 bool members_any_store_failure(const members_t *members, uint64_t now_ms);
+/* True if a backend server lately responded to an alive member. */
+bool members_hear_backends(const members_t *members, uint64_t now_ms);
 /* Newest revision of a view, above `at` and with another digest, that an alive member holds; 0 if
  * there is none. */
 uint64_t members_newer_view(const members_t *members, view_kind_t kind, uint64_t at,
--- a/gateway/path/attempt.c
+++ b/gateway/path/attempt.c
@@ -38,23 +38,27 @@
     attempt->body = (wire_text_t){0};
 }
 
-static bool
-on_match(void *ctx, const wire_head_t *head)
+static response_verdict_t
+peer_verdict(const transit_report_t *report)
 {
-    const attempt_t *attempt = ctx;
-    return attempt->dialect->answers(head, attempt->id);
+    switch (report->result) {
+    case TRANSIT_FORWARDED:
+        return VERDICT_RESPONSE;
+    case TRANSIT_NOT_RUN:
+    case TRANSIT_DECLINED:
+        return VERDICT_NOT_RUN;
+    case TRANSIT_UNKNOWN:
+    case TRANSIT_RESULT_COUNT:
+        return VERDICT_INVALID;
+    }
+    BUG("result");
 }
 
+/* Reads what a backend server says of itself in its response. */
 static void
-on_head(void *ctx, const wire_head_t *head, int64_t length)
+read_statements(attempt_t *attempt, const wire_head_t *head)
 {
-    attempt_t *attempt = ctx;
     reported_load_t load;
-    attempt->head_seen = true;
-    attempt->head_ms = loop_now(attempt->loop);
-    attempt->verdict = attempt->dialect->judge(head);
-    attempt->status = head->status;
-    attempt->length = length;
     if (attempt->dialect->load(head, &load)) {
         attempt->slots_full = load.waiting > 0;
         backend_report_load(attempt->backend, &load, loop_now(attempt->loop));
@@ -65,6 +69,30 @@
         attempt->dialect->notice(head, &statement);
         attempt->on_notice(attempt->ctx, &statement, attempt->verdict == VERDICT_RESPONSE);
     }
+}
+
+static bool
+on_match(void *ctx, const wire_head_t *head)
+{
+    const attempt_t *attempt = ctx;
+    return attempt->dialect->answers(head, attempt->id);
+}
+
+static void
+on_head(void *ctx, const wire_head_t *head, int64_t length)
+{
+    attempt_t *attempt = ctx;
+    attempt->head_seen = true;
+    attempt->head_ms = loop_now(attempt->loop);
+    attempt->status = head->status;
+    attempt->length = length;
+    if (attempt->via_peer) {
+        attempt->report = transit_report_read(head);
+        attempt->verdict = peer_verdict(&attempt->report);
+    } else {
+        attempt->verdict = attempt->dialect->judge(head);
+        read_statements(attempt, head);
+    }
     attempt->fields.len = 0;
     attempt->dialect->write_response(head, &attempt->fields);
     if (attempt->verdict == VERDICT_RESPONSE && length > BUFFER_MAX)
@@ -173,6 +201,8 @@
     case VERDICT_NOT_RUN:
         return ATTEMPT_NOT_RUN;
     case VERDICT_INVALID:
+        if (attempt->via_peer) /* a report of the peer, which works */
+            return ATTEMPT_UNKNOWN;
         attempt_record(attempt, true);
         breaker_record_failure(&backend->breaker, now);
         return ATTEMPT_UNKNOWN;
@@ -208,6 +238,9 @@
     attempt->call = NULL;
     attempt->sent = end->stage != WIRE_UNSENT;
     attempt->closed = attempt->sent && end->closed;
+    attempt->reused = end->reused;
+    attempt->link_failed =
+        !attempt->head_seen && !end->over_limit && (!attempt->sent || end->timed_out);
     const attempt_outcome_t outcome = end->err.code == ERR_NONE
                                           ? classify_complete(attempt, backend)
                                           : classify_failure(attempt, backend, end);
@@ -216,7 +249,7 @@
 }
 
 static char *
-build_request(const attempt_t *attempt, uint32_t left_ms, size_t *len)
+build_request(const attempt_t *attempt, const attempt_conf_t *conf, size_t *len)
 {
     const wire_head_t *head = &attempt->req->head;
     wire_text_t text = {0};
@@ -227,9 +260,10 @@
     const forward_metadata_t terms = {
         .backend = name_str(&attempt->backend->info.id),
         .account = attempt->account,
-        .left_ms = left_ms,
+        .left_ms = conf->left_ms,
     };
     attempt->dialect->write_request(head, &terms, &text);
+    wire_text_str(&text, conf->fields);
     const bool framed = wire_head_find(head, STR("content-length")).len > 0 ||
                         wire_head_find(head, STR("transfer-encoding")).len > 0;
     if (framed)
@@ -255,6 +289,10 @@
     attempt->sent_ms = loop_now(attempt->loop);
     attempt->sent = false;
     attempt->closed = false;
+    attempt->via_peer = conf->via_peer;
+    attempt->reused = false;
+    attempt->link_failed = false;
+    attempt->report = (transit_report_t){0};
     attempt->head_seen = false;
     attempt->head_ms = 0;
     attempt->paused = false;
@@ -269,7 +307,7 @@
         .head_method = attempt->req->head.method == HTTP_HEAD,
         .probe_before_reuse = conf->is_retry,
     };
-    call.request = build_request(attempt, conf->left_ms, &call.request_len);
+    call.request = build_request(attempt, conf, &call.request_len);
     attempt->call = wire_call_start(conf->backend->pool, &call, &cbs, attempt);
 }
 
--- a/gateway/path/attempt.h
+++ b/gateway/path/attempt.h
@@ -8,9 +8,11 @@
  * Owns the call to the backend and the buffered response. Relies on wire/client.h for the
  * connection, on the dialect for the platform's header fields, on slow.h for the threshold of
  * slow attempts.
+ * With `via_peer` the request goes to another instance, which sends it on (transit.h).
  */
 #pragma once
 
+#include "gateway/path/transit_fields.h"
 #include "gateway/ports.h"
 #include "gateway/state/backend.h"
 #include "wire/client.h"
@@ -46,6 +48,9 @@
     uint64_t head_ms; /* loop time of the head of the response; 0 before */
     bool sent;        /* bytes may have been sent; kept after the end */
     bool closed;      /* the other side closed or reset the connection; kept after the end */
+    bool via_peer;    /* `backend` stands for an instance (transit.h) */
+    bool reused;      /* of the connection; kept after the end */
+    bool link_failed; /* the connection did not come up, or acknowledged nothing */
     bool queued;      /* all slots of the backend were in use when it was sent */
     bool head_seen;
     bool streaming;
@@ -55,6 +60,7 @@
     bool slots_full;         /* the response reported that all slots of the backend are in use */
     bool recorded;           /* the outcome is recorded in the backend's health */
     uint32_t slow_ms;        /* from slow_after_ms(); 0 if no limit */
+    transit_report_t report; /* of the peer, with `via_peer` */
     response_verdict_t verdict;
     int status;
     size_t received; /* bytes of responses, over all attempts */
@@ -71,6 +77,8 @@
     bool is_retry; /* an earlier attempt failed: kept connections are checked before use, since the
                       cause may affect this backend too */
     uint32_t slow_ms; /* from slow_after_ms(); 0 if no limit */
+    bool via_peer;    /* `backend` stands for an instance (transit.h) */
+    str_t fields;     /* header lines added to the request */
 } attempt_conf_t;
 
 /* Sends the request. The fields from `loop` to `ctx` must be set. The struct can be reused once the
--- a/gateway/path/completion.c
+++ b/gateway/path/completion.c
@@ -81,11 +81,30 @@
     traffic_count(&ex->owner->router->traffic, ex->req->body_len + ex->attempt.received);
 }
 
+/* Tells the peer that sent the request what became of it. */
+static void
+report_to_peer(const exchange_t *ex, const final_response_t *response, wire_text_t *fields)
+{
+    transit_report_t report = {
+        .result = TRANSIT_NOT_RUN,
+        .sends = ex->sends,
+        .retry_after_ms = response->retry_after_ms,
+    };
+    if (ex->may_have_run)
+        report.result = TRANSIT_UNKNOWN;
+    else if (ex->declined)
+        report.result = TRANSIT_DECLINED;
+    transit_report_write(&report, fields);
+    transit_count_received(report.result);
+}
+
 static void
 send_final_response(exchange_t *ex, const final_response_t *response)
 {
     wire_text_t fields = {0};
     ex->owner->dialect->write_gateway_response(ex->metadata.id, response->retry_after_ms, &fields);
+    if (ex->from_peer)
+        report_to_peer(ex, response, &fields);
     ex->retry_after_ms = response->retry_after_ms;
     log_end(ex, response->status, response->outcome);
     wire_respond(ex->req, response->status, (str_t){fields.ptr, fields.len}, STR(""));
@@ -159,6 +178,8 @@
     const int status = ex->attempt.status;
     const bool failed = status >= HTTP_STATUS_INTERNAL_SERVER_ERROR;
     log_end(ex, status, failed ? OUTCOME_BACKEND_FAILED : OUTCOME_ANSWERED);
+    if (ex->from_peer)
+        transit_count_received(TRANSIT_FORWARDED);
     attempt_forward_response(&ex->attempt);
     exchange_release(ex);
 }
--- a/gateway/path/dispatch.c
+++ b/gateway/path/dispatch.c
@@ -44,6 +44,7 @@
     if (ex->account_use != NULL && ex->possible_runs > 0)
         account_uses_charge(ex->owner->account_uses, ex->account_use);
     router_attempt_started(router, ex->service, backend);
+    reach_monitor_add_send(ex->owner->reach);
     const attempt_conf_t conf = {
         .backend = backend,
         .left_ms = exchange_remaining_ms(ex) > 0 ? (uint32_t)exchange_remaining_ms(ex) : 1,
@@ -216,7 +217,7 @@
 dispatch_next(exchange_t *ex)
 {
     permit_result_t verdict = PERMIT_REFUSED;
-    if (await_load(ex))
+    if (transit_dispatch(ex) || await_load(ex))
         return;
     while (verdict == PERMIT_REFUSED) {
         ex->choice = dispatch_choose(ex, true);
@@ -267,6 +268,10 @@
 {
     if (ex->attempt.call == NULL)
         return;
+    if (ex->in_transit) {
+        transit_cancel(ex);
+        return;
+    }
     record_for_rollout(ex, false, true);
     attempt_cancel(&ex->attempt);
     ex->sends += ex->attempt.sent;
@@ -291,8 +296,8 @@
     };
 }
 
-static bool
-may_retry(exchange_t *ex)
+bool
+dispatch_may_retry(exchange_t *ex)
 {
     const retry_input_t input = dispatch_retry_input(ex);
     const retry_context_t account = router_retry_context(ex->owner->router, ex->service);
@@ -303,7 +308,7 @@
 static void
 retry_or_refuse(exchange_t *ex)
 {
-    if (!may_retry(ex)) {
+    if (!dispatch_may_retry(ex)) {
         refuse_not_run(ex);
         return;
     }
@@ -350,7 +355,7 @@
         snprintf(text, sizeof(text), "%s %s %.*s%.*s", addr_format(&ex->req->caller, caller),
                  http_method_str((enum http_method)head->method),
                  STR_ARG(wire_head_find(head, STR("host"))), STR_ARG(wire_head_path(head)));
-    end_check_begin(ex->owner->router->loop, ex->owner->suspects, exchange_last_tried(ex),
+    end_check_begin(ex->owner->reach, ex->owner->suspects, exchange_last_tried(ex),
                     &ex->fingerprint,
                     (str_t){text, len < (int)sizeof(text) ? (size_t)len : sizeof(text) - 1});
 }
@@ -366,7 +371,7 @@
         router_count_work(ex->owner->router, ex->route, ex->service, exchange_last_tried(ex),
                           (double)attempt_elapsed_ms(attempt));
     if (retry_replaces_answer(attempt->status, ex->route->repeatable, attempt->streaming) &&
-        may_retry(ex)) {
+        dispatch_may_retry(ex)) {
         ex->may_have_run = true;
         dispatch_next(ex);
         return;
@@ -380,6 +385,7 @@
     const exchange_t *ex = ctx;
     const response_notice_t notice = {
         .statement = statement, .sent_ms = ex->attempt.sent_ms, .ran = ran};
+    reach_monitor_add_response(ex->owner->reach);
     router_apply_notice(ex->owner->router, exchange_last_tried(ex), &notice);
 }
 
@@ -387,6 +393,11 @@
 dispatch_on_attempt_end(void *ctx, attempt_outcome_t outcome)
 {
     exchange_t *ex = ctx;
+    if (ex->in_transit) {
+        transit_on_attempt_end(ex, outcome);
+        return;
+    }
+    reach_monitor_add_attempt(ex->owner->reach, exchange_last_tried(ex), &ex->attempt);
     count_attempt_end(ex);
     ex->sends += ex->attempt.sent;
     ex->possible_runs += outcome != ATTEMPT_NOT_RUN;
--- a/gateway/path/dispatch.h
+++ b/gateway/path/dispatch.h
@@ -24,6 +24,8 @@
 void dispatch_resend(exchange_t *ex);
 /* Cancels the attempt in progress, if any. */
 void dispatch_cancel(exchange_t *ex);
+/* Decides whether the request may be sent again, and takes the send from the retry budget. */
+bool dispatch_may_retry(exchange_t *ex);
 /* Collects the input of a retry decision. */
 retry_input_t dispatch_retry_input(const exchange_t *ex);
 /* Callback for notices in a response; `ctx` is the exchange. */
--- a/gateway/path/end_check.c
+++ b/gateway/path/end_check.c
@@ -21,10 +21,11 @@
 };
 
 typedef struct {
-    uv_loop_t *loop;
+    reach_monitor_t *reach;
     suspects_t *suspects;
     backend_t *backend;
     bool is_second_probe;
+    reach_wait_t settled; /* refused while the link was in doubt */
 } check_t;
 
 static void
@@ -40,47 +41,70 @@
 static void
 probe(check_t *check, uint64_t delay_ms)
 {
-    wire_tcp_probe(check->loop, wire_pool_addr(check->backend->pool), delay_ms, PROBE_TIMEOUT_MS,
-                   on_outcome, check);
+    wire_tcp_probe(check->reach->conf.loop, wire_pool_addr(check->backend->pool), delay_ms,
+                   PROBE_TIMEOUT_MS, on_outcome, check);
+}
+
+static void
+finish(check_t *check)
+{
+    check->backend->end_check_running = false;
+    backend_unref(check->backend);
+    free(check);
+}
+
+/* The process refuses connections; it has ended unless the link is cut. */
+static void
+on_settled(void *ctx)
+{
+    check_t *check = ctx;
+    const uint64_t incarnation = backend_incarnation_key(check->backend);
+    if (reach_monitor_is_cut(check->reach)) {
+        suspects_retract(check->suspects, incarnation);
+        count_outcome("outcome=\"unknown\"");
+    } else {
+        const size_t requests =
+            suspects_confirm(check->suspects, incarnation, loop_now(check->reach->conf.loop));
+        count_outcome("outcome=\"ended\"");
+        LOG_INFO("backend process ended: id=%s requests=%zu", check->backend->info.id.ptr,
+                 requests);
+    }
+    finish(check);
 }
 
 static void
 on_outcome(void *ctx, tcp_probe_result_t outcome)
 {
     check_t *check = ctx;
-    backend_t *backend = check->backend;
-    const uint64_t incarnation = backend_incarnation_key(backend);
     if (outcome == TCP_PROBE_CONNECTED && !check->is_second_probe) {
         check->is_second_probe = true;
         probe(check, SECOND_PROBE_DELAY_MS);
         return;
     }
-    backend->end_check_running = false;
     if (outcome == TCP_PROBE_REFUSED) {
-        const size_t requests =
-            suspects_confirm(check->suspects, incarnation, loop_now(check->loop));
-        count_outcome("outcome=\"ended\"");
-        LOG_INFO("backend process ended: id=%s requests=%zu", backend->info.id.ptr, requests);
-    } else {
-        suspects_retract(check->suspects, incarnation);
-        count_outcome(outcome == TCP_PROBE_CONNECTED ? "outcome=\"lives\"" : "outcome=\"unknown\"");
+        reach_monitor_add_refusal(check->reach, check->backend);
+        if (!reach_monitor_await(check->reach, &check->settled))
+            on_settled(check);
+        return;
     }
-    backend_unref(backend);
-    free(check);
+    suspects_retract(check->suspects, backend_incarnation_key(check->backend));
+    count_outcome(outcome == TCP_PROBE_CONNECTED ? "outcome=\"lives\"" : "outcome=\"unknown\"");
+    finish(check);
 }
 
 void
-end_check_begin(uv_loop_t *loop, suspects_t *suspects, backend_t *backend,
+end_check_begin(reach_monitor_t *reach, suspects_t *suspects, backend_t *backend,
                 const fingerprint_t *fingerprint, str_t text)
 {
     if (backend_is_leaving(backend) || !backend->listed || backend->remove_at_ms != 0)
         return;
     suspects_add_end(suspects, fingerprint, text, backend_incarnation_key(backend),
-                     backend->info.version, loop_now(loop));
+                     backend->info.version, loop_now(reach->conf.loop));
     if (backend->end_check_running)
         return;
     check_t *check = xcalloc(1, sizeof(*check));
-    *check = (check_t){.loop = loop, .suspects = suspects, .backend = backend_ref(backend)};
+    *check = (check_t){.reach = reach, .suspects = suspects, .backend = backend_ref(backend)};
+    check->settled = (reach_wait_t){.cb = on_settled, .ctx = check};
     backend->end_check_running = true;
     probe(check, FIRST_PROBE_DELAY_MS);
 }
--- a/gateway/path/exchange.c
+++ b/gateway/path/exchange.c
@@ -135,39 +135,115 @@
         ex->service->offered != NULL && return_time_is_expected(left_ms, ex->prior_wait_ms);
 }
 
-void
-exchange_start(exchanges_t *exchanges, wire_request_t *req)
+/* Finds the route. Returns false if the request was refused. */
+static bool
+find_route(exchange_t *ex)
 {
-    router_t *router = exchanges->router;
-    exchange_t *ex = new_exchange(exchanges, req);
+    const router_t *router = ex->owner->router;
     if (!router_is_ready(router)) {
         completion_refuse(ex, OUTCOME_NO_CONFIGURATION);
-        return;
+        return false;
     }
+    const wire_head_t *head = &ex->req->head;
     ex->config = config_ref(router->catalog.config);
-    ex->route = config_route(ex->config, wire_head_find(&req->head, STR("host")),
-                             wire_head_path(&req->head));
+    ex->route = config_route(ex->config, wire_head_find(head, STR("host")), wire_head_path(head));
     if (ex->route == NULL || ex->route->target_count == 0) {
         completion_refuse(ex, final_response_no_route(catalog_is_behind(&router->catalog)));
-        return;
+        return false;
     }
-    if (!authenticate_account(ex) || !admit_account_use(ex))
-        return;
-    ex->service = router_service(router, ex->route);
+    return true;
+}
+
+/* Admits a request whose service is known, and sends it. */
+static void
+start(exchange_t *ex)
+{
+    wire_request_t *req = ex->req;
+    router_t *router = ex->owner->router;
     const quarantine_t quarantine = decide_quarantine(ex);
     if (quarantine.verdict == QUARANTINE_HELD) {
         completion_refuse_quarantined(ex, quarantine.held_ms);
         return;
     }
     ex->is_trial = quarantine.verdict == QUARANTINE_TRIAL;
-    router_count_request(router, ex->service);
-    load_probes_count_request(&exchanges->load_probes, ex->service);
+    load_probes_count_request(&ex->owner->load_probes, ex->service);
     ex->object = router_object(router, ex->route, ex->metadata.object);
     ex->deadline_at_ms = deadline_of(ex);
-    if (ex->metadata.has_deadline)
+    if (ex->metadata.has_deadline && !ex->from_peer)
         record_caller(ex);
     req->on_disconnect = on_caller_disconnected;
     req->on_drain = on_caller_drained;
     req->ctx = ex;
     dispatch_next(ex);
 }
+
+void
+exchange_start(exchanges_t *exchanges, wire_request_t *req)
+{
+    exchange_t *ex = new_exchange(exchanges, req);
+    if (!find_route(ex) || !authenticate_account(ex) || !admit_account_use(ex))
+        return;
+    ex->service = router_service(exchanges->router, ex->route);
+    router_count_request(exchanges->router, ex->service);
+    start(ex);
+}
+
+/* ---- requests of peers ---- */
+
+/* Sets the client account that the sender found and charged. False if it is not known here. */
+static bool
+set_account(exchange_t *ex, str_t name)
+{
+    if (name.len == 0)
+        return true;
+    ex->account = config_account(ex->config, config_account_id(name));
+    if (ex->account == NULL)
+        return false;
+    ex->attempt.account = name_str(&ex->account->name);
+    ex->account_use = account_uses_hold(ex->owner->account_uses, ex->account, exchange_now_ms(ex));
+    return true;
+}
+
+/* Returns the service that the sender picked; NULL if the route has no such target here. */
+static service_t *
+picked_service(const exchange_t *ex, str_t name)
+{
+    for (size_t i = 0; i < ex->route->target_count; i++) {
+        if (name_eq(&ex->route->targets[i].service, name))
+            return services_get(&ex->owner->router->services, name);
+    }
+    return NULL;
+}
+
+/* The retry budget has counted the request at the sender, and the account's limit has too. */
+void
+exchange_start_transit(exchanges_t *exchanges, wire_request_t *req)
+{
+    transit_terms_t terms;
+    const bool valid = transit_terms_take(&req->head, &terms);
+    const size_t own = exchanges->active - exchanges->transit->received;
+    const transit_verdict_t verdict =
+        valid ? transit_accept(exchanges->transit, &terms, own) : TRANSIT_INVALID;
+    if (valid)
+        req->caller = terms.caller;
+    exchange_t *ex = new_exchange(exchanges, req);
+    ex->from_peer = true;
+    exchanges->transit->received++;
+    if (verdict != TRANSIT_ACCEPTED) {
+        ex->declined = true;
+        completion_refuse(ex, OUTCOME_NO_BACKEND);
+        return;
+    }
+    ex->sends = terms.sends;
+    ex->prior_wait_ms = terms.waited_ms;
+    ex->expected = terms.expected;
+    if (!find_route(ex))
+        return;
+    ex->service = picked_service(ex, terms.service);
+    if (ex->service == NULL || !set_account(ex, terms.account)) {
+        ex->declined = true;
+        completion_refuse(ex, OUTCOME_CONFIGURATION_STALE);
+        return;
+    }
+    start(ex);
+}
--- a/gateway/path/exchange.h
+++ b/gateway/path/exchange.h
@@ -12,6 +12,7 @@
 
 #include "gateway/membership/permit_exchange.h"
 #include "gateway/path/load_probes.h"
+#include "gateway/path/transit.h"
 #include "gateway/ports.h"
 #include "gateway/router.h"
 #include "gateway/state/account_uses.h"
@@ -24,9 +25,13 @@
     suspects_t *suspects;
     account_uses_t *account_uses;
     permit_exchange_t *permits;
+    transit_t *transit;
+    reach_monitor_t *reach;
     load_probes_t load_probes;
     size_t active; /* exchanges in progress */
 } exchanges_t;
 
 /* Takes ownership of a request and answers it unless the caller disconnects first. */
 void exchange_start(exchanges_t *exchanges, wire_request_t *req);
+/* The same for a request of a caller of a peer, in transit (transit.h). */
+void exchange_start_transit(exchanges_t *exchanges, wire_request_t *req);
--- a/gateway/path/exchange_state.c
+++ b/gateway/path/exchange_state.c
@@ -92,5 +92,6 @@
     release_account_use(ex);
     ex->done = true;
     ex->owner->active--;
+    ex->owner->transit->received -= ex->from_peer;
     uv_close((uv_handle_t *)&ex->timer, on_timer_closed);
 }
--- a/gateway/path/exchange_state.h
+++ b/gateway/path/exchange_state.h
@@ -56,6 +56,10 @@
     double prior_wait_ms;      /* time the caller spent on refused requests before this one */
     bool expected;             /* a retry after a refusal, at the promised time */
     uint32_t retry_after_ms;   /* Retry-After of its refusal; 0: none */
+    bool from_peer;            /* in transit from a peer (transit.h); it takes no further hop */
+    bool declined;             /* in transit, and not taken */
+    bool in_transit;           /* the attempt is at a peer */
+    unsigned transits;         /* peers that it was sent to */
     bool may_have_run;         /* an attempt ended with unknown outcome */
     uint64_t required_version; /* use only backends of this software version; 0 for any */
     bool is_trial;             /* sent to test whether the request still crashes backend servers */
--- a/gateway/settings.c
+++ b/gateway/settings.c
@@ -43,6 +43,7 @@
     double expose_share;
     double expose_slack;
     double slow_reader_s;
+    double transit_port;
     char **rules;
     unsigned rules_count;
 } raw_t;
@@ -86,6 +87,7 @@
     OPTIONAL_NUMBER(expose_share),
     OPTIONAL_NUMBER(expose_slack),
     OPTIONAL_NUMBER(slow_reader_s),
+    OPTIONAL_NUMBER(transit_port),
     CYAML_FIELD_SEQUENCE("rules", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, raw_t, rules,
                          &text_schema, 0, RULES_MAX),
     CYAML_FIELD_END};
@@ -155,6 +157,15 @@
     return false;
 }
 
+static bool
+read_port(const char *key, double value, err_t *err)
+{
+    if (value >= 0 && value <= UINT16_MAX && value == (uint16_t)value)
+        return true;
+    err_set(err, ERR_INVALID, "%s: '%g': expected a port, 0 to %d", key, value, UINT16_MAX);
+    return false;
+}
+
 static bool
 validate(const raw_t *raw, gateway_settings_t *out, err_t *err)
 {
@@ -169,6 +180,7 @@
         .expose_share = raw->expose_share,
         .expose_slack = raw->expose_slack,
         .has_admin = raw->admin != NULL,
+        .transit_port = (uint16_t)raw->transit_port,
         .slow_reader_ms = raw->slow_reader_s > 0 ? (uint64_t)(raw->slow_reader_s * MS_PER_S)
                                                  : SLOW_READER_DEFAULT_MS,
         .orders_shortage = has_rule(raw, "pressure"),
@@ -190,6 +202,7 @@
            read_number("retry_constant", raw->retry_constant, 0, err) &&
            read_number("expose_share", raw->expose_share, 0, err) &&
            read_number("expose_slack", raw->expose_slack, 0, err) &&
+           read_port("transit_port", raw->transit_port, err) &&
            (raw->slow_reader_s == 0 ||
             read_number("slow_reader_s", raw->slow_reader_s, SLOW_READER_MIN_S, err)) &&
            read_number("retry_window_s", raw->retry_window_s, WINDOW_MIN_S, err) &&
--- a/gateway/settings.h
+++ b/gateway/settings.h
@@ -20,7 +20,8 @@
     addr_t peer;
     addr_t admin;
     bool has_admin;
-    addr_t store; /* address of the platform's store */
+    uint16_t transit_port; /* at the IP of `peer`, for requests in transit; 0: any */
+    addr_t store;          /* address of the platform's store */
     addr_t seeds[GATEWAY_SEEDS_MAX];
     size_t seed_count;
     topology_t topology;
--- a/gateway/state/account_uses.c
+++ b/gateway/state/account_uses.c
@@ -122,6 +122,17 @@
     return admitted;
 }
 
+account_use_t *
+account_uses_hold(account_uses_t *uses, const config_account_t *account, uint64_t now_ms)
+{
+    if (account->rate_per_s <= 0)
+        return NULL;
+    account_use_t *use = account_uses_get(uses, account, now_ms);
+    use->refs++;
+    use->last_request_ms = now_ms;
+    return use;
+}
+
 void
 account_uses_charge(account_uses_t *uses, account_use_t *use)
 {
--- a/gateway/state/account_uses.h
+++ b/gateway/state/account_uses.h
@@ -58,6 +58,9 @@
 bool account_uses_admit(account_uses_t *uses, const config_account_t *account,
                         double random_fraction, uint64_t now_ms, account_use_t **out,
                         uint32_t *retry_after_ms);
+/* Holds the entry of an account whose request a peer has admitted; NULL without a limit. */
+account_use_t *account_uses_hold(account_uses_t *uses, const config_account_t *account,
+                                 uint64_t now_ms);
 /* Counts a further attempt of the request at another backend server. */
 void account_uses_charge(account_uses_t *uses, account_use_t *use);
 /* Takes back an admitted request that was not executed. */
--- a/gateway/state/backends.c
+++ b/gateway/state/backends.c
@@ -118,6 +118,15 @@
     backends->count = kept;
 }
 
+void
+backends_forget_failures(backends_t *backends)
+{
+    for (size_t i = 0; i < backends->count; i++) {
+        backends->items[i]->breaker = (breaker_t){0};
+        backends->items[i]->health = (health_t){0};
+    }
+}
+
 void
 backends_free(backends_t *backends)
 {
--- a/gateway/state/backends.h
+++ b/gateway/state/backends.h
@@ -35,4 +35,6 @@
 /* Removes the backends whose remove_at_ms has passed. Attempts in progress keep their
  * references. */
 void backends_remove_due(backends_t *backends, uint64_t now_ms);
+/* Forgets all failures: their cause was the link of this instance. */
+void backends_forget_failures(backends_t *backends);
 void backends_free(backends_t *backends);
--- a/gateway/state/config.h
+++ b/gateway/state/config.h
@@ -130,6 +130,8 @@
 const config_service_t *config_service(const config_t *config, str_t name);
 /* The account with that key; NULL if there is none. Compares in constant time. */
 const config_account_t *config_account_of_key(const config_t *config, str_t key);
+/* Id of the account with that name. */
+uint64_t config_account_id(str_t name);
 /* The account with that id; NULL if there is none. */
 const config_account_t *config_account(const config_t *config, uint64_t id);
 /* True if the list contains the region or is empty. */
--- a/gateway/state/config_accounts.c
+++ b/gateway/state/config_accounts.c
@@ -19,10 +19,16 @@
     config->key_seed = rng_next(&rng);
 }
 
+uint64_t
+config_account_id(str_t name)
+{
+    return str_hash(name, ACCOUNT_SEED);
+}
+
 bool
 config_account_name(config_account_t *account, str_t name)
 {
-    account->id = str_hash(name, ACCOUNT_SEED);
+    account->id = config_account_id(name);
     return name_set(&account->name, name);
 }
 
--- a/peer/peer.pb-c.c
+++ b/peer/peer.pb-c.c
@@ -3522,7 +3522,7 @@
   (ProtobufCMessageInit) iris__rollout_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor iris__gateway_heartbeat__field_descriptors[33] =
+static const ProtobufCFieldDescriptor iris__gateway_heartbeat__field_descriptors[36] =
 {
   {
     "instance",
@@ -3920,9 +3920,47 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "transit_port",
+    34,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Iris__GatewayHeartbeat, transit_port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "backends_lost",
+    35,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Iris__GatewayHeartbeat, backends_lost),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "backends_heard",
+    36,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Iris__GatewayHeartbeat, backends_heard),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned iris__gateway_heartbeat__field_indices_by_name[] = {
   22,   /* field[22] = announced */
+  35,   /* field[35] = backends_heard */
+  34,   /* field[34] = backends_lost */
   19,   /* field[19] = bytes_per_s */
   4,   /* field[4] = caller_address */
   17,   /* field[17] = cpu_cores */
@@ -3952,6 +3990,7 @@
   7,   /* field[7] = store_age_ms */
   8,   /* field[8] = store_failing */
   24,   /* field[24] = suspects */
+  33,   /* field[33] = transit_port */
   20,   /* field[20] = unpacks */
   9,   /* field[9] = views */
   23,   /* field[23] = was_announced */
@@ -3959,7 +3998,7 @@
 static const ProtobufCIntRange iris__gateway_heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 33 }
+  { 0, 36 }
 };
 const ProtobufCMessageDescriptor iris__gateway_heartbeat__descriptor =
 {
@@ -3969,7 +4008,7 @@
   "Iris__GatewayHeartbeat",
   "iris",
   sizeof(Iris__GatewayHeartbeat),
-  33,
+  36,
   iris__gateway_heartbeat__field_descriptors,
   iris__gateway_heartbeat__field_indices_by_name,
   1,  iris__gateway_heartbeat__number_ranges,
--- a/peer/peer.pb-c.h
+++ b/peer/peer.pb-c.h
@@ -713,10 +713,22 @@
    * it takes BackendNotices, and PermitRequest as the owner
    */
   protobuf_c_boolean gives_permits;
+  /*
+   * where it takes requests in transit, at the IP of peer_address; 0: it does not
+   */
+  uint32_t transit_port;
+  /*
+   * it reaches no backend server
+   */
+  protobuf_c_boolean backends_lost;
+  /*
+   * one responded to it within the last second
+   */
+  protobuf_c_boolean backends_heard;
 };
 #define IRIS__GATEWAY_HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&iris__gateway_heartbeat__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0, 0,NULL, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, 0, 0 }
 
 
 struct  Iris__ViewItem
--- a/test/gateway/site.c
+++ b/test/gateway/site.c
@@ -121,6 +121,8 @@
         backend->arrivals[backend->arrival_count++] = uv_now(&backend->site->loop);
     if (backend->behaviour != DOES_REFUSE && backend->behaviour != DOES_MISDIRECT)
         backend->runs++;
+    if (backend->site->on_run != NULL)
+        backend->site->on_run(id);
     if (poison != NULL && !backend->survives_poison &&
         memmem(text.ptr, text.len, poison, strlen(poison)) != NULL) {
         crash_backend(backend);
--- a/test/gateway/site.h
+++ b/test/gateway/site.h
@@ -100,8 +100,9 @@
     const decoder_port_t *decoder; /* of gateways started from now on; NULL: the platform's */
     bool orders_shortage;          /* setting of gateways started from now on */
     double expose_share;           /* setting of gateways started from now on */
-    const char *poison; /* requests containing this text crash the backend; NULL if none */
-    size_t ends;        /* number of backend crashes */
+    const char *poison;       /* requests containing this text crash the backend; NULL if none */
+    size_t ends;              /* number of backend crashes */
+    void (*on_run)(str_t id); /* a backend server executes the request with this id; may be NULL */
 };
 
 /* Runs the loop until the condition holds; fails after PATIENCE_MS. */
--- a/test/gateway/test_members.c
+++ b/test/gateway/test_members.c
@@ -217,8 +217,12 @@
         services_get(&services, str_from(name))->demand = i >= BUSY_FROM ? 1 + i : 0.5;
     }
     ck_assert(addr_parse(STR("127.0.0.1:1"), &settings.peer));
-    const heartbeat_conf_t conf = {
-        .settings = &settings, .members = &members, .services = &services, .traffic = &traffic};
+    static const reachability_t reach;
+    const heartbeat_conf_t conf = {.reach = &reach,
+                                   .settings = &settings,
+                                   .members = &members,
+                                   .services = &services,
+                                   .traffic = &traffic};
     heartbeat_init(&heartbeat, &conf, 1000);
     const member_t *self = members_find_or_add(&members, &settings.peer);
     ck_assert_uint_eq(self->demand_count, MEMBER_DEMANDS_MAX);
--- a/wire/client.c
+++ b/wire/client.c
@@ -19,6 +19,7 @@
     pool->busy_count++;
     conn->reused = reused;
     conn->call = call;
+    call->result.reused = reused;
     call->conn = conn;
     if (reused)
         client_call_send(conn);
--- a/wire/client.h
+++ b/wire/client.h
@@ -29,6 +29,9 @@
     err_t err;            /* ERR_NONE if the response is complete */
     bool close_delimited; /* end of the response marked by the close */
     bool closed;          /* failed on a close or reset by the server */
+    bool reused;          /* the connection had been used by an earlier call */
+    bool over_limit;      /* failed as the pool may open no further connection */
+    bool timed_out;       /* the connection did not come up, or nothing was acknowledged */
 } wire_call_result_t;
 
 typedef struct {
@@ -62,6 +65,8 @@
 wire_pool_t *wire_pool_new(uv_loop_t *loop, const addr_t *addr, size_t max_connections);
 /* Closes idle connections; the pool is freed after its last call has ended. */
 void wire_pool_free(wire_pool_t *pool);
+/* True if the pool has no connection. */
+bool wire_pool_is_empty(const wire_pool_t *pool);
 /* Limits new connections; open ones are kept. */
 void wire_pool_set_max(wire_pool_t *pool, size_t max_connections);
 const addr_t *wire_pool_addr(const wire_pool_t *pool);
--- a/wire/client_call.c
+++ b/wire/client_call.c
@@ -189,6 +189,7 @@
     if (n == UV_ETIMEDOUT)
         client_call_close_idle_after_silence(conn);
     conn->call->result.closed = n == UV_ECONNRESET;
+    conn->call->result.timed_out = n == UV_ETIMEDOUT;
     if (n == UV_EOF)
         on_eof(conn);
     else if (n < 0)
--- a/wire/client_connect.c
+++ b/wire/client_connect.c
@@ -9,6 +9,7 @@
 on_connect_timeout(uv_timer_t *timer)
 {
     client_conn_t *conn = timer->data;
+    conn->call->result.timed_out = true;
     client_call_fail(conn, ERR_UNAVAILABLE, "failed to connect in time");
 }
 
@@ -33,8 +34,9 @@
 client_connect(client_conn_t *conn)
 {
     const wire_pool_t *pool = conn->pool;
-    const bool full = pool->busy_count + pool->idle_count > pool->max;
-    if (full || uv_tcp_connect(&conn->connect, &conn->tcp, &pool->addr.sa, on_connected) != 0)
+    conn->call->result.over_limit = pool->busy_count + pool->idle_count > pool->max;
+    if (conn->call->result.over_limit ||
+        uv_tcp_connect(&conn->connect, &conn->tcp, &pool->addr.sa, on_connected) != 0)
         uv_timer_start(&conn->timer, on_connect_timeout, 0, 0);
     else
         uv_timer_start(&conn->timer, on_connect_timeout, conn->call->conf.connect_timeout_ms, 0);
--- a/wire/head.c
+++ b/wire/head.c
@@ -145,6 +145,17 @@
     return STR("");
 }
 
+void
+wire_head_remove(wire_head_t *head, str_t name)
+{
+    size_t kept = 0;
+    for (size_t i = 0; i < head->field_count; i++) {
+        if (!wire_str_case_eq(wire_head_name(head, i), name))
+            head->fields[kept++] = head->fields[i];
+    }
+    head->field_count = kept;
+}
+
 bool
 wire_is_hop_by_hop_field(str_t name)
 {
--- a/wire/head.h
+++ b/wire/head.h
@@ -58,6 +58,8 @@
 str_t wire_head_value(const wire_head_t *head, size_t index);
 /* The value of the first field with this name (case-insensitive), empty if absent. */
 str_t wire_head_find(const wire_head_t *head, str_t name);
+/* Removes all fields with this name (case-insensitive). Strings returned before stay valid. */
+void wire_head_remove(wire_head_t *head, str_t name);
 /* True for hop-by-hop fields and for those that describe the framing. */
 bool wire_is_hop_by_hop_field(str_t name);
 
--- a/wire/pool.c
+++ b/wire/pool.c
@@ -146,6 +146,12 @@
     wire_pool_release(pool);
 }
 
+bool
+wire_pool_is_empty(const wire_pool_t *pool)
+{
+    return pool->busy_count == 0 && pool->idle_count == 0;
+}
+
 void
 wire_pool_set_max(wire_pool_t *pool, size_t max_connections)
 {
