Soak: cuts instances from all backend servers

Instances get a library that cuts their connections, as processes on one machine share a network. Rule cut: from 3 s on, callers of cut instances are served two thirds as often as others, but for a few, while an instance in touch is not cut.

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -62,7 +62,9 @@
 
 # Runs one process to its end and tells fake-site of both.
 run_gateway() { # NUMBER
-    "$BUILD/irisstall-gateway" -c "$DIR/$1.yaml" >>"$DIR/$1.log" 2>&1 {reports}>&- {orders}<&- &
+    LD_PRELOAD=$BUILD/cut-link.so CUT_FILE=$DIR/$1.cut CUT_HOST=${NET}250 CUT_EXCEPT=18140 \
+        ASAN_OPTIONS=${ASAN_OPTIONS:-detect_leaks=0}:verify_asan_link_order=0 \
+        "$BUILD/irisstall-gateway" -c "$DIR/$1.yaml" >>"$DIR/$1.log" 2>&1 {reports}>&- {orders}<&- &
     local pid=$!
     echo "$pid" >"$DIR/$1.pid"
     echo "started $1 $pid" >&"$reports"
@@ -81,6 +83,7 @@
         pid=$(cat "$DIR/$2.pid" 2>/dev/null) && kill "-$3" "$pid" 2>/dev/null
         ;;
     settings) settings "$2" "$3" ;;
+    cut) printf %s "$3" >"$DIR/$2.cut" ;;
     esac
 }
 
--- a/standin/soak/callers.c
+++ b/standin/soak/callers.c
@@ -27,6 +27,11 @@
     QUIET_EVERY = 3, /* one caller of so many has long rests only */
     NEW_EVERY = 4,   /* one caller of so many opens a connection for each request */
     STATUS_MAX = 600,
+    /* From the start of a cut from all backend servers until its callers must be served; then they
+     * must be served two thirds as often as others, but for so many that fail. */
+    CUT_KNOWN_MS = 3000,
+    CUT_FAILED_MAX = 10,
+    CUT_FAILED_PART = 50,
 };
 
 typedef struct caller caller_t;
@@ -63,6 +68,12 @@
     uint64_t marker;
 };
 
+/* First attempts, and those of them that were served. */
+typedef struct {
+    uint64_t sent;
+    uint64_t served;
+} served_t;
+
 struct callers {
     callers_conf_t conf;
     outcomes_conf_t outcomes;
@@ -71,6 +82,8 @@
     size_t count;
     rng_t rng;
     uint64_t now_ms;
+    served_t at_cut;               /* requests at instances cut from all backend servers */
+    served_t elsewhere;            /* requests at instances that are not */
     uint64_t statuses[STATUS_MAX]; /* 0: closed; 1: given up; 2: not sent */
 };
 
@@ -149,6 +162,39 @@
     };
 }
 
+/* Counts an ended request for callers_judge_cuts(). A key that is refused tells nothing. */
+static void
+count_served(callers_t *callers, const soak_request_t *request, int status)
+{
+    const bool tells = request->kind != REQUEST_PROBE && status != HTTP_STATUS_UNAUTHORIZED &&
+                       status != HTTP_STATUS_TOO_MANY_REQUESTS;
+    if (!request->touched || !tells)
+        return;
+    const uint64_t cut_ms = fleet_cut_ms(callers->conf.fleet, request->instance, request->sent_ms);
+    served_t *tally = request->cut ? &callers->at_cut : &callers->elsewhere;
+    if (!request->cut && cut_ms > 0)
+        return; /* not yet due to be served */
+    tally->sent++;
+    tally->served += status == HTTP_STATUS_OK;
+}
+
+void
+callers_judge_cuts(const callers_t *callers)
+{
+    const served_t *cut = &callers->at_cut;
+    const served_t *others = &callers->elsewhere;
+    const uint64_t failed = cut->sent - cut->served;
+    if (cut->sent == 0)
+        return;
+    judge_examine(callers->conf.judge, RULE_CUT);
+    if (failed > CUT_FAILED_MAX + cut->sent / CUT_FAILED_PART &&
+        3 * cut->served * others->sent < 2 * others->served * cut->sent)
+        judge_break(callers->conf.judge, RULE_CUT,
+                    "cut instances served %" PRIu64 " of %" PRIu64 " requests, others %" PRIu64
+                    " of %" PRIu64,
+                    cut->served, cut->sent, others->served, others->sent);
+}
+
 static void
 on_answered(caller_t *caller)
 {
@@ -157,6 +203,7 @@
     const outcome_t outcome = outcome_of(caller);
     callers->statuses[answer_status(&link->answer) % STATUS_MAX]++;
     outcome_answered(&callers->outcomes, &outcome);
+    count_served(callers, caller->request, answer_status(&link->answer));
     link->answers++;
     link->rest_ms = answer_rest_ms(&link->answer);
     caller->request = NULL;
@@ -172,6 +219,7 @@
     const outcome_t outcome = outcome_of(caller);
     caller->callers->statuses[0]++;
     outcome_closed(&caller->callers->outcomes, &outcome, how);
+    count_served(caller->callers, caller->request, 0);
     leave(caller, CONNECT_AGAIN_MS);
 }
 
@@ -322,6 +370,9 @@
     caller->crossed = caller->link->ended_ms > 0;
     caller->request->touched =
         fleet_in_touch(callers->conf.fleet, caller->instance, callers->now_ms);
+    caller->request->cut = fleet_cut_ms(callers->conf.fleet, caller->instance, callers->now_ms) >=
+                               (uint64_t)(CUT_KNOWN_MS * callers->conf.slack) &&
+                           fleet_reaches_servers(callers->conf.fleet, callers->now_ms);
     uv_buf_t buf = uv_buf_init(ask.bytes, (unsigned)ask.len);
     answer_expect(&caller->link->answer, caller->request->number);
     set_state(caller, CALLER_WAITS);
@@ -473,5 +524,9 @@
         if (callers->statuses[i] > 0)
             fprintf(out, ", %zu: %" PRIu64, i, callers->statuses[i]);
     }
-    fputc('\n', out);
+    fprintf(out,
+            "\nserved by cut instances: %" PRIu64 " of %" PRIu64 ", by others: %" PRIu64
+            " of %" PRIu64 "\n",
+            callers->at_cut.served, callers->at_cut.sent, callers->elsewhere.served,
+            callers->elsewhere.sent);
 }
--- a/standin/soak/callers.h
+++ b/standin/soak/callers.h
@@ -39,5 +39,7 @@
 callers_t *callers_new(const callers_conf_t *conf);
 /* Opens connections to processes that have come up; to be called often. */
 void callers_tick(callers_t *callers, uint64_t now_ms);
+/* Compares how often callers of cut instances were served; once, at the end. */
+void callers_judge_cuts(const callers_t *callers);
 /* Prints how the requests ended, by status. */
 void callers_print(const callers_t *callers, FILE *out);
--- a/standin/soak/fleet.c
+++ b/standin/soak/fleet.c
@@ -26,6 +26,8 @@
     uint64_t start_ms; /* when it is started again */
     uint64_t restart_after_ms;
     uint64_t disturbed_ms; /* last */
+    uint64_t cut_from_ms;  /* from backend servers; 0 if not */
+    uint64_t cut_until_ms;
 } instance_t;
 
 struct fleet {
@@ -97,11 +99,74 @@
     order("signal", number, "STOP");
 }
 
+/* ---- cuts ---- */
+
+/* Data halls, which scripts/soak.sh gives to instances in turn. */
+enum { HALLS = 6 };
+
+/* How many are cut, out of ten draws: one instance, a data hall, or all. */
+enum { CUT_DRAWS = 10, CUT_HALL_FROM = 6, CUT_ALL_FROM = 9 };
+
+static bool
+is_struck(uint32_t number, const trouble_t *trouble)
+{
+    const uint32_t draw = trouble->variant % CUT_DRAWS;
+    if (draw >= CUT_ALL_FROM)
+        return true;
+    return draw >= CUT_HALL_FROM ? number % HALLS == trouble->target % HALLS
+                                 : number == trouble->target;
+}
+
+static void
+cut(fleet_t *fleet, const trouble_t *trouble, uint64_t now_ms)
+{
+    static const char *const states[] = {"h", "r", "x"};
+    const char *state = states[trouble->variant / CUT_DRAWS % 3];
+    for (uint32_t i = 0; i < fleet->conf.instances; i++) {
+        instance_t *instance = &fleet->items[i];
+        if (!is_struck(i, trouble) || instance->cut_from_ms > 0)
+            continue;
+        instance->cut_from_ms = now_ms;
+        instance->cut_until_ms = now_ms + trouble->length_ms;
+        order("cut", i, state);
+    }
+}
+
+static void
+tick_cut(instance_t *instance, uint32_t number, uint64_t now_ms)
+{
+    if (instance->cut_from_ms == 0 || now_ms < instance->cut_until_ms)
+        return;
+    instance->cut_from_ms = 0;
+    order("cut", number, "-");
+}
+
+uint64_t
+fleet_cut_ms(const fleet_t *fleet, uint32_t number, uint64_t now_ms)
+{
+    const uint64_t from_ms = fleet->items[number].cut_from_ms;
+    return from_ms > 0 ? now_ms - from_ms : 0;
+}
+
+bool
+fleet_reaches_servers(const fleet_t *fleet, uint64_t now_ms)
+{
+    for (uint32_t i = 0; i < fleet->conf.instances; i++) {
+        if (fleet->items[i].cut_from_ms == 0 && fleet_in_touch(fleet, i, now_ms))
+            return true;
+    }
+    return false;
+}
+
 void
 fleet_trouble(fleet_t *fleet, const trouble_t *trouble, uint64_t now_ms)
 {
     instance_t *instance = &fleet->items[trouble->target];
     char text[16];
+    if (trouble->kind == TROUBLE_CUT) {
+        cut(fleet, trouble, now_ms);
+        return;
+    }
     if (instance->life == NULL || instance->life->killed)
         return; /* it is in trouble already */
     if (trouble->kind != TROUBLE_SETTINGS)
@@ -220,6 +285,7 @@
 {
     for (uint32_t i = 0; i < fleet->conf.instances; i++) {
         instance_t *instance = &fleet->items[i];
+        tick_cut(instance, i, now_ms);
         if (instance->life != NULL)
             tick_running(fleet, instance, i, now_ms);
         else if (!instance->ordered && !fleet->finishing && now_ms >= instance->start_ms)
@@ -237,6 +303,8 @@
 fleet_finish(fleet_t *fleet, uint64_t now_ms)
 {
     fleet->finishing = true;
+    for (uint32_t i = 0; i < fleet->conf.instances; i++)
+        fleet->items[i].cut_until_ms = now_ms;
     for (uint32_t i = 0; i < fleet->conf.instances; i++) {
         if (fleet->items[i].life != NULL)
             stop(&fleet->items[i], i, 0, now_ms);
--- a/standin/soak/fleet.h
+++ b/standin/soak/fleet.h
@@ -4,7 +4,7 @@
  * Starts nothing: it writes orders to standard output, a line each, and reads what became of them
  * from standard input. scripts/soak.sh carries them out.
  *
- *   orders:  start N | signal N NAME | settings N VARIANT
+ *   orders:  start N | signal N NAME | settings N VARIANT | cut N STATE (cut_link.c)
  *   reports: started N PID | ended N STATUS
  */
 #pragma once
@@ -59,5 +59,9 @@
 life_t *fleet_life(const fleet_t *fleet, uint32_t instance);
 /* Running, long enough since its start, with no trouble for some seconds. */
 bool fleet_in_touch(const fleet_t *fleet, uint32_t instance, uint64_t now_ms);
+/* Milliseconds for which the instance has been cut from all backend servers; 0 if it is not. */
+uint64_t fleet_cut_ms(const fleet_t *fleet, uint32_t instance, uint64_t now_ms);
+/* True if an instance that is in touch is not cut. */
+bool fleet_reaches_servers(const fleet_t *fleet, uint64_t now_ms);
 /* True if the process is on its way out or gone, as the kernel sees it now. */
 bool fleet_is_gone(const life_t *life);
--- a/standin/soak/requests.h
+++ b/standin/soak/requests.h
@@ -49,6 +49,7 @@
     uint32_t poison;  /* which of the poison requests it is a try of */
     int refused;      /* the status that promised that it never runs; 0 if none */
     bool touched;     /* its instance was running and undisturbed when it was sent */
+    bool cut;         /* so was the instance from all backend servers, for long enough */
     bool server_left; /* a backend server broke off while it ran the request */
 } soak_request_t;
 
--- a/standin/soak/schedule.c
+++ b/standin/soak/schedule.c
@@ -47,6 +47,7 @@
     [TROUBLE_SERVER_RESTS] = {"server-rests", 60000, EACH_SERVER, 1000, 4000},
     [TROUBLE_SERVER_TELLS] = {"server-tells", 120000, EACH_SERVER, 4500, 3000},
     [TROUBLE_ROUTES] = {"routes", 12000, EACH_SITE, 4000, 6000},
+    [TROUBLE_CUT] = {"cut", 60000, EACH_INSTANCE, 1000, 8000},
 };
 
 static const standin_store_mode_t store_modes[] = {
--- a/standin/soak/schedule.h
+++ b/standin/soak/schedule.h
@@ -33,6 +33,7 @@
     TROUBLE_SERVER_LIMITS,    /* says that it takes few requests, for the length */
     TROUBLE_SERVER_RESTS,     /* turns all away for the length, and asks for rest */
     TROUBLE_SERVER_TELLS,     /* leaves, and says so in its answers alone; else as leaves */
+    TROUBLE_CUT,              /* links of instances to all backend servers, for the length */
     TROUBLE_COUNT,
 } trouble_kind_t;
 
--- a/standin/soak/soak.c
+++ b/standin/soak/soak.c
@@ -115,6 +115,7 @@
     case TROUBLE_KILL:
     case TROUBLE_PAUSE:
     case TROUBLE_SETTINGS:
+    case TROUBLE_CUT:
         fleet_trouble(soak->fleet, trouble, now_ms);
         break;
     case TROUBLE_CONFIG:
@@ -342,6 +343,7 @@
             ", store calls %" PRIu64 ", stalls of the machine %u\n",
             soak->schedule.count, requests_count(soak->requests), servers_runs(soak->servers),
             operator_version(soak->ops), standin_store_calls(soak->store), soak->stalls);
+    callers_judge_cuts(soak->callers);
     callers_print(soak->callers, stderr);
     poison_print(soak->poison, stderr);
     servers_print(soak->servers, stderr);
