Test, known red: a store that comes back from an older copy

The stand-in of the store names its era and comes back from a copy: what was written since is gone, revisions are given out again, a watch from one that it does not have gets 410. With and without Store-Era in the answers.

--- a/standin/store.c
+++ b/standin/store.c
@@ -65,8 +65,28 @@
     unsigned refused_lists;
     char held_kind[KIND_MAX];
     int watch_status;
+    uint64_t era; /* 0: answers do not name it */
 };
 
+/* Returns the header lines of an answer. */
+static str_t
+fields_of(const standin_store_t *store)
+{
+    static char text[96];
+    const int len =
+        store->era == 0
+            ? snprintf(text, sizeof(text), "Content-Type: application/json\r\n")
+            : snprintf(text, sizeof(text), "Content-Type: application/json\r\nStore-Era: %llu\r\n",
+                       (unsigned long long)store->era);
+    return (str_t){text, (size_t)len};
+}
+
+static void
+respond(const standin_store_t *store, wire_request_t *req, int status, str_t body)
+{
+    wire_respond(req, status, fields_of(store), body);
+}
+
 static const char *
 name_of(const object_t *object)
 {
@@ -133,7 +153,7 @@
 static void
 respond_json(standin_store_t *store, wire_request_t *req, json_t *body)
 {
-    static const str_t fields = {"Content-Type: application/json\r\n", 32};
+    const str_t fields = fields_of(store);
     char *text = json_dumps(body, JSON_COMPACT);
     if (store->piece > 0) {
         respond_in_pieces(store, req, fields, text);
@@ -277,9 +297,9 @@
 {
     uint64_t wait_ms = 0;
     str_to_u64(wire_head_query(&req->head, STR("waitMs")), &wait_ms);
-    if (store->watch_status != 0 || from < store->oldest) {
+    if (store->watch_status != 0 || from < store->oldest || from > store->revision) {
         const int status = store->watch_status != 0 ? store->watch_status : HTTP_STATUS_GONE;
-        wire_respond(req, status, STR(""), STR(""));
+        respond(store, req, status, STR(""));
         return;
     }
     watch_t *watch = xcalloc(1, sizeof(*watch));
@@ -307,16 +327,16 @@
     const char *name =
         json_string_value(json_object_get(json_object_get(root, "metadata"), "name"));
     if (name == NULL) {
-        wire_respond(req, HTTP_STATUS_BAD_REQUEST, STR(""), STR(""));
+        respond(store, req, HTTP_STATUS_BAD_REQUEST, STR(""));
     } else if (find(store, kind, name) != NULL && !find(store, kind, name)->gone) {
-        wire_respond(req, HTTP_STATUS_CONFLICT, STR(""), STR("{}"));
+        respond(store, req, HTTP_STATUS_CONFLICT, STR("{}"));
     } else {
         json_t *spec = json_object_get(root, "spec");
         change(store, kind, name, json_incref(spec), NULL, false);
         if (store->mode == STANDIN_STORE_LOSES)
             wire_respond_abort(req);
         else
-            wire_respond(req, HTTP_STATUS_OK, STR(""), STR("{}"));
+            respond(store, req, HTTP_STATUS_OK, STR("{}"));
     }
     json_decref(root);
 }
@@ -330,16 +350,16 @@
     char rest[KIND_MAX];
     if (sscanf(path, "%159[^/]/%159[^/]/%159s", kind, name, rest) != 3 ||
         strcmp(rest, "status") != 0) {
-        wire_respond(req, HTTP_STATUS_NOT_FOUND, STR(""), STR(""));
+        respond(store, req, HTTP_STATUS_NOT_FOUND, STR(""));
         return;
     }
     json_t *root = json_loadb(req->body, req->body_len, 0, NULL);
     json_t *wanted = json_object_get(json_object_get(root, "metadata"), "revision");
     object_t *object = find(store, kind, name);
     if (object == NULL || object->gone) {
-        wire_respond(req, HTTP_STATUS_NOT_FOUND, STR(""), STR(""));
+        respond(store, req, HTTP_STATUS_NOT_FOUND, STR(""));
     } else if (wanted != NULL && (uint64_t)json_integer_value(wanted) != object->revision) {
-        wire_respond(req, HTTP_STATUS_CONFLICT, STR(""), STR("{}"));
+        respond(store, req, HTTP_STATUS_CONFLICT, STR("{}"));
     } else {
         json_t *status = json_object_get(root, "status");
         if (!json_equal(status, json_object_get(object->value, "status")))
@@ -348,7 +368,7 @@
         if (store->mode == STANDIN_STORE_LOSES)
             wire_respond_abort(req);
         else
-            wire_respond(req, HTTP_STATUS_OK, STR(""), STR("{}"));
+            respond(store, req, HTTP_STATUS_OK, STR("{}"));
     }
     json_decref(root);
 }
@@ -357,7 +377,7 @@
 refuse_list(standin_store_t *store, wire_request_t *req)
 {
     store->refused_lists--;
-    wire_respond(req, HTTP_STATUS_SERVICE_UNAVAILABLE, STR(""), STR(""));
+    respond(store, req, HTTP_STATUS_SERVICE_UNAVAILABLE, STR(""));
 }
 
 static void
@@ -367,7 +387,7 @@
     const str_t path = wire_head_path(&req->head);
     const size_t skip = strlen(path_prefix);
     if (path.len <= skip || memcmp(path.ptr, path_prefix, skip) != 0) {
-        wire_respond(req, HTTP_STATUS_NOT_FOUND, STR(""), STR(""));
+        respond(store, req, HTTP_STATUS_NOT_FOUND, STR(""));
         return;
     }
     snprintf(kind, sizeof(kind), "%.*s", (int)(path.len - skip), path.ptr + skip);
@@ -391,10 +411,10 @@
 {
     switch (store->mode) {
     case STANDIN_STORE_BUSY:
-        wire_respond(req, HTTP_STATUS_SERVICE_UNAVAILABLE, STR(""), STR(""));
+        respond(store, req, HTTP_STATUS_SERVICE_UNAVAILABLE, STR(""));
         break;
     case STANDIN_STORE_MANY:
-        wire_respond(req, HTTP_STATUS_TOO_MANY_REQUESTS, STR(""), STR(""));
+        respond(store, req, HTTP_STATUS_TOO_MANY_REQUESTS, STR(""));
         break;
     case STANDIN_STORE_SILENT:
         break;
@@ -402,7 +422,7 @@
         wire_respond_abort(req);
         break;
     case STANDIN_STORE_GARBLES:
-        wire_respond(req, HTTP_STATUS_OK, STR(""), STR("{\"items\":[{\"metadata\":7}"));
+        respond(store, req, HTTP_STATUS_OK, STR("{\"items\":[{\"metadata\":7}"));
         break;
     case STANDIN_STORE_SERVES:
     case STANDIN_STORE_LOSES:
@@ -504,11 +524,9 @@
     store->pause_ms = pause_ms;
 }
 
-void
-standin_store_forget(standin_store_t *store)
+static void
+abort_watches(standin_store_t *store)
 {
-    store->oldest = store->revision + 1;
-    store->revision++;
     while (store->watches != NULL) {
         wire_request_t *req = store->watches->req;
         drop_watch(store->watches);
@@ -516,6 +534,43 @@
     }
 }
 
+void
+standin_store_forget(standin_store_t *store)
+{
+    store->oldest = store->revision + 1;
+    store->revision++;
+    abort_watches(store);
+}
+
+void
+standin_store_set_era(standin_store_t *store, uint64_t era)
+{
+    store->era = era;
+}
+
+/* The newest versions that are left of each object count again. */
+static void
+revive_objects(const standin_store_t *store)
+{
+    for (object_t *object = store->objects; object != NULL; object = object->next)
+        object->past = find(store, object->kind, name_of(object)) != object;
+}
+
+void
+standin_store_return(standin_store_t *store, uint64_t revision)
+{
+    while (store->objects != NULL && store->objects->revision > revision) {
+        object_t *lost = store->objects;
+        store->objects = lost->next;
+        json_decref(lost->value);
+        free(lost);
+    }
+    revive_objects(store);
+    store->revision = revision;
+    store->era += store->era > 0;
+    abort_watches(store);
+}
+
 void
 standin_store_set_page(standin_store_t *store, size_t items)
 {
--- a/standin/store.h
+++ b/standin/store.h
@@ -36,6 +36,11 @@
 void standin_store_remove(standin_store_t *store, const char *kind, const char *name);
 /* Forgets which changes there were: watches from before get 410. */
 void standin_store_forget(standin_store_t *store);
+/* From now on answers name the era; 0: they do not. */
+void standin_store_set_era(standin_store_t *store, uint64_t era);
+/* The store comes back from a copy made at that revision, in the next era: what was written since
+ * is gone, and its revisions are given out again. Waiting watches are cut. */
+void standin_store_return(standin_store_t *store, uint64_t revision);
 /* The most items of a list that are given at once. */
 void standin_store_set_page(standin_store_t *store, size_t items);
 /* The next lists of a kind, so many, get 503. */
--- a/test/gateway/main.c
+++ b/test/gateway/main.c
@@ -28,6 +28,7 @@
     srunner_add_suite(runner, suite_gateway_platform());
     srunner_add_suite(runner, suite_gateway_request_path());
     srunner_add_suite(runner, suite_gateway_store());
+    srunner_add_suite(runner, suite_gateway_store_return());
     srunner_add_suite(runner, suite_gateway_outage());
     srunner_add_suite(runner, suite_gateway_deferred());
     srunner_add_suite(runner, suite_gateway_partition());
