Soak: the store comes back from an older copy

It is away for up to 1.5 s, comes back from a copy of up to 5 s ago, and the operator and backend servers write again what it lacks. EARLIER=1 leaves this and cuts out, for fleets of two builds.

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -9,6 +9,9 @@
 #
 # INTERFERENCE=1 has backend servers slowed at times besides, who say so.
 #
+# EARLIER=1 leaves out the troubles that earlier versions can't bear (cuts from all backend
+# servers, a store that comes back from an older copy), for fleets of two builds.
+#
 # ROLLOUTS=1 has operators order roll-outs besides, good and bad ones.
 #
 # The same seed, duration and number of instances give the same schedule of troubles, not the same
@@ -117,7 +120,7 @@
 echo "soak: seed=$SEED duration=${DURATION}s instances=$INSTANCES slack=$SLACK net=${NET}0 logs=$DIR"
 mkfifo "$DIR/reports" "$DIR/orders" || exit 2
 exec {reports}<>"$DIR/reports"
-"$BUILD/fake-site" -s "$SEED" -d "$DURATION" -n "$INSTANCES" -a "$NET" -x "$SLACK" ${POISON:+-q "$POISON"} ${INTERFERENCE:+-i} ${SAYS:+-w} ${ROLLOUTS:+-o} \
+"$BUILD/fake-site" -s "$SEED" -d "$DURATION" -n "$INSTANCES" -a "$NET" -x "$SLACK" ${POISON:+-q "$POISON"} ${INTERFERENCE:+-i} ${EARLIER:+-e} ${SAYS:+-w} ${ROLLOUTS:+-o} \
     <"$DIR/reports" >"$DIR/orders" 2>"$DIR/site.out" {reports}>&- &
 site=$!
 trap 'clean_up' EXIT
--- a/standin/soak/fleet.c
+++ b/standin/soak/fleet.c
@@ -28,6 +28,7 @@
     uint64_t disturbed_ms; /* last */
     uint64_t cut_from_ms;  /* from backend servers; 0 if not */
     uint64_t cut_until_ms;
+    uint64_t cut_ended_ms; /* the last cut; 0: none */
 } instance_t;
 
 struct fleet {
@@ -104,6 +105,9 @@
 /* Data halls, which scripts/soak.sh gives to instances in turn. */
 enum { HALLS = 6 };
 
+/* After a cut, until an instance sends all requests itself: 16 probes, and the gradual return. */
+enum { RETURNED_MS = 5500 };
+
 /* How many are cut, out of ten draws: one instance, a data hall, or all. */
 enum { CUT_DRAWS = 10, CUT_HALL_FROM = 6, CUT_ALL_FROM = 9 };
 
@@ -138,6 +142,7 @@
     if (instance->cut_from_ms == 0 || now_ms < instance->cut_until_ms)
         return;
     instance->cut_from_ms = 0;
+    instance->cut_ended_ms = now_ms;
     order("cut", number, "-");
 }
 
@@ -148,6 +153,14 @@
     return from_ms > 0 ? now_ms - from_ms : 0;
 }
 
+bool
+fleet_uses_peers(const fleet_t *fleet, uint32_t number, uint64_t now_ms)
+{
+    const instance_t *instance = &fleet->items[number];
+    return instance->cut_from_ms > 0 ||
+           (instance->cut_ended_ms > 0 && now_ms < instance->cut_ended_ms + RETURNED_MS);
+}
+
 bool
 fleet_reaches_servers(const fleet_t *fleet, uint64_t now_ms)
 {
--- a/standin/soak/fleet.h
+++ b/standin/soak/fleet.h
@@ -61,6 +61,8 @@
 bool fleet_in_touch(const fleet_t *fleet, uint32_t instance, uint64_t now_ms);
 /* Milliseconds for which the instance has been cut from all backend servers; 0 if it is not. */
 uint64_t fleet_cut_ms(const fleet_t *fleet, uint32_t instance, uint64_t now_ms);
+/* True if requests of the instance may reach backend servers by way of another one. */
+bool fleet_uses_peers(const fleet_t *fleet, uint32_t instance, uint64_t now_ms);
 /* True if an instance that is in touch is not cut. */
 bool fleet_reaches_servers(const fleet_t *fleet, uint64_t now_ms);
 /* True if the process is on its way out or gone, as the kernel sees it now. */
--- a/standin/soak/operator.c
+++ b/standin/soak/operator.c
@@ -25,6 +25,10 @@
      * the users' platform. */
     WRITE_ROUTES_PER_S = 1250,
     MS_PER_S = 1000,
+    /* Copies of the store are up to 5 s old. */
+    SAMPLE_MS = 100,
+    SAMPLES = 50,
+    AGAIN_SPAN_MS = 1000, /* until the operator writes what a returned store lacks */
 };
 
 typedef struct {
@@ -49,7 +53,12 @@
     uint64_t mode_end_ms;
     uint64_t slow_end_ms;
     bool slow;
-    uint64_t disturbed_ms; /* last; the store */
+    uint64_t disturbed_ms;     /* last; the store */
+    uint64_t samples[SAMPLES]; /* revisions of the store, one each SAMPLE_MS */
+    uint64_t sample_count;
+    uint64_t sample_ms;
+    uint64_t copy;     /* revision from which the store comes back; 0: it does not */
+    uint64_t again_ms; /* when the configuration is written again; 0: not */
 };
 
 static json_t *
@@ -142,14 +151,9 @@
 }
 
 static void
-change(operator_t *ops, uint64_t now_ms)
+write_version(const operator_t *ops)
 {
     char text[16];
-    version_t *version = version_of(ops, ops->version + 1);
-    *version = (version_t){now_ms, version_of(ops, ops->version)->idle_ms};
-    vary(ops, version);
-    accounts_vary(ops->accounts, &ops->rng, now_ms);
-    ops->version++;
     snprintf(text, sizeof(text), "%08" PRIx64, ops->version);
     standin_store_put(ops->store, "config", "main",
                       json_pack("{s:s, s:o, s:o, s:{s:o, s:o}, s:{s:i, s:i, s:i, s:i}}", "version",
@@ -157,8 +161,20 @@
                                 accounts_json(ops->accounts), "services", "left", service(),
                                 "right", service(), "limits", "maxHeaderBytes", 16384,
                                 "maxBodyBytes", 1 << 20, "headerTimeoutMs", 3000, "idleTimeoutMs",
-                                (int)version->idle_ms),
+                                (int)version_of(ops, ops->version)->idle_ms),
                       NULL);
+}
+
+static void
+change(operator_t *ops, uint64_t now_ms)
+{
+    version_t *version = version_of(ops, ops->version + 1);
+    *version = (version_t){now_ms, version_of(ops, ops->version)->idle_ms};
+    vary(ops, version);
+    accounts_vary(ops->accounts, &ops->rng, now_ms);
+    ops->version++;
+    write_version(ops);
+    ops->again_ms = 0;
     ops->written_ms = now_ms + (uint64_t)ops->more_routes * MS_PER_S / WRITE_ROUTES_PER_S;
 }
 
@@ -203,6 +219,54 @@
     change(ops, now_ms);
 }
 
+/* ---- a store that comes back from a copy ---- */
+
+static void
+sample_revision(operator_t *ops, uint64_t now_ms)
+{
+    if (now_ms < ops->sample_ms)
+        return;
+    ops->sample_ms = now_ms + SAMPLE_MS;
+    ops->samples[ops->sample_count++ % SAMPLES] = standin_store_revision(ops->store);
+}
+
+/* The store is away; its copy is of some seconds ago. */
+static void
+begin_return(operator_t *ops, const trouble_t *trouble, uint64_t now_ms)
+{
+    if (ops->mode != STANDIN_STORE_SERVES || ops->sample_count < SAMPLES)
+        return;
+    ops->copy = ops->samples[(ops->sample_count + trouble->variant) % SAMPLES];
+    ops->mode = STANDIN_STORE_RESETS;
+    ops->mode_end_ms = now_ms + trouble->length_ms;
+    ops->disturbed_ms = now_ms;
+    standin_store_set_mode(ops->store, ops->mode);
+}
+
+/* Returns true if the store is back from its copy now. */
+static bool
+end_return(operator_t *ops, uint64_t now_ms)
+{
+    if (ops->copy == 0 || ops->mode != STANDIN_STORE_SERVES)
+        return false;
+    standin_store_return(ops->store, ops->copy);
+    ops->copy = 0;
+    ops->sample_count = 0;
+    ops->disturbed_ms = now_ms;
+    ops->again_ms = now_ms + 1 + rng_below(&ops->rng, AGAIN_SPAN_MS);
+    return true;
+}
+
+static void
+write_again(operator_t *ops, uint64_t now_ms)
+{
+    if (ops->again_ms == 0 || now_ms < ops->again_ms || !may_write(ops, now_ms))
+        return;
+    ops->again_ms = 0;
+    ops->disturbed_ms = now_ms;
+    write_version(ops);
+}
+
 void
 operator_trouble(operator_t *ops, const trouble_t *trouble, uint64_t now_ms)
 {
@@ -231,6 +295,9 @@
         ops->disturbed_ms = now_ms;
         standin_store_set_delay(ops->store, trouble->variant);
         break;
+    case TROUBLE_STORE_RETURNS:
+        begin_return(ops, trouble, now_ms);
+        break;
     case TROUBLE_STORE_FORGETS:
         ops->disturbed_ms = now_ms;
         standin_store_forget(ops->store);
@@ -255,15 +322,19 @@
     }
 }
 
-void
+bool
 operator_tick(operator_t *ops, uint64_t now_ms)
 {
     end_store_troubles(ops, now_ms);
+    const bool returned = end_return(ops, now_ms);
+    sample_revision(ops, now_ms);
+    write_again(ops, now_ms);
     end_growth(ops, now_ms);
     if (now_ms >= ops->storm_end_ms || now_ms < ops->storm_next_ms || !may_write(ops, now_ms))
-        return;
+        return returned;
     ops->storm_next_ms = now_ms + STORM_EVERY_MS;
     change(ops, now_ms);
+    return returned;
 }
 
 uint64_t
--- a/standin/soak/operator.h
+++ b/standin/soak/operator.h
@@ -22,7 +22,8 @@
 operator_t *operator_new(standin_store_t *store, accounts_t *accounts, uint64_t seed);
 /* Carries out a trouble of the configuration or of the store. */
 void operator_trouble(operator_t *ops, const trouble_t *trouble, uint64_t now_ms);
-void operator_tick(operator_t *ops, uint64_t now_ms);
+/* Returns true if the store has come back from an older copy at this moment. */
+bool operator_tick(operator_t *ops, uint64_t now_ms);
 
 /* The newest version. */
 uint64_t operator_version(const operator_t *ops);
--- a/standin/soak/schedule.h
+++ b/standin/soak/schedule.h
@@ -34,6 +34,7 @@
     TROUBLE_SERVER_RESTS,     /* turns all away for the length, and asks for rest */
     TROUBLE_SERVER_TELLS,     /* leaves, and says so in its answers alone; else as leaves */
     TROUBLE_CUT,              /* links of instances to all backend servers, for the length */
+    TROUBLE_STORE_RETURNS,    /* the store is away for the length, then back from an older copy */
     TROUBLE_COUNT,
 } trouble_kind_t;
 
@@ -51,6 +52,7 @@
     uint32_t instances;
     uint32_t servers;
     bool says;       /* only what backend servers say of themselves */
+    bool earlier;    /* without troubles that earlier versions can't bear */
     uint32_t poison; /* in place of what is drawn: so many TROUBLE_POISON together */
 } schedule_conf_t;
 
--- a/standin/soak/server.h
+++ b/standin/soak/server.h
@@ -43,7 +43,9 @@
     addr_t addr;
     server_state_t state;
     bool listed;
-    uint64_t told_ms; /* that it leaves, or its entry went; 0 if not */
+    const char *entry_state; /* as last written */
+    uint64_t again_ms;       /* when its entry is written again to a returned store; 0: not */
+    uint64_t told_ms;        /* that it leaves, or its entry went; 0 if not */
     uint64_t unlist_ms;
     uint64_t end_ms;
     uint64_t replace_ms;
--- a/standin/soak/servers.c
+++ b/standin/soak/servers.c
@@ -11,7 +11,10 @@
     REPLACED_AFTER_MS = 700, /* from the end of a backend server to the start of the next */
     POISON_UNLIST_MS = 1500, /* from the end under a poison request until the entry goes */
     BORN_BASE_MS = 1000,     /* the lives of a backend server begin after this time */
-    SAME_ID_EVERY = 2,       /* one exchange of so many starts again under its id */
+    /* Heartbeats reach a returned store one after the other, within two seconds. */
+    AGAIN_STEP_MS = 270,
+    AGAIN_SPAN_MS = 2000,
+    SAME_ID_EVERY = 2, /* one exchange of so many starts again under its id */
 };
 
 /* Limits that backend servers name, in requests a second. */
@@ -51,6 +54,7 @@
 put_entry(server_t *server, const char *state)
 {
     server->listed = true;
+    server->entry_state = state;
     standin_store_put(server->servers->conf.store, "servers", server->id, spec_of(server),
                       status_of(state));
 }
@@ -195,9 +199,41 @@
     server->end_ms = now_ms + trouble->length_ms;
 }
 
+void
+servers_write_again(servers_t *servers, uint64_t now_ms)
+{
+    for (uint32_t i = 0; i < servers->count; i++)
+        servers->items[i].again_ms = now_ms + 1 + (uint64_t)i * AGAIN_STEP_MS % AGAIN_SPAN_MS;
+}
+
+/* Entries of ended lives that the copy holds lapse. */
+static void
+remove_earlier_entries(const server_t *server)
+{
+    standin_store_t *store = server->servers->conf.store;
+    char id[SERVER_ID_MAX];
+    for (uint32_t start = 1; start <= server->start; start++) {
+        snprintf(id, sizeof(id), "i-%u-%u", server->place, start);
+        const bool is_own = server->listed && strcmp(id, server->id) == 0;
+        if (!is_own && standin_store_has(store, "servers", id))
+            standin_store_remove(store, "servers", id);
+    }
+}
+
+static void
+write_again(server_t *server)
+{
+    server->again_ms = 0;
+    if (server->listed)
+        put_entry(server, server->entry_state);
+    remove_earlier_entries(server);
+}
+
 static void
 tick(server_t *server, uint64_t now_ms)
 {
+    if (server->again_ms > 0 && now_ms >= server->again_ms)
+        write_again(server);
     const servers_conf_t *conf = &server->servers->conf;
     const bool past_bound =
         server->told_ms > 0 && now_ms > server->told_ms + conf->leaving_bound_ms;
--- a/standin/soak/servers.h
+++ b/standin/soak/servers.h
@@ -41,6 +41,9 @@
 servers_t *servers_new(const servers_conf_t *conf);
 /* Carries out a trouble that strikes a backend server. */
 void servers_trouble(servers_t *servers, const trouble_t *trouble, uint64_t now_ms);
+/* The store has come back from an older copy: each writes its entry again with its next heartbeat.
+ */
+void servers_write_again(servers_t *servers, uint64_t now_ms);
 void servers_tick(servers_t *servers, uint64_t now_ms);
 /* From now on the runs of ORDERS_SERVICE are told to the roll-outs. */
 void servers_set_orders(servers_t *servers, orders_t *orders);
--- a/standin/soak/soak.c
+++ b/standin/soak/soak.c
@@ -123,6 +123,7 @@
     case TROUBLE_STORE:
     case TROUBLE_STORE_SLOW:
     case TROUBLE_STORE_FORGETS:
+    case TROUBLE_STORE_RETURNS:
     case TROUBLE_ROUTES:
         operator_trouble(soak->ops, trouble, now_ms);
         break;
@@ -177,7 +178,8 @@
     soak->judge.now_ms = now_ms;
     watch_machine(soak, now_ms);
     fleet_tick(soak->fleet, now_ms);
-    operator_tick(soak->ops, now_ms);
+    if (operator_tick(soak->ops, now_ms))
+        servers_write_again(soak->servers, now_ms);
     servers_tick(soak->servers, now_ms);
     if (soak->orders != NULL && !soak->finishing)
         orders_tick(soak->orders, now_ms);
@@ -205,6 +207,7 @@
         .instances = soak->conf.instances,
         .servers = server_count(&soak->conf),
         .says = soak->conf.says,
+        .earlier = soak->conf.earlier || soak->conf.rollouts,
         .poison = soak->conf.poison,
     };
     soak->schedule = schedule_draw(&conf);
@@ -219,6 +222,7 @@
     snprintf(text, sizeof(text), "%s250:%d", soak->conf.net, STORE_PORT);
     xassert(addr_parse(str_from(text), &addr));
     soak->store = standin_store_start(soak->loop, &addr);
+    standin_store_set_era(soak->store, 1);
     soak->requests = requests_new();
     soak->accounts = accounts_new(&soak->judge);
     soak->ops = operator_new(soak->store, soak->accounts, soak->conf.seed);
--- a/standin/soak/soak.h
+++ b/standin/soak/soak.h
@@ -17,6 +17,7 @@
     double slack;      /* times the bounds in time, for slow builds */
     bool rollouts;     /* roll-outs besides */
     bool interference; /* backend servers are slowed at times, and say so */
+    bool earlier;      /* no troubles that earlier versions can't bear */
     bool says;         /* no other troubles than what backend servers say of themselves */
     uint32_t poison; /* no other troubles, and so many requests that end backend servers at once */
 } soak_conf_t;
