--- a/standin/soak/cut_link.c
+++ b/standin/soak/cut_link.c
@@ -92,7 +92,7 @@
 static bool
 leads_to_backend_server(int fd)
 {
-    struct sockaddr_storage peer;
+    struct sockaddr_storage peer = {0};
     socklen_t len = sizeof(peer);
     return getpeername(fd, (struct sockaddr *)&peer, &len) == 0 &&
            is_backend_server((const struct sockaddr *)&peer);
