--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -20,7 +20,6 @@
         exchange_start(&gateway->exchanges, req);
 }
 
-/* After a suspension the sender has most likely given up. */
 static void
 on_transit_request(void *ctx, wire_request_t *req)
 {
--- a/gateway/path/transit.c
+++ b/gateway/path/transit.c
@@ -204,6 +204,7 @@
     if (reach->state != REACH_LOST || reachability_hears_responses(reach, exchange_now_ms(ex)))
         return false;
     ex->choice = (choice_t){.reason = CHOICE_NONE};
+    router_count_refused(ex->owner->router, ex->service);
     completion_refuse(ex, OUTCOME_NO_BACKEND);
     return true;
 }
--- a/standin/fake_site.c
+++ b/standin/fake_site.c
@@ -316,7 +316,7 @@
     fputs(
         "usage: fake-site [-n GATEWAYS] [-r REQUESTS/S] [-d SECONDS] [-u TIMES]\n"
         "       fake-site -s SEED [-n GATEWAYS] [-d SECONDS] [-a NET] [-x TIMES] [-q COUNT] [-i] "
-        "[-w] [-o]\n"
+        "[-w] [-o] [-e]\n"
         "  -u: so many times the 24 backend servers\n"
         "  the store listens on 127.0.0.1:18140, gateway I is expected at 127.0.1.I:18141\n"
         "  -s: a soak with troubles drawn from this seed, for scripts/soak.sh: orders on standard\n"
@@ -326,6 +326,7 @@
         "  -q: no other troubles, and so many requests at once that end backend servers, from 5 s\n"
         "      on, for 16 s\n"
         "  -i: backend servers are slowed at times besides, and say so\n"
+        "  -e: without the troubles that earlier versions can't bear\n"
         "  -o: operators order roll-outs besides\n"
         "  -w: no other troubles than what backend servers say of themselves, 24 of them\n",
         out);
