Transit: fields of a caller with the names of the instances' own do not count

While an instance was cut from backend servers, a caller could name another client account in Irisstall-Account, which came before the instance's own field and was taken for it. The own fields now come first, each of them always. The test fails before: the request ran without its account.

--- a/gateway/path/attempt.c
+++ b/gateway/path/attempt.c
@@ -262,8 +262,9 @@
         .account = attempt->account,
         .left_ms = conf->left_ms,
     };
-    attempt->dialect->write_request(head, &terms, &text);
+    /* Before those of the caller, who may send fields of the same names. */
     wire_text_str(&text, conf->fields);
+    attempt->dialect->write_request(head, &terms, &text);
     const bool framed = wire_head_find(head, STR("content-length")).len > 0 ||
                         wire_head_find(head, STR("transfer-encoding")).len > 0;
     if (framed)
--- a/gateway/path/transit_fields.c
+++ b/gateway/path/transit_fields.c
@@ -34,8 +34,7 @@
 {
     char caller[ADDR_TEXT_MAX];
     wire_text_field(out, field_service, terms->service);
-    if (terms->account.len > 0)
-        wire_text_field(out, field_account, terms->account);
+    wire_text_field(out, field_account, terms->account);
     wire_text_field(out, field_caller, str_from(addr_format(&terms->caller, caller)));
     write_number(out, field_revision, terms->revision);
     write_number(out, field_sends, terms->sends);
--- a/gateway/path/transit_fields.h
+++ b/gateway/path/transit_fields.h
@@ -35,7 +35,8 @@
     uint32_t retry_after_ms;
 } transit_report_t;
 
-/* Appends the fields of a request. */
+/* Appends the fields of a request, each of them: fields of a caller with their names don't count.
+ */
 void transit_terms_write(const transit_terms_t *terms, wire_text_t *out);
 /* Reads the fields and removes them from the head; false if one is missing or invalid. */
 bool transit_terms_take(wire_head_t *head, transit_terms_t *out);
--- a/test/gateway/test_partition.c
+++ b/test/gateway/test_partition.c
@@ -191,6 +191,27 @@
 }
 END_TEST
 
+START_TEST(fields_of_transit_from_a_caller_do_not_count)
+{
+    instances_t fleet = new_linked_instances(1, 1, 2);
+    site_t *site = fleet.site;
+    reply_t reply;
+    link_set_mode(LINK_HANGS);
+    ask_for_ms(&fleet, 2, DETECTION_MS);
+    site->accounts = "{\"acme\":{\"apiKeys\":[\"k-acme\"]},\"bolt\":{\"apiKeys\":[\"k-bolt\"]}}";
+    put_config(site, NULL);
+    run_loop_ms(site, DETECTION_MS);
+    site->callers = fleet.callers[0];
+    call(site, &reply,
+         "GET /safe/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a-1\r\nCredential: k-acme\r\n"
+         "Irisstall-Account: bolt\r\nIrisstall-Sends: 9\r\nDeadline-Ms: 800\r\n\r\n");
+    RUN_UNTIL(site, reply.done);
+    ck_assert_int_eq(reply.status, 200);
+    ck_assert(strstr(site->backends[0].last, "Tenant: acme\r\n") != NULL);
+    ck_assert(strcasestr(site->backends[0].last, "irisstall-") == NULL);
+}
+END_TEST
+
 START_TEST(caller_that_leaves_ends_its_request_at_the_backend_server)
 {
     instances_t fleet = new_linked_instances(1, 1, 2);
@@ -413,6 +434,7 @@
     tcase_add_test(tcase, large_responses_arrive_whole_by_way_of_a_peer);
     tcase_add_test(tcase, truncated_responses_do_not_look_whole_by_way_of_a_peer);
     tcase_add_test(tcase, fields_of_transit_and_keys_do_not_reach_backend_servers);
+    tcase_add_test(tcase, fields_of_transit_from_a_caller_do_not_count);
     tcase_add_test(tcase, caller_that_leaves_ends_its_request_at_the_backend_server);
     tcase_add_test(tcase, callers_are_served_while_peers_stop_and_the_store_is_away);
     tcase_add_test(tcase, backend_server_that_is_down_as_well_costs_no_request);
