Transit: a request whose first try was refused goes by way of a peer while in doubt

Once under the sanitizers beside load 3 of 30 unsafe requests of a cut instance got no 200 where new connections are refused beside open ones. Suspected cause: refusals come at once, so four tries are used up before the first probe has a result. While the link is in doubt a request with a failed try now goes by way of a peer.

--- a/gateway/path/transit.c
+++ b/gateway/path/transit.c
@@ -182,6 +182,9 @@
 sends_itself(const exchange_t *ex)
 {
     const reachability_t *reach = &ex->owner->reach->state;
+    /* Refused connections use up a request's tries before the probes have a result. */
+    if (reach->state == REACH_SUSPECTED && ex->tried_count > 0)
+        return false;
     const double share = reachability_direct_share(reach, exchange_now_ms(ex));
     return share >= 1 || (share > 0 && rng_unit(&ex->owner->router->rng) < share);
 }
--- a/test/gateway/test_partition.c
+++ b/test/gateway/test_partition.c
@@ -289,6 +289,18 @@
 }
 END_TEST
 
+/* Connections too old for unsafe requests; four refusals come before the first probe's result. */
+START_TEST(connections_refused_at_once_do_not_use_up_a_request)
+{
+    enum { AGED_MS = 3500 };
+    instances_t fleet = new_linked_instances(BACKENDS, 1, 3);
+    ask_for_ms(&fleet, 3, 300);
+    run_loop_ms(fleet.site, AGED_MS);
+    link_set_mode(LINK_REFUSES);
+    ck_assert_uint_eq(count_failures(&fleet, "POST", "/once/x"), 0);
+}
+END_TEST
+
 START_TEST(requests_return_to_own_connections_after_the_cut)
 {
     instances_t fleet = new_linked_instances(BACKENDS, 1, 2);
@@ -439,6 +451,7 @@
     tcase_add_test(tcase, callers_are_served_while_peers_stop_and_the_store_is_away);
     tcase_add_test(tcase, backend_server_that_is_down_as_well_costs_no_request);
     tcase_add_test(tcase, new_connections_that_are_refused_beside_open_ones_cost_no_request);
+    tcase_add_test(tcase, connections_refused_at_once_do_not_use_up_a_request);
     tcase_add_test(tcase, requests_return_to_own_connections_after_the_cut);
     tcase_add_test(tcase, cut_does_not_quarantine_requests);
     tcase_add_test(tcase, backend_servers_that_end_do_not_look_like_a_cut);
