--- a/gateway/path/transit.c
+++ b/gateway/path/transit.c
@@ -182,7 +182,7 @@
 sends_itself(const exchange_t *ex)
 {
     const reachability_t *reach = &ex->owner->reach->state;
-    /* Refused connections use up a request's tries before the probes have a result. */
+    /* Refused connections may exhaust the attempts of a request before the probes have a result. */
     if (reach->state == REACH_SUSPECTED && ex->tried_count > 0)
         return false;
     const double share = reachability_direct_share(reach, exchange_now_ms(ex));
@@ -203,7 +203,7 @@
         send_to(ex, peer);
         return true;
     }
-    /* Connections that would not come up only delay the refusal. */
+    /* Attempts at unreachable backend servers would only delay the refusal. */
     if (reach->state != REACH_LOST || reachability_hears_responses(reach, exchange_now_ms(ex)))
         return false;
     ex->choice = (choice_t){.reason = CHOICE_NONE};
--- a/gateway/policy/reachability.h
+++ b/gateway/policy/reachability.h
@@ -11,13 +11,13 @@
  *    failure counts as above.
  *  - Under suspicion three backend servers are probed with a connection. If none comes up within
  *    the time that any request waits for one, the backend servers are unreachable.
- *  - Meanwhile a probe is made every 200 ms. Two in a row that come up end it; after a relapse
- *    within 10 s twice as many as before, at most 16, so that a link that comes and goes is left
- *    alone for up to 3 s.
+ *  - While they are unreachable, one is probed every 200 ms. Two successful probes in a row end it,
+ *    after a relapse within 10 s twice as many as before, at most 16, so that a link that comes and
+ *    goes is left alone for up to 3 s.
  *  - Requests then return over 1.5 s, since each needs a new connection over the link.
  *
- * One instance may be wrong, if just those that it probed have ended. It then finds out with the
- * next probes; until then its requests go by way of peers (transit.h), which lose nothing.
+ * The decision is wrong if exactly the probed backend servers have ended. The next probes then
+ * correct it; until then requests go by way of peers (transit.h) and are still served.
  *
  * Pure; time is passed in. path/reach_monitor.h makes the probes.
  */
--- a/gateway/state/store_watch.c
+++ b/gateway/state/store_watch.c
@@ -378,7 +378,7 @@
         list_after(kind, kind->pages[kind->page_count - 1].name);
         return;
     }
-    /* Grants missing entries their time before the list is applied. */
+    /* Before the list is applied, so that entries it lacks are not removed at once. */
     views_learn_era(watch->conf.views, era);
     apply_list(kind);
     store_watch_tick(watch);
