Accounts: the log of a refused request says which bound refused it; the model plays a range of seeds

The request's line now has limit=, share_per_s= and unacknowledged=; the owner's line on limiting has the demand, age, silent shares and predecessor that it decided on. ACCOUNT_MODEL_SEEDS plays seeds beyond those of the test.

--- a/gateway/membership/account_grant.c
+++ b/gateway/membership/account_grant.c
@@ -5,6 +5,7 @@
 #define LOG_MODULE "accounts"
 #include "base/log.h"
 #include "base/xmalloc.h"
+#include "gateway/state/account_lease.h"
 
 static void
 fill_grant(account_sync_t *sync, ledger_t *ledger, uint64_t source, Iris__AccountGrant *out)
@@ -52,10 +53,18 @@
 log_limited(const account_sync_t *sync, const ledger_t *ledger)
 {
     const config_account_t *account = account_sync_find_account(sync, ledger->id);
-    LOG_INFO("account %s: account=%s rate_per_s=%.1f room=%.1f instances=%zu",
+    const ledger_inherited_t *inherited = &ledger->inherited;
+    const uint64_t now_ms = account_sync_now(sync);
+    LOG_INFO("account %s: account=%s rate_per_s=%.1f room=%.1f instances=%zu demand_per_s=%.1f "
+             "silent_per_s=%.1f age_ms=%llu peers=%zu predecessor=%016llx predecessor_room=%.1f "
+             "region_per_s=%.1f reporting_per_s=%.1f",
              ledger->limited ? "at its limit" : "below its limit",
              account != NULL ? account->name.ptr : "-", ledger->bucket.rate, ledger->bucket.tokens,
-             ledger->reporter_count);
+             ledger->reporter_count, ledger_total_demand_per_s(ledger, now_ms),
+             account_lease_silent_per_s(ledger, now_ms),
+             (unsigned long long)(now_ms - ledger->created_ms), ledger->peer_count,
+             (unsigned long long)inherited->owner, inherited->tokens, inherited->region_per_s,
+             inherited->reporting_per_s);
 }
 
 /* Also reaches instances that have not seen the account yet; otherwise each of them could admit one
--- a/gateway/path/access_log.h
+++ b/gateway/path/access_log.h
@@ -32,6 +32,9 @@
     uint64_t elapsed_ms;       /* since the first byte of the request */
     uint64_t left_ms;          /* until the deadline */
     uint32_t retry_after_ms;   /* Retry-After of the gateway's own response; 0: none */
+    const char *limit;         /* why the account's limit refused the request */
+    double limit_share_per_s;  /* share of the account's limit that this instance holds */
+    int64_t unacknowledged;    /* requests of the account that its owner has not acknowledged */
     bool returned;             /* a retry after a refusal, at the promised time */
 } access_record_t;
 
--- a/gateway/path/completion.c
+++ b/gateway/path/completion.c
@@ -55,6 +55,7 @@
 log_end(const exchange_t *ex, int status, outcome_t outcome)
 {
     const backend_t *backend = exchange_last_tried(ex);
+    const account_use_t *use = outcome == OUTCOME_OVER_LIMIT ? ex->account_use : NULL;
     const access_record_t access = {
         .id = ex->metadata.id,
         .fingerprint = ex->fingerprint.request,
@@ -75,6 +76,9 @@
         .left_ms = exchange_remaining_ms(ex),
         .retry_after_ms = ex->retry_after_ms,
         .returned = ex->expected,
+        .limit = use != NULL ? limit_verdict_name(use->limiter.verdict) : NULL,
+        .limit_share_per_s = use != NULL ? use->limiter.share_per_s : 0,
+        .unacknowledged = use != NULL ? (int64_t)(use->used - use->acked_used) : 0,
     };
     access_log(&access);
     count_expected_end(ex, outcome);
--- a/gateway/policy/account_limiter.c
+++ b/gateway/policy/account_limiter.c
@@ -60,19 +60,29 @@
                : input->equal_share_per_s;
 }
 
-bool
-account_limiter_admit(account_limiter_t *limiter, const account_limiter_input_t *input)
+static limit_verdict_t
+decide(account_limiter_t *limiter, const account_limiter_input_t *input)
 {
     if (!limiter->limited && input->owner_reachable) {
         limiter->bucket_active = false;
-        return (double)input->unacknowledged <
-               fmax(UNACKED_MIN, UNACKED_BURSTS * input->burst_share);
+        const double unacknowledged_max = fmax(UNACKED_MIN, UNACKED_BURSTS * input->burst_share);
+        return (double)input->unacknowledged < unacknowledged_max ? LIMIT_ADMITTED
+                                                                  : LIMIT_UNACKNOWLEDGED;
     }
     const double share_per_s = effective_share(limiter, input);
     if (!limiter->bucket_active)
         activate_bucket(limiter, share_per_s, fmin(input->burst_share, 1), input->now_ms);
     bucket_set_rate(&limiter->tokens, share_per_s, burst_size(share_per_s), input->now_ms);
-    return bucket_take(&limiter->tokens, 1, input->now_ms);
+    if (bucket_take(&limiter->tokens, 1, input->now_ms))
+        return LIMIT_ADMITTED;
+    return limiter->limited ? LIMIT_SHARE_USED : LIMIT_NO_OWNER;
+}
+
+bool
+account_limiter_admit(account_limiter_t *limiter, const account_limiter_input_t *input)
+{
+    limiter->verdict = decide(limiter, input);
+    return limiter->verdict == LIMIT_ADMITTED;
 }
 
 void
@@ -91,3 +101,15 @@
     const double spread_ms = fmax(wait_ms, RETRY_MIN_MS) * (1 + point);
     return spread_ms < RETRY_MAX_MS ? (uint32_t)spread_ms : RETRY_MAX_MS;
 }
+
+const char *
+limit_verdict_name(limit_verdict_t verdict)
+{
+    static const char *const names[] = {
+        [LIMIT_ADMITTED] = "-",
+        [LIMIT_SHARE_USED] = "share_used",
+        [LIMIT_NO_OWNER] = "no_owner",
+        [LIMIT_UNACKNOWLEDGED] = "unacknowledged",
+    };
+    return names[verdict];
+}
--- a/gateway/policy/account_limiter.h
+++ b/gateway/policy/account_limiter.h
@@ -23,12 +23,21 @@
 
 #include "base/bucket.h"
 
+/* Why a request was refused. */
+typedef enum {
+    LIMIT_ADMITTED,
+    LIMIT_SHARE_USED,     /* the account is limited and the instance's share is used up */
+    LIMIT_NO_OWNER,       /* the owner is not reachable and the last share is used up */
+    LIMIT_UNACKNOWLEDGED, /* too many requests that the owner has not acknowledged */
+} limit_verdict_t;
+
 typedef struct {
     bool has_share; /* a share was received from the owner */
     bool limited;   /* the account is limited on all instances */
     double share_per_s;
     bool bucket_active; /* requests take tokens from the bucket */
     bucket_t tokens;
+    limit_verdict_t verdict; /* on the last request */
 } account_limiter_t;
 
 typedef struct {
@@ -47,3 +56,4 @@
 void account_limiter_refund(account_limiter_t *limiter);
 /* Milliseconds until a refused caller may retry; `point` is random in [0, 1). */
 uint32_t account_limiter_retry_after_ms(const account_limiter_t *limiter, double point);
+const char *limit_verdict_name(limit_verdict_t verdict);
--- a/test/gateway/test_account_model.c
+++ b/test/gateway/test_account_model.c
@@ -4,7 +4,9 @@
  * partitions, restarts and stalls.
  *
  * In any 5 s the excess may be a tenth of the limit's rate and burst plus 20 requests.
- * ACCOUNT_MODEL_TABLE=1 in the environment prints a table of all strategies.
+ * ACCOUNT_MODEL_TABLE=1 in the environment prints a table of all strategies. ACCOUNT_MODEL_SEEDS=100-123
+ * plays these seeds and prints the plays that exceed a bound; ACCOUNT_MODEL_SCENARIO=8 restricts it
+ * to one scenario, counted from 0.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -184,6 +186,31 @@
            (is_checked && model_refused_below_limit(&result) > refused_max);
 }
 
+static void
+play_seeds(const char *range)
+{
+    char text[200];
+    char *end;
+    const char *only = getenv("ACCOUNT_MODEL_SCENARIO");
+    const uint64_t first = strtoull(range, &end, 10);
+    const uint64_t last = *end == '-' ? strtoull(end + 1, NULL, 10) : first;
+    unsigned plays = 0;
+    unsigned broken = 0;
+    for (size_t i = 0; i < ALEN(scenarios); i++) {
+        if (only != NULL && strtoull(only, NULL, 10) != i)
+            continue;
+        for (size_t k = 0; k < ALEN(fleets); k++) {
+            for (uint64_t seed = first; seed <= last; seed++, plays++) {
+                if (!exceeds_bounds(i, k, seed, text, sizeof(text)))
+                    continue;
+                printf("%s\n", text);
+                broken++;
+            }
+        }
+    }
+    printf("%u plays, %u beyond a bound\n", plays, broken);
+}
+
 START_TEST(account_limit_is_enforced_without_undue_refusals)
 {
     char text[200];
@@ -216,6 +243,8 @@
 {
     if (getenv("ACCOUNT_MODEL_TABLE") != NULL)
         print_table();
+    if (getenv("ACCOUNT_MODEL_SEEDS") != NULL)
+        play_seeds(getenv("ACCOUNT_MODEL_SEEDS"));
     Suite *suite = suite_create("gateway: account model");
     TCase *tests = tcase_create("account model");
     tcase_set_timeout(tests, 60);
