Accounts: a refund after the acknowledgement no longer blocks the account at its instance

Callers of an account that asks a hundredth of its limit got 429 with Retry-After 10,000 ms.

Cause: account_uses counts admitted requests, less those that no backend server executed. Where a request was refunded after the owner had acknowledged it, used was below acked_used, and their unsigned difference, the backlog that account_limiter bounds, became 2^64-1: every request was refused until the next acknowledgement, 50 to 400 ms. Requests are refunded whenever no backend server takes them: while instances are cut from them, or while all are full.

The backlog is zero there now. The owner's count of demand had the same difference for an instance that it hears first, and took one from the demand; the charge itself is signed and was right.

--- a/gateway/path/access_log.h
+++ b/gateway/path/access_log.h
@@ -34,7 +34,7 @@
     uint32_t retry_after_ms;   /* Retry-After of the gateway's own response; 0: none */
     const char *limit;         /* why the account's limit refused the request */
     double limit_share_per_s;  /* share of the account's limit that this instance holds */
-    int64_t unacknowledged;    /* requests of the account that its owner has not acknowledged */
+    uint64_t unacknowledged;   /* requests of the account that its owner has not acknowledged */
     bool returned;             /* a retry after a refusal, at the promised time */
 } access_record_t;
 
--- a/gateway/path/completion.c
+++ b/gateway/path/completion.c
@@ -78,7 +78,7 @@
         .returned = ex->expected,
         .limit = use != NULL ? limit_verdict_name(use->limiter.verdict) : NULL,
         .limit_share_per_s = use != NULL ? use->limiter.share_per_s : 0,
-        .unacknowledged = use != NULL ? (int64_t)(use->used - use->acked_used) : 0,
+        .unacknowledged = use != NULL ? account_use_unacknowledged(use) : 0,
     };
     access_log(&access);
     count_expected_end(ex, outcome);
--- a/gateway/state/account_ledger.c
+++ b/gateway/state/account_ledger.c
@@ -151,7 +151,8 @@
 static ledger_reporter_t *
 add_reporter(ledger_t *ledger, uint64_t source, const ledger_report_t *report, uint64_t now_ms)
 {
-    const uint64_t unacked = report->used - report->acked_used;
+    const uint64_t unacked =
+        report->used > report->acked_used ? report->used - report->acked_used : 0;
     ledger->reporters = reserve_one(ledger->reporters, ledger->reporter_count,
                                     &ledger->reporter_size, sizeof(*ledger->reporters));
     ledger_reporter_t *reporter = &ledger->reporters[ledger->reporter_count++];
--- a/gateway/state/account_ledger.h
+++ b/gateway/state/account_ledger.h
@@ -88,7 +88,7 @@
 typedef struct {
     uint64_t used;
     uint64_t requested;
-    uint64_t acked_used;    /* part of `used` that an owner has acknowledged */
+    uint64_t acked_used;    /* count that an owner has acknowledged; above `used` after refunds */
     bool has_grant;         /* the fields below hold the last grant received */
     uint64_t owner;         /* that sent the grant */
     bool owner_unreachable; /* it does not answer, and its process is not known to have ended */
--- a/gateway/state/account_uses.c
+++ b/gateway/state/account_uses.c
@@ -85,6 +85,12 @@
     return use->unanswered_since_ms == 0 || now_ms - use->unanswered_since_ms <= timeout_ms;
 }
 
+uint64_t
+account_use_unacknowledged(const account_use_t *use)
+{
+    return use->used > use->acked_used ? use->used - use->acked_used : 0;
+}
+
 bool
 account_use_report_is_due(const account_use_t *use, uint64_t now_ms)
 {
@@ -106,7 +112,7 @@
         .burst_share = use->limiter.has_share
                            ? use->tokens * use->limiter.share_per_s / account->rate_per_s
                            : 1,
-        .unacknowledged = use->used - use->acked_used,
+        .unacknowledged = account_use_unacknowledged(use),
         .now_ms = now_ms,
     };
     const bool admitted = account_limiter_admit(&use->limiter, &input);
--- a/gateway/state/account_uses.h
+++ b/gateway/state/account_uses.h
@@ -19,10 +19,10 @@
     uint64_t id; /* of the account */
     name_t name;
     account_limiter_t limiter;
-    uint64_t used;       /* requests admitted, less those that were never sent */
+    uint64_t used;       /* requests admitted, less those that were not executed */
     uint64_t requested;  /* requests received */
     uint64_t refused;    /* requests refused */
-    uint64_t acked_used; /* count acknowledged by an owner */
+    uint64_t acked_used; /* count acknowledged by an owner; above `used` after refunds */
     uint64_t owner;      /* incarnation of the instance last reported to */
     uint64_t last_report_ms;
     uint64_t owner_unanswered_since_ms; /* oldest unanswered report to `owner` */
@@ -68,6 +68,8 @@
 void account_uses_release(account_use_t *use);
 /* True if the owner answers, or no report is outstanding. */
 bool account_use_is_connected(const account_use_t *use, uint64_t now_ms);
+/* Admitted requests that no owner has acknowledged. */
+uint64_t account_use_unacknowledged(const account_use_t *use);
 /* True if a report is to be sent: there are new requests, or the keep-alive interval has passed
  * while limited. */
 bool account_use_report_is_due(const account_use_t *use, uint64_t now_ms);
--- a/test/gateway/test_accounts.c
+++ b/test/gateway/test_accounts.c
@@ -428,6 +428,30 @@
 
 /* Members that do not answer are skipped, members that have ended are ignored, and all instances
  * make the same choice. */
+/* A refund after the owner has acknowledged the request must not count as a backlog. */
+START_TEST(refund_of_acknowledged_request_refuses_nothing)
+{
+    config_account_t account = {.id = 1, .rate_per_s = 40, .burst = 40};
+    account_uses_t uses = {.instances = 1};
+    account_use_t *use;
+    uint32_t retry_after_ms;
+    ck_assert(account_uses_admit(&uses, &account, 0, 1000, &use, &retry_after_ms));
+    use->acked_used = use->used;
+    account_uses_refund(&uses, use);
+    account_uses_release(use);
+    ck_assert(account_uses_admit(&uses, &account, 0, 1010, &use, &retry_after_ms));
+    account_uses_release(use);
+    account_uses_free(&uses);
+    /* Neither does the owner that hears of it first count requests that nobody sent. */
+    ledger_t *ledger = ledger_new(&account, 9, 0.5, 1000);
+    const ledger_report_t report = {.used = 4, .requested = 9, .acked_used = 5};
+    ledger_report(ledger, 7, &report, 1000);
+    ck_assert_double_eq_tol(ledger->bucket.tokens, 21, 1e-9);
+    ck_assert_double_eq_tol(ledger->reporters[0].demand_rate.count, 0, 1e-9);
+    ledger_free(ledger);
+}
+END_TEST
+
 START_TEST(instances_choose_same_owner)
 {
     members_t members = {0};
@@ -508,6 +532,7 @@
     tcase_add_test(tests, silent_instance_is_charged_its_share);
     tcase_add_test(tests, new_owner_does_not_limit_account_far_below_limit);
     tcase_add_test(tests, retries_are_charged_and_unsent_requests_refunded);
+    tcase_add_test(tests, refund_of_acknowledged_request_refuses_nothing);
     tcase_add_test(tests, instances_choose_same_owner);
     tcase_add_test(tests, key_lookup_among_many_accounts);
     suite_add_tcase(suite, tests);
