Accounts: a new owner goes by the demand that others know; the model plays takeovers in series

Callers of an account that asks a hundredth of its limit got 429, most with Retry-After 10,000 ms, for up to a second after a takeover.

Cause: an owner limits an account whose bucket is low, unless it knows that the demand is below a tenth of the limit. It knew so after a second of its own, or from a nearly full bucket of a silent predecessor. A successor of a young owner had neither: the bucket it adopts holds only the parts of the instances that reported so far. Each takeover within a second of the last lowered it further.

Grants, reports and sums of owners name the demand of all regions, where their sender knows it. For its first second a new owner takes the highest of these, and its own observation, for the demand. In a surge they are high, so the account is limited as before. Instances of earlier versions name none: unknown, as before.

--- a/gateway/membership/account_exchange.c
+++ b/gateway/membership/account_exchange.c
@@ -126,6 +126,7 @@
     sum.used = exchange.used;
     sum.age_ms = (uint32_t)exchange.age_ms;
     sum.asked_per_s = is_release ? 0 : (float)exchange.demand_per_s;
+    sum.total_asked_per_s = (float)exchange.total_demand_per_s;
     sum.room = (float)exchange.tokens;
     for (size_t i = 0; i < ledger->peer_count; i++) {
         const ledger_peer_t *peer = &ledger->peers[i];
@@ -192,6 +193,7 @@
         .used = sum->used,
         .age_ms = sum->age_ms,
         .demand_per_s = sum->asked_per_s,
+        .total_demand_per_s = sum->total_asked_per_s,
         .tokens = sum->room,
     };
     ledger_exchange(ledgers_get(&sync->ledgers, account, now_ms), &exchange, now_ms);
--- a/gateway/membership/account_grant.c
+++ b/gateway/membership/account_grant.c
@@ -18,6 +18,7 @@
     out->share_per_s = (float)grant.share_per_s;
     out->region_per_s = (float)grant.region_per_s;
     out->room = (float)grant.tokens;
+    out->asked_per_s = (float)grant.demand_per_s;
 }
 
 static void
@@ -123,6 +124,7 @@
             .tokens = use->room,
             .share_per_s = use->share_per_s,
             .region_per_s = use->region_per_s,
+            .demand_per_s = use->asked_per_s,
         };
         ledger_t *ledger = ledgers_get(&sync->ledgers, account, now_ms);
         ledger_set_limit(ledger, account, now_ms);
--- a/gateway/membership/account_report.c
+++ b/gateway/membership/account_report.c
@@ -74,6 +74,9 @@
     use->grant_owner = owner;
     use->tokens = grant->room;
     use->region_per_s = grant->region_per_s;
+    /* An owner that does not know the demand yet learns it from here. */
+    if (grant->asked_per_s > 0)
+        use->demand_per_s = grant->asked_per_s;
     if (grant->limited)
         account_report_schedule(sync);
 }
@@ -123,6 +126,7 @@
     out->room = (float)use->tokens;
     out->share_per_s = (float)use->limiter.share_per_s;
     out->region_per_s = (float)use->region_per_s;
+    out->asked_per_s = (float)use->demand_per_s;
 }
 
 static void
--- a/gateway/state/account_ledger.c
+++ b/gateway/state/account_ledger.c
@@ -19,8 +19,8 @@
 
 enum {
     ITEMS_START = 8,
-    /* A new ledger adopts token counts from other owners' messages for this long, which covers the
-     * reports of instances that detect the new owner later. */
+    /* A new ledger adopts token counts and the demand from other owners' messages for this long,
+     * which covers the reports of instances that detect the new owner later. */
     ADOPTION_MS = 1000,
     /* Interval of exchanges while usage changes, and while there is only demand. The first adds to
      * the reaction time, the second bounds how fast silence is detected. */
@@ -129,11 +129,26 @@
     }
 }
 
+static bool
+is_adopting(const ledger_t *ledger, uint64_t now_ms)
+{
+    return now_ms - ledger->created_ms < ADOPTION_MS;
+}
+
+/* The highest counts: a source may have its figure from before a surge. */
+static void
+adopt_demand(ledger_t *ledger, double demand_per_s, uint64_t now_ms)
+{
+    if (is_adopting(ledger, now_ms))
+        ledger->told_demand_per_s = fmax(ledger->told_demand_per_s, demand_per_s);
+}
+
 /* Evaluates what the previous owner granted to an instance that reports here for the first time. */
 static void
 apply_predecessor_grant(ledger_t *ledger, const ledger_report_t *report, uint64_t now_ms)
 {
-    const bool adopts = now_ms - ledger->created_ms < ADOPTION_MS;
+    const bool adopts = is_adopting(ledger, now_ms);
+    adopt_demand(ledger, report->demand_per_s, now_ms);
     if (report->owner_unreachable)
         inherit_grant(ledger, report, adopts);
     else if (adopts)
@@ -237,6 +252,8 @@
         .mesh = exchange->mesh,
         .used = is_new ? 0 : exchange->used,
     };
+    if (is_older)
+        adopt_demand(ledger, exchange->total_demand_per_s, now_ms);
     if (is_older && ledger->inherited.owner == 0)
         ledger->bucket.tokens = fmin(exchange->tokens, bucket_tokens(&ledger->bucket, now_ms));
     ledger->inherited.other_regions_silent = false;
@@ -280,6 +297,34 @@
     return sum;
 }
 
+/* True if the demand is known: observed for long enough, told by other owners, or far below the
+ * limit since the previous owner's bucket was nearly full. */
+static bool
+is_demand_known(const ledger_t *ledger, uint64_t now_ms)
+{
+    return !is_adopting(ledger, now_ms) || ledger->told_demand_per_s > 0 ||
+           ledger->inherited.tokens > PLENTIFUL_FRACTION * ledger->bucket.burst;
+}
+
+/* Demand of all regions to decide by. Until the ledger has observed it for long enough, what other
+ * owners told is the lower bound. */
+static double
+expected_demand_per_s(const ledger_t *ledger, uint64_t now_ms)
+{
+    const double observed_per_s = ledger_total_demand_per_s(ledger, now_ms);
+    return is_adopting(ledger, now_ms) ? fmax(observed_per_s, ledger->told_demand_per_s)
+                                       : observed_per_s;
+}
+
+/* The demand as told to instances and other owners; 0: not known. */
+static double
+known_demand_per_s(const ledger_t *ledger, uint64_t now_ms)
+{
+    return is_demand_known(ledger, now_ms)
+               ? fmax(expected_demand_per_s(ledger, now_ms), DEMAND_MIN_PER_S)
+               : 0;
+}
+
 static account_share_input_t
 limit_input(ledger_t *ledger, uint64_t now_ms)
 {
@@ -288,9 +333,8 @@
         .depth = ledger->bucket.burst * account_lease_visible_fraction(ledger),
         .level = bucket_tokens(&ledger->bucket, now_ms),
         .admitted_per_s = event_rate_per_s(&ledger->used_rate, USED_TAU_MS, now_ms),
-        .demand_per_s = ledger_total_demand_per_s(ledger, now_ms),
-        .demand_known = now_ms - ledger->created_ms > ADOPTION_MS ||
-                        ledger->inherited.tokens > PLENTIFUL_FRACTION * ledger->bucket.burst,
+        .demand_per_s = expected_demand_per_s(ledger, now_ms),
+        .demand_known = is_demand_known(ledger, now_ms),
         .limited = ledger->limited,
     };
 }
@@ -313,7 +357,8 @@
 {
     const double total = ledger->limited ? account_share_total(input) : input->rate_per_s;
     const double own = ledger_region_demand_per_s(ledger, now_ms);
-    const double part = input->demand_per_s > 0 ? own / input->demand_per_s * total : 0;
+    const double observed_per_s = ledger_total_demand_per_s(ledger, now_ms);
+    const double part = observed_per_s > 0 ? own / observed_per_s * total : 0;
     const bool bound = ledger->inherited.owner != 0 && ledger->inherited.other_regions_silent;
     return bound ? fmin(part, ledger->inherited.region_per_s) : part;
 }
@@ -360,6 +405,7 @@
             reporter != NULL ? reporter_fraction(ledger, reporter, now_ms) * available_per_s : 0,
         .region_per_s = region_per_s,
         .tokens = input.level,
+        .demand_per_s = known_demand_per_s(ledger, now_ms),
     };
     /* The instance may use either share until its next report. */
     if (reporter != NULL)
@@ -402,6 +448,7 @@
         .used = ledger->used,
         .age_ms = now_ms - ledger->created_ms,
         .demand_per_s = ledger_region_demand_per_s(ledger, now_ms),
+        .total_demand_per_s = known_demand_per_s(ledger, now_ms),
         .tokens = bucket_tokens(&ledger->bucket, now_ms),
     };
 }
--- a/gateway/state/account_ledger.h
+++ b/gateway/state/account_ledger.h
@@ -11,7 +11,8 @@
  * A granted share is a lease (account_lease.c): an instance that falls silent is assumed to use it,
  * and its next report replaces the assumption. A new owner starts with the tokens and shares that
  * the instances received from the previous one, and treats the rest of the region's share as leased
- * to instances it does not see.
+ * to instances it does not see. It has observed no demand yet: for its first second it goes by the
+ * demand that the reports and the owners of other regions have from before.
  *
  * Owns its reporters and peers. Relies on policy/account_share.h; time is passed in.
  */
@@ -75,6 +76,7 @@
     double used;               /* by the own region since creation, assumptions included */
     double exchanged_used;     /* `used` in the last exchange sent */
     event_rate_t used_rate;
+    double told_demand_per_s; /* in all regions, as told by other owners; 0: not known */
     ledger_inherited_t inherited;
     ledger_reporter_t *reporters;
     size_t reporter_count;
@@ -95,6 +97,7 @@
     double tokens;
     double share_per_s;
     double region_per_s; /* share of the region */
+    double demand_per_s; /* in all regions, as the owner knew it; 0: not known */
 } ledger_report_t;
 
 /* One account in an exchange between owners. */
@@ -105,6 +108,7 @@
     double used;     /* since the ledger's creation */
     uint64_t age_ms; /* of the ledger */
     double demand_per_s;
+    double total_demand_per_s; /* in all regions; 0: not known yet */
     double tokens;
 } ledger_exchange_t;
 
@@ -114,6 +118,7 @@
     double share_per_s;
     double region_per_s;
     double tokens;
+    double demand_per_s; /* in all regions; 0: not known yet */
 } ledger_grant_t;
 
 /* State of the instance behind a source, according to membership. */
--- a/gateway/state/account_uses.h
+++ b/gateway/state/account_uses.h
@@ -6,7 +6,7 @@
  * harmless (membership/account_sync.h). An entry is created by an account's first request and
  * removed when the account is idle; memory and messages scale with the active accounts only.
  *
- * Owns the table, 232 bytes an entry. Relies on policy/account_limiter.h for the decision; time is
+ * Owns the table, 240 bytes an entry. Relies on policy/account_limiter.h for the decision; time is
  * passed in.
  */
 #pragma once
@@ -34,6 +34,7 @@
     uint64_t grant_owner; /* incarnation of the owner that sent the current grant */
     double tokens;        /* in the account's bucket, as of the grant */
     double region_per_s;  /* share of the region, as of the grant */
+    double demand_per_s;  /* of the account in all regions, as last granted; 0: never */
 } account_use_t;
 
 /* Called when there is something to report. */
--- a/peer/peer.pb-c.c
+++ b/peer/peer.pb-c.c
@@ -4568,7 +4568,7 @@
   (ProtobufCMessageInit) iris__view_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor iris__account_use__field_descriptors[10] =
+static const ProtobufCFieldDescriptor iris__account_use__field_descriptors[11] =
 {
   {
     "account",
@@ -4690,10 +4690,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "asked_per_s",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Iris__AccountUse, asked_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned iris__account_use__field_indices_by_name[] = {
   0,   /* field[0] = account */
   2,   /* field[2] = asked */
+  10,   /* field[10] = asked_per_s */
   9,   /* field[9] = leaves */
   4,   /* field[4] = owner */
   8,   /* field[8] = owner_silent */
@@ -4706,7 +4719,7 @@
 static const ProtobufCIntRange iris__account_use__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor iris__account_use__descriptor =
 {
@@ -4716,7 +4729,7 @@
   "Iris__AccountUse",
   "iris",
   sizeof(Iris__AccountUse),
-  10,
+  11,
   iris__account_use__field_descriptors,
   iris__account_use__field_indices_by_name,
   1,  iris__account_use__number_ranges,
@@ -4774,7 +4787,7 @@
   (ProtobufCMessageInit) iris__account_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor iris__account_grant__field_descriptors[9] =
+static const ProtobufCFieldDescriptor iris__account_grant__field_descriptors[10] =
 {
   {
     "account",
@@ -4884,9 +4897,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "asked_per_s",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Iris__AccountGrant, asked_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned iris__account_grant__field_indices_by_name[] = {
   0,   /* field[0] = account */
+  9,   /* field[9] = asked_per_s */
   6,   /* field[6] = has_told */
   8,   /* field[8] = in_place_of */
   2,   /* field[2] = limited */
@@ -4899,7 +4925,7 @@
 static const ProtobufCIntRange iris__account_grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor iris__account_grant__descriptor =
 {
@@ -4909,7 +4935,7 @@
   "Iris__AccountGrant",
   "iris",
   sizeof(Iris__AccountGrant),
-  9,
+  10,
   iris__account_grant__field_descriptors,
   iris__account_grant__field_indices_by_name,
   1,  iris__account_grant__number_ranges,
@@ -4967,7 +4993,7 @@
   (ProtobufCMessageInit) iris__account_grants__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor iris__account_sum__field_descriptors[6] =
+static const ProtobufCFieldDescriptor iris__account_sum__field_descriptors[7] =
 {
   {
     "account",
@@ -5041,6 +5067,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "total_asked_per_s",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Iris__AccountSum, total_asked_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned iris__account_sum__field_indices_by_name[] = {
   0,   /* field[0] = account */
@@ -5048,12 +5086,13 @@
   3,   /* field[3] = asked_per_s */
   4,   /* field[4] = room */
   1,   /* field[1] = source */
+  6,   /* field[6] = total_asked_per_s */
   2,   /* field[2] = used */
 };
 static const ProtobufCIntRange iris__account_sum__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor iris__account_sum__descriptor =
 {
@@ -5063,7 +5102,7 @@
   "Iris__AccountSum",
   "iris",
   sizeof(Iris__AccountSum),
-  6,
+  7,
   iris__account_sum__field_descriptors,
   iris__account_sum__field_indices_by_name,
   1,  iris__account_sum__number_ranges,
--- a/peer/peer.pb-c.h
+++ b/peer/peer.pb-c.h
@@ -930,10 +930,14 @@
    * that owner gives no answer, and is not known to have ended
    */
   protobuf_c_boolean owner_silent;
+  /*
+   * of the account in all regions; 0: that owner did not know
+   */
+  float asked_per_s;
 };
 #define IRIS__ACCOUNT_USE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&iris__account_use__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -987,10 +991,14 @@
    * incarnation of an owner that is out of reach: report here
    */
   uint64_t in_place_of;
+  /*
+   * of the account in all regions; 0: not known yet
+   */
+  float asked_per_s;
 };
 #define IRIS__ACCOUNT_GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&iris__account_grant__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -1029,10 +1037,14 @@
    * of that ledger
    */
   uint32_t age_ms;
+  /*
+   * in all regions; 0: not known yet
+   */
+  float total_asked_per_s;
 };
 #define IRIS__ACCOUNT_SUM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&iris__account_sum__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/test/gateway/account_model.c
+++ b/test/gateway/account_model.c
@@ -256,6 +256,7 @@
                 .tokens = use->tokens,
                 .share_per_s = use->limiter.share_per_s,
                 .region_per_s = use->region_per_s,
+                .demand_per_s = use->demand_per_s,
             },
     };
     if (owner < model->conf.instances)
@@ -337,6 +338,8 @@
     use->grant_owner = message->source;
     use->tokens = message->grant.tokens;
     use->region_per_s = message->grant.region_per_s;
+    if (message->grant.demand_per_s > 0)
+        use->demand_per_s = message->grant.demand_per_s;
     if (message->grant.limited && node->report_ms == 0)
         node->report_ms = model->now_ms + REPORT_MS;
 }
--- a/test/gateway/test_account_model.c
+++ b/test/gateway/test_account_model.c
@@ -4,9 +4,9 @@
  * partitions, restarts and stalls.
  *
  * In any 5 s the excess may be a tenth of the limit's rate and burst plus 20 requests.
- * ACCOUNT_MODEL_TABLE=1 in the environment prints a table of all strategies. ACCOUNT_MODEL_SEEDS=100-123
- * plays these seeds and prints the plays that exceed a bound; ACCOUNT_MODEL_SCENARIO=8 restricts it
- * to one scenario, counted from 0.
+ * ACCOUNT_MODEL_TABLE=1 in the environment prints a table of all strategies.
+ * ACCOUNT_MODEL_SEEDS=100-123 plays these seeds and prints the plays that exceed a bound;
+ * ACCOUNT_MODEL_SCENARIO=8 restricts it to one scenario, counted from 0.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -186,6 +186,67 @@
            (is_checked && model_refused_below_limit(&result) > refused_max);
 }
 
+/* Takeovers that follow each other: owners stall, their successors do or end, and instances that
+ * are back never had the account. */
+static const scenario_t takeovers[] = {
+    {"owners stall, then their successors",
+     {{.from_ms = 6000, .to_ms = 10000, .stalled = 0.15},
+      {.from_ms = 6800, .to_ms = 9000, .stalled = 0.5}},
+     2,
+     false,
+     0},
+    {"owners stall, their successors restart",
+     {{.from_ms = 6000, .to_ms = 9000, .stalled = 0.4},
+      {.from_ms = 6400, .to_ms = 7200, .killed = 0.7}},
+     2,
+     false,
+     0},
+    {"restart, then a stall",
+     {{.from_ms = 6000, .to_ms = 6800, .killed = 0.7},
+      {.from_ms = 7000, .to_ms = 9500, .stalled = 0.15},
+      {.from_ms = 7500, .to_ms = 9000, .stalled = 0.5}},
+     3,
+     false,
+     0},
+};
+
+/* Loads are fractions of the limit. */
+static const struct {
+    fleet_t fleet;
+    double base_load;
+} quiet_accounts[] = {
+    {{16, 0, 4000, 4000}, 0.002}, {{16, 0, 40, 40}, 0.05},   {{9, 0, 40, 40}, 0.05},
+    {{67, 0, 40, 40}, 0.05},      {{67, 0, 365, 365}, 0.05}, {{300, 0, 365, 365}, 0.05},
+};
+
+enum { TAKEOVER_SEEDS = 10 };
+
+/* An account at a twentieth of its limit is refused nothing, whoever owns it. */
+START_TEST(takeovers_do_not_limit_quiet_account)
+{
+    unsigned requested = 0;
+    unsigned refused = 0;
+    for (size_t k = 0; k < ALEN(quiet_accounts); k++) {
+        unsigned of_account = 0;
+        for (uint64_t seed = 1; seed <= TAKEOVER_SEEDS; seed++) {
+            model_conf_t conf =
+                make_conf(&takeovers[_i], &quiet_accounts[k].fleet, STRATEGY_OWNERS, seed);
+            conf.base_load = quiet_accounts[k].base_load;
+            const model_result_t result = model_run(&conf);
+            requested += result.requested;
+            of_account += result.requested - result.admitted;
+        }
+        if (of_account > 0)
+            printf("%s, %u instances, %.0f/s, load %.3f: refused %u\n", takeovers[_i].name,
+                   quiet_accounts[k].fleet.instances, quiet_accounts[k].fleet.rate_per_s,
+                   quiet_accounts[k].base_load, of_account);
+        refused += of_account;
+    }
+    ck_assert_msg(refused == 0, "%s: %u of %u requests refused", takeovers[_i].name, refused,
+                  requested);
+}
+END_TEST
+
 static void
 play_seeds(const char *range)
 {
@@ -250,6 +311,7 @@
     tcase_set_timeout(tests, 60);
     tcase_add_loop_test(tests, account_limit_is_enforced_without_undue_refusals, 0,
                         (int)ALEN(scenarios));
+    tcase_add_loop_test(tests, takeovers_do_not_limit_quiet_account, 0, (int)ALEN(takeovers));
     tcase_add_test(tests, seeds_that_broke_a_limit_keep_it);
     suite_add_tcase(suite, tests);
     return suite;
--- a/test/gateway/test_accounts.c
+++ b/test/gateway/test_accounts.c
@@ -428,6 +428,49 @@
 
 /* Members that do not answer are skipped, members that have ended are ignored, and all instances
  * make the same choice. */
+static bool
+new_owner_limits(double told_demand_per_s, bool by_exchange)
+{
+    config_account_t account = {.id = 1, .rate_per_s = 4000, .burst = 4000};
+    ledger_t *ledger = ledger_new(&account, 9, 1, 1000);
+    const ledger_report_t report = {
+        .used = 2,
+        .requested = 2,
+        .has_grant = true,
+        .owner = 8,
+        .tokens = by_exchange ? 4000 : 50,
+        .share_per_s = 60,
+        .region_per_s = 1300,
+        .demand_per_s = by_exchange ? 0 : told_demand_per_s,
+    };
+    const ledger_exchange_t exchange = {
+        .source = 5,
+        .mesh = 1,
+        .age_ms = 9000,
+        .tokens = 50,
+        .demand_per_s = 2,
+        .total_demand_per_s = told_demand_per_s,
+    };
+    if (by_exchange)
+        ledger_exchange(ledger, &exchange, 1000);
+    ledger_report(ledger, 7, &report, 1000);
+    const bool limits = ledger_update_limited(ledger, 1000);
+    ck_assert_double_eq_tol(ledger_grant(ledger, 7, 1000).demand_per_s, told_demand_per_s, 0.1);
+    ledger_free(ledger);
+    return limits;
+}
+
+/* An owner that took over twice in a second has an empty bucket, whatever the account asks. */
+START_TEST(new_owner_goes_by_demand_known_to_others)
+{
+    for (int by_exchange = 0; by_exchange <= 1; by_exchange++) {
+        ck_assert(!new_owner_limits(7, by_exchange));
+        ck_assert(new_owner_limits(7000, by_exchange));
+        ck_assert(new_owner_limits(0, by_exchange)); /* not known */
+    }
+}
+END_TEST
+
 /* The first request after the owner fell silent must not find an empty bucket. */
 START_TEST(instance_without_owner_starts_with_unused_share)
 {
@@ -548,6 +591,7 @@
     tcase_add_test(tests, silent_instance_is_charged_its_share);
     tcase_add_test(tests, new_owner_does_not_limit_account_far_below_limit);
     tcase_add_test(tests, retries_are_charged_and_unsent_requests_refunded);
+    tcase_add_test(tests, new_owner_goes_by_demand_known_to_others);
     tcase_add_test(tests, instance_without_owner_starts_with_unused_share);
     tcase_add_test(tests, refund_of_acknowledged_request_refuses_nothing);
     tcase_add_test(tests, instances_choose_same_owner);
