Accounts: Retry-After of an instance without a share is the time until it has one

Cause: the time was taken from the bucket of the instance's share. An instance without a share has rate 0, and with the bound on unacknowledged requests no bucket is in force; both gave infinity, cut to the maximum. True is: a share comes with the next report, and a backlog ends with the owner's next answer, both 100 ms away.

Now: one token of an equal share in the first case, 100 ms in the second, spread as before. retry_after_without_share_is_time_until_it_comes: 10,000 ms before, 500 and 100 now.

--- a/gateway/policy/account_limiter.c
+++ b/gateway/policy/account_limiter.c
@@ -17,8 +17,8 @@
 #define MS_PER_S 1000.0
 
 enum {
-    /* Bounds on Retry-After: a shorter delay leads to another refusal, a longer one makes the
-     * caller try another instance. */
+    /* Bounds on Retry-After: a shorter delay leads to another refusal, since a report and its
+     * answer take as long; a longer one makes the caller try another instance. */
     RETRY_MIN_MS = 100,
     RETRY_MAX_MS = 10000,
 };
@@ -83,6 +83,7 @@
 bool
 account_limiter_admit(account_limiter_t *limiter, const account_limiter_input_t *input)
 {
+    limiter->equal_share_per_s = input->equal_share_per_s;
     limiter->verdict = decide(limiter, input);
     return limiter->verdict == LIMIT_ADMITTED;
 }
@@ -94,12 +95,21 @@
         limiter->tokens.tokens = fmin(limiter->tokens.tokens + 1, limiter->tokens.burst);
 }
 
+/* Milliseconds until a request can be admitted. */
+static double
+wait_ms_of(const account_limiter_t *limiter)
+{
+    if (limiter->verdict == LIMIT_UNACKNOWLEDGED)
+        return RETRY_MIN_MS;
+    const double rate_per_s =
+        limiter->tokens.rate > 0 ? limiter->tokens.rate : limiter->equal_share_per_s;
+    return rate_per_s > 0 ? (1 - limiter->tokens.tokens) / rate_per_s * MS_PER_S : INFINITY;
+}
+
 uint32_t
 account_limiter_retry_after_ms(const account_limiter_t *limiter, double point)
 {
-    const double deficit = 1 - limiter->tokens.tokens;
-    const double wait_ms =
-        limiter->tokens.rate > 0 ? deficit / limiter->tokens.rate * MS_PER_S : INFINITY;
+    const double wait_ms = wait_ms_of(limiter);
     const double spread_ms = fmax(wait_ms, RETRY_MIN_MS) * (1 + point);
     return spread_ms < RETRY_MAX_MS ? (uint32_t)spread_ms : RETRY_MAX_MS;
 }
--- a/gateway/policy/account_limiter.h
+++ b/gateway/policy/account_limiter.h
@@ -12,7 +12,9 @@
  *    last admitted request. The rate is the last share, at least half of an equal share, or an equal
  *    share if none was received. The owner counts granted shares as used.
  *  - Retry-After of a refused request is the time until the next token plus a random delay of up to
- *    the same length, so that refused callers do not retry at the same time.
+ *    the same length, so that refused callers do not retry at the same time. An instance that holds
+ *    no share gets one with its next report: the time until the next token of an equal share. A
+ *    request beyond the bound on unacknowledged ones is admitted once the owner answers.
  *
  * An account at average load has less than one request in flight per instance, so tokens can't be
  * distributed in advance; the limit is enforced only once it is needed.
@@ -38,6 +40,7 @@
     bool bucket_active; /* requests take tokens from the bucket */
     bucket_t tokens;
     limit_verdict_t verdict; /* on the last request */
+    double equal_share_per_s;
 } account_limiter_t;
 
 typedef struct {
--- a/test/gateway/test_accounts.c
+++ b/test/gateway/test_accounts.c
@@ -350,6 +350,24 @@
 }
 END_TEST
 
+/* Callers must not be told to come back after the longest delay where one answer of the owner, or
+ * one token of a share that comes with the next report, admits them. */
+START_TEST(retry_after_without_share_is_time_until_it_comes)
+{
+    account_limiter_t limiter = {0};
+    const account_limiter_input_t no_share = {
+        .owner_reachable = true, .equal_share_per_s = 2, .now_ms = 1000};
+    account_limiter_set_share(&limiter, true, 0, 1000);
+    ck_assert(!account_limiter_admit(&limiter, &no_share));
+    ck_assert_uint_eq(account_limiter_retry_after_ms(&limiter, 0), 500);
+    account_limiter_set_share(&limiter, false, 0, 1000);
+    const account_limiter_input_t backlog = {
+        .owner_reachable = true, .equal_share_per_s = 2, .unacknowledged = 6, .now_ms = 1000};
+    ck_assert(!account_limiter_admit(&limiter, &backlog));
+    ck_assert_uint_eq(account_limiter_retry_after_ms(&limiter, 0), 100);
+}
+END_TEST
+
 /* An instance that is silent is charged its whole share; what it did not use is refunded with its
  * next report. */
 START_TEST(silent_instance_is_charged_its_share)
@@ -588,6 +606,7 @@
     tcase_add_test(tests, key_is_never_logged_or_printed);
     tcase_add_test(tests, key_check_results);
     tcase_add_test(tests, retry_after_is_spread_over_callers);
+    tcase_add_test(tests, retry_after_without_share_is_time_until_it_comes);
     tcase_add_test(tests, silent_instance_is_charged_its_share);
     tcase_add_test(tests, new_owner_does_not_limit_account_far_below_limit);
     tcase_add_test(tests, retries_are_charged_and_unsent_requests_refunded);
