Account model: an owner drops its own sums that come back

The model's owner took its own exchange, passed on by an instance that had just handed the account over, for one of another owner, and counted its use twice. The gateway drops it by its address (account_sync_on_exchange).

--- a/test/gateway/account_model.c
+++ b/test/gateway/account_model.c
@@ -349,6 +349,8 @@
 {
     node_t *node = &model->nodes[message->to];
     const unsigned owner = local_owner(model, message->to);
+    if (message->exchange.addr.v4.sin_port == message->to)
+        return; /* its own, passed on; account_sync_on_exchange() drops it too */
     if (ledgers_find(&node->ledgers, model->account.id) == NULL && owner != message->to) {
         message_t passed_on = *message;
         passed_on.to = owner;
