Accounts: a predecessor's nearly full bucket says more than the demand it knew

In a partition without a surge a new owner that was told a demand above a tenth of the limit limited an account whose predecessor's bucket had been nearly full: the bucket that it adopts is a part of that.

The demand told by others decides only where the predecessor's bucket was not nearly full.

--- a/gateway/state/account_ledger.c
+++ b/gateway/state/account_ledger.c
@@ -297,17 +297,24 @@
     return sum;
 }
 
-/* True if the demand is known: observed for long enough, told by other owners, or far below the
- * limit since the previous owner's bucket was nearly full. */
+/* True if the previous owner's bucket was nearly full: the account had not come near its limit. */
+static bool
+inherited_plenty(const ledger_t *ledger)
+{
+    return ledger->inherited.tokens > PLENTIFUL_FRACTION * ledger->bucket.burst;
+}
+
+/* True if the demand is known: observed for long enough, told by other owners, or far from what
+ * would have emptied the previous owner's bucket. */
 static bool
 is_demand_known(const ledger_t *ledger, uint64_t now_ms)
 {
     return !is_adopting(ledger, now_ms) || ledger->told_demand_per_s > 0 ||
-           ledger->inherited.tokens > PLENTIFUL_FRACTION * ledger->bucket.burst;
+           inherited_plenty(ledger);
 }
 
-/* Demand of all regions to decide by. Until the ledger has observed it for long enough, what other
- * owners told is the lower bound. */
+/* Demand of all regions: what other owners told is the lower bound until the ledger has observed it
+ * for long enough. */
 static double
 expected_demand_per_s(const ledger_t *ledger, uint64_t now_ms)
 {
@@ -333,7 +340,8 @@
         .depth = ledger->bucket.burst * account_lease_visible_fraction(ledger),
         .level = bucket_tokens(&ledger->bucket, now_ms),
         .admitted_per_s = event_rate_per_s(&ledger->used_rate, USED_TAU_MS, now_ms),
-        .demand_per_s = expected_demand_per_s(ledger, now_ms),
+        .demand_per_s = inherited_plenty(ledger) ? ledger_total_demand_per_s(ledger, now_ms)
+                                                 : expected_demand_per_s(ledger, now_ms),
         .demand_known = is_demand_known(ledger, now_ms),
         .limited = ledger->limited,
     };
