Accounts: a peer's refunds give back no more than was charged

An account beyond its limit got up to half a bucket too much after an owner that had stood still was back.

Cause: on waking an owner takes all instances for silent, counts their shares as used, and takes that back as they report. Owners of other regions, and its successor, learn its count when they first hear it, without charging what lies before; the part taken back afterwards they refunded all the same.

A ledger keeps what it charged for a peer and refunds at most that.

--- a/gateway/state/account_ledger.c
+++ b/gateway/state/account_ledger.c
@@ -260,14 +260,25 @@
     return peer;
 }
 
+/* Requests to charge for a peer's new count. The count falls when the peer takes back what it had
+ * assumed of silent instances; only what was charged here is refunded for that. */
+static double
+settle_peer(ledger_peer_t *peer, double used)
+{
+    const double charged_before = peer->charged + peer->assumed_used;
+    const double change = account_lease_settle(used - peer->used, peer->assumed_used);
+    const double charge = fmax(change, -charged_before);
+    peer->charged = charged_before + charge;
+    return charge;
+}
+
 void
 ledger_exchange(ledger_t *ledger, const ledger_exchange_t *exchange, uint64_t now_ms)
 {
     ledger_peer_t *peer = find_peer(ledger, exchange->source);
     if (peer == NULL)
         peer = add_peer(ledger, exchange, now_ms);
-    account_lease_charge(
-        ledger, account_lease_settle(exchange->used - peer->used, peer->assumed_used), now_ms);
+    account_lease_charge(ledger, settle_peer(peer, exchange->used), now_ms);
     ledger->last_used_ms = now_ms;
     peer->used = exchange->used;
     peer->addr = exchange->addr;
--- a/gateway/state/account_ledger.h
+++ b/gateway/state/account_ledger.h
@@ -47,6 +47,7 @@
     size_t mesh;
     addr_t addr;
     double used; /* as of its last exchange */
+    double charged; /* to this ledger's bucket for its exchanges, refunds deducted */
     double demand_per_s;
     double assumed_used;  /* requests charged by assumption since its last exchange */
     bool silence_charged; /* it fell silent, and the tokens of its share were charged */
--- a/test/gateway/test_accounts.c
+++ b/test/gateway/test_accounts.c
@@ -489,6 +489,25 @@
 }
 END_TEST
 
+/* What a peer takes back of its assumptions must not be refunded by owners that never counted it.
+ */
+START_TEST(peer_refunds_no_more_than_was_charged)
+{
+    config_account_t account = {.id = 1, .rate_per_s = 40, .burst = 40};
+    ledger_t *ledger = ledger_new(&account, 9, 0.5, 1000);
+    ledger_exchange_t exchange = {.source = 5, .mesh = 1, .age_ms = 9000, .used = 100, .tokens = 5};
+    ledger_exchange(ledger, &exchange, 1000);
+    ck_assert_double_eq_tol(ledger->bucket.tokens, 5, 1e-9);
+    exchange.used = 104;
+    ledger_exchange(ledger, &exchange, 1000);
+    ck_assert_double_eq_tol(ledger->bucket.tokens, 1, 1e-9);
+    exchange.used = 80;
+    ledger_exchange(ledger, &exchange, 1000);
+    ck_assert_double_eq_tol(ledger->bucket.tokens, 5, 1e-9);
+    ledger_free(ledger);
+}
+END_TEST
+
 /* The first request after the owner fell silent must not find an empty bucket. */
 START_TEST(instance_without_owner_starts_with_unused_share)
 {
@@ -611,6 +630,7 @@
     tcase_add_test(tests, new_owner_does_not_limit_account_far_below_limit);
     tcase_add_test(tests, retries_are_charged_and_unsent_requests_refunded);
     tcase_add_test(tests, new_owner_goes_by_demand_known_to_others);
+    tcase_add_test(tests, peer_refunds_no_more_than_was_charged);
     tcase_add_test(tests, instance_without_owner_starts_with_unused_share);
     tcase_add_test(tests, refund_of_acknowledged_request_refuses_nothing);
     tcase_add_test(tests, instances_choose_same_owner);
