Accounts: an inherited grant does not undo what other owners have counted

Cause: a ledger that an exchange of another region created first, with that owner's level, was set to at least zero by the first report with a grant of a silent predecessor. And counts of owners that were created shortly before this one were taken for counted, though the predecessor's grant is older.

The lower level stays, and what peers created within the last second have counted is charged.

--- a/gateway/state/account_ledger.c
+++ b/gateway/state/account_ledger.c
@@ -108,7 +108,7 @@
 /* The previous owner is unreachable, and one of the instances reports the share it was granted.
  * Adopts that share and the corresponding part of the tokens. */
 static void
-inherit_grant(ledger_t *ledger, const ledger_report_t *report, bool adopts)
+inherit_grant(ledger_t *ledger, const ledger_report_t *report, bool adopts, uint64_t now_ms)
 {
     ledger_inherited_t *inherited = &ledger->inherited;
     if (adopts && inherited->owner == 0) {
@@ -117,7 +117,9 @@
             .tokens = report->tokens,
             .other_regions_silent = ledger->peer_count == 0,
         };
-        ledger->bucket.tokens = fmin(0, report->tokens);
+        /* What owners of other regions told before may be lower. */
+        ledger->bucket.tokens =
+            fmin(fmin(0, report->tokens), bucket_tokens(&ledger->bucket, now_ms));
     }
     if (inherited->owner != report->owner)
         return;
@@ -150,7 +152,7 @@
     const bool adopts = is_adopting(ledger, now_ms);
     adopt_demand(ledger, report->demand_per_s, now_ms);
     if (report->owner_unreachable)
-        inherit_grant(ledger, report, adopts);
+        inherit_grant(ledger, report, adopts, now_ms);
     else if (adopts)
         ledger->bucket.tokens = fmin(report->tokens, bucket_tokens(&ledger->bucket, now_ms));
 }
@@ -238,12 +240,14 @@
 }
 
 /* Adds a peer. The count of a ledger that was just created is charged in full; an older ledger's
- * count includes requests that other owners have already counted or assumed. */
+ * count includes requests that other owners have already counted or assumed. What this ledger
+ * inherited is older than any that was just created. */
 static ledger_peer_t *
 add_peer(ledger_t *ledger, const ledger_exchange_t *exchange, uint64_t now_ms)
 {
     const bool is_older = exchange->age_ms >= now_ms - ledger->created_ms;
-    const bool is_new = !is_older && exchange->age_ms < ADOPTION_MS;
+    const bool is_new =
+        (!is_older || ledger->inherited.owner != 0) && exchange->age_ms < ADOPTION_MS;
     ledger->peers =
         reserve_one(ledger->peers, ledger->peer_count, &ledger->peer_size, sizeof(*ledger->peers));
     ledger_peer_t *peer = &ledger->peers[ledger->peer_count++];
--- a/test/gateway/test_accounts.c
+++ b/test/gateway/test_accounts.c
@@ -508,6 +508,29 @@
 }
 END_TEST
 
+/* A grant of a silent predecessor must not undo what owners of other regions have counted since. */
+START_TEST(inherited_grant_keeps_lower_level_of_peers)
+{
+    config_account_t account = {.id = 1, .rate_per_s = 40, .burst = 40};
+    ledger_t *ledger = ledger_new(&account, 9, 1, 1000);
+    const ledger_exchange_t older = {
+        .source = 5, .mesh = 1, .age_ms = 200, .used = 30, .tokens = -25};
+    const ledger_exchange_t later = {.source = 6, .mesh = 2, .age_ms = 300, .used = 7, .tokens = 0};
+    const ledger_report_t report = {.has_grant = true,
+                                    .owner = 8,
+                                    .owner_unreachable = true,
+                                    .tokens = 20,
+                                    .share_per_s = 1,
+                                    .region_per_s = 13};
+    ledger_exchange(ledger, &older, 1000);
+    ledger_report(ledger, 7, &report, 1000);
+    ck_assert_double_eq_tol(ledger->bucket.tokens, -25 + 20.0 / 40, 1e-9);
+    ledger_exchange(ledger, &later, 1000);
+    ck_assert_double_eq_tol(ledger->bucket.tokens, -25 + 20.0 / 40 - 7, 1e-9);
+    ledger_free(ledger);
+}
+END_TEST
+
 /* The first request after the owner fell silent must not find an empty bucket. */
 START_TEST(instance_without_owner_starts_with_unused_share)
 {
@@ -631,6 +654,7 @@
     tcase_add_test(tests, retries_are_charged_and_unsent_requests_refunded);
     tcase_add_test(tests, new_owner_goes_by_demand_known_to_others);
     tcase_add_test(tests, peer_refunds_no_more_than_was_charged);
+    tcase_add_test(tests, inherited_grant_keeps_lower_level_of_peers);
     tcase_add_test(tests, instance_without_owner_starts_with_unused_share);
     tcase_add_test(tests, refund_of_acknowledged_request_refuses_nothing);
     tcase_add_test(tests, instances_choose_same_owner);
