Accounts: silence is detected as soon while the demand exceeds the limit as while limited

Callers of an account in a surge got up to 105 requests more than rate and burst in 5 s where 44 are borne, at 300 instances of which a sixth is cut off.

Cause: while an account is limited, its instances report every 200 ms, and one silent for 400 ms is taken to use its share. In a surge the account is released whenever its bucket is half full again. During these times instances without a request are silent anyway, so nothing was charged for those of the other side until membership counts them as lost, 2 s later. Both sides spent the whole limit.

Grows with the number of instances, as with more of them each has fewer requests to report. silence_is_detected_while_demand_exceeds_limit failed before.

Grants name the demand. An instance that was told one above the limit reports every 200 ms, released or not, and the owner takes it for silent after 400 ms.

--- a/gateway/membership/account_report.c
+++ b/gateway/membership/account_report.c
@@ -77,7 +77,7 @@
     /* An owner that does not know the demand yet learns it from here. */
     if (grant->asked_per_s > 0)
         use->demand_per_s = grant->asked_per_s;
-    if (grant->limited)
+    if (account_use_needs_keepalive(use))
         account_report_schedule(sync);
 }
 
@@ -248,7 +248,7 @@
 {
     for (size_t i = 0; i < uses->count; i++) {
         const account_use_t *use = uses->items[i];
-        if (use->report_due || use->unanswered_since_ms != 0 || use->limiter.limited)
+        if (use->report_due || use->unanswered_since_ms != 0 || account_use_needs_keepalive(use))
             return true;
     }
     return false;
--- a/gateway/policy/account_share.c
+++ b/gateway/policy/account_share.c
@@ -31,6 +31,12 @@
 #define DEPTH_MIN_S 0.25
 #define DEPTH_MIN 2.0
 
+bool
+account_share_is_exceeded(double demand_per_s, double rate_per_s)
+{
+    return demand_per_s > rate_per_s;
+}
+
 double
 account_share_depth(double rate_per_s, double burst)
 {
--- a/gateway/policy/account_share.h
+++ b/gateway/policy/account_share.h
@@ -34,6 +34,9 @@
     bool limited;          /* the account is limited at present */
 } account_share_input_t;
 
+/* True if the demand of all regions exceeds the limit: instances are limited, or will be again
+ * shortly. */
+bool account_share_is_exceeded(double demand_per_s, double rate_per_s);
 /* Returns the depth of the bucket for a limit. */
 double account_share_depth(double rate_per_s, double burst);
 /* True if the account is to be limited from now on. */
--- a/gateway/state/account_lease.c
+++ b/gateway/state/account_lease.c
@@ -107,11 +107,19 @@
                 fmax(VISIBLE_FRACTION_MIN, inherited->reporting_per_s / inherited->region_per_s));
 }
 
+/* True if the instance reports at its keep-alive interval. */
+static bool
+expects_keepalives(const ledger_t *ledger, const ledger_reporter_t *reporter)
+{
+    return ledger->limited || reporter->knows_exceeded;
+}
+
 bool
 account_lease_is_silent(const ledger_t *ledger, const ledger_reporter_t *reporter, uint64_t now_ms)
 {
     return reporter->unreachable_since_ms != 0 || reporter->silence_charged ||
-           (ledger->limited && now_ms - reporter->last_report_ms > REPORTER_SILENT_MS);
+           (expects_keepalives(ledger, reporter) &&
+            now_ms - reporter->last_report_ms > REPORTER_SILENT_MS);
 }
 
 /* Assumed rate of a silent instance: its whole share while limited, otherwise its recent demand
@@ -152,7 +160,7 @@
 static double
 reporter_assumed(const ledger_t *ledger, const ledger_reporter_t *reporter, uint64_t now_ms)
 {
-    const uint64_t threshold_ms = ledger->limited ? REPORTER_SILENT_MS : 0;
+    const uint64_t threshold_ms = expects_keepalives(ledger, reporter) ? REPORTER_SILENT_MS : 0;
     if (!account_lease_is_silent(ledger, reporter, now_ms))
         return 0;
     const double span_ms =
@@ -178,7 +186,8 @@
 peer_assumed(const ledger_t *ledger, const ledger_peer_t *peer, double total_demand_per_s,
              uint64_t now_ms)
 {
-    const uint64_t threshold_ms = ledger->limited ? PEER_SILENT_LIMITED_MS : PEER_SILENT_MS;
+    const uint64_t threshold_ms =
+        ledger->limited || ledger->exceeded ? PEER_SILENT_LIMITED_MS : PEER_SILENT_MS;
     if (peer->demand_per_s < DEMAND_MIN_PER_S || total_demand_per_s <= 0 ||
         is_superseded(ledger, peer))
         return 0;
@@ -245,7 +254,8 @@
 static double
 charge_newly_silent(ledger_t *ledger, double total_demand_per_s, uint64_t now_ms)
 {
-    const uint64_t threshold_ms = ledger->limited ? PEER_SILENT_LIMITED_MS : PEER_SILENT_MS;
+    const uint64_t threshold_ms =
+        ledger->limited || ledger->exceeded ? PEER_SILENT_LIMITED_MS : PEER_SILENT_MS;
     double own = 0;
     double others = 0;
     for (size_t i = 0; i < ledger->reporter_count; i++) {
--- a/gateway/state/account_ledger.c
+++ b/gateway/state/account_ledger.c
@@ -365,6 +365,8 @@
 bool
 ledger_update_limited(ledger_t *ledger, uint64_t now_ms)
 {
+    ledger->exceeded =
+        account_share_is_exceeded(ledger_total_demand_per_s(ledger, now_ms), ledger->bucket.rate);
     account_lease_charge_silent(ledger, now_ms);
     account_share_input_t input = limit_input(ledger, now_ms);
     const bool was_limited = ledger->limited;
@@ -431,8 +433,11 @@
         .demand_per_s = known_demand_per_s(ledger, now_ms),
     };
     /* The instance may use either share until its next report. */
-    if (reporter != NULL)
+    if (reporter != NULL) {
         reporter->share_per_s = fmax(reporter->share_per_s, grant.share_per_s);
+        reporter->knows_exceeded =
+            account_share_is_exceeded(grant.demand_per_s, ledger->bucket.rate);
+    }
     return grant;
 }
 
--- a/gateway/state/account_ledger.h
+++ b/gateway/state/account_ledger.h
@@ -34,10 +34,11 @@
     uint64_t last_report_ms;
     uint64_t requested;
     event_rate_t demand_rate;
-    double demand_per_s;           /* as of its last report */
-    double share_per_s;            /* largest share that it may be using */
-    double assumed_used;           /* requests charged by assumption since its last report */
-    bool silence_charged;          /* it fell silent, and the tokens of its share were charged */
+    double demand_per_s;   /* as of its last report */
+    double share_per_s;    /* largest share that it may be using */
+    double assumed_used;   /* requests charged by assumption since its last report */
+    bool knows_exceeded;   /* granted a demand above the limit: it sends keep-alives */
+    bool silence_charged;  /* it fell silent, and the tokens of its share were charged */
     uint64_t unreachable_since_ms; /* when membership lost contact; 0: reachable */
 } ledger_reporter_t;
 
@@ -46,7 +47,7 @@
     uint64_t source; /* of its ledger */
     size_t mesh;
     addr_t addr;
-    double used; /* as of its last exchange */
+    double used;    /* as of its last exchange */
     double charged; /* to this ledger's bucket for its exchanges, refunds deducted */
     double demand_per_s;
     double assumed_used;  /* requests charged by assumption since its last exchange */
@@ -65,10 +66,12 @@
 } ledger_inherited_t;
 
 typedef struct {
-    uint64_t id;     /* of the account */
-    uint64_t source; /* random number of this ledger */
-    bucket_t bucket; /* fills at the account's rate */
-    bool limited;    /* instances are limited to their shares */
+    uint64_t id;       /* of the account */
+    uint64_t source;   /* random number of this ledger */
+    bucket_t bucket;   /* fills at the account's rate */
+    bool limited;      /* instances are limited to their shares */
+    bool exceeded;     /* the demand exceeds the limit, as of the last update; owners detect each
+                          other's silence sooner then */
     uint64_t created_ms;
     uint64_t last_used_ms;     /* last usage reported, here or to another owner */
     uint64_t last_report_ms;   /* last report received here */
--- a/gateway/state/account_uses.c
+++ b/gateway/state/account_uses.c
@@ -5,6 +5,7 @@
 
 #include "base/search.h"
 #include "base/xmalloc.h"
+#include "gateway/policy/account_share.h"
 
 enum {
     ITEMS_START = 16,
@@ -91,11 +92,18 @@
     return use->used > use->acked_used ? use->used - use->acked_used : 0;
 }
 
+bool
+account_use_needs_keepalive(const account_use_t *use)
+{
+    return use->limiter.limited || (use->limiter.has_share &&
+                                    account_share_is_exceeded(use->demand_per_s, use->rate_per_s));
+}
+
 bool
 account_use_report_is_due(const account_use_t *use, uint64_t now_ms)
 {
     return use->report_due ||
-           (use->limiter.limited && now_ms - use->last_report_ms >= KEEPALIVE_MS);
+           (account_use_needs_keepalive(use) && now_ms - use->last_report_ms >= KEEPALIVE_MS);
 }
 
 bool
@@ -117,6 +125,7 @@
         .now_ms = now_ms,
     };
     const bool admitted = account_limiter_admit(&use->limiter, &input);
+    use->rate_per_s = account->rate_per_s;
     use->refs++;
     use->last_request_ms = now_ms;
     use->requested++;
--- a/gateway/state/account_uses.h
+++ b/gateway/state/account_uses.h
@@ -19,6 +19,7 @@
     uint64_t id; /* of the account */
     name_t name;
     account_limiter_t limiter;
+    double rate_per_s;   /* limit of the account at its last request */
     uint64_t used;       /* requests admitted, less those that were not executed */
     uint64_t requested;  /* requests received */
     uint64_t refused;    /* requests refused */
@@ -29,12 +30,12 @@
     uint64_t unanswered_since_ms;       /* oldest unanswered report; 0: none */
     uint64_t last_request_ms;
     uint64_t last_admitted_ms; /* 0: none was */
-    uint32_t refs;        /* requests that hold the entry */
-    bool report_due;      /* there is something to report */
-    uint64_t grant_owner; /* incarnation of the owner that sent the current grant */
-    double tokens;        /* in the account's bucket, as of the grant */
-    double region_per_s;  /* share of the region, as of the grant */
-    double demand_per_s;  /* of the account in all regions, as last granted; 0: never */
+    uint32_t refs;             /* requests that hold the entry */
+    bool report_due;           /* there is something to report */
+    uint64_t grant_owner;      /* incarnation of the owner that sent the current grant */
+    double tokens;             /* in the account's bucket, as of the grant */
+    double region_per_s;       /* share of the region, as of the grant */
+    double demand_per_s;       /* of the account in all regions, as last granted; 0: never */
 } account_use_t;
 
 /* Called when there is something to report. */
@@ -72,6 +73,9 @@
 bool account_use_is_connected(const account_use_t *use, uint64_t now_ms);
 /* Admitted requests that no owner has acknowledged. */
 uint64_t account_use_unacknowledged(const account_use_t *use);
+/* True if reports are sent at the keep-alive interval: the account is limited, or asks for more
+ * than its limit. */
+bool account_use_needs_keepalive(const account_use_t *use);
 /* True if a report is to be sent: there are new requests, or the keep-alive interval has passed
  * while limited. */
 bool account_use_report_is_due(const account_use_t *use, uint64_t now_ms);
--- a/test/gateway/account_model.c
+++ b/test/gateway/account_model.c
@@ -340,7 +340,7 @@
     use->region_per_s = message->grant.region_per_s;
     if (message->grant.demand_per_s > 0)
         use->demand_per_s = message->grant.demand_per_s;
-    if (message->grant.limited && node->report_ms == 0)
+    if (account_use_needs_keepalive(use) && node->report_ms == 0)
         node->report_ms = model->now_ms + REPORT_MS;
 }
 
@@ -437,7 +437,7 @@
                       model->now_ms - use->owner_unanswered_since_ms > ANSWER_MS;
     if (account_use_report_is_due(use, model->now_ms) || late)
         send_report(model, self, use);
-    const bool more = use->unanswered_since_ms != 0 || use->limiter.limited;
+    const bool more = use->unanswered_since_ms != 0 || account_use_needs_keepalive(use);
     node->report_ms = more ? model->now_ms + REPORT_MS : 0;
 }
 
--- a/test/gateway/test_accounts.c
+++ b/test/gateway/test_accounts.c
@@ -531,6 +531,34 @@
 }
 END_TEST
 
+/* Instances that a partition hides admit requests long before membership counts them as lost. */
+START_TEST(silence_is_detected_while_demand_exceeds_limit)
+{
+    config_account_t account = {.id = 1, .rate_per_s = 10, .burst = 100};
+    account_use_t use = {.rate_per_s = 10, .demand_per_s = 11, .last_report_ms = 3000};
+    ledger_t *ledger = ledger_new(&account, 9, 0.5, 1000);
+    ledger_report_t report = {.used = 0, .requested = 0};
+    ledger_report(ledger, 7, &report, 3000);
+    report.used = 5;
+    report.requested = 60;
+    ledger_report(ledger, 7, &report, 3000);
+    ck_assert(!ledger_update_limited(ledger, 3000));
+    report.share_per_s = ledger_grant(ledger, 7, 3000).share_per_s;
+    ck_assert(report.share_per_s > 4);
+    const double before = ledger->bucket.tokens;
+    ck_assert(!ledger_update_limited(ledger, 3300));
+    ck_assert_double_ge(ledger->bucket.tokens, before);
+    ledger_update_limited(ledger, 3500);
+    ck_assert_double_le(ledger->bucket.tokens, before + 5 - 0.5 * report.share_per_s);
+    ledger_free(ledger);
+    use.limiter.has_share = true;
+    ck_assert(!account_use_report_is_due(&use, 3150));
+    ck_assert(account_use_report_is_due(&use, 3200));
+    use.demand_per_s = 9;
+    ck_assert(!account_use_report_is_due(&use, 9000));
+}
+END_TEST
+
 /* The first request after the owner fell silent must not find an empty bucket. */
 START_TEST(instance_without_owner_starts_with_unused_share)
 {
@@ -655,6 +683,7 @@
     tcase_add_test(tests, new_owner_goes_by_demand_known_to_others);
     tcase_add_test(tests, peer_refunds_no_more_than_was_charged);
     tcase_add_test(tests, inherited_grant_keeps_lower_level_of_peers);
+    tcase_add_test(tests, silence_is_detected_while_demand_exceeds_limit);
     tcase_add_test(tests, instance_without_owner_starts_with_unused_share);
     tcase_add_test(tests, refund_of_acknowledged_request_refuses_nothing);
     tcase_add_test(tests, instances_choose_same_owner);
