Accounts: a takeover keeps an account limited, and the shares of its instances

Callers of an account in a surge were released for up to 0.3 s when its owner's process ended, and once more when it was back.

Cause: a new owner began with its own idea: not limited until its bucket is well below zero (four requests below three tenths), although the predecessor limits until it is half full or more. And it granted the first instances to report its whole region's share, since it knew no others.

Reports say whether the sender is limited, and a new owner that hears so limits the account, tells all, and releases it by the rule for limited accounts. For its first second it grants an instance no more than its part of the predecessor's grants, and one without a grant its part of the demand.

--- a/gateway/membership/account_grant.c
+++ b/gateway/membership/account_grant.c
@@ -125,6 +125,7 @@
             .share_per_s = use->share_per_s,
             .region_per_s = use->region_per_s,
             .demand_per_s = use->asked_per_s,
+            .limited = use->limited,
         };
         ledger_t *ledger = ledgers_get(&sync->ledgers, account, now_ms);
         ledger_set_limit(ledger, account, now_ms);
--- a/gateway/membership/account_report.c
+++ b/gateway/membership/account_report.c
@@ -127,6 +127,7 @@
     out->share_per_s = (float)use->limiter.share_per_s;
     out->region_per_s = (float)use->region_per_s;
     out->asked_per_s = (float)use->demand_per_s;
+    out->limited = use->limiter.limited;
 }
 
 static void
--- a/gateway/state/account_ledger.c
+++ b/gateway/state/account_ledger.c
@@ -151,6 +151,9 @@
 {
     const bool adopts = is_adopting(ledger, now_ms);
     adopt_demand(ledger, report->demand_per_s, now_ms);
+    /* Instances that the previous owner limited stay limited until there is room. */
+    if (adopts && report->limited)
+        ledger->limited = true;
     if (report->owner_unreachable)
         inherit_grant(ledger, report, adopts, now_ms);
     else if (adopts)
@@ -178,8 +181,11 @@
         .used = report->acked_used,
         .requested = report->requested - unacked,
     };
-    if (report->has_grant)
+    if (report->has_grant) {
+        if (report->limited && report->region_per_s > 0)
+            reporter->prior_fraction = report->share_per_s / report->region_per_s;
         apply_predecessor_grant(ledger, report, now_ms);
+    }
     return reporter;
 }
 
@@ -369,11 +375,12 @@
         account_share_is_exceeded(ledger_total_demand_per_s(ledger, now_ms), ledger->bucket.rate);
     account_lease_charge_silent(ledger, now_ms);
     account_share_input_t input = limit_input(ledger, now_ms);
-    const bool was_limited = ledger->limited;
-    if (was_limited)
+    if (ledger->limited)
         input.level -= account_lease_unreported(ledger, now_ms);
     ledger->limited = account_share_limits(&input);
-    return ledger->limited != was_limited;
+    const bool changed = ledger->limited != ledger->told_limited;
+    ledger->told_limited = ledger->limited;
+    return changed;
 }
 
 /* Rate available to the own region. */
@@ -399,6 +406,17 @@
     return sum;
 }
 
+/* The same while the other instances are about to report: no more than the previous owner granted,
+ * or than its part of the demand of all regions. */
+static double
+adopted_fraction(const ledger_t *ledger, const ledger_reporter_t *reporter, double own_per_s,
+                 double demand_per_s)
+{
+    const double prior = reporter->prior_fraction > 0 ? reporter->prior_fraction
+                                                      : own_per_s / ledger->told_demand_per_s;
+    return fmin(prior, own_per_s / demand_per_s);
+}
+
 /* Fraction of the region's rate that the instance gets, among those that report. Outside of
  * limiting, the grant is sent in reply to a report that follows a request. That request is left
  * out, and half of the rate is divided evenly, because an instance may have one request in three
@@ -410,6 +428,8 @@
     const double own_per_s = reporter_demand_per_s(reporter, now_ms);
     if (demand_per_s <= 0)
         return 0;
+    if (ledger->limited && is_adopting(ledger, now_ms) && ledger->told_demand_per_s > 0)
+        return adopted_fraction(ledger, reporter, own_per_s, demand_per_s);
     if (ledger->limited)
         return own_per_s / demand_per_s;
     const double prior_per_s = fmax(0, own_per_s - MS_PER_S / DEMAND_TAU_MS);
--- a/gateway/state/account_ledger.h
+++ b/gateway/state/account_ledger.h
@@ -37,6 +37,7 @@
     double demand_per_s;   /* as of its last report */
     double share_per_s;    /* largest share that it may be using */
     double assumed_used;   /* requests charged by assumption since its last report */
+    double prior_fraction; /* of the region's share, by the previous owner's grant; 0: none */
     bool knows_exceeded;   /* granted a demand above the limit: it sends keep-alives */
     bool silence_charged;  /* it fell silent, and the tokens of its share were charged */
     uint64_t unreachable_since_ms; /* when membership lost contact; 0: reachable */
@@ -70,6 +71,7 @@
     uint64_t source;   /* random number of this ledger */
     bucket_t bucket;   /* fills at the account's rate */
     bool limited;      /* instances are limited to their shares */
+    bool told_limited; /* `limited` as last told to all instances of the region */
     bool exceeded;     /* the demand exceeds the limit, as of the last update; owners detect each
                           other's silence sooner then */
     uint64_t created_ms;
@@ -102,6 +104,7 @@
     double share_per_s;
     double region_per_s; /* share of the region */
     double demand_per_s; /* in all regions, as the owner knew it; 0: not known */
+    bool limited;        /* the owner limited instances to their shares */
 } ledger_report_t;
 
 /* One account in an exchange between owners. */
--- a/peer/peer.pb-c.c
+++ b/peer/peer.pb-c.c
@@ -4568,7 +4568,7 @@
   (ProtobufCMessageInit) iris__view_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor iris__account_use__field_descriptors[11] =
+static const ProtobufCFieldDescriptor iris__account_use__field_descriptors[12] =
 {
   {
     "account",
@@ -4702,12 +4702,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limited",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Iris__AccountUse, limited),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned iris__account_use__field_indices_by_name[] = {
   0,   /* field[0] = account */
   2,   /* field[2] = asked */
   10,   /* field[10] = asked_per_s */
   9,   /* field[9] = leaves */
+  11,   /* field[11] = limited */
   4,   /* field[4] = owner */
   8,   /* field[8] = owner_silent */
   7,   /* field[7] = region_per_s */
@@ -4719,7 +4732,7 @@
 static const ProtobufCIntRange iris__account_use__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor iris__account_use__descriptor =
 {
@@ -4729,7 +4742,7 @@
   "Iris__AccountUse",
   "iris",
   sizeof(Iris__AccountUse),
-  11,
+  12,
   iris__account_use__field_descriptors,
   iris__account_use__field_indices_by_name,
   1,  iris__account_use__number_ranges,
--- a/peer/peer.pb-c.h
+++ b/peer/peer.pb-c.h
@@ -934,10 +934,14 @@
    * of the account in all regions; 0: that owner did not know
    */
   float asked_per_s;
+  /*
+   * it holds instances to their shares
+   */
+  protobuf_c_boolean limited;
 };
 #define IRIS__ACCOUNT_USE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&iris__account_use__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/test/gateway/account_model.c
+++ b/test/gateway/account_model.c
@@ -257,6 +257,7 @@
                 .share_per_s = use->limiter.share_per_s,
                 .region_per_s = use->region_per_s,
                 .demand_per_s = use->demand_per_s,
+                .limited = use->limiter.limited,
             },
     };
     if (owner < model->conf.instances)
--- a/test/gateway/test_accounts.c
+++ b/test/gateway/test_accounts.c
@@ -559,6 +559,33 @@
 }
 END_TEST
 
+/* A takeover must neither release the instances of a limited account nor grant the whole share to
+ * those that report first. */
+START_TEST(takeover_keeps_account_limited)
+{
+    config_account_t account = {.id = 1, .rate_per_s = 40, .burst = 0};
+    ledger_t *ledger = ledger_new(&account, 9, 1, 1000);
+    const ledger_report_t report = {.used = 1,
+                                    .requested = 1,
+                                    .has_grant = true,
+                                    .owner = 8,
+                                    .tokens = 0.5,
+                                    .share_per_s = 0.6,
+                                    .region_per_s = 13,
+                                    .demand_per_s = 90,
+                                    .limited = true};
+    const ledger_report_t restarted = {.used = 1, .requested = 1};
+    ledger_report(ledger, 7, &report, 1000);
+    ck_assert(ledger_update_limited(ledger, 1000)); /* told to all instances */
+    ck_assert(ledger->limited);
+    ck_assert_double_le(ledger_grant(ledger, 7, 1000).share_per_s, 2);
+    ledger_report(ledger, 6, &restarted, 1000);
+    ck_assert_double_le(ledger_grant(ledger, 6, 1000).share_per_s, 2);
+    ck_assert(!ledger_update_limited(ledger, 1010));
+    ledger_free(ledger);
+}
+END_TEST
+
 /* The first request after the owner fell silent must not find an empty bucket. */
 START_TEST(instance_without_owner_starts_with_unused_share)
 {
@@ -684,6 +711,7 @@
     tcase_add_test(tests, peer_refunds_no_more_than_was_charged);
     tcase_add_test(tests, inherited_grant_keeps_lower_level_of_peers);
     tcase_add_test(tests, silence_is_detected_while_demand_exceeds_limit);
+    tcase_add_test(tests, takeover_keeps_account_limited);
     tcase_add_test(tests, instance_without_owner_starts_with_unused_share);
     tcase_add_test(tests, refund_of_acknowledged_request_refuses_nothing);
     tcase_add_test(tests, instances_choose_same_owner);
