Entry: an unknown outcome told by another entry is not kept as the answer

A caller's order with a key was told *ran*, with an error page of another entry as its answer, and got the same page again whenever it asked under the key.

Cause: the entry that owns the key took each whole answer of the entry that it had handed the request to for the backend server's: KEY_DONE, outcome ran. An entry that lost the backend server's answer says so in a whole 502 with the outcome unknown.

The record and the history now say unknown; a repeat under the key gets 502 outcome_unknown, not a second run. What a backend server sends under that field's name does not count.

Formatting of one comment.

--- a/entry/path/attempt.c
+++ b/entry/path/attempt.c
@@ -29,6 +29,7 @@
     uint64_t started_ms;
     uint64_t deadline_ms;
     bool said_not_run;
+    bool said_unknown;
     bool head_taken;
 };
 
@@ -141,6 +142,7 @@
     const str_t outcome = http_head_find(head, STR("x-irisstall-outcome"));
     attempt->said_not_run = (head->status == STATUS_SHED || head->status == STATUS_LATE) &&
                             str_eq(outcome, STR("not_run"));
+    attempt->said_unknown = attempt->backend == NULL && str_eq(outcome, STR("unknown"));
     if (attempt->backend != NULL)
         note_head(attempt, head);
     if (!attempt->said_not_run)
@@ -166,6 +168,7 @@
     const attempt_result_t out = {.whole = whole && !attempt->said_not_run,
                                   .sent = sent,
                                   .not_run = !sent || (whole && attempt->said_not_run),
+                                  .unknown = attempt->said_unknown,
                                   .timed_out = result->err.code == ERR_TIMEOUT,
                                   .status = result->status};
     if (!whole) {
@@ -176,7 +179,8 @@
             backend_failed(attempt->backend, node_now(attempt->node));
     }
     x->attempt_cbs->on_end(x, attempt, &out);
-    finish(attempt, whole || !sent, out.whole ? "ran" : out.not_run ? "not_run" : "unknown");
+    const char *told = out.whole && !out.unknown ? "ran" : out.not_run ? "not_run" : "unknown";
+    finish(attempt, whole || !sent, told);
 }
 
 static char *
--- a/entry/path/exchange.h
+++ b/entry/path/exchange.h
@@ -32,6 +32,7 @@
     bool whole;   /* the answer is complete */
     bool sent;    /* bytes of the request may have gone out */
     bool not_run; /* the other side said so, or nothing was sent */
+    bool unknown; /* another entry said that it does not know whether the request ran */
     bool timed_out;
     int status;
 } attempt_result_t;
--- a/entry/path/outcome.c
+++ b/entry/path/outcome.c
@@ -109,9 +109,10 @@
 {
     x->winner = NULL;
     if (result->whole) {
+        /* A whole answer that tells of an unknown outcome is no answer of a backend server. */
         x->answer_whole = true;
-        exchange_set_record(x, KEY_DONE, x->status);
-        answer_record(x, OUTCOME_RAN, x->status);
+        exchange_set_record(x, result->unknown ? KEY_UNKNOWN : KEY_DONE, x->status);
+        answer_record(x, result->unknown ? OUTCOME_UNKNOWN : OUTCOME_RAN, x->status);
     } else {
         x->answer_cut = true;
         counter_add(x->node->counters.cut_answers, 1);
--- a/gateway/policy/account_limiter.h
+++ b/gateway/policy/account_limiter.h
@@ -9,8 +9,8 @@
  *  - The account is limited: requests are admitted from a token bucket that fills at this
  *    instance's share and starts empty.
  *  - The owner is not reachable: the same bucket, starting with what the share has added since the
- *    last admitted request. The rate is the last share, at least half of an equal share, or an equal
- *    share if none was received. The owner counts granted shares as used.
+ *    last admitted request. The rate is the last share, at least half of an equal share, or an
+ * equal share if none was received. The owner counts granted shares as used.
  *  - Retry-After of a refused request is the time until the next token plus a random delay of up to
  *    the same length, so that refused callers do not retry at the same time. An instance that holds
  *    no share gets one with its next report: the time until the next token of an equal share. A
--- a/test/test_arrival.c
+++ b/test/test_arrival.c
@@ -9,6 +9,7 @@
 #include "base/xmalloc.h"
 #include "entry/http/server.h"
 #include "entry/node.h"
+#include "entry/path/outcome.h"
 #include "test/suites.h"
 
 enum { PATIENCE_MS = 5000, ANSWER_MAX = 4096 };
@@ -79,12 +80,41 @@
 }
 END_TEST
 
+static key_state_t
+state_after_answer(node_t *node, const attempt_result_t *result)
+{
+    int attempt; /* its address alone is used */
+    key_record_t record = {.state = KEY_RUNNING};
+    /* A queued exchange is not freed. */
+    exchange_t x = {.node = node, .record = &record, .queued = true};
+    x.winner = (attempt_t *)(void *)&attempt;
+    outcome_cbs.on_end(&x, x.winner, result);
+    return record.state;
+}
+
+/* An error page of an entry that lost the answer must not be kept as the answer under the key. */
+START_TEST(unknown_told_by_another_entry_is_not_kept_as_answer)
+{
+    uv_loop_t loop;
+    uv_loop_init(&loop);
+    node_t *node = start_unready(&loop);
+    const attempt_result_t told_unknown = {
+        .whole = true, .sent = true, .unknown = true, .status = 502};
+    const attempt_result_t failed = {.whole = true, .sent = true, .status = 502};
+    const attempt_result_t cut = {.sent = true, .status = 200};
+    ck_assert_int_eq(state_after_answer(node, &told_unknown), KEY_UNKNOWN);
+    ck_assert_int_eq(state_after_answer(node, &failed), KEY_DONE);
+    ck_assert_int_eq(state_after_answer(node, &cut), KEY_UNKNOWN);
+}
+END_TEST
+
 Suite *
 suite_arrival(void)
 {
     Suite *suite = suite_create("arrival");
     TCase *tcase = tcase_create("arrival");
     tcase_add_loop_test(tcase, an_unready_instance_knows_nothing_of_keys, 0, (int)ALEN(orders));
+    tcase_add_test(tcase, unknown_told_by_another_entry_is_not_kept_as_answer);
     suite_add_tcase(suite, tcase);
     return suite;
 }
