Accounts: the demand of all regions is computed once for a grant; comments

ledger_grant, limit_input and the next exchange each summed the demand of all reporters up to four times.

--- a/gateway/policy/account_limiter.h
+++ b/gateway/policy/account_limiter.h
@@ -10,7 +10,7 @@
  *    instance's share and starts empty.
  *  - The owner is not reachable: the same bucket, starting with what the share has added since the
  *    last admitted request. The rate is the last share, at least half of an equal share, or an
- * equal share if none was received. The owner counts granted shares as used.
+ *    equal share if none was received. The owner counts granted shares as used.
  *  - Retry-After of a refused request is the time until the next token plus a random delay of up to
  *    the same length, so that refused callers do not retry at the same time. An instance that holds
  *    no share gets one with its next report: the time until the next token of an equal share. A
@@ -25,7 +25,7 @@
 
 #include "base/bucket.h"
 
-/* Why a request was refused. */
+/* Whether a request was admitted, else why not. */
 typedef enum {
     LIMIT_ADMITTED,
     LIMIT_SHARE_USED,     /* the account is limited and the instance's share is used up */
@@ -39,8 +39,8 @@
     double share_per_s;
     bool bucket_active; /* requests take tokens from the bucket */
     bucket_t tokens;
-    limit_verdict_t verdict; /* on the last request */
-    double equal_share_per_s;
+    limit_verdict_t verdict;  /* on the last request */
+    double equal_share_per_s; /* as of the last request */
 } account_limiter_t;
 
 typedef struct {
@@ -60,4 +60,5 @@
 void account_limiter_refund(account_limiter_t *limiter);
 /* Milliseconds until a refused caller may retry; `point` is random in [0, 1). */
 uint32_t account_limiter_retry_after_ms(const account_limiter_t *limiter, double point);
+/* Name for logs; "-" if admitted. */
 const char *limit_verdict_name(limit_verdict_t verdict);
--- a/gateway/state/account_ledger.c
+++ b/gateway/state/account_ledger.c
@@ -151,7 +151,7 @@
 {
     const bool adopts = is_adopting(ledger, now_ms);
     adopt_demand(ledger, report->demand_per_s, now_ms);
-    /* Instances that the previous owner limited stay limited until there is room. */
+    /* Released by a takeover, a surge admits requests until its reports are counted again. */
     if (adopts && report->limited)
         ledger->limited = true;
     if (report->owner_unreachable)
@@ -325,45 +325,42 @@
     return ledger->inherited.tokens > PLENTIFUL_FRACTION * ledger->bucket.burst;
 }
 
-/* True if the demand is known: observed for long enough, told by other owners, or far from what
- * would have emptied the previous owner's bucket. */
-static bool
-is_demand_known(const ledger_t *ledger, uint64_t now_ms)
-{
-    return !is_adopting(ledger, now_ms) || ledger->told_demand_per_s > 0 ||
-           inherited_plenty(ledger);
-}
+/* The account's demand in all regions. */
+typedef struct {
+    double observed_per_s; /* by this ledger and its peers */
+    double expected_per_s; /* at least what other owners told, while adopting */
+    bool known;            /* observed for long enough, or told, or far below the limit */
+} demand_t;
 
-/* Demand of all regions: what other owners told is the lower bound until the ledger has observed it
- * for long enough. */
-static double
-expected_demand_per_s(const ledger_t *ledger, uint64_t now_ms)
+static demand_t
+total_demand(const ledger_t *ledger, uint64_t now_ms)
 {
     const double observed_per_s = ledger_total_demand_per_s(ledger, now_ms);
-    return is_adopting(ledger, now_ms) ? fmax(observed_per_s, ledger->told_demand_per_s)
-                                       : observed_per_s;
+    const double told_per_s = is_adopting(ledger, now_ms) ? ledger->told_demand_per_s : 0;
+    return (demand_t){
+        .observed_per_s = observed_per_s,
+        .expected_per_s = fmax(observed_per_s, told_per_s),
+        .known = !is_adopting(ledger, now_ms) || told_per_s > 0 || inherited_plenty(ledger),
+    };
 }
 
 /* The demand as told to instances and other owners; 0: not known. */
 static double
-known_demand_per_s(const ledger_t *ledger, uint64_t now_ms)
+demand_to_tell(const demand_t *demand)
 {
-    return is_demand_known(ledger, now_ms)
-               ? fmax(expected_demand_per_s(ledger, now_ms), DEMAND_MIN_PER_S)
-               : 0;
+    return demand->known ? fmax(demand->expected_per_s, DEMAND_MIN_PER_S) : 0;
 }
 
 static account_share_input_t
-limit_input(ledger_t *ledger, uint64_t now_ms)
+limit_input(ledger_t *ledger, const demand_t *demand, uint64_t now_ms)
 {
     return (account_share_input_t){
         .rate_per_s = ledger->bucket.rate,
         .depth = ledger->bucket.burst * account_lease_visible_fraction(ledger),
         .level = bucket_tokens(&ledger->bucket, now_ms),
         .admitted_per_s = event_rate_per_s(&ledger->used_rate, USED_TAU_MS, now_ms),
-        .demand_per_s = inherited_plenty(ledger) ? ledger_total_demand_per_s(ledger, now_ms)
-                                                 : expected_demand_per_s(ledger, now_ms),
-        .demand_known = is_demand_known(ledger, now_ms),
+        .demand_per_s = inherited_plenty(ledger) ? demand->observed_per_s : demand->expected_per_s,
+        .demand_known = demand->known,
         .limited = ledger->limited,
     };
 }
@@ -371,10 +368,10 @@
 bool
 ledger_update_limited(ledger_t *ledger, uint64_t now_ms)
 {
-    ledger->exceeded =
-        account_share_is_exceeded(ledger_total_demand_per_s(ledger, now_ms), ledger->bucket.rate);
+    const demand_t demand = total_demand(ledger, now_ms);
+    ledger->exceeded = account_share_is_exceeded(demand.observed_per_s, ledger->bucket.rate);
     account_lease_charge_silent(ledger, now_ms);
-    account_share_input_t input = limit_input(ledger, now_ms);
+    account_share_input_t input = limit_input(ledger, &demand, now_ms);
     if (ledger->limited)
         input.level -= account_lease_unreported(ledger, now_ms);
     ledger->limited = account_share_limits(&input);
@@ -385,12 +382,12 @@
 
 /* Rate available to the own region. */
 static double
-region_share(const ledger_t *ledger, const account_share_input_t *input, uint64_t now_ms)
+region_share(const ledger_t *ledger, const account_share_input_t *input, const demand_t *demand,
+             uint64_t now_ms)
 {
     const double total = ledger->limited ? account_share_total(input) : input->rate_per_s;
     const double own = ledger_region_demand_per_s(ledger, now_ms);
-    const double observed_per_s = ledger_total_demand_per_s(ledger, now_ms);
-    const double part = observed_per_s > 0 ? own / observed_per_s * total : 0;
+    const double part = demand->observed_per_s > 0 ? own / demand->observed_per_s * total : 0;
     const bool bound = ledger->inherited.owner != 0 && ledger->inherited.other_regions_silent;
     return bound ? fmin(part, ledger->inherited.region_per_s) : part;
 }
@@ -406,8 +403,8 @@
     return sum;
 }
 
-/* The same while the other instances are about to report: no more than the previous owner granted,
- * or than its part of the demand of all regions. */
+/* Fraction of the region's rate while other instances are yet to report: no more than the previous
+ * owner granted, or than the instance's part of the demand of all regions. */
 static double
 adopted_fraction(const ledger_t *ledger, const ledger_reporter_t *reporter, double own_per_s,
                  double demand_per_s)
@@ -439,8 +436,9 @@
 ledger_grant_t
 ledger_grant(ledger_t *ledger, uint64_t source, uint64_t now_ms)
 {
-    const account_share_input_t input = limit_input(ledger, now_ms);
-    const double region_per_s = region_share(ledger, &input, now_ms);
+    const demand_t demand = total_demand(ledger, now_ms);
+    const account_share_input_t input = limit_input(ledger, &demand, now_ms);
+    const double region_per_s = region_share(ledger, &input, &demand, now_ms);
     const double available_per_s =
         fmax(0, region_per_s - account_lease_silent_per_s(ledger, now_ms));
     ledger_reporter_t *reporter = find_reporter(ledger, source);
@@ -450,7 +448,7 @@
             reporter != NULL ? reporter_fraction(ledger, reporter, now_ms) * available_per_s : 0,
         .region_per_s = region_per_s,
         .tokens = input.level,
-        .demand_per_s = known_demand_per_s(ledger, now_ms),
+        .demand_per_s = demand_to_tell(&demand),
     };
     /* The instance may use either share until its next report. */
     if (reporter != NULL) {
@@ -489,6 +487,7 @@
 ledger_exchange_t
 ledger_next_exchange(ledger_t *ledger, uint64_t now_ms)
 {
+    const demand_t demand = total_demand(ledger, now_ms);
     ledger->last_exchange_ms = now_ms;
     ledger->exchanged_used = ledger->used;
     return (ledger_exchange_t){
@@ -496,7 +495,7 @@
         .used = ledger->used,
         .age_ms = now_ms - ledger->created_ms,
         .demand_per_s = ledger_region_demand_per_s(ledger, now_ms),
-        .total_demand_per_s = known_demand_per_s(ledger, now_ms),
+        .total_demand_per_s = demand_to_tell(&demand),
         .tokens = bucket_tokens(&ledger->bucket, now_ms),
     };
 }
--- a/gateway/state/account_uses.h
+++ b/gateway/state/account_uses.h
@@ -6,7 +6,7 @@
  * harmless (membership/account_sync.h). An entry is created by an account's first request and
  * removed when the account is idle; memory and messages scale with the active accounts only.
  *
- * Owns the table, 256 bytes an entry. Relies on policy/account_limiter.h for the decision; time is
+ * Owns the table, 264 bytes an entry. Relies on policy/account_limiter.h for the decision; time is
  * passed in.
  */
 #pragma once
