--- a/gateway/state/account_ledger.c
+++ b/gateway/state/account_ledger.c
@@ -117,7 +117,7 @@
             .tokens = report->tokens,
             .other_regions_silent = ledger->peer_count == 0,
         };
-        /* What owners of other regions told before may be lower. */
+        /* The level that owners of other regions reported before may be lower. */
         ledger->bucket.tokens =
             fmin(fmin(0, report->tokens), bucket_tokens(&ledger->bucket, now_ms));
     }
@@ -142,7 +142,7 @@
 adopt_demand(ledger_t *ledger, double demand_per_s, uint64_t now_ms)
 {
     if (is_adopting(ledger, now_ms))
-        ledger->told_demand_per_s = fmax(ledger->told_demand_per_s, demand_per_s);
+        ledger->reported_demand_per_s = fmax(ledger->reported_demand_per_s, demand_per_s);
 }
 
 /* Evaluates what the previous owner granted to an instance that reports here for the first time. */
@@ -328,25 +328,25 @@
 /* The account's demand in all regions. */
 typedef struct {
     double observed_per_s; /* by this ledger and its peers */
-    double expected_per_s; /* at least what other owners told, while adopting */
-    bool known;            /* observed for long enough, or told, or far below the limit */
+    double expected_per_s; /* at least what other owners report, while adopting */
+    bool known;            /* observed for long enough, reported, or far below the limit */
 } demand_t;
 
 static demand_t
 total_demand(const ledger_t *ledger, uint64_t now_ms)
 {
     const double observed_per_s = ledger_total_demand_per_s(ledger, now_ms);
-    const double told_per_s = is_adopting(ledger, now_ms) ? ledger->told_demand_per_s : 0;
+    const double reported_per_s = is_adopting(ledger, now_ms) ? ledger->reported_demand_per_s : 0;
     return (demand_t){
         .observed_per_s = observed_per_s,
-        .expected_per_s = fmax(observed_per_s, told_per_s),
-        .known = !is_adopting(ledger, now_ms) || told_per_s > 0 || inherited_plenty(ledger),
+        .expected_per_s = fmax(observed_per_s, reported_per_s),
+        .known = !is_adopting(ledger, now_ms) || reported_per_s > 0 || inherited_plenty(ledger),
     };
 }
 
-/* The demand as told to instances and other owners; 0: not known. */
+/* The demand to report to instances and other owners; 0: not known. */
 static double
-demand_to_tell(const demand_t *demand)
+demand_to_report(const demand_t *demand)
 {
     return demand->known ? fmax(demand->expected_per_s, DEMAND_MIN_PER_S) : 0;
 }
@@ -375,8 +375,8 @@
     if (ledger->limited)
         input.level -= account_lease_unreported(ledger, now_ms);
     ledger->limited = account_share_limits(&input);
-    const bool changed = ledger->limited != ledger->told_limited;
-    ledger->told_limited = ledger->limited;
+    const bool changed = ledger->limited != ledger->announced_limited;
+    ledger->announced_limited = ledger->limited;
     return changed;
 }
 
@@ -410,7 +410,7 @@
                  double demand_per_s)
 {
     const double prior = reporter->prior_fraction > 0 ? reporter->prior_fraction
-                                                      : own_per_s / ledger->told_demand_per_s;
+                                                      : own_per_s / ledger->reported_demand_per_s;
     return fmin(prior, own_per_s / demand_per_s);
 }
 
@@ -425,7 +425,7 @@
     const double own_per_s = reporter_demand_per_s(reporter, now_ms);
     if (demand_per_s <= 0)
         return 0;
-    if (ledger->limited && is_adopting(ledger, now_ms) && ledger->told_demand_per_s > 0)
+    if (ledger->limited && is_adopting(ledger, now_ms) && ledger->reported_demand_per_s > 0)
         return adopted_fraction(ledger, reporter, own_per_s, demand_per_s);
     if (ledger->limited)
         return own_per_s / demand_per_s;
@@ -448,7 +448,7 @@
             reporter != NULL ? reporter_fraction(ledger, reporter, now_ms) * available_per_s : 0,
         .region_per_s = region_per_s,
         .tokens = input.level,
-        .demand_per_s = demand_to_tell(&demand),
+        .demand_per_s = demand_to_report(&demand),
     };
     /* The instance may use either share until its next report. */
     if (reporter != NULL) {
@@ -495,7 +495,7 @@
         .used = ledger->used,
         .age_ms = now_ms - ledger->created_ms,
         .demand_per_s = ledger_region_demand_per_s(ledger, now_ms),
-        .total_demand_per_s = demand_to_tell(&demand),
+        .total_demand_per_s = demand_to_report(&demand),
         .tokens = bucket_tokens(&ledger->bucket, now_ms),
     };
 }
--- a/gateway/state/account_ledger.h
+++ b/gateway/state/account_ledger.h
@@ -67,13 +67,13 @@
 } ledger_inherited_t;
 
 typedef struct {
-    uint64_t id;       /* of the account */
-    uint64_t source;   /* random number of this ledger */
-    bucket_t bucket;   /* fills at the account's rate */
-    bool limited;      /* instances are limited to their shares */
-    bool told_limited; /* `limited` as last told to all instances of the region */
-    bool exceeded;     /* the demand exceeds the limit, as of the last update; owners detect each
-                          other's silence sooner then */
+    uint64_t id;            /* of the account */
+    uint64_t source;        /* random number of this ledger */
+    bucket_t bucket;        /* fills at the account's rate */
+    bool limited;           /* instances are limited to their shares */
+    bool announced_limited; /* `limited` as last sent to all instances of the region */
+    bool exceeded; /* the demand exceeds the limit, as of the last update; owners detect each
+                      other's silence sooner then */
     uint64_t created_ms;
     uint64_t last_used_ms;     /* last usage reported, here or to another owner */
     uint64_t last_report_ms;   /* last report received here */
@@ -82,7 +82,7 @@
     double used;               /* by the own region since creation, assumptions included */
     double exchanged_used;     /* `used` in the last exchange sent */
     event_rate_t used_rate;
-    double told_demand_per_s; /* in all regions, as told by other owners; 0: not known */
+    double reported_demand_per_s; /* in all regions, by other owners; 0: not known */
     ledger_inherited_t inherited;
     ledger_reporter_t *reporters;
     size_t reporter_count;
