--- a/gateway/state/account_ledger.c
+++ b/gateway/state/account_ledger.c
@@ -351,6 +351,8 @@
     return demand->known ? fmax(demand->expected_per_s, DEMAND_MIN_PER_S) : 0;
 }
 
+/* Where the previous owner's bucket was nearly full, only observed demand counts: the part of it
+ * that was adopted so far is small, and must not limit an account below its limit. */
 static account_share_input_t
 limit_input(ledger_t *ledger, const demand_t *demand, uint64_t now_ms)
 {
--- a/test/gateway/test_account_model.c
+++ b/test/gateway/test_account_model.c
@@ -148,9 +148,8 @@
     }
 }
 
-/* Runs that exceed a bound, run by seeds_that_broke_a_limit_keep_it: the sides of a partition or
- * stalled instances use saved tokens that their owners do not count; owners that existed only while
- * others were down are taken for silent. */
+/* Runs that exceeded a bound once, run by seeds_that_broke_a_limit_keep_it: the sides of a
+ * partition or stalled instances used tokens that their owners did not count. */
 static const struct {
     size_t scenario;
     size_t fleet;
