Accounts: what other owners reported of the demand fades instead of ending after a second

Cause: a new owner went by the reported demand for its first second and by its own observation afterwards. That observation rises over five seconds: after one it is a fifth of the demand, below a tenth of the limit, and an account that asks so little is never limited. Before the reports named the demand the same end of the second released it too; it showed less as such an owner had limited less.

The reported demand decays with the time constant of the observation and is added to what the own region was seen to ask, so a demand that stays the same is expected to.

--- a/gateway/state/account_ledger.c
+++ b/gateway/state/account_ledger.c
@@ -309,15 +309,21 @@
     return sum;
 }
 
-double
-ledger_total_demand_per_s(const ledger_t *ledger, uint64_t now_ms)
+static double
+peers_demand_per_s(const ledger_t *ledger)
 {
-    double sum = ledger_region_demand_per_s(ledger, now_ms);
+    double sum = 0;
     for (size_t i = 0; i < ledger->peer_count; i++)
         sum += ledger->peers[i].demand_per_s;
     return sum;
 }
 
+double
+ledger_total_demand_per_s(const ledger_t *ledger, uint64_t now_ms)
+{
+    return ledger_region_demand_per_s(ledger, now_ms) + peers_demand_per_s(ledger);
+}
+
 /* True if the previous owner's bucket was nearly full: the account had not come near its limit. */
 static bool
 inherited_plenty(const ledger_t *ledger)
@@ -328,19 +334,24 @@
 /* The account's demand in all regions. */
 typedef struct {
     double observed_per_s; /* by this ledger and its peers */
-    double expected_per_s; /* at least what other owners report, while adopting */
+    double expected_per_s; /* with the part of the reported demand that is not observed yet */
     bool known;            /* observed for long enough, reported, or far below the limit */
 } demand_t;
 
+/* The observed rate of a new ledger rises with DEMAND_TAU_MS. What other owners reported decays at
+ * the same pace, so that a demand that stays the same is expected to. */
 static demand_t
 total_demand(const ledger_t *ledger, uint64_t now_ms)
 {
-    const double observed_per_s = ledger_total_demand_per_s(ledger, now_ms);
-    const double reported_per_s = is_adopting(ledger, now_ms) ? ledger->reported_demand_per_s : 0;
+    const double region_per_s = ledger_region_demand_per_s(ledger, now_ms);
+    const double observed_per_s = region_per_s + peers_demand_per_s(ledger);
+    const double age_ms = (double)(now_ms - ledger->created_ms);
+    const double unobserved_per_s = ledger->reported_demand_per_s * exp(-age_ms / DEMAND_TAU_MS);
     return (demand_t){
         .observed_per_s = observed_per_s,
-        .expected_per_s = fmax(observed_per_s, reported_per_s),
-        .known = !is_adopting(ledger, now_ms) || reported_per_s > 0 || inherited_plenty(ledger),
+        .expected_per_s = fmax(observed_per_s, region_per_s + unobserved_per_s),
+        .known = !is_adopting(ledger, now_ms) || ledger->reported_demand_per_s > 0 ||
+                 inherited_plenty(ledger),
     };
 }
 
--- a/gateway/state/account_ledger.h
+++ b/gateway/state/account_ledger.h
@@ -11,8 +11,8 @@
  * A granted share is a lease (account_lease.c): an instance that falls silent is assumed to use it,
  * and its next report replaces the assumption. A new owner starts with the tokens and shares that
  * the instances received from the previous one, and treats the rest of the region's share as leased
- * to instances it does not see. It has observed no demand yet: for its first second it goes by the
- * demand that the reports and the owners of other regions have from before.
+ * to instances it does not see. It has observed no demand yet and goes by the demand that the
+ * reports and the owners of other regions have from before.
  *
  * Owns its reporters and peers. Relies on policy/account_share.h; time is passed in.
  */
