Accounts: an owner that hears no other region tries its instances in turn, at any pace

Cause: which instance of a region is tried as owner followed from the ledger's age, another one each 100 ms and eight in turn. A ledger that admits nothing sends every 400 ms, so it tried two of the eight ranks, often both the one instance that had just ended. Owners of which instances are limited admit little, hence it showed with the takeovers that stay limited.

Evidence: sums logged at both ends of a broken play: the owners of the other regions send to the ended instance and to the stopping one, none of the account to the new owner for 5 s. any_eight_messages_reach_each_candidate: by messages sent instead of age each of up to eight is reached.

--- a/gateway/membership/account_exchange.c
+++ b/gateway/membership/account_exchange.c
@@ -15,7 +15,6 @@
 enum {
     /* Owners silent for longer get no sums; equals SILENT_MS of the ledgers. */
     PEER_EXPIRE_MS = 1200,
-    CANDIDATE_TRY_MS = 100,     /* time per instance of a mesh without a known owner */
     SUMS_PER_MESSAGE_MAX = 256, /* 8 kB */
 };
 
@@ -101,17 +100,14 @@
 static const member_t *
 pick_candidate(const account_sync_t *sync, const ledger_t *ledger, size_t mesh, uint64_t now_ms)
 {
-    owner_input_t input = {
+    const owner_input_t input = {
         .members = sync->conf.members,
         .kind = OWNER_OF_ACCOUNT,
         .key = ledger->id,
         .mesh = mesh,
-        .rank = (now_ms - ledger->created_ms) / CANDIDATE_TRY_MS % OWNER_RANKS,
         .now_ms = now_ms,
     };
-    const member_t *member = owner_find(&input);
-    input.rank = 0;
-    return member != NULL ? member : owner_find(&input);
+    return owner_candidate(&input, ledger->exchanges_sent);
 }
 
 static void
--- a/gateway/membership/owner.c
+++ b/gateway/membership/owner.c
@@ -69,3 +69,14 @@
     }
     return count > 0 ? best[0].member : NULL;
 }
+
+member_t *
+owner_candidate(const owner_input_t *input, unsigned attempt)
+{
+    owner_input_t next = *input;
+    member_t *member = NULL;
+    /* A rank beyond the last member stands for one of the others. */
+    for (next.rank = attempt % OWNER_RANKS; next.rank > 0 && member == NULL; next.rank /= 2)
+        member = owner_find(&next);
+    return member != NULL ? member : owner_find(&next);
+}
--- a/gateway/membership/owner.h
+++ b/gateway/membership/owner.h
@@ -36,3 +36,7 @@
 
 /* Returns NULL if there is no such member. Adding a member may move the result. */
 member_t *owner_find(const owner_input_t *input);
+/* Where liveness is unknown: the member to try as owner with the n-th message. Any OWNER_RANKS
+ * messages in a row reach each of the best members, whatever the time between them. NULL if there
+ * is none. */
+member_t *owner_candidate(const owner_input_t *input, unsigned attempt);
--- a/gateway/state/account_ledger.c
+++ b/gateway/state/account_ledger.c
@@ -502,6 +502,7 @@
 {
     const demand_t demand = total_demand(ledger, now_ms);
     ledger->last_exchange_ms = now_ms;
+    ledger->exchanges_sent++;
     ledger->exchanged_used = ledger->used;
     return (ledger_exchange_t){
         .source = ledger->source,
--- a/gateway/state/account_ledger.h
+++ b/gateway/state/account_ledger.h
@@ -79,8 +79,9 @@
     uint64_t last_report_ms;   /* last report received here */
     uint64_t charged_until_ms; /* silent instances are charged up to this time */
     uint64_t last_exchange_ms; /* last exchange sent */
-    double used;               /* by the own region since creation, assumptions included */
-    double exchanged_used;     /* `used` in the last exchange sent */
+    unsigned exchanges_sent;
+    double used;           /* by the own region since creation, assumptions included */
+    double exchanged_used; /* `used` in the last exchange sent */
     event_rate_t used_rate;
     double reported_demand_per_s; /* in all regions, by other owners; 0: not known */
     ledger_inherited_t inherited;
--- a/test/gateway/account_model.c
+++ b/test/gateway/account_model.c
@@ -378,7 +378,7 @@
     message.exchange.addr.v4.sin_port =
         (in_port_t)self; /* the instance's index instead of an address */
     for (unsigned region = 0; region < REGIONS; region++) {
-        const unsigned rank = (unsigned)((model->now_ms - ledger->created_ms) / 100 % 8);
+        const unsigned rank = ledger->exchanges_sent % 8;
         bool heard = false;
         for (size_t i = 0; i < ledger->peer_count; i++) {
             if (ledger->peers[i].mesh != region ||
--- a/test/gateway/test_accounts.c
+++ b/test/gateway/test_accounts.c
@@ -661,6 +661,30 @@
 }
 END_TEST
 
+/* An owner that sends at a fixed pace must not try the same instance of a region each time. */
+START_TEST(any_eight_messages_reach_each_candidate)
+{
+    members_t members = {0};
+    for (unsigned count = 1; count <= 6; count++) {
+        char text[ADDR_TEXT_MAX];
+        addr_t addr;
+        bool reached[6] = {false};
+        snprintf(text, sizeof(text), "10.0.0.%u:1", count);
+        ck_assert(addr_parse(str_from(text), &addr));
+        member_t *member = members_find_or_add(&members, &addr);
+        *member = (member_t){.peer = addr, .heard = true, .supports_accounts = true};
+        snprintf(text, sizeof(text), "g-%u", count);
+        name_set(&member->instance, str_from(text));
+        const owner_input_t input = {.members = &members, .key = 42, .now_ms = 9000};
+        for (unsigned attempt = 3; attempt < 3 + OWNER_RANKS; attempt++)
+            reached[owner_candidate(&input, attempt) - members.items] = true;
+        for (unsigned i = 0; i < count; i++)
+            ck_assert_msg(reached[i], "%u members: %u is not tried", count, i);
+    }
+    members_free(&members);
+}
+END_TEST
+
 START_TEST(key_lookup_among_many_accounts)
 {
     enum { ACCOUNTS = 10000 };
@@ -720,6 +744,7 @@
     tcase_add_test(tests, instance_without_owner_starts_with_unused_share);
     tcase_add_test(tests, refund_of_acknowledged_request_refuses_nothing);
     tcase_add_test(tests, instances_choose_same_owner);
+    tcase_add_test(tests, any_eight_messages_reach_each_candidate);
     tcase_add_test(tests, key_lookup_among_many_accounts);
     suite_add_tcase(suite, tests);
     return suite;
