--- a/gateway/state/account_lease.c
+++ b/gateway/state/account_lease.c
@@ -111,7 +111,7 @@
 static bool
 expects_keepalives(const ledger_t *ledger, const ledger_reporter_t *reporter)
 {
-    return ledger->limited || reporter->knows_exceeded;
+    return ledger->limited || reporter->sends_keepalives;
 }
 
 bool
@@ -187,7 +187,7 @@
              uint64_t now_ms)
 {
     const uint64_t threshold_ms =
-        ledger->limited || ledger->exceeded ? PEER_SILENT_LIMITED_MS : PEER_SILENT_MS;
+        ledger->limited || ledger->demand_exceeds_limit ? PEER_SILENT_LIMITED_MS : PEER_SILENT_MS;
     if (peer->demand_per_s < DEMAND_MIN_PER_S || total_demand_per_s <= 0 ||
         is_superseded(ledger, peer))
         return 0;
@@ -255,7 +255,7 @@
 charge_newly_silent(ledger_t *ledger, double total_demand_per_s, uint64_t now_ms)
 {
     const uint64_t threshold_ms =
-        ledger->limited || ledger->exceeded ? PEER_SILENT_LIMITED_MS : PEER_SILENT_MS;
+        ledger->limited || ledger->demand_exceeds_limit ? PEER_SILENT_LIMITED_MS : PEER_SILENT_MS;
     double own = 0;
     double others = 0;
     for (size_t i = 0; i < ledger->reporter_count; i++) {
--- a/gateway/state/account_ledger.c
+++ b/gateway/state/account_ledger.c
@@ -1,3 +1,4 @@
+#include "gateway/state/account_demand.h"
 #include "gateway/state/account_lease.h"
 
 #include <math.h>
@@ -7,21 +8,12 @@
 #include "base/xmalloc.h"
 #include "gateway/policy/account_share.h"
 
-/* Time constants in milliseconds of the usage rate (as in account_lease.c) and of the demand. The
- * latter is long enough for an instance with one request in three seconds to keep a share. */
+/* Time constant of the usage rate in milliseconds, as in account_lease.c. */
 #define USED_TAU_MS 200.0
-#define DEMAND_TAU_MS 5000.0
 #define MS_PER_S 1000.0
-/* Fill level of the previous owner's bucket above which the account was far below its limit. */
-#define PLENTIFUL_FRACTION 0.8
-/* Demand below which no exchange is needed. */
-#define DEMAND_MIN_PER_S 0.02
 
 enum {
     ITEMS_START = 8,
-    /* A new ledger adopts token counts and the demand from other owners' messages for this long,
-     * which covers the reports of instances that detect the new owner later. */
-    ADOPTION_MS = 1000,
     /* Interval of exchanges while usage changes, and while there is only demand. The first adds to
      * the reaction time, the second bounds how fast silence is detected. */
     EXCHANGE_MS = 50,
@@ -131,27 +123,14 @@
     }
 }
 
-static bool
-is_adopting(const ledger_t *ledger, uint64_t now_ms)
-{
-    return now_ms - ledger->created_ms < ADOPTION_MS;
-}
-
-/* The highest counts: a source may have its figure from before a surge. */
-static void
-adopt_demand(ledger_t *ledger, double demand_per_s, uint64_t now_ms)
-{
-    if (is_adopting(ledger, now_ms))
-        ledger->reported_demand_per_s = fmax(ledger->reported_demand_per_s, demand_per_s);
-}
-
 /* Evaluates what the previous owner granted to an instance that reports here for the first time. */
 static void
 apply_predecessor_grant(ledger_t *ledger, const ledger_report_t *report, uint64_t now_ms)
 {
-    const bool adopts = is_adopting(ledger, now_ms);
-    adopt_demand(ledger, report->demand_per_s, now_ms);
-    /* Released by a takeover, a surge admits requests until its reports are counted again. */
+    const bool adopts = account_demand_is_adopting(ledger, now_ms);
+    account_demand_adopt(ledger, report->demand_per_s, now_ms);
+    /* A takeover must not release the instances: in a surge they would admit requests until this
+     * ledger has counted enough of them. */
     if (adopts && report->limited)
         ledger->limited = true;
     if (report->owner_unreachable)
@@ -189,12 +168,6 @@
     return reporter;
 }
 
-static double
-reporter_demand_per_s(const ledger_reporter_t *reporter, uint64_t now_ms)
-{
-    return event_rate_per_s(&reporter->demand_rate, DEMAND_TAU_MS, now_ms);
-}
-
 void
 ledger_report(ledger_t *ledger, uint64_t source, const ledger_report_t *report, uint64_t now_ms)
 {
@@ -219,8 +192,8 @@
     reporter->last_report_ms = now_ms;
     reporter->unreachable_since_ms = 0;
     reporter->share_per_s = report->share_per_s;
-    event_rate_add(&reporter->demand_rate, (double)requested, DEMAND_TAU_MS, now_ms);
-    reporter->demand_per_s = reporter_demand_per_s(reporter, now_ms);
+    event_rate_add(&reporter->demand_rate, (double)requested, ACCOUNT_DEMAND_TAU_MS, now_ms);
+    reporter->demand_per_s = account_demand_of_reporter(reporter, now_ms);
 }
 
 void
@@ -252,18 +225,18 @@
 add_peer(ledger_t *ledger, const ledger_exchange_t *exchange, uint64_t now_ms)
 {
     const bool is_older = exchange->age_ms >= now_ms - ledger->created_ms;
-    const bool is_new =
-        (!is_older || ledger->inherited.owner != 0) && exchange->age_ms < ADOPTION_MS;
+    const bool is_uncounted =
+        (!is_older || ledger->inherited.owner != 0) && exchange->age_ms < ACCOUNT_ADOPTION_MS;
     ledger->peers =
         reserve_one(ledger->peers, ledger->peer_count, &ledger->peer_size, sizeof(*ledger->peers));
     ledger_peer_t *peer = &ledger->peers[ledger->peer_count++];
     *peer = (ledger_peer_t){
         .source = exchange->source,
         .mesh = exchange->mesh,
-        .used = is_new ? 0 : exchange->used,
+        .used = is_uncounted ? 0 : exchange->used,
     };
     if (is_older)
-        adopt_demand(ledger, exchange->total_demand_per_s, now_ms);
+        account_demand_adopt(ledger, exchange->total_demand_per_s, now_ms);
     if (is_older && ledger->inherited.owner == 0)
         ledger->bucket.tokens = fmin(exchange->tokens, bucket_tokens(&ledger->bucket, now_ms));
     ledger->inherited.other_regions_silent = false;
@@ -300,79 +273,18 @@
 
 /* ---- shares ---- */
 
-double
-ledger_region_demand_per_s(const ledger_t *ledger, uint64_t now_ms)
-{
-    double sum = 0;
-    for (size_t i = 0; i < ledger->reporter_count; i++)
-        sum += reporter_demand_per_s(&ledger->reporters[i], now_ms);
-    return sum;
-}
-
-static double
-peers_demand_per_s(const ledger_t *ledger)
-{
-    double sum = 0;
-    for (size_t i = 0; i < ledger->peer_count; i++)
-        sum += ledger->peers[i].demand_per_s;
-    return sum;
-}
-
-double
-ledger_total_demand_per_s(const ledger_t *ledger, uint64_t now_ms)
-{
-    return ledger_region_demand_per_s(ledger, now_ms) + peers_demand_per_s(ledger);
-}
-
-/* True if the previous owner's bucket was nearly full: the account had not come near its limit. */
-static bool
-inherited_plenty(const ledger_t *ledger)
-{
-    return ledger->inherited.tokens > PLENTIFUL_FRACTION * ledger->bucket.burst;
-}
-
-/* The account's demand in all regions. */
-typedef struct {
-    double observed_per_s; /* by this ledger and its peers */
-    double expected_per_s; /* with the part of the reported demand that is not observed yet */
-    bool known;            /* observed for long enough, reported, or far below the limit */
-} demand_t;
-
-/* The observed rate of a new ledger rises with DEMAND_TAU_MS. What other owners reported decays at
- * the same pace, so that a demand that stays the same is expected to. */
-static demand_t
-total_demand(const ledger_t *ledger, uint64_t now_ms)
-{
-    const double region_per_s = ledger_region_demand_per_s(ledger, now_ms);
-    const double observed_per_s = region_per_s + peers_demand_per_s(ledger);
-    const double age_ms = (double)(now_ms - ledger->created_ms);
-    const double unobserved_per_s = ledger->reported_demand_per_s * exp(-age_ms / DEMAND_TAU_MS);
-    return (demand_t){
-        .observed_per_s = observed_per_s,
-        .expected_per_s = fmax(observed_per_s, region_per_s + unobserved_per_s),
-        .known = !is_adopting(ledger, now_ms) || ledger->reported_demand_per_s > 0 ||
-                 inherited_plenty(ledger),
-    };
-}
-
-/* The demand to report to instances and other owners; 0: not known. */
-static double
-demand_to_report(const demand_t *demand)
-{
-    return demand->known ? fmax(demand->expected_per_s, DEMAND_MIN_PER_S) : 0;
-}
-
 /* Where the previous owner's bucket was nearly full, only observed demand counts: the part of it
  * that was adopted so far is small, and must not limit an account below its limit. */
 static account_share_input_t
-limit_input(ledger_t *ledger, const demand_t *demand, uint64_t now_ms)
+limit_input(ledger_t *ledger, const account_demand_t *demand, uint64_t now_ms)
 {
     return (account_share_input_t){
         .rate_per_s = ledger->bucket.rate,
         .depth = ledger->bucket.burst * account_lease_visible_fraction(ledger),
         .level = bucket_tokens(&ledger->bucket, now_ms),
         .admitted_per_s = event_rate_per_s(&ledger->used_rate, USED_TAU_MS, now_ms),
-        .demand_per_s = inherited_plenty(ledger) ? demand->observed_per_s : demand->expected_per_s,
+        .demand_per_s =
+            account_demand_was_low(ledger) ? demand->observed_per_s : demand->expected_per_s,
         .demand_known = demand->known,
         .limited = ledger->limited,
     };
@@ -381,8 +293,9 @@
 bool
 ledger_update_limited(ledger_t *ledger, uint64_t now_ms)
 {
-    const demand_t demand = total_demand(ledger, now_ms);
-    ledger->exceeded = account_share_is_exceeded(demand.observed_per_s, ledger->bucket.rate);
+    const account_demand_t demand = account_demand_total(ledger, now_ms);
+    ledger->demand_exceeds_limit =
+        account_share_is_exceeded(demand.observed_per_s, ledger->bucket.rate);
     account_lease_charge_silent(ledger, now_ms);
     account_share_input_t input = limit_input(ledger, &demand, now_ms);
     if (ledger->limited)
@@ -395,8 +308,8 @@
 
 /* Rate available to the own region. */
 static double
-region_share(const ledger_t *ledger, const account_share_input_t *input, const demand_t *demand,
-             uint64_t now_ms)
+region_share(const ledger_t *ledger, const account_share_input_t *input,
+             const account_demand_t *demand, uint64_t now_ms)
 {
     const double total = ledger->limited ? account_share_total(input) : input->rate_per_s;
     const double own = ledger_region_demand_per_s(ledger, now_ms);
@@ -411,7 +324,7 @@
     double sum = 0;
     for (size_t i = 0; i < ledger->reporter_count; i++) {
         if (!account_lease_is_silent(ledger, &ledger->reporters[i], now_ms))
-            sum += reporter_demand_per_s(&ledger->reporters[i], now_ms);
+            sum += account_demand_of_reporter(&ledger->reporters[i], now_ms);
     }
     return sum;
 }
@@ -435,21 +348,22 @@
 reporter_fraction(const ledger_t *ledger, const ledger_reporter_t *reporter, uint64_t now_ms)
 {
     const double demand_per_s = reporting_demand_per_s(ledger, now_ms);
-    const double own_per_s = reporter_demand_per_s(reporter, now_ms);
+    const double own_per_s = account_demand_of_reporter(reporter, now_ms);
     if (demand_per_s <= 0)
         return 0;
-    if (ledger->limited && is_adopting(ledger, now_ms) && ledger->reported_demand_per_s > 0)
+    if (ledger->limited && account_demand_is_adopting(ledger, now_ms) &&
+        ledger->reported_demand_per_s > 0)
         return adopted_fraction(ledger, reporter, own_per_s, demand_per_s);
     if (ledger->limited)
         return own_per_s / demand_per_s;
-    const double prior_per_s = fmax(0, own_per_s - MS_PER_S / DEMAND_TAU_MS);
+    const double prior_per_s = fmax(0, own_per_s - MS_PER_S / ACCOUNT_DEMAND_TAU_MS);
     return (prior_per_s / demand_per_s + 1 / (double)ledger->reporter_count) / 2;
 }
 
 ledger_grant_t
 ledger_grant(ledger_t *ledger, uint64_t source, uint64_t now_ms)
 {
-    const demand_t demand = total_demand(ledger, now_ms);
+    const account_demand_t demand = account_demand_total(ledger, now_ms);
     const account_share_input_t input = limit_input(ledger, &demand, now_ms);
     const double region_per_s = region_share(ledger, &input, &demand, now_ms);
     const double available_per_s =
@@ -461,12 +375,12 @@
             reporter != NULL ? reporter_fraction(ledger, reporter, now_ms) * available_per_s : 0,
         .region_per_s = region_per_s,
         .tokens = input.level,
-        .demand_per_s = demand_to_report(&demand),
+        .demand_per_s = account_demand_to_report(&demand),
     };
     /* The instance may use either share until its next report. */
     if (reporter != NULL) {
         reporter->share_per_s = fmax(reporter->share_per_s, grant.share_per_s);
-        reporter->knows_exceeded =
+        reporter->sends_keepalives =
             account_share_is_exceeded(grant.demand_per_s, ledger->bucket.rate);
     }
     return grant;
@@ -479,7 +393,7 @@
 has_active_peer(const ledger_t *ledger, uint64_t now_ms)
 {
     for (size_t i = 0; i < ledger->peer_count; i++) {
-        if (ledger->peers[i].demand_per_s > DEMAND_MIN_PER_S &&
+        if (ledger->peers[i].demand_per_s > ACCOUNT_DEMAND_MIN_PER_S &&
             now_ms - ledger->peers[i].last_exchange_ms < PEER_ACTIVE_MS)
             return true;
     }
@@ -494,13 +408,13 @@
         return age_ms >= EXCHANGE_MS;
     return age_ms >= EXCHANGE_IDLE_MS &&
            (has_active_peer(ledger, now_ms) ||
-            ledger_region_demand_per_s(ledger, now_ms) > DEMAND_MIN_PER_S);
+            ledger_region_demand_per_s(ledger, now_ms) > ACCOUNT_DEMAND_MIN_PER_S);
 }
 
 ledger_exchange_t
 ledger_next_exchange(ledger_t *ledger, uint64_t now_ms)
 {
-    const demand_t demand = total_demand(ledger, now_ms);
+    const account_demand_t demand = account_demand_total(ledger, now_ms);
     ledger->last_exchange_ms = now_ms;
     ledger->exchanges_sent++;
     ledger->exchanged_used = ledger->used;
@@ -509,7 +423,7 @@
         .used = ledger->used,
         .age_ms = now_ms - ledger->created_ms,
         .demand_per_s = ledger_region_demand_per_s(ledger, now_ms),
-        .total_demand_per_s = demand_to_report(&demand),
+        .total_demand_per_s = account_demand_to_report(&demand),
         .tokens = bucket_tokens(&ledger->bucket, now_ms),
     };
 }
--- a/gateway/state/account_ledger.h
+++ b/gateway/state/account_ledger.h
@@ -38,7 +38,7 @@
     double share_per_s;    /* largest share that it may be using */
     double assumed_used;   /* requests charged by assumption since its last report */
     double prior_fraction; /* of the region's share, by the previous owner's grant; 0: none */
-    bool knows_exceeded;   /* granted a demand above the limit: it sends keep-alives */
+    bool sends_keepalives; /* its last grant named a demand above the limit */
     bool silence_charged;  /* it fell silent, and the tokens of its share were charged */
     uint64_t unreachable_since_ms; /* when membership lost contact; 0: reachable */
 } ledger_reporter_t;
@@ -67,21 +67,20 @@
 } ledger_inherited_t;
 
 typedef struct {
-    uint64_t id;            /* of the account */
-    uint64_t source;        /* random number of this ledger */
-    bucket_t bucket;        /* fills at the account's rate */
-    bool limited;           /* instances are limited to their shares */
-    bool announced_limited; /* `limited` as last sent to all instances of the region */
-    bool exceeded; /* the demand exceeds the limit, as of the last update; owners detect each
-                      other's silence sooner then */
+    uint64_t id;               /* of the account */
+    uint64_t source;           /* random number of this ledger */
+    bucket_t bucket;           /* fills at the account's rate */
+    bool limited;              /* instances are limited to their shares */
+    bool announced_limited;    /* `limited` as last sent to all instances of the region */
+    bool demand_exceeds_limit; /* as of the last update */
     uint64_t created_ms;
     uint64_t last_used_ms;     /* last usage reported, here or to another owner */
     uint64_t last_report_ms;   /* last report received here */
     uint64_t charged_until_ms; /* silent instances are charged up to this time */
     uint64_t last_exchange_ms; /* last exchange sent */
-    unsigned exchanges_sent;
-    double used;           /* by the own region since creation, assumptions included */
-    double exchanged_used; /* `used` in the last exchange sent */
+    unsigned exchanges_sent;   /* selects the instance to try in a region without a known owner */
+    double used;               /* by the own region since creation, assumptions included */
+    double exchanged_used;     /* `used` in the last exchange sent */
     event_rate_t used_rate;
     double reported_demand_per_s; /* in all regions, by other owners; 0: not known */
     ledger_inherited_t inherited;
