Gateway: delay of the loop, newest configuration known and length of a lag are reported

An incident named instances behind their peers; nothing told how late an instance's loop was, which configuration it knew of, or how long a request for a view had been due.

--- a/gateway/admin.c
+++ b/gateway/admin.c
@@ -176,6 +176,9 @@
               router->catalog.config != NULL
                   ? (int64_t)position_revision(router->catalog.config->revision)
                   : 0);
+    set_gauge("irisstall_config_known_revision",
+              "Store revision of the newest configuration known, here or at a live peer.",
+              (int64_t)position_revision(catalog_newest_config(&router->catalog)));
     set_gauge("irisstall_config_refused_revision",
               "Store revision of a newer configuration that could not be used, 0: none.",
               (int64_t)position_revision(router->catalog.refused.revision));
--- a/gateway/gateway_tick.c
+++ b/gateway/gateway_tick.c
@@ -1,4 +1,5 @@
 #define LOG_MODULE "gateway"
+#include "base/counter.h"
 #include "base/log.h"
 #include "base/loop_time.h"
 #include "gateway/gateway_state.h"
@@ -14,8 +15,31 @@
     /* Idle time after which backend connections are closed; above the age up to which they are
      * reused. */
     BACKEND_IDLE_MS = 9000,
+    /* Delay of a tick above which it is logged: callers notice delays of this order. */
+    LOOP_DELAY_LOGGED_MS = 250,
 };
 
+/* Records by how much the loop is late: work that came in before has kept it busy, or the process
+ * was not scheduled. */
+static void
+record_loop_delay(gateway_t *gateway, uint64_t now_ms)
+{
+    const uint64_t due_ms = gateway->ticked_ms + GATEWAY_TICK_MS;
+    const uint64_t delay_ms = gateway->ticked_ms > 0 && now_ms > due_ms ? now_ms - due_ms : 0;
+    gateway->ticked_ms = now_ms;
+    counter_set(counter_get("irisstall_loop_delay_ms", NULL,
+                            "Delay of the last regular tick of the loop, in milliseconds."),
+                (int64_t)delay_ms);
+    if (delay_ms > gateway->loop_delay_max_ms) {
+        gateway->loop_delay_max_ms = delay_ms;
+        counter_set(counter_get("irisstall_loop_delay_max_ms", NULL,
+                                "The longest of these delays since the start."),
+                    (int64_t)delay_ms);
+    }
+    if (delay_ms >= LOOP_DELAY_LOGGED_MS)
+        LOG_INFO("loop delayed: delay_ms=%llu", (unsigned long long)delay_ms);
+}
+
 static void
 advance_stop(gateway_t *gateway)
 {
@@ -97,6 +121,7 @@
 {
     gateway_t *gateway = timer->data;
     const uint64_t now_ms = loop_now(gateway->loop);
+    record_loop_delay(gateway, now_ms);
     heartbeat_set_ready(&gateway->heartbeat, router_is_ready(&gateway->router), now_ms);
     gateway_compare_config(gateway); /* a peer may have been lost */
     if (catalog_hold_ended(&gateway->router.catalog)) {
--- a/gateway/state/catalog.c
+++ b/gateway/state/catalog.c
@@ -66,6 +66,13 @@
     bound_all_connections(catalog);
 }
 
+uint64_t
+catalog_newest_config(const catalog_t *catalog)
+{
+    const uint64_t in_force = catalog->config != NULL ? catalog->config->revision : 0;
+    return catalog->newer_revision > in_force ? catalog->newer_revision : in_force;
+}
+
 bool
 catalog_is_behind(const catalog_t *catalog)
 {
--- a/gateway/state/catalog.h
+++ b/gateway/state/catalog.h
@@ -56,6 +56,8 @@
 /* True if the view held a newer, usable configuration. An unusable one is remembered as refused
  * until a newer one is in force; the one in force is kept. */
 bool catalog_apply_config(catalog_t *catalog, const view_t *view);
+/* Position of the newest configuration known, in force or not; 0 if none. */
+uint64_t catalog_newest_config(const catalog_t *catalog);
 /* True if the configuration in force is incomplete, or a newer one is known. */
 bool catalog_is_behind(const catalog_t *catalog);
 /* Adds and updates backends, and schedules the removal of missing ones (removal.h).
--- a/gateway/state/view_relay.c
+++ b/gateway/state/view_relay.c
@@ -231,8 +231,12 @@
     request.unpacks = true;
     request.reads_lists = true;
     peer_send(relay->conf.hub, peer, &envelope);
-    LOG_INFO("view requested: kind=%d have=%llu whole=%d", kind, (unsigned long long)request.have,
-             request.whole);
+    const relay_lag_t *lag = &relay->kinds[kind].lag;
+    const bool lags = lag->missing_revision > 0;
+    LOG_INFO("view requested: kind=%d have=%llu whole=%d missing=%llu behind_ms=%llu", kind,
+             (unsigned long long)request.have, request.whole,
+             (unsigned long long)position_revision(lag->missing_revision),
+             lags ? (unsigned long long)(now_ms - lag->since_ms) : 0);
 }
 
 /* True if a request to a peer that holds the view is due. */
--- a/test/gateway/test_suspension.c
+++ b/test/gateway/test_suspension.c
@@ -2,9 +2,12 @@
  * deadlines and ages must include the suspension. */
 #include <stdio.h>
 #include <stdlib.h>
+#include <unistd.h>
 
+#include "base/counter.h"
 #include "base/loop_time.h"
 #include "base/xmalloc.h"
+#include "gateway/gateway_state.h"
 #include "gateway/membership/members.h"
 #include "gateway/policy/retry_budget.h"
 #include "gateway/state/backend.h"
@@ -14,7 +17,7 @@
 #include "test/suites.h"
 
 /* LONG_MS is below PATIENCE_MS of RUN_UNTIL, whose timer runs on the same loop. */
-enum { LONG_MS = 6000, SOON_MS = 400 };
+enum { LONG_MS = 6000, SOON_MS = 400, LATE_MS = 700 };
 
 static uint64_t
 unsuspended_ms(site_t *site)
@@ -236,6 +239,25 @@
 }
 END_TEST
 
+static void
+block_loop(uv_timer_t *timer)
+{
+    (void)timer;
+    usleep(LATE_MS * 1000);
+}
+
+START_TEST(delay_of_the_loop_is_measured)
+{
+    site_t *site = new_ready_site(1);
+    const counter_t *longest = counter_get("irisstall_loop_delay_max_ms", NULL, "");
+    uv_timer_t timer;
+    uv_timer_init(&site->loop, &timer);
+    uv_timer_start(&timer, block_loop, 0, 0);
+    RUN_UNTIL(site, counter_value(longest) >= LATE_MS - 2 * GATEWAY_TICK_MS);
+    ck_assert_int_le(counter_value(longest), 2 * LATE_MS);
+}
+END_TEST
+
 START_TEST(quarantine_time_includes_suspension)
 {
     uv_loop_t loop;
@@ -272,6 +294,7 @@
     tcase_add_test(tc, backend_state_ages_during_suspension);
     tcase_add_test(tc, view_age_includes_suspension);
     tcase_add_test(tc, retry_budget_window_includes_suspension);
+    tcase_add_test(tc, delay_of_the_loop_is_measured);
     tcase_add_test(tc, quarantine_time_includes_suspension);
     tcase_add_test(tc, peers_send_missed_updates_after_resume);
     suite_add_tcase(suite, tc);
