--- a/base/tcp.c
+++ b/base/tcp.c
@@ -29,6 +29,22 @@
     return true;
 }
 
+tcp_input_t
+tcp_peek(const uv_tcp_t *tcp)
+{
+    uv_os_fd_t fd;
+    char byte;
+    if (uv_fileno((const uv_handle_t *)tcp, &fd) != 0)
+        return TCP_INPUT_FAILED;
+    const ssize_t n = recv(fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+    if (n > 0)
+        return TCP_INPUT_DATA;
+    if (n == 0)
+        return TCP_INPUT_END;
+    return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR ? TCP_INPUT_NONE
+                                                                     : TCP_INPUT_FAILED;
+}
+
 void
 tcp_set_user_timeout(uv_tcp_t *tcp, int ms)
 {
--- a/base/tcp.h
+++ b/base/tcp.h
@@ -12,6 +12,15 @@
  * is closed and must stay allocated until the loop has run. */
 bool tcp_listen(uv_tcp_t *tcp, const addr_t *addr, int backlog, uv_connection_cb cb, uint16_t *port,
                 err_t *err);
+/* Unread input of a connection, which the loop has not reported yet. */
+typedef enum {
+    TCP_INPUT_NONE,
+    TCP_INPUT_DATA,
+    TCP_INPUT_END,    /* the other side has shut down its output, or closed */
+    TCP_INPUT_FAILED, /* reset, or the handle is closed */
+} tcp_input_t;
+
+tcp_input_t tcp_peek(const uv_tcp_t *tcp);
 /* Closes the connection if sent data is not acknowledged within `ms` (TCP_USER_TIMEOUT). */
 void tcp_set_user_timeout(uv_tcp_t *tcp, int ms);
 /* Makes uv_close() reset the connection. uv_tcp_close_reset() fails while a shutdown is pending. */
--- a/wire/client_call.c
+++ b/wire/client_call.c
@@ -3,6 +3,7 @@
 #include "wire/client_response.h"
 #include "wire/client_call.h"
 #include "base/loop_time.h"
+#include "base/tcp.h"
 
 enum {
     READ_SIZE = 65536,
@@ -70,16 +71,6 @@
 
 /* ---- timeouts ---- */
 
-/* True if the socket has unread bytes. */
-static bool
-has_input(const client_conn_t *conn)
-{
-    uv_os_fd_t fd;
-    char byte;
-    return uv_fileno((const uv_handle_t *)&conn->tcp, &fd) == 0 &&
-           recv(fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) > 0;
-}
-
 /* libuv runs timers before it polls sockets, so after a long callback the response may be waiting
  * unread. In that case the timeout is deferred once. */
 static void
@@ -87,7 +78,7 @@
 {
     client_conn_t *conn = timer->data;
     wire_call_t *call = conn->call;
-    if (!call->timeout_deferred && has_input(conn)) {
+    if (!call->timeout_deferred && tcp_peek(&conn->tcp) == TCP_INPUT_DATA) {
         call->timeout_deferred = true;
         uv_timer_start(&conn->timer, on_call_timeout, TIMEOUT_READ_GRACE_MS, 0);
         return;
@@ -139,22 +130,12 @@
     }
 }
 
-/* libuv may report a reset that follows data as EOF, so the socket is checked. */
-static bool
-was_reset(const client_conn_t *conn)
-{
-    uv_os_fd_t fd;
-    char byte;
-    if (uv_fileno((const uv_handle_t *)&conn->tcp, &fd) != 0)
-        return true;
-    return recv(fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) != 0;
-}
-
 static void
 on_eof(client_conn_t *conn)
 {
     conn->call->result.closed = true;
-    if (was_reset(conn)) {
+    /* libuv may report a reset that follows data as EOF. */
+    if (tcp_peek(&conn->tcp) != TCP_INPUT_END) {
         client_call_fail(conn, ERR_UNAVAILABLE,
                          "connection reset before the response was complete");
         return;
--- a/wire/listener.h
+++ b/wire/listener.h
@@ -76,6 +76,11 @@
 /* From now on closes connections that have been idle for `idle_ms`. */
 void wire_listener_close_idle(wire_listener_t *listener, uint64_t idle_ms);
 
+/* True if the client has closed its connection, which the loop has not read yet. */
+bool wire_request_is_abandoned(const wire_request_t *req);
+/* Closes the connection of such a request and calls its on_disconnect. */
+void wire_request_abandon(wire_request_t *req);
+
 /* Starts a response. `fields` holds complete header lines; `length` may be WIRE_CHUNKED or
  * WIRE_UNTIL_CLOSE. */
 void wire_respond_head(wire_request_t *req, int status, str_t fields, int64_t length);
--- a/wire/pool.c
+++ b/wire/pool.c
@@ -1,8 +1,7 @@
-#include <errno.h>
 #include <stdlib.h>
-#include <sys/socket.h>
 
 #include "base/loop_time.h"
+#include "base/tcp.h"
 #include "base/xmalloc.h"
 #include "wire/client_conn.h"
 
@@ -57,18 +56,6 @@
     wire_pool_release(pool);
 }
 
-/* True if the server has closed the connection or sent unsolicited bytes. */
-static bool
-peer_closed(const client_conn_t *conn)
-{
-    uv_os_fd_t fd;
-    char byte;
-    if (uv_fileno((const uv_handle_t *)&conn->tcp, &fd) != 0)
-        return true;
-    const ssize_t n = recv(fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
-    return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
-}
-
 /* Idle time up to which a connection may be reused. */
 static uint64_t
 max_reuse_idle_ms(const client_conn_t *conn, uint64_t idle_max_ms)
@@ -90,7 +77,8 @@
         const uint64_t idle_ms = now - conn->idle_since_ms;
         const bool expired = conn->keep_alive_ms > 0 && idle_ms > conn->keep_alive_ms;
         const bool usable = idle_ms <= max_reuse_idle_ms(conn, idle_max_ms);
-        const bool closed = usable && probe_before_reuse && peer_closed(conn);
+        /* The server has closed the connection or sent unsolicited bytes. */
+        const bool closed = usable && probe_before_reuse && tcp_peek(&conn->tcp) != TCP_INPUT_NONE;
         if (usable && !closed) {
             remove_idle(conn);
             return conn;
--- a/wire/respond.c
+++ b/wire/respond.c
@@ -1,3 +1,4 @@
+#include "base/tcp.h"
 #include "base/xmalloc.h"
 #include "wire/server_conn.h"
 
@@ -5,6 +6,20 @@
  * transit time of a request on a congested link. */
 enum { CLOSE_RACE_MARGIN_MS = 1000, MS_PER_S = 1000 };
 
+bool
+wire_request_is_abandoned(const wire_request_t *req)
+{
+    const wire_conn_t *conn = (const wire_conn_t *)req;
+    const tcp_input_t input = tcp_peek(&conn->tcp);
+    return input == TCP_INPUT_END || input == TCP_INPUT_FAILED;
+}
+
+void
+wire_request_abandon(wire_request_t *req)
+{
+    wire_conn_on_disconnect((wire_conn_t *)req);
+}
+
 /* Adds the Keep-Alive field, unless the announced timeout would be below one second, and ends the
  * head. */
 static void
