Store watchers are the instances with the widest links, not the first by name

Cause: ranks were by name, and the second name is that of the tenth instance, of a tenth of a core at 10 Mbit/s. A watcher reads each change unpacked (1 MB for 4,200 routes, about a second on that link), which also keeps the change that its peers send it waiting, and sends each small change to its whole region.

Change: store_schedule orders by link, then by processor, then by name; link and processor come with the heartbeats as before. Compared as floats, as which they are sent. The test store_watchers_have_the_widest_links failed before (rank 3 for the largest). In a rolling release older instances go by name: a region may have four watchers for the time, or none by rank, where the next ones take over at once.

--- a/gateway/membership/members.c
+++ b/gateway/membership/members.c
@@ -6,6 +6,7 @@
 #include "base/log.h"
 #include "base/xmalloc.h"
 #include "gateway/membership/member_offers.h"
+#include "gateway/policy/store_schedule.h"
 
 enum {
     KEY_SEED = 51, /* must be the same on every instance */
@@ -127,18 +128,41 @@
     return member->heard && now_ms - member->heard_ms <= member_lost_after_ms(member);
 }
 
+static store_candidate_t
+store_candidate(const member_t *member)
+{
+    return (store_candidate_t){
+        .link_bytes_per_s = member->capacity.link_bytes_per_s,
+        .cpu_cores = member->capacity.cpu_cores,
+        .name = name_str(&member->instance),
+    };
+}
+
+/* Of unknown capacity if no member has the name. */
+static store_candidate_t
+find_store_candidate(const members_t *members, str_t name)
+{
+    for (size_t i = 0; i < members->count; i++) {
+        if (name_eq(&members->items[i].instance, name))
+            return store_candidate(&members->items[i]);
+    }
+    return (store_candidate_t){.name = name};
+}
+
 size_t
 members_rank_in_mesh(const members_t *members, str_t own, size_t region, bool served,
                      uint64_t now_ms)
 {
     const size_t mesh = members_own_mesh(members, region);
+    const store_candidate_t own_candidate = find_store_candidate(members, own);
     size_t rank = 0;
     for (size_t i = 0; i < members->count; i++) {
         const member_t *member = &members->items[i];
         if (members_mesh(members, member) != mesh || !member_alive(member, now_ms) ||
             member->leaving || (served && member->store_failing))
             continue;
-        rank += str_compare(name_str(&member->instance), own) < 0;
+        const store_candidate_t candidate = store_candidate(member);
+        rank += store_schedule_precedes(&candidate, &own_candidate);
     }
     return rank;
 }
--- a/gateway/membership/members.h
+++ b/gateway/membership/members.h
@@ -154,8 +154,8 @@
 size_t members_mesh(const members_t *members, const member_t *member);
 /* Returns the mesh of this instance; `region` is its region. */
 size_t members_own_mesh(const members_t *members, size_t region);
-/* Number of alive members of the own mesh whose name sorts before `own`: all, or if `served` only
- * those whose store requests succeed. */
+/* Number of alive members of the own mesh that come before the one named `own` in the order of
+ * store_schedule.h: all, or if `served` only those whose store requests succeed. */
 size_t members_rank_in_mesh(const members_t *members, str_t own, size_t region, bool served,
                             uint64_t now_ms);
 /* Maximum age in milliseconds of a watcher's last answer from the store for its mesh to rely on
--- a/gateway/policy/store_schedule.c
+++ b/gateway/policy/store_schedule.c
@@ -23,6 +23,23 @@
     WATCH_PAUSE_MS = 400,
 };
 
+/* Capacities of other instances have been rounded to floats on the way. */
+static bool
+is_equal(double a, double b)
+{
+    return (float)a == (float)b;
+}
+
+bool
+store_schedule_precedes(const store_candidate_t *a, const store_candidate_t *b)
+{
+    if (!is_equal(a->link_bytes_per_s, b->link_bytes_per_s))
+        return a->link_bytes_per_s > b->link_bytes_per_s;
+    if (!is_equal(a->cpu_cores, b->cpu_cores))
+        return a->cpu_cores > b->cpu_cores;
+    return str_compare(a->name, b->name) < 0;
+}
+
 bool
 store_schedule_watches(size_t rank)
 {
--- a/gateway/policy/store_schedule.h
+++ b/gateway/policy/store_schedule.h
@@ -1,8 +1,10 @@
 /*
  * Store schedule: which instances call the platform's store, and when.
  *
- *  - Two instances of each region that the store serves watch it. If no watcher is known, the first
- *    four instances of the region try at once, and one more every 250 ms, until one is served.
+ *  - Two instances of each region that the store serves watch it: those with the widest links. A
+ *    watcher reads each change unpacked, and its region gets the change from it; a large
+ *    configuration takes a second on the smallest links. If no watcher is known, the first four
+ *    instances of the region try at once, and one more every 250 ms, until one is served.
  *  - While the store fails an instance, the first four probe it once a second, and the others in
  *    turn, two per second and region.
  *  - Starting instances wait for different times, most of them long: the first few read the store,
@@ -22,6 +24,17 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "base/str.h"
+
+/* An instance that may watch the store. */
+typedef struct {
+    double link_bytes_per_s; /* as configured; 0 if unknown */
+    double cpu_cores;        /* as configured; 0 if unknown */
+    str_t name;
+} store_candidate_t;
+
+/* True if `a` comes before `b` in the order of ranks: by link, then by processor, then by name. */
+bool store_schedule_precedes(const store_candidate_t *a, const store_candidate_t *b);
 /* True if the instance watches the store; `rank` among the instances that the store serves. */
 bool store_schedule_watches(size_t rank);
 /* Returns the time in milliseconds that a starting instance waits for its peers. `key`: hash of its
--- a/test/gateway/test_members.c
+++ b/test/gateway/test_members.c
@@ -277,6 +277,52 @@
 }
 END_TEST
 
+static void
+set_capacity(member_t *member, double link_bytes_per_s, double cpu_cores)
+{
+    member->capacity = (member_capacity_t){
+        .link_bytes_per_s = link_bytes_per_s,
+        .cpu_cores = cpu_cores,
+    };
+}
+
+/* An instance on a small link reads a large configuration seconds after the others. */
+START_TEST(store_watchers_have_the_widest_links)
+{
+    members_t members = {0};
+    set_capacity(add_member(&members, "a-1", "a1", 0, 1), 25e6, 0.5);
+    set_capacity(add_member(&members, "a-10", "a1", 0, 2), 1.25e6, 0.1);
+    set_capacity(add_member(&members, "a-2", "a1", 0, 3), 25e6, 0.5);
+    set_capacity(add_member(&members, "a-3", "a1", 0, 4), 25e6, 1);
+    ck_assert_uint_eq(members_rank_in_mesh(&members, STR("a-3"), 0, true, 10100), 0);
+    ck_assert_uint_eq(members_rank_in_mesh(&members, STR("a-1"), 0, true, 10100), 1);
+    ck_assert_uint_eq(members_rank_in_mesh(&members, STR("a-2"), 0, true, 10100), 2);
+    ck_assert_uint_eq(members_rank_in_mesh(&members, STR("a-10"), 0, true, 10100), 3);
+    members_free(&members);
+}
+END_TEST
+
+/* Heartbeats carry capacities as floats. */
+START_TEST(instances_of_equal_capacity_agree_on_the_store_watchers)
+{
+    enum { SIZE = 4 };
+    size_t watchers = 0;
+    for (unsigned own = 0; own < SIZE; own++) {
+        members_t members = {0};
+        name_t names[SIZE];
+        for (unsigned i = 0; i < SIZE; i++) {
+            snprintf(names[i].ptr, sizeof(names[i].ptr), "a-%u", i);
+            member_t *member = add_member(&members, names[i].ptr, "a1", 0, (uint16_t)(i + 1));
+            set_capacity(member, 1.25e6, i == own ? 0.1 : (double)0.1F);
+        }
+        watchers += store_schedule_watches(
+            members_rank_in_mesh(&members, str_from(names[own].ptr), 0, true, 10100));
+        members_free(&members);
+    }
+    ck_assert_uint_eq(watchers, 2);
+}
+END_TEST
+
 START_TEST(each_region_has_two_store_watchers)
 {
     /* A watcher whose requests go unanswered is not detected for seconds, so two watch. */
@@ -440,6 +486,8 @@
     tcase_add_test(tests, heartbeat_carries_greatest_demands);
     tcase_add_test(tests, remote_region_demand_is_as_reported);
     tcase_add_test(tests, free_work_of_callers_counts_by_their_region);
+    tcase_add_test(tests, store_watchers_have_the_widest_links);
+    tcase_add_test(tests, instances_of_equal_capacity_agree_on_the_store_watchers);
     tcase_add_test(tests, each_region_has_two_store_watchers);
     tcase_add_test(tests, long_heartbeat_interval_does_not_fail_store_check);
     tcase_add_test(tests, next_instance_watches_when_first_is_refused);
