An instance that hears neither peers nor the store does not answer 404 or 401

Cause: 404 becomes 503 only if a live peer has said that it has a newer configuration. An instance that hears nobody knows of none and denies what it cannot know; class: no news taken for no change. That the reported instance was in this state is suspected: it knew of no version of the last 3 s, ten of which came each second.

Whoever knows peers, hears none of them and has had no answer of the store since their last sign is in doubt; it refuses with a time to come back, and asks the store at once, so that a peer's end alone leaves no doubt (the test lost_peer_ends_the_stale_configuration_state holds as it is).

--- a/gateway/gateway_events.c
+++ b/gateway/gateway_events.c
@@ -5,8 +5,36 @@
 #include "base/loop_time.h"
 #include "base/xmalloc.h"
 #include "gateway/gateway_state.h"
+#include "gateway/policy/isolation.h"
 #include "gateway/state/position.h"
 
+static bool
+may_be_isolated(const gateway_t *gateway)
+{
+    const members_contact_t contact = members_last_contact(
+        &gateway->members, name_str(&gateway->settings.name), loop_now(gateway->loop));
+    const isolation_input_t input = {
+        .peers_known = contact.known,
+        .peers_alive = contact.alive,
+        .peers_silent_ms = contact.silent_ms,
+        .store_silent_ms = store_watch_silent_ms(&gateway->store_watch),
+    };
+    return isolation_is_possible(&input);
+}
+
+static void
+set_isolated(gateway_t *gateway, bool isolated)
+{
+    catalog_t *catalog = &gateway->router.catalog;
+    if (catalog->isolated == isolated)
+        return;
+    catalog->isolated = isolated;
+    if (isolated)
+        store_watch_probe(&gateway->store_watch);
+    LOG_INFO("instance %s: newer configurations %s", isolated ? "isolated" : "no longer isolated",
+             isolated ? "may be unknown" : "would be known");
+}
+
 void
 gateway_compare_config(gateway_t *gateway)
 {
@@ -15,6 +43,7 @@
     const uint64_t theirs = members_newer_view(&gateway->members, VIEW_CONFIG, view->at,
                                                view->digest, loop_now(gateway->loop));
     gateway->router.catalog.newer_revision = theirs > here ? theirs : here;
+    set_isolated(gateway, may_be_isolated(gateway));
 }
 
 void
--- a/gateway/inspect.c
+++ b/gateway/inspect.c
@@ -106,6 +106,9 @@
         wire_text_printf(out, "configuration refused: revision %llu, %s: %s\n",
                          (unsigned long long)position_revision(refused->revision),
                          err_name(refused->err.code), refused->err.detail);
+    if (catalog->isolated)
+        wire_text_str(out, STR("neither peers nor the store are heard: the configuration may be "
+                               "out of date\n"));
     if (catalog->newer_revision > 0)
         wire_text_printf(out, "configuration behind: a peer's is as of revision %llu\n",
                          (unsigned long long)position_revision(catalog->newer_revision));
--- a/gateway/membership/members.c
+++ b/gateway/membership/members.c
@@ -191,6 +191,26 @@
     return false;
 }
 
+members_contact_t
+members_last_contact(const members_t *members, str_t own, uint64_t now_ms)
+{
+    const member_t *latest = NULL;
+    for (size_t i = 0; i < members->count; i++) {
+        const member_t *member = &members->items[i];
+        if (!member->heard || member->leaving || name_eq(&member->instance, own))
+            continue;
+        if (latest == NULL || member->heard_ms > latest->heard_ms)
+            latest = member;
+    }
+    if (latest == NULL)
+        return (members_contact_t){0};
+    return (members_contact_t){
+        .known = true,
+        .alive = member_alive(latest, now_ms),
+        .silent_ms = now_ms - latest->heard_ms,
+    };
+}
+
 uint64_t
 members_newer_view(const members_t *members, view_kind_t kind, uint64_t at, uint64_t digest,
                    uint64_t now_ms)
--- a/gateway/membership/members.h
+++ b/gateway/membership/members.h
@@ -176,6 +176,14 @@
 void members_forget_announcements(members_t *members);
 /* True if a backend server lately responded to an alive member. */
 bool members_hear_backends(const members_t *members, uint64_t now_ms);
+/* The last sign of any other member that was not leaving; `own` names this instance. */
+typedef struct {
+    bool known;         /* one was heard at some time */
+    bool alive;         /* that one is alive */
+    uint64_t silent_ms; /* since then */
+} members_contact_t;
+
+members_contact_t members_last_contact(const members_t *members, str_t own, uint64_t now_ms);
 /* Newest revision of a view, above `at` and with another digest, that an alive member holds; 0 if
  * there is none. */
 uint64_t members_newer_view(const members_t *members, view_kind_t kind, uint64_t at,
--- a/gateway/policy/final_response.h
+++ b/gateway/policy/final_response.h
@@ -4,7 +4,8 @@
  * 503 with Retry-After means that no backend has run the request and none will; it is sent only if
  * no attempt may have run. Otherwise the caller gets 502, or 504 at the deadline. 429 means that
  * the client account is over its limit, 401 that no account has the request's key. An instance that
- * knows of a newer configuration does not respond with 404, as that one may have the route. The
+ * knows of a newer configuration, or may be cut off from it (isolation.h), does not respond with
+ * 404, as that one may have the route. The
  * response is sent at once; requests are not held back to delay a retry. An instance without a
  * configuration after its start derives Retry-After from its uptime, since many callers retry only
  * once.
--- a/gateway/state/catalog.c
+++ b/gateway/state/catalog.c
@@ -77,7 +77,8 @@
 catalog_is_behind(const catalog_t *catalog)
 {
     const bool in_part = catalog->config != NULL && catalog->config->routes_skipped > 0;
-    return in_part || catalog->refused.revision > 0 || catalog->newer_revision > 0;
+    return in_part || catalog->refused.revision > 0 || catalog->newer_revision > 0 ||
+           catalog->isolated;
 }
 
 /* Keeps the configuration in force. */
--- a/gateway/state/catalog.h
+++ b/gateway/state/catalog.h
@@ -35,6 +35,7 @@
     config_t *config; /* NULL until one is known */
     refused_config_t refused;
     uint64_t newer_revision; /* of a configuration at a peer or not decoded yet; 0: none */
+    bool isolated;           /* a newer one may exist unheard of (isolation.h) */
     backends_t backends;
     bool backends_known;          /* a complete list has been applied */
     departures_t departures;      /* announced by peers before the list changed */
@@ -58,7 +59,7 @@
 bool catalog_apply_config(catalog_t *catalog, const view_t *view);
 /* Position of the newest configuration known, in force or not; 0 if none. */
 uint64_t catalog_newest_config(const catalog_t *catalog);
-/* True if the configuration in force is incomplete, or a newer one is known. */
+/* True if the configuration in force is incomplete, or a newer one is known or may exist. */
 bool catalog_is_behind(const catalog_t *catalog);
 /* Adds and updates backends, and schedules the removal of missing ones (removal.h).
  * `new_departures` holds those that are leaving or gone since the previous call. */
--- a/gateway/state/store_watch.c
+++ b/gateway/state/store_watch.c
@@ -52,6 +52,19 @@
     watch->kinds[kind].read_once = true;
 }
 
+/* Probes the kind with the smallest answers. */
+void
+store_watch_probe(store_watch_t *watch)
+{
+    kind_watch_t *kind = &watch->kinds[VIEW_CLOSURES];
+    kind->is_probe = true;
+    if (kind->state != WATCH_WATCHING)
+        return;
+    kind->call++; /* drops the answer to the running watch */
+    kind->state = WATCH_IDLE;
+    kind->retry_at_ms = 0;
+}
+
 static view_t *
 watched_view(const kind_watch_t *kind)
 {
@@ -467,10 +480,11 @@
     }
     kind->state = WATCH_WATCHING;
     kind->watched_from = watched_view(kind)->at;
-    const bool fails = watch->failures > 0;
-    const uint32_t wait_ms = fails ? WATCH_WAIT_PROBE_MS : WATCH_WAIT_MS;
+    const bool probes = watch->failures > 0 || kind->is_probe;
+    const uint32_t wait_ms = probes ? WATCH_WAIT_PROBE_MS : WATCH_WAIT_MS;
+    kind->is_probe = false;
     store_calls_count(kind->kind, STORE_CALL_WATCH,
-                      fails ? STORE_REASON_RECOVERY_PROBE : STORE_REASON_CHANGES);
+                      probes ? STORE_REASON_RECOVERY_PROBE : STORE_REASON_CHANGES);
     store->watch(store->ctx, kind->kind, position_revision(kind->watched_from), wait_ms, on_watch,
                  new_call(kind));
 }
@@ -539,6 +553,17 @@
     return age_ms < STORE_AGE_NONE ? (uint32_t)age_ms : STORE_AGE_NONE - 1;
 }
 
+uint64_t
+store_watch_silent_ms(const store_watch_t *watch)
+{
+    uint64_t answered_ms = 0;
+    for (view_kind_t i = 0; i < watch->conf.views->count; i++) {
+        if (watch->kinds[i].answered_ms > answered_ms)
+            answered_ms = watch->kinds[i].answered_ms;
+    }
+    return answered_ms > 0 ? loop_now(watch->conf.loop) - answered_ms : UINT64_MAX;
+}
+
 static uint64_t
 elapsed_ms(const store_watch_t *watch, uint64_t then_ms)
 {
--- a/gateway/state/store_watch.h
+++ b/gateway/state/store_watch.h
@@ -50,6 +50,7 @@
     watch_state_t state;
     bool list_needed; /* the next call is a list: history is gone, or a watch answer was unusable */
     bool read_once;   /* list once even if this instance does not watch the store */
+    bool is_probe;    /* the next watch is answered at once */
     uint64_t retry_at_ms;  /* loop time before which the store is not called */
     uint64_t answered_ms;  /* loop time of the last answer, 0 if none */
     uint64_t called_ms;    /* loop time at which the last call started */
@@ -85,9 +86,13 @@
 void store_watch_tick(store_watch_t *watch);
 /* Lists a kind once, even if this instance does not watch the store. */
 void store_watch_read_once(store_watch_t *watch, view_kind_t kind);
+/* Finds out at once whether the store still answers, instead of with the end of a watch. */
+void store_watch_probe(store_watch_t *watch);
 /* Milliseconds since the last answer of the store, STORE_AGE_NONE if this instance does not watch
  * it. */
 uint32_t store_watch_age_ms(const store_watch_t *watch);
+/* Milliseconds since the store last answered this instance, UINT64_MAX if it never did. */
+uint64_t store_watch_silent_ms(const store_watch_t *watch);
 /* True if the store currently fails for this instance. */
 bool store_watch_is_failing(const store_watch_t *watch);
 /* The store has come back from an older copy: entries that are missing now are written again, and
--- a/test/gateway/test_view_relay.c
+++ b/test/gateway/test_view_relay.c
@@ -8,6 +8,7 @@
 #include "base/counter.h"
 #include "base/tcp.h"
 #include "base/xmalloc.h"
+#include "gateway/gateway_state.h"
 #include "gateway/membership/members.h"
 #include "gateway/state/view_message.h"
 #include "peer/link.h"
@@ -345,6 +346,44 @@
 }
 END_TEST
 
+/* A cut-off instance cannot know whether operators have added the route. */
+START_TEST(unknown_route_gets_503_while_neither_peers_nor_store_are_heard)
+{
+    site_t *site = new_ready_site(1);
+    peer_t *peer = new_peer(site, site->gateway);
+    RUN_UNTIL(site, gateway_live_instances(site->gateway) == 2);
+    ck_assert_int_eq(ask(site, "GET", "/none/x").status, 404);
+    standin_store_set_mode(site->store, STANDIN_STORE_SILENT);
+    run_for(site, 2 * HEARTBEAT_MS); /* the peer is heard last */
+    peer->silent = true;
+    RUN_UNTIL(site, gateway_live_instances(site->gateway) == 1);
+    run_for(site, GATEWAY_TICK_MS);
+    const reply_t reply = ask(site, "GET", "/none/x");
+    ck_assert_int_eq(reply.status, 503);
+    ck_assert_str_ne(reply.retry_after, "");
+    ck_assert_int_eq(ask(site, "GET", "/safe/x").status, 200);
+    peer->silent = false;
+    RUN_UNTIL(site, gateway_live_instances(site->gateway) == 2);
+    run_for(site, GATEWAY_TICK_MS);
+    ck_assert_int_eq(ask(site, "GET", "/none/x").status, 404);
+}
+END_TEST
+
+/* The store alone, and a peer that ends as planned, leave nothing in doubt. */
+START_TEST(unknown_route_gets_404_while_the_store_is_heard)
+{
+    site_t *site = new_ready_site(1);
+    peer_t *peer = new_peer(site, site->gateway);
+    RUN_UNTIL(site, gateway_live_instances(site->gateway) == 2);
+    peer->silent = true;
+    run_for(site, 3 * HEARTBEAT_MS);
+    put_config(site, NULL); /* the store answers the watch */
+    RUN_UNTIL(site, gateway_live_instances(site->gateway) == 1);
+    run_for(site, GATEWAY_TICK_MS);
+    ck_assert_int_eq(ask(site, "GET", "/none/x").status, 404);
+}
+END_TEST
+
 /* No live instance holds the newer configuration any more. */
 START_TEST(lost_peer_ends_the_stale_configuration_state)
 {
@@ -717,6 +756,8 @@
     tcase_add_test(tests, outdated_changes_do_not_suppress_view_requests);
     tcase_add_test(tests, unknown_route_gets_503_while_configuration_is_stale);
     tcase_add_test(tests, lost_peer_ends_the_stale_configuration_state);
+    tcase_add_test(tests, unknown_route_gets_503_while_neither_peers_nor_store_are_heard);
+    tcase_add_test(tests, unknown_route_gets_404_while_the_store_is_heard);
     tcase_add_test(tests, large_changes_are_rate_limited);
     tcase_add_test(tests, view_answers_are_rate_limited);
     tcase_add_test(tests, large_bodies_are_compressed_if_the_peer_supports_it);
