--- a/test/gateway/test_caller_left.c
+++ b/test/gateway/test_caller_left.c
@@ -10,6 +10,7 @@
 #include "test/suites.h"
 
 enum {
+    END_MAX_MS = 500, /* from a close to the end of the run */
     SETTLE_MS = 300,  /* in which what was sent reaches a backend server */
     BLOCKED_MS = 200, /* above the pause before a retry */
 };
@@ -91,6 +92,66 @@
 }
 END_TEST
 
+/* Milliseconds from the caller's close until the backend server has seen the connection end. */
+static uint64_t
+close_delay_ms(site_t *site, int fd)
+{
+    const standin_backend_t *backend = site->backends[0].standin;
+    const size_t ended = standin_backend_ended(backend);
+    close(fd);
+    uv_update_time(&site->loop);
+    const uint64_t from_ms = uv_now(&site->loop);
+    RUN_UNTIL(site, standin_backend_ended(backend) > ended);
+    return uv_now(&site->loop) - from_ms;
+}
+
+START_TEST(run_of_caller_that_left_ends_soon)
+{
+    site_t *site = new_ready_site(1);
+    set_all_behaviours(site, DOES_HOLD);
+    const int fd = connect_caller(site);
+    send_get(fd);
+    RUN_UNTIL(site, total_runs(site) == 1);
+    ck_assert_uint_lt(close_delay_ms(site, fd), END_MAX_MS);
+}
+END_TEST
+
+START_TEST(run_of_caller_that_left_a_stopping_instance_ends_soon)
+{
+    site_t *site = new_ready_site(1);
+    set_all_behaviours(site, DOES_HOLD);
+    const int fd = connect_caller(site);
+    send_get(fd);
+    RUN_UNTIL(site, total_runs(site) == 1);
+    gateway_stop(site->gateway);
+    run_loop_ms(site, SETTLE_MS);
+    ck_assert_uint_lt(close_delay_ms(site, fd), END_MAX_MS);
+}
+END_TEST
+
+/* The first attempt was refused, the second is running. */
+START_TEST(retried_run_of_caller_that_left_ends_soon)
+{
+    site_t *site = new_ready_site(2);
+    scripted_t *first = first_backend(site, "/safe/x");
+    set_all_behaviours(site, DOES_HOLD);
+    first->behaviour = DOES_REFUSE;
+    const scripted_t *second =
+        first == &site->backends[0] ? &site->backends[1] : &site->backends[0];
+    const size_t before = second->runs;
+    const size_t ended = standin_backend_ended(second->standin);
+    reply_t reply;
+    wire_call_t *running = call(site, &reply,
+                                "GET /safe/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: left-2\r\n"
+                                "Affinity-Key: 1\r\nDeadline-Ms: 5000\r\n\r\n");
+    RUN_UNTIL(site, second->runs > before);
+    const uint64_t from_ms = uv_now(&site->loop);
+    wire_call_cancel(running);
+    RUN_UNTIL(site, standin_backend_ended(second->standin) > ended);
+    ck_assert_uint_lt(uv_now(&site->loop) - from_ms, END_MAX_MS);
+}
+END_TEST
+
 Suite *
 suite_gateway_caller_left(void)
 {
@@ -99,6 +160,9 @@
     tcase_set_timeout(tc, 60);
     tcase_add_test(tc, request_of_caller_that_left_is_not_sent);
     tcase_add_test(tc, retry_of_caller_that_left_is_not_sent);
+    tcase_add_test(tc, run_of_caller_that_left_ends_soon);
+    tcase_add_test(tc, run_of_caller_that_left_a_stopping_instance_ends_soon);
+    tcase_add_test(tc, retried_run_of_caller_that_left_ends_soon);
     suite_add_tcase(suite, tc);
     return suite;
 }
--- a/test/gateway/test_partition.c
+++ b/test/gateway/test_partition.c
@@ -19,7 +19,8 @@
     PAUSE_MS = 20,
     LOAD_MAX = 256, /* requests under way */
     RUNS_MAX = 1024,
-    FAST_MS = 150, /* a refusal that waits for no connection */
+    END_MAX_MS = 500, /* from a caller's close to the end of its run */
+    FAST_MS = 150,    /* a refusal that waits for no connection */
 };
 
 static const link_mode_t cuts[] = {LINK_HANGS, LINK_RESETS, LINK_REFUSES};
@@ -227,8 +228,10 @@
                                 "POST /once/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a-1\r\n"
                                 "Deadline-Ms: 5000\r\n\r\n");
     RUN_UNTIL(site, total_runs(site) > runs);
+    const uint64_t from_ms = uv_now(&site->loop);
     wire_call_cancel(request);
     RUN_UNTIL(site, standin_backend_ended(site->backends[0].standin) > ended);
+    ck_assert_uint_lt(uv_now(&site->loop) - from_ms, END_MAX_MS);
 }
 END_TEST
 
