A late loop reads its sockets before it judges peers, connections and the store

Cause: timers run before sockets are read. Class: the same as the retry that is sent before the close is read.

Change: a tick that is 250 ms late or more runs after the sockets have been polled once.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -329,6 +329,8 @@
     resume_init(&gateway->resume, &resume_conf);
     uv_timer_init(loop, &gateway->tick);
     gateway->tick.data = gateway;
+    uv_check_init(loop, &gateway->late_tick);
+    gateway->late_tick.data = gateway;
     uv_timer_start(&gateway->tick, gateway_on_tick, 0, GATEWAY_TICK_MS);
     return gateway;
 }
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -45,10 +45,11 @@
     resume_t resume;
     deferred_t config_update; /* decodes a new configuration */
     uv_timer_t tick;
+    uv_check_t late_tick;       /* runs a tick that is late after the sockets have been polled */
     uint64_t ticked_ms;         /* loop time of the last tick, 0 if none */
     uint64_t loop_delay_max_ms; /* longest delay of a tick since the start */
-    size_t idle_closed_to; /* index of the backend up to which idle connections were closed */
-    bool views_announced;  /* peers know that this instance has all views */
+    size_t idle_closed_to;      /* index of the backend up to which idle connections were closed */
+    bool views_announced;       /* peers know that this instance has all views */
     bool stopping;
     uint64_t stop_ms;
 };
--- a/gateway/gateway_tick.c
+++ b/gateway/gateway_tick.c
@@ -15,13 +15,14 @@
     /* Idle time after which backend connections are closed; above the age up to which they are
      * reused. */
     BACKEND_IDLE_MS = 9000,
-    /* Delay of a tick above which it is logged: callers notice delays of this order. */
-    LOOP_DELAY_LOGGED_MS = 250,
+    /* Delay from which the loop counts as late and is logged: callers notice it, and heartbeats of
+     * peers lie unread in the sockets. */
+    LOOP_LATE_MS = 250,
 };
 
 /* Records by how much the loop is late: work that came in before has kept it busy, or the process
- * was not scheduled. */
-static void
+ * was not scheduled. Returns the delay in milliseconds. */
+static uint64_t
 record_loop_delay(gateway_t *gateway, uint64_t now_ms)
 {
     const uint64_t due_ms = gateway->ticked_ms + GATEWAY_TICK_MS;
@@ -36,8 +37,9 @@
                                 "The longest of these delays since the start."),
                     (int64_t)delay_ms);
     }
-    if (delay_ms >= LOOP_DELAY_LOGGED_MS)
+    if (delay_ms >= LOOP_LATE_MS)
         LOG_INFO("loop delayed: delay_ms=%llu", (unsigned long long)delay_ms);
+    return delay_ms;
 }
 
 static void
@@ -116,12 +118,10 @@
     rollout_record_tick(&gateway->rollout_record, all_moved);
 }
 
-void
-gateway_on_tick(uv_timer_t *timer)
+static void
+run_tick(gateway_t *gateway)
 {
-    gateway_t *gateway = timer->data;
     const uint64_t now_ms = loop_now(gateway->loop);
-    record_loop_delay(gateway, now_ms);
     heartbeat_set_ready(&gateway->heartbeat, router_is_ready(&gateway->router), now_ms);
     gateway_compare_config(gateway); /* a peer may have been lost */
     if (catalog_hold_ended(&gateway->router.catalog)) {
@@ -152,6 +152,25 @@
         advance_stop(gateway);
 }
 
+static void
+on_polled(uv_check_t *check)
+{
+    uv_check_stop(check);
+    run_tick(check->data);
+}
+
+/* A loop that is late reads its sockets first: what its peers and the store sent meanwhile lies
+ * there, and without it they would look lost. */
+void
+gateway_on_tick(uv_timer_t *timer)
+{
+    gateway_t *gateway = timer->data;
+    if (record_loop_delay(gateway, loop_now(gateway->loop)) >= LOOP_LATE_MS)
+        uv_check_start(&gateway->late_tick, on_polled);
+    else
+        run_tick(gateway);
+}
+
 /* Peers have closed connections that stalled during the suspension, and backend connections have
  * been idle longer than either side keeps them. */
 void
--- a/test/gateway/test_suspension.c
+++ b/test/gateway/test_suspension.c
@@ -17,7 +17,7 @@
 #include "test/suites.h"
 
 /* LONG_MS is below PATIENCE_MS of RUN_UNTIL, whose timer runs on the same loop. */
-enum { LONG_MS = 6000, SOON_MS = 400, LATE_MS = 700 };
+enum { LONG_MS = 6000, SOON_MS = 400, LATE_MS = 700, LOST_MS = 2500 };
 
 static uint64_t
 unsuspended_ms(site_t *site)
@@ -246,6 +246,49 @@
     usleep(LATE_MS * 1000);
 }
 
+/* Two gateways, of which the first may not count the second as lost. */
+typedef struct {
+    gateway_t *first;
+    gateway_t *second;
+    bool was_lost;
+} pair_t;
+
+static void
+on_prepare(uv_prepare_t *prepare)
+{
+    pair_t *pair = prepare->data;
+    pair->was_lost |= pair->first->router.live_instances < 2;
+}
+
+static void
+send_heartbeat_and_block(uv_check_t *check)
+{
+    const pair_t *pair = check->data;
+    uv_check_stop(check);
+    heartbeat_send(&pair->second->heartbeat, loop_now(check->loop));
+    usleep(LOST_MS * 1000);
+}
+
+/* Whoever is late must not take the others for silent: what they sent lies in the sockets. */
+START_TEST(late_instance_reads_heartbeats_before_it_judges_its_peers)
+{
+    instances_t fleet = new_instances(1, 2);
+    site_t *site = fleet.site;
+    uv_prepare_t prepare;
+    uv_check_t check;
+    uv_prepare_init(&site->loop, &prepare);
+    uv_check_init(&site->loop, &check);
+    pair_t pair = {.first = fleet.gateways[0], .second = fleet.gateways[1]};
+    prepare.data = &pair;
+    check.data = &pair;
+    RUN_UNTIL(site, pair.first->router.live_instances == 2);
+    uv_check_start(&check, send_heartbeat_and_block);
+    uv_prepare_start(&prepare, on_prepare);
+    run_loop_ms(site, LOST_MS + 4 * GATEWAY_TICK_MS);
+    ck_assert(!pair.was_lost);
+}
+END_TEST
+
 START_TEST(delay_of_the_loop_is_measured)
 {
     site_t *site = new_ready_site(1);
@@ -294,6 +337,7 @@
     tcase_add_test(tc, backend_state_ages_during_suspension);
     tcase_add_test(tc, view_age_includes_suspension);
     tcase_add_test(tc, retry_budget_window_includes_suspension);
+    tcase_add_test(tc, late_instance_reads_heartbeats_before_it_judges_its_peers);
     tcase_add_test(tc, delay_of_the_loop_is_measured);
     tcase_add_test(tc, quarantine_time_includes_suspension);
     tcase_add_test(tc, peers_send_missed_updates_after_resume);
