Changes arrive from a store that takes seconds to answer

A store that answers each call after two seconds is read by no instance at all: a watch without changes is given up 0.8 s after its wait, and from then on only probes of 20 ms are made, each given up after 0.8 s. Changes wait until the store is faster.

Change: an overdue answer is awaited for twice the delay of the last one (0.8 to 8 s). While calls are given up, those for the configuration wait four times as long each time, so that a slow store is found out; those for the other kinds stay short, so that the return of a silent one is noticed within a second, which then ends the long call.

Evidence: changes_arrive_while_the_store_answers_slowly failed before (8 s after a change nothing), passes now; change_after_silence_does_not_wait_for_a_patient_call holds the other side (1.6 s).

--- a/gateway/membership/discovery.c
+++ b/gateway/membership/discovery.c
@@ -33,7 +33,7 @@
     const store_port_t *store = discovery->conf.store;
     store_calls_count(VIEW_INSTANCES, STORE_CALL_LIST,
                       after.len > 0 ? STORE_REASON_NEXT_PAGE : STORE_REASON_START);
-    store->list(store->ctx, VIEW_INSTANCES, after, on_instances, discovery);
+    store->list(store->ctx, VIEW_INSTANCES, after, 0, on_instances, discovery);
 }
 
 static void
--- a/gateway/policy/store_schedule.c
+++ b/gateway/policy/store_schedule.c
@@ -21,6 +21,12 @@
     /* Pause between two watches. Entries change often in a large deployment and each change answers
      * a watch; the two watchers of a region alternate, which halves the delay. */
     WATCH_PAUSE_MS = 400,
+    /* Shortest and longest time for which an overdue answer is awaited: above the round trip
+     * between regions; below the time after which a call with an answer under way is given up. */
+    PATIENCE_MIN_MS = 800,
+    PATIENCE_MAX_MS = 8000,
+    PATIENCE_PER_DELAY = 2,
+    PATIENCE_GROWTH = 4, /* with each call given up */
 };
 
 /* Capacities of other instances have been rounded to floats on the way. */
@@ -75,3 +81,20 @@
 {
     return WATCH_PAUSE_MS;
 }
+
+static uint32_t
+bounded_patience_ms(uint64_t ms)
+{
+    if (ms < PATIENCE_MIN_MS)
+        return PATIENCE_MIN_MS;
+    return ms < PATIENCE_MAX_MS ? (uint32_t)ms : PATIENCE_MAX_MS;
+}
+
+uint32_t
+store_schedule_patience_ms(uint64_t delay_ms, unsigned given_up)
+{
+    uint32_t patience_ms = bounded_patience_ms(PATIENCE_PER_DELAY * delay_ms);
+    for (unsigned i = 0; i < given_up && patience_ms < PATIENCE_MAX_MS; i++)
+        patience_ms = bounded_patience_ms((uint64_t)patience_ms * PATIENCE_GROWTH);
+    return patience_ms;
+}
--- a/gateway/state/store_watch.c
+++ b/gateway/state/store_watch.c
@@ -191,11 +191,49 @@
     LOG_INFO("store outage cancelled: failures=%u", watch->failures);
 }
 
+/* The kind whose calls wait longer while calls are given up. */
+static bool
+is_patient(const kind_watch_t *kind)
+{
+    return kind->kind == VIEW_CONFIG;
+}
+
+static uint32_t
+patience_ms(const kind_watch_t *kind)
+{
+    return store_schedule_patience_ms(kind->owner->delay_ms, is_patient(kind) ? kind->given_up : 0);
+}
+
+/* The store answers again: what a call that waits longer would bring is read now. */
+static void
+drop_patient_call(kind_watch_t *answered)
+{
+    kind_watch_t *kind = &answered->owner->kinds[VIEW_CONFIG];
+    if (kind == answered || kind->given_up == 0 || kind->state == WATCH_IDLE)
+        return;
+    kind->call++;
+    kind->state = WATCH_IDLE;
+    kind->given_up = 0;
+    kind->retry_at_ms = 0;
+}
+
+/* An answer that came before the store had to give one tells nothing of its delay. */
+static void
+record_delay(kind_watch_t *kind)
+{
+    const uint64_t elapsed_ms = kind->answered_ms - kind->called_ms;
+    kind->given_up = 0;
+    if (elapsed_ms >= kind->wait_ms)
+        kind->owner->delay_ms = elapsed_ms - kind->wait_ms;
+}
+
 static void
 on_store_answered(kind_watch_t *kind)
 {
     store_watch_t *watch = kind->owner;
     kind->answered_ms = loop_now(watch->conf.loop);
+    record_delay(kind);
+    drop_patient_call(kind);
     if (watch->in_outage && kind->called_ms < watch->outage_ms)
         cancel_outage(watch);
     end_outage(watch, "answer");
@@ -234,6 +272,7 @@
 {
     store_watch_t *watch = kind->owner;
     const uint64_t now_ms = loop_now(watch->conf.loop);
+    kind->given_up += answer->err.code == ERR_TIMEOUT;
     if (watch->failures++ == 0) {
         LOG_WARN("store calls failing: kind=%d outcome=%d detail=\"%s\"", kind->kind,
                  answer->outcome, answer->err.detail);
@@ -360,7 +399,8 @@
     kind->state = WATCH_LISTING;
     if (after.len == 0)
         kind->listed_from = watched_view(kind)->known ? watched_view(kind)->at : 0;
-    store->list(store->ctx, kind->kind, after, on_list, new_call(kind));
+    kind->wait_ms = 0;
+    store->list(store->ctx, kind->kind, after, patience_ms(kind), on_list, new_call(kind));
 }
 
 static void
@@ -485,8 +525,9 @@
     kind->is_probe = false;
     store_calls_count(kind->kind, STORE_CALL_WATCH,
                       probes ? STORE_REASON_RECOVERY_PROBE : STORE_REASON_CHANGES);
-    store->watch(store->ctx, kind->kind, position_revision(kind->watched_from), wait_ms, on_watch,
-                 new_call(kind));
+    kind->wait_ms = wait_ms;
+    store->watch(store->ctx, kind->kind, position_revision(kind->watched_from), wait_ms,
+                 patience_ms(kind), on_watch, new_call(kind));
 }
 
 static bool
--- a/test/gateway/test_store.c
+++ b/test/gateway/test_store.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/xmalloc.h"
+#include "gateway/gateway_state.h"
 #include "test/gateway/site.h"
 #include "test/suites.h"
 #include "wire/fetch.h"
@@ -192,6 +193,37 @@
 }
 END_TEST
 
+/* Calls that are given up too early never bring a change. */
+START_TEST(changes_arrive_while_the_store_answers_slowly)
+{
+    enum { DELAY_MS = 2000, BEGINNING_MS = 10000 };
+    site_t *site = new_ready_site(1);
+    standin_store_set_delay(site->store, DELAY_MS);
+    run_loop_ms(site, BEGINNING_MS); /* calls have been given up */
+    const uint64_t revision = site->gateway->router.catalog.config->revision;
+    put_config(site, "/new/");
+    RUN_UNTIL(site, site->gateway->router.catalog.config->revision > revision);
+    standin_store_remove(site->store, "servers", site->backends[0].id);
+    RUN_UNTIL(site, site->gateway->router.catalog.backends.count == 0 ||
+                        !site->gateway->router.catalog.backends.items[0]->listed);
+}
+END_TEST
+
+START_TEST(change_after_silence_does_not_wait_for_a_patient_call)
+{
+    enum { SILENT_MS = 9000, PROBE_MS = 1000, TICKS_MS = 3 * GATEWAY_TICK_MS };
+    site_t *site = new_ready_site(1);
+    standin_store_set_mode(site->store, STANDIN_STORE_SILENT);
+    run_loop_ms(site, SILENT_MS);
+    const uint64_t revision = site->gateway->router.catalog.config->revision;
+    standin_store_set_mode(site->store, STANDIN_STORE_SERVES);
+    put_config(site, "/new/");
+    const uint64_t from_ms = uv_now(&site->loop);
+    RUN_UNTIL(site, site->gateway->router.catalog.config->revision > revision);
+    ck_assert_uint_le(uv_now(&site->loop) - from_ms, PROBE_MS + TICKS_MS);
+}
+END_TEST
+
 START_TEST(stalled_store_answer_times_out)
 {
     site_t *site = new_ready_site(1);
@@ -265,6 +297,8 @@
     tcase_add_test(tests, store_failure_modes_do_not_affect_requests);
     tcase_add_test(tests, backend_removed_after_outage_gets_no_requests);
     tcase_add_test(tests, slow_store_answer_is_read_completely);
+    tcase_add_test(tests, changes_arrive_while_the_store_answers_slowly);
+    tcase_add_test(tests, change_after_silence_does_not_wait_for_a_patient_call);
     tcase_add_test(tests, stalled_store_answer_times_out);
     tcase_add_test(tests, kind_without_answer_does_not_block_others);
     tcase_add_test(tests, oversized_watch_answer_falls_back_to_list);
