--- a/base/tcp.h
+++ b/base/tcp.h
@@ -20,6 +20,7 @@
     TCP_INPUT_FAILED, /* reset, or the handle is closed */
 } tcp_input_t;
 
+/* Looks at the input without reading it. */
 tcp_input_t tcp_peek(const uv_tcp_t *tcp);
 /* Closes the connection if sent data is not acknowledged within `ms` (TCP_USER_TIMEOUT). */
 void tcp_set_user_timeout(uv_tcp_t *tcp, int ms);
--- a/gateway/gateway_events.c
+++ b/gateway/gateway_events.c
@@ -8,6 +8,7 @@
 #include "gateway/policy/isolation.h"
 #include "gateway/state/position.h"
 
+/* True if neither peers nor the store are heard. */
 static bool
 may_be_isolated(const gateway_t *gateway)
 {
@@ -31,8 +32,7 @@
     catalog->isolated = isolated;
     if (isolated)
         store_watch_probe(&gateway->store_watch);
-    LOG_INFO("instance %s: newer configurations %s", isolated ? "isolated" : "no longer isolated",
-             isolated ? "may be unknown" : "would be known");
+    LOG_INFO("instance %s", isolated ? "isolated" : "no longer isolated");
 }
 
 void
--- a/gateway/policy/store_schedule.c
+++ b/gateway/policy/store_schedule.c
@@ -21,8 +21,8 @@
     /* Pause between two watches. Entries change often in a large deployment and each change answers
      * a watch; the two watchers of a region alternate, which halves the delay. */
     WATCH_PAUSE_MS = 400,
-    /* Shortest and longest time for which an overdue answer is awaited: above the round trip
-     * between regions; below the time after which a call with an answer under way is given up. */
+    /* Shortest and longest time for which an overdue answer is awaited. The first is above a round
+     * trip between regions, the second below the longest duration of a whole call. */
     PATIENCE_MIN_MS = 800,
     PATIENCE_MAX_MS = 8000,
     PATIENCE_PER_DELAY = 2,
--- a/gateway/state/store_watch.c
+++ b/gateway/state/store_watch.c
@@ -191,6 +191,18 @@
     LOG_INFO("store outage cancelled: failures=%u", watch->failures);
 }
 
+static void
+free_pages(kind_watch_t *kind)
+{
+    for (size_t i = 0; i < kind->page_count; i++) {
+        free((char *)(uintptr_t)kind->pages[i].name.ptr);
+        free((char *)(uintptr_t)kind->pages[i].body.ptr);
+    }
+    free(kind->pages);
+    kind->pages = NULL;
+    kind->page_count = 0;
+}
+
 /* The kind whose calls wait longer while calls are given up. */
 static bool
 is_patient(const kind_watch_t *kind)
@@ -211,10 +223,11 @@
     kind_watch_t *kind = &answered->owner->kinds[VIEW_CONFIG];
     if (kind == answered || kind->given_up == 0 || kind->state == WATCH_IDLE)
         return;
-    kind->call++;
+    kind->call++; /* drops the answer */
     kind->state = WATCH_IDLE;
     kind->given_up = 0;
     kind->retry_at_ms = 0;
+    free_pages(kind);
 }
 
 /* An answer that came before the store had to give one tells nothing of its delay. */
@@ -314,18 +327,6 @@
 
 /* ---- list ---- */
 
-static void
-free_pages(kind_watch_t *kind)
-{
-    for (size_t i = 0; i < kind->page_count; i++) {
-        free((char *)(uintptr_t)kind->pages[i].name.ptr);
-        free((char *)(uintptr_t)kind->pages[i].body.ptr);
-    }
-    free(kind->pages);
-    kind->pages = NULL;
-    kind->page_count = 0;
-}
-
 /* Appends copies of the answer's items, with positions of that era, to the earlier pages. */
 static void
 append_page(kind_watch_t *kind, const store_answer_t *answer, uint64_t era)
