Requests of callers that left while a connection came up are not sent

Cause: the look stood before the attempt, not before the write.

Change: wire_call_cbs_t.on_connected, before the request is written; the attempt ends the request there if its caller has left. The look stands in path/attempt for all three places.

--- a/gateway/path/attempt.c
+++ b/gateway/path/attempt.c
@@ -4,6 +4,7 @@
 #include <http_parser.h>
 
 #define LOG_MODULE "attempt"
+#include "base/counter.h"
 #include "base/log.h"
 #include "base/loop_time.h"
 #include "base/xmalloc.h"
@@ -71,6 +72,25 @@
     }
 }
 
+bool
+attempt_end_if_abandoned(attempt_t *attempt)
+{
+    if (!wire_request_is_abandoned(attempt->req))
+        return false;
+    counter_add(counter_get("irisstall_sends_withheld_total", NULL,
+                            "Attempts not sent because their callers had left meanwhile."),
+                1);
+    wire_request_abandon(attempt->req);
+    return true;
+}
+
+/* The end of the request cancels the call. */
+static bool
+on_connected(void *ctx)
+{
+    return !attempt_end_if_abandoned(ctx);
+}
+
 static bool
 on_match(void *ctx, const wire_head_t *head)
 {
@@ -279,6 +299,7 @@
 attempt_start(attempt_t *attempt, const attempt_conf_t *conf)
 {
     static const wire_call_cbs_t cbs = {
+        .on_connected = on_connected,
         .matches = on_match,
         .read_max = on_read_max,
         .on_head = on_head,
--- a/gateway/path/attempt.h
+++ b/gateway/path/attempt.h
@@ -81,16 +81,19 @@
     str_t fields;     /* header lines added to the request */
 } attempt_conf_t;
 
+/* Ends the request if its caller has closed the connection; returns true if so. Called before each
+ * send: a loop that is late reads a request, or comes to a retry, before the close behind it. */
+bool attempt_end_if_abandoned(attempt_t *attempt);
 /* Sends the request. The fields from `loop` to `ctx` must be set. The struct can be reused once the
  * attempt has ended. The exchange must hold a reference to the backend. */
 void attempt_start(attempt_t *attempt, const attempt_conf_t *conf);
-/* Records the outcome in the backend's health, at most once per attempt. */
 /* Time in milliseconds since the request was sent, without that in which the caller did not read.
  */
 uint64_t attempt_elapsed_ms(const attempt_t *attempt);
 /* True if the caller kept the backend waiting for so long that the end of the attempt says nothing
  * about the backend. */
 bool attempt_waited_for_caller(const attempt_t *attempt);
+/* Records the outcome in the backend's health, at most once per attempt. */
 void attempt_record(attempt_t *attempt, bool failed);
 /* Returns true if the attempt is slow enough to count as a failure of the backend. */
 bool attempt_is_slow(const attempt_t *attempt);
--- a/gateway/path/dispatch.c
+++ b/gateway/path/dispatch.c
@@ -2,7 +2,6 @@
 
 #include <http_parser.h>
 
-#include "base/counter.h"
 #include "gateway/path/dispatch.h"
 #include "gateway/path/end_check.h"
 #include "gateway/path/completion.h"
@@ -37,23 +36,11 @@
     return router_pick(ex->owner->router, &request);
 }
 
-bool
-dispatch_end_if_abandoned(exchange_t *ex)
-{
-    if (!wire_request_is_abandoned(ex->req))
-        return false;
-    counter_add(counter_get("irisstall_sends_withheld_total", NULL,
-                            "Attempts not sent because their callers had left meanwhile."),
-                1);
-    wire_request_abandon(ex->req);
-    return true;
-}
-
 void
 dispatch_send(exchange_t *ex, backend_t *backend)
 {
     router_t *router = ex->owner->router;
-    if (dispatch_end_if_abandoned(ex))
+    if (attempt_end_if_abandoned(&ex->attempt))
         return;
     ex->tried[ex->tried_count++] = backend_ref(backend);
     if (ex->account_use != NULL && ex->possible_runs > 0)
--- a/gateway/path/dispatch.h
+++ b/gateway/path/dispatch.h
@@ -12,9 +12,6 @@
 
 /* Chooses a backend. `may_request_permit`: it may be one that requires a permit. */
 choice_t dispatch_choose(const exchange_t *ex, bool may_request_permit);
-/* Ends the request if its caller has left; returns true if so. To be called before each send: a
- * loop that is late reads a request, or comes to a retry, before the close that lies behind it. */
-bool dispatch_end_if_abandoned(exchange_t *ex);
 /* Starts an attempt on the given backend, or ends the request if its caller has left. */
 void dispatch_send(exchange_t *ex, backend_t *backend);
 /* Chooses a backend and starts an attempt, or refuses the request. */
--- a/gateway/path/transit.c
+++ b/gateway/path/transit.c
@@ -199,7 +199,7 @@
         !ex->from_peer && ex->transits < TRANSIT_PEERS_MAX && ex->tried_count < RETRY_BACKENDS_MAX;
     backend_t *peer = may_hop ? choose_peer(ex) : NULL;
     if (peer != NULL) {
-        if (dispatch_end_if_abandoned(ex))
+        if (attempt_end_if_abandoned(&ex->attempt))
             return true;
         exchange_end_probe_wait(ex);
         send_to(ex, peer);
--- a/test/gateway/test_caller_left.c
+++ b/test/gateway/test_caller_left.c
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "gateway/gateway_state.h"
 #include "gateway/policy/retry.h"
 #include "test/gateway/site.h"
 #include "test/suites.h"
@@ -65,6 +66,47 @@
 }
 END_TEST
 
+static void
+close_backend_connections(site_t *site)
+{
+    run_loop_ms(site, SETTLE_MS);
+    for (size_t i = 0; i < site->gateway->router.catalog.backends.count; i++)
+        wire_pool_close_idle(site->gateway->router.catalog.backends.items[i]->pool, 0);
+}
+
+static void
+leave_when_polled(uv_poll_t *poll, int status, int events)
+{
+    (void)status;
+    (void)events;
+    uv_poll_stop(poll);
+    close(*(int *)poll->data);
+}
+
+/* The caller leaves while the loop handles a batch of events in which the connection to the backend
+ * server comes up. */
+START_TEST(request_of_caller_that_left_while_connecting_is_not_sent)
+{
+    site_t *site = new_ready_site(2);
+    int signal[2];
+    uv_poll_t poll;
+    ck_assert_int_eq(pipe(signal), 0);
+    uv_poll_init(&site->loop, &poll, signal[0]);
+    uv_poll_start(&poll, UV_READABLE, leave_when_polled);
+    close_backend_connections(site);
+    const size_t before = total_arrivals(site);
+    int fd = connect_caller(site);
+    poll.data = &fd;
+    send_get(fd);
+    RUN_UNTIL(site, gateway_active(site->gateway) == 1);
+    ck_assert_int_eq(write(signal[1], "x", 1), 1);
+    run_loop_ms(site, SETTLE_MS);
+    ck_assert_uint_eq(total_arrivals(site), before);
+    ck_assert_uint_eq(gateway_active(site->gateway), 0);
+    ck_assert_int_eq(ask(site, "GET", "/safe/x").status, 200);
+}
+END_TEST
+
 static void
 leave_while_loop_is_blocked(uv_timer_t *timer)
 {
@@ -159,6 +201,7 @@
     TCase *tc = tcase_create("caller left");
     tcase_set_timeout(tc, 60);
     tcase_add_test(tc, request_of_caller_that_left_is_not_sent);
+    tcase_add_test(tc, request_of_caller_that_left_while_connecting_is_not_sent);
     tcase_add_test(tc, retry_of_caller_that_left_is_not_sent);
     tcase_add_test(tc, run_of_caller_that_left_ends_soon);
     tcase_add_test(tc, run_of_caller_that_left_a_stopping_instance_ends_soon);
--- a/wire/client.h
+++ b/wire/client.h
@@ -39,6 +39,9 @@
     bool (*matches)(void *ctx, const wire_head_t *head);
     /* Optional. Upper bound of the next read of the response, in bytes, above 0. */
     size_t (*read_max)(void *ctx);
+    /* Optional. Called when a new connection has come up, before the request is written; returns
+     * false if it has cancelled the call. */
+    bool (*on_connected)(void *ctx);
     /* `length` is the body length, WIRE_CHUNKED or WIRE_UNTIL_CLOSE. */
     void (*on_head)(void *ctx, const wire_head_t *head, int64_t length);
     void (*on_data)(void *ctx, const char *ptr, size_t len);
--- a/wire/client_connect.c
+++ b/wire/client_connect.c
@@ -26,6 +26,9 @@
     uv_timer_stop(&conn->timer);
     uv_tcp_nodelay(&conn->tcp, 1);
     tcp_set_user_timeout(&conn->tcp, TCP_USER_TIMEOUT_MS);
+    const wire_call_t *call = conn->call;
+    if (call->cbs.on_connected != NULL && !call->cbs.on_connected(call->ctx))
+        return;
     client_call_start_reading(conn);
     client_call_send(conn);
 }
