Soak: callers that leave, a rule on their requests, and instances that are slow

Change: one request in twelve is left; rule gone breaks where one reaches a backend server half a second later. Trouble slow pauses an instance for 0.8 s in series.

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -10,7 +10,7 @@
 # INTERFERENCE=1 has backend servers slowed at times besides, who say so.
 #
 # EARLIER=1 leaves out the troubles that earlier versions can't bear (cuts from all backend
-# servers, a store that comes back from an older copy), for fleets of two builds.
+# servers, a store that comes back from an older copy, slow instances), for fleets of two builds.
 #
 # ROLLOUTS=1 has operators order roll-outs besides, good and bad ones.
 #
--- a/standin/soak/callers.c
+++ b/standin/soak/callers.c
@@ -24,8 +24,10 @@
     DIRECTORY_MS = 1000, /* so long callers still connect to an instance that is asked to stop */
     REST_SHORT_MS = 300, /* most rests are up to this, the others up to the limit */
     REST_LONG_EVERY = 4,
-    QUIET_EVERY = 3, /* one caller of so many has long rests only */
-    NEW_EVERY = 4,   /* one caller of so many opens a connection for each request */
+    QUIET_EVERY = 3,   /* one caller of so many has long rests only */
+    LEAVES_EVERY = 12, /* one request of so many is left by its caller, */
+    LEAVES_MS = 300,   /* up to so long after it was sent */
+    NEW_EVERY = 4,     /* one caller of so many opens a connection for each request */
     STATUS_MAX = 600,
     /* From the start of a cut from all backend servers until its callers must be served; then they
      * must be served two thirds as often as others, but for so many that fail. */
@@ -61,8 +63,9 @@
     uint64_t link_ms;
     caller_state_t state;
     link_t *link;
-    uint64_t since_ms; /* of the state */
-    uint64_t due_ms;   /* of the next connection or request */
+    uint64_t since_ms;  /* of the state */
+    uint64_t due_ms;    /* of the next connection or request */
+    uint64_t leaves_ms; /* when it leaves its request; 0: it does not */
     soak_request_t *request;
     bool crossed; /* the request: the connection had been closed when it was sent */
     uint64_t marker;
@@ -376,6 +379,9 @@
     uv_buf_t buf = uv_buf_init(ask.bytes, (unsigned)ask.len);
     answer_expect(&caller->link->answer, caller->request->number);
     set_state(caller, CALLER_WAITS);
+    caller->leaves_ms = rng_below(&callers->rng, LEAVES_EVERY) == 0
+                            ? callers->now_ms + 1 + rng_below(&callers->rng, LEAVES_MS)
+                            : 0;
     if (uv_write(&write->req, (uv_stream_t *)&caller->link->tcp, &buf, 1, on_written) != 0) {
         free(write->bytes);
         free(write);
@@ -441,11 +447,25 @@
         send_request(caller);
 }
 
+/* The caller leaves without an answer. */
+static void
+leave_request(caller_t *caller)
+{
+    const callers_t *callers = caller->callers;
+    caller->request->left_ms = callers->now_ms;
+    judge_examine(callers->conf.judge, RULE_GONE);
+    leave(caller, CONNECT_AGAIN_MS);
+}
+
 static void
 tick_waiting(caller_t *caller)
 {
     const uint64_t now_ms = caller->callers->now_ms;
     const link_t *link = caller->link;
+    if (caller->leaves_ms > 0 && now_ms >= caller->leaves_ms && link->ended_ms == 0) {
+        leave_request(caller);
+        return;
+    }
     const uint64_t closed_ms =
         link->ended_ms > caller->since_ms ? link->ended_ms : caller->since_ms;
     if (link->ended_ms > 0 && is_reset(link)) {
--- a/standin/soak/fleet.c
+++ b/standin/soak/fleet.c
@@ -22,8 +22,11 @@
     life_t *life; /* NULL while no process runs */
     bool ordered; /* its start */
     bool paused;
+    uint64_t paused_from_ms;
     uint64_t continue_ms;
-    uint64_t start_ms; /* when it is started again */
+    uint64_t slow_until_ms; /* it is paused again and again until then */
+    uint64_t pause_ms;      /* when the next of these pauses begins */
+    uint64_t start_ms;      /* when it is started again */
     uint64_t restart_after_ms;
     uint64_t disturbed_ms; /* last */
     uint64_t cut_from_ms;  /* from backend servers; 0 if not */
@@ -97,9 +100,27 @@
     if (instance->paused)
         return;
     instance->paused = true;
+    instance->paused_from_ms = now_ms;
     order("signal", number, "STOP");
 }
 
+/* ---- slow instances ---- */
+
+enum {
+    /* Below the second from which an instance notices that it stood still. */
+    SLOW_PAUSE_MS = 800,
+    SLOW_RUN_MS = 120, /* between two pauses */
+};
+
+static void
+tick_slow(instance_t *instance, uint32_t number, uint64_t now_ms)
+{
+    if (now_ms >= instance->slow_until_ms || instance->paused || now_ms < instance->pause_ms)
+        return;
+    pause_now(instance, number, SLOW_PAUSE_MS, now_ms);
+    instance->pause_ms = now_ms + SLOW_PAUSE_MS + SLOW_RUN_MS;
+}
+
 /* ---- cuts ---- */
 
 /* Data halls, which scripts/soak.sh gives to instances in turn. */
@@ -194,6 +215,9 @@
     case TROUBLE_PAUSE:
         pause_now(instance, trouble->target, trouble->length_ms, now_ms);
         break;
+    case TROUBLE_SLOW:
+        instance->slow_until_ms = now_ms + trouble->length_ms;
+        break;
     case TROUBLE_SETTINGS:
         snprintf(text, sizeof(text), "%" PRIu32, trouble->variant);
         order("settings", trouble->target, text);
@@ -214,6 +238,7 @@
     *instance->life = (life_t){.instance = number, .pid = pid, .started_ms = now_ms};
     instance->ordered = false;
     instance->paused = false;
+    instance->slow_until_ms = 0;
     if (fleet->finishing)
         kill_now(instance, number, 0);
 }
@@ -272,6 +297,7 @@
 tick_running(const fleet_t *fleet, instance_t *instance, uint32_t number, uint64_t now_ms)
 {
     life_t *life = instance->life;
+    tick_slow(instance, number, now_ms);
     if (instance->paused) {
         instance->disturbed_ms = now_ms;
         life->paused_ms = now_ms;
@@ -312,6 +338,12 @@
     fleet->stalled_ms = now_ms;
 }
 
+bool
+fleet_stalled_since(const fleet_t *fleet, uint64_t since_ms)
+{
+    return fleet->stalled_ms > 0 && fleet->stalled_ms >= since_ms;
+}
+
 void
 fleet_finish(fleet_t *fleet, uint64_t now_ms)
 {
@@ -358,6 +390,13 @@
            now_ms >= instance->disturbed_ms + CALM_MS && now_ms >= fleet->stalled_ms + CALM_MS;
 }
 
+bool
+fleet_stands_still_since(const fleet_t *fleet, uint32_t number, uint64_t since_ms)
+{
+    const instance_t *instance = &fleet->items[number];
+    return instance->paused && instance->paused_from_ms <= since_ms;
+}
+
 bool
 fleet_is_gone(const life_t *life)
 {
--- a/standin/soak/fleet.h
+++ b/standin/soak/fleet.h
@@ -49,6 +49,8 @@
 void fleet_tick(fleet_t *fleet, uint64_t now_ms);
 /* The machine held up the soak itself: no instance counts as undisturbed. */
 void fleet_stalled(fleet_t *fleet, uint64_t now_ms);
+/* True if that happened at that time or later. */
+bool fleet_stalled_since(const fleet_t *fleet, uint64_t since_ms);
 /* A planned stop of all, without new starts; true from fleet_is_over() once none runs. */
 void fleet_finish(fleet_t *fleet, uint64_t now_ms);
 bool fleet_is_over(const fleet_t *fleet);
@@ -59,6 +61,8 @@
 life_t *fleet_life(const fleet_t *fleet, uint32_t instance);
 /* Running, long enough since its start, with no trouble for some seconds. */
 bool fleet_in_touch(const fleet_t *fleet, uint32_t instance, uint64_t now_ms);
+/* True if the instance has been paused from that time on. */
+bool fleet_stands_still_since(const fleet_t *fleet, uint32_t instance, uint64_t since_ms);
 /* Milliseconds for which the instance has been cut from all backend servers; 0 if it is not. */
 uint64_t fleet_cut_ms(const fleet_t *fleet, uint32_t instance, uint64_t now_ms);
 /* True if requests of the instance may reach backend servers by way of another one. */
--- a/standin/soak/judge.h
+++ b/standin/soak/judge.h
@@ -35,6 +35,7 @@
     RULE_ROLLOUT,   /* a bad version is completed, or a good one rolled back */
     RULE_PROBED,    /* a backend server is asked for its load that does not report its pace, or
                        more often than requests come */
+    RULE_GONE,      /* a request reaches a backend server well after its caller has left */
     RULE_CUT,       /* callers of instances cut from all backend servers are served far worse */
     RULE_COUNT,
 } rule_t;
--- a/standin/soak/requests.h
+++ b/standin/soak/requests.h
@@ -38,6 +38,7 @@
     uint64_t number; /* its id in decimal digits */
     uint64_t sent_ms;
     uint64_t refused_ms;
+    uint64_t left_ms;  /* when its caller left without an answer; 0 if it did not */
     size_t body_len;   /* of the request */
     size_t answer_len; /* of the body that a backend server answers with */
     request_kind_t kind;
--- a/standin/soak/schedule.c
+++ b/standin/soak/schedule.c
@@ -49,6 +49,7 @@
     [TROUBLE_ROUTES] = {"routes", 12000, EACH_SITE, 4000, 6000},
     [TROUBLE_STORE_RETURNS] = {"store-returns", 25000, EACH_SITE, 0, 1500},
     [TROUBLE_CUT] = {"cut", 60000, EACH_INSTANCE, 1000, 8000},
+    [TROUBLE_SLOW] = {"slow", 60000, EACH_INSTANCE, 2000, 4000},
 };
 
 static const standin_store_mode_t store_modes[] = {
@@ -142,7 +143,8 @@
 {
     if (conf->says)
         return !is_said(kind);
-    return conf->earlier && (kind == TROUBLE_CUT || kind == TROUBLE_STORE_RETURNS);
+    return conf->earlier &&
+           (kind == TROUBLE_CUT || kind == TROUBLE_STORE_RETURNS || kind == TROUBLE_SLOW);
 }
 
 schedule_t
--- a/standin/soak/schedule.h
+++ b/standin/soak/schedule.h
@@ -35,6 +35,7 @@
     TROUBLE_SERVER_TELLS,     /* leaves, and says so in its answers alone; else as leaves */
     TROUBLE_CUT,              /* links of instances to all backend servers, for the length */
     TROUBLE_STORE_RETURNS,    /* the store is away for the length, then back from an older copy */
+    TROUBLE_SLOW,             /* short pauses in series, for the length */
     TROUBLE_COUNT,
 } trouble_kind_t;
 
--- a/standin/soak/server_work.c
+++ b/standin/soak/server_work.c
@@ -20,6 +20,7 @@
         8, /* of answers: one in chunks, one up to the connection's end, the rest with a length */
     PIECE = 16384, /* bytes of an answer that are made at once */
     STORE_CALM_MS = 4000,
+    GONE_MS = 500, /* from a caller's end until nothing arrives for it any more */
     /* Others on the same machine slow a backend server down for this long, one of so many at any
      * moment, and work then takes this long. */
     SLOWED_MS = 600,
@@ -285,6 +286,24 @@
                     servers->now_ms - server->told_ms);
 }
 
+/* A request that its caller has left is not sent any more, whatever befell its instance. One that
+ * has stood still since then cannot tell the peer that it had handed the request to. */
+static void
+judge_left(const server_t *server, const soak_request_t *request)
+{
+    const servers_t *servers = server->servers;
+    const fleet_t *fleet = servers->conf.fleet;
+    if (request->left_ms == 0 || fleet_stalled_since(fleet, request->left_ms) ||
+        fleet_stands_still_since(fleet, request->instance, request->left_ms))
+        return;
+    const uint64_t after_ms = servers->now_ms - request->left_ms;
+    if (after_ms > (uint64_t)(GONE_MS * servers->conf.slack))
+        judge_break(servers->conf.judge, RULE_GONE,
+                    "%" PRIu64 " from gateway-%" PRIu32 " arrives at %s, %" PRIu64
+                    " ms after its caller left",
+                    request->number, request->instance + 1, server->id, after_ms);
+}
+
 static size_t
 waiting(const server_t *server)
 {
@@ -343,8 +362,10 @@
         refuse(req, HTTP_STATUS_MISDIRECTED_REQUEST, "");
         return;
     }
-    if (request != NULL)
+    if (request != NULL) {
+        judge_left(server, request);
         says_arrived(server->says, request, server->servers->now_ms);
+    }
     if (request == NULL || waiting(server) >= QUEUE || refuses(server, request) ||
         says_turns_away(server->says, server->servers->now_ms)) {
         turn_away(server, req, request);
--- a/standin/soak/soak.c
+++ b/standin/soak/soak.c
@@ -116,6 +116,7 @@
     case TROUBLE_PAUSE:
     case TROUBLE_SETTINGS:
     case TROUBLE_CUT:
+    case TROUBLE_SLOW:
         fleet_trouble(soak->fleet, trouble, now_ms);
         break;
     case TROUBLE_CONFIG:
