Members and the store, and the store's state, in modules of their own; timeouts named so

What members tell of the store moves to members_store, who watches and when the store counts as failing to store_state. The time for which an overdue answer is awaited was called patience; it is a timeout. Three comments that needed a second reading, includes without use. Suites store, outage, store return, view relay, peers, silent connections, members pass.

--- a/gateway/deferred.h
+++ b/gateway/deferred.h
@@ -4,8 +4,8 @@
  * Splits long work over several loop iterations: decoding a configuration of 4,222 routes takes
  * 20 ms of CPU time on top of 26 ms for reading the response that carried it, and ten times as
  * long on a tenth of a core. In between, the loop notices disconnected callers and accepts
- * requests. An instance that works off a backlog takes seconds for one iteration: whoever depends
- * on the work has it run once it has waited for DEFERRED_MAX_MS.
+ * requests. While the loop works off a backlog, one iteration takes seconds; callers of
+ * deferred_run_overdue() bound the delay then.
  *
  * Owns two libuv handles, which live as long as the loop.
  */
@@ -16,7 +16,7 @@
 
 #include <uv.h>
 
-/* Time for which work is deferred at most; shorter than callers notice. */
+/* Delay after which deferred work is overdue. */
 enum { DEFERRED_MAX_MS = 100 };
 
 typedef struct {
--- a/gateway/gateway_events.c
+++ b/gateway/gateway_events.c
@@ -5,6 +5,7 @@
 #include "base/loop_time.h"
 #include "base/xmalloc.h"
 #include "gateway/gateway_state.h"
+#include "gateway/membership/members_store.h"
 #include "gateway/policy/isolation.h"
 #include "gateway/state/position.h"
 
--- a/gateway/membership/members.h
+++ b/gateway/membership/members.h
@@ -154,29 +154,9 @@
 size_t members_mesh(const members_t *members, const member_t *member);
 /* Returns the mesh of this instance; `region` is its region. */
 size_t members_own_mesh(const members_t *members, size_t region);
-/* Number of alive members of the own mesh that come before the one named `own` in the order of
- * store_schedule.h: all, or if `served` only those whose store requests succeed. */
-size_t members_rank_in_mesh(const members_t *members, str_t own, size_t region, bool served,
-                            uint64_t now_ms);
-/* Maximum age in milliseconds of a watcher's last answer from the store for its mesh to rely on
- * it. Allows for an idle watch of 3 s and the heartbeat interval. */
-uint32_t members_store_age_max_ms(const members_t *members, size_t region, uint64_t now_ms);
-/* True if an alive member that forwards changes to this instance got an answer from the store
- * within `age_ms`: a member of its mesh, or any member in a full mesh. */
-bool members_watch_store(const members_t *members, size_t region, uint32_t age_ms, uint64_t now_ms);
-/* True if the store is down as far as known: it answers no alive member and fails for
- * MEMBERS_OUTAGE_QUORUM of them, or for all if there are fewer. `own_failing` gives the state of
- * the member named `own`. Most instances of a large fleet do not call the store and do not count as
- * failing. */
-bool members_store_is_down(const members_t *members, str_t own, bool own_failing, uint32_t age_ms,
-                           uint64_t now_ms);
-/* True if the store fails for an alive member. */
-bool members_any_store_failure(const members_t *members, uint64_t now_ms);
-/* Forgets which members are announced in the store. */
-void members_forget_announcements(members_t *members);
 /* True if a backend server lately responded to an alive member. */
 bool members_hear_backends(const members_t *members, uint64_t now_ms);
-/* The last sign of any other member that was not leaving; `own` names this instance. */
+/* The last heartbeat of any other member that was not leaving; `own` names this instance. */
 typedef struct {
     bool known;         /* one was heard at some time */
     bool alive;         /* that one is alive */
@@ -188,9 +168,6 @@
  * there is none. */
 uint64_t members_newer_view(const members_t *members, view_kind_t kind, uint64_t at,
                             uint64_t digest, uint64_t now_ms);
-/* True if the store answered an alive member within `age_ms` and does not fail for it. A member
- * reports no age until it has had an answer for each kind of view. */
-bool members_store_serves(const members_t *members, uint32_t age_ms, uint64_t now_ms);
 /* Milliseconds of silence after which an instance is not listed in the directory. */
 uint64_t member_unlisted_after_ms(const member_t *member);
 /* Slots of a service that the callers of a region use: in the own mesh the sum over alive members,
--- a/gateway/policy/store_schedule.c
+++ b/gateway/policy/store_schedule.c
@@ -23,10 +23,10 @@
     WATCH_PAUSE_MS = 400,
     /* Shortest and longest time for which an overdue answer is awaited. The first is above a round
      * trip between regions, the second below the longest duration of a whole call. */
-    PATIENCE_MIN_MS = 800,
-    PATIENCE_MAX_MS = 8000,
-    PATIENCE_PER_DELAY = 2,
-    PATIENCE_GROWTH = 4, /* with each call given up */
+    TIMEOUT_MIN_MS = 800,
+    TIMEOUT_MAX_MS = 8000,
+    TIMEOUT_PER_DELAY = 2,
+    TIMEOUT_GROWTH = 4, /* with each timeout in a row */
 };
 
 /* Capacities of other instances have been rounded to floats on the way. */
@@ -83,18 +83,18 @@
 }
 
 static uint32_t
-bounded_patience_ms(uint64_t ms)
+bounded_timeout_ms(uint64_t ms)
 {
-    if (ms < PATIENCE_MIN_MS)
-        return PATIENCE_MIN_MS;
-    return ms < PATIENCE_MAX_MS ? (uint32_t)ms : PATIENCE_MAX_MS;
+    if (ms < TIMEOUT_MIN_MS)
+        return TIMEOUT_MIN_MS;
+    return ms < TIMEOUT_MAX_MS ? (uint32_t)ms : TIMEOUT_MAX_MS;
 }
 
 uint32_t
-store_schedule_patience_ms(uint64_t delay_ms, unsigned given_up)
+store_schedule_answer_timeout_ms(uint64_t delay_ms, unsigned timeouts)
 {
-    uint32_t patience_ms = bounded_patience_ms(PATIENCE_PER_DELAY * delay_ms);
-    for (unsigned i = 0; i < given_up && patience_ms < PATIENCE_MAX_MS; i++)
-        patience_ms = bounded_patience_ms((uint64_t)patience_ms * PATIENCE_GROWTH);
-    return patience_ms;
+    uint32_t timeout_ms = bounded_timeout_ms(TIMEOUT_PER_DELAY * delay_ms);
+    for (unsigned i = 0; i < timeouts && timeout_ms < TIMEOUT_MAX_MS; i++)
+        timeout_ms = bounded_timeout_ms((uint64_t)timeout_ms * TIMEOUT_GROWTH);
+    return timeout_ms;
 }
--- a/gateway/policy/store_schedule.h
+++ b/gateway/policy/store_schedule.h
@@ -7,9 +7,9 @@
  *    instances of the region try at once, and one more every 250 ms, until one is served.
  *  - While the store fails an instance, the first four probe it once a second, and the others in
  *    turn, two per second and region.
- *  - A call is given up a while after its answer is due: twice the delay of the last answer, so
- *    that a store that answers slowly is still read. While calls are given up, those for one kind
- *    wait longer each time; those for the others stay short and notice soon that the store is back.
+ *  - A call times out if its answer is overdue by twice the delay of the last one, so that a slow
+ *    store is still read. While calls time out, the timeout for one kind of object grows, which
+ *    finds out the delay of a slow store; the others stay short, which detects its recovery soon.
  *  - Starting instances wait for different times, most of them long: the first few read the store,
  *    and the others get the views from them.
  *
@@ -49,9 +49,9 @@
 /* Returns the interval in milliseconds between probes of a store that fails the instance, in a
  * region of `instances`. */
 uint64_t store_schedule_probe_interval_ms(size_t rank, size_t instances);
-/* Returns the time in milliseconds after which a call is given up, from the time at which the store
- * may answer. `delay_ms`: by how much its last answer came later than that; `given_up`: calls for
- * this kind given up in a row, if it is the one that waits longer; else 0. */
-uint32_t store_schedule_patience_ms(uint64_t delay_ms, unsigned given_up);
+/* Returns by how many milliseconds an answer may be overdue before its call times out. `delay_ms`:
+ * by how much the last answer was; `timeouts`: timeouts in a row of calls for the kind whose
+ * timeout grows, 0 for the others. */
+uint32_t store_schedule_answer_timeout_ms(uint64_t delay_ms, unsigned timeouts);
 /* Returns the pause in milliseconds after a watch that returned changes. */
 uint64_t store_schedule_watch_pause_ms(void);
--- a/gateway/ports.h
+++ b/gateway/ports.h
@@ -65,14 +65,14 @@
 
 /* Each call invokes its callback exactly once, never before the call has returned. */
 typedef struct {
-    /* Lists the objects of a kind whose names follow `after`. `patience_ms`: time until the first
-     * byte of the answer; at least that of all calls. */
-    void (*list)(void *ctx, view_kind_t kind, str_t after, uint32_t patience_ms, store_cb_t cb,
+    /* Lists the objects of a kind whose names follow `after`. `timeout_ms`: time until the first
+     * byte of the answer; a shorter one than the adapter's own is raised to that. */
+    void (*list)(void *ctx, view_kind_t kind, str_t after, uint32_t timeout_ms, store_cb_t cb,
                  void *cb_ctx);
     /* Waits up to `wait_ms` for changes of a kind after revision `from`; none if the time runs out.
-     * The first byte of the answer may come `patience_ms` later. */
-    void (*watch)(void *ctx, view_kind_t kind, uint64_t from, uint32_t wait_ms,
-                  uint32_t patience_ms, store_cb_t cb, void *cb_ctx);
+     * The first byte of the answer may come `timeout_ms` later. */
+    void (*watch)(void *ctx, view_kind_t kind, uint64_t from, uint32_t wait_ms, uint32_t timeout_ms,
+                  store_cb_t cb, void *cb_ctx);
     /* Creates an object of VIEW_INSTANCES. */
     void (*announce)(void *ctx, str_t name, str_t address, str_t hall, store_cb_t cb, void *cb_ctx);
     /* Records the state of an object of VIEW_ROLLOUTS, unless its revision is no longer `revision`:
--- a/gateway/state/catalog.h
+++ b/gateway/state/catalog.h
@@ -35,7 +35,7 @@
     config_t *config; /* NULL until one is known */
     refused_config_t refused;
     uint64_t newer_revision; /* of a configuration at a peer or not decoded yet; 0: none */
-    bool isolated;           /* a newer one may exist unheard of (isolation.h) */
+    bool isolated;           /* a newer one may be unknown here (isolation.h) */
     backends_t backends;
     bool backends_known;          /* a complete list has been applied */
     departures_t departures;      /* announced by peers before the list changed */
--- a/gateway/state/rollout_record.c
+++ b/gateway/state/rollout_record.c
@@ -5,6 +5,7 @@
 #include "base/log.h"
 #include "base/loop_time.h"
 #include "base/xmalloc.h"
+#include "gateway/membership/members_store.h"
 #include "gateway/state/store_calls.h"
 
 enum {
--- a/gateway/state/store_watch.c
+++ b/gateway/state/store_watch.c
@@ -9,7 +9,7 @@
 #include "gateway/policy/store_schedule.h"
 #include "gateway/state/position.h"
 #include "gateway/state/store_calls.h"
-#include "gateway/state/store_watch.h"
+#include "gateway/state/store_state.h"
 
 enum {
     /* Longest duration of a watch. Shorter ones cost more calls; longer ones delay the detection of
@@ -22,13 +22,9 @@
      * after this time, as a large answer on a slow link would delay the removal of a backend
      * server. Exceeds the timeout of a failing watch. */
     PROBE_INTERVAL_MS = 1000,
-    FAILING_THRESHOLD = 2, /* consecutive failures after which the store counts as failing */
-    /* Minimum duration of a takeover; prevents watchers from alternating every tick. */
-    FALLBACK_MS = 3000,
     /* A watch answered sooner returned changes that existed before it started. Exceeds the round
      * trip to the store, including from other regions. */
     IMMEDIATE_ANSWER_MS = 100,
-    START_DELAY_SEED = 61, /* arbitrary */
 };
 
 void
@@ -71,126 +67,6 @@
     return &kind->owner->conf.views->items[kind->kind];
 }
 
-/* ---- watcher selection and store state ---- */
-
-static size_t
-rank_of(const store_watch_t *watch, bool served, uint64_t now_ms)
-{
-    return members_rank_in_mesh(watch->conf.members, name_str(&watch->instance), watch->conf.region,
-                                served, now_ms);
-}
-
-static bool
-mesh_has_watcher(const store_watch_t *watch, uint64_t now_ms)
-{
-    const uint32_t age_max_ms =
-        members_store_age_max_ms(watch->conf.members, watch->conf.region, now_ms);
-    return members_watch_store(watch->conf.members, watch->conf.region, age_max_ms, now_ms);
-}
-
-/* A starting instance first waits for its peers to send the views. */
-static bool
-is_start_delay_over(const store_watch_t *watch, uint64_t now_ms)
-{
-    const uint64_t key = str_hash(name_str(&watch->instance), START_DELAY_SEED);
-    return now_ms - watch->started_ms >= store_schedule_startup_delay_ms(key, watch->conf.is_seed);
-}
-
-/* True if no instance of the mesh seems to watch the store and this one is next in rank to do
- * so. */
-static bool
-should_take_over(store_watch_t *watch, uint64_t now_ms)
-{
-    if (mesh_has_watcher(watch, now_ms)) {
-        watch->unwatched_ms = 0;
-        return false;
-    }
-    if (watch->unwatched_ms == 0)
-        watch->unwatched_ms = now_ms;
-    return store_schedule_takes_over(rank_of(watch, false, now_ms), now_ms - watch->unwatched_ms);
-}
-
-static bool
-should_watch(store_watch_t *watch)
-{
-    const uint64_t now_ms = loop_now(watch->conf.loop);
-    if (watch->stopped || !is_start_delay_over(watch, now_ms))
-        return false;
-    if (store_schedule_watches(rank_of(watch, true, now_ms)))
-        return true;
-    if (should_take_over(watch, now_ms)) {
-        watch->fallback_until_ms = now_ms + FALLBACK_MS;
-        watch->failed_ms = now_ms;
-    }
-    return now_ms < watch->fallback_until_ms;
-}
-
-static uint32_t
-answer_age_max_ms(const store_watch_t *watch, uint64_t now_ms)
-{
-    return members_store_age_max_ms(watch->conf.members, watch->conf.region, now_ms);
-}
-
-/* An outage is assumed only if the store fails for all instances; only then can entries expire
- * unintentionally. */
-static void
-detect_outage(store_watch_t *watch, uint64_t now_ms)
-{
-    const bool fails = store_watch_is_failing(watch);
-    if (watch->in_outage || !members_store_is_down(watch->conf.members, name_str(&watch->instance),
-                                                   fails, answer_age_max_ms(watch, now_ms), now_ms))
-        return;
-    watch->in_outage = true;
-    watch->outage_ms = now_ms;
-    LOG_WARN("store outage detected: failures=%u", watch->failures);
-}
-
-/* Records a failed call. A call that started before the store's recovery does not indicate a new
- * outage. */
-static void
-record_failure(store_watch_t *watch, const kind_watch_t *failed, uint64_t now_ms)
-{
-    watch->failed_ms = now_ms;
-    if (failed->called_ms >= watch->recovered_ms && store_watch_is_failing(watch))
-        detect_outage(watch, now_ms);
-}
-
-/* Ends the outage on the first evidence: an answer here, a peer that the store serves, or a change
- * received from a peer. */
-static void
-end_outage(store_watch_t *watch, const char *sign)
-{
-    if (!watch->in_outage)
-        return;
-    watch->in_outage = false;
-    watch->recovered_ms = loop_now(watch->conf.loop);
-    LOG_INFO("store outage ended: sign=%s", sign);
-}
-
-/* Updates the store state from the heartbeats of other instances. */
-static void
-update_from_peers(store_watch_t *watch)
-{
-    const members_t *members = watch->conf.members;
-    const uint64_t now_ms = loop_now(watch->conf.loop);
-    const bool calls_store = watch->watching || watch->failures > 0;
-    if (members_any_store_failure(members, now_ms))
-        watch->failed_ms = now_ms;
-    if (members_store_serves(members, answer_age_max_ms(watch, now_ms), now_ms))
-        end_outage(watch, "peer");
-    else if (!calls_store)
-        detect_outage(watch, now_ms);
-}
-
-/* Cancels an outage: a call started before its detection was answered, so only other instances
- * failed. */
-static void
-cancel_outage(store_watch_t *watch)
-{
-    watch->in_outage = false;
-    LOG_INFO("store outage cancelled: failures=%u", watch->failures);
-}
-
 static void
 free_pages(kind_watch_t *kind)
 {
@@ -203,39 +79,40 @@
     kind->page_count = 0;
 }
 
-/* The kind whose calls wait longer while calls are given up. */
+/* True for the kind whose timeout grows while calls time out. */
 static bool
-is_patient(const kind_watch_t *kind)
+has_growing_timeout(const kind_watch_t *kind)
 {
     return kind->kind == VIEW_CONFIG;
 }
 
 static uint32_t
-patience_ms(const kind_watch_t *kind)
+timeout_ms(const kind_watch_t *kind)
 {
-    return store_schedule_patience_ms(kind->owner->delay_ms, is_patient(kind) ? kind->given_up : 0);
+    return store_schedule_answer_timeout_ms(kind->owner->delay_ms,
+                                            has_growing_timeout(kind) ? kind->timeouts : 0);
 }
 
-/* The store answers again: what a call that waits longer would bring is read now. */
+/* The store answers again, so the configuration is read now instead of after a long timeout. */
 static void
-drop_patient_call(kind_watch_t *answered)
+drop_long_call(kind_watch_t *answered)
 {
     kind_watch_t *kind = &answered->owner->kinds[VIEW_CONFIG];
-    if (kind == answered || kind->given_up == 0 || kind->state == WATCH_IDLE)
+    if (kind == answered || kind->timeouts == 0 || kind->state == WATCH_IDLE)
         return;
     kind->call++; /* drops the answer */
     kind->state = WATCH_IDLE;
-    kind->given_up = 0;
+    kind->timeouts = 0;
     kind->retry_at_ms = 0;
     free_pages(kind);
 }
 
-/* An answer that came before the store had to give one tells nothing of its delay. */
+/* A watch that was answered before its wait time was over does not show the delay. */
 static void
 record_delay(kind_watch_t *kind)
 {
     const uint64_t elapsed_ms = kind->answered_ms - kind->called_ms;
-    kind->given_up = 0;
+    kind->timeouts = 0;
     if (elapsed_ms >= kind->wait_ms)
         kind->owner->delay_ms = elapsed_ms - kind->wait_ms;
 }
@@ -246,10 +123,10 @@
     store_watch_t *watch = kind->owner;
     kind->answered_ms = loop_now(watch->conf.loop);
     record_delay(kind);
-    drop_patient_call(kind);
+    drop_long_call(kind);
     if (watch->in_outage && kind->called_ms < watch->outage_ms)
-        cancel_outage(watch);
-    end_outage(watch, "answer");
+        store_state_cancel_outage(watch);
+    store_state_end_outage(watch, "answer");
     if (watch->failures > 0)
         LOG_INFO("store calls recovered: failures=%u", watch->failures);
     watch->failures = 0;
@@ -261,8 +138,8 @@
 needs_single_list(const kind_watch_t *kind)
 {
     const store_watch_t *watch = kind->owner;
-    return kind->read_once ||
-           (!watched_view(kind)->known && is_start_delay_over(watch, loop_now(watch->conf.loop)));
+    return kind->read_once || (!watched_view(kind)->known &&
+                               store_state_start_delay_is_over(watch, loop_now(watch->conf.loop)));
 }
 
 static uint64_t
@@ -276,7 +153,7 @@
     const size_t instances =
         members_count_alive_in_mesh(watch->conf.members, watch->conf.region, now_ms);
     const uint64_t probe_pause_ms =
-        store_schedule_probe_interval_ms(rank_of(watch, false, now_ms), instances);
+        store_schedule_probe_interval_ms(store_state_rank(watch, false, now_ms), instances);
     return store_watch_is_failing(watch) || pause_ms > probe_pause_ms ? probe_pause_ms : pause_ms;
 }
 
@@ -285,13 +162,13 @@
 {
     store_watch_t *watch = kind->owner;
     const uint64_t now_ms = loop_now(watch->conf.loop);
-    kind->given_up += answer->err.code == ERR_TIMEOUT;
+    kind->timeouts += answer->err.code == ERR_TIMEOUT;
     if (watch->failures++ == 0) {
         LOG_WARN("store calls failing: kind=%d outcome=%d detail=\"%s\"", kind->kind,
                  answer->outcome, answer->err.detail);
         watch->last_probed = VIEW_CONFIG; /* probed last, since its answer may be the largest */
     }
-    record_failure(watch, kind, now_ms);
+    store_state_record_failure(watch, kind, now_ms);
     kind->retry_at_ms = now_ms + retry_pause_ms(kind);
     if (kind->kind == watch->last_probed)
         watch->probe_at_ms = kind->retry_at_ms;
@@ -401,7 +278,7 @@
     if (after.len == 0)
         kind->listed_from = watched_view(kind)->known ? watched_view(kind)->at : 0;
     kind->wait_ms = 0;
-    store->list(store->ctx, kind->kind, after, patience_ms(kind), on_list, new_call(kind));
+    store->list(store->ctx, kind->kind, after, timeout_ms(kind), on_list, new_call(kind));
 }
 
 static void
@@ -528,7 +405,7 @@
                       probes ? STORE_REASON_RECOVERY_PROBE : STORE_REASON_CHANGES);
     kind->wait_ms = wait_ms;
     store->watch(store->ctx, kind->kind, position_revision(kind->watched_from), wait_ms,
-                 patience_ms(kind), on_watch, new_call(kind));
+                 timeout_ms(kind), on_watch, new_call(kind));
 }
 
 static bool
@@ -563,11 +440,11 @@
 void
 store_watch_tick(store_watch_t *watch)
 {
-    const bool watching = should_watch(watch);
+    const bool watching = store_state_should_watch(watch);
     if (watching != watch->watching)
         LOG_INFO("%s the store", watching ? "watching" : "no longer watching");
     watch->watching = watching;
-    update_from_peers(watch);
+    store_state_update_from_peers(watch);
     if (watch->failures > 0) {
         probe(watch);
         return;
@@ -578,46 +455,6 @@
     }
 }
 
-uint32_t
-store_watch_age_ms(const store_watch_t *watch)
-{
-    if (!watch->watching || watch->stopped)
-        return STORE_AGE_NONE;
-    const uint64_t now_ms = loop_now(watch->conf.loop);
-    uint64_t age_ms = 0;
-    for (view_kind_t i = 0; i < watch->conf.views->count; i++) {
-        const kind_watch_t *kind = &watch->kinds[i];
-        if (kind->answered_ms == 0)
-            return STORE_AGE_NONE;
-        if (now_ms - kind->answered_ms > age_ms)
-            age_ms = now_ms - kind->answered_ms;
-    }
-    return age_ms < STORE_AGE_NONE ? (uint32_t)age_ms : STORE_AGE_NONE - 1;
-}
-
-uint64_t
-store_watch_silent_ms(const store_watch_t *watch)
-{
-    uint64_t answered_ms = 0;
-    for (view_kind_t i = 0; i < watch->conf.views->count; i++) {
-        if (watch->kinds[i].answered_ms > answered_ms)
-            answered_ms = watch->kinds[i].answered_ms;
-    }
-    return answered_ms > 0 ? loop_now(watch->conf.loop) - answered_ms : UINT64_MAX;
-}
-
-static uint64_t
-elapsed_ms(const store_watch_t *watch, uint64_t then_ms)
-{
-    return then_ms > 0 ? loop_now(watch->conf.loop) - then_ms : REMOVAL_NEVER;
-}
-
-bool
-store_watch_is_failing(const store_watch_t *watch)
-{
-    return watch->failures >= FAILING_THRESHOLD;
-}
-
 void
 store_watch_on_return(store_watch_t *watch)
 {
@@ -636,18 +473,3 @@
         kind->retry_at_ms = 0;
     }
 }
-
-void
-store_watch_view_changed(store_watch_t *watch)
-{
-    end_outage(watch, "change");
-}
-
-removal_store_t
-store_watch_outage_state(const store_watch_t *watch)
-{
-    return (removal_store_t){
-        .since_return_ms = watch->in_outage ? 0 : elapsed_ms(watch, watch->recovered_ms),
-        .since_failure_ms = elapsed_ms(watch, watch->failed_ms),
-    };
-}
--- a/gateway/state/store_watch.h
+++ b/gateway/state/store_watch.h
@@ -54,8 +54,8 @@
     uint64_t retry_at_ms;  /* loop time before which the store is not called */
     uint64_t answered_ms;  /* loop time of the last answer, 0 if none */
     uint64_t called_ms;    /* loop time at which the last call started */
-    uint32_t wait_ms;      /* for which the store may hold back the answer to that call */
-    unsigned given_up;     /* calls in a row that got no answer in time */
+    uint32_t wait_ms;      /* of that call: the store may answer as late as this */
+    unsigned timeouts;     /* in a row */
     uint64_t current_ms;   /* loop time up to which the view is known to be complete */
     uint64_t watched_from; /* base position of the running watch */
     uint64_t listed_from;  /* position of the view when the list in progress began */
@@ -70,7 +70,7 @@
     name_t instance;
     kind_watch_t kinds[VIEW_WATCHED];
     unsigned failures;          /* consecutive failed calls */
-    uint64_t delay_ms;          /* of the last answer, beyond the time it was held back for */
+    uint64_t delay_ms;          /* of the last answer, beyond the wait time of its call */
     bool in_outage;             /* the store is believed to fail for all instances */
     uint64_t outage_ms;         /* loop time at which the outage was detected */
     uint64_t failed_ms;         /* loop time of the last failure seen by any instance, 0 if none */
--- a/test/gateway/test_caller_left.c
+++ b/test/gateway/test_caller_left.c
@@ -1,6 +1,4 @@
 /* Callers that close their connection before they have a response. */
-#include <fcntl.h>
-#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
--- a/test/gateway/test_members.c
+++ b/test/gateway/test_members.c
@@ -9,6 +9,7 @@
 #include "gateway/state/traffic.h"
 #include "gateway/membership/heartbeat.h"
 #include "gateway/membership/members.h"
+#include "gateway/membership/members_store.h"
 #include "test/gateway/fixture.h"
 #include "test/suites.h"
 
--- a/test/gateway/test_outage.c
+++ b/test/gateway/test_outage.c
@@ -49,23 +49,23 @@
 }
 
 static void
-on_list_call(void *ctx, view_kind_t kind, str_t after, uint32_t patience_ms, store_cb_t cb,
+on_list_call(void *ctx, view_kind_t kind, str_t after, uint32_t timeout_ms, store_cb_t cb,
              void *cb_ctx)
 {
     (void)after;
-    (void)patience_ms;
+    (void)timeout_ms;
     outage_fixture_t *fixture = ctx;
     fixture->cbs[kind] = cb;
     fixture->cb_ctxs[kind] = cb_ctx;
 }
 
 static void
-on_watch_call(void *ctx, view_kind_t kind, uint64_t from, uint32_t wait_ms, uint32_t patience_ms,
+on_watch_call(void *ctx, view_kind_t kind, uint64_t from, uint32_t wait_ms, uint32_t timeout_ms,
               store_cb_t cb, void *cb_ctx)
 {
     (void)from;
     (void)wait_ms;
-    on_list_call(ctx, kind, STR(""), patience_ms, cb, cb_ctx);
+    on_list_call(ctx, kind, STR(""), timeout_ms, cb, cb_ctx);
 }
 
 static void
--- a/test/gateway/test_store.c
+++ b/test/gateway/test_store.c
@@ -209,7 +209,7 @@
 }
 END_TEST
 
-START_TEST(change_after_silence_does_not_wait_for_a_patient_call)
+START_TEST(change_after_silence_does_not_wait_for_a_long_timeout)
 {
     enum { SILENT_MS = 9000, PROBE_MS = 1000, TICKS_MS = 3 * GATEWAY_TICK_MS };
     site_t *site = new_ready_site(1);
@@ -298,7 +298,7 @@
     tcase_add_test(tests, backend_removed_after_outage_gets_no_requests);
     tcase_add_test(tests, slow_store_answer_is_read_completely);
     tcase_add_test(tests, changes_arrive_while_the_store_answers_slowly);
-    tcase_add_test(tests, change_after_silence_does_not_wait_for_a_patient_call);
+    tcase_add_test(tests, change_after_silence_does_not_wait_for_a_long_timeout);
     tcase_add_test(tests, stalled_store_answer_times_out);
     tcase_add_test(tests, kind_without_answer_does_not_block_others);
     tcase_add_test(tests, oversized_watch_answer_falls_back_to_list);
--- a/test/gateway/test_store_schedule.c
+++ b/test/gateway/test_store_schedule.c
@@ -49,13 +49,13 @@
 }
 END_TEST
 
-START_TEST(overdue_answers_are_awaited_for_bounded_times)
+START_TEST(answer_timeouts_are_bounded)
 {
-    ck_assert_uint_eq(store_schedule_patience_ms(0, 0), 800);
-    ck_assert_uint_eq(store_schedule_patience_ms(2000, 0), 4000);
-    ck_assert_uint_eq(store_schedule_patience_ms(60000, 0), 8000);
-    ck_assert_uint_eq(store_schedule_patience_ms(0, 1), 3200);
-    ck_assert_uint_eq(store_schedule_patience_ms(0, 1000), 8000);
+    ck_assert_uint_eq(store_schedule_answer_timeout_ms(0, 0), 800);
+    ck_assert_uint_eq(store_schedule_answer_timeout_ms(2000, 0), 4000);
+    ck_assert_uint_eq(store_schedule_answer_timeout_ms(60000, 0), 8000);
+    ck_assert_uint_eq(store_schedule_answer_timeout_ms(0, 1), 3200);
+    ck_assert_uint_eq(store_schedule_answer_timeout_ms(0, 1000), 8000);
 }
 END_TEST
 
@@ -102,7 +102,7 @@
     tcase_add_test(tests, few_starting_instances_read_the_store_first);
     tcase_add_test(tests, store_probes_during_outage_are_bounded);
     tcase_add_test(tests, unwatched_store_is_taken_over);
-    tcase_add_test(tests, overdue_answers_are_awaited_for_bounded_times);
+    tcase_add_test(tests, answer_timeouts_are_bounded);
     tcase_add_test(tests, simultaneous_starts_make_few_store_calls);
     suite_add_tcase(suite, tests);
     return suite;
