--- a/review/standin.py
+++ b/review/standin.py
@@ -205,11 +205,12 @@
 class Gateway:
     """One irisstall-gateway, started with the command and the template of the deploy file."""
 
-    def __init__(self, folder, name, ip, zone, store, seeds=None):
+    def __init__(self, folder, name, ip, zone, store, seeds=None, zones=None):
         self.name, self.ip, self.zone, self.store = name, ip, zone, store
         ports = free_ports(ip, 5)
         self.front, self.ready, self.directory, self.control, self.admin = ports
         self.seeds = seeds
+        self.zones = zones or {"toledo-hall": "erie-west", "alpena-hall": "huron-north"}
         self.folder = folder
         self.process = None
 
@@ -227,10 +228,7 @@
 store: %s
 seeds: [%s]
 places:
-  - place: toledo-hall
-    region: erie-west
-  - place: alpena-hall
-    region: huron-north
+%s
 link_mbps: 1000.0
 cpu_cores: 0.2
 directory_ttl_s: 2
@@ -241,7 +239,8 @@
 rules: ["base","drain","config","cost","retry","recover","places","platform"]
 """ % (self.name, self.zone, self.ip, self.front, self.ip, self.ready, self.ip, self.directory,
                 self.ip, self.control, self.ip, self.admin, self.store,
-                ",".join('"%s"' % seed for seed in seeds)))
+                ",".join('"%s"' % seed for seed in seeds),
+                "\n".join("  - place: %s\n    region: %s" % pair for pair in self.zones.items())))
         log = open(os.path.join(self.folder, self.name + ".log"), "ab")
         program = os.environ.get("GATEWAY", os.path.join(ROOT, "target", "irisstall-gateway"))
         self.process = await asyncio.create_subprocess_exec(
