--- a/review/standin.py
+++ b/review/standin.py
@@ -8,12 +8,14 @@
 import asyncio
 import json
 import os
+import random
 import signal
 import socket
 import time
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 START = time.monotonic()
+HANDED_OUT = set()
 
 
 def run(main):
@@ -44,14 +46,19 @@
 
 
 def free_ports(ip, count):
-    socks = []
-    for _ in range(count):
-        sock = socket.socket()
-        sock.bind((ip, 0))
-        socks.append(sock)
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
+    """Ports below those that the kernel gives to outgoing connections, each handed out once."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(10000, 32000)
+        if port in HANDED_OUT:
+            continue
+        with socket.socket() as sock:
+            try:
+                sock.bind((ip, port))
+            except OSError:
+                continue
+        HANDED_OUT.add(port)
+        ports.append(port)
     return ports
 
 
