--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""A configuration gives a service a longer healthPath."""
+"""A configuration moves a route to a service whose healthPath is long."""
 
 import asyncio
 import os
@@ -13,7 +13,8 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 GATEWAYS = 3
-TOKEN_BYTES = 600  # of a signed token; a URI of 8,000 bytes is what servers are to take at least
+UPSTREAMS = 12  # six of each service, three of these in each zone
+TOKEN_BYTES = 600  # of a signed token in a path; servers take 8,000 bytes and more
 RESTART_S = 1.0  # "starts again after a short delay"
 CHANGE_AT_S = 4.0
 LENGTH_S = 24.0
@@ -78,7 +79,7 @@
         try:
             reader, writer = await asyncio.wait_for(
                 asyncio.open_connection(gateway.ip, gateway.front), 1)
-            writer.write(("GET /read/%d HTTP/1.1\r\nHost: tally.example\r\nAttempt-Id: %s\r\n"
+            writer.write(("GET /read/%d HTTP/1.1\r\nHost: lift.example\r\nAttempt-Id: %s\r\n"
                           "Affinity-Key: %d\r\nDeadline-Ms: 2500\r\nConnection: close\r\n\r\n"
                           % (turn % 40, ident, turn % 40)).encode())
             result = "no answer"
@@ -99,18 +100,21 @@
     counts = {}
     try:
         store = standin.Store()
-        port, *server_ports = standin.free_ports("127.0.0.1", 5)
+        port, *server_ports = standin.free_ports("127.0.0.1", 1 + UPSTREAMS)
         await store.start("127.0.0.1", port)
-        upstreams = [Upstream("i-%08x" % (0x7F3A91C2 + number)) for number in range(4)]
+        upstreams = [Upstream("i-%08x" % (0x7F3A91C2 + number)) for number in range(UPSTREAMS)]
         for upstream, server_port in zip(upstreams, server_ports):
             await asyncio.start_server(upstream.serve, "127.0.0.1", server_port)
-        route = standin.route("tally.example", "/read/", "safe", "tallyboard", sticky=True)
-        await store.put("config", "main", standin.config(
-            7, {"r-read": route}, {"tallyboard": standin.service()}))
+        route = standin.route("lift.example", "/read/", "safe", "taller", sticky=True)
+        services = {
+            "taller": standin.service(),
+            "biblioteca": standin.service(healthPath="/health?token=" + "t" * TOKEN_BYTES),
+        }
+        await store.put("config", "main", standin.config(7, {"r-read": route}, services))
         for number, (upstream, server_port) in enumerate(zip(upstreams, server_ports)):
-            await standin.list_upstream(store, upstream.ident, "tallyboard",
+            await standin.list_upstream(store, upstream.ident, ("taller", "biblioteca")[number % 2],
                                         "127.0.0.1:%d" % server_port,
-                                        ("toledo-hall", "alpena-hall")[number % 2])
+                                        ("toledo-hall", "alpena-hall")[number // (UPSTREAMS // 2)])
         ends = {}
         for number in range(GATEWAYS):
             zone = ("toledo-hall", "alpena-hall")[number % 2]
@@ -134,11 +138,11 @@
         if sum(ends.values()):
             return 2
         counts.clear()
-        path = "/health?token=" + "t" * TOKEN_BYTES if TROUBLE else "/health"
+        change = {"service": "biblioteca"} if TROUBLE else {"timeoutMs": 4000}
         await store.put("config", "main", standin.config(
-            12, {"r-read": dict(route, timeoutMs=4000)},
-            {"tallyboard": standin.service(healthPath=path)}))
-        record("operator's configuration 0000000c acknowledged, healthPath of %d bytes" % len(path))
+            12, {"r-read": dict(route, **change)}, services))
+        record("operator's configuration 0000000c acknowledged: %s; healthPath of biblioteca has %d"
+               " bytes in all versions" % (change, len(services["biblioteca"]["healthPath"])))
         await asyncio.sleep(LENGTH_S - (time.monotonic() - begun))
         state["over"] = True
         record("after the change: ends %s, answers %s" % (ends, counts))
