wire: text of any length; a long health path ends no process

Seen by callers: after a change that moved a route to a service whose healthPath has 614 bytes, all processes ended with SIGABRT, again after each start; requests under way lost their connections.

Cause: wire_text_printf() formatted into 512 bytes on the stack and asserted that the text fits. path/load_probes.c writes the request line of a probe with it, and the path has no bound of its own.

The text is now formatted into the buffer itself, which grows; no length is asserted any more. So the other callers that print text from outside (admin pages, fields of requests in transit) have no bound either.

--- a/test/gateway/site.c
+++ b/test/gateway/site.c
@@ -104,9 +104,12 @@
 static void
 on_backend_request(void *ctx, standin_conn_t *conn, str_t text)
 {
-    static const char health[] = "GET /health ";
+    static const char health[] = "GET /health";
     scripted_t *backend = ctx;
-    if (text.len > strlen(health) && memcmp(text.ptr, health, strlen(health)) == 0) {
+    if (text.len > strlen(health) && memcmp(text.ptr, health, strlen(health)) == 0 &&
+        (text.ptr[strlen(health)] == ' ' || text.ptr[strlen(health)] == '?')) {
+        const char *target = text.ptr + strlen("GET ");
+        backend->probe_target_len = (size_t)(strchr(target, ' ') - target);
         on_probe(backend, conn);
         return;
     }
@@ -247,8 +250,9 @@
     json_t *config =
         json_pack("{s:s, s:o, s:{s:{s:i, s:s, s:f, s:f}}, s:{s:i, s:i, s:i, s:i}}", "version",
                   version, "routes", routes, "services", "svc", "maxConns", 100, "healthPath",
-                  "/health", "coldStartS", 0.5, "coldPerS", 10.0, "limits", "maxHeaderBytes", 2000,
-                  "maxBodyBytes", 4000, "headerTimeoutMs", 400, "idleTimeoutMs", 5000);
+                  site->health_path != NULL ? site->health_path : "/health", "coldStartS", 0.5,
+                  "coldPerS", 10.0, "limits", "maxHeaderBytes", 2000, "maxBodyBytes", 4000,
+                  "headerTimeoutMs", 400, "idleTimeoutMs", 5000);
     if (site->accounts != NULL)
         json_object_set_new(config, "tenants", json_loads(site->accounts, 0, NULL));
     standin_store_put(site->store, "config", "main", config, NULL);
--- a/test/gateway/site.h
+++ b/test/gateway/site.h
@@ -60,6 +60,7 @@
     unsigned pace_percent; /* fourth figure of its load; 0: it reports three */
     probe_behaviour_t probe_behaviour;
     size_t probes;                   /* requests on its health path */
+    size_t probe_target_len;         /* length of the target of the last one, bytes */
     const char *extra_headers;       /* header lines added to every response; NULL if none */
     uint64_t arrivals[ARRIVALS_MAX]; /* loop times of its first requests */
     size_t arrival_count;
@@ -98,6 +99,7 @@
     unsigned extra_routes;
     const char *accounts;          /* client accounts of the configuration as JSON; NULL if none */
     const decoder_port_t *decoder; /* of gateways started from now on; NULL: the platform's */
+    const char *health_path;       /* of the configuration; NULL: /health */
     bool orders_shortage;          /* setting of gateways started from now on */
     double expose_share;           /* setting of gateways started from now on */
     const char *poison;       /* requests containing this text crash the backend; NULL if none */
--- a/test/gateway/test_load_probe.c
+++ b/test/gateway/test_load_probe.c
@@ -254,6 +254,30 @@
 }
 END_TEST
 
+/* Any path of a valid configuration fits into the request of a probe: the process must not end. */
+START_TEST(long_health_path_is_asked_whole)
+{
+    static const size_t lengths[] = {400, 511, 512, 614, 2000, 7900};
+    char path[8000];
+    for (size_t i = 0; i < sizeof(lengths) / sizeof(lengths[0]); i++) {
+        site_t *site = new_reporting_site(BACKENDS);
+        memset(path, 't', lengths[i]);
+        memcpy(path, "/health?k=", strlen("/health?k="));
+        path[lengths[i]] = '\0';
+        site->health_path = path;
+        put_config(site, "/later/");
+        RUN_UNTIL(site, ask(site, "GET", "/later/x").status == 200);
+        let_reports_expire(site);
+        ck_assert_int_eq(ask(site, "GET", "/later/x").status, 200);
+        ck_assert_uint_gt(total_probes(site), 0);
+        for (size_t k = 0; k < BACKENDS; k++) {
+            const scripted_t *backend = &site->backends[k];
+            ck_assert(backend->probes == 0 || backend->probe_target_len == lengths[i]);
+        }
+    }
+}
+END_TEST
+
 START_TEST(reports_are_shared_by_requests)
 {
     enum { ASKED = 60 };
@@ -539,6 +563,7 @@
     tcase_add_test(tests, wait_is_a_small_share_of_the_objective);
     tcase_add_test(tests, services_that_report_no_pace_are_not_asked);
     tcase_add_test(tests, slowed_first_candidate_is_known_before_the_send);
+    tcase_add_test(tests, long_health_path_is_asked_whole);
     tcase_add_test(tests, reports_are_shared_by_requests);
     tcase_add_test(tests, concurrent_requests_share_a_probe);
     tcase_add_test(tests, silent_probe_holds_up_a_request_for_the_bound_at_most);
--- a/wire/head.c
+++ b/wire/head.c
@@ -171,16 +171,23 @@
     return false;
 }
 
+/* Makes room for `len` more bytes and a NUL. */
+static void
+reserve(wire_text_t *text, size_t len)
+{
+    size_t size = text->size > 0 ? text->size : TEXT_START;
+    while (size < text->len + len + 1)
+        size *= 2;
+    if (size == text->size)
+        return;
+    text->ptr = xrealloc(text->ptr, size);
+    text->size = size;
+}
+
 void
 wire_text_add(wire_text_t *text, const char *ptr, size_t len)
 {
-    if (text->len + len + 1 > text->size) {
-        size_t size = text->size > 0 ? text->size : TEXT_START;
-        while (size < text->len + len + 1)
-            size *= 2;
-        text->ptr = xrealloc(text->ptr, size);
-        text->size = size;
-    }
+    reserve(text, len);
     if (len > 0)
         memcpy(text->ptr + text->len, ptr, len);
     text->len += len;
@@ -193,16 +200,24 @@
     wire_text_add(text, s.ptr, s.len);
 }
 
+/* Formats into the free space of the buffer, and once more if the result is longer than that. */
 void
 wire_text_printf(wire_text_t *text, const char *fmt, ...)
 {
-    char buf[512];
-    va_list args;
-    va_start(args, fmt);
-    const int n = vsnprintf(buf, sizeof(buf), fmt, args);
-    va_end(args);
-    xassert(n >= 0 && (size_t)n < sizeof(buf));
-    wire_text_add(text, buf, (size_t)n);
+    size_t len = 0;
+    bool fits = false;
+    while (!fits) {
+        reserve(text, len);
+        const size_t room = text->size - text->len;
+        va_list args;
+        va_start(args, fmt);
+        const int n = vsnprintf(text->ptr + text->len, room, fmt, args);
+        va_end(args);
+        xassert(n >= 0); /* an invalid format */
+        len = (size_t)n;
+        fits = len < room;
+    }
+    text->len += len;
 }
 
 void
--- a/wire/head.h
+++ b/wire/head.h
@@ -72,6 +72,7 @@
 
 void wire_text_add(wire_text_t *text, const char *ptr, size_t len);
 void wire_text_str(wire_text_t *text, str_t s);
+/* Appends formatted text of any length. */
 void wire_text_printf(wire_text_t *text, const char *fmt, ...)
     __attribute__((format(printf, 2, 3)));
 /* Appends "name: value\r\n". */
