platform: an invalid client account does not hold back the configuration

Seen by callers: one account whose name has a blank or more than 47 bytes, whose rate is negative, with an empty key, or with a key that another one has too, refused the whole configuration. Instances stayed on the version before, so new routes got 503; one that started had none and answered 503 to all.

Cause: the decoder gave up at the first account that it could not read, and config_seal() at the first shared key.

Such an account now stays in the table, marked unusable: a request with one of its keys gets 503 with a time to come back, on open routes too, as neither its limit nor its regions are known. A shared key identifies no account; the other keys of both do. Where a key cannot be read, an unknown key gets 503 rather than 401, as it may be that one. All are counted in irisstall_config_left_out, shown by irisctl status and logged, without values of keys.

--- a/gateway/admin.c
+++ b/gateway/admin.c
@@ -183,7 +183,7 @@
               "Store revision of a newer configuration that could not be used, 0: none.",
               (int64_t)position_revision(router->catalog.refused.revision));
     set_gauge("irisstall_config_left_out",
-              "Routes and services of the configuration in force that could not be read.",
+              "Parts of the configuration in force that could not be read.",
               router->catalog.config != NULL ? (int64_t)config_skipped_count(router->catalog.config)
                                              : 0);
     set_gauge("irisstall_instances_living", "Instances heard of, this one too.",
--- a/gateway/path/exchange.c
+++ b/gateway/path/exchange.c
@@ -88,25 +88,26 @@
 {
     const config_t *config = ex->config;
     const bool may_have_account = config->has_accounts && ex->metadata.key_form == KEY_SINGLE;
-    const config_account_t *account =
-        may_have_account ? config_account_of_key(config, ex->metadata.key) : NULL;
+    const config_key_match_t match =
+        may_have_account ? config_match_key(config, ex->metadata.key) : (config_key_match_t){0};
     const key_input_t input = {
         .has_accounts = config->has_accounts,
         .allows_anonymous = ex->route->allows_anonymous,
         .form = ex->metadata.key_form,
         .key = ex->metadata.key,
-        .is_known = account != NULL,
-        .newer_known = catalog_is_behind(&ex->owner->router->catalog),
+        .is_known = match.account != NULL,
+        .is_unusable = match.unusable,
+        .keys_missing = config->keys_missing || catalog_is_behind(&ex->owner->router->catalog),
     };
     ex->key = key_check(&input);
-    if (key_is_denied(ex->key) || ex->key == KEY_CONFIGURATION_STALE) {
-        completion_refuse(ex, ex->key == KEY_CONFIGURATION_STALE ? OUTCOME_CONFIGURATION_STALE
-                                                                 : OUTCOME_DENIED);
+    if (key_is_denied(ex->key) || key_is_deferred(ex->key)) {
+        completion_refuse(ex,
+                          key_is_deferred(ex->key) ? OUTCOME_CONFIGURATION_STALE : OUTCOME_DENIED);
         return false;
     }
-    ex->account = account;
-    if (account != NULL)
-        ex->attempt.account = name_str(&account->name);
+    ex->account = match.account;
+    if (match.account != NULL)
+        ex->attempt.account = name_str(&match.account->name);
     return true;
 }
 
@@ -197,7 +198,7 @@
     if (name.len == 0)
         return true;
     ex->account = config_account(ex->config, config_account_id(name));
-    if (ex->account == NULL)
+    if (ex->account == NULL || ex->account->unusable)
         return false;
     ex->attempt.account = name_str(&ex->account->name);
     ex->account_use = account_uses_hold(ex->owner->account_uses, ex->account, exchange_now_ms(ex));
--- a/gateway/policy/key_check.c
+++ b/gateway/policy/key_check.c
@@ -17,9 +17,11 @@
         return KEY_NOT_NEEDED;
     if (input->form == KEY_SINGLE && input->is_known)
         return KEY_KNOWN;
+    if (input->form == KEY_SINGLE && input->is_unusable)
+        return KEY_UNUSABLE;
     if (input->allows_anonymous)
         return KEY_NOT_NEEDED;
-    return input->newer_known ? KEY_CONFIGURATION_STALE : denial_verdict(input);
+    return input->keys_missing ? KEY_CONFIGURATION_STALE : denial_verdict(input);
 }
 
 bool
@@ -28,6 +30,12 @@
     return verdict >= KEY_ABSENT;
 }
 
+bool
+key_is_deferred(key_verdict_t verdict)
+{
+    return verdict == KEY_CONFIGURATION_STALE || verdict == KEY_UNUSABLE;
+}
+
 const char *
 key_verdict_name(key_verdict_t verdict)
 {
@@ -35,6 +43,7 @@
         [KEY_NOT_NEEDED] = "not_needed",
         [KEY_KNOWN] = "known",
         [KEY_CONFIGURATION_STALE] = "behind",
+        [KEY_UNUSABLE] = "unusable",
         [KEY_ABSENT] = "absent",
         [KEY_AMBIGUOUS] = "several",
         [KEY_EMPTY] = "empty",
--- a/gateway/state/config.c
+++ b/gateway/state/config.c
@@ -23,7 +23,8 @@
 size_t
 config_skipped_count(const config_t *config)
 {
-    return config->routes_skipped + config->services_skipped;
+    return config->routes_skipped + config->services_skipped + config->accounts_skipped +
+           config->keys_skipped;
 }
 
 /* Versions are numbers with leading zeros, so a longer one is newer. */
@@ -117,8 +118,8 @@
     return str_compare(name_str(&a->name), name_str(&b->name));
 }
 
-bool
-config_seal(config_t *config, err_t *err)
+void
+config_seal(config_t *config)
 {
     for (size_t i = 0; i < config->route_count; i++) {
         config_route_t *route = &config->routes[i];
@@ -128,7 +129,7 @@
     qsort(config->routes, config->route_count, sizeof(*config->routes), compare_keys);
     qsort(config->services, config->service_count, sizeof(*config->services),
           compare_service_names);
-    return config_seal_accounts(config, err);
+    config_seal_accounts(config);
 }
 
 static const config_route_t *
--- a/gateway/state/config.h
+++ b/gateway/state/config.h
@@ -51,7 +51,8 @@
 
 /* A client account, identified by the key in a request. */
 typedef struct {
-    name_t name;
+    name_t name;       /* empty if it cannot be shown */
+    bool unusable;     /* its entry could not be read; its requests are not served */
     uint64_t id;       /* hash of the name, the same on every instance */
     int priority;      /* overrides that of the route; 0 is the most urgent */
     double rate_per_s; /* requests a second over all instances; 0: no limit */
@@ -64,9 +65,16 @@
     uint64_t hash;    /* of the key, seeded with key_seed */
     uint64_t account; /* id of the account */
     char *text;
-    size_t len;
+    uint32_t len;
+    bool shared; /* by several accounts: it identifies none */
 } config_key_t;
 
+/* The account of a key. */
+typedef struct {
+    const config_account_t *account; /* NULL if there is none that can be used */
+    bool unusable;                   /* several accounts have the key, or one that is unusable */
+} config_key_match_t;
+
 typedef struct {
     name_t name;
     uint32_t max_connections; /* that a backend accepts from all instances together */
@@ -99,6 +107,9 @@
     uint64_t key_seed;     /* random, so that callers cannot construct hash collisions */
     size_t routes_skipped; /* that could not be read */
     size_t services_skipped;
+    size_t accounts_skipped;
+    size_t keys_skipped; /* that could not be read, or that several accounts have */
+    bool keys_missing;   /* keys of an account could not be read */
 } config_t;
 
 /* Allocates a configuration with that many routes and services, to be filled in. The caller gets a
@@ -116,10 +127,9 @@
 /* Set an account's name and add a key to it; both copy the string. */
 bool config_account_name(config_account_t *account, str_t name);
 void config_add_key(config_t *config, const config_account_t *account, str_t key);
-/* Sorts the tables for look-ups; called once when all is filled in. False with an error if two
- * accounts share a key or a name. */
-bool config_seal(config_t *config, err_t *err);
-/* Number of routes and services that could not be read. */
+/* Sorts the tables for look-ups; called once when all is filled in. */
+void config_seal(config_t *config);
+/* Number of routes, services, accounts and keys that could not be read. */
 size_t config_skipped_count(const config_t *config);
 /* Negative, zero or positive if version `left` is older than, the same as or newer than `right`. */
 int config_version_order(const char *left, const char *right);
@@ -130,8 +140,8 @@
  * ignored. */
 const config_route_t *config_route(const config_t *config, str_t host, str_t path);
 const config_service_t *config_service(const config_t *config, str_t name);
-/* The account with that key; NULL if there is none. Compares in constant time. */
-const config_account_t *config_account_of_key(const config_t *config, str_t key);
+/* Compares in constant time. */
+config_key_match_t config_match_key(const config_t *config, str_t key);
 /* Id of the account with that name. */
 uint64_t config_account_id(str_t name);
 /* The account with that id; NULL if there is none. */
--- a/gateway/state/config_accounts.c
+++ b/gateway/state/config_accounts.c
@@ -2,6 +2,8 @@
 
 #include <stdlib.h>
 
+#define LOG_MODULE "router"
+#include "base/log.h"
 #include "base/rng.h"
 #include "base/search.h"
 #include "base/xmalloc.h"
@@ -39,7 +41,7 @@
         .hash = str_hash(key, config->key_seed),
         .account = account->id,
         .text = xmemdup0(key.ptr, key.len),
-        .len = key.len,
+        .len = (uint32_t)key.len,
     };
 }
 
@@ -76,32 +78,63 @@
     return (str_t){key->text, key->len};
 }
 
-bool
-config_seal_accounts(config_t *config, err_t *err)
+/* Accounts whose names have the same hash cannot be told apart. */
+static void
+disable_duplicate_accounts(config_t *config)
 {
-    if (!config->has_accounts)
-        return true;
-    qsort(config->accounts, config->account_count, sizeof(*config->accounts), compare_ids);
-    qsort(config->keys, config->key_count, sizeof(*config->keys), compare_hashes);
     for (size_t i = 1; i < config->account_count; i++) {
-        if (config->accounts[i].id == config->accounts[i - 1].id) {
-            err_set(err, ERR_INVALID, "duplicate client account: %s", config->accounts[i].name.ptr);
-            return false;
-        }
+        config_account_t *account = &config->accounts[i];
+        config_account_t *before = &config->accounts[i - 1];
+        if (account->id != before->id)
+            continue;
+        LOG_ERR("client accounts left out, their names have the same hash: account=%s other=%s",
+                account->name.ptr, before->name.ptr);
+        account->unusable = true;
+        before->unusable = true;
     }
+}
+
+static void
+mark_if_shared(config_t *config, config_key_t *key, config_key_t *other)
+{
+    if (other->account == key->account || !str_eq(key_text(other), key_text(key)))
+        return;
+    LOG_ERR("key left out, several client accounts have it: account=%s other=%s",
+            config_account(config, other->account)->name.ptr,
+            config_account(config, key->account)->name.ptr);
+    key->shared = true;
+    other->shared = true;
+}
+
+static void
+mark_shared_keys(config_t *config)
+{
     for (size_t i = 1; i < config->key_count; i++) {
-        const config_key_t *key = &config->keys[i];
-        for (size_t k = i; k > 0 && config->keys[k - 1].hash == key->hash; k--) {
-            const config_key_t *other = &config->keys[k - 1];
-            if (other->account == key->account || !str_eq(key_text(other), key_text(key)))
-                continue;
-            err_set(err, ERR_INVALID, "client accounts %s and %s share a key",
-                    config_account(config, other->account)->name.ptr,
-                    config_account(config, key->account)->name.ptr);
-            return false;
-        }
+        config_key_t *key = &config->keys[i];
+        for (size_t k = i; k > 0 && config->keys[k - 1].hash == key->hash; k--)
+            mark_if_shared(config, key, &config->keys[k - 1]);
     }
-    return true;
+}
+
+static void
+count_skipped(config_t *config)
+{
+    for (size_t i = 0; i < config->account_count; i++)
+        config->accounts_skipped += config->accounts[i].unusable;
+    for (size_t i = 0; i < config->key_count; i++)
+        config->keys_skipped += config->keys[i].shared;
+}
+
+void
+config_seal_accounts(config_t *config)
+{
+    if (!config->has_accounts)
+        return;
+    qsort(config->accounts, config->account_count, sizeof(*config->accounts), compare_ids);
+    qsort(config->keys, config->key_count, sizeof(*config->keys), compare_hashes);
+    disable_duplicate_accounts(config);
+    mark_shared_keys(config);
+    count_skipped(config);
 }
 
 typedef struct {
@@ -123,16 +156,24 @@
     return search->config->accounts[index].id < search->wanted;
 }
 
-const config_account_t *
-config_account_of_key(const config_t *config, str_t key)
+static config_key_match_t
+match(const config_t *config, const config_key_t *key)
+{
+    const config_account_t *account = config_account(config, key->account);
+    const bool unusable = key->shared || account->unusable;
+    return (config_key_match_t){.account = unusable ? NULL : account, .unusable = unusable};
+}
+
+config_key_match_t
+config_match_key(const config_t *config, str_t key)
 {
     const search_t search = {config, str_hash(key, config->key_seed)};
     size_t pos = search_lower_bound(config->key_count, is_key_below, &search);
     for (; pos < config->key_count && config->keys[pos].hash == search.wanted; pos++) {
         if (str_eq_constant_time(key_text(&config->keys[pos]), key))
-            return config_account(config, config->keys[pos].account);
+            return match(config, &config->keys[pos]);
     }
-    return NULL;
+    return (config_key_match_t){0};
 }
 
 const config_account_t *
--- a/gateway/state/config_accounts.h
+++ b/gateway/state/config_accounts.h
@@ -6,5 +6,5 @@
 #include "gateway/state/config.h"
 
 /* Called by config_seal(). */
-bool config_seal_accounts(config_t *config, err_t *err);
+void config_seal_accounts(config_t *config);
 void config_free_accounts(config_t *config);
