platform: allowed regions that are no list are not taken for none

Seen by callers: a route or client account whose allowedRegions is a text was served in all regions, as if it had none.

Cause: json_array_size() of what is no array is 0.

--- a/test/gateway/test_accounts.c
+++ b/test/gateway/test_accounts.c
@@ -242,6 +242,7 @@
         {"\"a\":{\"apiKeys\":[\"k-bad\"],\"ratePerS\":\"5\"}", true, 0, false},
         {"\"a\":{\"apiKeys\":[\"k-bad\"],\"burst\":[]}", true, 0, false},
         {"\"a\":{\"apiKeys\":[\"k-bad\"],\"allowedRegions\":[\"no region\"]}", true, 0, false},
+        {"\"a\":{\"apiKeys\":[\"k-bad\"],\"allowedRegions\":\"a\"}", true, 0, false},
         {"\"a\":7", true, 0, true},
         {"\"a\":{\"apiKeys\":\"k-bad\"}", false, 0, true},
         {"\"a\":{\"apiKeys\":[7,\"k-own\"]}", false, 1, true},
@@ -272,6 +273,22 @@
 }
 END_TEST
 
+/* The regions of a route or account that cannot be read are no permission to use all regions. */
+START_TEST(unreadable_regions_are_not_taken_for_none)
+{
+    static const char *const text =
+        "{\"spec\":{\"routes\":{\"r\":{\"host\":\"h\",\"pathPrefix\":\"/\",\"service\":\"s\","
+        "\"allowedRegions\":\"a\"},\"q\":{\"host\":\"h\",\"pathPrefix\":\"/q/\",\"service\":\"s\","
+        "\"allowedRegions\":null}}}}";
+    err_t err = {0};
+    config_t *config = platform_decoder.config(str_from(text), &err);
+    ck_assert_msg(config != NULL, "%s", err.detail);
+    ck_assert_uint_eq(config_route(config, STR("h"), STR("/x"))->target_count, 0);
+    ck_assert_uint_eq(config_route(config, STR("h"), STR("/q/x"))->target_count, 1);
+    config_unref(config);
+}
+END_TEST
+
 START_TEST(account_over_limit_gets_retry_after)
 {
     enum { REQUESTS = 30 };
@@ -783,6 +800,7 @@
     tcase_add_test(tests, revoked_key_is_refused_during_store_outage);
     tcase_add_test(tests, shared_key_affects_only_its_requests);
     tcase_add_test(tests, invalid_account_affects_only_its_requests);
+    tcase_add_test(tests, unreadable_regions_are_not_taken_for_none);
     tcase_add_test(tests, invalid_account_is_left_out);
     tcase_add_test(tests, account_over_limit_gets_retry_after);
     tcase_add_test(tests, account_limit_holds_across_instances);
