platform: lists of the store go on after any name

Seen by callers: with an object named with a blank, '&', '#' or a line break, or of more than some 230 bytes, at the end of a page of a list, an instance never had the rest of the list, so it did not become ready, or went on with the list from before.

Cause: the name went into the request line as it is, cut at 256 bytes. The store then refuses the call, or begins the list anew.

--- a/standin/store.c
+++ b/standin/store.c
@@ -270,19 +270,33 @@
     return strcmp(name_of(*(object_t *const *)left), name_of(*(object_t *const *)right));
 }
 
+/* Decodes the percent-encoded bytes of a query; the caller frees the result. */
+static char *
+decode_query(str_t query)
+{
+    char *text = xcalloc(1, query.len + 1);
+    size_t len = 0;
+    for (size_t i = 0; i < query.len; i++) {
+        const bool encoded = query.ptr[i] == '%' && i + 2 < query.len;
+        const char digits[] = {query.ptr[i + encoded], query.ptr[i + 2 * encoded], '\0'};
+        text[len++] = encoded ? (char)strtoul(digits, NULL, 16) : query.ptr[i];
+        i += 2 * encoded;
+    }
+    return text;
+}
+
 static void
 answer_list(standin_store_t *store, wire_request_t *req, const char *kind)
 {
     size_t count = 0;
     static object_t *found[4096];
-    char after[KIND_MAX * 2];
-    const str_t query = wire_head_query(&req->head, STR("after"));
-    snprintf(after, sizeof(after), "%.*s", STR_ARG(query));
+    char *after = decode_query(wire_head_query(&req->head, STR("after")));
     for (object_t *object = store->objects; object != NULL; object = object->next) {
         if (!object->gone && !object->past && strcmp(object->kind, kind) == 0 &&
             count < ALEN(found) && strcmp(name_of(object), after) > 0)
             found[count++] = object;
     }
+    free(after);
     qsort(found, count, sizeof(found[0]), by_name);
     json_t *items = json_array();
     for (size_t i = 0; i < count && i < store->page; i++)
--- a/test/gateway/test_store.c
+++ b/test/gateway/test_store.c
@@ -93,6 +93,24 @@
 }
 END_TEST
 
+/* A list goes on after the last name of a page, which may be any text. */
+START_TEST(list_continues_after_any_name)
+{
+    char long_name[400];
+    memset(long_name, 'b', sizeof(long_name));
+    long_name[sizeof(long_name) - 1] = '\0';
+    const char *const names[] = {"a b", "a&after=z", "a\r\nX: y", "a%41#?/", "\xc3\xa9", long_name};
+    for (size_t i = 0; i < ALEN(names); i++) {
+        site_t *site = new_site(1); /* i-0 */
+        standin_store_set_page(site->store, 1);
+        standin_store_put(site->store, "servers", names[i], json_object(), NULL);
+        use_gateway(site, start_gateway(site, "g-1", &site->store_port, NULL));
+        RUN_UNTIL(site, is_ready(site));
+        ck_assert_int_eq(ask(site, "GET", "/safe/x").status, 200);
+    }
+}
+END_TEST
+
 START_TEST(store_failure_modes_do_not_affect_requests)
 {
     static const standin_store_mode_t modes[] = {STANDIN_STORE_BUSY, STANDIN_STORE_MANY,
@@ -294,6 +312,7 @@
     tcase_add_test(tests, invalid_configuration_is_ignored);
     tcase_add_test(tests, draining_removed_and_evacuated_backends_get_no_requests);
     tcase_add_test(tests, paged_lists_are_read_completely);
+    tcase_add_test(tests, list_continues_after_any_name);
     tcase_add_test(tests, store_failure_modes_do_not_affect_requests);
     tcase_add_test(tests, backend_removed_after_outage_gets_no_requests);
     tcase_add_test(tests, slow_store_answer_is_read_completely);
