roll-outs: an order without a readable version is not recorded for ever

Seen by operators: for an order whose targetVersion is missing, no text or longer than 63 bytes, up to four instances of a region each wrote "rolled_back" to the store every two seconds, for as long as the order stood there.

Cause: such an order counts as rolled back with an empty version. The state that the store then shows is of that version, which the decoder does not take for the order's, so it never counted as recorded.

--- a/gateway/state/rollout_record.c
+++ b/gateway/state/rollout_record.c
@@ -22,10 +22,13 @@
     xassert(name_set(&record->instance, conf->instance));
 }
 
+/* A verdict names the version, so an order whose version could not be read has none to record. */
 static rollout_state_t
 wanted_state(const rollout_t *rollout, bool all_moved)
 {
     const rollout_state_t recorded = rollout->order.recorded;
+    if (rollout->order.version_name[0] == '\0')
+        return ROLLOUT_NONE;
     const rollout_state_t reached =
         rollout->state == ROLLOUT_RUNNING && all_moved ? ROLLOUT_COMPLETED : rollout->state;
     if (recorded == ROLLOUT_COMPLETED || recorded == ROLLOUT_ROLLED_BACK || recorded == reached)
--- a/test/gateway/test_rollout.c
+++ b/test/gateway/test_rollout.c
@@ -2,6 +2,7 @@
  * recorded as the operators' page says. */
 #include <string.h>
 
+#include "base/counter.h"
 #include "base/xmalloc.h"
 #include "gateway/policy/rollout.h"
 #include "test/gateway/site.h"
@@ -259,6 +260,31 @@
 }
 END_TEST
 
+/* A verdict names its version: where the order has none that can be read, none is written, as the
+ * store would never show what was to be recorded. */
+START_TEST(order_without_a_readable_version_is_not_written_for_ever)
+{
+    enum { SPAN_MS = 5000 };
+    char version[400];
+    memset(version, 'v', sizeof(version));
+    version[sizeof(version) - 1] = '\0';
+    site_t *site = new_rollout_site(DOES_ANSWER);
+    RUN_UNTIL(site, is_ready(site));
+    counter_t *writes = counter_get("irisstall_store_calls_by_reason_total",
+                                    "kind=\"rollouts\",call=\"record\",reason=\"rollout\"", "");
+    standin_store_put(site->store, "rollouts", "no-version",
+                      json_pack("{s:s, s:i}", "service", "svc", "durationS", DURATION_S), NULL);
+    standin_store_put(site->store, "rollouts", "long-version",
+                      json_pack("{s:s, s:s, s:i}", "service", "svc", "targetVersion", version,
+                                "durationS", DURATION_S),
+                      NULL);
+    standin_store_put(site->store, "rollouts", "no-object", json_string("nonsense"), NULL);
+    run_loop_ms(site, SPAN_MS);
+    ck_assert_int_eq(counter_value(writes), 0);
+    ck_assert_int_eq(ask(site, "GET", "/safe/x").status, 200);
+}
+END_TEST
+
 /* The version that serves has been ordered itself, and is replaced by a bad one before it ends. */
 START_TEST(bad_order_after_one_for_the_serving_version_keeps_serving)
 {
@@ -444,6 +470,7 @@
     tcase_add_test(site, version_without_backends_waits_until_its_deadline);
     tcase_add_test(site, invalid_order_is_rolled_back_and_serving_goes_on);
     tcase_add_test(site, invalid_order_for_the_serving_version_stops_nothing);
+    tcase_add_test(site, order_without_a_readable_version_is_not_written_for_ever);
     tcase_add_test(site, bad_order_after_one_for_the_serving_version_keeps_serving);
     tcase_add_test(site, invalid_order_does_not_admit_the_replaced_version);
     tcase_add_test(site, replaced_order_starts_anew);
