log: text from outside neither adds lines nor hides values

Seen by operators: the name of an object with a line break wrote log lines of its own choice, and a caller's Attempt-Id of 1,000 bytes or more hid everything that the line on its request says after it, the outcome too.

Cause: values from outside were printed whatever their length and bytes; a line is cut at 1,024.

Control characters of a line are replaced, and values from outside are cut at 256 bytes. A line may have 2,048, so that the longest one, on the end of a request, holds four such values.

--- a/base/log.c
+++ b/base/log.c
@@ -15,7 +15,7 @@
 #include "base/log_ring.h"
 #include "base/xmalloc.h"
 
-enum { RING_SIZE = 32768, LINE_MAX_LEN = 1200 };
+enum { RING_SIZE = 32768, TEXT_MAX_LEN = 2048, LINE_MAX_LEN = 2200 };
 
 /* Rate limit of each module on standard output. */
 #define LINES_PER_S 60
@@ -194,15 +194,25 @@
     return false;
 }
 
+static void
+replace_control_characters(char *text)
+{
+    for (; *text != '\0'; text++) {
+        if ((unsigned char)*text < ' ' || *text == 0x7f)
+            *text = '?';
+    }
+}
+
 void
 log_write(log_level_t level, const char *module, const char *fmt, ...)
 {
     if (category == NULL || !log4c_category_is_priority_enabled(category, priorities[level]))
         return;
-    char text[1024];
+    char text[TEXT_MAX_LEN];
     va_list args;
     va_start(args, fmt);
     vsnprintf(text, sizeof(text), fmt, args);
     va_end(args);
+    replace_control_characters(text);
     log4c_category_log(category, priorities[level], "%s\t%s", module, text);
 }
--- a/base/log.h
+++ b/base/log.h
@@ -4,7 +4,8 @@
  * Each .c file defines LOG_MODULE before including this header. A message is an event followed by
  * its values, e.g. LOG_ERR("bind failed: addr=%s err=%s", ...). The process has a single log:
  * irisstall-entry logs to a file, irisstall-gateway to standard output through log_ring.h, which
- * never blocks.
+ * never blocks. A line has a bounded length, and its control characters are replaced, so that text
+ * from outside can neither add lines nor hide the values after it.
  */
 #pragma once
 
@@ -29,6 +30,11 @@
 void log_close(void);
 bool log_level_parse(const char *text, log_level_t *out);
 
+/* Bytes of a value from outside; longer ones are cut. */
+enum { LOG_VALUE_MAX = 256 };
+/* Arguments of a "%.*s" conversion for such a value. */
+#define LOG_STR(s) (int)((s).len < LOG_VALUE_MAX ? (s).len : LOG_VALUE_MAX), (s).ptr
+
 void log_write(log_level_t level, const char *module, const char *fmt, ...)
     __attribute__((format(printf, 3, 4)));
 
--- a/gateway/membership/discovery.c
+++ b/gateway/membership/discovery.c
@@ -45,7 +45,7 @@
     if (discovery->conf.decoder->instance(item->body, &peer, &hall, &err))
         heartbeat_add_address(discovery->conf.heartbeat, &peer, &hall, true);
     else
-        LOG_WARN("invalid instance entry: instance=%.*s err=%s detail=\"%s\"", STR_ARG(item->name),
+        LOG_WARN("invalid instance entry: instance=%.*s err=%s detail=\"%s\"", LOG_STR(item->name),
                  err_name(err.code), err.detail);
 }
 
--- a/gateway/path/access_log.c
+++ b/gateway/path/access_log.c
@@ -76,7 +76,7 @@
              "attempts=%zu sends=%u reason=%s passed=%s retry=%s late=%s backend=%s ms=%llu "
              "left_ms=%llu retry_after_ms=%u returned=%d version=%s limit=%s share_per_s=%.2f "
              "unacknowledged=%llu",
-             STR_ARG(access->id), access->fingerprint, outcome_name(access->outcome),
+             LOG_STR(access->id), access->fingerprint, outcome_name(access->outcome),
              access->status, or_dash(access->service), or_dash(access->account),
              or_dash(access->key), access->attempts, access->sends,
              choice_reason_name(access->choice), skip_reason_name(access->skip_reason),
--- a/gateway/path/attempt.c
+++ b/gateway/path/attempt.c
@@ -238,7 +238,7 @@
     char caller[ADDR_TEXT_MAX];
     LOG_INFO("attempt failed: id=%.*s request=%016" PRIx64 " caller=%s backend=%s stage=%d err=%s "
              "detail=\"%s\"",
-             STR_ARG(attempt->id), attempt->fingerprint, addr_format(&attempt->req->caller, caller),
+             LOG_STR(attempt->id), attempt->fingerprint, addr_format(&attempt->req->caller, caller),
              backend->info.id.ptr, end->stage, err_name(end->err.code), end->err.detail);
     attempt_record(attempt, true);
     if (!attempt_waited_for_caller(attempt))
--- a/gateway/path/time_limit.c
+++ b/gateway/path/time_limit.c
@@ -71,7 +71,7 @@
     if (other == NULL)
         return;
     LOG_INFO("overdue attempt replaced: id=%.*s backend=%s after_ms=%llu for=%s",
-             STR_ARG(ex->metadata.id), attempt->backend->info.id.ptr,
+             LOG_STR(ex->metadata.id), attempt->backend->info.id.ptr,
              (unsigned long long)(exchange_now_ms(ex) - attempt->sent_ms), other->info.id.ptr);
     dispatch_cancel(ex);
     ex->choice = choice;
--- a/gateway/state/catalog_backends.c
+++ b/gateway/state/catalog_backends.c
@@ -103,7 +103,8 @@
 {
     catalog_t *catalog = change->catalog;
     if (may_log(change))
-        LOG_WARN("backend entry unusable: id=%s revision=%llu err=%s detail=%s", item->name,
+        LOG_WARN("backend entry unusable: id=%.*s revision=%llu err=%s detail=%s",
+                 LOG_STR(str_from(item->name)),
                  (unsigned long long)position_revision(item->revision), err_name(err->code),
                  err->detail);
     catalog->unusable =
--- a/gateway/state/rollouts.c
+++ b/gateway/state/rollouts.c
@@ -92,7 +92,7 @@
     err_t err = {0};
     name_t name;
     if (!name_set(&name, str_from(item->name))) {
-        LOG_WARN("roll-out not followed, invalid name: order=%s", item->name);
+        LOG_WARN("roll-out not followed, invalid name: order=%.*s", LOG_STR(str_from(item->name)));
         return;
     }
     const bool valid =
@@ -100,8 +100,8 @@
     const uint64_t id = order_id(name_str(&name), &order);
     const size_t index = find_name(rollouts, name_str(&name));
     if (index == ROLLOUTS_MAX) {
-        LOG_WARN("roll-out not followed, too many orders: order=%s max=%d", item->name,
-                 ROLLOUTS_MAX);
+        LOG_WARN("roll-out not followed, too many orders: order=%.*s max=%d",
+                 LOG_STR(str_from(item->name)), ROLLOUTS_MAX);
         return;
     }
     rollout_t *earlier = index < rollouts->count ? rollouts->items[index] : NULL;
