config: hosts that are the same up to byte 255 are told apart

Seen by callers: requests of two hosts, or of one that no route has, that agree in their first 255 bytes were sent to the route of the other.

Cause: the host was copied into 255 bytes before it was hashed, and a route is found by the hash. It is now hashed in pieces of 256 bytes; for shorter hosts the hash is as before.

--- a/gateway/state/config.c
+++ b/gateway/state/config.c
@@ -6,7 +6,7 @@
 #include "base/xmalloc.h"
 #include "gateway/state/config_accounts.h"
 
-enum { HOST_SEED = 11, PREFIX_SEED = 12, HOST_MAX = 255 };
+enum { HOST_SEED = 11, PREFIX_SEED = 12, HOST_PIECE = 256 };
 
 config_t *
 config_new(size_t route_count, size_t service_count)
@@ -90,16 +90,22 @@
     free(config);
 }
 
+/* Hash of the host in lower case, without its port; in pieces, as a host has any length. */
 static uint64_t
 host_hash(str_t host)
 {
-    char lower[HOST_MAX];
+    char lower[HOST_PIECE];
+    uint64_t hash = HOST_SEED;
     size_t len = 0;
-    while (len < host.len && len < sizeof(lower) && host.ptr[len] != ':') {
-        const char c = host.ptr[len];
+    for (size_t i = 0; i < host.len && host.ptr[i] != ':'; i++) {
+        if (len == sizeof(lower)) {
+            hash = str_hash((str_t){lower, len}, hash);
+            len = 0;
+        }
+        const char c = host.ptr[i];
         lower[len++] = c >= 'A' && c <= 'Z' ? (char)(c - 'A' + 'a') : c;
     }
-    return str_hash((str_t){lower, len}, HOST_SEED);
+    return str_hash((str_t){lower, len}, hash);
 }
 
 static int
--- a/test/gateway/test_config.c
+++ b/test/gateway/test_config.c
@@ -1,6 +1,7 @@
 /* Configuration: route look-up, health paths and the table of services. */
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "gateway/state/services.h"
 #include "gateway/state/config.h"
@@ -24,6 +25,31 @@
 }
 END_TEST
 
+/* Hosts that differ behind the first 255 bytes have routes of their own. */
+START_TEST(long_hosts_are_told_apart)
+{
+    enum { LEN = 300 };
+    char first[LEN + 1];
+    char second[LEN + 1];
+    memset(first, 'h', LEN);
+    first[LEN] = '\0';
+    memcpy(second, first, sizeof(first));
+    second[LEN - 1] = 'x';
+    config_t *config = config_new(2, 0);
+    fill_route(&config->routes[0], first, "/");
+    fill_route(&config->routes[1], second, "/a/");
+    config_seal(config);
+    ck_assert_str_eq(config_route(config, str_from(first), STR("/a/x"))->prefix, "/");
+    ck_assert_str_eq(config_route(config, str_from(second), STR("/a/x"))->prefix, "/a/");
+    ck_assert_ptr_null(config_route(config, str_from(second), STR("/x")));
+    second[LEN - 2] = 'x';
+    ck_assert_ptr_null(config_route(config, str_from(second), STR("/a/x")));
+    second[LEN - 2] = 'H';
+    ck_assert_str_eq(config_route(config, str_from(second), STR("/a/x"))->prefix, "/a/");
+    config_unref(config);
+}
+END_TEST
+
 /* The path goes into request lines: it must not be able to add a field or a second request. */
 START_TEST(health_path_fits_into_a_request_line)
 {
@@ -69,6 +95,7 @@
     Suite *suite = suite_create("gateway: config");
     TCase *tests = tcase_create("config");
     tcase_add_test(tests, longest_prefix_wins);
+    tcase_add_test(tests, long_hosts_are_told_apart);
     tcase_add_test(tests, health_path_fits_into_a_request_line);
     tcase_add_test(tests, services_get_returns_same_entry);
     suite_add_tcase(suite, tests);
