--- a/gateway/state/config.c
+++ b/gateway/state/config.c
@@ -63,16 +63,17 @@
     route->target_count = 0;
 }
 
-void
+bool
 config_set_health_path(config_service_t *service, str_t path)
 {
-    if (path.len == 0 || path.ptr[0] != '/')
-        return;
+    if (path.len == 0 || path.len > CONFIG_HEALTH_PATH_MAX || path.ptr[0] != '/')
+        return false;
     for (size_t i = 0; i < path.len; i++) {
         if (!isgraph((unsigned char)path.ptr[i]))
-            return;
+            return false;
     }
     service->health_path = xmemdup0(path.ptr, path.len);
+    return true;
 }
 
 void
--- a/gateway/state/config.h
+++ b/gateway/state/config.h
@@ -16,7 +16,12 @@
 #include "base/error.h"
 #include "base/str.h"
 
-enum { CONFIG_VERSION_MAX = 15 }; /* bytes */
+enum {
+    CONFIG_VERSION_MAX = 15, /* bytes */
+    /* Bytes of a health path, which is sent with each probe: servers take request lines of 8,000
+     * bytes (RFC 9112, 3). */
+    CONFIG_HEALTH_PATH_MAX = 7900,
+};
 
 /* One target of a route's traffic split. */
 typedef struct {
@@ -120,8 +125,9 @@
 /* Removes the route's targets: its requests are not served, and they do not match a shorter
  * prefix. */
 void config_route_remove_targets(config_route_t *route);
-/* Copies the path, unless it does not start with a slash or cannot stand in a request line. */
-void config_set_health_path(config_service_t *service, str_t path);
+/* Copies the path. Returns false if it does not start with a slash or cannot stand in a request
+ * line. */
+bool config_set_health_path(config_service_t *service, str_t path);
 /* Enables client accounts and allocates that many accounts and keys. */
 void config_add_accounts(config_t *config, size_t account_count, size_t key_count);
 /* Set an account's name and add a key to it; both copy the string. */
--- a/test/gateway/test_config.c
+++ b/test/gateway/test_config.c
@@ -54,13 +54,18 @@
 START_TEST(health_path_fits_into_a_request_line)
 {
     config_service_t service = {0};
-    config_set_health_path(&service, STR(""));
-    config_set_health_path(&service, STR("health"));
-    config_set_health_path(&service, STR("/a b"));
-    config_set_health_path(&service, STR("/a\r\nX: y"));
-    config_set_health_path(&service, (str_t){"/a\0b", 4});
+    char long_path[CONFIG_HEALTH_PATH_MAX + 1];
+    memset(long_path, '/', sizeof(long_path));
+    ck_assert(!config_set_health_path(&service, STR("")));
+    ck_assert(!config_set_health_path(&service, STR("health")));
+    ck_assert(!config_set_health_path(&service, STR("/a b")));
+    ck_assert(!config_set_health_path(&service, STR("/a\r\nX: y")));
+    ck_assert(!config_set_health_path(&service, (str_t){"/a\0b", 4}));
+    ck_assert(!config_set_health_path(&service, (str_t){long_path, sizeof(long_path)}));
     ck_assert_ptr_null(service.health_path);
-    config_set_health_path(&service, STR("/health?deep=1"));
+    ck_assert(config_set_health_path(&service, (str_t){long_path, CONFIG_HEALTH_PATH_MAX}));
+    free(service.health_path);
+    ck_assert(config_set_health_path(&service, STR("/health?deep=1")));
     ck_assert_str_eq(service.health_path, "/health?deep=1");
     free(service.health_path);
 }
