--- a/wire/head.c
+++ b/wire/head.c
@@ -1,3 +1,4 @@
+#include <ctype.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -220,6 +221,18 @@
     text->len += len;
 }
 
+void
+wire_text_encoded(wire_text_t *text, str_t s)
+{
+    for (size_t i = 0; i < s.len; i++) {
+        const unsigned char c = (unsigned char)s.ptr[i];
+        if (isalnum(c) || (c != '\0' && strchr("-._~", c) != NULL))
+            wire_text_add(text, &s.ptr[i], 1);
+        else
+            wire_text_printf(text, "%%%02X", c);
+    }
+}
+
 void
 wire_text_field(wire_text_t *text, str_t name, str_t value)
 {
--- a/wire/head.h
+++ b/wire/head.h
@@ -75,6 +75,8 @@
 /* Appends formatted text of any length. */
 void wire_text_printf(wire_text_t *text, const char *fmt, ...)
     __attribute__((format(printf, 2, 3)));
+/* Appends text in the form that it has in a path or query (RFC 3986, 2.1). */
+void wire_text_encoded(wire_text_t *text, str_t s);
 /* Appends "name: value\r\n". */
 void wire_text_field(wire_text_t *text, str_t name, str_t value);
 
