wire: no bytes of a body count as another message

Seen by callers: a request with "Content-Length : 5" was passed on with that field and its body behind it, without a length. A strict backend server reads the body as the start of the next request on the connection, another caller's, so that any caller could send requests that nobody counts and break those of others. A 204 with a body was passed on with it, before the next response.

Cause: http-parser, as Debian builds it, is not strict, and the head that was sent on was a copy of the caller's fields. What the two sides took for the framing could differ.

http-parser now reads heads only. wire/framing decides by the parsed fields (RFC 9112, 2 to 7) and refuses what recipients could read differently, before anything is sent: 400, 501 for codings, 505 for versions. wire/body reads bodies, strictly. Trailers and fields that Connection names are not passed on; their names are collected once for a head. A response that is framed in two ways is invalid, and its connection is closed. Requests by way of peers go the same way.

--- a/test/gateway/main.c
+++ b/test/gateway/main.c
@@ -53,6 +53,7 @@
     srunner_add_suite(runner, suite_gateway_returns());
     srunner_add_suite(runner, suite_gateway_lateness());
     srunner_add_suite(runner, suite_gateway_lifetime());
+    srunner_add_suite(runner, suite_gateway_framing());
     srunner_add_suite(runner, suite_gateway_listener());
     srunner_add_suite(runner, suite_gateway_route_stats());
     srunner_add_suite(runner, suite_gateway_offered_work());
--- a/test/gateway/site.c
+++ b/test/gateway/site.c
@@ -189,6 +189,9 @@
     case DOES_LARGE:
         send_large(backend, conn, id);
         break;
+    case DOES_RAW:
+        standin_send(conn, backend->raw);
+        break;
     case DOES_CRASH:
         crash_backend(backend);
         break;
@@ -322,13 +325,19 @@
 
 wire_call_t *
 call(site_t *site, reply_t *reply, const char *request)
+{
+    return call_bytes(site, reply, str_from(request));
+}
+
+wire_call_t *
+call_bytes(site_t *site, reply_t *reply, str_t request)
 {
     static const wire_call_cbs_t cbs = {
         .on_head = on_reply_head, .on_data = on_reply_data, .on_end = on_reply_end};
     *reply = (reply_t){.site = site};
     const wire_call_conf_t conf = {
-        .request = xmemdup0(request, strlen(request)),
-        .request_len = strlen(request),
+        .request = xmemdup0(request.ptr, request.len),
+        .request_len = request.len,
         .connect_timeout_ms = PATIENCE_MS,
         .idle_max_ms = PATIENCE_MS,
     };
--- a/test/gateway/site.h
+++ b/test/gateway/site.h
@@ -38,6 +38,7 @@
     DOES_HOLD, /* never responds */
     DOES_FAIL, /* responds with 500 */
     DOES_LARGE,
+    DOES_RAW,   /* sends the bytes in `raw` */
     DOES_CRASH, /* its process ends while running the request and restarts later */
 } behaviour_t;
 
@@ -61,6 +62,7 @@
     probe_behaviour_t probe_behaviour;
     size_t probes;                   /* requests on its health path */
     size_t probe_target_len;         /* length of the target of the last one, bytes */
+    str_t raw;                       /* response of DOES_RAW */
     const char *extra_headers;       /* header lines added to every response; NULL if none */
     uint64_t arrivals[ARRIVALS_MAX]; /* loop times of its first requests */
     size_t arrival_count;
@@ -131,6 +133,8 @@
                          const addr_t *seed);
 /* Sends a request to the current gateway; the reply must live until it is done. */
 wire_call_t *call(site_t *site, reply_t *reply, const char *request);
+/* Like call(), for bytes that may include NUL. */
+wire_call_t *call_bytes(site_t *site, reply_t *reply, str_t request);
 /* Sends a request for a fixed object and waits for the reply. */
 reply_t ask(site_t *site, const char *method, const char *path);
 /* Like ask(), for the given object. */
--- a/test/suites.h
+++ b/test/suites.h
@@ -29,6 +29,7 @@
 Suite *suite_gateway_lifetime(void);
 Suite *suite_gateway_silent(void);
 Suite *suite_gateway_slow_reader(void);
+Suite *suite_gateway_framing(void);
 Suite *suite_gateway_listener(void);
 Suite *suite_gateway_final_response(void);
 Suite *suite_gateway_returns(void);
--- a/wire/client_call.c
+++ b/wire/client_call.c
@@ -141,7 +141,7 @@
         return;
     }
     /* A response without a length ends when the connection closes. */
-    switch (client_response_parse(conn, NULL, 0)) {
+    switch (client_response_end(conn)) {
     case RESPONSE_COMPLETE:
         conn->call->result.close_delimited = true;
         conn->call->result.closed = false;
--- a/wire/client_conn.h
+++ b/wire/client_conn.h
@@ -8,6 +8,7 @@
 
 #include <http_parser.h>
 
+#include "wire/body.h"
 #include "wire/client.h"
 
 typedef struct client_conn client_conn_t;
@@ -33,6 +34,7 @@
     client_conn_t *next;
     http_parser parser;
     wire_head_t head;
+    wire_body_t body;
     wire_call_t *call;
     uint64_t idle_since_ms;
     uint64_t keep_alive_ms; /* the server's Keep-Alive timeout, 0 if none */
@@ -40,7 +42,9 @@
     bool reused; /* a call was made on it before the current one */
     bool closed;
     bool writing;
-    bool skip_response; /* the current response belongs to another request */
+    bool head_complete;   /* the current response's head is parsed */
+    bool framing_invalid; /* its end cannot be found (framing.h, body.h) */
+    bool skip_response;   /* the current response belongs to another request */
     bool reusable;
 };
 
--- a/wire/client_response.c
+++ b/wire/client_response.c
@@ -1,6 +1,8 @@
 #include <strings.h>
 
+#include "base/xmalloc.h"
 #include "wire/client_response.h"
+#include "wire/framing.h"
 
 enum { MS_PER_S = 1000 };
 
@@ -40,98 +42,153 @@
     return 0;
 }
 
-static int64_t
-body_length(const http_parser *parser, bool head_method)
-{
-    if (head_method || parser->status_code == HTTP_STATUS_NO_CONTENT ||
-        parser->status_code == HTTP_STATUS_NOT_MODIFIED)
-        return 0;
-    if ((parser->flags & F_CHUNKED) != 0)
-        return WIRE_CHUNKED;
-    return parser->content_length != UINT64_MAX ? (int64_t)parser->content_length
-                                                : WIRE_UNTIL_CLOSE;
-}
-
+/* The parser ends after the head: the body is read by wire/body.h. */
 static int
 on_headers_complete(http_parser *parser)
 {
+    enum { SKIP_BODY = 1 };
     client_conn_t *conn = parser->data;
     wire_call_t *call = conn->call;
+    int64_t length;
+    bool exact;
     conn->head.status = parser->status_code;
+    if (!wire_framing_response(&conn->head, parser, call->conf.head_method, &length, &exact)) {
+        conn->framing_invalid = true;
+        return -1;
+    }
+    wire_body_begin(&conn->body, length);
     conn->skip_response = parser->status_code < 200 ||
                           (call->cbs.matches != NULL && !call->cbs.matches(call->ctx, &conn->head));
-    if (conn->skip_response) {
-        if (parser->status_code >= 200)
-            conn->reusable = false;
-        return 0;
-    }
+    if (parser->status_code >= 200 && (conn->skip_response || !exact || length == WIRE_UNTIL_CLOSE))
+        conn->reusable = false;
+    if (conn->skip_response)
+        return SKIP_BODY;
     conn->keep_alive_ms = parse_keep_alive_ms(&conn->head);
     call->result.stage = WIRE_HEAD;
-    const int64_t length = body_length(parser, call->conf.head_method);
     call->cbs.on_head(call->ctx, &conn->head, length);
-    if (conn->call == NULL)
-        return -1;
-    return call->conf.head_method ? 1 : 0;
+    return conn->call == NULL ? -1 : SKIP_BODY;
 }
 
 static int
-on_body(http_parser *parser, const char *ptr, size_t len)
+on_head_end(http_parser *parser)
 {
     client_conn_t *conn = parser->data;
-    if (conn->skip_response)
-        return 0;
-    conn->call->cbs.on_data(conn->call->ctx, ptr, len);
-    return conn->call == NULL ? -1 : 0;
-}
-
-static int
-on_complete(http_parser *parser)
-{
-    client_conn_t *conn = parser->data;
-    if (conn->skip_response) {
-        wire_head_reset(&conn->head);
-        return 0;
-    }
-    conn->call->result.stage = WIRE_COMPLETE;
-    if (!http_should_keep_alive(parser))
+    conn->head_complete = true;
+    if (!conn->skip_response && !http_should_keep_alive(parser))
         conn->reusable = false;
     http_parser_pause(parser, 1);
     return 0;
 }
 
+/* Returns false if the callback has cancelled the call. */
+static bool
+on_body(void *ctx, const char *ptr, size_t len)
+{
+    client_conn_t *conn = ctx;
+    if (conn->skip_response)
+        return true;
+    conn->call->cbs.on_data(conn->call->ctx, ptr, len);
+    return conn->call != NULL;
+}
+
 static const http_parser_settings parser_settings = {
     .on_header_field = on_field,
     .on_header_value = on_value,
     .on_headers_complete = on_headers_complete,
-    .on_body = on_body,
-    .on_message_complete = on_complete,
+    .on_message_complete = on_head_end,
 };
 
-void
-client_response_begin(client_conn_t *conn)
+static void
+begin_head(client_conn_t *conn)
 {
     http_parser_init(&conn->parser, HTTP_RESPONSE);
     conn->parser.data = conn;
     wire_head_reset(&conn->head);
-    conn->reusable = true;
+    conn->head_complete = false;
     conn->skip_response = false;
 }
 
-client_response_state_t
-client_response_parse(client_conn_t *conn, const char *ptr, size_t len)
+void
+client_response_begin(client_conn_t *conn)
 {
+    begin_head(conn);
+    conn->framing_invalid = false;
+    conn->reusable = true;
+}
+
+static size_t
+read_head(client_conn_t *conn, const char *ptr, size_t len)
+{
+    wire_head_begin_input(&conn->head, ptr);
     const size_t used = http_parser_execute(&conn->parser, &parser_settings, ptr, len);
-    if (conn->call == NULL)
+    wire_head_end_input(&conn->head, ptr + len);
+    return used;
+}
+
+/* Reads a head and its body, or the rest of them. Returns RESPONSE_COMPLETE also at the end of a
+ * response that is skipped. */
+static client_response_state_t
+read_response(client_conn_t *conn, const char *ptr, size_t len, size_t *used)
+{
+    size_t body_used;
+    *used = 0;
+    if (!conn->head_complete) {
+        *used = read_head(conn, ptr, len);
+        if (conn->call == NULL)
+            return RESPONSE_CANCELLED;
+        if (!conn->head_complete)
+            return HTTP_PARSER_ERRNO(&conn->parser) == HPE_OK ? RESPONSE_INCOMPLETE
+                                                              : RESPONSE_INVALID;
+    }
+    const wire_body_result_t result =
+        wire_body_read(&conn->body, ptr + *used, len - *used, &body_used, on_body, conn);
+    *used += body_used;
+    switch (result) {
+    case WIRE_BODY_STOPPED:
         return RESPONSE_CANCELLED;
-    if (conn->call->result.stage == WIRE_COMPLETE) {
-        conn->reusable = conn->reusable && used == len;
+    case WIRE_BODY_INVALID:
+        conn->framing_invalid = true;
+        return RESPONSE_INVALID;
+    case WIRE_BODY_INCOMPLETE:
+        return RESPONSE_INCOMPLETE;
+    case WIRE_BODY_COMPLETE:
         return RESPONSE_COMPLETE;
     }
-    return HTTP_PARSER_ERRNO(&conn->parser) == HPE_OK ? RESPONSE_INCOMPLETE : RESPONSE_INVALID;
+    BUG("result");
+}
+
+client_response_state_t
+client_response_parse(client_conn_t *conn, const char *ptr, size_t len)
+{
+    size_t at = 0;
+    while (at < len) {
+        size_t used;
+        const client_response_state_t state = read_response(conn, ptr + at, len - at, &used);
+        at += used;
+        if (state != RESPONSE_COMPLETE)
+            return state;
+        if (!conn->skip_response) {
+            conn->call->result.stage = WIRE_COMPLETE;
+            conn->reusable = conn->reusable && at == len;
+            return RESPONSE_COMPLETE;
+        }
+        begin_head(conn);
+    }
+    return RESPONSE_INCOMPLETE;
+}
+
+client_response_state_t
+client_response_end(client_conn_t *conn)
+{
+    if (!conn->head_complete || conn->skip_response || !wire_body_ends_with_close(&conn->body))
+        return RESPONSE_INCOMPLETE;
+    conn->call->result.stage = WIRE_COMPLETE;
+    return RESPONSE_COMPLETE;
 }
 
 const char *
 client_response_error(const client_conn_t *conn)
 {
-    return http_errno_description(HTTP_PARSER_ERRNO(&conn->parser));
+    return conn->framing_invalid ? "invalid framing"
+                                 : http_errno_description(HTTP_PARSER_ERRNO(&conn->parser));
 }
--- a/wire/client_response.h
+++ b/wire/client_response.h
@@ -18,7 +18,9 @@
 
 /* Resets the parser for the response to the next request. */
 void client_response_begin(client_conn_t *conn);
-/* Parses the next bytes; a length of 0 signals the end of the connection. */
+/* Parses the next bytes. */
 client_response_state_t client_response_parse(client_conn_t *conn, const char *ptr, size_t len);
+/* The server has closed the connection, which ends a response without a length. */
+client_response_state_t client_response_end(client_conn_t *conn);
 /* Describes the parse error of an invalid response. */
 const char *client_response_error(const client_conn_t *conn);
--- a/wire/head.c
+++ b/wire/head.c
@@ -19,9 +19,24 @@
     head->target_len = 0;
     head->field_count = 0;
     head->in_value = false;
+    head->folded = false;
+    head->value_open = false;
     head->status = 0;
 }
 
+void
+wire_head_begin_input(wire_head_t *head, const char *ptr)
+{
+    head->input = ptr;
+    head->value_end = NULL;
+}
+
+void
+wire_head_end_input(wire_head_t *head, const char *end)
+{
+    head->value_open = head->in_value && head->value_end == end;
+}
+
 void
 wire_head_free(wire_head_t *head)
 {
@@ -79,6 +94,9 @@
 {
     if (head->field_count == 0)
         return;
+    const bool adjoins = ptr == head->value_end || (head->value_open && ptr == head->input);
+    head->folded |= head->in_value && !adjoins;
+    head->value_end = ptr + len;
     head->in_value = true;
     append(head, ptr, len);
     head->fields[head->field_count - 1].value_len += (uint32_t)len;
@@ -157,21 +175,6 @@
     head->field_count = kept;
 }
 
-bool
-wire_is_hop_by_hop_field(str_t name)
-{
-    static const str_t hop[] = {
-        {"connection", 10}, {"keep-alive", 10}, {"proxy-connection", 16},
-        {"te", 2},          {"trailer", 7},     {"transfer-encoding", 17},
-        {"upgrade", 7},     {"expect", 6},      {"content-length", 14},
-    };
-    for (size_t i = 0; i < ALEN(hop); i++) {
-        if (wire_str_case_eq(name, hop[i]))
-            return true;
-    }
-    return false;
-}
-
 /* Makes room for `len` more bytes and a NUL. */
 static void
 reserve(wire_text_t *text, size_t len)
--- a/wire/head.h
+++ b/wire/head.h
@@ -36,8 +36,12 @@
     wire_field_t *fields;
     size_t field_count;
     size_t field_size;
-    bool in_value;   /* the last piece was part of a value */
-    unsigned method; /* enum http_method of http-parser */
+    bool in_value;         /* the last piece was part of a value */
+    bool folded;           /* a value has several lines (RFC 9112, 5.2) */
+    const char *input;     /* start of the input that is being parsed */
+    const char *value_end; /* end of the last piece of a value in this input */
+    bool value_open;       /* the input before ended within a value */
+    unsigned method;       /* enum http_method of http-parser */
     int status;
 } wire_head_t;
 
@@ -45,6 +49,10 @@
 void wire_head_reset(wire_head_t *head);
 void wire_head_free(wire_head_t *head);
 
+/* Frame the parsing of one piece of input, which tells folded values from those in several pieces.
+ */
+void wire_head_begin_input(wire_head_t *head, const char *ptr);
+void wire_head_end_input(wire_head_t *head, const char *end);
 void wire_head_add_target(wire_head_t *head, const char *ptr, size_t len);
 void wire_head_add_name(wire_head_t *head, const char *ptr, size_t len);
 void wire_head_add_value(wire_head_t *head, const char *ptr, size_t len);
@@ -60,8 +68,6 @@
 str_t wire_head_find(const wire_head_t *head, str_t name);
 /* Removes all fields with this name (case-insensitive). Strings returned before stay valid. */
 void wire_head_remove(wire_head_t *head, str_t name);
-/* True for hop-by-hop fields and for those that describe the framing. */
-bool wire_is_hop_by_hop_field(str_t name);
 
 /* A growable string buffer. */
 typedef struct {
--- a/wire/request_reader.c
+++ b/wire/request_reader.c
@@ -8,6 +8,7 @@
 #include "base/log.h"
 #include "base/loop_time.h"
 #include "base/xmalloc.h"
+#include "wire/framing.h"
 #include "wire/request_reader.h"
 
 /* Limit of pipelined input; above it, the connection is closed after the current response. */
@@ -33,6 +34,7 @@
     conn->req.on_disconnect = NULL;
     conn->req.on_drain = NULL;
     conn->request_complete = false;
+    conn->head_complete = false;
     conn->head_sent = false;
     wire_conn_set_state(conn, STATE_IDLE);
     if (conn->pipelined_len == 0 || !may_begin_request(conn))
@@ -110,26 +112,46 @@
     return !conn->over_bodies;
 }
 
+/* Stops the parser with the status to refuse the request with. */
+static int
+refuse_head(wire_conn_t *conn, int status)
+{
+    conn->refusal = status;
+    return -1;
+}
+
+static void
+begin_body(wire_conn_t *conn, int64_t length)
+{
+    wire_body_begin(&conn->body, length);
+    conn->body_expected = length > 0 ? (size_t)length : 0;
+    if (wire_head_find(&conn->req.head, STR("expect")).len > 0) {
+        wire_text_str(&conn->out, STR("HTTP/1.1 100 Continue\r\n\r\n"));
+        wire_conn_flush(conn);
+    }
+}
+
+/* The parser ends after the head: the body is read by wire/body.h. */
 static int
 on_headers_complete(http_parser *parser)
 {
+    enum { SKIP_BODY = 1 };
     wire_conn_t *conn = parser->data;
+    int64_t length;
     if (head_too_large(conn))
-        return -1;
-    const uint64_t length = parser->content_length;
-    if (length != UINT64_MAX && length > conn->listener->limits.max_body)
-        return -1;
-    conn->body_expected = length != UINT64_MAX ? (size_t)length : 0;
-    if (!has_room_for_body(conn, conn->body_expected))
-        return -1;
+        return refuse_head(conn, HTTP_STATUS_REQUEST_HEADER_FIELDS_TOO_LARGE);
+    const int refusal = wire_framing_request(&conn->req.head, parser, &length);
+    if (refusal != 0)
+        return refuse_head(conn, refusal);
+    if (length > 0 && (uint64_t)length > conn->listener->limits.max_body)
+        return refuse_head(conn, HTTP_STATUS_PAYLOAD_TOO_LARGE);
+    if (length > 0 && !has_room_for_body(conn, (size_t)length))
+        return refuse_head(conn, HTTP_STATUS_SERVICE_UNAVAILABLE);
     conn->req.head.method = parser->method;
     conn->head_only = parser->method == HTTP_HEAD;
     conn->keep_alive = http_should_keep_alive(parser) != 0;
-    if (wire_head_find(&conn->req.head, STR("expect")).len > 0) {
-        wire_text_str(&conn->out, STR("HTTP/1.1 100 Continue\r\n\r\n"));
-        wire_conn_flush(conn);
-    }
-    return 0;
+    begin_body(conn, length);
+    return SKIP_BODY;
 }
 
 /* Allocation for a body of at least `bytes`: grows by doubling, up to the announced length. */
@@ -140,31 +162,36 @@
     return size > conn->body_expected && bytes <= conn->body_expected ? conn->body_expected : size;
 }
 
-static int
-on_body(http_parser *parser, const char *ptr, size_t len)
+/* Returns false if the body does not fit. */
+static bool
+on_body(void *ctx, const char *ptr, size_t len)
 {
-    wire_conn_t *conn = parser->data;
+    wire_conn_t *conn = ctx;
     wire_request_t *req = &conn->req;
-    if (req->body_len + len > conn->listener->limits.max_body)
-        return -1;
+    if (req->body_len + len > conn->listener->limits.max_body) {
+        conn->refusal = HTTP_STATUS_PAYLOAD_TOO_LARGE;
+        return false;
+    }
     if (req->body_len + len > conn->body_size) {
         const size_t size = larger_body_size(conn, req->body_len + len);
-        if (!has_room_for_body(conn, size))
-            return -1;
+        if (!has_room_for_body(conn, size)) {
+            conn->refusal = HTTP_STATUS_SERVICE_UNAVAILABLE;
+            return false;
+        }
         conn->body_size = size;
         req->body = xrealloc(req->body, conn->body_size);
         wire_conn_update_held(conn);
     }
     memcpy(req->body + req->body_len, ptr, len);
     req->body_len += len;
-    return 0;
+    return true;
 }
 
 static int
-on_complete(http_parser *parser)
+on_head_end(http_parser *parser)
 {
     wire_conn_t *conn = parser->data;
-    conn->request_complete = true;
+    conn->head_complete = true;
     http_parser_pause(parser, 1);
     return 0;
 }
@@ -175,8 +202,7 @@
     .on_header_field = on_field,
     .on_header_value = on_value,
     .on_headers_complete = on_headers_complete,
-    .on_body = on_body,
-    .on_message_complete = on_complete,
+    .on_message_complete = on_head_end,
 };
 
 static void
@@ -193,23 +219,49 @@
     conn->pipelined_len += len;
 }
 
-static int
-input_error_status(const wire_conn_t *conn)
+/* Parses the head and returns the number of bytes used; sets `refusal` if it is invalid. */
+static size_t
+read_head(wire_conn_t *conn, const char *ptr, size_t len)
 {
-    if (head_too_large(conn) || HTTP_PARSER_ERRNO(&conn->parser) == HPE_HEADER_OVERFLOW)
-        return HTTP_STATUS_REQUEST_HEADER_FIELDS_TOO_LARGE;
-    const uint64_t length = conn->parser.content_length;
-    if (conn->over_bodies)
-        return HTTP_STATUS_SERVICE_UNAVAILABLE;
-    if (conn->req.body_len > 0 ||
-        (length != UINT64_MAX && length > conn->listener->limits.max_body))
-        return HTTP_STATUS_PAYLOAD_TOO_LARGE;
-    return HTTP_STATUS_BAD_REQUEST;
+    http_parser *parser = &conn->parser;
+    wire_head_begin_input(&conn->req.head, ptr);
+    const size_t used = http_parser_execute(parser, &parser_settings, ptr, len);
+    wire_head_end_input(&conn->req.head, ptr + len);
+    if (conn->head_complete || conn->refusal != 0)
+        return used;
+    if (head_too_large(conn) || HTTP_PARSER_ERRNO(parser) == HPE_HEADER_OVERFLOW)
+        conn->refusal = HTTP_STATUS_REQUEST_HEADER_FIELDS_TOO_LARGE;
+    else if (HTTP_PARSER_ERRNO(parser) != HPE_OK)
+        conn->refusal = HTTP_STATUS_BAD_REQUEST;
+    return used;
+}
+
+/* Reads the body and returns the number of bytes used; sets `refusal` if it is invalid. */
+static size_t
+read_body(wire_conn_t *conn, const char *ptr, size_t len)
+{
+    size_t used;
+    const wire_body_result_t result = wire_body_read(&conn->body, ptr, len, &used, on_body, conn);
+    if (result == WIRE_BODY_INVALID)
+        conn->refusal = HTTP_STATUS_BAD_REQUEST;
+    conn->request_complete = result == WIRE_BODY_COMPLETE;
+    return used;
+}
+
+static void
+begin_request(wire_conn_t *conn)
+{
+    http_parser_init(&conn->parser, HTTP_REQUEST);
+    conn->parser.data = conn;
+    conn->head_complete = false;
+    conn->head_only = false;
+    conn->refusal = 0;
 }
 
 void
 request_reader_feed(wire_conn_t *conn, const char *ptr, size_t len)
 {
+    size_t used = 0;
     if (conn->state == STATE_CLOSING) {
         wire_conn_log_late_input(conn, len);
         return;
@@ -219,19 +271,17 @@
         buffer_pipelined(conn, ptr, len);
         return;
     }
-    if (conn->state == STATE_IDLE) {
-        http_parser_init(&conn->parser, HTTP_REQUEST);
-        conn->parser.data = conn;
-    }
-    const size_t used = http_parser_execute(&conn->parser, &parser_settings, ptr, len);
-    if (conn->request_complete) {
-        http_parser_pause(&conn->parser, 0);
+    if (conn->state == STATE_IDLE)
+        begin_request(conn);
+    if (!conn->head_complete)
+        used = read_head(conn, ptr, len);
+    if (conn->head_complete && conn->refusal == 0)
+        used += read_body(conn, ptr + used, len - used);
+    if (conn->refusal != 0) {
+        request_reader_refuse(conn, conn->refusal);
+    } else if (conn->request_complete) {
         buffer_pipelined(conn, ptr + used, len - used);
         wire_conn_set_state(conn, STATE_ANSWERING);
         conn->listener->handler(conn->listener->ctx, &conn->req);
-        return;
     }
-    if (HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK || conn->parser.upgrade != 0 ||
-        head_too_large(conn))
-        request_reader_refuse(conn, input_error_status(conn));
 }
--- a/wire/request_reader.h
+++ b/wire/request_reader.h
@@ -2,8 +2,8 @@
  * Parses a connection's input into requests for the handler.
  *
  * Input that arrives while a request is being handled is buffered until its response has ended.
- * Invalid input and requests above the limits are rejected with 400, 408, 413 or 431, and the
- * connection is closed.
+ * Invalid input and requests above the limits are rejected with 400, 408, 413, 431, 501 or 505, and
+ * the connection is closed.
  */
 #pragma once
 
--- a/wire/server_conn.h
+++ b/wire/server_conn.h
@@ -8,6 +8,7 @@
 
 #include <http_parser.h>
 
+#include "wire/body.h"
 #include "wire/listener.h"
 
 /* Buffered response bytes above which they are written without an explicit flush. */
@@ -80,6 +81,9 @@
     bool until_close;       /* the response is delimited by the close */
     bool head_only;         /* the method is HEAD: the response has no body */
     bool closed;            /* freed by the close callback */
+    wire_body_t body;       /* of the request that is being read */
+    int refusal;            /* status to refuse its invalid input with, 0 if it is valid */
+    bool head_complete;     /* its head is parsed */
     bool request_complete;  /* the request is fully parsed */
     bool disconnected;      /* closed by the client, or failed */
     bool late_input_logged; /* at most one log line per connection */
