wire: a response without a length is sent in chunks

Seen by callers: when a process was killed, downloads without a length had half of their body and a regular end, so they looked complete. An answer by way of a peer that is killed did too.

Cause: such a response was passed on as ending with the connection. The reset that tells an end from a break needs a process that still runs.

HTTP/1.1 callers, and so peers, get it in chunks, with the last one only after the backend server's regular end; the connection is closed after it, as before. HTTP/1.0 callers get what they got. What breaks off is reset.

--- a/test/gateway/test_partition.c
+++ b/test/gateway/test_partition.c
@@ -6,11 +6,13 @@
 #include "base/counter.h"
 #include "base/xmalloc.h"
 #include "gateway/policy/reachability.h"
+#include "gateway/gateway_state.h"
 #include "gateway/policy/transit.h"
 
 #include "test/gateway/link.h"
 #include "test/gateway/site.h"
 #include "test/suites.h"
+#include "wire/server_conn.h"
 
 enum {
     BACKENDS = 4,
@@ -169,6 +171,46 @@
 }
 END_TEST
 
+/* What the kernel does with the connections of a process that is killed. */
+static void
+close_connections(wire_listener_t *listener)
+{
+    while (listener->conns != NULL)
+        wire_conn_close(listener->conns);
+}
+
+/* A response without a length is cut by the end of the instance that the caller asked, or of the
+ * peer by way of which it comes. */
+START_TEST(killed_instance_does_not_look_like_the_end_of_a_response)
+{
+    enum { SENT = 40000, HALF = 20000 };
+    static char raw[SENT + 200];
+    reply_t reply;
+    const bool by_peer = _i == 1;
+    instances_t fleet = new_linked_instances(BACKENDS, 1, 2);
+    if (by_peer) {
+        link_set_mode(LINK_HANGS);
+        ask_for_ms(&fleet, 2, DETECTION_MS);
+    }
+    const int head = snprintf(raw, sizeof(raw),
+                              "HTTP/1.1 200 OK\r\nAttempt-Id: f\r\nResponse-Signature: s\r\n\r\n");
+    memset(raw + head, 'r', SENT);
+    for (size_t i = 0; i < BACKENDS; i++) {
+        fleet.site->backends[i].behaviour = DOES_RAW;
+        fleet.site->backends[i].raw = (str_t){raw, (size_t)head + SENT};
+    }
+    fleet.site->callers = fleet.callers[0];
+    call(fleet.site, &reply,
+         "GET /safe/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: f\r\nDeadline-Ms: 5000\r\n\r\n");
+    RUN_UNTIL(fleet.site, reply.body_len > HALF);
+    ck_assert(!reply.done && !reply.unframed);
+    close_connections(by_peer ? fleet.gateways[1]->listeners.transit
+                              : fleet.gateways[0]->listeners.callers);
+    RUN_UNTIL(fleet.site, reply.done);
+    ck_assert(!reply.whole);
+}
+END_TEST
+
 START_TEST(fields_of_transit_and_keys_do_not_reach_backend_servers)
 {
     instances_t fleet = new_linked_instances(1, 1, 2);
@@ -448,6 +490,7 @@
     tcase_add_test(tcase, unsafe_requests_run_once_and_refusals_are_true_while_links_come_and_go);
     tcase_add_test(tcase, large_responses_arrive_whole_by_way_of_a_peer);
     tcase_add_test(tcase, truncated_responses_do_not_look_whole_by_way_of_a_peer);
+    tcase_add_loop_test(tcase, killed_instance_does_not_look_like_the_end_of_a_response, 0, 2);
     tcase_add_test(tcase, fields_of_transit_and_keys_do_not_reach_backend_servers);
     tcase_add_test(tcase, fields_of_transit_from_a_caller_do_not_count);
     tcase_add_test(tcase, caller_that_leaves_ends_its_request_at_the_backend_server);
--- a/wire/listener.c
+++ b/wire/listener.c
@@ -115,12 +115,12 @@
     return allowed < listener->max_idle_ms ? allowed : listener->max_idle_ms;
 }
 
-/* Closes a connection with unwritten output. A close-delimited response is reset, since a regular
- * close would make it look complete. */
+/* Closes a connection with unwritten output. A response without a length is reset, since a regular
+ * close could make it look complete. */
 static void
 abort_conn(wire_conn_t *conn)
 {
-    if (conn->until_close)
+    if (wire_conn_is_unframed(conn))
         wire_conn_reset(conn);
     else
         wire_conn_close(conn);
--- a/wire/listener.h
+++ b/wire/listener.h
@@ -82,7 +82,8 @@
 void wire_request_abandon(wire_request_t *req);
 
 /* Starts a response. `fields` holds complete header lines; `length` may be WIRE_CHUNKED or
- * WIRE_UNTIL_CLOSE. */
+ * WIRE_UNTIL_CLOSE: the response is then sent in chunks, to an HTTP/1.0 client up to the close.
+ * With WIRE_UNTIL_CLOSE the connection is closed after it. */
 void wire_respond_head(wire_request_t *req, int status, str_t fields, int64_t length);
 void wire_respond_data(wire_request_t *req, const char *ptr, size_t len);
 /* Writes buffered bytes to the socket. */
--- a/wire/respond.c
+++ b/wire/respond.c
@@ -40,9 +40,9 @@
     xassert(conn->state == STATE_ANSWERING && !conn->head_sent);
     conn->head_sent = true;
     conn->idle_limit_ms = conn->listener->limits.idle_timeout_ms;
-    conn->chunked = length == WIRE_CHUNKED && conn->parser.http_minor >= 1;
+    conn->chunked = length < 0 && conn->parser.http_minor >= 1;
     conn->until_close = length < 0 && !conn->chunked;
-    if (conn->listener->draining || conn->until_close)
+    if (conn->listener->draining || length == WIRE_UNTIL_CLOSE)
         conn->keep_alive = false;
     wire_text_printf(&conn->out, "HTTP/1.1 %d %s\r\n", status, wire_reason(status));
     wire_text_str(&conn->out, fields);
@@ -101,8 +101,8 @@
     wire_conn_t *conn = (wire_conn_t *)req;
     conn->req.on_disconnect = NULL;
     wire_conn_flush(conn);
-    if (conn->until_close)
-        wire_conn_reset(conn); /* a regular close would make the response look complete */
+    if (wire_conn_is_unframed(conn))
+        wire_conn_reset(conn); /* a regular close could make the response look complete */
     else
         wire_conn_close(conn);
 }
--- a/wire/server_conn.c
+++ b/wire/server_conn.c
@@ -116,12 +116,19 @@
     uv_close((uv_handle_t *)&conn->tcp, on_conn_closed);
 }
 
-/* True if a regular close would make a truncated close-delimited response look complete. */
+bool
+wire_conn_is_unframed(const wire_conn_t *conn)
+{
+    return conn->until_close || conn->chunked;
+}
+
+/* True if a regular close could make a truncated response look complete: it does where the response
+ * ends with the close, and there are callers that do not look for the last chunk. */
 static bool
 close_hides_truncation(const wire_conn_t *conn)
 {
     const size_t left = uv_stream_get_write_queue_size((const uv_stream_t *)&conn->tcp);
-    return conn->until_close && (conn->state == STATE_ANSWERING || left > 0);
+    return wire_conn_is_unframed(conn) && (conn->state == STATE_ANSWERING || left > 0);
 }
 
 /* A client that has shut down its output may still read, hence the reset. */
--- a/wire/server_conn.h
+++ b/wire/server_conn.h
@@ -98,12 +98,14 @@
 void wire_conn_set_state(wire_conn_t *conn, wire_state_t state);
 /* Updates the sums of the listener after a change of the output or the request's body. */
 void wire_conn_update_held(wire_conn_t *conn);
+/* True if the length of the current response is not known from its head. */
+bool wire_conn_is_unframed(const wire_conn_t *conn);
 /* Stops or resumes reading from the socket, depending on what fits. */
 void wire_conn_update_reading(wire_conn_t *conn);
 /* Writes buffered bytes to the socket. */
 void wire_conn_flush(wire_conn_t *conn);
 void wire_conn_close(wire_conn_t *conn);
-/* Closes with a reset, so that a truncated close-delimited response does not look complete. */
+/* Closes with a reset, so that a truncated response without a length does not look complete. */
 void wire_conn_reset(wire_conn_t *conn);
 /* Shuts down output after the last response; the client or a timeout closes the connection. */
 void wire_conn_finish(wire_conn_t *conn);
