--- a/gateway/admin.c
+++ b/gateway/admin.c
@@ -182,10 +182,9 @@
     set_gauge("irisstall_config_refused_revision",
               "Store revision of a newer configuration that could not be used, 0: none.",
               (int64_t)position_revision(router->catalog.refused.revision));
-    set_gauge("irisstall_config_left_out",
-              "Parts of the configuration in force that could not be read.",
-              router->catalog.config != NULL ? (int64_t)config_skipped_count(router->catalog.config)
-                                             : 0);
+    set_gauge(
+        "irisstall_config_left_out", "Parts of the configuration in force that could not be read.",
+        router->catalog.config != NULL ? (int64_t)config_skipped_count(router->catalog.config) : 0);
     set_gauge("irisstall_instances_living", "Instances heard of, this one too.",
               router->live_instances);
     set_gauge("irisstall_upstreams", "Upstreams known.", (int64_t)router->catalog.backends.count);
