--- a/wire/body.h
+++ b/wire/body.h
@@ -3,7 +3,7 @@
  *
  * Reads what follows a head, in pieces of any size. The chunked coding is read strictly: sizes are
  * hexadecimal digits, lines end in CR LF, extensions and trailer fields are skipped up to a bound.
- * The http-parser library accepts more than that, hence this module.
+ * http-parser, as Debian builds it, accepts more than that.
  */
 #pragma once
 
--- a/wire/framing.c
+++ b/wire/framing.c
@@ -15,7 +15,7 @@
     size_t codings;
     str_t length;
     str_t coding;
-} fields_t;
+} framing_fields_t;
 
 /* RFC 9110, 5.6.2 */
 static bool
@@ -39,10 +39,10 @@
     return !head->folded;
 }
 
-static fields_t
+static framing_fields_t
 find_fields(const wire_head_t *head)
 {
-    fields_t found = {0};
+    framing_fields_t found = {0};
     for (size_t i = 0; i < head->field_count; i++) {
         if (wire_str_case_eq(wire_head_name(head, i), field_length)) {
             found.lengths++;
@@ -57,7 +57,7 @@
 
 /* False for a number that is invalid or given twice. */
 static bool
-read_length(const fields_t *fields, int64_t *out)
+read_length(const framing_fields_t *fields, int64_t *out)
 {
     uint64_t value;
     if (fields->lengths != 1 || !str_to_u64(fields->length, &value) || value > INT64_MAX)
@@ -67,7 +67,7 @@
 }
 
 static bool
-is_chunked(const fields_t *fields)
+is_chunked(const framing_fields_t *fields)
 {
     return fields->codings == 1 && wire_str_case_eq(fields->coding, STR("chunked"));
 }
@@ -133,7 +133,7 @@
 int
 wire_framing_request(const wire_head_t *head, const http_parser *parser, int64_t *length)
 {
-    const fields_t fields = find_fields(head);
+    const framing_fields_t fields = find_fields(head);
     *length = 0;
     if (parser->http_major != 1)
         return HTTP_STATUS_HTTP_VERSION_NOT_SUPPORTED;
@@ -165,7 +165,7 @@
 wire_framing_response(const wire_head_t *head, const http_parser *parser, bool head_method,
                       int64_t *length, bool *exact)
 {
-    const fields_t fields = find_fields(head);
+    const framing_fields_t fields = find_fields(head);
     *length = 0;
     *exact = true;
     if (parser->http_major != 1 || parser->status_code == HTTP_STATUS_SWITCHING_PROTOCOLS ||
--- a/wire/request_reader.c
+++ b/wire/request_reader.c
@@ -319,12 +319,13 @@
         wire_conn_log_late_input(conn, len);
         return;
     }
-    if (can_parse(conn)) {
+    if (conn->pipelined_len == 0 && can_parse(conn)) {
         const size_t used = parse(conn, ptr, len);
         keep_pipelined(conn, ptr + used, len - used);
         handle_parsed(conn);
     } else {
         keep_pipelined(conn, ptr, len);
+        parse_pipelined(conn);
     }
     wire_conn_update_reading(conn);
 }
