Metric: bytes of requests held by calls

Existing metrics tell callers' bodies and requests under way, but not the requests that calls to backend servers hold. irisstall_request_bytes_held counts them. No logic changed.

--- a/gateway/admin.c
+++ b/gateway/admin.c
@@ -14,6 +14,7 @@
 #include "gateway/inspect_suspects.h"
 #include "gateway/retry_report.h"
 #include "gateway/state/position.h"
+#include "wire/client.h"
 
 enum { FINGERPRINT_DIGITS = 16 };
 
@@ -218,6 +219,9 @@
               (int64_t)wire_listener_held(admin->callers));
     set_gauge("irisstall_body_bytes_held", "Bytes held or announced of callers' request bodies.",
               (int64_t)wire_listener_bodies(admin->callers));
+    set_gauge("irisstall_request_bytes_held",
+              "Bytes of requests not written yet to backend servers and the store.",
+              (int64_t)wire_client_request_bytes());
     set_gauge("irisstall_log_lines_dropped", "Log lines that were dropped.",
               (int64_t)log_dropped());
     size_t len;
--- a/wire/client.h
+++ b/wire/client.h
@@ -78,6 +78,9 @@
 /* Closes connections that have been idle for more than `idle_ms`. */
 void wire_pool_close_idle(wire_pool_t *pool, uint64_t idle_ms);
 
+/* Bytes of the requests that calls of all pools hold, because they are not written yet. */
+size_t wire_client_request_bytes(void);
+
 /* Callbacks never run before wire_call_start() has returned. */
 wire_call_t *wire_call_start(wire_pool_t *pool, const wire_call_conf_t *conf,
                              const wire_call_cbs_t *cbs, void *ctx);
--- a/wire/client_call.c
+++ b/wire/client_call.c
@@ -195,7 +195,7 @@
 {
     client_conn_t *conn = req->data;
     conn->writing = false;
-    free(conn->request);
+    client_request_free(conn->request, conn->request_len);
     conn->request = NULL;
     if (status == 0 || conn->closed || conn->call == NULL)
         return;
@@ -211,11 +211,12 @@
     call->result.stage = WIRE_SENT;
     start_timer(conn);
     conn->request = call->conf.request;
+    conn->request_len = call->conf.request_len;
     call->conf.request = NULL;
     uv_buf_t buf = uv_buf_init(conn->request, (unsigned)call->conf.request_len);
     const int n = uv_try_write((uv_stream_t *)&conn->tcp, &buf, 1);
     if (n == (int)buf.len) {
-        free(conn->request);
+        client_request_free(conn->request, conn->request_len);
         conn->request = NULL;
         return;
     }
--- a/wire/pool.c
+++ b/wire/pool.c
@@ -8,6 +8,29 @@
 /* Safety margin subtracted from the server's Keep-Alive timeout. */
 enum { KEEP_ALIVE_MARGIN_MS = 800 };
 
+static size_t request_bytes; /* of all pools */
+
+void
+client_request_add_held(size_t len)
+{
+    request_bytes += len;
+}
+
+void
+client_request_free(char *request, size_t len)
+{
+    if (request == NULL)
+        return;
+    request_bytes -= len;
+    free(request);
+}
+
+size_t
+wire_client_request_bytes(void)
+{
+    return request_bytes;
+}
+
 void
 wire_pool_release(wire_pool_t *pool)
 {
@@ -22,7 +45,7 @@
     if (--conn->open_handles > 0)
         return;
     wire_head_free(&conn->head);
-    free(conn->request);
+    client_request_free(conn->request, conn->request_len);
     free(conn);
 }
 
