A call frees its request whatever becomes of its connection

Cause: the request of a call had two owners, the call until its connection was up and the connection afterwards. The call freed it only when it was cancelled, so it was lost where the connection was refused, timed out, was over the pool's limit or could not be started.

Evidence: irisstall_request_bytes_held stood at 100,663,658 with no request under way, no caller connected and no body held. Leak detection in the gateways of a soak names build_request() and no other allocation that a request makes.

Fix: the connection owns the request from the start of the call, and client_conn_free_request() is the only place that frees it: once it is written, or when the connection closes. It is freed before the call's end is reported, so that another attempt does not hold a copy besides. A connection whose request is not written whole is not reused, which now follows from the request itself.

--- a/test/gateway/main.c
+++ b/test/gateway/main.c
@@ -63,6 +63,7 @@
     srunner_add_suite(runner, suite_gateway_fair_share());
     srunner_add_suite(runner, suite_gateway_order());
     srunner_add_suite(runner, suite_gateway_silent());
+    srunner_add_suite(runner, suite_gateway_call_end());
     srunner_add_suite(runner, suite_gateway_slow_reader());
     srunner_add_suite(runner, suite_gateway_soak());
     srunner_run_all(runner, CK_NORMAL);
--- a/test/gateway/test_request_path.c
+++ b/test/gateway/test_request_path.c
@@ -101,6 +101,21 @@
 }
 END_TEST
 
+/* A request to a backend server that has ended must not stay in memory. */
+START_TEST(request_to_ended_backend_is_not_kept)
+{
+    enum { REQUESTS = 6 };
+    site_t *site = new_ready_site(2);
+    for (int i = 0; i < 2; i++) {
+        crash_backend(&site->backends[i]);
+        uv_timer_stop(&site->backends[i].restart);
+    }
+    for (int i = 0; i < REQUESTS; i++)
+        ck_assert_int_eq(ask(site, "POST", "/once/x").status, 503);
+    RUN_UNTIL(site, wire_client_request_bytes() == 0);
+}
+END_TEST
+
 START_TEST(responses_are_never_mixed_up)
 {
     site_t *site = new_ready_site(1);
@@ -329,6 +344,7 @@
     tcase_add_test(tests, non_repeatable_request_is_not_resent_if_it_may_have_run);
     tcase_add_test(tests, repeatable_request_is_retried);
     tcase_add_test(tests, backend_that_never_responds_is_avoided);
+    tcase_add_test(tests, request_to_ended_backend_is_not_kept);
     tcase_add_test(tests, responses_are_never_mixed_up);
     tcase_add_test(tests, response_without_length_has_an_end_that_callers_can_tell);
     tcase_add_test(tests, response_that_breaks_off_never_looks_whole);
--- a/test/suites.h
+++ b/test/suites.h
@@ -28,6 +28,7 @@
 Suite *suite_gateway_lateness(void);
 Suite *suite_gateway_lifetime(void);
 Suite *suite_gateway_silent(void);
+Suite *suite_gateway_call_end(void);
 Suite *suite_gateway_slow_reader(void);
 Suite *suite_gateway_framing(void);
 Suite *suite_gateway_listener(void);
--- a/wire/client.c
+++ b/wire/client.c
@@ -12,7 +12,7 @@
     call->cbs = *cbs;
     call->ctx = ctx;
     call->conf = *conf;
-    client_request_add_held(conf->request_len);
+    call->conf.request = NULL; /* the connection's */
     client_conn_t *conn = client_conn_acquire(pool, conf->idle_max_ms, conf->probe_before_reuse);
     const bool reused = conn != NULL;
     if (!reused)
@@ -20,6 +20,7 @@
     pool->busy_count++;
     conn->reused = reused;
     conn->call = call;
+    client_conn_take_request(conn, conf->request, conf->request_len);
     call->result.reused = reused;
     call->conn = conn;
     if (reused)
@@ -33,8 +34,6 @@
 wire_call_cancel(wire_call_t *call)
 {
     call->done = true;
-    client_request_free(call->conf.request, call->conf.request_len);
-    call->conf.request = NULL;
     client_call_end(call->conn, false);
 }
 
--- a/wire/client_call.c
+++ b/wire/client_call.c
@@ -119,7 +119,7 @@
     switch (client_response_parse(conn, ptr, len)) {
     case RESPONSE_COMPLETE:
         /* Not reusable if the response completed before the request was written. */
-        client_call_end(conn, conn->reusable && !conn->writing);
+        client_call_end(conn, conn->reusable && conn->request == NULL);
         return;
     case RESPONSE_INVALID:
         client_call_fail(conn, ERR_PROTOCOL, client_response_error(conn));
@@ -194,9 +194,7 @@
 on_written(uv_write_t *req, int status)
 {
     client_conn_t *conn = req->data;
-    conn->writing = false;
-    client_request_free(conn->request, conn->request_len);
-    conn->request = NULL;
+    client_conn_free_request(conn);
     if (status == 0 || conn->closed || conn->call == NULL)
         return;
     conn->call->result.closed = status == UV_ECONNRESET || status == UV_EPIPE;
@@ -210,14 +208,10 @@
     client_response_begin(conn);
     call->result.stage = WIRE_SENT;
     start_timer(conn);
-    conn->request = call->conf.request;
-    conn->request_len = call->conf.request_len;
-    call->conf.request = NULL;
-    uv_buf_t buf = uv_buf_init(conn->request, (unsigned)call->conf.request_len);
+    uv_buf_t buf = uv_buf_init(conn->request, (unsigned)conn->request_len);
     const int n = uv_try_write((uv_stream_t *)&conn->tcp, &buf, 1);
     if (n == (int)buf.len) {
-        client_request_free(conn->request, conn->request_len);
-        conn->request = NULL;
+        client_conn_free_request(conn);
         return;
     }
     if (n > 0) {
@@ -225,9 +219,6 @@
         buf.len -= (size_t)n;
     }
     conn->write.data = conn;
-    conn->writing = true;
-    if (uv_write(&conn->write, (uv_stream_t *)&conn->tcp, &buf, 1, on_written) != 0) {
-        conn->writing = false;
+    if (uv_write(&conn->write, (uv_stream_t *)&conn->tcp, &buf, 1, on_written) != 0)
         uv_timer_start(&conn->timer, on_call_timeout, 0, 0);
-    }
 }
--- a/wire/client_conn.h
+++ b/wire/client_conn.h
@@ -38,11 +38,10 @@
     wire_call_t *call;
     uint64_t idle_since_ms;
     uint64_t keep_alive_ms; /* the server's Keep-Alive timeout, 0 if none */
-    char *request;
+    char *request;          /* of the call, until it is written; NULL afterwards */
     size_t request_len;
     bool reused; /* a call was made on it before the current one */
     bool closed;
-    bool writing;
     bool head_complete;   /* the current response's head is parsed */
     bool framing_invalid; /* its end cannot be found (framing.h, body.h) */
     bool skip_response;   /* the current response belongs to another request */
@@ -65,10 +64,10 @@
 void client_conn_close(client_conn_t *conn);
 /* Removes an idle connection from its pool and closes it. */
 void client_conn_close_idle(client_conn_t *conn);
-/* Counts a request of `len` bytes in wire_client_request_bytes(). */
-void client_request_add_held(size_t len);
-/* Frees a request and no longer counts it; NULL is allowed. */
-void client_request_free(char *request, size_t len);
+/* The connection owns the request from now on, and frees it when it is closed at the latest. */
+void client_conn_take_request(client_conn_t *conn, char *request, size_t len);
+/* Frees the request, if it has not been freed yet. It must not be being written. */
+void client_conn_free_request(client_conn_t *conn);
 /* Allocates a connection; it is not connected yet. */
 client_conn_t *client_conn_open(wire_pool_t *pool);
 /* Takes a reusable idle connection out of the pool, NULL if there is none. Closes connections whose
--- a/wire/pool.c
+++ b/wire/pool.c
@@ -11,18 +11,22 @@
 static size_t request_bytes; /* of all pools */
 
 void
-client_request_add_held(size_t len)
+client_conn_take_request(client_conn_t *conn, char *request, size_t len)
 {
+    xassert(conn->request == NULL);
+    conn->request = request;
+    conn->request_len = len;
     request_bytes += len;
 }
 
 void
-client_request_free(char *request, size_t len)
+client_conn_free_request(client_conn_t *conn)
 {
-    if (request == NULL)
+    if (conn->request == NULL)
         return;
-    request_bytes -= len;
-    free(request);
+    request_bytes -= conn->request_len;
+    free(conn->request);
+    conn->request = NULL;
 }
 
 size_t
@@ -45,7 +49,7 @@
     if (--conn->open_handles > 0)
         return;
     wire_head_free(&conn->head);
-    client_request_free(conn->request, conn->request_len);
+    client_conn_free_request(conn);
     free(conn);
 }
 
@@ -55,6 +59,9 @@
     if (conn->closed)
         return;
     conn->closed = true;
+    /* Before the call's end is reported: the caller may start another one at once. */
+    if (uv_stream_get_write_queue_size((const uv_stream_t *)&conn->tcp) == 0)
+        client_conn_free_request(conn);
     uv_close((uv_handle_t *)&conn->tcp, on_handle_closed);
     uv_close((uv_handle_t *)&conn->timer, on_handle_closed);
 }
@@ -116,6 +123,7 @@
 client_conn_release(client_conn_t *conn)
 {
     wire_pool_t *pool = conn->pool;
+    xassert(conn->request == NULL);
     conn->idle_since_ms = loop_now(pool->loop);
     conn->next = pool->idle;
     pool->idle = conn;
