make sanitize: look for leaks

Now they look for leaks in the unit tests (a process each), in the campaigns, and in the instances of the soak, which end with an error and so break rule 'stop'. Exceptions stand in test/leaks.supp with their reasons; objects of tests that live as long as their process are told to the detector by leak_ignore(). The fixtures of the store's outages and of the incarnations free what they left; the soak keeps the lives of its instances in a list.

--- a/Makefile
+++ b/Makefile
@@ -20,9 +20,9 @@
 	@test -f build-san/build.ninja || meson setup build-san -Db_sanitize=address,undefined \
 		-Db_lundef=false -Dbuildtype=debugoptimized >/dev/null
 	ninja -C build-san
-	@# Leaks are not looked for: many objects live as long as their process.
-	ASAN_OPTIONS=detect_leaks=0 UBSAN_OPTIONS=halt_on_error=1:print_stacktrace=1 \
-		BUILD=build-san scripts/test.sh
+	@# What the leak detector passes over stands in test/leaks.supp, with its reason.
+	ASAN_OPTIONS=detect_leaks=1 LSAN_OPTIONS=suppressions=$(CURDIR)/test/leaks.supp:print_suppressions=0 \
+		UBSAN_OPTIONS=halt_on_error=1:print_stacktrace=1 BUILD=build-san scripts/test.sh
 
 lint: build
 	scripts/lint.sh
--- a/standin/soak/fleet.c
+++ b/standin/soak/fleet.c
@@ -39,6 +39,7 @@
     instance_t *items;
     uint64_t stalled_ms;
     uint64_t lives;
+    life_t *latest; /* of these */
     bool finishing;
 };
 
@@ -235,7 +236,9 @@
     instance_t *instance = &fleet->items[number];
     instance->life = xcalloc(1, sizeof(*instance->life));
     fleet->lives++;
-    *instance->life = (life_t){.instance = number, .pid = pid, .started_ms = now_ms};
+    *instance->life =
+        (life_t){.earlier = fleet->latest, .instance = number, .pid = pid, .started_ms = now_ms};
+    fleet->latest = instance->life;
     instance->ordered = false;
     instance->paused = false;
     instance->slow_until_ms = 0;
--- a/standin/soak/fleet.h
+++ b/standin/soak/fleet.h
@@ -15,8 +15,11 @@
 #include "standin/soak/judge.h"
 #include "standin/soak/schedule.h"
 
-/* One process of an instance, from its start to its end. Never freed. */
-typedef struct {
+/* One process of an instance, from its start to its end. Never freed: requests refer to it. */
+typedef struct life life_t;
+
+struct life {
+    life_t *earlier; /* the process started before it, of any instance */
     uint32_t instance;
     pid_t pid;
     uint64_t started_ms;
@@ -27,7 +30,7 @@
     uint64_t paused_ms;    /* when its last pause was last known to last; 0 if none */
     uint64_t seen_version; /* of the configuration, proven by answers to have been in force */
     uint64_t seen_ms;
-} life_t;
+};
 
 typedef struct fleet fleet_t;
 
--- a/test/gateway/main.c
+++ b/test/gateway/main.c
@@ -9,7 +9,8 @@
 main(void)
 {
     signal(SIGPIPE, SIG_IGN);
-    SRunner *runner = srunner_create(suite_gateway_config());
+    static SRunner *runner; /* reachable for the leak detector of a test's process */
+    runner = srunner_create(suite_gateway_config());
     srunner_add_suite(runner, suite_gateway_account_model());
     srunner_add_suite(runner, suite_gateway_accounts());
     srunner_add_suite(runner, suite_gateway_view());
--- a/test/gateway/site.c
+++ b/test/gateway/site.c
@@ -9,6 +9,7 @@
 #include "platform/objects.h"
 #include "test/gateway/link.h"
 #include "test/gateway/site.h"
+#include "test/leak.h"
 
 void
 on_guard(uv_timer_t *timer)
@@ -292,6 +293,7 @@
     if (seed != NULL)
         settings.seeds[settings.seed_count++] = *seed;
     gateway_ports_t *ports = xcalloc(1, sizeof(*ports));
+    leak_ignore(ports);
     *ports = (gateway_ports_t){store, site->decoder != NULL ? site->decoder : &platform_decoder,
                                &platform_dialect, &platform_directory};
     gateway_t *gateway = gateway_start(&site->loop, &settings, ports, &err);
@@ -381,6 +383,7 @@
 new_site(size_t backends)
 {
     site_t *site = xcalloc(1, sizeof(*site));
+    leak_ignore(site);
     uv_loop_init(&site->loop);
     uv_timer_init(&site->loop, &site->guard);
     site->guard.data = site;
@@ -408,6 +411,7 @@
 {
     site->gateway = gateway;
     site->callers = wire_pool_new(&site->loop, &gateway_settings(gateway)->callers, 100);
+    leak_ignore(site->callers);
 }
 
 static void
--- a/test/gateway/test_backend_incarnations.c
+++ b/test/gateway/test_backend_incarnations.c
@@ -41,6 +41,7 @@
     departures_free(&test->catalog.new_departures);
     free(test->catalog.unusable);
     view_free(&test->view);
+    ck_assert_int_eq(uv_loop_close(&test->loop), 0);
     free(test);
 }
 
--- a/test/gateway/test_deferred.c
+++ b/test/gateway/test_deferred.c
@@ -5,6 +5,7 @@
 #include "base/xmalloc.h"
 #include "gateway/gateway_state.h"
 #include "test/gateway/site.h"
+#include "test/leak.h"
 #include "test/suites.h"
 
 /* Two connections; records the order of the callbacks. */
@@ -74,6 +75,7 @@
 {
     static const uv_poll_cb cbs[] = {on_first, on_second};
     rig_t *rig = xcalloc(1, sizeof(*rig));
+    leak_ignore(rig);
     uv_loop_init(&rig->loop);
     deferred_init(&rig->work, &rig->loop, on_work, rig);
     for (size_t i = 0; i < ALEN(cbs); i++) {
--- a/test/gateway/test_fair_share.c
+++ b/test/gateway/test_fair_share.c
@@ -5,6 +5,7 @@
 #include "base/rng.h"
 #include "base/xmalloc.h"
 #include "gateway/policy/fair_share.h"
+#include "test/leak.h"
 #include "test/suites.h"
 
 START_TEST(limit_fills_the_room_and_binds_the_largest_only)
@@ -42,6 +43,7 @@
 new_callers(double per_s, double work_ms)
 {
     callers_t *callers = xcalloc(1, sizeof(*callers));
+    leak_ignore(callers);
     callers->rng.state = 3;
     for (size_t i = 0; i < ACCOUNTS; i++) {
         callers->per_s[i] = per_s;
--- a/test/gateway/test_listener.c
+++ b/test/gateway/test_listener.c
@@ -10,6 +10,7 @@
 #include "base/addr.h"
 #include "base/counter.h"
 #include "base/xmalloc.h"
+#include "test/leak.h"
 #include "test/suites.h"
 #include "wire/listener.h"
 
@@ -111,6 +112,7 @@
 new_server(uint64_t idle_ms)
 {
     server_t *server = xcalloc(1, sizeof(*server));
+    leak_ignore(server);
     err_t err = {0};
     server->response_len = 5;
     uv_loop_init(&server->loop);
--- a/test/gateway/test_order.c
+++ b/test/gateway/test_order.c
@@ -10,6 +10,7 @@
 #include "gateway/router.h"
 #include "test/gateway/fixture.h"
 #include "test/gateway/site.h"
+#include "test/leak.h"
 #include "test/suites.h"
 
 enum { START_MS = 100000, TICK_MS = 100, BACKENDS = 4, SLOTS = 4, ROUTES = 2 };
@@ -74,6 +75,7 @@
 new_test_router(const decoder_port_t *decoder, bool orders_shortage)
 {
     test_router_t *test = xcalloc(1, sizeof(*test));
+    leak_ignore(test);
     view_t view = {0};
     const store_item_t item = {.name = STR("main"), .revision = 1, .body = STR("{}")};
     uv_loop_init(&test->loop);
--- a/test/gateway/test_outage.c
+++ b/test/gateway/test_outage.c
@@ -217,10 +217,16 @@
 static void
 free_fixture(outage_fixture_t *fixture)
 {
+    const store_answer_t failure = {.outcome = STORE_FAILED};
+    for (view_kind_t kind = 0; kind < VIEW_WATCHED; kind++)
+        answer_call(fixture, kind, &failure);
     backends_free(&fixture->catalog.backends);
+    departures_free(&fixture->catalog.departures);
+    departures_free(&fixture->catalog.new_departures);
     for (view_kind_t kind = 0; kind < VIEW_WATCHED; kind++)
         view_free(&fixture->views.items[kind]);
     members_free(&fixture->members);
+    ck_assert_int_eq(uv_loop_close(&fixture->loop), 0);
     free(fixture);
 }
 
--- a/test/gateway/test_shortage.c
+++ b/test/gateway/test_shortage.c
@@ -8,6 +8,7 @@
 #include "base/xmalloc.h"
 #include "gateway/policy/return_time.h"
 #include "gateway/policy/shortage.h"
+#include "test/leak.h"
 #include "test/suites.h"
 
 enum { STEP_MS = 100, STEPS_PER_S = 10, SLOTS = 1000 };
@@ -367,6 +368,7 @@
 {
     static const double parts[] = {0.2, 0.4, 0.4};
     fleet_t *fleet = xcalloc(1, sizeof(*fleet));
+    leak_ignore(fleet);
     fleet->rng.state = 7;
     for (unsigned kind = 0; kind < ALEN(kind_work_ms); kind++)
         fleet->per_step[kind] = parts[kind] * slots * STEP_MS / kind_work_ms[kind];
--- a/test/gateway/test_silent.c
+++ b/test/gateway/test_silent.c
@@ -7,6 +7,7 @@
 
 #include "base/xmalloc.h"
 #include "peer/link.h"
+#include "test/leak.h"
 #include "test/suites.h"
 #include "wire/client.h"
 
@@ -91,6 +92,7 @@
 new_server(void)
 {
     server_t *server = xcalloc(1, sizeof(*server));
+    leak_ignore(server);
     int small = SMALL_BUFFER;
     int len = sizeof(server->addr);
     uv_loop_init(&server->loop);
--- a/test/gateway/test_soak.c
+++ b/test/gateway/test_soak.c
@@ -7,6 +7,7 @@
 #include "standin/soak/outcomes.h"
 #include "standin/soak/schedule.h"
 #include "test/gateway/site.h"
+#include "test/leak.h"
 #include "test/suites.h"
 
 enum { BOUND_MS = 3500, GRACE_MS = 6000, LATE_MS = 60000 /* long after any trouble */ };
@@ -27,6 +28,7 @@
 new_case(request_kind_t kind, uint64_t sent_ms)
 {
     case_t *c = xcalloc(1, sizeof(*c));
+    leak_ignore(c);
     c->site = new_site(0);
     accounts_t *accounts = accounts_new(&c->judge);
     c->ops = operator_new(c->site->store, accounts, 1);
--- a/test/gateway/test_view_relay.c
+++ b/test/gateway/test_view_relay.c
@@ -13,6 +13,7 @@
 #include "gateway/state/view_message.h"
 #include "peer/link.h"
 #include "test/gateway/site.h"
+#include "test/leak.h"
 #include "test/suites.h"
 
 enum {
@@ -212,6 +213,7 @@
 {
     err_t err = {0};
     peer_t *peer = xcalloc(1, sizeof(*peer));
+    leak_ignore(peer);
     peer->site = site;
     peer->to[peer->to_count++] = gateway_settings(gateway)->peer;
     peer->hub = peer_hub_start(&site->loop, &site->any, on_peer_message, peer, &err);
@@ -229,6 +231,7 @@
 on_accept_and_stall(uv_stream_t *listener, int status)
 {
     uv_tcp_t *conn = xcalloc(1, sizeof(*conn));
+    leak_ignore(conn);
     ck_assert_int_eq(status, 0);
     uv_tcp_init(listener->loop, conn);
     ck_assert_int_eq(uv_accept(listener, (uv_stream_t *)conn), 0);
--- a/test/main.c
+++ b/test/main.c
@@ -9,7 +9,8 @@
 main(void)
 {
     signal(SIGPIPE, SIG_IGN);
-    SRunner *runner = srunner_create(suite_base());
+    static SRunner *runner; /* reachable for the leak detector of a test's process */
+    runner = srunner_create(suite_base());
     srunner_add_suite(runner, suite_table());
     srunner_add_suite(runner, suite_credit());
     srunner_add_suite(runner, suite_lookup());
--- a/test/test_arrival.c
+++ b/test/test_arrival.c
@@ -70,7 +70,7 @@
 
 START_TEST(an_unready_instance_knows_nothing_of_keys)
 {
-    uv_loop_t loop;
+    static uv_loop_t loop; /* not closed */
     char answer[ANSWER_MAX];
     uv_loop_init(&loop);
     const node_t *node = start_unready(&loop);
@@ -95,7 +95,7 @@
 /* An error page of an entry that lost the answer must not be kept as the answer under the key. */
 START_TEST(unknown_told_by_another_entry_is_not_kept_as_answer)
 {
-    uv_loop_t loop;
+    static uv_loop_t loop; /* not closed */
     uv_loop_init(&loop);
     node_t *node = start_unready(&loop);
     const attempt_result_t told_unknown = {
--- a/test/test_load.c
+++ b/test/test_load.c
@@ -7,6 +7,7 @@
 #include "base/clock.h"
 #include "base/xmalloc.h"
 #include "load/request.h"
+#include "test/leak.h"
 #include "test/suites.h"
 
 enum { WAIT_MAX_MS = 10000, TIMEOUT_MS = 200, TEXT_SIZE = 512 };
@@ -106,6 +107,7 @@
     ck_assert_int_eq(status, 0);
     fake_entry_t *entry = listener->data;
     peer_t *peer = xcalloc(1, sizeof(*peer));
+    leak_ignore(peer);
     peer->entry = entry;
     uv_tcp_init(&entry->loop, &peer->tcp);
     peer->tcp.data = peer;
@@ -117,6 +119,7 @@
 start_entry(const action_t *actions, size_t action_count)
 {
     fake_entry_t *entry = xcalloc(1, sizeof(*entry));
+    leak_ignore(entry);
     entry->actions = actions;
     entry->action_count = action_count;
     uv_loop_init(&entry->loop);
--- a/test/test_network.c
+++ b/test/test_network.c
@@ -12,6 +12,7 @@
 #include "entry/http/fetch.h"
 #include "entry/http/server.h"
 #include "peer/link.h"
+#include "test/leak.h"
 #include "test/suites.h"
 
 enum { WAIT_TIMEOUT_MS = 5000, BODY_MAX = 1000, HEAD_TIMEOUT_MS = 300 };
@@ -58,6 +59,7 @@
 new_net(void)
 {
     net_t *net = xcalloc(1, sizeof(*net));
+    leak_ignore(net);
     uv_loop_init(&net->loop);
     ck_assert(addr_parse(STR("127.0.0.1:0"), &net->addr));
     return net;
