Listener: free a request's body with the end of its response

What callers saw: an upload that had been refused or answered on a connection that is not kept held its body until the caller closed, up to 1 s, or 5 s if it read nothing. Meanwhile the body counted against the bound over all bodies, so that other uploads were refused with 503.

The body was freed where the next request begins and where the connection is freed, but not where the response ended and the connection was only shut down.

Fix: wire_conn_free_body() is the one place, called when a response ends, whether the connection is kept or not.

--- a/test/gateway/test_listener.c
+++ b/test/gateway/test_listener.c
@@ -511,6 +511,39 @@
 }
 END_TEST
 
+/* The body of a request that has its response must not be held, and keep other uploads out, until
+ * the client closes. */
+START_TEST(body_of_ended_request_is_freed)
+{
+    enum { BODY = 100000, REFUSED_MS = 300, MAX_BODY = 200000 };
+    static const char *const heads[] = {
+        "POST /timed-out HTTP/1.1\r\nHost: h\r\nContent-Length: 100001\r\n\r\n",
+        "POST /too-large HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n186A0\r\n",
+        "POST /last HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 100000\r\n\r\n",
+    };
+    static const char *const ends[] = {"", "\r\n186A1\r\nx", ""};
+    static const char *const statuses[] = {"HTTP/1.1 408", "HTTP/1.1 413", "HTTP/1.1 200"};
+    static char body[BODY + 1];
+    server_t *server = new_server(LONG_IDLE_MS);
+    wire_limits_t limits = limits_with_idle_timeout(LONG_IDLE_MS);
+    limits.max_body = _i == 1 ? BODY : MAX_BODY;
+    limits.head_timeout_ms = REFUSED_MS;
+    wire_listener_set_limits(server->listener, &limits);
+    client_t client = connect_client(server, 0);
+    memset(body, 'x', BODY);
+    send_text(&client, heads[_i]);
+    send_text(&client, body);
+    RUN_UNTIL(server,
+              (receive(&client), client.len > 0) || wire_listener_bodies(server->listener) > 0);
+    send_text(&client, ends[_i]);
+    RUN_UNTIL(server, (receive(&client), client.len > 0));
+    ck_assert_msg(strncmp(client.text, statuses[_i], strlen(statuses[_i])) == 0, "%s", client.text);
+    ck_assert_uint_eq(wire_listener_connections(server->listener), 1);
+    ck_assert_uint_eq(wire_listener_bodies(server->listener), 0);
+    close(client.fd);
+}
+END_TEST
+
 /* A half-closed client counts as disconnected, but may still read. */
 static void
 check_half_close(server_t *server, client_t *client)
@@ -599,6 +632,7 @@
     tcase_add_test(tests, input_behind_unread_responses_is_not_lost);
     tcase_add_test(tests, input_behind_a_backlog_may_be_cut_anywhere);
     tcase_add_loop_test(tests, caller_that_leaves_with_unread_input_is_noticed, 0, 2);
+    tcase_add_loop_test(tests, body_of_ended_request_is_freed, 0, 3);
     tcase_add_loop_test(tests, close_delimited_response_to_half_closed_client_ends_in_reset, 0, 2);
     tcase_add_test(tests, shutdown_keeps_new_connection_for_first_request);
     tcase_add_test(tests, shutdown_closes_idle_connections);
--- a/wire/request_reader.c
+++ b/wire/request_reader.c
@@ -289,12 +289,7 @@
 request_reader_next(wire_conn_t *conn)
 {
     wire_head_reset(&conn->req.head);
-    free(conn->req.body);
-    conn->req.body = NULL;
-    conn->req.body_len = 0;
-    conn->body_size = 0;
-    conn->body_expected = 0;
-    wire_conn_update_held(conn);
+    wire_conn_free_body(conn);
     conn->req.on_disconnect = NULL;
     conn->req.on_drain = NULL;
     conn->request_complete = false;
--- a/wire/server_conn.c
+++ b/wire/server_conn.c
@@ -82,6 +82,17 @@
     update_sum(&listener->bodies, &conn->body_held, conn->closed ? 0 : body);
 }
 
+void
+wire_conn_free_body(wire_conn_t *conn)
+{
+    free(conn->req.body);
+    conn->req.body = NULL;
+    conn->req.body_len = 0;
+    conn->body_size = 0;
+    conn->body_expected = 0;
+    wire_conn_update_held(conn);
+}
+
 /* ---- closing ---- */
 
 static void
@@ -225,6 +236,7 @@
 wire_conn_finish(wire_conn_t *conn)
 {
     wire_conn_set_state(conn, STATE_CLOSING);
+    wire_conn_free_body(conn);
     wire_conn_update_reading(conn); /* a close with unread input would be a reset */
     uv_shutdown_t *req = xmalloc(sizeof(*req));
     if (uv_shutdown(req, (uv_stream_t *)&conn->tcp, on_shutdown) != 0) {
--- a/wire/server_conn.h
+++ b/wire/server_conn.h
@@ -98,6 +98,8 @@
 void wire_conn_set_state(wire_conn_t *conn, wire_state_t state);
 /* Updates the sums of the listener after a change of the output or the request's body. */
 void wire_conn_update_held(wire_conn_t *conn);
+/* Frees the body of the request, whose response has ended. */
+void wire_conn_free_body(wire_conn_t *conn);
 /* True if the length of the current response is not known from its head. */
 bool wire_conn_is_unframed(const wire_conn_t *conn);
 /* Stops or resumes reading from the socket, depending on what fits. */
