Peers: close incoming connections that fell silent

No caller has reported it. A machine that loses power leaves its connections to others open: nothing closed them, and what it had sent of a message, up to 2 MiB, stayed in memory. At 4,096 of them an instance would have accepted no connection of a peer any more.

Fix: a connection that another instance opened is closed once nothing was received on it for 60 s. An instance that lives opens another when it has something to send, as it does after each failure.

--- a/gateway/gateway_tick.c
+++ b/gateway/gateway_tick.c
@@ -11,6 +11,9 @@
     /* Peer connections whose output has stalled for this time are closed; same value as
      * USER_TIMEOUT_MS of peer/link.c. */
     PEER_STALLED_MS = 1500,
+    /* Incoming peer connections on which nothing arrives for this time are closed: far above the
+     * interval of heartbeats, since those of other meshes may carry nothing for long. */
+    PEER_SILENT_MS = 60000,
     /* Timeout for connecting to a peer: above a round trip between regions, below a tick. */
     CONNECT_MS = 150,
     /* Idle time after which backend connections are closed; above the age up to which they are
@@ -95,6 +98,7 @@
         wire_pool_close_idle(backend->pool, backend_is_leaving(backend) ? 0 : BACKEND_IDLE_MS);
     }
     peer_hub_sweep_stalled(gateway->hub, PEER_STALLED_MS);
+    peer_hub_sweep_silent(gateway->hub, PEER_SILENT_MS);
 }
 
 /* While this instance has no state yet, reconnects to unheard peers on every tick. If machines
--- a/peer/conn.c
+++ b/peer/conn.c
@@ -69,11 +69,11 @@
     if (conn->closing)
         return;
     conn->closing = true;
+    peer_conn_t **slot = conn->outgoing ? &conn->hub->outgoing : &conn->hub->incoming;
+    while (*slot != conn)
+        slot = &(*slot)->next;
+    *slot = conn->next;
     if (conn->outgoing) {
-        peer_conn_t **slot = &conn->hub->outgoing;
-        while (*slot != conn)
-            slot = &(*slot)->next;
-        *slot = conn->next;
         slot = peer_bucket(conn->hub, &conn->to);
         while (*slot != conn)
             slot = &(*slot)->bucket_next;
@@ -240,6 +240,7 @@
         return;
     }
     counter_add(conn->hub->bytes_in, (uint64_t)n);
+    conn->received_ms = loop_now(conn->hub->loop);
     parse_input(conn, buf->base, (size_t)n);
 }
 
@@ -252,6 +253,7 @@
     conn->tcp.data = conn;
     conn->used_ms = loop_now(hub->loop);
     conn->opened_ms = conn->used_ms;
+    conn->received_ms = conn->used_ms;
     return conn;
 }
 
--- a/peer/conn.h
+++ b/peer/conn.h
@@ -19,6 +19,7 @@
     bool closing;
     uint64_t opened_ms;
     uint64_t used_ms;       /* last use: opened, or a message was queued */
+    uint64_t received_ms;   /* opened, or bytes were received */
     uint64_t progress_ms;   /* when output last progressed or was first queued */
     size_t last_queue_size; /* unsent bytes of the current write at the last check */
     char *in;               /* start of a frame whose rest has not arrived */
@@ -26,8 +27,8 @@
     char *out; /* frames queued behind the connect or the current write */
     size_t out_len;
     bool writing;
-    size_t waiting; /* queued bytes: `out` and the current write */
-    peer_conn_t *next;
+    size_t waiting;           /* queued bytes: `out` and the current write */
+    peer_conn_t *next;        /* in the hub's list of outgoing or incoming connections */
     peer_conn_t *bucket_next; /* outgoing connections with the same hash */
 };
 
@@ -44,6 +45,7 @@
     peer_refused_cb_t refused_cb; /* NULL: none */
     void *ctx;
     peer_conn_t *outgoing;
+    peer_conn_t *incoming;
     peer_conn_t *buckets[PEER_BUCKETS]; /* the same, by hash of the address */
     char chunk[PEER_READ_CHUNK];        /* input of the connection that is being read */
     size_t incoming_count;
--- a/peer/link.c
+++ b/peer/link.c
@@ -82,6 +82,8 @@
         return;
     }
     peer_conn_t *conn = peer_conn_new(hub);
+    conn->next = hub->incoming;
+    hub->incoming = conn;
     hub->incoming_count++;
     if (uv_accept(listener, (uv_stream_t *)&conn->tcp) != 0 || hub->incoming_count > INCOMING_MAX) {
         peer_conn_close(conn);
@@ -154,6 +156,22 @@
     }
 }
 
+void
+peer_hub_sweep_silent(peer_hub_t *hub, uint64_t silent_ms)
+{
+    const uint64_t now = loop_now(hub->loop);
+    peer_conn_t *conn = hub->incoming;
+    while (conn != NULL) {
+        peer_conn_t *next = conn->next;
+        if (now - conn->received_ms > silent_ms) {
+            LOG_INFO("silent peer connection, closing: received=%zu silent_ms=%llu", conn->in_len,
+                     (unsigned long long)(now - conn->received_ms));
+            peer_conn_close(conn);
+        }
+        conn = next;
+    }
+}
+
 /* A partial write counts as progress: a large message takes seconds on a slow link. */
 static void
 update_progress(peer_conn_t *conn, uint64_t now_ms)
--- a/peer/link.h
+++ b/peer/link.h
@@ -58,5 +58,8 @@
 void peer_hub_sweep_idle(peer_hub_t *hub, uint64_t idle_ms);
 /* Closes outgoing connections that are still not connected after `age_ms`. */
 void peer_hub_sweep_unconnected(peer_hub_t *hub, uint64_t age_ms);
+/* Closes incoming connections on which nothing was received for `silent_ms`: the other end may have
+ * lost power. One that lives opens another when it has something to send. */
+void peer_hub_sweep_silent(peer_hub_t *hub, uint64_t silent_ms);
 /* Closes outgoing connections without send progress for `stalled_ms`, and idle bulk connections. */
 void peer_hub_sweep_stalled(peer_hub_t *hub, uint64_t stalled_ms);
--- a/test/gateway/test_silent.c
+++ b/test/gateway/test_silent.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "base/xmalloc.h"
 #include "peer/link.h"
@@ -318,6 +319,53 @@
 }
 END_TEST
 
+/* Connects to the hub and sends the header of a frame of 1.5 MiB. */
+static int
+begin_frame(const addr_t *hub)
+{
+    static const char header[] = {0, 0x18, 0, 0};
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    ck_assert_int_eq(connect(fd, &hub->sa, addr_len(hub)), 0);
+    ck_assert_int_eq(send(fd, header, sizeof(header), MSG_NOSIGNAL), sizeof(header));
+    return fd;
+}
+
+static bool
+is_open(int fd)
+{
+    char byte;
+    return recv(fd, &byte, 1, MSG_DONTWAIT) < 0 && errno == EAGAIN;
+}
+
+/* A peer that lost power midway through a message must not hold a connection and memory for good.
+ */
+START_TEST(incoming_connection_of_lost_peer_is_closed)
+{
+    enum { SILENT_MS = 200, TURNS = 5 };
+    server_t *server = new_server();
+    addr_t addr;
+    err_t err = {0};
+    xassert(addr_parse(STR("127.0.0.1:0"), &addr));
+    peer_hub_t *hub = peer_hub_start(&server->loop, &addr, ignore_message, NULL, &err);
+    ck_assert_ptr_nonnull(hub);
+    addr_set_port(&addr, peer_hub_port(hub));
+    const int lost = begin_frame(&addr);
+    const int living = begin_frame(&addr);
+    for (int turn = 0; turn < TURNS; turn++) {
+        ck_assert_int_eq(send(living, "x", 1, MSG_NOSIGNAL), 1);
+        uv_sleep(SILENT_MS / 2);
+        for (int i = 0; i < TURNS; i++)
+            uv_run(&server->loop, UV_RUN_NOWAIT);
+        peer_hub_sweep_silent(hub, SILENT_MS);
+        ck_assert(is_open(living));
+    }
+    uv_run(&server->loop, UV_RUN_NOWAIT);
+    ck_assert(!is_open(lost));
+    close(lost);
+    close(living);
+}
+END_TEST
+
 START_TEST(heartbeat_bypasses_large_view_update)
 {
     enum { UPDATE_SIZE = 800000 };
@@ -368,6 +416,7 @@
     tcase_add_test(tcase, received_answer_is_read_before_timeout);
     tcase_add_test(tcase, heartbeats_replace_stalled_connection);
     tcase_add_test(tcase, slow_large_message_is_not_cut_off);
+    tcase_add_test(tcase, incoming_connection_of_lost_peer_is_closed);
     tcase_add_test(tcase, heartbeat_bypasses_large_view_update);
     suite_add_tcase(suite, tcase);
     return suite;
