Calls that end early reset what is still on its way

Cause: the call's connection was closed in the regular way, so that the kernel went on sending the request while the link was cut, and delivered it when it was whole again.

Evidence: the histories of the late requests: sent before or early in the cut, given up 1.2 s later, received 8 s later from the same instance.

Fix: a call that was sent and has no complete response resets its connection if not all that was written is acknowledged. If all is, a regular close still tells the backend server, as a reset that is lost is not sent again.

--- a/base/tcp.c
+++ b/base/tcp.c
@@ -1,8 +1,10 @@
 #include <errno.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #define LOG_MODULE "tcp"
@@ -56,6 +58,16 @@
     return poll(&poll_fd, 1, 0) > 0;
 }
 
+bool
+tcp_has_unacknowledged(const uv_tcp_t *tcp)
+{
+    uv_os_fd_t fd;
+    int bytes;
+    if (uv_fileno((const uv_handle_t *)tcp, &fd) != 0 || ioctl(fd, SIOCOUTQ, &bytes) != 0)
+        return true;
+    return bytes > 0;
+}
+
 void
 tcp_set_user_timeout(uv_tcp_t *tcp, int ms)
 {
--- a/base/tcp.h
+++ b/base/tcp.h
@@ -25,6 +25,9 @@
 /* True if the other side has shut down its output or closed, even if there is input to read before
  * that. */
 bool tcp_has_hung_up(const uv_tcp_t *tcp);
+/* True if the other side has not acknowledged all that was written, or if that is not known. After
+ * a close, the kernel goes on sending it. */
+bool tcp_has_unacknowledged(const uv_tcp_t *tcp);
 /* Closes the connection if sent data is not acknowledged within `ms` (TCP_USER_TIMEOUT). */
 void tcp_set_user_timeout(uv_tcp_t *tcp, int ms);
 /* Makes uv_close() reset the connection. uv_tcp_close_reset() fails while a shutdown is pending. */
--- a/test/gateway/test_call_end.c
+++ b/test/gateway/test_call_end.c
@@ -1,7 +1,9 @@
-/* A call holds no byte of its request once it has ended, in whatever way it ends. */
+/* What is left of a call once it has ended, in whatever way it ends: no byte of its request is
+ * held, and none is delivered later. */
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/tcp.h"
 #include "base/xmalloc.h"
 #include "test/suites.h"
 #include "wire/client.h"
@@ -11,7 +13,8 @@
     CONNECT_MS = 1000,
     SHORT_MS = 100,
     SMALL_REQUEST = 100,
-    LARGE_REQUEST = 32 << 20, /* more than the sockets of both sides take */
+    BUFFERED_REQUEST = 200000, /* the caller's socket takes all of it, the server's only a part */
+    LARGE_REQUEST = 32 << 20,  /* more than the sockets of both sides take */
     SMALL_BUFFER = 4096,
     CONNS_MAX = 4,
 };
@@ -162,6 +165,8 @@
     uv_tcp_t conns[CONNS_MAX];
     size_t accepted;
     size_t received;
+    bool ended; /* a connection was closed or reset by the caller */
+    bool reset;
 } server_t;
 
 typedef struct {
@@ -205,6 +210,9 @@
     uv_tcp_t *conn = (uv_tcp_t *)stream;
     (void)buf;
     if (n <= 0) {
+        server->ended = true;
+        /* libuv reports a reset behind data as EOF. */
+        server->reset = n != UV_EOF || tcp_peek(conn) != TCP_INPUT_END;
         close_conn(conn);
         return;
     }
@@ -376,6 +384,13 @@
     return server->accepted > 0;
 }
 
+static bool
+has_received(const server_t *server, const caller_t *caller)
+{
+    (void)caller;
+    return server->received == SMALL_REQUEST;
+}
+
 static wire_pool_t *
 new_pool(server_t *server, const row_t *row)
 {
@@ -455,6 +470,61 @@
 }
 END_TEST
 
+static const row_t ended_early[] = {
+    {.name = "cancelled", .caller = CALLER_CANCELS_SENDING},
+    {.name = "aborted", .caller = CALLER_ABORTS_SENDING},
+    {.name = "timed out", .timeout_ms = SHORT_MS, .err = ERR_TIMEOUT},
+};
+
+static bool
+has_server_end(const server_t *server, const caller_t *caller)
+{
+    (void)caller;
+    return server->ended;
+}
+
+/* A backend server must not get, and run, a request long after its call has ended: a link that is
+ * cut holds up what was sent until it is whole again. */
+START_TEST(request_is_not_delivered_after_its_call_has_ended)
+{
+    static const wire_call_cbs_t cbs = {.on_head = on_head, .on_data = on_data, .on_end = on_end};
+    const row_t *row = &ended_early[_i];
+    server_t *server = new_server();
+    caller_t caller = {.row = row, .pool = new_pool(server, row)};
+    server->mode = SERVER_STALLS;
+    start(&caller, BUFFERED_REQUEST, &cbs);
+    act(server, &caller);
+    ck_assert_msg(run_until(server, has_ended, &caller), "%s: not ended", row->name);
+    ck_assert_uint_eq(wire_client_request_bytes(), 0);
+    server->mode = SERVER_READS;
+    uv_read_start((uv_stream_t *)&server->conns[0], on_alloc, on_server_read);
+    ck_assert_msg(run_until(server, has_server_end, &caller), "%s: not closed", row->name);
+    ck_assert_msg(server->received < BUFFERED_REQUEST, "%s: all delivered", row->name);
+    ck_assert_msg(server->reset, "%s: not reset", row->name);
+    wire_pool_free(caller.pool);
+    free_server(server);
+}
+END_TEST
+
+/* A reset that is lost is not sent again, so a backend server that has the request would not learn
+ * that its caller is gone. */
+START_TEST(call_with_acknowledged_request_is_closed_regularly)
+{
+    static const row_t row = {.name = "cancelled", .caller = CALLER_CANCELS_SENDING};
+    static const wire_call_cbs_t cbs = {.on_head = on_head, .on_data = on_data, .on_end = on_end};
+    server_t *server = new_server();
+    caller_t caller = {.row = &row, .pool = new_pool(server, &row)};
+    server->mode = SERVER_READS;
+    start(&caller, SMALL_REQUEST, &cbs);
+    ck_assert(run_until(server, has_received, &caller));
+    cancel(&caller);
+    ck_assert(run_until(server, has_server_end, &caller));
+    ck_assert(!server->reset);
+    wire_pool_free(caller.pool);
+    free_server(server);
+}
+END_TEST
+
 Suite *
 suite_gateway_call_end(void)
 {
@@ -462,6 +532,9 @@
     TCase *tcase = tcase_create("ends");
     tcase_set_timeout(tcase, 20);
     tcase_add_loop_test(tcase, ended_call_keeps_no_request, 0, ALEN(rows));
+    tcase_add_loop_test(tcase, request_is_not_delivered_after_its_call_has_ended, 0,
+                        ALEN(ended_early));
+    tcase_add_test(tcase, call_with_acknowledged_request_is_closed_regularly);
     suite_add_tcase(suite, tcase);
     return suite;
 }
--- a/test/gateway/test_silent.c
+++ b/test/gateway/test_silent.c
@@ -32,6 +32,7 @@
     size_t accepted;
     size_t silent; /* number of first connections that are silent */
     bool reads;    /* false: silent connections are not read */
+    bool reset;    /* the first connection was */
 } server_t;
 
 static void
@@ -239,6 +240,22 @@
     (void)message;
 }
 
+/* Reads what has arrived on the first connection, which the loop does not read; true once that was
+ * reset. */
+static bool
+drain_until_reset(server_t *server)
+{
+    static char bytes[16384];
+    uv_os_fd_t fd;
+    ssize_t n;
+    ck_assert_int_eq(uv_fileno((const uv_handle_t *)&server->conns[0], &fd), 0);
+    while ((n = recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT)) > 0)
+        continue;
+    ck_assert_msg(n < 0 || server->reset, "closed regularly");
+    server->reset |= n < 0 && errno == ECONNRESET; /* told once only */
+    return server->reset;
+}
+
 START_TEST(heartbeats_replace_stalled_connection)
 {
     server_t *server = new_server();
@@ -267,6 +284,8 @@
     }
     ck_assert_uint_gt(server->bytes[1], 0);
     ck_assert_uint_lt(uv_now(&server->loop) - start_ms, WAIT_TIMEOUT_MS);
+    /* What was sent on it must not arrive later, and pass for news. */
+    RUN_UNTIL(server, drain_until_reset(server));
 }
 END_TEST
 
--- a/wire/client_call.c
+++ b/wire/client_call.c
@@ -2,6 +2,7 @@
 
 #include "wire/client_response.h"
 #include "wire/client_call.h"
+#include "base/counter.h"
 #include "base/loop_time.h"
 #include "base/tcp.h"
 
@@ -32,11 +33,30 @@
         client_conn_close_idle(conn->pool->idle);
 }
 
+/* Resets the connection of a call that ended early, if a part of its request may still be on its
+ * way: a link that is cut would hold it up and deliver it when it is whole again. Otherwise a
+ * regular close, which is sent until it arrives, tells a server that is at work that its caller is
+ * gone. */
+static void
+discard_request(client_conn_t *conn)
+{
+    const wire_stage_t stage = conn->call->result.stage;
+    const bool ended_early = stage == WIRE_SENT || stage == WIRE_HEAD;
+    if (!ended_early || !tcp_has_unacknowledged(&conn->tcp))
+        return;
+    tcp_reset_on_close(&conn->tcp);
+    counter_add(counter_get("irisstall_calls_reset_total", NULL,
+                            "Calls that ended before their request was acknowledged; their "
+                            "connections were reset."),
+                1);
+}
+
 void
 client_call_end(client_conn_t *conn, bool reuse)
 {
     wire_call_t *call = conn->call;
     wire_pool_t *pool = conn->pool;
+    discard_request(conn);
     conn->call = NULL;
     pool->busy_count--;
     if (reuse && !pool->freed && !conn->closed) {
