Quarantine: ends at once do not make the term longer

Cause: the term of the quarantine grows with each end of a backend server under the request, though it is meant to grow with trials that fail. Twelve ends at once were taken for ten failed trials, and where no backend server is left no finished run clears the request.

Evidence: 12 ends within half a second, given to state/suspects alone, hold a request for 86,400,000 ms.

Fix: quarantine_count_ends(). The first two ends count as before, a further one only if it may be that of a trial: half of the first term after the one before, or the first of its software version.

--- a/gateway/policy/quarantine.c
+++ b/gateway/policy/quarantine.c
@@ -3,12 +3,35 @@
 enum {
     QUARANTINE_ENDS = 2, /* one end may be a coincidence */
     MS_PER_S = 1000,
+    /* Half of the first term: no trial is let through within the whole of it, and instances learn
+     * of an end at different times. */
+    TOGETHER_MS = 1500,
 };
 
 /* Terms by number of ends, from QUARANTINE_ENDS on; the last one applies to all above. Backend
  * servers that ended together are back within the first term. */
 static const uint32_t terms_s[] = {3, 30, 120, 480, 86400};
 
+static bool
+is_first_of_version(const quarantine_end_t *ends, size_t index)
+{
+    for (size_t i = 0; i < index; i++) {
+        if (ends[i].version == ends[index].version || ends[i].version == 0)
+            return false;
+    }
+    return ends[index].version != 0;
+}
+
+unsigned
+quarantine_count_ends(const quarantine_end_t *ends, size_t count)
+{
+    unsigned counted = 0;
+    for (size_t i = 0; i < count; i++)
+        counted += i < QUARANTINE_ENDS || ends[i].at_ms - ends[i - 1].at_ms >= TOGETHER_MS ||
+                   is_first_of_version(ends, i);
+    return counted;
+}
+
 uint64_t
 quarantine_term_ms(unsigned ends)
 {
--- a/gateway/policy/quarantine.h
+++ b/gateway/policy/quarantine.h
@@ -6,10 +6,14 @@
  *
  *  - After one end, which may be a coincidence, the request is retried at once at the least loaded
  *    backend.
- *  - From the second end on it is refused for a term that grows with each end: 3 s, 30 s, 2 min, 8
- *    min, a day. After the term a single trial is let through in the whole fleet, for up to 5 s. A
- *    trial is let through earlier if it goes to a software version under which no backend has
- *    ended. A run that finishes clears the request.
+ *  - From the second end on it is refused for a term: 3 s. Each further end that may be that of a
+ *    trial makes it longer: 30 s, 2 min, 8 min, a day. An end that follows another sooner than a
+ * trial is let through makes it no longer, unless it is the first of its software version: the run
+ * was under way before the verdict, as are all of those that a data hall takes with it when it is
+ * lost. If no backend server is left, none of them could be cleared by a finished run. After the
+ * term a single trial is let through in the whole fleet, for up to 5 s. A trial is let through
+ * earlier if it goes to a software version under which no backend has ended. A run that finishes
+ * clears the request.
  *  - A request is not refused if all its ends are explained by other requests: each end was shared
  *    with a request under which more backends have ended, or as many and some of them without it.
  *
@@ -35,8 +39,14 @@
     QUARANTINE_HELD,  /* refused */
 } quarantine_verdict_t;
 
+/* The end of a backend server under a request. */
 typedef struct {
-    unsigned ends;             /* ends since a run last finished */
+    uint64_t at_ms;
+    uint64_t version; /* its software version; 0 if unknown, which matches any */
+} quarantine_end_t;
+
+typedef struct {
+    unsigned ends;             /* ends since a run last finished, from quarantine_count_ends() */
     unsigned unexplained_ends; /* of these, ends not explained by another request */
     uint64_t since_end_ms;     /* time since the last end */
     uint64_t trial_left_ms;    /* remaining time of a trial in progress; 0: none */
@@ -55,7 +65,10 @@
  * tried while the request is held otherwise. */
 size_t quarantine_pick_version(const quarantine_t *any, const quarantine_t *of_versions,
                                size_t count);
-/* Returns the time for which a request is refused after that number of ends. */
+/* Returns the number of ends that the term depends on, of the ends of different backend servers in
+ * ascending order. */
+unsigned quarantine_count_ends(const quarantine_end_t *ends, size_t count);
+/* Returns the time for which a request is refused after that number of counted ends. */
 uint64_t quarantine_term_ms(unsigned ends);
 /* True if a request may be retried after that number of ends. */
 bool quarantine_may_resend(unsigned ends);
--- a/gateway/state/suspect.c
+++ b/gateway/state/suspect.c
@@ -1,5 +1,7 @@
 #include "gateway/state/suspect.h"
 
+#include "gateway/policy/quarantine.h"
+
 /* ---- queries ---- */
 
 uint64_t
@@ -23,22 +25,15 @@
     return false;
 }
 
-static unsigned
-count_incarnations(const suspect_t *suspect, bool confirmed_only)
+unsigned
+suspect_incarnations(const suspect_t *suspect)
 {
     unsigned count = 0;
     for (size_t i = 0; i < suspect->end_count; i++)
-        count += (suspect->ends[i].confirmed || !confirmed_only) &&
-                 !suspect_is_repeated_incarnation(suspect, i);
+        count += !suspect_is_repeated_incarnation(suspect, i);
     return count;
 }
 
-unsigned
-suspect_incarnations(const suspect_t *suspect)
-{
-    return count_incarnations(suspect, false);
-}
-
 static unsigned
 member_incarnations(const suspect_t *family, uint64_t member)
 {
@@ -59,10 +54,41 @@
     return incarnations;
 }
 
+static void
+insert_sorted(quarantine_end_t *ends, size_t count, const suspect_end_t *end)
+{
+    size_t at = count;
+    for (; at > 0 && ends[at - 1].at_ms > end->at_ms; at--)
+        ends[at] = ends[at - 1];
+    ends[at] = (quarantine_end_t){.at_ms = end->at_ms, .version = end->version};
+}
+
+/* Counts the ends that the quarantine's term depends on. */
+static unsigned
+count_for_term(const suspect_t *suspect, bool confirmed_only)
+{
+    quarantine_end_t ends[SUSPECT_ENDS_MAX];
+    size_t count = 0;
+    if (suspect_ends(suspect) == 0)
+        return 0;
+    for (size_t i = 0; i < suspect->end_count; i++) {
+        const suspect_end_t *end = &suspect->ends[i];
+        if ((end->confirmed || !confirmed_only) && !suspect_is_repeated_incarnation(suspect, i))
+            insert_sorted(ends, count++, end);
+    }
+    return quarantine_count_ends(ends, count);
+}
+
+unsigned
+suspect_counted_ends(const suspect_t *suspect)
+{
+    return count_for_term(suspect, false);
+}
+
 unsigned
 suspect_confirmed_ends(const suspect_t *suspect)
 {
-    return suspect_ends(suspect) > 0 ? count_incarnations(suspect, true) : 0;
+    return count_for_term(suspect, true);
 }
 
 static bool
--- a/gateway/state/suspect.h
+++ b/gateway/state/suspect.h
@@ -3,7 +3,7 @@
  * the evidence for and against it. Internal to suspects.h, which owns the suspects.
  *
  * Merging evidence is commutative and idempotent: any order and number of merges yields the same
- * ends, without those before the last clearing. No dependencies; times are passed in.
+ * ends, without those before the last clearing. Times are passed in.
  */
 #pragma once
 
@@ -75,7 +75,10 @@
 unsigned suspect_ends(const suspect_t *suspect);
 /* Counts the distinct incarnations that ended, without the exception for families. */
 unsigned suspect_incarnations(const suspect_t *suspect);
-/* Like suspect_ends(), but counts confirmed ends only. */
+/* Like suspect_ends(), without ends that do not make the quarantine longer (policy/quarantine.h).
+ */
+unsigned suspect_counted_ends(const suspect_t *suspect);
+/* Like suspect_counted_ends(), but counts confirmed ends only. */
 unsigned suspect_confirmed_ends(const suspect_t *suspect);
 /* True if a backend server of that software version, or of an unknown one, has or may have
  * terminated. */
--- a/gateway/state/suspects.c
+++ b/gateway/state/suspects.c
@@ -129,7 +129,7 @@
 static quarantine_t
 decide(const suspects_t *suspects, const suspect_t *suspect, uint64_t version, uint64_t now_ms)
 {
-    const unsigned ends = suspect_ends(suspect);
+    const unsigned ends = suspect_counted_ends(suspect);
     if (version != 0 && version == suspect->good_version)
         return (quarantine_t){.verdict = QUARANTINE_FREE};
     const quarantine_input_t input = {
@@ -389,7 +389,7 @@
     const uint64_t since_ms = now_ms - suspect_last_ms(suspect);
     if (suspect->end_count == 0)
         return since_ms > CLEARED_RETENTION_MS;
-    return since_ms > quarantine_term_ms(suspect_ends(suspect)) + RETENTION_MS;
+    return since_ms > quarantine_term_ms(suspect_counted_ends(suspect)) + RETENTION_MS;
 }
 
 void
--- a/test/gateway/test_quarantine.c
+++ b/test/gateway/test_quarantine.c
@@ -246,6 +246,39 @@
 }
 END_TEST
 
+/* Most backend servers end at once under the same request, as with the loss of a data hall, and no
+ * run of it finishes on the rest: it must be served soon after they are back. */
+START_TEST(request_is_served_after_simultaneous_ends)
+{
+    enum { CALLERS = 24, WAITS = 40 /* twice the first term */ };
+    instances_t fleet = new_instances(BACKENDS, INSTANCES);
+    site_t *site = fleet.site;
+    reply_t replies[CALLERS];
+    set_all_behaviours(site, DOES_HOLD);
+    for (unsigned i = 0; i < CALLERS; i++) {
+        char request[200];
+        snprintf(request, sizeof(request),
+                 "GET /safe/there HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: there-%u\r\n"
+                 "Affinity-Key: %u\r\nDeadline-Ms: 800\r\n\r\n",
+                 i, i);
+        site->callers = fleet.callers[i % INSTANCES];
+        call(site, &replies[i], request);
+    }
+    run_loop_ms(site, RETRY_INTERVAL_MS);
+    for (size_t i = 1; i < BACKENDS; i++)
+        crash_backend(&site->backends[i]);
+    for (unsigned i = 0; i < CALLERS; i++)
+        RUN_UNTIL(site, replies[i].done);
+    set_all_behaviours(site, DOES_ANSWER);
+    int status = 0;
+    for (unsigned i = 0; i < WAITS && status != 200; i++) {
+        run_loop_ms(site, RETRY_INTERVAL_MS);
+        status = ask_through(&fleet, i % INSTANCES, "/safe/there").status;
+    }
+    ck_assert_int_eq(status, 200);
+}
+END_TEST
+
 START_TEST(fixed_version_lifts_quarantine_early)
 {
     instances_t fleet = new_instances(BACKENDS, INSTANCES);
@@ -337,6 +370,7 @@
     tcase_add_test(tc, fingerprint_ignores_framing_but_not_body);
     tcase_add_test(tc, concurrent_crashing_requests_are_each_quarantined);
     tcase_add_test(tc, bystander_request_is_served);
+    tcase_add_test(tc, request_is_served_after_simultaneous_ends);
     tcase_add_test(tc, fixed_version_lifts_quarantine_early);
     tcase_add_test(tc, operator_lists_and_lifts_quarantine);
     suite_add_tcase(suite, tc);
