--- a/gateway/policy/quarantine.c
+++ b/gateway/policy/quarantine.c
@@ -3,8 +3,8 @@
 enum {
     QUARANTINE_ENDS = 2, /* one end may be a coincidence */
     MS_PER_S = 1000,
-    /* Between two ends of which the second may be that of a trial. Half of the first term, since
-     * instances learn of an end at different times. */
+    /* An end that follows another by this or more may be that of a trial. Half of the first term,
+     * since instances learn of an end at different times. */
     TRIAL_APART_MS = 1500,
 };
 
--- a/wire/client_call.c
+++ b/wire/client_call.c
@@ -33,10 +33,9 @@
         client_conn_close_idle(conn->pool->idle);
 }
 
-/* Resets the connection of a call that ended early, if a part of its request may still be on its
- * way: a link that is cut would hold it up and deliver it when it is whole again. Otherwise a
- * regular close, which is sent until it arrives, tells a server that is at work that its caller is
- * gone. */
+/* Resets the connection of a call that ended early if the server has not acknowledged all of the
+ * request, which the kernel would go on sending, possibly after an outage of the link. Otherwise a
+ * regular close tells the server that its caller is gone; unlike a reset, it is retransmitted. */
 static void
 reset_if_undelivered(client_conn_t *conn)
 {
