Admission: the caller's time bounds the queue, not the route's objective

What callers saw: with 10 s left and a response expected after 0.7 s, 1 of 23 requests of a route with a latency objective of 150 ms was served, 16 of 34 at 500 ms and all at 5,000 ms. With less time than a run takes, some were sent all the same and held to their deadline.

Cause: a first try queued only if its response was expected within the objective, and for at most two requests per slot; a repeat for 1.2 per slot, or two if it looked like one that was told a time. The time that the caller has left bounded repeats only. choice_fastest passed over a backend server beyond the objective.

Now a request queues if its response is expected before its caller gives up (Deadline-Ms and timeoutMs, less what has passed), whatever became of an earlier try. A caller who gives up before the shortest run of the last seconds could end is refused at once, also while a slot is free, and is told no time. The queue that is assumed of a silent backend server grows with its silence; its bound was that of the admission.

Evidence: the new suite, before this change: objective_of_a_route_changes_no_choice (objective 1,593 ms, run 1,382 ms, 3,040 ms left: refused, without an objective not), more_time_left_never_gets_a_caller_less (refused with any time), request_is_taken_while_its_response_is_expected_in_time (response expected in 1,235 ms: refused with that time left), request_without_time_for_a_run_is_refused_at_once (504): 16 of 16 failed, none now.

--- a/gateway/path/completion.c
+++ b/gateway/path/completion.c
@@ -144,6 +144,18 @@
     send_final_response(ex, &response);
 }
 
+/* No Retry-After: the caller has no time to come back. */
+void
+completion_refuse_no_time(exchange_t *ex)
+{
+    if (ex->may_have_run) {
+        completion_refuse(ex, OUTCOME_NOT_RUN);
+        return;
+    }
+    const final_response_t response = final_response_no_room(OUTCOME_TIMEOUT_UNSENT, 0);
+    send_final_response(ex, &response);
+}
+
 void
 completion_refuse_no_room(exchange_t *ex, outcome_t why, const return_time_t *time)
 {
--- a/gateway/path/completion.h
+++ b/gateway/path/completion.h
@@ -15,6 +15,8 @@
 void completion_refuse(exchange_t *ex, outcome_t why);
 /* Refuses a request for which no backend was found. */
 void completion_refuse_no_backend(exchange_t *ex);
+/* Refuses a request whose caller gives up before a run could end. */
+void completion_refuse_no_time(exchange_t *ex);
 /* Refuses a request that has not run because of `why`: there is no room before `time`. */
 void completion_refuse_no_room(exchange_t *ex, outcome_t why, const return_time_t *time);
 /* Refuses a quarantined request of which nothing was sent; `held_ms` is the remaining time. */
--- a/gateway/path/dispatch.c
+++ b/gateway/path/dispatch.c
@@ -9,15 +9,13 @@
 static router_request_t
 router_request(const exchange_t *ex, bool may_request_permit)
 {
-    const uint32_t given_up_in_ms =
-        exchange_remaining_ms(ex) > 0 ? (uint32_t)exchange_remaining_ms(ex) : 1;
     return (router_request_t){
         .route = ex->route,
         .account = ex->account,
         .service = ex->service,
         .object = ex->object,
         .has_object = router_has_object(ex->route, ex->metadata.object),
-        .left_ms = ex->metadata.has_deadline ? ex->metadata.deadline_ms : given_up_in_ms,
+        .left_ms = exchange_remaining_ms(ex) > 0 ? (uint32_t)exchange_remaining_ms(ex) : 1,
         .prior_wait_ms = ex->prior_wait_ms,
         .expected = ex->expected,
         .version = ex->required_version,
@@ -215,11 +213,23 @@
         completion_refuse(ex, OUTCOME_NOT_RUN);
 }
 
+/* Refuses a request that no backend server can answer before its caller gives up. */
+static bool
+refuse_without_time(exchange_t *ex)
+{
+    const router_request_t request = router_request(ex, true);
+    if (router_has_time(ex->owner->router, &request))
+        return false;
+    ex->choice = (choice_t){.reason = CHOICE_NO_TIME};
+    completion_refuse_no_time(ex);
+    return true;
+}
+
 void
 dispatch_next(exchange_t *ex)
 {
     permit_result_t verdict = PERMIT_REFUSED;
-    if (transit_dispatch(ex) || await_load(ex))
+    if (transit_dispatch(ex) || refuse_without_time(ex) || await_load(ex))
         return;
     while (verdict == PERMIT_REFUSED) {
         ex->choice = dispatch_choose(ex, true);
--- a/gateway/policy/admission.h
+++ b/gateway/policy/admission.h
@@ -1,19 +1,15 @@
 /*
  * Admission control: whether a backend server takes a request now, after queueing, or not at all.
  *
- *  - A request is admitted while a slot is free.
- *  - Without a free slot it queues if its response is expected within the latency objective and the
- *    backend would have at most 2 requests per slot.
- *  - A request that was refused before and can't meet its objective any more queues only for a slot
- *    that is about to be free (1.2 requests per slot), and only if its response is expected before
- *    the caller gives up.
- *  - A retry after a refusal, at the promised time (return_time.h), queues up to 2 requests per
- *    slot if its response is expected before the caller gives up. The objective does not bound it:
- *    where new requests are refused because of their objective, it is served.
+ *  - A request whose caller gives up before even the shortest run that was seen could end is
+ *    refused at once, also while a slot is free: nothing that is sent for it can help its caller.
+ *  - Any other request is admitted while a slot is free.
+ *  - Without a free slot it queues if its response is expected before its caller gives up. A caller
+ *    with more time may wait for longer; how long a queue may be follows from nothing else here.
+ *    The backend server bounds it as well: it rejects what is more than it queues.
  *
- * A queue longer than the objective makes every request in it late. Refused at once, some callers
- * can retry while the others are served in time. Retried requests queue for less than new ones so
- * that they do not make these late as well.
+ * Load it answers: more requests at a backend server than it has slots. A queue that is longer than
+ * a caller's time only keeps slots busy for responses that nobody reads.
  *
  * See docs/design/gateway/decisions-under-load.md. Stateless.
  */
@@ -29,11 +25,9 @@
 } admission_t;
 
 typedef struct {
-    uint32_t objective_ms; /* latency objective of the route; 0: none */
-    double median_ms;      /* median response time of the route; 0: not known */
-    uint32_t left_ms;      /* time until the caller gives up */
-    double lost_ms;        /* time lost by earlier refusals */
-    bool expected;         /* a retry after a refusal, at the promised time */
+    uint32_t left_ms;   /* time until the caller gives up */
+    double median_ms;   /* median response time of the route; 0: not known */
+    double shortest_ms; /* shortest run of the route seen lately; 0: not known */
 } admission_request_t;
 
 typedef struct {
@@ -43,5 +37,7 @@
     double queue_work_ms; /* mean run of the requests ahead; 0: as the request's own */
 } admission_backend_t;
 
+/* False if the caller gives up before the shortest known run could end. */
+bool admission_has_time(const admission_request_t *request);
 admission_t admission_decide(const admission_request_t *request,
                              const admission_backend_t *backend);
--- a/gateway/policy/choice.c
+++ b/gateway/policy/choice.c
@@ -376,6 +376,7 @@
         [CHOICE_NONE] = "none",
         [CHOICE_FASTER] = "faster",
         [CHOICE_SHORTAGE] = "shortage",
+        [CHOICE_NO_TIME] = "no_time",
     };
     return names[reason];
 }
--- a/gateway/policy/choice.h
+++ b/gateway/policy/choice.h
@@ -14,8 +14,9 @@
  *  - Where the service's work is counted, an object's backend that is known to be slow or full at
  *    this moment gives the request to the one with the lowest expected response time
  *    (response_time.h): another of the object's backends, or the next in the ranking, which then
- *    loads the object too. That one copy is opened only within the objective and while slots are
- *    spare, and it is not used again once the first backend is as usual.
+ *    loads the object too. That one copy is opened only if the response is expected before the
+ *    caller gives up and while slots are spare, and it is not used again once the first backend is
+ *    as usual.
  *  - A request without an object considers eight backends per region in random order.
  *  - Requests with large responses try the instance's own data hall first.
  *  - A request under which a backend server has ended (quarantine.h) goes to the least loaded
@@ -28,10 +29,10 @@
  *    avoided. Cold backends get requests only from their assigned senders, at a limited rate
  *    (cold_start.h).
  *
- * A request whose object the backend does not have in memory runs 3.3 times as long, misses its
- * objective, and takes slots from three that would not. A request that finds its backend full is
- * therefore refused at once rather than sent to another one. All instances make the same choice
- * from the same list without coordination.
+ * A request whose object the backend does not have in memory runs for several times as long and
+ * takes the slots of several others. It therefore queues at the backend that has its object while
+ * its caller's time allows it. All instances make the same choice from the same list without
+ * coordination.
  *
  * See docs/design/gateway/choice.md. Stateless except for the token buckets of cold backends.
  */
@@ -54,6 +55,7 @@
     CHOICE_NONE,         /* none: no usable backend */
     CHOICE_FASTER,       /* its response is expected before that of the first in the ranking */
     CHOICE_SHORTAGE,     /* none: the region is short of slots, and others go first (shortage.h) */
+    CHOICE_NO_TIME,      /* none: the caller gives up before a run could end (admission.h) */
 } choice_reason_t;
 
 typedef struct {
--- a/gateway/policy/choice_fastest.c
+++ b/gateway/policy/choice_fastest.c
@@ -33,9 +33,7 @@
 static bool
 is_in_time(const choice_input_t *input, double expected_ms)
 {
-    const admission_request_t *request = &input->request;
-    return expected_ms <= request->left_ms &&
-           (request->objective_ms == 0 || expected_ms + request->lost_ms <= request->objective_ms);
+    return expected_ms <= input->request.left_ms;
 }
 
 /* True if the request may load its object at this backend, which is not one of its replicas. */
--- a/gateway/policy/final_response.h
+++ b/gateway/policy/final_response.h
@@ -34,7 +34,7 @@
     OUTCOME_OVER_LIMIT,          /* its client account is over its limit */
     OUTCOME_UNKNOWN,             /* it may have run, its response was lost */
     OUTCOME_TIMEOUT,             /* as OUTCOME_UNKNOWN, at the deadline */
-    OUTCOME_TIMEOUT_UNSENT,      /* the deadline passed, and it has not run */
+    OUTCOME_TIMEOUT_UNSENT,      /* the deadline passed, or is too near for a run; it has not run */
     OUTCOME_CUT_BY_BACKEND,      /* the backend aborted a response that was being forwarded */
     OUTCOME_CUT_AT_DEADLINE,     /* the deadline passed while a response was being forwarded */
     OUTCOME_CALLER_LEFT,
--- a/gateway/router.c
+++ b/gateway/router.c
@@ -275,11 +275,9 @@
     input.tried = request->tried;
     input.tried_count = request->tried_count;
     input.request = (admission_request_t){
-        .objective_ms = route->latency_objective_ms,
         .left_ms = request->left_ms,
         .median_ms = route_stats_median_ms(&router->routes, route->key),
-        .lost_ms = request->prior_wait_ms,
-        .expected = request->expected,
+        .shortest_ms = route_stats_shortest_ms(&router->routes, route->key, input.now_ms),
     };
     set_response_time(router, route, service, &input);
     return input;
@@ -293,6 +291,13 @@
     return choice_first_candidates(&input, out, max);
 }
 
+bool
+router_has_time(const router_t *router, const router_request_t *request)
+{
+    const choice_input_t input = router_request_input(router, request);
+    return admission_has_time(&input.request);
+}
+
 choice_t
 router_pick(router_t *router, const router_request_t *request)
 {
@@ -317,8 +322,7 @@
     input.may_request_permit = true;
     if (known != NULL)
         set_response_time(router, route, known, &input);
-    input.request =
-        (admission_request_t){.objective_ms = route->latency_objective_ms, .left_ms = UINT32_MAX};
+    input.request = (admission_request_t){.left_ms = UINT32_MAX};
     return input;
 }
 
@@ -417,6 +421,7 @@
                     double latency_ms)
 {
     route_stats_count_answer(&router->routes, route->key, latency_ms);
+    route_stats_count_run(&router->routes, route->key, latency_ms, loop_now(router->loop));
     service_answered(service, latency_ms);
 }
 
--- a/gateway/router.h
+++ b/gateway/router.h
@@ -115,6 +115,8 @@
  */
 size_t router_first_candidates(const router_t *router, const router_request_t *request,
                                backend_t **out, size_t max);
+/* False if the caller gives up before the shortest known run of its route could end. */
+bool router_has_time(const router_t *router, const router_request_t *request);
 choice_t router_pick(router_t *router, const router_request_t *request);
 /* Returns the input for the decision that router_pick() would make, without side effects; for the
  * admin pages. */
--- a/gateway/state/backend.c
+++ b/gateway/state/backend.c
@@ -16,10 +16,6 @@
     SLOWDOWN_AGE_MAX_MS = 300,
 };
 
-/* Upper bound on the queue that is assumed from overdue attempts, in requests per slot: more than
- * admission_decide() lets queue. */
-#define ASSUMED_QUEUE_MAX 2.0
-
 /* Weight of a new response in the moving average of service times. */
 #define SERVICE_TIME_GAIN 0.1
 
@@ -184,7 +180,7 @@
      * each slot was ahead of it. */
     const double runs = 1 + (double)(now_ms - backend->overdue_since_ms) / backend->drain_work_ms;
     const uint32_t slots = backend->info.capacity;
-    const uint32_t waiting = (uint32_t)(slots * fmin(runs, ASSUMED_QUEUE_MAX));
+    const uint32_t waiting = (uint32_t)(slots * runs);
     set_load(backend, slots + waiting, waiting, now_ms);
     return true;
 }
--- a/gateway/state/route_stats.c
+++ b/gateway/state/route_stats.c
@@ -54,6 +54,44 @@
     *average += WORK_GAIN * (work_ms - *average);
 }
 
+/* Starts the period of `now_ms`, if it is another one. */
+static void
+advance_shortest(route_stat_t *slot, uint64_t now_ms)
+{
+    const uint64_t period = now_ms / SHORTEST_KEPT_MS;
+    if (period == slot->period)
+        return;
+    slot->shortest_before_ms = period == slot->period + 1 ? slot->shortest_ms : 0;
+    slot->shortest_ms = 0;
+    slot->period = period;
+}
+
+static double
+shorter_ms(double a, double b)
+{
+    if (a == 0 || b == 0)
+        return a + b;
+    return a < b ? a : b;
+}
+
+void
+route_stats_count_run(route_stats_t *stats, uint64_t route_key, double latency_ms, uint64_t now_ms)
+{
+    route_stat_t *slot = get_slot(stats, route_key);
+    advance_shortest(slot, now_ms);
+    slot->shortest_ms = shorter_ms(slot->shortest_ms, latency_measured_ms(latency_ms));
+}
+
+double
+route_stats_shortest_ms(const route_stats_t *stats, uint64_t route_key, uint64_t now_ms)
+{
+    route_stat_t slot = stats->slots[route_key % ROUTE_STATS_SLOTS];
+    if (slot.route_key != route_key)
+        return 0;
+    advance_shortest(&slot, now_ms);
+    return shorter_ms(slot.shortest_ms, slot.shortest_before_ms);
+}
+
 double
 route_stats_count_caller(route_stats_t *stats, uint64_t route_key, uint32_t left_ms)
 {
--- a/gateway/state/route_stats.h
+++ b/gateway/state/route_stats.h
@@ -13,6 +13,10 @@
  * Unused pages take no memory. */
 enum { ROUTE_STATS_SLOTS = 16384 };
 
+/* Period for which the shortest run is kept, and once more as the last one. After two without any
+ * response nothing is known: a request is sent again and tells how long runs are by then. */
+enum { SHORTEST_KEPT_MS = 5000 };
+
 typedef struct {
     uint64_t route_key; /* config_route_t.key */
     /* Moving average of the time that callers still wait; 0 before the first. */
@@ -24,6 +28,10 @@
     /* Moving average of the time that a backend worked on a request, without queueing and at the
      * usual pace; 0 before the first. */
     double work_ms;
+    /* Shortest response of the current and of the last full period; 0: none. */
+    double shortest_ms;
+    double shortest_before_ms;
+    uint64_t period; /* number of the current one */
 } route_stat_t;
 
 typedef struct {
@@ -39,6 +47,12 @@
  * than usual, 0 if not known. */
 void route_stats_count_work(route_stats_t *stats, uint64_t route_key, double latency_ms,
                             double slowdown);
+/* Counts a complete response for the shortest run. */
+void route_stats_count_run(route_stats_t *stats, uint64_t route_key, double latency_ms,
+                           uint64_t now_ms);
+/* Shortest run of the last one to two periods of SHORTEST_KEPT_MS in milliseconds; 0 without any.
+ */
+double route_stats_shortest_ms(const route_stats_t *stats, uint64_t route_key, uint64_t now_ms);
 /* Counts a caller that still waits for `left_ms`; returns the average in milliseconds. */
 double route_stats_count_caller(route_stats_t *stats, uint64_t route_key, uint32_t left_ms);
 /* The moving average without callers that came back; 0 before the first. */
--- a/test/gateway/main.c
+++ b/test/gateway/main.c
@@ -30,6 +30,7 @@
     srunner_add_suite(runner, suite_gateway_platform());
     srunner_add_suite(runner, suite_gateway_request_path());
     srunner_add_suite(runner, suite_gateway_caller_left());
+    srunner_add_suite(runner, suite_gateway_caller_time());
     srunner_add_suite(runner, suite_gateway_store());
     srunner_add_suite(runner, suite_gateway_store_return());
     srunner_add_suite(runner, suite_gateway_outage());
--- /dev/null
+++ b/test/gateway/test_caller_time.c
@@ -0,0 +1,222 @@
+/* What callers get, by the time that they have left and the work ahead of them, over drawn inputs.
+ * Guards against waits, refusals and an order that follow from anything else: the latency objective
+ * of a route, how long its callers usually wait, or what became of an earlier try. */
+#include <math.h>
+#include <stdlib.h>
+
+#include "base/rng.h"
+#include "base/xmalloc.h"
+#include "gateway/gateway_state.h"
+#include "test/gateway/router_fixture.h"
+#include "test/gateway/site.h"
+#include "test/suites.h"
+
+enum { DRAWS = 400, SEEN = 200, SEEDS = 5 };
+
+/* A route's work and the load of the backend servers. */
+typedef struct {
+    double run_ms;
+    uint32_t waiting[BACKENDS]; /* where more than 0, all slots are taken */
+    uint64_t object;
+} situation_t;
+
+static situation_t
+draw_situation(rng_t *rng)
+{
+    situation_t drawn = {.run_ms = 20 + 2000 * rng_unit(rng), .object = rng_next(rng)};
+    for (unsigned i = 0; i < BACKENDS; i++)
+        drawn.waiting[i] = (uint32_t)rng_below(rng, 10 * SLOTS);
+    return drawn;
+}
+
+/* Lets the router see responses of a run's length. */
+static void
+show_runs(test_router_t *test, size_t route, double run_ms)
+{
+    const config_route_t *on = &test->router.catalog.config->routes[route];
+    for (unsigned i = 0; i < SEEN; i++) {
+        router_count_answer(&test->router, on, test->service, run_ms);
+        router_count_work(&test->router, on, test->service,
+                          test->router.catalog.backends.items[i % BACKENDS], run_ms);
+    }
+}
+
+static void
+set_situation(test_router_t *test, const situation_t *situation)
+{
+    for (unsigned i = 0; i < BACKENDS; i++) {
+        backend_t *backend = test->router.catalog.backends.items[i];
+        const uint32_t waiting = situation->waiting[i];
+        const reported_load_t load = {
+            .running = waiting > 0 ? SLOTS : 0, .waiting = waiting, .slots = SLOTS};
+        backend->service_time_ms = situation->run_ms;
+        backend_report_load(backend, &load, test->loop.time);
+    }
+    for (unsigned route = 0; route < ROUTES; route++)
+        show_runs(test, route, situation->run_ms);
+}
+
+static router_request_t
+request_in(const test_router_t *test, const situation_t *situation, uint32_t left_ms)
+{
+    router_request_t request = request_on(test, 0);
+    request.object = situation->object;
+    request.has_object = true;
+    request.left_ms = left_ms;
+    return request;
+}
+
+static bool
+is_taken(test_router_t *test, const situation_t *situation, uint32_t left_ms)
+{
+    const router_request_t request = request_in(test, situation, left_ms);
+    return router_pick(&test->router, &request).backend != NULL;
+}
+
+/* Time until the response of the backend server that keeps the request's object. */
+static double
+expected_ms(const test_router_t *test, const situation_t *situation)
+{
+    const router_request_t request = request_in(test, situation, UINT32_MAX);
+    backend_t *first;
+    ck_assert_uint_eq(router_first_candidates(&test->router, &request, &first, 1), 1);
+    const double ahead = backend_load(first, test->loop.time) + 1 - SLOTS;
+    return situation->run_ms * (1 + (ahead > 0 ? ahead / SLOTS : 0));
+}
+
+START_TEST(objective_of_a_route_changes_no_choice)
+{
+    rng_t rng = {.state = (uint64_t)_i + 1};
+    for (unsigned i = 0; i < DRAWS; i++) {
+        test_router_t *test = new_test_router(&one_urgency, i % 2 == 0);
+        config_route_t *route = &test->router.catalog.config->routes[0];
+        const situation_t situation = draw_situation(&rng);
+        const uint32_t left_ms = 50 + (uint32_t)rng_below(&rng, 20000);
+        set_situation(test, &situation);
+        route->latency_objective_ms = 0;
+        const bool without = is_taken(test, &situation, left_ms);
+        route->latency_objective_ms = 1 + (uint32_t)rng_below(&rng, 5000);
+        ck_assert_msg(is_taken(test, &situation, left_ms) == without,
+                      "objective %u ms, run %.0f ms, %u ms left", route->latency_objective_ms,
+                      situation.run_ms, left_ms);
+        free_test_router(test);
+    }
+}
+END_TEST
+
+START_TEST(more_time_left_never_gets_a_caller_less)
+{
+    rng_t rng = {.state = (uint64_t)_i + 1};
+    for (unsigned i = 0; i < DRAWS; i++) {
+        test_router_t *test = new_test_router(&one_urgency, i % 2 == 0);
+        const situation_t situation = draw_situation(&rng);
+        bool taken = false;
+        set_situation(test, &situation);
+        for (double left_ms = 10; left_ms < 40000; left_ms *= 1.3) {
+            const bool now = is_taken(test, &situation, (uint32_t)left_ms);
+            ck_assert_msg(now || !taken, "run %.0f ms, %.0f ms left", situation.run_ms, left_ms);
+            taken = now;
+        }
+        ck_assert(taken);
+        free_test_router(test);
+    }
+}
+END_TEST
+
+START_TEST(request_is_taken_while_its_response_is_expected_in_time)
+{
+    rng_t rng = {.state = (uint64_t)_i + 1};
+    unsigned beyond_two_per_slot = 0;
+    for (unsigned i = 0; i < DRAWS; i++) {
+        test_router_t *test = new_test_router(&one_urgency, i % 2 == 0);
+        const situation_t situation = draw_situation(&rng);
+        set_situation(test, &situation);
+        const double needed_ms = expected_ms(test, &situation);
+        ck_assert_msg(is_taken(test, &situation, (uint32_t)ceil(needed_ms) + 1),
+                      "run %.0f ms, response expected in %.0f ms", situation.run_ms, needed_ms);
+        beyond_two_per_slot += needed_ms > 2 * situation.run_ms;
+        free_test_router(test);
+    }
+    ck_assert_uint_gt(beyond_two_per_slot, DRAWS / 4);
+}
+END_TEST
+
+/* ---- through a gateway ---- */
+
+static reply_t
+ask_with(site_t *site, const char *path, unsigned deadline_ms)
+{
+    static unsigned number;
+    char request[256];
+    reply_t reply;
+    snprintf(request, sizeof(request),
+             "GET %s HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: t-%u\r\nAffinity-Key: 7\r\n"
+             "Deadline-Ms: %u\r\n\r\n",
+             path, ++number, deadline_ms);
+    call(site, &reply, request);
+    RUN_UNTIL(site, reply.done);
+    return reply;
+}
+
+/* Lets the gateway see runs of that length, on all routes. */
+static void
+show_runs_of(site_t *site, double run_ms)
+{
+    router_t *router = &site->gateway->router;
+    const config_t *config = router->catalog.config;
+    service_t *service = services_get(&router->services, STR("svc"));
+    for (size_t i = 0; i < config->route_count; i++) {
+        router->routes.slots[config->routes[i].key % ROUTE_STATS_SLOTS] = (route_stat_t){0};
+        for (unsigned k = 0; k < SEEN; k++)
+            router_count_answer(router, &config->routes[i], service, run_ms);
+    }
+}
+
+START_TEST(request_without_time_for_a_run_is_refused_at_once)
+{
+    site_t *site = new_ready_site(2);
+    ck_assert_int_eq(ask_with(site, "/safe/x", 5000).status, 200);
+    show_runs_of(site, 300);
+    set_all_behaviours(site, DOES_HOLD);
+    const size_t runs = total_runs(site);
+    const uint64_t begun_ms = uv_now(&site->loop);
+    ck_assert_int_eq(ask_with(site, "/safe/x", 200).status, 503);
+    ck_assert_uint_lt(uv_now(&site->loop) - begun_ms, 100);
+    ck_assert_uint_eq(total_runs(site), runs);
+    set_all_behaviours(site, DOES_ANSWER);
+    ck_assert_int_eq(ask_with(site, "/safe/x", 500).status, 200);
+}
+END_TEST
+
+/* Without a run nothing would ever tell that runs have become shorter. */
+START_TEST(shortest_run_is_forgotten)
+{
+    static route_stats_t stats;
+    route_stats_count_run(&stats, 7, 300, 1000);
+    route_stats_count_run(&stats, 7, 500, 1000 + SHORTEST_KEPT_MS - 1);
+    ck_assert_double_eq(route_stats_shortest_ms(&stats, 7, 1000 + SHORTEST_KEPT_MS), 300);
+    ck_assert_double_eq(route_stats_shortest_ms(&stats, 7, 1000 + 2 * SHORTEST_KEPT_MS), 500);
+    ck_assert_double_eq(route_stats_shortest_ms(&stats, 7, 1000 + 3 * SHORTEST_KEPT_MS), 0);
+    ck_assert_double_eq(route_stats_shortest_ms(&stats, 8, 1000), 0);
+}
+END_TEST
+
+Suite *
+suite_gateway_caller_time(void)
+{
+    enum { TIMEOUT_S = 60 };
+    Suite *suite = suite_create("gateway: caller time");
+    TCase *relations = tcase_create("relations");
+    tcase_set_timeout(relations, TIMEOUT_S);
+    tcase_add_loop_test(relations, objective_of_a_route_changes_no_choice, 0, SEEDS);
+    tcase_add_loop_test(relations, more_time_left_never_gets_a_caller_less, 0, SEEDS);
+    tcase_add_loop_test(relations, request_is_taken_while_its_response_is_expected_in_time, 0,
+                        SEEDS);
+    tcase_add_test(relations, shortest_run_is_forgotten);
+    suite_add_tcase(suite, relations);
+    TCase *path = tcase_create("request path");
+    tcase_set_timeout(path, TIMEOUT_S);
+    tcase_add_test(path, request_without_time_for_a_run_is_refused_at_once);
+    suite_add_tcase(suite, path);
+    return suite;
+}
--- a/test/suites.h
+++ b/test/suites.h
@@ -18,6 +18,7 @@
 Suite *suite_gateway_account_model(void);
 Suite *suite_gateway_accounts(void);
 Suite *suite_gateway_caller_left(void);
+Suite *suite_gateway_caller_time(void);
 Suite *suite_gateway_config(void);
 Suite *suite_gateway_route_stats(void);
 Suite *suite_gateway_offered_work(void);
