Choice: a request goes to another backend server instead of being refused

What callers saw: refused at once while the backend server that keeps their object had a queue longer than their time, although others of the region were idle and could have responded in time.

Cause: only the replicas of the object were asked; one more run without the object was held to cost the objective of three others.

Now the next in the ranking gets the request if the response is expected before the caller gives up, with the longer run without the object. Regions are not left for it: the plan moves load between them, within the bound on shifts.

--- a/gateway/policy/admission.c
+++ b/gateway/policy/admission.c
@@ -14,13 +14,13 @@
 static double
 service_time_ms(const admission_request_t *request, const admission_backend_t *backend)
 {
-    const bool use_median = request->median_ms > 0 &&
-                            (backend->work_ms <= 0 || request->median_ms < backend->work_ms);
+    const bool use_median =
+        request->median_ms > 0 && (backend->work_ms <= 0 || request->median_ms < backend->work_ms);
     return use_median ? request->median_ms : backend->work_ms;
 }
 
-static bool
-is_expected_in_time(const admission_request_t *request, const admission_backend_t *backend)
+bool
+admission_is_in_time(const admission_request_t *request, const admission_backend_t *backend)
 {
     const double own_ms = service_time_ms(request, backend);
     const double ahead_ms = backend->queue_work_ms > 0 ? backend->queue_work_ms : own_ms;
@@ -40,5 +40,5 @@
         return ADMIT_NOT;
     if (backend->load + 1 <= backend->slots)
         return ADMIT_NOW;
-    return is_expected_in_time(request, backend) ? ADMIT_AFTER_WAIT : ADMIT_NOT;
+    return admission_is_in_time(request, backend) ? ADMIT_AFTER_WAIT : ADMIT_NOT;
 }
--- a/gateway/policy/admission.h
+++ b/gateway/policy/admission.h
@@ -37,6 +37,8 @@
     double queue_work_ms; /* mean run of the requests ahead; 0: as the request's own */
 } admission_backend_t;
 
+/* True if the response is expected before the caller gives up, after the queue. */
+bool admission_is_in_time(const admission_request_t *request, const admission_backend_t *backend);
 /* False if the caller gives up before the shortest known run could end. */
 bool admission_has_time(const admission_request_t *request);
 admission_t admission_decide(const admission_request_t *request,
--- a/gateway/policy/choice.c
+++ b/gateway/policy/choice.c
@@ -3,6 +3,7 @@
 #include "gateway/policy/choice_areas.h"
 #include "gateway/policy/choice_fastest.h"
 #include "gateway/policy/replicas.h"
+#include "gateway/policy/response_time.h"
 #include "gateway/policy/rollout.h"
 
 /* Upper bound on the share of a region's backends that are avoided. */
@@ -217,18 +218,37 @@
     return 1;
 }
 
-static admission_t
-admit(const choice_input_t *input, const backend_t *backend)
+static admission_backend_t
+admission_state(const choice_input_t *input, const backend_t *backend)
 {
-    const admission_backend_t state = {
+    return (admission_backend_t){
         .load = backend_load(backend, input->now_ms),
         .slots = backend->info.capacity,
         .work_ms = backend->service_time_ms,
         .queue_work_ms = input->by_response_time ? input->service_work_ms : 0,
     };
+}
+
+static admission_t
+admit(const choice_input_t *input, const backend_t *backend)
+{
+    const admission_backend_t state = admission_state(input, backend);
     return admission_decide(&input->request, &state);
 }
 
+/* Admission at a backend that does not have the object in memory. */
+static admission_t
+admit_without_object(const choice_input_t *input, const backend_t *backend)
+{
+    admission_request_t request = input->request;
+    admission_backend_t state = admission_state(input, backend);
+    const double usual_ms = request.median_ms > 0 ? request.median_ms : state.work_ms;
+    request.median_ms = response_time_run_ms(usual_ms, 0);
+    state.queue_work_ms = state.queue_work_ms > 0 ? state.queue_work_ms : state.work_ms;
+    state.work_ms = 0; /* of runs that mostly have their object in memory */
+    return admission_is_in_time(&request, &state) ? admission_decide(&request, &state) : ADMIT_NOT;
+}
+
 /* Returns the index of the replica that admits the request, `count` if none does. A request about
  * an object queues at the first replica that accepts it rather than run without the object in
  * memory; other requests queue only if no replica has a free slot. */
@@ -248,6 +268,20 @@
     return queue_at;
 }
 
+/* Returns the index of the candidate that admits the request without its object in memory, from
+ * `kept` on; `count` if none does. */
+static size_t
+pick_without_object(const choice_input_t *input, const candidate_t *candidates, size_t kept,
+                    size_t count, admission_t *admission)
+{
+    for (size_t i = kept; i < count; i++) {
+        *admission = admit_without_object(input, candidates[i].backend);
+        if (*admission != ADMIT_NOT)
+            return i;
+    }
+    return count;
+}
+
 /* Truncates the candidates of an area to the object's replicas and moves the least loaded to the
  * front; returns their number. */
 static size_t
@@ -281,22 +315,40 @@
     return index > 0 ? CHOICE_FALLBACK : CHOICE_FIRST;
 }
 
-/* Finds the candidates of an area that the request may try, in order; returns their number.
- * `moved` is set if the first of them is not the usual one. */
-static size_t
+/* Candidates of an area that a request may try, in order. */
+typedef struct {
+    candidate_t items[REPLICAS_MAX];
+    size_t kept;  /* of these, which have the object in memory */
+    size_t count; /* the others are tried if none of these admits the request */
+    bool moved;   /* the first is not the usual one */
+} area_candidates_t;
+
+static void
 find_in_area(const choice_input_t *input, const candidate_t *candidates, size_t count,
-             const choice_area_t *area, candidate_t *out, bool *moved)
+             const choice_area_t *area, area_candidates_t *out)
 {
-    *moved = false;
-    if (input->suspected)
-        return find_least_loaded(input, candidates, count, area, out);
+    out->moved = false;
+    if (input->suspected) {
+        out->kept = out->count = find_least_loaded(input, candidates, count, area, out->items);
+        return;
+    }
     const size_t max_count = input->has_object ? REPLICAS_MAX : REPLICAS_ANY;
-    const size_t found = find_replicas(input, candidates, count, area, out, max_count);
+    out->kept = out->count = find_replicas(input, candidates, count, area, out->items, max_count);
     if (!input->has_object)
-        return found;
-    const size_t kept = keep_replicas(input, out, found);
-    return input->by_response_time ? choice_put_fastest_first(input, out, kept, found, moved)
-                                   : kept;
+        return;
+    out->kept = keep_replicas(input, out->items, out->count);
+    if (input->by_response_time)
+        out->kept = choice_put_fastest_first(input, out->items, out->kept, out->count, &out->moved);
+}
+
+/* Returns the index of the candidate that admits the request, their number if none does. */
+static size_t
+pick_in_area(const choice_input_t *input, const area_candidates_t *area, admission_t *admission)
+{
+    const size_t picked = pick_replica(input, area->items, area->kept, admission);
+    if (picked < area->kept)
+        return picked;
+    return pick_without_object(input, area->items, area->kept, area->count, admission);
 }
 
 /* Searches the areas in order for a backend that admits the request; false if none does. */
@@ -305,7 +357,7 @@
              const best_skipped_t *skipped, choice_t *choice)
 {
     choice_area_t areas[CHOICE_AREAS_MAX];
-    candidate_t replicas[REPLICAS_MAX];
+    area_candidates_t area;
     const size_t area_count = choice_list_areas(input, areas);
     bool any = false;
     for (size_t i = 0; i < area_count; i++) {
@@ -313,16 +365,15 @@
         const bool other_region = areas[i].region != areas[0].region;
         if (other_region && any)
             break;
-        bool moved;
-        const size_t found = find_in_area(input, candidates, count, &areas[i], replicas, &moved);
-        const size_t picked = pick_replica(input, replicas, found, &admission);
-        any |= found > 0;
-        if (picked == found)
+        find_in_area(input, candidates, count, &areas[i], &area);
+        const size_t picked = pick_in_area(input, &area, &admission);
+        any |= area.count > 0;
+        if (picked == area.count)
             continue;
-        choice->reason = admitted_reason(other_region, admission, moved, picked);
-        choice->backend = replicas[picked].backend;
+        choice->reason = admitted_reason(other_region, admission, area.moved, picked);
+        choice->backend = area.items[picked].backend;
         if (skipped->region == areas[0].region &&
-            (other_region || skipped->score > replicas[picked].score))
+            (other_region || skipped->score > area.items[picked].score))
             choice->skip_reason = skipped->reason;
         return true;
     }
--- a/gateway/policy/choice.h
+++ b/gateway/policy/choice.h
@@ -5,6 +5,8 @@
  *    as weights. The first one keeps the object in memory and gets the request if it admits it
  *    (admission.h). An object in high demand is kept by several backends (replicas.h); the one with
  *    the fewest requests per slot gets the request.
+ *  - If none of these admits it, the next one in the ranking gets it whose response is expected
+ *    before the caller gives up, the longer run without the object included.
  *  - Regions are tried in this order: the one planned for the object (region_plan.h), the
  *    instance's own, the others. A later region is tried only if the earlier ones have no usable
  *    backend; a full backend is no reason to leave a region.
@@ -31,8 +33,8 @@
  *
  * A request whose object the backend does not have in memory runs for several times as long and
  * takes the slots of several others. It therefore queues at the backend that has its object while
- * its caller's time allows it. All instances make the same choice from the same list without
- * coordination.
+ * its caller's time allows it, and goes to another one only instead of being refused. All instances
+ * make the same choice from the same list without coordination.
  *
  * See docs/design/gateway/choice.md. Stateless except for the token buckets of cold backends.
  */
--- a/gateway/policy/response_time.c
+++ b/gateway/policy/response_time.c
@@ -23,11 +23,10 @@
     [WAY_OTHER_REGION] = 70,
 };
 
-static double
-run_ms(const response_candidate_t *candidate)
+double
+response_time_run_ms(double work_ms, double in_memory)
 {
-    const double missing = 1 - candidate->in_memory;
-    return candidate->work_ms * (1 + missing * (COLD_OBJECT_FACTOR - 1));
+    return work_ms * (1 + (1 - in_memory) * (COLD_OBJECT_FACTOR - 1));
 }
 
 /* Time until a slot is free; the first running request ends after half of the mean time between two
@@ -54,8 +53,8 @@
 double
 response_time_ms(const response_candidate_t *candidate)
 {
-    return way_ms[candidate->way] +
-           slowed_ms(run_ms(candidate) + wait_ms(candidate), candidate->slowdown);
+    const double run_ms = response_time_run_ms(candidate->work_ms, candidate->in_memory);
+    return way_ms[candidate->way] + slowed_ms(run_ms + wait_ms(candidate), candidate->slowdown);
 }
 
 bool
--- a/gateway/policy/response_time.h
+++ b/gateway/policy/response_time.h
@@ -43,6 +43,9 @@
     response_way_t way;
 } response_candidate_t;
 
+/* Returns the expected run in milliseconds, `work_ms` with the object in memory; `in_memory` is the
+ * probability that it is. */
+double response_time_run_ms(double work_ms, double in_memory);
 /* Returns the expected time until the response in milliseconds. */
 double response_time_ms(const response_candidate_t *candidate);
 /* True if `ms` is lower than the estimate of the default candidate by more than the margin. */
--- a/test/gateway/test_caller_time.c
+++ b/test/gateway/test_caller_time.c
@@ -3,6 +3,7 @@
  * of a route, how long its callers usually wait, or what became of an earlier try. */
 #include <math.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "base/rng.h"
 #include "base/xmalloc.h"
@@ -141,6 +142,28 @@
 }
 END_TEST
 
+/* The backend server that keeps the object is full for longer than the caller waits, others are
+ * idle: the run without the object may still end in time. */
+START_TEST(request_is_taken_while_another_backend_server_can_respond_in_time)
+{
+    rng_t rng = {.state = (uint64_t)_i + 1};
+    for (unsigned i = 0; i < DRAWS; i++) {
+        test_router_t *test = new_test_router(&one_urgency, i % 2 == 0);
+        situation_t situation = draw_situation(&rng);
+        backend_t *first;
+        memset(situation.waiting, 0, sizeof(situation.waiting));
+        set_situation(test, &situation);
+        const router_request_t request = request_in(test, &situation, UINT32_MAX);
+        ck_assert_uint_eq(router_first_candidates(&test->router, &request, &first, 1), 1);
+        const reported_load_t load = {.running = SLOTS, .waiting = 10 * SLOTS, .slots = SLOTS};
+        backend_report_load(first, &load, test->loop.time);
+        ck_assert(is_taken(test, &situation, (uint32_t)(4 * situation.run_ms)));
+        ck_assert(!is_taken(test, &situation, (uint32_t)(2 * situation.run_ms)));
+        free_test_router(test);
+    }
+}
+END_TEST
+
 /* ---- through a gateway ---- */
 
 static reply_t
@@ -212,6 +235,8 @@
     tcase_add_loop_test(relations, more_time_left_never_gets_a_caller_less, 0, SEEDS);
     tcase_add_loop_test(relations, request_is_taken_while_its_response_is_expected_in_time, 0,
                         SEEDS);
+    tcase_add_loop_test(
+        relations, request_is_taken_while_another_backend_server_can_respond_in_time, 0, SEEDS);
     tcase_add_test(relations, shortest_run_is_forgotten);
     suite_add_tcase(suite, relations);
     TCase *path = tcase_create("request path");
