Return time: when a slot is expected to be free, the same for every caller

What callers saw: every refusal named 0.40 s, or, where the order under shortage acts, the caller's whole time left (10.00 and 6.00 s), while a slot became free every 33 ms.

Cause: times were laid between shares of the caller's and of the route's usual time (0.025, 0.125, 0.3, 0.32), so that who came back could be told from a first try; a repeat was told none; without such a time the caller's whole time left stood for 'never'. Where work is not counted, and for rejections, the time was fixed.

Now the time is that of the next free slot at the backend server by what is known: load, slots, mean run, the callers already told to come back there. In a region that is short for the urgency it is also after those of like urgency told before, as fast as the slots that the urgency gets take this instance's part. Times are spread over one completion. The caller's time does not change it: it only decides whether it counts as one who comes (PROTOCOL.md: callers honour up to a third of their time). Rejections by a full backend server and services whose work is not counted get it as well.

Removed: the calendar of promises (state/returns, 10 s, from a usual deadline), 0.75 and 0.85 of the room, the line of irisctl status and the gauge irisstall_returns_expected_slot_ms that showed it.

--- a/gateway/admin.c
+++ b/gateway/admin.c
@@ -102,19 +102,6 @@
     }
 }
 
-static void
-set_return_gauge(const services_t *services)
-{
-    double expected_ms = 0;
-    for (size_t i = 0; i < services->count; i++) {
-        if (services->items[i]->returns != NULL)
-            expected_ms += returns_total_ms(services->items[i]->returns);
-    }
-    set_gauge("irisstall_returns_expected_slot_ms",
-              "Work of refused callers who were promised room, in slot milliseconds.",
-              (int64_t)expected_ms);
-}
-
 /* Sets the gauges for the delay between a change of a view and its activation. */
 static void
 set_age_gauges(const views_t *views)
@@ -197,7 +184,6 @@
     set_backend_gauges(router);
     set_plan_gauges(router);
     retry_report_metrics(router);
-    set_return_gauge(&router->services);
     set_gauge("irisstall_requests_held",
               "Requests and families refused now, as backend servers ended under them.",
               (int64_t)suspects_held(admin->suspects, loop_now(router->loop)));
--- a/gateway/inspect.c
+++ b/gateway/inspect.c
@@ -171,18 +171,6 @@
     }
 }
 
-/* Writes the work of refused callers whom this instance promised room, by service. */
-static void
-print_returns(const services_t *services, wire_text_t *out)
-{
-    for (size_t i = 0; i < services->count; i++) {
-        const service_t *service = services->items[i];
-        if (service->returns != NULL)
-            wire_text_printf(out, "refused callers expected: service %s, %.0f ms of slots\n",
-                             service->name.ptr, returns_total_ms(service->returns));
-    }
-}
-
 void
 inspect_status(const inspect_status_t *status, wire_text_t *out)
 {
@@ -210,7 +198,6 @@
                          router->catalog.unusable_count);
     for (size_t i = 0; i < router->services.count; i++)
         print_shortage(router->services.items[i], router->topology, out);
-    print_returns(&router->services, out);
     for (size_t i = 0; i < status->members->count; i++) {
         if (status->members->items[i].heard)
             print_member(&status->members->items[i], now, out);
--- a/gateway/path/attempt.c
+++ b/gateway/path/attempt.c
@@ -258,6 +258,13 @@
            (attempt->verdict == VERDICT_NOT_RUN || attempt->verdict == VERDICT_MISDIRECTED);
 }
 
+bool
+attempt_found_no_room(const attempt_t *attempt)
+{
+    return attempt->head_seen && attempt->verdict == VERDICT_NOT_RUN &&
+           attempt->status == HTTP_STATUS_SERVICE_UNAVAILABLE;
+}
+
 /* Returns the outcome of an attempt whose call failed. */
 static attempt_outcome_t
 classify_failure(attempt_t *attempt, backend_t *backend, const wire_call_result_t *end)
--- a/gateway/path/attempt.h
+++ b/gateway/path/attempt.h
@@ -82,6 +82,8 @@
     str_t fields;     /* header lines added to the request */
 } attempt_conf_t;
 
+/* True if the backend server turned the request away because it was full. */
+bool attempt_found_no_room(const attempt_t *attempt);
 /* Ends the request if its caller has closed the connection; returns true if so. Called before each
  * send: a loop that is late reads a request, or comes to a retry, before the close behind it. */
 bool attempt_end_if_abandoned(attempt_t *attempt);
--- a/gateway/path/completion.c
+++ b/gateway/path/completion.c
@@ -160,7 +160,7 @@
 completion_refuse_no_room(exchange_t *ex, outcome_t why, const return_time_t *time)
 {
     const final_response_t response = final_response_no_room(why, time->after_ms);
-    if (time->expected)
+    if (time->comes_back)
         count_return("result=\"expected\"");
     send_final_response(ex, &response);
 }
--- a/gateway/path/dispatch.c
+++ b/gateway/path/dispatch.c
@@ -175,20 +175,38 @@
 
 /* ---- refusals ---- */
 
-/* True if a refusal of the request has a Retry-After from return_time.h. */
+/* Refuses a request for which there is no room at present; `rejected`: its last backend server said
+ * so. */
+static void
+refuse_until_room(exchange_t *ex, outcome_t why, bool rejected)
+{
+    const router_request_t request = router_request(ex, true);
+    const return_time_t time = router_return_time(ex->owner->router, &request, rejected);
+    if (time.after_ms > 0)
+        completion_refuse_no_room(ex, why, &time);
+    else
+        completion_refuse(ex, why);
+}
+
+/* True if the request was turned away by a full backend server, the last one that was asked. */
 static bool
-may_return(const exchange_t *ex)
+was_rejected(const exchange_t *ex)
 {
-    return ex->service->offered != NULL && !ex->may_have_run;
+    return ex->tried_count > 0 && attempt_found_no_room(&ex->attempt);
 }
 
-/* Refuses a request for which there is no room at present. */
-static void
-refuse_until_room(exchange_t *ex, outcome_t why)
+static bool
+lacks_room(const exchange_t *ex)
 {
-    const router_request_t request = router_request(ex, true);
-    const return_time_t time = router_return_time(ex->owner->router, &request);
-    completion_refuse_no_room(ex, why, &time);
+    switch (ex->choice.reason) {
+    case CHOICE_FULL:
+    case CHOICE_SHORTAGE:
+        return true;
+    case CHOICE_NONE: /* all others were tried */
+        return was_rejected(ex);
+    default:
+        return false;
+    }
 }
 
 /* Refuses a request that no backend server is chosen for. */
@@ -196,9 +214,8 @@
 refuse_unsent(exchange_t *ex)
 {
     router_count_refused(ex->owner->router, ex->service);
-    if ((ex->choice.reason == CHOICE_FULL || ex->choice.reason == CHOICE_SHORTAGE) &&
-        may_return(ex))
-        refuse_until_room(ex, OUTCOME_NO_CAPACITY);
+    if (lacks_room(ex) && !ex->may_have_run)
+        refuse_until_room(ex, OUTCOME_NO_CAPACITY, was_rejected(ex));
     else
         completion_refuse_no_backend(ex);
 }
@@ -207,8 +224,8 @@
 static void
 refuse_not_run(exchange_t *ex)
 {
-    if (ex->attempt.slots_full && may_return(ex))
-        refuse_until_room(ex, OUTCOME_NOT_RUN);
+    if (was_rejected(ex) && !ex->may_have_run)
+        refuse_until_room(ex, OUTCOME_NOT_RUN, true);
     else
         completion_refuse(ex, OUTCOME_NOT_RUN);
 }
--- a/gateway/policy/return_time.h
+++ b/gateway/policy/return_time.h
@@ -1,78 +1,66 @@
 /*
  * Return time: the Retry-After of a request that is refused for lack of room.
  *
- * Load: backend servers are full, for the time of a run or for longer. Callers retry once; if that
- * is refused too, the retry was useless.
+ * Load it answers: backend servers are full for the time of a run or for longer, or a region is
+ * short of slots for requests of this urgency.
  *
- *  - The room is the part of a region's slots that requests of like or greater urgency leave free.
- *    While that urgency is short of slots there is none.
- *  - Each instance promises slots only up to its share of the room, which is its part of the
- * offered work, so that all instances together stay within it. A quarter is left for promises of
- *    instances that were lost. As the share is often less than one slot, a fraction of a slot is
- *    promised with that probability.
- *  - The promised time is the first one at which the backend server's queue has drained and the
- *    region has room for the whole run. Further promises for the same backend server are spaced by
- *    the time that its free slots take for one run.
- *  - If the response would arrive after the deadline, or the time is later than the bounds below,
- *    nothing is promised. Retry-After is then the time at which there will be room, or the caller's
- *    deadline if that is not known.
- *  - A retry is promised nothing, as callers retry only once.
+ *  - The time told is the first one at which the backend server is expected to have a free slot:
+ *    after the requests that run and queue there, and after the callers that this instance has
+ *    already told to come back there.
+ *  - Where the region is short of slots for requests of this urgency (shortage.h), it is also after
+ *    the callers of like urgency that were told before: one after the other, as fast as the slots
+ *    that the urgency gets take the work of this instance's callers.
+ *  - Callers of other instances are not known. They are taken to be refused in proportion to the
+ *    work that they offer, so that this instance counts on its own part of the room only.
+ *  - Times are spread over the time until the next slot becomes free, so that callers who were
+ *    refused together do not come back together.
+ *  - How much time the caller has left changes nothing about when there is room. It decides whether
+ *    the caller counts as one who comes back then: callers wait for up to a third of the time that
+ *    they have left, and come only if the response can arrive before they give up. The time of a
+ *    caller who will not come is not kept from others.
  *
- * Any instance recognises a retry at its promised time: its remaining time is shorter than usual on
- * its route, by more than the spread of the callers' deadlines and by less than that of callers
- * without a promise, who retry after a third of their time. Promised times lie between these
- * bounds. Earlier ones are given only to callers who can still be answered within
- * their objective; their retries queue like new requests.
+ * Nothing is known before a run was seen: the time is then 0.
  *
- * See docs/design/gateway/returns.md. Stateless; the caller records the promise.
+ * See docs/design/gateway/returns.md. Stateless; the caller records who was told what.
  */
 #pragma once
 
 #include <stdbool.h>
-
-#include "gateway/state/returns.h"
+#include <stdint.h>
 
 /* The backend server that the request is to run on. */
 typedef struct {
-    double load;             /* requests running and queued */
-    double slots;            /* 0: no backend server known */
-    double work_ms;          /* usual service time without queueing; 0: not known */
-    uint64_t promised_until; /* loop time until which this instance has promised its room */
+    double load;            /* requests running and queued */
+    double slots;           /* 0: no backend server known */
+    double work_ms;         /* mean run of the requests there; 0: not known */
+    uint64_t told_until_ms; /* loop time until which callers were told to come back there */
 } return_server_t;
 
-/* The service in the region that is to serve the request. */
+/* Requests of like urgency in the region that is to serve the request. */
 typedef struct {
-    double slots;
-    double ahead;          /* slots that requests of like or greater urgency offer */
-    double admitted_share; /* of requests of this urgency; below 1: short of slots */
-    double own_share;      /* part of the offered work that comes from this instance's callers */
+    double slots;           /* that they get while the region is short; 0: it is not short */
+    uint64_t told_until_ms; /* loop time until which callers were told to come back */
 } return_room_t;
 
 typedef struct {
     return_server_t server;
     return_room_t room;
-    const returns_t *promised; /* by this instance */
-    size_t region;
+    double
+        own_share; /* part of the region's offered work that comes from this instance's callers */
     uint64_t now_ms;
-    uint32_t left_ms;      /* time until the caller gives up */
-    uint32_t objective_ms; /* latency objective of the route; 0: none */
-    double usual_left_ms;  /* what callers of the route usually have left at first; 0: not known */
-    double lost_ms;        /* time lost by earlier refusals */
-    double work_ms;        /* expected time that the request keeps a slot busy */
-    double spread;         /* random in [0, 1): place within the period */
-    double slot_chance;    /* random in [0, 1): for the fraction of a slot */
+    uint32_t left_ms; /* time until the caller gives up */
+    double work_ms;   /* expected time that the request keeps a slot busy; 0: not known */
+    double spread;    /* random in [0, 1) */
 } return_input_t;
 
 typedef struct {
-    uint32_t after_ms;              /* Retry-After */
-    bool expected;                  /* promised: there will be room at that time */
-    uint64_t at_ms;                 /* loop time of the promise */
-    uint64_t server_promised_until; /* for the backend server, after the promise */
+    uint32_t after_ms;       /* Retry-After; 0: not known */
+    bool comes_back;         /* the caller is expected then: the next two are to be kept */
+    uint64_t server_told_ms; /* told_until_ms of the backend server from now on */
+    uint64_t room_told_ms;   /* and of the room */
 } return_time_t;
 
 return_time_t return_time_decide(const return_input_t *input);
-/* Returns the slots of the region that this instance may promise. */
-double return_time_room(const return_room_t *room);
 /* True if a request with that much time left and lost is a retry at a promised time. */
 bool return_time_is_expected(double left_ms, double lost_ms);
 /* True if the request is a retry after a refusal, promised or not. */
--- a/gateway/router.h
+++ b/gateway/router.h
@@ -127,9 +127,9 @@
  * spent, more than 0 if it retries after a refusal. */
 double router_record_caller(router_t *router, const config_route_t *route, const service_t *service,
                             uint32_t left_ms);
-/* Decides when a caller for whose request there is no room is to come back, and records the
- * promise. Only for services whose offered work is counted. */
-return_time_t router_return_time(router_t *router, const router_request_t *request);
+/* Decides when a caller for whose request there is no room is to come back, and records that it
+ * will. `rejected`: its backend server turned the request away because it was full. */
+return_time_t router_return_time(router_t *router, const router_request_t *request, bool rejected);
 /* Counts a request; it adds to the retry budget of its service. */
 void router_count_request(router_t *router, service_t *service);
 /* Counts a request for which no backend was found. */
--- a/gateway/router_returns.c
+++ b/gateway/router_returns.c
@@ -1,4 +1,5 @@
-#include "base/loop_time.h"
+#include <math.h>
+
 #include "gateway/router_request.h"
 
 /* The backend server that a refused request would have gone to; NULL if none. */
@@ -9,18 +10,25 @@
     return choice_first_candidates(input, &first, 1) > 0 ? first : NULL;
 }
 
+/* `rejected`: the backend server has just turned the request away, so all of its slots are taken.
+ */
 static return_server_t
-return_server(const router_t *router, const choice_input_t *input, const backend_t *backend)
+return_server(const choice_input_t *input, const backend_t *backend, bool rejected)
 {
     if (backend == NULL)
         return (return_server_t){0};
-    const double median_ms = route_stats_median_ms(&router->routes, input->route->key);
+    const double load = backend_load(backend, input->now_ms);
+    const double slots = backend->info.capacity;
+    const double median_ms = input->request.median_ms;
     const double mean_ms = backend->service_time_ms;
+    const bool use_median = median_ms > 0 && (mean_ms <= 0 || median_ms < mean_ms);
+    const double own_ms = use_median ? median_ms : mean_ms;
+    const bool is_counted = input->by_response_time && input->service_work_ms > 0;
     return (return_server_t){
-        .load = backend_load(backend, input->now_ms),
-        .slots = backend->info.capacity,
-        .work_ms = median_ms > 0 && median_ms < mean_ms ? median_ms : mean_ms,
-        .promised_until = backend->returns_until_ms,
+        .load = rejected ? fmax(load, slots) : load,
+        .slots = slots,
+        .work_ms = is_counted ? input->service_work_ms : own_ms,
+        .told_until_ms = backend->told_until_ms,
     };
 }
 
@@ -28,58 +36,54 @@
 static double
 own_share(const router_t *router, const service_t *service, size_t region)
 {
-    const double all = offered_totals_slots(service->fleet_offered, region);
-    const double own = offered_totals_slots(&service->offered->average, region);
-    if (all > 0 && own > 0)
-        return own < all ? own / all : 1;
+    if (service->offered != NULL && region < TOPOLOGY_REGIONS_MAX) {
+        const double all = offered_totals_slots(service->fleet_offered, region);
+        const double own = offered_totals_slots(&service->offered->average, region);
+        if (all > 0 && own > 0)
+            return own < all ? own / all : 1;
+    }
     return 1.0 / (router->instances > 0 ? router->instances : 1);
 }
 
+/* Slots that requests of an urgency get in a region that is short of them; zeroed if it is not. */
 static return_room_t
-return_room(const router_t *router, const service_t *service, size_t region, unsigned urgency)
+return_room(const service_t *service, size_t region, unsigned urgency)
 {
-    if (region >= TOPOLOGY_REGIONS_MAX)
+    if (service->offered == NULL || region >= TOPOLOGY_REGIONS_MAX)
         return (return_room_t){0};
-    return_room_t room = {
-        .slots = service->plan.slots[region],
-        .admitted_share = shortage_admitted_share(service->shortage, region, urgency),
-        .own_share = own_share(router, service, region),
+    const double share = shortage_admitted_share(service->shortage, region, urgency);
+    if (share >= 1)
+        return (return_room_t){0};
+    return (return_room_t){
+        .slots = share * service->fleet_offered->slots[region][urgency],
+        .told_until_ms = service->told_until_ms[region][urgency],
     };
-    /* Work is counted at the usual pace. */
-    const double slowdown = service->slowdown > 1 ? service->slowdown : 1;
-    for (unsigned level = 0; level <= urgency; level++)
-        room.ahead += service->fleet_offered->slots[region][level] * slowdown;
-    return room;
 }
 
 return_time_t
-router_return_time(router_t *router, const router_request_t *request)
+router_return_time(router_t *router, const router_request_t *request, bool rejected)
 {
     service_t *service = request->service;
     choice_input_t choice = router_request_input(router, request);
     choice.tried_count = 0; /* it is to come back to the backend server that was full */
     const size_t region = choice_planned_region(&choice);
+    const unsigned urgency = router_request_urgency(request);
     backend_t *backend = refusing_backend(&choice);
-    returns_advance(service->returns, choice.now_ms);
     const return_input_t input = {
-        .server = return_server(router, &choice, backend),
-        .room = return_room(router, service, region, router_request_urgency(request)),
-        .promised = service->returns,
-        .region = region,
+        .server = return_server(&choice, backend, rejected),
+        .room = return_room(service, region, urgency),
+        .own_share = own_share(router, service, region),
         .now_ms = choice.now_ms,
         .left_ms = request->left_ms,
-        .objective_ms = request->route->latency_objective_ms,
-        .usual_left_ms = route_stats_first_left_ms(&router->routes, request->route->key),
-        .lost_ms = request->prior_wait_ms,
         .work_ms = router_expected_work_ms(router, request->route, service),
         .spread = rng_unit(&router->rng),
-        .slot_chance = rng_unit(&router->rng),
     };
     const return_time_t time = return_time_decide(&input);
-    if (!time.expected)
+    if (!time.comes_back)
         return time;
-    returns_promise(service->returns, region, time.at_ms, input.work_ms);
+    if (input.room.slots > 0)
+        service->told_until_ms[region][urgency] = time.room_told_ms;
     if (backend != NULL)
-        backend->returns_until_ms = time.server_promised_until;
+        backend->told_until_ms = time.server_told_ms;
     return time;
 }
--- a/gateway/router_tick.c
+++ b/gateway/router_tick.c
@@ -27,7 +27,6 @@
     if (service->offered == NULL)
         return;
     offered_work_update(service->offered, now_ms);
-    returns_advance(service->returns, now_ms);
     members_offered(members, name_str(&service->name), router->region, now_ms,
                     service->fleet_offered);
 }
--- a/gateway/state/services.c
+++ b/gateway/state/services.c
@@ -81,9 +81,6 @@
         free(services->items[i]->offered);
         free(services->items[i]->fleet_offered);
         service_end_order(services->items[i]);
-        if (services->items[i]->returns != NULL)
-            returns_free(services->items[i]->returns);
-        free(services->items[i]->returns);
         free(services->items[i]);
     }
     free(services->items);
@@ -97,7 +94,6 @@
         return;
     service->offered = xcalloc(1, sizeof(*service->offered));
     service->fleet_offered = xcalloc(1, sizeof(*service->fleet_offered));
-    service->returns = xcalloc(1, sizeof(*service->returns));
 }
 
 bool
--- a/gateway/state/services.h
+++ b/gateway/state/services.h
@@ -13,7 +13,6 @@
 #include "gateway/policy/fair_share.h"
 #include "gateway/policy/shortage.h"
 #include "gateway/state/offered_work.h"
-#include "gateway/state/returns.h"
 
 typedef struct {
     name_t name;
@@ -37,11 +36,14 @@
     shortage_t *shortage;
     account_work_t *account_work;
     fair_share_t *fair_share;
+    /* Loop times until which refused callers of each urgency were told to come back
+     * (return_time.h).
+     */
+    uint64_t told_until_ms[TOPOLOGY_REGIONS_MAX][URGENCY_LEVELS];
     /* Times of the last report of a backend's pace, to this instance and, as its heartbeat says,
      * to a peer; 0: none. */
     uint64_t own_pace_report_ms;
     uint64_t peer_pace_report_ms;
-    returns_t *returns; /* refused callers that are expected; NULL if `offered` is */
 } service_t;
 
 typedef struct {
