Requests: a repeat is a request like a first try

What callers saw: with the same time left and the same work, who had been refused before was refused where others were admitted, or admitted where others were refused, and so was anybody whose time differed from that of the route's other callers.

Now nothing knows what became of an earlier try. The work of a repeat is offered work and work of its account. Refusals do not feed on themselves by that: the share of each try falls as returns raise what is offered, and what is admitted stays the room.

Removed: route_stats' usual time left, router_record_caller, prior_wait_ms and expected of requests, exchanges and transit, offered_mix.returned, the late cause refused_before, the log key returned and irisstall_returns_total for kept and broken times. Peers of earlier versions take no request in transit without Irisstall-Waited-Ms and Irisstall-Expected: both are still sent, as 0, and not read.

--- a/gateway/order.c
+++ b/gateway/order.c
@@ -87,7 +87,7 @@
 share_of(const service_t *service, const order_request_t *request, double share)
 {
     const offered_request_t *offered = &request->offered;
-    const shortage_rank_t rank = {offered->urgency, offered->route_urgency, offered->returned};
+    const shortage_rank_t rank = {offered->urgency, offered->route_urgency};
     const shortage_shares_t shares = {
         .urgency = share,
         .account = share_of_account(service, request, share),
@@ -105,7 +105,7 @@
     if (share >= 1)
         return true;
     const bool admitted = rng_unit(rng) < share_of(service, request, share);
-    if (request->account != NULL && !offered->returned)
+    if (request->account != NULL)
         fair_share_count(service->fair_share, offered->region, offered->urgency, offered->work_ms,
                          admitted);
     if (!admitted)
--- a/gateway/path/access_log.c
+++ b/gateway/path/access_log.c
@@ -71,18 +71,17 @@
     count_faster(access);
     if (is_sampled_out(access))
         return;
-    LOG_INFO("request ended: id=%.*s request=%016" PRIx64 " outcome=%s status=%d service=%s "
-             "account=%s key=%s "
-             "attempts=%zu sends=%u reason=%s passed=%s retry=%s late=%s backend=%s ms=%llu "
-             "left_ms=%llu retry_after_ms=%u returned=%d version=%s limit=%s share_per_s=%.2f "
-             "unacknowledged=%llu",
-             LOG_STR(access->id), access->fingerprint, outcome_name(access->outcome),
-             access->status, or_dash(access->service), or_dash(access->account),
-             or_dash(access->key), access->attempts, access->sends,
-             choice_reason_name(access->choice), skip_reason_name(access->skip_reason),
-             retry_verdict_name(access->retry), late_cause_name(access->late),
-             or_dash(access->backend), (unsigned long long)access->elapsed_ms,
-             (unsigned long long)access->left_ms, access->retry_after_ms, access->returned,
-             or_dash(access->config_version), or_dash(access->limit), access->limit_share_per_s,
-             (unsigned long long)access->unacknowledged);
+    LOG_INFO(
+        "request ended: id=%.*s request=%016" PRIx64 " outcome=%s status=%d service=%s "
+        "account=%s key=%s "
+        "attempts=%zu sends=%u reason=%s passed=%s retry=%s late=%s backend=%s ms=%llu "
+        "left_ms=%llu retry_after_ms=%u version=%s limit=%s share_per_s=%.2f "
+        "unacknowledged=%llu",
+        LOG_STR(access->id), access->fingerprint, outcome_name(access->outcome), access->status,
+        or_dash(access->service), or_dash(access->account), or_dash(access->key), access->attempts,
+        access->sends, choice_reason_name(access->choice), skip_reason_name(access->skip_reason),
+        retry_verdict_name(access->retry), late_cause_name(access->late), or_dash(access->backend),
+        (unsigned long long)access->elapsed_ms, (unsigned long long)access->left_ms,
+        access->retry_after_ms, or_dash(access->config_version), or_dash(access->limit),
+        access->limit_share_per_s, (unsigned long long)access->unacknowledged);
 }
--- a/gateway/path/access_log.h
+++ b/gateway/path/access_log.h
@@ -35,7 +35,6 @@
     const char *limit;         /* why the account's limit refused the request */
     double limit_share_per_s;  /* share of the account's limit that this instance holds */
     uint64_t unacknowledged;   /* requests of the account that its owner has not acknowledged */
-    bool returned;             /* a retry after a refusal, at the promised time */
 } access_record_t;
 
 void access_log(const access_record_t *access);
--- a/gateway/path/completion.c
+++ b/gateway/path/completion.c
@@ -18,7 +18,6 @@
         .objective_ms = ex->route->latency_objective_ms,
         .elapsed_ms = now - ex->req->begun_ms,
         .attempt_ms = attempt_elapsed_ms(attempt),
-        .prior_wait_ms = ex->prior_wait_ms,
         .typical_ms = backend->service_time_ms,
         .slow_ms = attempt->slow_ms,
         .queued = attempt->queued,
@@ -29,28 +28,15 @@
     return lateness_cause(&input);
 }
 
-/* Results of promises to refused callers; made here, kept or broken wherever the caller comes to.
- */
+/* Callers who were told a time that they are expected to wait for. */
 static void
-count_return(const char *labels)
+count_return(void)
 {
-    counter_add(counter_get("irisstall_returns_total", labels,
-                            "Refused callers who were promised room at a later time, and how those "
-                            "who came then ended."),
+    counter_add(counter_get("irisstall_returns_total", "result=\"expected\"",
+                            "Refused callers who are expected to come back at the time told."),
                 1);
 }
 
-static void
-count_expected_end(const exchange_t *ex, outcome_t outcome)
-{
-    if (!ex->expected)
-        return;
-    if (outcome == OUTCOME_ANSWERED)
-        count_return("result=\"served\"");
-    else if (outcome == OUTCOME_NO_CAPACITY || outcome == OUTCOME_NOT_RUN)
-        count_return("result=\"refused_again\"");
-}
-
 static void
 log_end(const exchange_t *ex, int status, outcome_t outcome)
 {
@@ -75,13 +61,11 @@
         .elapsed_ms = exchange_now_ms(ex) - ex->req->begun_ms,
         .left_ms = exchange_remaining_ms(ex),
         .retry_after_ms = ex->retry_after_ms,
-        .returned = ex->expected,
         .limit = use != NULL ? limit_verdict_name(use->limiter.verdict) : NULL,
         .limit_share_per_s = use != NULL ? use->limiter.share_per_s : 0,
         .unacknowledged = use != NULL ? account_use_unacknowledged(use) : 0,
     };
     access_log(&access);
-    count_expected_end(ex, outcome);
     traffic_count(&ex->owner->router->traffic, ex->req->body_len + ex->attempt.received);
 }
 
@@ -161,7 +145,7 @@
 {
     const final_response_t response = final_response_no_room(why, time->after_ms);
     if (time->comes_back)
-        count_return("result=\"expected\"");
+        count_return();
     send_final_response(ex, &response);
 }
 
--- a/gateway/path/dispatch.c
+++ b/gateway/path/dispatch.c
@@ -16,8 +16,6 @@
         .object = ex->object,
         .has_object = router_has_object(ex->route, ex->metadata.object),
         .left_ms = exchange_remaining_ms(ex) > 0 ? (uint32_t)exchange_remaining_ms(ex) : 1,
-        .prior_wait_ms = ex->prior_wait_ms,
-        .expected = ex->expected,
         .version = ex->required_version,
         .suspected = suspects_has_evidence(ex->owner->suspects, &ex->fingerprint),
         .may_request_permit = may_request_permit && ex->permits_refused < PERMIT_REFUSALS_MAX,
--- a/gateway/path/exchange.c
+++ b/gateway/path/exchange.c
@@ -126,16 +126,6 @@
     return ex->account_admitted;
 }
 
-/* Finds out whether the request is a retry after a refusal, and whether at the promised time. */
-static void
-record_caller(exchange_t *ex)
-{
-    const uint32_t left_ms = ex->metadata.deadline_ms;
-    ex->prior_wait_ms = router_record_caller(ex->owner->router, ex->route, ex->service, left_ms);
-    ex->expected =
-        ex->service->offered != NULL && return_time_is_expected(left_ms, ex->prior_wait_ms);
-}
-
 /* Finds the route. Returns false if the request was refused. */
 static bool
 find_route(exchange_t *ex)
@@ -170,8 +160,6 @@
     load_probes_count_request(&ex->owner->load_probes, ex->service);
     ex->object = router_object(router, ex->route, ex->metadata.object);
     ex->deadline_at_ms = deadline_of(ex);
-    if (ex->metadata.has_deadline && !ex->from_peer)
-        record_caller(ex);
     req->on_disconnect = on_caller_disconnected;
     req->on_drain = on_caller_drained;
     req->ctx = ex;
@@ -236,8 +224,6 @@
         return;
     }
     ex->sends = terms.sends;
-    ex->prior_wait_ms = terms.waited_ms;
-    ex->expected = terms.expected;
     if (!find_route(ex))
         return;
     ex->service = picked_service(ex, terms.service);
--- a/gateway/path/exchange_state.h
+++ b/gateway/path/exchange_state.h
@@ -53,8 +53,6 @@
     backend_t *tried[RETRY_BACKENDS_MAX]; /* in order; counted references */
     size_t tried_count;
     uint32_t sends;            /* finished attempts that may have sent bytes */
-    double prior_wait_ms;      /* time the caller spent on refused requests before this one */
-    bool expected;             /* a retry after a refusal, at the promised time */
     uint32_t retry_after_ms;   /* Retry-After of its refusal; 0: none */
     bool from_peer;            /* in transit from a peer (transit.h); it takes no further hop */
     bool declined;             /* in transit, and not taken */
--- a/gateway/path/lateness.c
+++ b/gateway/path/lateness.c
@@ -23,11 +23,8 @@
 late_cause_t
 lateness_cause(const lateness_input_t *input)
 {
-    const double elapsed_ms = (double)input->elapsed_ms;
-    if (input->objective_ms == 0 || elapsed_ms + input->prior_wait_ms <= input->objective_ms)
+    if (input->objective_ms == 0 || input->elapsed_ms <= input->objective_ms)
         return LATE_NONE;
-    if (input->prior_wait_ms > input->objective_ms / 2.0)
-        return LATE_PRIOR_REFUSAL;
     if (input->elapsed_ms - input->attempt_ms > input->objective_ms / 2)
         return LATE_EARLIER_ATTEMPT;
     return last_attempt_cause(input);
@@ -38,7 +35,6 @@
 {
     static const char *const names[LATE_CAUSE_COUNT] = {
         [LATE_NONE] = "none",
-        [LATE_PRIOR_REFUSAL] = "refused_before",
         [LATE_EARLIER_ATTEMPT] = "earlier_attempt",
         [LATE_QUEUED] = "queued",
         [LATE_LOAD_UNKNOWN] = "load_unknown",
--- a/gateway/path/lateness.h
+++ b/gateway/path/lateness.h
@@ -2,8 +2,8 @@
  * Lateness: classifies why a response missed the latency objective of its route.
  *
  * Reports the cause that contributed most, for the metric irisstall_late_total and the access
- * log; no decision depends on it. Times are measured at this instance: network time to the
- * caller is not included, time the caller spent on an earlier refused request is.
+ * log; no decision depends on it. Times are measured at this instance, from the first byte of this
+ * request: neither network time to the caller nor earlier requests of the caller are included.
  *
  * Pure functions without state or clock.
  */
@@ -15,7 +15,6 @@
 /* Written as the label `cause` of irisstall_late_total and as `late` in the log. */
 typedef enum {
     LATE_NONE,            /* within the objective, or the route has none */
-    LATE_PRIOR_REFUSAL,   /* the caller retried after an earlier refusal */
     LATE_EARLIER_ATTEMPT, /* an earlier attempt used up the time */
     LATE_QUEUED,          /* sent although all slots of its backend were in use */
     LATE_LOAD_UNKNOWN,    /* the response reported full slots that were not known at sending */
@@ -31,7 +30,6 @@
     uint32_t objective_ms; /* latency objective of the route, 0 if none */
     uint64_t elapsed_ms;   /* from the first byte of the request to its response */
     uint64_t attempt_ms;   /* from sending the last attempt to its response */
-    double prior_wait_ms;  /* time the caller spent on refused requests before this one */
     double typical_ms;     /* typical time of the backend for a request that does not queue */
     uint32_t slow_ms;      /* from slow_after_ms(), 0 if unknown */
     bool queued;           /* all slots were known to be in use when it was sent */
--- a/gateway/path/transit.c
+++ b/gateway/path/transit.c
@@ -139,12 +139,6 @@
                 1);
 }
 
-static double
-lost_ms(const exchange_t *ex)
-{
-    return ex->prior_wait_ms + (double)(exchange_now_ms(ex) - ex->req->begun_ms);
-}
-
 static void
 send_to(exchange_t *ex, backend_t *peer)
 {
@@ -156,8 +150,6 @@
         .caller = ex->req->caller,
         .revision = ex->config->revision,
         .sends = ex->sends,
-        .waited_ms = (uint32_t)lost_ms(ex),
-        .expected = ex->expected,
     };
     transit_terms_write(&terms, &fields);
     ex->tried[ex->tried_count++] = backend_ref(peer);
--- a/gateway/path/transit_fields.c
+++ b/gateway/path/transit_fields.c
@@ -5,6 +5,7 @@
 static const str_t field_caller = {"Irisstall-Caller", 16};
 static const str_t field_revision = {"Irisstall-Revision", 18};
 static const str_t field_sends = {"Irisstall-Sends", 15};
+/* Not read any more; instances of earlier versions take no request without them. */
 static const str_t field_waited = {"Irisstall-Waited-Ms", 19};
 static const str_t field_expected = {"Irisstall-Expected", 18};
 static const str_t field_result = {"Irisstall-Result", 16};
@@ -38,8 +39,8 @@
     wire_text_field(out, field_caller, str_from(addr_format(&terms->caller, caller)));
     write_number(out, field_revision, terms->revision);
     write_number(out, field_sends, terms->sends);
-    write_number(out, field_waited, terms->waited_ms);
-    write_number(out, field_expected, terms->expected);
+    write_number(out, field_waited, 0);
+    write_number(out, field_expected, 0);
 }
 
 /* Reads a number of at most 32 bits. */
@@ -56,19 +57,16 @@
 bool
 transit_terms_take(wire_head_t *head, transit_terms_t *out)
 {
-    uint32_t expected = 0;
     *out = (transit_terms_t){
         .service = wire_head_find(head, field_service),
         .account = wire_head_find(head, field_account),
     };
-    const bool valid =
-        out->service.len > 0 && addr_parse(wire_head_find(head, field_caller), &out->caller) &&
-        str_to_u64(wire_head_find(head, field_revision), &out->revision) &&
-        read_u32(head, field_sends, &out->sends) && read_u32(head, field_waited, &out->waited_ms) &&
-        read_u32(head, field_expected, &expected);
+    const bool valid = out->service.len > 0 &&
+                       addr_parse(wire_head_find(head, field_caller), &out->caller) &&
+                       str_to_u64(wire_head_find(head, field_revision), &out->revision) &&
+                       read_u32(head, field_sends, &out->sends);
     const str_t fields[] = {field_service, field_account, field_caller,  field_revision,
                             field_sends,   field_waited,  field_expected};
-    out->expected = expected != 0;
     for (size_t i = 0; i < sizeof(fields) / sizeof(fields[0]); i++)
         wire_head_remove(head, fields[i]);
     return valid;
--- a/gateway/path/transit_fields.h
+++ b/gateway/path/transit_fields.h
@@ -11,13 +11,11 @@
 
 /* What the sender of a request in transit has decided. The strings point into the head. */
 typedef struct {
-    str_t service;      /* of the route's traffic split */
-    str_t account;      /* client account; empty if none. Its key stays with the sender */
-    addr_t caller;      /* address of the caller */
-    uint64_t revision;  /* of the configuration used */
-    uint32_t sends;     /* attempts that may have reached a backend server */
-    uint32_t waited_ms; /* time that the caller lost to refusals and at the sender */
-    bool expected;      /* a retry after a refusal, at the promised time */
+    str_t service;     /* of the route's traffic split */
+    str_t account;     /* client account; empty if none. Its key stays with the sender */
+    addr_t caller;     /* address of the caller */
+    uint64_t revision; /* of the configuration used */
+    uint32_t sends;    /* attempts that may have reached a backend server */
 } transit_terms_t;
 
 typedef enum {
--- a/gateway/policy/return_time.c
+++ b/gateway/policy/return_time.c
@@ -2,31 +2,12 @@
 
 #include <math.h>
 
-/* A request that has lost more than this share of its total time is a retry after a refusal; less
- * is the spread of the callers' deadlines. */
-#define RETRY_SHARE 0.1
-/* One that has lost more than this share was not promised anything: such callers retry after a
- * third of their time. */
-#define UNPROMISED_SHARE 0.3
 /* Callers honour Retry-After up to this part of the time that they have left (the platform's
  * protocol). */
 #define HONOURED_PART (1.0 / 3)
 /* Least part of the work that is counted as this instance's own. */
 #define OWN_SHARE_MIN 1e-4
 
-bool
-return_time_is_retry(double left_ms, double lost_ms)
-{
-    return lost_ms > RETRY_SHARE * (left_ms + lost_ms);
-}
-
-bool
-return_time_is_expected(double left_ms, double lost_ms)
-{
-    return return_time_is_retry(left_ms, lost_ms) &&
-           lost_ms <= UNPROMISED_SHARE * (left_ms + lost_ms);
-}
-
 /* When callers can come back to a place, and how much later the next one. */
 typedef struct {
     double from_ms;
--- a/gateway/policy/return_time.h
+++ b/gateway/policy/return_time.h
@@ -61,7 +61,3 @@
 } return_time_t;
 
 return_time_t return_time_decide(const return_input_t *input);
-/* True if a request with that much time left and lost is a retry at a promised time. */
-bool return_time_is_expected(double left_ms, double lost_ms);
-/* True if the request is a retry after a refusal, promised or not. */
-bool return_time_is_retry(double left_ms, double lost_ms);
--- a/gateway/policy/shortage.c
+++ b/gateway/policy/shortage.c
@@ -12,9 +12,6 @@
 #define SHARE_MIN_PART 0.3
 /* Share of a route within its level, as a part of the level's. */
 #define ROUTE_MIN_PART 0.5
-/* Part of a route's share that goes to callers who came back, at most, unless their part of the
- * work is larger: their responses are late, and each takes the place of one in time. */
-#define RETURNED_MAX_PART 0.3
 /* Share that each request keeps, as a part of the share of all; at least a quarter is required. */
 #define ANY_MIN_PART 0.27
 /* Bounds on the factor by which the order within an urgency changes the share of an account: it
@@ -144,18 +141,6 @@
     return shortage != NULL && region < TOPOLOGY_REGIONS_MAX && shortage->is_short[region];
 }
 
-/* Share of the callers who came back (`returned`), or of new ones, where `share` of the new ones'
- * work is admitted in all, and the work for those who came back is `ratio` of it. */
-static double
-share_of_caller(double share, double ratio, bool returned)
-{
-    const double equal = share * ratio / (1 + ratio);
-    const double given = fmin(ratio, fmax(RETURNED_MAX_PART * share, equal));
-    if (returned)
-        return ratio > 0 ? given / ratio : 1;
-    return share - given;
-}
-
 double
 shortage_share_of_rank(const offered_mix_t *mix, const shortage_rank_t *rank, double share)
 {
@@ -164,12 +149,10 @@
     double all = 0;
     for (size_t i = 0; i < URGENCY_LEVELS; i++)
         all += work[i];
-    const double of_route = work[rank->route_urgency];
-    if (of_route <= 0)
+    if (work[rank->route_urgency] <= 0)
         return share;
     fill_room(work, share * all, ROUTE_MIN_PART * share, shares);
-    const double ratio = mix->returned[rank->urgency][rank->route_urgency] / of_route;
-    return share_of_caller(shares[rank->route_urgency], ratio, rank->returned);
+    return shares[rank->route_urgency];
 }
 
 double
--- a/gateway/policy/shortage.h
+++ b/gateway/policy/shortage.h
@@ -17,10 +17,8 @@
  *    of request is served at least a quarter as often as the average, also after refusals by
  *    backend servers.
  *  - The priority of a client account decides before that of the route. Within a level, the more
- *    urgent routes go first, and the share of each is at least half of that of its level. Retries
- *    after a refusal go before new requests on routes of like urgency, since a second refusal is
- *    final. They get at most 0.3 of the room of these routes, or their part of the offered work if
- *    that is more, so that new requests are still admitted.
+ *    urgent routes go first, and the share of each is at least half of that of its level.
+ *  - What became of an earlier try of the caller makes no difference: each try is a request.
  *  - In all cases, the share of each kind of request and of each account is at least 0.27 of that
  *    of all requests.
  *  - A region is short until the offered work is below 0.9 of the room.
@@ -62,7 +60,7 @@
 void shortage_update(shortage_t *shortage, const shortage_input_t *input, uint64_t now_ms);
 /* Share of the requests of an urgency that a region admits; 1 if `shortage` is NULL. */
 double shortage_admitted_share(const shortage_t *shortage, size_t region, unsigned urgency);
-/* Share of the requests that a region admits of any kind, account or caller: above a quarter of the
+/* Share of the requests that a region admits of any kind or account: above a quarter of the
  * share of all. */
 double shortage_least_share(const shortage_t *shortage, const offered_totals_t *work,
                             size_t region);
@@ -74,11 +72,10 @@
 typedef struct {
     unsigned urgency;
     unsigned route_urgency;
-    bool returned; /* its caller came back after a refusal */
 } shortage_rank_t;
 
 /* Share of the requests of a rank that is admitted where `share` of its level is: routes of higher
- * urgency go first, and callers who came back before others on a route. */
+ * urgency go first. */
 double shortage_share_of_rank(const offered_mix_t *mix, const shortage_rank_t *rank, double share);
 
 /* Shares that are admitted of the requests that a request belongs to. */
--- a/gateway/router.c
+++ b/gateway/router.c
@@ -216,7 +216,6 @@
                 .urgency = router_request_urgency(request),
                 .route_urgency = urgency_of(route->priority),
                 .bound = choice_allowed_regions(input) == 1,
-                .returned = return_time_is_retry(request->left_ms, request->prior_wait_ms),
                 .work_ms = router_expected_work_ms(router, route, request->service),
             },
         .account = account,
@@ -326,17 +325,6 @@
     return input;
 }
 
-double
-router_record_caller(router_t *router, const config_route_t *route, const service_t *service,
-                     uint32_t left_ms)
-{
-    const double all_ms = route_stats_count_caller(&router->routes, route->key, left_ms);
-    const double first_ms =
-        route_stats_count_first(&router->routes, route->key, left_ms, return_time_is_retry);
-    const double usual_ms = service->offered != NULL ? first_ms : all_ms;
-    return usual_ms > left_ms ? usual_ms - left_ms : 0;
-}
-
 void
 router_count_request(router_t *router, service_t *service)
 {
--- a/gateway/router.h
+++ b/gateway/router.h
@@ -76,8 +76,6 @@
     uint64_t object; /* from router_object() */
     bool has_object;
     uint32_t left_ms;     /* time the caller will still wait */
-    double prior_wait_ms; /* time already spent on refused requests, from router_record_caller() */
-    bool expected;        /* a retry after a refusal, at the promised time (policy/return_time.h) */
     uint64_t version;     /* use only backends of this software version; 0 for any */
     bool suspected;       /* a backend server crashed while running it */
     bool may_request_permit; /* a backend that needs a permit may be chosen (policy/backend_skip.h)
@@ -123,10 +121,6 @@
 choice_input_t router_explain_input(const router_t *router, const config_route_t *route,
                                     str_t service, uint64_t object);
 
-/* Records the remaining deadline of a caller. Returns the time in milliseconds that it has already
- * spent, more than 0 if it retries after a refusal. */
-double router_record_caller(router_t *router, const config_route_t *route, const service_t *service,
-                            uint32_t left_ms);
 /* Decides when a caller for whose request there is no room is to come back, and records that it
  * will. `rejected`: its backend server turned the request away because it was full. */
 return_time_t router_return_time(router_t *router, const router_request_t *request, bool rejected);
--- a/gateway/state/offered_work.c
+++ b/gateway/state/offered_work.c
@@ -21,10 +21,6 @@
     const size_t region = request->region;
     if (region >= TOPOLOGY_REGIONS_MAX)
         return;
-    if (request->returned) {
-        work->pending_mix.returned[request->urgency][request->route_urgency] += request->work_ms;
-        return;
-    }
     work->pending.slots[region][request->urgency] += request->work_ms;
     if (request->bound)
         work->pending.bound[region] += request->work_ms;
@@ -63,10 +59,8 @@
 update_mix(offered_mix_t *mix, offered_mix_t *pending, double gain, double passed_ms)
 {
     for (size_t i = 0; i < URGENCY_LEVELS; i++) {
-        for (size_t k = 0; k < URGENCY_LEVELS; k++) {
+        for (size_t k = 0; k < URGENCY_LEVELS; k++)
             update_average(&mix->slots[i][k], &pending->slots[i][k], gain, passed_ms);
-            update_average(&mix->returned[i][k], &pending->returned[i][k], gain, passed_ms);
-        }
     }
 }
 
--- a/gateway/state/offered_work.h
+++ b/gateway/state/offered_work.h
@@ -1,7 +1,7 @@
 /*
  * Offered work: how many slots the requests for a service would keep busy, by the region that is to
- * serve them and by urgency, whether they are admitted or not. A request counts at its first try
- * only: if its callers' returns counted, refusals would raise the work that leads to refusals.
+ * serve them and by urgency, whether they are admitted or not. A caller who was refused and comes
+ * back offers the work again: each try is a request, and only what is admitted keeps slots busy.
  *
  * Owns one instance's moving averages, which heartbeats send to the others, and beside them how
  * many attempts found all slots of their backend server busy. The totals of all instances show
@@ -33,8 +33,6 @@
  * two differ where the priority of a client account takes precedence over that of the route. */
 typedef struct {
     double slots[URGENCY_LEVELS][URGENCY_LEVELS];
-    /* Besides, for callers who came back after a refusal. */
-    double returned[URGENCY_LEVELS][URGENCY_LEVELS];
 } offered_mix_t;
 
 typedef struct {
@@ -53,7 +51,6 @@
     unsigned urgency; /* of the client account, or of the route without one */
     unsigned route_urgency;
     bool bound;     /* no other region may serve it */
-    bool returned;  /* its caller came back after a refusal */
     double work_ms; /* time for which it is expected to keep a slot busy */
 } offered_request_t;
 
--- a/gateway/state/route_stats.c
+++ b/gateway/state/route_stats.c
@@ -1,10 +1,6 @@
 #include "gateway/state/latency.h"
 #include "gateway/state/route_stats.h"
 
-/* Weight of a new caller in the moving average of the remaining time. */
-#define LEFT_TIME_GAIN 0.02
-/* The same for a caller that came back after a refusal. */
-#define CAME_BACK_GAIN 0.001
 /* Step of the median estimate towards a new value, as a fraction of it. */
 #define MEDIAN_STEP 0.02
 /* Weight of a new response in the moving average of work. */
@@ -91,32 +87,3 @@
     advance_shortest(&slot, now_ms);
     return shorter_ms(slot.shortest_ms, slot.shortest_before_ms);
 }
-
-double
-route_stats_count_caller(route_stats_t *stats, uint64_t route_key, uint32_t left_ms)
-{
-    double *average = &get_slot(stats, route_key)->average_left_ms;
-    if (*average == 0)
-        *average = left_ms;
-    *average += LEFT_TIME_GAIN * (left_ms - *average);
-    return *average;
-}
-
-double
-route_stats_first_left_ms(const route_stats_t *stats, uint64_t route_key)
-{
-    const route_stat_t *slot = &stats->slots[route_key % ROUTE_STATS_SLOTS];
-    return slot->route_key == route_key ? slot->first_left_ms : 0;
-}
-
-double
-route_stats_count_first(route_stats_t *stats, uint64_t route_key, uint32_t left_ms,
-                        bool (*came_back)(double left_ms, double lost_ms))
-{
-    double *average = &get_slot(stats, route_key)->first_left_ms;
-    if (*average == 0)
-        *average = left_ms;
-    const double gain = came_back(left_ms, *average - left_ms) ? CAME_BACK_GAIN : LEFT_TIME_GAIN;
-    *average += gain * (left_ms - *average);
-    return *average;
-}
--- a/gateway/state/route_stats.h
+++ b/gateway/state/route_stats.h
@@ -1,5 +1,5 @@
 /*
- * Route statistics: the median latency of a route's responses, and how long its callers still wait.
+ * Route statistics: the median latency of a route's responses, and how long its runs take.
  *
  * Owns a hash table of fixed size, indexed by the route's key. On a collision the route used last
  * replaces the other. slow.h and admission.h use the figures.
@@ -19,10 +19,6 @@
 
 typedef struct {
     uint64_t route_key; /* config_route_t.key */
-    /* Moving average of the time that callers still wait; 0 before the first. */
-    double average_left_ms;
-    /* The same without callers that came back after a refusal; 0 before the first. */
-    double first_left_ms;
     /* Estimated median latency of complete responses; 0 before the first. */
     double median_ms;
     /* Moving average of the time that a backend worked on a request, without queueing and at the
@@ -53,11 +49,3 @@
 /* Shortest run of the last one to two periods of SHORTEST_KEPT_MS in milliseconds; 0 without any.
  */
 double route_stats_shortest_ms(const route_stats_t *stats, uint64_t route_key, uint64_t now_ms);
-/* Counts a caller that still waits for `left_ms`; returns the average in milliseconds. */
-double route_stats_count_caller(route_stats_t *stats, uint64_t route_key, uint32_t left_ms);
-/* The moving average without callers that came back; 0 before the first. */
-double route_stats_first_left_ms(const route_stats_t *stats, uint64_t route_key);
-/* Counts a caller for it, and returns it: `came_back` decides by the time left and lost. These
- * count little, as many of them would hide the others, but for a while of nothing else. */
-double route_stats_count_first(route_stats_t *stats, uint64_t route_key, uint32_t left_ms,
-                               bool (*came_back)(double left_ms, double lost_ms));
