Order under shortage: requests are refused only for more urgent ones

What callers saw: refused at random while the work offered to the region was between 0.8 and all of its slots, and, above that, also where nobody more urgent asked for the room; told their whole time left. On a route of less urgency within its level half of the level's share was kept, whatever the rule.

Cause: the room was 0.8 of the slots, from the use at which waits are a fifth of a run: an aim for response times, not the caller's time. The most urgent level was held back to the room like others. The room shrank once 0.3 of the attempts found all slots busy, a figure for that use.

Now the room is all slots, and how long a request queues for one is up to its caller's time (admission). The most urgent level that is offered is not held back; where there are client accounts it is, since these share a level's room (an account at many times its usual must cost the others nothing). The room shrinks when backend servers reject attempts, beyond a quarter of what the retry budget of the settings can send again.

OfferedWork tells rejected attempts in a field of its own; busy (5) is no longer sent or read, so that earlier versions see none and do not shrink their room.

--- a/gateway/membership/member_offers.c
+++ b/gateway/membership/member_offers.c
@@ -15,7 +15,7 @@
             out->slots[offer->region][k] += offer->slots[k];
         out->bound[offer->region] += offer->bound;
         out->attempts[offer->region] += offer->attempts;
-        out->busy[offer->region] += offer->busy;
+        out->rejected[offer->region] += offer->rejected;
     }
 }
 
--- a/gateway/membership/members.h
+++ b/gateway/membership/members.h
@@ -68,7 +68,7 @@
     double slots[URGENCY_LEVELS];
     double bound;
     double attempts;
-    double busy;
+    double rejected;
 } member_offer_t;
 
 /* Offered work that was received; `items` is NULL if there was none. */
--- a/gateway/membership/offer_message.c
+++ b/gateway/membership/offer_message.c
@@ -24,7 +24,7 @@
         item->slots = out->slots[count];
         item->bound = (float)work->bound[i];
         item->attempts = (float)work->attempts[i];
-        item->busy = (float)work->busy[i];
+        item->rejected = (float)work->rejected[i];
         out->list[count++] = item;
     }
     out->count = count;
@@ -41,7 +41,7 @@
         .region = topology_region(topology, str_from(work->region)),
         .bound = work->bound,
         .attempts = work->attempts,
-        .busy = work->busy,
+        .rejected = work->rejected,
     };
     for (size_t i = 0; i < work->n_slots && i < URGENCY_LEVELS; i++)
         out->slots[i] = work->slots[i];
@@ -82,7 +82,7 @@
                 .region = region,
                 .bound = work->bound[region],
                 .attempts = work->attempts[region],
-                .busy = work->busy[region],
+                .rejected = work->rejected[region],
             };
             memcpy(items[count].slots, work->slots[region], sizeof(items[count].slots));
             count++;
--- a/gateway/order.c
+++ b/gateway/order.c
@@ -39,17 +39,24 @@
 }
 
 void
-order_update(service_t *service, const topology_t *topology, const double *slots, uint64_t now_ms)
+order_update(service_t *service, const order_terms_t *terms, uint64_t now_ms)
 {
+    const size_t region_count = terms->topology->region_count;
     bool was_short[TOPOLOGY_REGIONS_MAX];
     service_order_work(service);
     memcpy(was_short, service->shortage->is_short, sizeof(was_short));
-    const shortage_input_t input = {service->fleet_offered, slots, topology->region_count};
+    const shortage_input_t input = {
+        .work = service->fleet_offered,
+        .slots = terms->slots,
+        .region_count = region_count,
+        .has_accounts = terms->has_accounts,
+        .retry_ratio = terms->retry_ratio,
+    };
     shortage_update(service->shortage, &input, now_ms);
     account_work_update(service->account_work, now_ms);
-    fair_share_update(service->fair_share, service->account_work, service->shortage,
-                      topology->region_count, now_ms);
-    log_changes(service, was_short, topology, slots);
+    fair_share_update(service->fair_share, service->account_work, service->shortage, region_count,
+                      now_ms);
+    log_changes(service, was_short, terms->topology, terms->slots);
 }
 
 void
--- a/gateway/order.h
+++ b/gateway/order.h
@@ -21,9 +21,16 @@
 
 /* True if the configuration has client accounts or routes of different urgency. */
 bool order_applies(const config_t *config);
-/* Updates the shares of a service; `slots`: of usable backend servers, by region. */
-void order_update(service_t *service, const topology_t *topology, const double *slots,
-                  uint64_t now_ms);
+/* What the shares of a service are computed with, besides its own state. */
+typedef struct {
+    const topology_t *topology;
+    const double *slots; /* of usable backend servers, by region */
+    bool has_accounts;   /* the configuration has client accounts */
+    double retry_ratio;  /* of the retry budget (shortage.h) */
+} order_terms_t;
+
+/* Updates the shares of a service. */
+void order_update(service_t *service, const order_terms_t *terms, uint64_t now_ms);
 /* Counts the work of a request among that of its account. */
 void order_count(service_t *service, const order_request_t *request);
 /* Decides on a request, with a random number for each that is not sure to be admitted. */
--- a/gateway/path/dispatch.c
+++ b/gateway/path/dispatch.c
@@ -430,7 +430,8 @@
     ex->sends += ex->attempt.sent;
     ex->possible_runs += outcome != ATTEMPT_NOT_RUN;
     if (ex->attempt.head_seen)
-        router_count_attempt(ex->service, exchange_last_tried(ex), ex->attempt.slots_full);
+        router_count_attempt(ex->service, exchange_last_tried(ex),
+                             attempt_found_no_room(&ex->attempt));
     const bool says_nothing =
         outcome != ATTEMPT_ANSWERED && attempt_waited_for_caller(&ex->attempt);
     if (ex->attempt.closed && !says_nothing)
--- a/gateway/policy/shortage.c
+++ b/gateway/policy/shortage.c
@@ -4,14 +4,10 @@
 
 enum { MS_PER_S = 1000 };
 
-/* Use of the slots above which requests wait for them too often. */
-#define ROOM_PER_SLOT 0.8
 /* A region is short until less than this part of its room is asked for. */
 #define SHORT_UNTIL 0.9
 /* Share of a level, as a part of the most urgent one's; at least a quarter must be kept. */
 #define SHARE_MIN_PART 0.3
-/* Share of a route within its level, as a part of the level's. */
-#define ROUTE_MIN_PART 0.5
 /* Share that each request keeps, as a part of the share of all; at least a quarter is required. */
 #define ANY_MIN_PART 0.27
 /* Bounds on the factor by which the order within an urgency changes the share of an account: it
@@ -23,11 +19,11 @@
 /* Greatest changes of shares, per second. */
 #define FALL_PER_S 0.5
 #define RISE_PER_S 0.2
-/* Shares of attempts that find all slots busy, above and below which the room is corrected. */
-#define BUSY_HIGH 0.3
-#define BUSY_LOW 0.15
+/* Rejected attempts that are borne, as a part of the retry budget: most of it is for backend
+ * servers that fail. */
+#define REJECTED_MAX_PART 0.25
 /* The room is not corrected where less than this part of it is asked for, or on fewer attempts a
- * second: attempts queue at single backend servers then, while others have room. */
+ * second: single backend servers are full then, while others have room. */
 #define CORRECTED_FROM 0.8
 #define CORRECTED_ATTEMPTS_MIN 5.0
 /* Greatest change of the correction, per second, and its limit. */
@@ -43,22 +39,19 @@
 double
 shortage_room(const shortage_t *shortage, size_t region, double slots)
 {
-    return slots * ROOM_PER_SLOT * (1 - shortage->withheld[region]);
+    return slots * (1 - shortage->withheld[region]);
 }
 
 static void
 correct_room(shortage_t *shortage, const shortage_input_t *input, size_t region, double passed_s)
 {
     const double attempts = input->work->attempts[region];
-    const double busy = attempts > 0 ? input->work->busy[region] / attempts : 0;
-    const double room = input->slots[region] * ROOM_PER_SLOT;
-    const bool is_loaded = attempts >= CORRECTED_ATTEMPTS_MIN &&
-                           offered_totals_slots(input->work, region) >= CORRECTED_FROM * room;
-    double change = 0;
-    if (is_loaded && busy > BUSY_HIGH)
-        change = (busy - BUSY_HIGH) / (1 - BUSY_HIGH);
-    else if (!is_loaded || busy < BUSY_LOW)
-        change = -1;
+    const double rejected = attempts > 0 ? input->work->rejected[region] / attempts : 0;
+    const double borne = REJECTED_MAX_PART * input->retry_ratio;
+    const bool is_loaded =
+        attempts >= CORRECTED_ATTEMPTS_MIN &&
+        offered_totals_slots(input->work, region) >= CORRECTED_FROM * input->slots[region];
+    const double change = is_loaded && borne > 0 ? clamp(rejected / borne - 1, -1, 1) : -1;
     shortage->withheld[region] =
         clamp(shortage->withheld[region] + change * CORRECTION_PER_S * passed_s, 0, CORRECTION_MAX);
 }
@@ -77,6 +70,16 @@
     }
 }
 
+/* The most urgent level that is offered. */
+static unsigned
+first_level(const double *work)
+{
+    unsigned level = 0;
+    while (level + 1 < URGENCY_LEVELS && work[level] <= 0)
+        level++;
+    return level;
+}
+
 /* Share that each level keeps. */
 static double
 least_share(const double *work, double room)
@@ -84,8 +87,8 @@
     double others = 0;
     for (size_t i = 1; i < URGENCY_LEVELS; i++)
         others += work[i];
-    const double first_level = work[0] + SHARE_MIN_PART * others;
-    return SHARE_MIN_PART * (first_level > room ? room / first_level : 1);
+    const double needed = work[0] + SHARE_MIN_PART * others;
+    return SHARE_MIN_PART * (needed > room ? room / needed : 1);
 }
 
 static void
@@ -97,8 +100,12 @@
     const double offered = offered_totals_slots(input->work, region);
     const double limit = shortage->is_short[region] ? SHORT_UNTIL * room : room;
     shortage->is_short[region] = input->slots[region] > 0 && offered > limit;
-    if (shortage->is_short[region] && offered > room)
-        fill_room(work, room, least_share(work, room), shares);
+    if (shortage->is_short[region] && offered > room) {
+        const double least = input->has_accounts ? least_share(work, room) : SHARE_MIN_PART;
+        fill_room(work, room, least, shares);
+        if (!input->has_accounts)
+            shares[first_level(work)] = 1;
+    }
     for (size_t i = 0; i < URGENCY_LEVELS; i++) {
         double *held = &shortage->held[region][i];
         *held += clamp(1 - shares[i] - *held, -RISE_PER_S * passed_s, FALL_PER_S * passed_s);
@@ -151,7 +158,7 @@
         all += work[i];
     if (work[rank->route_urgency] <= 0)
         return share;
-    fill_room(work, share * all, ROUTE_MIN_PART * share, shares);
+    fill_room(work, share * all, SHARE_MIN_PART * share, shares);
     return shares[rank->route_urgency];
 }
 
--- a/gateway/policy/shortage.h
+++ b/gateway/policy/shortage.h
@@ -2,34 +2,37 @@
  * Order under shortage: for one service, the share of the requests of each urgency that each region
  * admits.
  *
- * Load it answers: more work is offered to a region than its backend servers can do in time, and
- * requests of different urgency compete for their slots.
+ * Load it answers: more work is offered to a region than its backend servers have slots for, and
+ * requests of different urgency compete for these. Whom to serve first is the operators' decision:
+ * the priority of a route, and that of a client account before it.
  *
  * Inputs: the work that all instances' callers offer, in slots by region and urgency
- * (offered_work.h); the slots of usable backend servers by region; how many attempts found all
- * slots of their backend server busy.
+ * (offered_work.h); the slots of usable backend servers by region; how many attempts were rejected
+ * by backend servers that were full.
  *
- *  - All requests are admitted while the offered work is within the room: 0.8 of the slots. At that
- *    use the mean wait for one of ten slots is a fifth of a request's work (Erlang C); at 0.87 it
- *    is twice that, and responses become late.
+ *  - All requests are admitted while the offered work is within the room, which is all slots. How
+ *    long a request may queue for one is a matter of its caller's time (admission.h).
  *  - Above it the region is short. The room goes to the most urgent level first, then to the next.
- *    The admitted share of each level is at least 0.3 of that of the most urgent one. So each kind
- *    of request is served at least a quarter as often as the average, also after refusals by
+ *    The admitted share of each level is at least 0.3 of that of the most urgent one: no kind of
+ *    request may be served less than a quarter as often as the average, also after rejections by
  *    backend servers.
+ *  - Requests are refused only for more urgent ones. The most urgent level that is offered is not
+ *    held back, unless there are client accounts: of these, one that offers many times its usual
+ *    must not take the room of the others (fair_share.h).
  *  - The priority of a client account decides before that of the route. Within a level, the more
- *    urgent routes go first, and the share of each is at least half of that of its level.
+ *    urgent routes go first, and the share of each is at least 0.3 of that of its level, as above.
  *  - What became of an earlier try of the caller makes no difference: each try is a request.
  *  - In all cases, the share of each kind of request and of each account is at least 0.27 of that
  *    of all requests.
  *  - A region is short until the offered work is below 0.9 of the room.
  *  - Shares fall by at most 0.5 a second and rise by at most 0.2 a second: admitting too much
- * leaves a queue that delays all later requests, admitting too little only leaves slots idle.
+ *    leaves a queue that delays all later requests, admitting too little only leaves slots idle.
  *  - The offered work may be higher than counted: runs without the object in memory take longer
- *    than the mean, and a network partition hides the work of other instances. Attempts then find
- *    all slots busy. While more than 0.3 of them do (the figure for ten slots at a use of 0.8) and
- *    the offered work is near the room, the room shrinks by at most 0.05 a second, to no less than
- *    half: a partition in the middle hides half of the work. It grows back once fewer than 0.15 do
- *    or the offered work is lower.
+ *    than the mean, and a network partition hides the work of other instances. Backend servers then
+ *    reject attempts. While they reject more than a quarter of the attempts that the retry budget
+ *    allows to be sent again, and the offered work is near the room, the room shrinks by at most
+ *    0.05 a second, to no less than half: a partition in the middle hides half of the work. It
+ *    grows back once they reject fewer or the offered work is lower.
  *  - A region without usable backend servers is not short: its requests go to other regions.
  *
  * All instances compute the shares from the same totals, so that they need no coordinator. The
@@ -54,6 +57,8 @@
     const offered_totals_t *work; /* of all instances */
     const double *slots;          /* of usable backend servers, by region */
     size_t region_count;
+    bool has_accounts;  /* the configuration has client accounts */
+    double retry_ratio; /* attempts that the retry budget allows beyond the first of each request */
 } shortage_input_t;
 
 /* Moves the shares towards those that the input calls for. */
--- a/gateway/router.c
+++ b/gateway/router.c
@@ -398,10 +398,10 @@
 }
 
 void
-router_count_attempt(service_t *service, const backend_t *backend, bool busy)
+router_count_attempt(service_t *service, const backend_t *backend, bool rejected)
 {
     if (service->offered != NULL)
-        offered_work_count_attempt(service->offered, backend->region, busy);
+        offered_work_count_attempt(service->offered, backend->region, rejected);
 }
 
 void
--- a/gateway/router.h
+++ b/gateway/router.h
@@ -75,9 +75,9 @@
     service_t *service;
     uint64_t object; /* from router_object() */
     bool has_object;
-    uint32_t left_ms;     /* time the caller will still wait */
-    uint64_t version;     /* use only backends of this software version; 0 for any */
-    bool suspected;       /* a backend server crashed while running it */
+    uint32_t left_ms;        /* time the caller will still wait */
+    uint64_t version;        /* use only backends of this software version; 0 for any */
+    bool suspected;          /* a backend server crashed while running it */
     bool may_request_permit; /* a backend that needs a permit may be chosen (policy/backend_skip.h)
                               */
     backend_t *const *tried;
@@ -139,8 +139,8 @@
 void router_attempt_started(router_t *router, service_t *service, backend_t *backend);
 void router_attempt_finished(router_t *router, service_t *service, backend_t *backend,
                              uint64_t sent_ms);
-/* Counts an attempt that was answered; `busy`: its backend had no free slot. */
-void router_count_attempt(service_t *service, const backend_t *backend, bool busy);
+/* Counts an attempt that was answered; `rejected`: its backend was full. */
+void router_count_attempt(service_t *service, const backend_t *backend, bool rejected);
 /* Records the latency of a complete response. */
 void router_count_answer(router_t *router, const config_route_t *route, service_t *service,
                          double latency_ms);
--- a/gateway/router_tick.c
+++ b/gateway/router_tick.c
@@ -35,10 +35,17 @@
 static void
 update_order(const router_t *router, service_t *service, const double *slots)
 {
-    if (router->has_order)
-        order_update(service, router->topology, slots, loop_now(router->loop));
-    else
+    if (!router->has_order) {
         service_end_order(service);
+        return;
+    }
+    const order_terms_t terms = {
+        .topology = router->topology,
+        .slots = slots,
+        .has_accounts = router->catalog.config->has_accounts,
+        .retry_ratio = router->retry_bounds.ratio,
+    };
+    order_update(service, &terms, loop_now(router->loop));
 }
 
 static void
--- a/gateway/state/offered_work.c
+++ b/gateway/state/offered_work.c
@@ -28,12 +28,12 @@
 }
 
 void
-offered_work_count_attempt(offered_work_t *work, size_t region, bool busy)
+offered_work_count_attempt(offered_work_t *work, size_t region, bool rejected)
 {
     if (region >= TOPOLOGY_REGIONS_MAX)
         return;
     work->pending.attempts[region] += MS_PER_S;
-    work->pending.busy[region] += busy ? MS_PER_S : 0;
+    work->pending.rejected[region] += rejected ? MS_PER_S : 0;
 }
 
 static void
@@ -52,7 +52,7 @@
         update_average(&average->slots[region][k], &pending->slots[region][k], gain, passed_ms);
     update_average(&average->bound[region], &pending->bound[region], gain, passed_ms);
     update_average(&average->attempts[region], &pending->attempts[region], gain, passed_ms);
-    update_average(&average->busy[region], &pending->busy[region], gain, passed_ms);
+    update_average(&average->rejected[region], &pending->rejected[region], gain, passed_ms);
 }
 
 static void
@@ -85,7 +85,7 @@
             totals->slots[i][k] += other->slots[i][k];
         totals->bound[i] += other->bound[i];
         totals->attempts[i] += other->attempts[i];
-        totals->busy[i] += other->busy[i];
+        totals->rejected[i] += other->rejected[i];
     }
 }
 
--- a/gateway/state/offered_work.h
+++ b/gateway/state/offered_work.h
@@ -4,7 +4,7 @@
  * back offers the work again: each try is a request, and only what is admitted keeps slots busy.
  *
  * Owns one instance's moving averages, which heartbeats send to the others, and beside them how
- * many attempts found all slots of their backend server busy. The totals of all instances show
+ * many attempts full backend servers rejected. The totals of all instances show
  * which regions are short of slots. Demand measured from the requests in progress (services.h) does
  * not: it grows with the queues. Time is passed in.
  */
@@ -24,9 +24,9 @@
 typedef struct {
     double slots[TOPOLOGY_REGIONS_MAX][URGENCY_LEVELS];
     double bound[TOPOLOGY_REGIONS_MAX]; /* of these, for requests that no other region may serve */
-    /* Attempts that ended there, a second, and those that found all slots of their backend busy. */
+    /* Attempts that ended there, a second, and those of them that a full backend server rejected. */
     double attempts[TOPOLOGY_REGIONS_MAX];
-    double busy[TOPOLOGY_REGIONS_MAX];
+    double rejected[TOPOLOGY_REGIONS_MAX];
 } offered_totals_t;
 
 /* What a level of urgency consists of, by the urgency of the routes; slots over all regions. The
@@ -55,8 +55,8 @@
 } offered_request_t;
 
 void offered_work_count(offered_work_t *work, const offered_request_t *request);
-/* Counts an attempt that ended; `busy`: its backend server had no free slot. */
-void offered_work_count_attempt(offered_work_t *work, size_t region, bool busy);
+/* Counts an attempt that ended; `rejected`: its backend server was full. */
+void offered_work_count_attempt(offered_work_t *work, size_t region, bool rejected);
 /* Updates the averages. */
 void offered_work_update(offered_work_t *work, uint64_t now_ms);
 /* Adds `other` to `totals`. */
--- a/peer/peer.pb-c.c
+++ b/peer/peer.pb-c.c
@@ -2365,12 +2365,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "busy",
-    5,
+    "rejected",
+    6,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FLOAT,
     0,   /* quantifier_offset */
-    offsetof(Iris__OfferedWork, busy),
+    offsetof(Iris__OfferedWork, rejected),
     NULL,
     NULL,
     0,             /* flags */
@@ -2380,13 +2380,14 @@
 static const unsigned iris__offered_work__field_indices_by_name[] = {
   3,   /* field[3] = attempts */
   2,   /* field[2] = bound */
-  4,   /* field[4] = busy */
   0,   /* field[0] = region */
+  4,   /* field[4] = rejected */
   1,   /* field[1] = slots */
 };
-static const ProtobufCIntRange iris__offered_work__number_ranges[1 + 1] =
+static const ProtobufCIntRange iris__offered_work__number_ranges[2 + 1] =
 {
   { 1, 0 },
+  { 6, 4 },
   { 0, 5 }
 };
 const ProtobufCMessageDescriptor iris__offered_work__descriptor =
@@ -2400,7 +2401,7 @@
   5,
   iris__offered_work__field_descriptors,
   iris__offered_work__field_indices_by_name,
-  1,  iris__offered_work__number_ranges,
+  2,  iris__offered_work__number_ranges,
   (ProtobufCMessageInit) iris__offered_work__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/peer/peer.pb-c.h
+++ b/peer/peer.pb-c.h
@@ -230,9 +230,9 @@
    */
   float attempts;
   /*
-   * of these, the ones that found all slots of their backend server busy
+   * of these, the ones that a full backend server rejected
    */
-  float busy;
+  float rejected;
 };
 #define IRIS__OFFERED_WORK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&iris__offered_work__descriptor) \
