Refusals without a known room: told when there may be news, not a fixed time

What callers saw: 0.40 s whatever the reason, and 0.8 s less the uptime from an instance that had just started, although the instance knew when a suspended backend server is tried again and when it reads the store itself.

Cause: both figures came from trials of how many callers were in time, and from the assumption that callers retry only once, which no page states (PROTOCOL.md: a few more times).

Now Retry-After is when the reason may be gone by what is known: a suspended backend server is tried again, a skipped one is available, a starting instance reads the store and a heartbeat has passed. Where nothing is known it is one heartbeat, which brings what is new of backend servers and configurations. All are spread over another heartbeat, also those of skipped backend servers (200 ms before).

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -9,6 +9,7 @@
 #include "gateway/admin.h"
 #include "gateway/endpoints.h"
 #include "gateway/gateway_state.h"
+#include "gateway/state/store_state.h"
 
 /* ---- request handlers ---- */
 
@@ -175,6 +176,7 @@
         .ctx = gateway,
     };
     store_watch_init(&gateway->store_watch, &watch_conf);
+    gateway->router.reads_store_at_ms = store_state_start_at_ms(&gateway->store_watch);
     const view_push_conf_t push_conf = {
         .loop = gateway->loop,
         .hub = gateway->hub,
--- a/gateway/path/completion.c
+++ b/gateway/path/completion.c
@@ -100,32 +100,45 @@
     exchange_release(ex);
 }
 
+static retry_news_t
+retry_news(const exchange_t *ex)
+{
+    router_t *router = ex->owner->router;
+    const uint64_t now_ms = exchange_now_ms(ex);
+    return (retry_news_t){
+        .interval_ms = router->news_interval_ms,
+        .available_in_ms = ex->choice.wait_ms,
+        .reads_in_ms = router->reads_store_at_ms > now_ms ? router->reads_store_at_ms - now_ms : 0,
+        .point = rng_unit(&router->rng),
+    };
+}
+
 void
 completion_refuse(exchange_t *ex, outcome_t why)
 {
-    const uint64_t uptime_ms = exchange_now_ms(ex) - ex->owner->router->started_ms;
-    const final_response_t response = final_response(why, ex->may_have_run, uptime_ms);
+    const retry_news_t news = retry_news(ex);
+    const final_response_t response = final_response(why, ex->may_have_run, &news);
     send_final_response(ex, &response);
 }
 
-static bool
-is_full(choice_reason_t reason)
+static outcome_t
+unsent_outcome(choice_reason_t reason)
 {
-    return reason == CHOICE_FULL || reason == CHOICE_SHORTAGE;
+    switch (reason) {
+    case CHOICE_FULL:
+    case CHOICE_SHORTAGE:
+        return OUTCOME_NO_CAPACITY;
+    case CHOICE_ALL_SKIPPED:
+        return OUTCOME_ALL_SKIPPED;
+    default:
+        return OUTCOME_NO_BACKEND;
+    }
 }
 
 void
 completion_refuse_no_backend(exchange_t *ex)
 {
-    if (ex->choice.reason != CHOICE_ALL_SKIPPED) {
-        completion_refuse(ex,
-                          is_full(ex->choice.reason) ? OUTCOME_NO_CAPACITY : OUTCOME_NO_BACKEND);
-        return;
-    }
-    const double point = rng_unit(&ex->owner->router->rng);
-    const final_response_t response =
-        final_response_all_skipped(ex->may_have_run, ex->choice.wait_ms, point);
-    send_final_response(ex, &response);
+    completion_refuse(ex, unsent_outcome(ex->choice.reason));
 }
 
 /* No Retry-After: the caller has no time to come back. */
@@ -153,7 +166,8 @@
 completion_refuse_quarantined(exchange_t *ex, uint64_t held_ms)
 {
     const bool has_backend = router_has_usable_backend(ex->owner->router, ex->service);
-    const final_response_t response = final_response_held(held_ms, has_backend);
+    const retry_news_t news = retry_news(ex);
+    const final_response_t response = final_response_held(held_ms, &news, has_backend);
     suspects_count_refused(ex->owner->suspects, &ex->fingerprint);
     send_final_response(ex, &response);
 }
--- a/gateway/policy/choice.c
+++ b/gateway/policy/choice.c
@@ -142,6 +142,15 @@
     best->region = backend->region;
 }
 
+/* Notes when a backend that is suspended may be sent requests again. */
+static void
+record_suspended(const choice_input_t *input, const backend_t *backend, best_skipped_t *best)
+{
+    const uint64_t wait_ms = backend_suspended_ms(backend, input->now_ms);
+    if (wait_ms > 0 && (best->wait_ms == 0 || wait_ms < best->wait_ms))
+        best->wait_ms = wait_ms;
+}
+
 static size_t
 collect_candidates(const choice_input_t *input, candidate_t *out, best_skipped_t *skipped)
 {
@@ -155,8 +164,9 @@
             backend_skip_reason(backend, input->may_request_permit, input->now_ms);
         if (reason != SKIP_NONE)
             record_skipped(input, backend, reason, skipped);
-        else if (backend_is_usable(backend, input->now_ms) &&
-                 within_cold_start_rate(input, backend))
+        else if (!backend_is_usable(backend, input->now_ms))
+            record_suspended(input, backend, skipped);
+        else if (within_cold_start_rate(input, backend))
             out[count++] =
                 (candidate_t){.backend = backend, .score = rendezvous_score(input, backend)};
     }
--- a/gateway/policy/choice.h
+++ b/gateway/policy/choice.h
@@ -64,7 +64,7 @@
     backend_t *backend; /* NULL if none was chosen; owned by the backend list */
     choice_reason_t reason;
     skip_reason_t skip_reason; /* why a higher-ranked backend was skipped */
-    uint64_t wait_ms;          /* CHOICE_ALL_SKIPPED: time until one is available; 0: not known */
+    uint64_t wait_ms; /* CHOICE_ALL_SKIPPED, CHOICE_NONE: until one is available; 0: not known */
 } choice_t;
 
 enum { CHOICE_VERSIONS_MAX = 4 };
--- a/gateway/policy/final_response.c
+++ b/gateway/policy/final_response.c
@@ -2,25 +2,27 @@
 
 #include <http_parser.h>
 
-/* Retry-After of refused requests. Measured together with LATE_LOAD_MAX of admission.c (commit
- * ea47030), not alone. */
-enum { RETRY_AFTER_MS = 400 };
-
-/* Upper bound of the random delay added to a known Retry-After. */
-enum { RETRY_JITTER_MS = 200 };
-
-/* Uptime at which most instances serve after a simultaneous restart: nine in ten of 295 served
- * after 0.71 s. A larger value makes callers retry too late for their objective: with 1.6 s 3,423
- * of 8,540 requests were in time in the two seconds after the restart, with 0.4 s at any uptime
- * 5,190. */
-enum { STARTUP_MS = 800 };
+/* Earliest time at which the reason for the refusal may be gone, in milliseconds from now. */
+static uint64_t
+earliest_ms(outcome_t outcome, const retry_news_t *news)
+{
+    switch (outcome) {
+    case OUTCOME_NO_CONFIGURATION:
+        return news->reads_in_ms + news->interval_ms;
+    case OUTCOME_NO_BACKEND:
+    case OUTCOME_ALL_SKIPPED:
+        return news->available_in_ms > 0 ? news->available_in_ms : news->interval_ms;
+    default:
+        return news->interval_ms;
+    }
+}
 
 static uint32_t
-retry_after_ms(outcome_t outcome, uint64_t uptime_ms)
+retry_after_ms(outcome_t outcome, const retry_news_t *news)
 {
-    const bool starting =
-        outcome == OUTCOME_NO_CONFIGURATION && uptime_ms + RETRY_AFTER_MS < STARTUP_MS;
-    return starting ? (uint32_t)(STARTUP_MS - uptime_ms) : RETRY_AFTER_MS;
+    const uint64_t spread_ms = (uint64_t)(news->point * news->interval_ms);
+    const uint64_t after_ms = earliest_ms(outcome, news) + spread_ms;
+    return after_ms < UINT32_MAX ? (uint32_t)after_ms : UINT32_MAX;
 }
 
 outcome_t
@@ -30,7 +32,7 @@
 }
 
 final_response_t
-final_response(outcome_t why, bool may_have_run, uint64_t uptime_ms)
+final_response(outcome_t why, bool may_have_run, const retry_news_t *news)
 {
     const outcome_t outcome = why == OUTCOME_TIMEOUT ? OUTCOME_TIMEOUT_UNSENT : why;
     if (why == OUTCOME_NO_ROUTE)
@@ -41,7 +43,7 @@
         return (final_response_t){HTTP_STATUS_GATEWAY_TIMEOUT, 0, why};
     if (may_have_run)
         return (final_response_t){HTTP_STATUS_BAD_GATEWAY, 0, OUTCOME_UNKNOWN};
-    return (final_response_t){HTTP_STATUS_SERVICE_UNAVAILABLE, retry_after_ms(outcome, uptime_ms),
+    return (final_response_t){HTTP_STATUS_SERVICE_UNAVAILABLE, retry_after_ms(outcome, news),
                               outcome};
 }
 
@@ -51,17 +53,6 @@
     return (final_response_t){HTTP_STATUS_TOO_MANY_REQUESTS, retry_after_ms, OUTCOME_OVER_LIMIT};
 }
 
-final_response_t
-final_response_all_skipped(bool may_have_run, uint64_t wait_ms, double point)
-{
-    final_response_t response = final_response(OUTCOME_ALL_SKIPPED, may_have_run, 0);
-    if (may_have_run || wait_ms == 0)
-        return response;
-    const uint64_t delay_ms = wait_ms + (uint64_t)(point * RETRY_JITTER_MS);
-    response.retry_after_ms = delay_ms < UINT32_MAX ? (uint32_t)delay_ms : UINT32_MAX;
-    return response;
-}
-
 final_response_t
 final_response_no_room(outcome_t why, uint32_t retry_after_ms)
 {
@@ -69,14 +60,13 @@
 }
 
 final_response_t
-final_response_held(uint64_t held_ms, bool has_backend)
+final_response_held(uint64_t held_ms, const retry_news_t *news, bool has_backend)
 {
-    const uint32_t retry_after = held_ms < UINT32_MAX ? (uint32_t)held_ms : UINT32_MAX;
+    const uint32_t held = held_ms < UINT32_MAX ? (uint32_t)held_ms : UINT32_MAX;
     if (has_backend)
-        return (final_response_t){HTTP_STATUS_SERVICE_UNAVAILABLE, retry_after,
-                                  OUTCOME_QUARANTINED};
-    return (final_response_t){HTTP_STATUS_SERVICE_UNAVAILABLE,
-                              retry_after > RETRY_AFTER_MS ? retry_after : RETRY_AFTER_MS,
+        return (final_response_t){HTTP_STATUS_SERVICE_UNAVAILABLE, held, OUTCOME_QUARANTINED};
+    const uint32_t outage = retry_after_ms(OUTCOME_NO_BACKEND, news);
+    return (final_response_t){HTTP_STATUS_SERVICE_UNAVAILABLE, held > outage ? held : outage,
                               OUTCOME_NO_BACKEND};
 }
 
--- a/gateway/policy/final_response.h
+++ b/gateway/policy/final_response.h
@@ -6,9 +6,14 @@
  * the client account is over its limit, 401 that no account has the request's key. An instance that
  * knows of a newer configuration, or may be cut off from it (isolation.h), does not respond with
  * 404, as that one may have the route. The
- * response is sent at once; requests are not held back to delay a retry. An instance without a
- * configuration after its start derives Retry-After from its uptime, since many callers retry only
- * once.
+ * response is sent at once; requests are not held back to delay a retry.
+ *
+ * Retry-After is the time at which the reason for the refusal may be gone, by what is known: when a
+ * backend server may be sent requests again, when an instance that has just started reads the store
+ * itself. Where nothing is known, that is with the next heartbeats of the other instances: they
+ * bring what is new of backend servers and configurations. Times are spread over another heartbeat,
+ * so that callers who were refused together do not come back together. Refusals for lack of room
+ * have times of their own (return_time.h).
  *
  * Stateless.
  */
@@ -49,19 +54,23 @@
 
 /* Returns the outcome of a request without a route; `newer_known`: a newer configuration exists. */
 outcome_t final_response_no_route(bool newer_known);
+/* When there may be news that end the reason for a refusal; milliseconds from now. */
+typedef struct {
+    uint32_t interval_ms;     /* between two heartbeats of another instance */
+    uint64_t available_in_ms; /* until a backend server may be sent requests again; 0: not known */
+    uint64_t reads_in_ms;     /* until this instance, without a configuration, reads the store */
+    double point;             /* random in [0, 1): place within the spread */
+} retry_news_t;
+
 /* Returns the response to a request that failed because of `why`. */
-final_response_t final_response(outcome_t why, bool may_have_run, uint64_t uptime_ms);
+final_response_t final_response(outcome_t why, bool may_have_run, const retry_news_t *news);
 /* Returns the response to a request of a client account that is over its limit. */
 final_response_t final_response_over_limit(uint32_t retry_after_ms);
-/* Returns the response to a request for which all backends are skipped (backend_skip.h). `wait_ms`:
- * time until the first one is available, 0 if not known; `point`: random in [0, 1), spreads the
- * retries of callers that were refused together. */
-final_response_t final_response_all_skipped(bool may_have_run, uint64_t wait_ms, double point);
 /* Returns the response to a request that has not run because of `why` and for which there is no
  * room for `retry_after_ms` (return_time.h). */
 final_response_t final_response_no_room(outcome_t why, uint32_t retry_after_ms);
 /* Returns the response to a quarantined request of which nothing was sent; it may be retried after
  * `held_ms`. Where its service has no usable backend, that is the reason given: the quarantine
  * would hide the outage. */
-final_response_t final_response_held(uint64_t held_ms, bool has_backend);
+final_response_t final_response_held(uint64_t held_ms, const retry_news_t *news, bool has_backend);
 const char *outcome_name(outcome_t outcome);
--- a/gateway/router.h
+++ b/gateway/router.h
@@ -49,6 +49,8 @@
     uint64_t key; /* key of this instance among `senders` */
     rng_t rng;
     uint64_t started_ms;
+    uint64_t reads_store_at_ms; /* when it reads the store unless a peer has told it all before */
+    uint32_t news_interval_ms;  /* between two heartbeats of another instance */
     catalog_t catalog;
     services_t services;
     traffic_t traffic;
--- a/gateway/state/backend.c
+++ b/gateway/state/backend.c
@@ -212,15 +212,27 @@
     return backend->info.leaving || backend->stated_leaving;
 }
 
-bool
-backend_is_usable(const backend_t *backend, uint64_t now_ms)
+static bool
+may_get_requests(const backend_t *backend)
 {
     /* A backend's own statement takes precedence over its entry: the store may be unavailable or
      * stale. */
-    if (!backend->listed || backend_is_leaving(backend) || backend->hall_closed ||
-        backend->replaced)
-        return false;
-    return breaker_allows(&backend->breaker, now_ms);
+    return backend->listed && !backend_is_leaving(backend) && !backend->hall_closed &&
+           !backend->replaced;
+}
+
+bool
+backend_is_usable(const backend_t *backend, uint64_t now_ms)
+{
+    return may_get_requests(backend) && breaker_allows(&backend->breaker, now_ms);
+}
+
+uint64_t
+backend_suspended_ms(const backend_t *backend, uint64_t now_ms)
+{
+    if (!may_get_requests(backend) || !breaker_is_suspended(&backend->breaker, now_ms))
+        return 0;
+    return backend->breaker.suspended_until_ms - now_ms;
 }
 
 void
--- a/gateway/state/backend.h
+++ b/gateway/state/backend.h
@@ -138,6 +138,8 @@
 bool backend_is_leaving(const backend_t *backend);
 /* True if it may get new requests. Load and the pacing of cold backends are not considered. */
 bool backend_is_usable(const backend_t *backend, uint64_t now_ms);
+/* Time until it may be sent requests again if it is only suspended (policy/breaker.h); 0 if not. */
+uint64_t backend_suspended_ms(const backend_t *backend, uint64_t now_ms);
 /* Count the attempts of this instance. */
 void backend_attempt_started(backend_t *backend);
 void backend_attempt_finished(backend_t *backend);
--- a/gateway/state/offered_work.h
+++ b/gateway/state/offered_work.h
@@ -24,7 +24,8 @@
 typedef struct {
     double slots[TOPOLOGY_REGIONS_MAX][URGENCY_LEVELS];
     double bound[TOPOLOGY_REGIONS_MAX]; /* of these, for requests that no other region may serve */
-    /* Attempts that ended there, a second, and those of them that a full backend server rejected. */
+    /* Attempts that ended there, a second, and those of them that a full backend server rejected.
+     */
     double attempts[TOPOLOGY_REGIONS_MAX];
     double rejected[TOPOLOGY_REGIONS_MAX];
 } offered_totals_t;
--- a/gateway/state/store_state.c
+++ b/gateway/state/store_state.c
@@ -28,11 +28,17 @@
     return members_watch_store(watch->conf.members, watch->conf.region, age_max_ms, now_ms);
 }
 
+uint64_t
+store_state_start_at_ms(const store_watch_t *watch)
+{
+    const uint64_t key = str_hash(name_str(&watch->instance), START_DELAY_SEED);
+    return watch->started_ms + store_schedule_startup_delay_ms(key, watch->conf.is_seed);
+}
+
 bool
 store_state_start_delay_is_over(const store_watch_t *watch, uint64_t now_ms)
 {
-    const uint64_t key = str_hash(name_str(&watch->instance), START_DELAY_SEED);
-    return now_ms - watch->started_ms >= store_schedule_startup_delay_ms(key, watch->conf.is_seed);
+    return now_ms >= store_state_start_at_ms(watch);
 }
 
 /* True if no instance of the mesh seems to watch the store and this one is next in rank to do
--- a/gateway/state/store_state.h
+++ b/gateway/state/store_state.h
@@ -11,6 +11,9 @@
 /* Rank of this instance in its mesh: among all instances, or if `served` among those that the store
  * serves. */
 size_t store_state_rank(const store_watch_t *watch, bool served, uint64_t now_ms);
+/* Loop time at which a starting instance reads the store, unless its peers have sent it the views
+ * by then. */
+uint64_t store_state_start_at_ms(const store_watch_t *watch);
 /* False while a starting instance waits for its peers to send the views. */
 bool store_state_start_delay_is_over(const store_watch_t *watch, uint64_t now_ms);
 /* True if this instance watches the store, by its rank or for lack of other watchers. */
--- a/test/gateway/test_caller_time.c
+++ b/test/gateway/test_caller_time.c
@@ -274,6 +274,23 @@
 }
 END_TEST
 
+/* The only backend server is left alone for a while: callers are told when it is tried again. */
+START_TEST(caller_is_told_when_a_suspended_backend_server_is_tried_again)
+{
+    enum { SUSPENDED_MS = 2300 };
+    site_t *site = new_ready_site(1);
+    ck_assert_int_eq(ask_with(site, "/safe/x", 5000).status, 200);
+    breaker_t *breaker = &site->gateway->router.catalog.backends.items[0]->breaker;
+    breaker->failures = 2;
+    breaker->suspended_until_ms = uv_now(&site->loop) + SUSPENDED_MS;
+    const reply_t refused = ask_with(site, "/safe/x", 5000);
+    const double after_ms = strtod(refused.retry_after, NULL) * 1000;
+    ck_assert_int_eq(refused.status, 503);
+    ck_assert_double_ge(after_ms, SUSPENDED_MS - 100);
+    ck_assert_double_le(after_ms, SUSPENDED_MS + HEARTBEAT_MIN_MS);
+}
+END_TEST
+
 /* Without a run nothing would ever tell that runs have become shorter. */
 START_TEST(shortest_run_is_forgotten)
 {
@@ -306,6 +323,7 @@
     tcase_set_timeout(path, TIMEOUT_S);
     tcase_add_test(path, what_callers_usually_have_left_changes_nothing);
     tcase_add_test(path, repeats_are_held_back_like_first_tries_under_shortage);
+    tcase_add_test(path, caller_is_told_when_a_suspended_backend_server_is_tried_again);
     tcase_add_test(path, request_without_time_for_a_run_is_refused_at_once);
     suite_add_tcase(suite, path);
     return suite;
