Slow attempts: overdue by the length of runs, whatever the route's objective

What callers saw: of two routes alike, an attempt at a silent backend server was replaced sooner on the one with the shorter latency objective; before any response after five objectives, on a route without one never.

Cause: the objective was the least time and, times five, the time before a response was known. Lateness had a second figure (1.8) for the run without its object beside that of response_time (3.3).

Now an attempt is overdue when it takes a fifth longer than a run without the object would, and not within TCP's least retransmission timeout over the median, as a lost packet says nothing about the backend server. Before any response it is not, on any route. The factor of a run without its object stands in one place (response_time.h); lateness puts a run to the nearer of both.

The factor itself is still a figure of the users' backend servers that the gateway does not learn.

--- a/gateway/path/lateness.c
+++ b/gateway/path/lateness.c
@@ -1,8 +1,10 @@
 #include "gateway/path/lateness.h"
 
-/* A run that takes longer than this multiple of the typical time counts as an object cache miss. A
- * cache miss typically takes 3.3 times as long as a hit. */
-#define COLD_OBJECT_FACTOR 1.8
+#include "gateway/policy/response_time.h"
+
+/* A run that takes longer than this multiple of the typical time counts as one without its object
+ * in memory: it is nearer to that than to a typical one. */
+#define COLD_OBJECT_FROM ((1 + RESPONSE_TIME_COLD_OBJECT) / 2)
 
 /* Finds the cause within the last attempt. */
 static late_cause_t
@@ -15,7 +17,7 @@
         return LATE_QUEUED;
     if (input->slow_ms > 0 && input->attempt_ms > input->slow_ms && !input->slots_full)
         return LATE_SLOW_BACKEND;
-    if (input->typical_ms > 0 && attempt_ms > COLD_OBJECT_FACTOR * input->typical_ms)
+    if (input->typical_ms > 0 && attempt_ms > COLD_OBJECT_FROM * input->typical_ms)
         return input->slots_full ? LATE_LOAD_UNKNOWN : LATE_COLD_OBJECT;
     return input->other_region ? LATE_OTHER_REGION : LATE_TYPICAL_LATENCY;
 }
--- a/gateway/policy/response_time.c
+++ b/gateway/policy/response_time.c
@@ -2,8 +2,6 @@
 
 #include <math.h>
 
-/* Time of a run without the object in memory relative to one with it, as in path/lateness.c. */
-#define COLD_OBJECT_FACTOR 3.3
 /* Mean length of a slow moment in milliseconds; its end does not depend on its beginning. */
 #define SLOW_MOMENT_MS 600.0
 /* Slowdown from which a backend server counts as slow; the work of others makes small changes all
@@ -26,7 +24,7 @@
 double
 response_time_run_ms(double work_ms, double in_memory)
 {
-    return work_ms * (1 + (1 - in_memory) * (COLD_OBJECT_FACTOR - 1));
+    return work_ms * (1 + (1 - in_memory) * (RESPONSE_TIME_COLD_OBJECT - 1));
 }
 
 /* Time until a slot is free; the first running request ends after half of the mean time between two
--- a/gateway/policy/response_time.h
+++ b/gateway/policy/response_time.h
@@ -6,8 +6,8 @@
  *
  *     way + slowed(run + wait)
  *
- *  - The run takes `work_ms` with the object in memory and 3.3 times as long without it, by the
- *    probability `in_memory`.
+ *  - The run takes `work_ms` with the object in memory and RESPONSE_TIME_COLD_OBJECT times as long
+ *    without it, by the probability `in_memory`.
  *  - The wait is that of admission.h: the work ahead of the request, over all slots. Requests ahead
  *    take `queue_work_ms` each.
  *  - A slow moment lasts about 600 ms, however long it has lasted already, so only the beginning of
@@ -26,6 +26,9 @@
 
 #include <stdbool.h>
 
+/* Time of a run without the object in memory relative to one with it. */
+#define RESPONSE_TIME_COLD_OBJECT 3.3
+
 /* Where a candidate is, seen from this instance. */
 typedef enum {
     WAY_OWN_HALL,
--- a/gateway/policy/slow.c
+++ b/gateway/policy/slow.c
@@ -1,17 +1,21 @@
 #include "gateway/policy/slow.h"
 
-/* In medians of the route; above the 3.3 of a run without the object in memory. */
-#define SLOW_MEDIANS 3.9
-/* In latency objectives of the route, before any response was seen. */
-#define SLOW_OBJECTIVES 5
+#include <math.h>
+
+#include "gateway/policy/response_time.h"
+
+/* Part by which an attempt must exceed a run without the object in memory. */
+#define SLOW_MARGIN 0.2
+
+/* Least retransmission timeout of TCP in milliseconds: a lost packet delays a response by it, and
+ * says nothing about the backend server. */
+#define RETRANSMISSION_MS 200
 
 uint32_t
-slow_after_ms(uint32_t objective_ms, double median_ms)
+slow_after_ms(double median_ms)
 {
-    const double slow_ms = SLOW_MEDIANS * median_ms;
-    if (median_ms == 0)
-        return SLOW_OBJECTIVES * objective_ms;
-    return slow_ms > objective_ms ? (uint32_t)slow_ms : objective_ms;
+    const double longest_ms = (1 + SLOW_MARGIN) * RESPONSE_TIME_COLD_OBJECT * median_ms;
+    return median_ms > 0 ? (uint32_t)round(fmax(longest_ms, median_ms + RETRANSMISSION_MS)) : 0;
 }
 
 bool
--- a/gateway/router.c
+++ b/gateway/router.c
@@ -428,10 +428,9 @@
 }
 
 uint32_t
-router_slow_ms(router_t *router, const config_route_t *route)
+router_slow_ms(const router_t *router, const config_route_t *route)
 {
-    const double median_ms = route_stats_median_ms(&router->routes, route->key);
-    return slow_after_ms(route->latency_objective_ms, median_ms);
+    return slow_after_ms(route_stats_median_ms(&router->routes, route->key));
 }
 
 void
--- a/gateway/router.h
+++ b/gateway/router.h
@@ -151,7 +151,7 @@
                        const backend_t *backend, double latency_ms);
 /* Returns the time in milliseconds after which an attempt on this route is overdue, 0 if unknown.
  * */
-uint32_t router_slow_ms(router_t *router, const config_route_t *route);
+uint32_t router_slow_ms(const router_t *router, const config_route_t *route);
 /* Records the end of an attempt for a roll-out of its service. */
 void router_record_rollout(router_t *router, const service_t *service,
                            const rollout_attempt_t *attempt);
