Load probes and retries: bounded by the caller's time and the length of runs

What callers saw: on a route with a latency objective of 100 ms a request waited for the load of its candidates for 5 ms, else for 25 ms, whatever time they had. A failed attempt was repeated with 60 ms left although no run was shorter than 300 ms, and not with 50 ms left although runs took 5 ms.

Cause: 0.05 of the objective, and a fixed least time for another attempt.

--- a/gateway/path/dispatch.c
+++ b/gateway/path/dispatch.c
@@ -152,8 +152,8 @@
         backend_ref(ex->candidates[i]);
     ex->probe_wait.cb = on_probe_end;
     ex->probe_wait.ctx = ex;
-    ex->probe_wait_until_ms =
-        exchange_now_ms(ex) + load_probe_wait_ms(ex->route->latency_objective_ms);
+    const double run_ms = route_stats_median_ms(&ex->owner->router->routes, ex->route->key);
+    ex->probe_wait_until_ms = exchange_now_ms(ex) + load_probe_wait_ms(request.left_ms, run_ms);
 }
 
 /* Asks the first candidates for their load before the first send. Returns false if the request is
@@ -329,6 +329,8 @@
         .sends = ex->sends,
         .sends_max = ex->route->max_attempts,
         .left_ms = exchange_remaining_ms(ex),
+        .run_ms = route_stats_shortest_ms(&ex->owner->router->routes, ex->route->key,
+                                          exchange_now_ms(ex)),
     };
 }
 
--- a/gateway/policy/load_probe.c
+++ b/gateway/policy/load_probe.c
@@ -1,8 +1,7 @@
 #include "gateway/policy/load_probe.h"
 
-/* Share of the latency objective that a request waits at most: far less than what it loses at a
- * backend server that is slowed. */
-#define WAIT_SHARE 0.05
+#include <math.h>
+
 /* Slowdown from which the second candidate may be the better one. Below it, no other backend server
  * makes up for having to load the object. */
 #define SLOWED 1.25
@@ -83,11 +82,10 @@
 }
 
 uint32_t
-load_probe_wait_ms(uint32_t objective_ms)
+load_probe_wait_ms(uint32_t left_ms, double run_ms)
 {
-    const double share_ms = WAIT_SHARE * objective_ms;
-    return objective_ms > 0 && share_ms < LOAD_PROBE_WAIT_MAX_MS ? (uint32_t)share_ms
-                                                                 : LOAD_PROBE_WAIT_MAX_MS;
+    const double spare_ms = fmax(0, left_ms - run_ms);
+    return spare_ms < LOAD_PROBE_WAIT_MAX_MS ? (uint32_t)spare_ms : LOAD_PROBE_WAIT_MAX_MS;
 }
 
 uint32_t
--- a/gateway/policy/load_probe.h
+++ b/gateway/policy/load_probe.h
@@ -102,9 +102,9 @@
 /* Decides the next step for a request. `candidates` in the order of its ranking. */
 load_probe_decision_t load_probe_decide(const load_probe_candidate_t *candidates, size_t count,
                                         const load_probe_budget_t *budget, uint64_t now_ms);
-/* Time that a request may wait for probes in all. `objective_ms`: latency objective of its route,
- * 0 if it has none. */
-uint32_t load_probe_wait_ms(uint32_t objective_ms);
+/* Time that a request may wait for probes in all: no more than its caller has left beyond the usual
+ * run. */
+uint32_t load_probe_wait_ms(uint32_t left_ms, double run_ms);
 /* Time for which a backend server is not asked again after a probe. `answered`: it answered under
  * its own id; `has_pace`: with the pace of its work. */
 uint32_t load_probe_pause_ms(bool answered, bool has_pace);
--- a/gateway/policy/retry.c
+++ b/gateway/policy/retry.c
@@ -4,7 +4,6 @@
 
 enum {
     UNSENT_BACKENDS_MAX = 4, /* limit of backends tried without sending anything */
-    LEFT_MIN_MS = 60,        /* time that a further attempt needs */
     /* Longer than the network delay between regions. */
     RESEND_AFTER_CLOSE_MS = 40,
 };
@@ -18,7 +17,7 @@
         return RETRY_QUARANTINED;
     if (input->backends_tried >= RETRY_BACKENDS_MAX || input->sends >= input->sends_max)
         return RETRY_ATTEMPTS_EXHAUSTED;
-    if (input->left_ms < LEFT_MIN_MS)
+    if (input->left_ms == 0 || (double)input->left_ms < input->run_ms)
         return RETRY_NO_TIME;
     if (input->sends == 0)
         return input->backends_tried < UNSENT_BACKENDS_MAX ? RETRY_YES : RETRY_ATTEMPTS_EXHAUSTED;
--- a/gateway/policy/retry.h
+++ b/gateway/policy/retry.h
@@ -5,7 +5,7 @@
  *  - A request that may not be repeated is not retried once it may have run.
  *  - A quarantined request is not retried (quarantine.h).
  *  - At most 6 backends are tried, and the route's limit of sends applies.
- *  - At least 60 ms must be left.
+ *  - There must be time for the shortest run that was seen lately.
  *  - Attempts of which no byte was sent don't count against the retry budget, but at most 4
  *    backends are tried that way.
  *  - Otherwise one extra send is taken from the retry budget of the service.
@@ -53,6 +53,7 @@
     uint32_t sends;        /* attempts that may have sent bytes */
     uint32_t sends_max;    /* limit of the route */
     uint64_t left_ms;      /* time until the deadline */
+    double run_ms;         /* shortest run of the route seen lately; 0: not known */
 } retry_input_t;
 
 typedef struct {
