--- a/gateway/policy/choice.c
+++ b/gateway/policy/choice.c
@@ -9,8 +9,7 @@
 /* Upper bound on the share of a region's backends that are avoided. */
 #define AVOIDED_MAX_SHARE 0.6
 /* Backends are avoided only while the use of the remaining slots at peak demand stays below this: a
- * slow backend is better than a refused request. Avoiding at any load lowered the score of a day of
- * growth from 0.462 to 0.435 (commit 28ac3e3). */
+ * slow response is better for a caller than none. */
 #define AVOIDED_MAX_USE 0.9
 /* Load per slot added for cold backends when looking for the least loaded one; above any admitted
  * load. */
@@ -19,8 +18,8 @@
 #define AVOIDED_FACTOR 1e-9
 
 enum {
-    /* Upper bound on the backends of a service that are considered; the largest deployment measured
-     * had 3,000 (commit 59548b9). */
+    /* Upper bound on the backends of a service that are considered: several times those of the
+     * largest service known, 3,000. */
     CANDIDATES_MAX = 8192,
     /* Backends considered per region for a request without an object. */
     REPLICAS_ANY = REPLICAS_MAX,
--- a/gateway/policy/health.c
+++ b/gateway/policy/health.c
@@ -3,13 +3,11 @@
 #include "gateway/policy/health.h"
 
 /* A backend is avoided once its failure rate exceeds the first limit, until it has fallen below the
- * second. Lower limits avoid backends that still serve most requests: with 0.25 instead of 0.6 a
- * recorded day scored 0.826, with 0.6 0.840 (commit 35bcf57). */
+ * second. Lower limits avoid backends that still serve most requests. */
 #define AVOID_RATE 0.6
 #define RECOVER_RATE 0.25
 /* Outcomes are averaged over this time in milliseconds, or over this number of outcomes if they are
- * rarer. Judging by the last five outcomes instead lowered the score of a day with faults from
- * 0.626 to 0.571 (commit 28ac3e3). */
+ * rarer: a few outcomes in a row say little about a backend with many requests. */
 #define AVERAGE_TIME_MS 2000.0
 #define AVERAGE_OUTCOMES_MIN 3.5
 /* Half-life of the failure rate in milliseconds: long while the backend is in use, so that rare
--- a/gateway/policy/region_plan.c
+++ b/gateway/policy/region_plan.c
@@ -5,8 +5,8 @@
 
 /* Use of the own region's slots at peak demand above which requests go to other regions. */
 #define TARGET_USE 0.55
-/* The same for requests with large responses: higher, as carrying these between regions is
- * expensive. With 0.55 six days together fell from 4.169 to 4.105 (commit 5890d49). */
+/* The same for requests with large responses: higher, since they fill the links between
+ * regions. */
 #define LARGE_USE 0.88
 /* Use of all slots that is assumed before any demand is measured; high, since backends without
  * objects in memory work on each request for longer. */
--- a/gateway/policy/region_plan.h
+++ b/gateway/policy/region_plan.h
@@ -22,9 +22,8 @@
  *    are needed.
  *
  * An object that moves runs cold at first, and the platform limits how fast the traffic of a region
- * may shift. Shares based on current instead of peak demand would move objects back and forth: such
- * a plan moved objects back to their region as soon as demand fell, and 8.4% of a quiet day's
- * requests were refused at the next rise instead of 0.1%.
+ * may shift. Shares based on current instead of peak demand would move objects back to their region
+ * as soon as demand falls, and callers would be refused at the next rise.
  *
  * See docs/design/gateway/choice.md and region-plan.md there. region_plan_t is part of its service;
  * the time is passed in.
--- a/gateway/policy/removal.c
+++ b/gateway/policy/removal.c
@@ -1,12 +1,16 @@
 #include "gateway/policy/removal.h"
 
 enum {
-    /* Backends register again within about 2 s of the store's return. */
-    OUTAGE_GRACE_MS = 2200,
-    /* Must stay below the 2 s in which a removal has to take effect. */
-    MASS_LOSS_GRACE_MS = 1400,
-    /* Time after a store failure for which mass removals are attributed to it. */
-    FAILURE_MEMORY_MS = 2200,
+    /* Backends register again within about 2 s of the store's return (the platform's pages). */
+    RENEWAL_MS = 2000,
+    TICK_MS = 200, /* after which a change of the list is applied at the latest */
+    OUTAGE_GRACE_MS = RENEWAL_MS + TICK_MS,
+    /* A removal has to take effect within 2 s on the fastest deployments (drainMs), of which the
+     * change may take a watch's pause of 400 ms and a tick. */
+    MASS_LOSS_GRACE_MS = 2000 - 400 - TICK_MS,
+    /* Time after a store failure for which mass removals are attributed to it: entries that it
+     * cost are renewed by then. */
+    FAILURE_MEMORY_MS = RENEWAL_MS + TICK_MS,
 };
 
 removal_t
--- a/gateway/policy/removal.h
+++ b/gateway/policy/removal.h
@@ -8,11 +8,10 @@
  *  - Otherwise it is removed at once.
  *
  * Entries that were removed on purpose must take effect at once. Entries also expire during an
- * outage, and live backends renew them within about 2 s of the store's return. Many entries that
- * disappear together close to a store failure indicate an outage that was too short to be detected;
- * days with one of 5 s scored up to 0.042 lower without that time. Single removals are not
- * delayed: after trouble of single instances with the store, requests went to backends that had
- * left (commit c2341eb).
+ * outage, and live backends renew them within about 2 s of the store's return (the platform's
+ * pages): callers would be refused meanwhile although their backend servers live. Many entries that
+ * disappear together close to a store failure indicate an outage that was too short to be detected.
+ * Single removals are not delayed: a backend that has left gets no requests.
  *
  * A backend whose address responds as another one (attempt.c), or that announces its shutdown, gets
  * no further requests in any case.
--- a/gateway/policy/store_schedule.c
+++ b/gateway/policy/store_schedule.c
@@ -10,11 +10,10 @@
      * refused, one of four is served in 79 of 80 cases. */
     PRIORITY_RANKS = 4,
     TAKEOVER_STEP_MS = 250, /* one more instance per step: all of a region of 98 within 24 s */
-    /* Longest startup delay. Few instances read the store early, so that most get the views from
-     * these readers: one in 27 after a third of it, a third after 0.4 s. With 0.25 to 1.25 s half
-     * of 80 instances that started together served after 1.0 s instead of 0.4 s, and 827 of 3,842
-     * requests of the two seconds after the restart were refused for good instead of 107. */
-    START_SPREAD_MS = 600,
+    /* Longest startup delay: what an early reader has read reaches the others with its heartbeat
+     * (400 ms) and their request for it (200 ms). Few instances read the store early: one in 27
+     * after a third of the delay. */
+    START_SPREAD_MS = 400 + 200,
     SEED_START_MS = 0,     /* seeds read at once; the others request views from them */
     PROBE_MS = 1000,       /* interval of each of the first instances */
     PROBE_OTHERS_MS = 500, /* between two probes of the others together */
--- a/gateway/policy/store_schedule.h
+++ b/gateway/policy/store_schedule.h
@@ -13,10 +13,9 @@
  *  - Starting instances wait for different times, most of them long: the first few read the store,
  *    and the others get the views from them.
  *
- * Calls to the store are billed, and their rate is limited for the whole fleet. Without a schedule
- * most calls came from instances that all read the store at start, or all acted as watchers of
- * their region: 3,300 and 6,700 of the 12,911 calls of a day with an outage and a restart of 295
- * instances.
+ * The store bounds the rate of calls of the whole fleet and answers those beyond it with 429.
+ * Without a schedule most calls come from instances that all read the store at start, or all act as
+ * watchers of their region.
  *
  * Stateless. Ranks are positions in an order of a region's instances that is the same on all of
  * them.
--- a/gateway/policy/subset.c
+++ b/gateway/policy/subset.c
@@ -3,8 +3,7 @@
 
 #include "gateway/policy/subset.h"
 
-/* Minimum size of the subset: one instance may fail at any time. 2, 3 and 5 scored 0.645, 0.652
- * and 0.641 on an enlarged deployment (docs/design/gateway/decisions-under-load.md, round 3). */
+/* Minimum size of the subset: one instance may fail at any time. */
 enum { SUBSET_MIN = 2 };
 /* Planned use of link and CPU, which leaves capacity for bursts of twice the traffic. */
 #define USE_MAX 0.4
--- a/gateway/state/view_relay.c
+++ b/gateway/state/view_relay.c
@@ -18,8 +18,8 @@
      * large. Exceeds the time in which those peers are discovered. */
     START_OWN_REGION_MS = 600,
     START_REQUEST_INTERVAL_MS = 200, /* until the view is known */
-    /* A peer that can read the store gets no whole view above this size; at 300 instances whole
-     * views of 1 MB made most of the bytes (commit 59548b9). */
+    /* A peer that can read the store gets no whole view above this size: in large fleets whole
+     * views make most of the bytes between instances. */
     WHOLE_MAX_BYTES = 200000,
     /* Upper bound of the expected compression ratio; routes reach 9 to 12. */
     PACK_RATIO_MAX = 16,
