Choice: the least loaded backend server is asked before a request is refused

What callers saw: refused while one of many backend servers could have responded in time.

Evidence: request_is_taken_while_one_backend_of_many_has_time_for_it: with 60 backend servers, 59 of them full for longer than the caller waits, refused before; now the idle one gets the request, with and without an object.

--- a/gateway/policy/choice.c
+++ b/gateway/policy/choice.c
@@ -350,14 +350,23 @@
         out->kept = choice_put_fastest_first(input, out->items, out->kept, out->count, &out->moved);
 }
 
-/* Returns the index of the candidate that admits the request, their number if none does. */
+/* Returns the index of the candidate that admits the request, their number if none does. Before
+ * that the least loaded one of the whole area is asked, as the last of the list. */
 static size_t
-pick_in_area(const choice_input_t *input, const area_candidates_t *area, admission_t *admission)
+pick_in_area(const choice_input_t *input, const candidate_t *candidates, size_t count,
+             const choice_area_t *where, area_candidates_t *area, admission_t *admission)
 {
     const size_t picked = pick_replica(input, area->items, area->kept, admission);
     if (picked < area->kept)
         return picked;
-    return pick_without_object(input, area->items, area->kept, area->count, admission);
+    const size_t other =
+        pick_without_object(input, area->items, area->kept, area->count, admission);
+    if (other < area->count || area->count < REPLICAS_MAX)
+        return other;
+    candidate_t *last = &area->items[area->count - 1];
+    find_least_loaded(input, candidates, count, where, last);
+    *admission = admit_without_object(input, last->backend);
+    return *admission != ADMIT_NOT ? area->count - 1 : area->count;
 }
 
 /* Searches the areas in order for a backend that admits the request; false if none does. */
@@ -375,7 +384,7 @@
         if (other_region && any)
             break;
         find_in_area(input, candidates, count, &areas[i], &area);
-        const size_t picked = pick_in_area(input, &area, &admission);
+        const size_t picked = pick_in_area(input, candidates, count, &areas[i], &area, &admission);
         any |= area.count > 0;
         if (picked == area.count)
             continue;
--- a/gateway/policy/choice.h
+++ b/gateway/policy/choice.h
@@ -6,7 +6,8 @@
  *    (admission.h). An object in high demand is kept by several backends (replicas.h); the one with
  *    the fewest requests per slot gets the request.
  *  - If none of these admits it, the next one in the ranking gets it whose response is expected
- *    before the caller gives up, the longer run without the object included.
+ *    before the caller gives up, the longer run without the object included; if there is none among
+ *    the first, the least loaded one of all.
  *  - Regions are tried in this order: the one planned for the object (region_plan.h), the
  *    instance's own, the others. A later region is tried only if the earlier ones have no usable
  *    backend; a full backend is no reason to leave a region.
--- a/test/gateway/test_choice.c
+++ b/test/gateway/test_choice.c
@@ -226,6 +226,35 @@
 }
 END_TEST
 
+/* All but one of many backends are full for longer than the caller waits. */
+START_TEST(request_is_taken_while_one_backend_of_many_has_time_for_it)
+{
+    enum { BACKENDS = 60 };
+    choice_fixture_t *fixture = new_choice();
+    backend_t *idle = NULL;
+    for (unsigned i = 0; i < BACKENDS; i++) {
+        char id[16];
+        snprintf(id, sizeof(id), "u%02u", i);
+        backend_t *backend = add_backend(fixture, id, "a1");
+        backend->service_time_ms = RUN_MS / 4.0;
+        backend->in_flight = 10 * SLOTS;
+        idle = backend;
+    }
+    idle->in_flight = 1;
+    for (unsigned i = 0; i < 2 * BACKENDS; i++) {
+        choice_reason_t reason;
+        fixture->input.object = (i + 1) * 0x9e3779b97f4a7c15ULL;
+        fixture->input.has_object = i % 2 == 0;
+        ck_assert_ptr_eq(select_backend(&fixture->input, &reason), idle);
+    }
+    idle->in_flight = 10 * SLOTS;
+    choice_reason_t reason;
+    ck_assert_ptr_null(select_backend(&fixture->input, &reason));
+    ck_assert_int_eq(reason, CHOICE_FULL);
+    free_choice(fixture);
+}
+END_TEST
+
 START_TEST(choice_replicates_objects_in_high_demand)
 {
     choice_fixture_t *fixture = new_choice();
@@ -536,6 +565,7 @@
     tcase_add_test(tests, choices_without_counted_work_are_as_before);
     tcase_add_test(tests, choice_remaps_only_objects_of_a_leaving_backend);
     tcase_add_test(tests, choice_stays_with_the_backend_holding_the_object);
+    tcase_add_test(tests, request_is_taken_while_one_backend_of_many_has_time_for_it);
     tcase_add_test(tests, choice_replicates_objects_in_high_demand);
     tcase_add_test(tests, replicas_follow_the_demand);
     tcase_add_test(tests, object_rates_decay_and_need_enough_counts);
