Admission: the wait is that of the mean run of the requests ahead

What callers saw: admitted to a queue of long runs and held to their deadline, since the requests ahead counted as short as their own.

Cause: the wait was reckoned with the route's median, below the backend server's mean; the reason given was how many requests an enlarged deployment refused.

Now a caller's own run is the usual one of its route, and those ahead take the mean, since the wait is the sum of their work over the slots. The time told to refused callers goes by the mean as well.

Evidence: queue_of_long_runs_takes_longer: 10.5 runs of 1 s on ten slots ahead of a caller with 400 ms were admitted before (205 ms expected); refused now (1,150 ms).

--- a/gateway/policy/admission.c
+++ b/gateway/policy/admission.c
@@ -12,19 +12,27 @@
 /* Run of the request, 0 if nothing is known. The route's median stands for runs with the object in
  * memory; the backend's average also includes slower ones without it, and other routes. */
 static double
-service_time_ms(const admission_request_t *request, const admission_backend_t *backend)
+own_run_ms(const admission_request_t *request, const admission_backend_t *backend)
 {
     const bool use_median =
         request->median_ms > 0 && (backend->work_ms <= 0 || request->median_ms < backend->work_ms);
     return use_median ? request->median_ms : backend->work_ms;
 }
 
+/* Run of a request that is ahead: the mean, as the wait is that for all of their work. */
+static double
+run_ahead_ms(const admission_backend_t *backend, double own_ms)
+{
+    if (backend->queue_work_ms > 0)
+        return backend->queue_work_ms;
+    return backend->work_ms > 0 ? backend->work_ms : own_ms;
+}
+
 bool
 admission_is_in_time(const admission_request_t *request, const admission_backend_t *backend)
 {
-    const double own_ms = service_time_ms(request, backend);
-    const double ahead_ms = backend->queue_work_ms > 0 ? backend->queue_work_ms : own_ms;
-    return own_ms + ahead_ms * queue_wait_factor(backend) <= request->left_ms;
+    const double own_ms = own_run_ms(request, backend);
+    return own_ms + run_ahead_ms(backend, own_ms) * queue_wait_factor(backend) <= request->left_ms;
 }
 
 bool
--- a/gateway/policy/admission.h
+++ b/gateway/policy/admission.h
@@ -34,7 +34,7 @@
     double load;          /* requests running and queued, from all instances */
     double slots;         /* requests that run concurrently */
     double work_ms;       /* usual service time without queueing; 0: not known */
-    double queue_work_ms; /* mean run of the requests ahead; 0: as the request's own */
+    double queue_work_ms; /* mean run of the service's requests; 0: not known */
 } admission_backend_t;
 
 /* True if the response is expected before the caller gives up, after the queue. */
--- a/gateway/router_returns.c
+++ b/gateway/router_returns.c
@@ -19,10 +19,8 @@
         return (return_server_t){0};
     const double load = backend_load(backend, input->now_ms);
     const double slots = backend->info.capacity;
-    const double median_ms = input->request.median_ms;
-    const double mean_ms = backend->service_time_ms;
-    const bool use_median = median_ms > 0 && (mean_ms <= 0 || median_ms < mean_ms);
-    const double own_ms = use_median ? median_ms : mean_ms;
+    const double own_ms =
+        backend->service_time_ms > 0 ? backend->service_time_ms : input->request.median_ms;
     const bool is_counted = input->by_response_time && input->service_work_ms > 0;
     return (return_server_t){
         .load = rejected ? fmax(load, slots) : load,
--- a/test/gateway/test_admission.c
+++ b/test/gateway/test_admission.c
@@ -49,7 +49,7 @@
 }
 END_TEST
 
-START_TEST(queue_wait_uses_the_route_median)
+START_TEST(own_run_is_that_of_the_route)
 {
     /* The backend's average includes runs without the object in memory. */
     admission_backend_t backend = {.load = 14, .slots = 10, .work_ms = 300};
@@ -64,6 +64,19 @@
 }
 END_TEST
 
+/* Short requests behind long ones would be held to their deadline. */
+START_TEST(queue_of_long_runs_takes_longer)
+{
+    const admission_request_t request = {.left_ms = 400, .median_ms = 100};
+    admission_backend_t backend = {.load = 20, .slots = 10, .work_ms = 200};
+    ck_assert_int_eq(admission_decide(&request, &backend), ADMIT_AFTER_WAIT); /* 310 ms */
+    backend.work_ms = 1000;
+    ck_assert_int_eq(admission_decide(&request, &backend), ADMIT_NOT); /* 1,150 ms */
+    backend.queue_work_ms = 200; /* of all backend servers, where that is counted */
+    ck_assert_int_eq(admission_decide(&request, &backend), ADMIT_AFTER_WAIT);
+}
+END_TEST
+
 /* The shortest run counts, not the usual one; the load does not. */
 START_TEST(caller_without_time_for_any_run_is_refused)
 {
@@ -89,7 +102,8 @@
     TCase *tests = tcase_create("admission");
     tcase_add_test(tests, a_request_is_admitted_while_a_slot_is_free);
     tcase_add_test(tests, queueing_is_bounded_by_the_callers_time);
-    tcase_add_test(tests, queue_wait_uses_the_route_median);
+    tcase_add_test(tests, own_run_is_that_of_the_route);
+    tcase_add_test(tests, queue_of_long_runs_takes_longer);
     tcase_add_test(tests, caller_without_time_for_any_run_is_refused);
     suite_add_tcase(suite, tests);
     return suite;
