Return time: this instance's part of the callers is measured where work is not counted, too

What callers would see: of nine instances the only busy one told its refused callers to come back one after the other as a ninth of the slots becomes free, as if the eight others refused as many.

Cause: without counted work the part was one by the number of instances. It is now that of the demand, which heartbeats tell anyway; by the number only while nothing is known.

Evidence: callers_wait_for_the_part_of_others_that_these_have: 900 ms between two callers before, 100 ms now where all of the demand is this instance's, 200 ms for half of it.

--- a/gateway/router_returns.c
+++ b/gateway/router_returns.c
@@ -30,16 +30,18 @@
     };
 }
 
-/* Part of the work offered to a region that comes from this instance's callers. */
+/* Part of the work for a region that comes from this instance's callers: of the offered work or,
+ * where that is not counted, of the demand for the service. */
 static double
 own_share(const router_t *router, const service_t *service, size_t region)
 {
-    if (service->offered != NULL && region < TOPOLOGY_REGIONS_MAX) {
-        const double all = offered_totals_slots(service->fleet_offered, region);
-        const double own = offered_totals_slots(&service->offered->average, region);
-        if (all > 0 && own > 0)
-            return own < all ? own / all : 1;
-    }
+    const bool is_counted = service->offered != NULL && region < TOPOLOGY_REGIONS_MAX;
+    const double own =
+        is_counted ? offered_totals_slots(&service->offered->average, region) : service->demand;
+    const double all =
+        is_counted ? offered_totals_slots(service->fleet_offered, region) : service->fleet_demand;
+    if (all > 0 && own > 0)
+        return own < all ? own / all : 1;
     return 1.0 / (router->instances > 0 ? router->instances : 1);
 }
 
--- a/gateway/router_tick.c
+++ b/gateway/router_tick.c
@@ -78,6 +78,9 @@
                               : members_demand(members, name, i, router->region, now_ms);
         input.bound[i] = input.counted ? service->fleet_offered->bound[i] : 0;
     }
+    service->fleet_demand = 0;
+    for (size_t i = 0; i < count; i++)
+        service->fleet_demand += input.demand[i];
     region_plan_update(&service->plan, &input, count, router->region, now_ms);
     service_update_backlog(service, count, now_ms);
     log_plan(service, &input, router->region);
--- a/gateway/state/services.h
+++ b/gateway/state/services.h
@@ -22,6 +22,7 @@
     uint32_t in_flight;            /* attempts for this instance's callers */
     double demand;                 /* slots: moving average of in_flight and of refused requests */
     uint64_t demand_ms;            /* last update of the average */
+    double fleet_demand;           /* the same of all instances; only where work is not counted */
     double latency_ms;             /* moving average over complete responses; 0 before the first */
     double work_ms;    /* the same without queueing and at the usual pace; 0 before the first */
     bool reports_pace; /* a backend reported the pace of its work */
--- a/test/gateway/test_caller_time.c
+++ b/test/gateway/test_caller_time.c
@@ -166,6 +166,36 @@
 }
 END_TEST
 
+/* Time between what two callers of a full backend server are told, one after the other. */
+static double
+ms_between_two(double own_demand, double fleet_demand)
+{
+    test_router_t *test = new_test_router(&one_urgency, false);
+    situation_t situation = {.run_ms = 400, .object = 7};
+    for (unsigned i = 0; i < BACKENDS; i++)
+        situation.waiting[i] = 2 * SLOTS;
+    set_situation(test, &situation);
+    test->router.instances = 9;
+    test->service->demand = own_demand;
+    test->service->fleet_demand = fleet_demand;
+    const router_request_t request = request_in(test, &situation, 20000);
+    const return_time_t first = router_return_time(&test->router, &request, false);
+    const return_time_t second = router_return_time(&test->router, &request, false);
+    const double between_ms = (double)(second.server_told_ms - first.server_told_ms);
+    free_test_router(test);
+    return between_ms;
+}
+
+/* Guards against callers of the only busy instance who are told to wait for those of all others. */
+START_TEST(callers_wait_for_the_part_of_others_that_these_have)
+{
+    enum { EACH_MS = 400 / SLOTS };
+    ck_assert_double_eq_tol(ms_between_two(6, 6), EACH_MS, 1);
+    ck_assert_double_eq_tol(ms_between_two(3, 6), 2 * EACH_MS, 1);
+    ck_assert_double_eq_tol(ms_between_two(0, 0), 9 * EACH_MS, 1); /* nothing known */
+}
+END_TEST
+
 /* ---- through a gateway ---- */
 
 static void
@@ -319,6 +349,7 @@
                         SEEDS);
     tcase_add_loop_test(
         relations, request_is_taken_while_another_backend_server_can_respond_in_time, 0, SEEDS);
+    tcase_add_test(relations, callers_wait_for_the_part_of_others_that_these_have);
     tcase_add_test(relations, shortest_run_is_forgotten);
     suite_add_tcase(suite, relations);
     TCase *path = tcase_create("request path");
