Region backlog: full when requests would wait for longer than they run

What callers saw: an overdue attempt was not replaced while 0.2 s of work waited in its region, whether runs took 20 ms or 5 s.

Cause: a fixed time, with a fraction of a run as the reason. It now is the service's mean run.

Evidence: region_stays_full_until_its_queues_are_worked_off: half a second of work that waits makes a region full for runs of 200 ms, as before, and no longer for runs of 800 ms.

--- a/gateway/policy/region_backlog.c
+++ b/gateway/policy/region_backlog.c
@@ -3,7 +3,6 @@
 #include <math.h>
 
 #define WAIT_MAX_MS 4000.0
-#define FULL_MS 200.0
 /* Longest time in milliseconds that one update accounts for. */
 #define STEP_MAX_MS 1000.0
 
@@ -24,7 +23,7 @@
 }
 
 bool
-region_backlog_is_full(const region_backlog_t *backlog, size_t region)
+region_backlog_is_full(const region_backlog_t *backlog, size_t region, double run_ms)
 {
-    return region < TOPOLOGY_REGIONS_MAX && backlog->wait_ms[region] > FULL_MS;
+    return region < TOPOLOGY_REGIONS_MAX && backlog->wait_ms[region] > run_ms;
 }
--- a/gateway/policy/region_backlog.h
+++ b/gateway/policy/region_backlog.h
@@ -8,8 +8,8 @@
  *  - Work offered beyond the slots waits; it is done as fast as the slots allow. No instance
  *    knows all queues, but each knows the offered work and the slots.
  *  - At most 4 s of work per slot wait: what would wait longer was refused or given up.
- *  - A region is full while more than 0.2 s of work per slot wait; less delays a request by a
- *    fraction of its own run.
+ *  - A region is full while more work waits per slot than a usual run: a request that is sent again
+ *    there would wait for longer than it then runs.
  *
  * Time is passed in.
  */
@@ -30,5 +30,6 @@
  * `slots` are slots by region. */
 void region_backlog_update(region_backlog_t *backlog, const double *offered, const double *slots,
                            size_t count, uint64_t now_ms);
-/* True if a request would have to queue in the region. */
-bool region_backlog_is_full(const region_backlog_t *backlog, size_t region);
+/* True if a request would have to queue in the region for longer than `run_ms`, the service's mean
+ * run; 0: not known. */
+bool region_backlog_is_full(const region_backlog_t *backlog, size_t region, double run_ms);
--- a/gateway/state/services.c
+++ b/gateway/state/services.c
@@ -99,7 +99,8 @@
 bool
 service_region_is_full(const service_t *service, size_t region)
 {
-    return service->offered != NULL && region_backlog_is_full(&service->backlog, region);
+    return service->offered != NULL &&
+           region_backlog_is_full(&service->backlog, region, service->work_ms);
 }
 
 /* Slots of the work offered to a region that is admitted there. */
--- a/test/gateway/test_region_targets.c
+++ b/test/gateway/test_region_targets.c
@@ -259,21 +259,24 @@
 /* The queues outlast the load that made them: a region is full until these are worked off. */
 START_TEST(region_stays_full_until_its_queues_are_worked_off)
 {
+    enum { RUN_MS = 200 };
     const double slots[] = {400, 100, 0};
     double offered[] = {390, 150, 0};
     region_backlog_t backlog = {0};
     uint64_t at = 0;
     for (; at <= 1000; at += TICK_MS)
         region_backlog_update(&backlog, offered, slots, REGIONS, at);
-    ck_assert(!region_backlog_is_full(&backlog, 0));
-    ck_assert(region_backlog_is_full(&backlog, SMALL));
-    ck_assert(!region_backlog_is_full(&backlog, 2));
+    ck_assert(!region_backlog_is_full(&backlog, 0, RUN_MS));
+    ck_assert(region_backlog_is_full(&backlog, SMALL, RUN_MS));
+    ck_assert(!region_backlog_is_full(&backlog, 2, RUN_MS));
+    /* Not for long runs, beside which the wait is short. */
+    ck_assert(!region_backlog_is_full(&backlog, SMALL, 4.0 * RUN_MS));
     /* 0.5 s of work per slot wait: without load it takes as long to work them off. */
     offered[SMALL] = 0;
     region_backlog_update(&backlog, offered, slots, REGIONS, at);
-    ck_assert(region_backlog_is_full(&backlog, SMALL));
+    ck_assert(region_backlog_is_full(&backlog, SMALL, RUN_MS));
     region_backlog_update(&backlog, offered, slots, REGIONS, at + TICK_MS);
-    ck_assert(!region_backlog_is_full(&backlog, SMALL));
+    ck_assert(!region_backlog_is_full(&backlog, SMALL, RUN_MS));
     /* However much was offered, what waits is bounded. */
     offered[SMALL] = 1000;
     for (at += 2 * TICK_MS; at < 20000; at += TICK_MS)
@@ -281,11 +284,11 @@
     offered[SMALL] = 50;
     for (; at < 28000; at += TICK_MS)
         region_backlog_update(&backlog, offered, slots, REGIONS, at);
-    ck_assert(!region_backlog_is_full(&backlog, SMALL));
+    ck_assert(!region_backlog_is_full(&backlog, SMALL, RUN_MS));
     /* All slots of a region are lost: no attempt waits in a queue there. */
     offered[2] = 1;
     region_backlog_update(&backlog, offered, slots, REGIONS, at);
-    ck_assert(!region_backlog_is_full(&backlog, 2));
+    ck_assert(!region_backlog_is_full(&backlog, 2, RUN_MS));
 }
 END_TEST
 
