--- a/gateway/path/completion.c
+++ b/gateway/path/completion.c
@@ -100,13 +100,13 @@
     exchange_release(ex);
 }
 
-static retry_news_t
-retry_news(const exchange_t *ex)
+static retry_after_input_t
+retry_after_input(const exchange_t *ex)
 {
     router_t *router = ex->owner->router;
     const uint64_t now_ms = exchange_now_ms(ex);
-    return (retry_news_t){
-        .interval_ms = router->news_interval_ms,
+    return (retry_after_input_t){
+        .heartbeat_ms = router->heartbeat_ms,
         .available_in_ms = ex->choice.wait_ms,
         .reads_in_ms = router->reads_store_at_ms > now_ms ? router->reads_store_at_ms - now_ms : 0,
         .point = rng_unit(&router->rng),
@@ -116,8 +116,8 @@
 void
 completion_refuse(exchange_t *ex, outcome_t why)
 {
-    const retry_news_t news = retry_news(ex);
-    const final_response_t response = final_response(why, ex->may_have_run, &news);
+    const retry_after_input_t input = retry_after_input(ex);
+    const final_response_t response = final_response(why, ex->may_have_run, &input);
     send_final_response(ex, &response);
 }
 
@@ -166,8 +166,8 @@
 completion_refuse_quarantined(exchange_t *ex, uint64_t held_ms)
 {
     const bool has_backend = router_has_usable_backend(ex->owner->router, ex->service);
-    const retry_news_t news = retry_news(ex);
-    const final_response_t response = final_response_held(held_ms, &news, has_backend);
+    const retry_after_input_t input = retry_after_input(ex);
+    const final_response_t response = final_response_held(held_ms, &input, has_backend);
     suspects_count_refused(ex->owner->suspects, &ex->fingerprint);
     send_final_response(ex, &response);
 }
--- a/gateway/path/dispatch.c
+++ b/gateway/path/dispatch.c
@@ -8,7 +8,7 @@
 
 /* Time until the caller gives up; at least 1 ms, as 0 stands for none on the way. */
 static uint32_t
-left_at_least_1_ms(const exchange_t *ex)
+time_left_ms(const exchange_t *ex)
 {
     const uint64_t left_ms = exchange_remaining_ms(ex);
     return left_ms > 0 ? (uint32_t)left_ms : 1;
@@ -23,7 +23,7 @@
         .service = ex->service,
         .object = ex->object,
         .has_object = router_has_object(ex->route, ex->metadata.object),
-        .left_ms = left_at_least_1_ms(ex),
+        .left_ms = time_left_ms(ex),
         .version = ex->required_version,
         .suspected = suspects_has_evidence(ex->owner->suspects, &ex->fingerprint),
         .may_request_permit = may_request_permit && ex->permits_refused < PERMIT_REFUSALS_MAX,
@@ -53,7 +53,7 @@
     reach_monitor_add_send(ex->owner->reach);
     const attempt_conf_t conf = {
         .backend = backend,
-        .left_ms = left_at_least_1_ms(ex),
+        .left_ms = time_left_ms(ex),
         .repeatable = ex->route->repeatable,
         .queued = ex->choice.reason == CHOICE_QUEUED,
         .is_retry = ex->tried_count > 1,
--- a/gateway/policy/final_response.c
+++ b/gateway/policy/final_response.c
@@ -4,24 +4,24 @@
 
 /* Earliest time at which the reason for the refusal may be gone, in milliseconds from now. */
 static uint64_t
-earliest_ms(outcome_t outcome, const retry_news_t *news)
+earliest_ms(outcome_t outcome, const retry_after_input_t *input)
 {
     switch (outcome) {
     case OUTCOME_NO_CONFIGURATION:
-        return news->reads_in_ms + news->interval_ms;
+        return input->reads_in_ms + input->heartbeat_ms;
     case OUTCOME_NO_BACKEND:
     case OUTCOME_ALL_SKIPPED:
-        return news->available_in_ms > 0 ? news->available_in_ms : news->interval_ms;
+        return input->available_in_ms > 0 ? input->available_in_ms : input->heartbeat_ms;
     default:
-        return news->interval_ms;
+        return input->heartbeat_ms;
     }
 }
 
 static uint32_t
-retry_after_ms(outcome_t outcome, const retry_news_t *news)
+retry_after_ms(outcome_t outcome, const retry_after_input_t *input)
 {
-    const uint64_t spread_ms = (uint64_t)(news->point * news->interval_ms);
-    const uint64_t after_ms = earliest_ms(outcome, news) + spread_ms;
+    const uint64_t spread_ms = (uint64_t)(input->point * input->heartbeat_ms);
+    const uint64_t after_ms = earliest_ms(outcome, input) + spread_ms;
     return after_ms < UINT32_MAX ? (uint32_t)after_ms : UINT32_MAX;
 }
 
@@ -32,7 +32,7 @@
 }
 
 final_response_t
-final_response(outcome_t why, bool may_have_run, const retry_news_t *news)
+final_response(outcome_t why, bool may_have_run, const retry_after_input_t *input)
 {
     const outcome_t outcome = why == OUTCOME_TIMEOUT ? OUTCOME_TIMEOUT_UNSENT : why;
     if (why == OUTCOME_NO_ROUTE)
@@ -43,7 +43,7 @@
         return (final_response_t){HTTP_STATUS_GATEWAY_TIMEOUT, 0, why};
     if (may_have_run)
         return (final_response_t){HTTP_STATUS_BAD_GATEWAY, 0, OUTCOME_UNKNOWN};
-    return (final_response_t){HTTP_STATUS_SERVICE_UNAVAILABLE, retry_after_ms(outcome, news),
+    return (final_response_t){HTTP_STATUS_SERVICE_UNAVAILABLE, retry_after_ms(outcome, input),
                               outcome};
 }
 
@@ -60,12 +60,12 @@
 }
 
 final_response_t
-final_response_held(uint64_t held_ms, const retry_news_t *news, bool has_backend)
+final_response_held(uint64_t held_ms, const retry_after_input_t *input, bool has_backend)
 {
     const uint32_t held = held_ms < UINT32_MAX ? (uint32_t)held_ms : UINT32_MAX;
     if (has_backend)
         return (final_response_t){HTTP_STATUS_SERVICE_UNAVAILABLE, held, OUTCOME_QUARANTINED};
-    const uint32_t outage = retry_after_ms(OUTCOME_NO_BACKEND, news);
+    const uint32_t outage = retry_after_ms(OUTCOME_NO_BACKEND, input);
     return (final_response_t){HTTP_STATUS_SERVICE_UNAVAILABLE, held > outage ? held : outage,
                               OUTCOME_NO_BACKEND};
 }
--- a/gateway/policy/final_response.h
+++ b/gateway/policy/final_response.h
@@ -54,16 +54,16 @@
 
 /* Returns the outcome of a request without a route; `newer_known`: a newer configuration exists. */
 outcome_t final_response_no_route(bool newer_known);
-/* When there may be news that end the reason for a refusal; milliseconds from now. */
+/* What is known of when the reason for a refusal may be gone; milliseconds from now. */
 typedef struct {
-    uint32_t interval_ms;     /* between two heartbeats of another instance */
+    uint32_t heartbeat_ms;    /* between two heartbeats of another instance */
     uint64_t available_in_ms; /* until a backend server may be sent requests again; 0: not known */
     uint64_t reads_in_ms;     /* until this instance, without a configuration, reads the store */
     double point;             /* random in [0, 1): place within the spread */
-} retry_news_t;
+} retry_after_input_t;
 
 /* Returns the response to a request that failed because of `why`. */
-final_response_t final_response(outcome_t why, bool may_have_run, const retry_news_t *news);
+final_response_t final_response(outcome_t why, bool may_have_run, const retry_after_input_t *input);
 /* Returns the response to a request of a client account that is over its limit. */
 final_response_t final_response_over_limit(uint32_t retry_after_ms);
 /* Returns the response to a request that has not run because of `why` and for which there is no
@@ -72,5 +72,6 @@
 /* Returns the response to a quarantined request of which nothing was sent; it may be retried after
  * `held_ms`. Where its service has no usable backend, that is the reason given: the quarantine
  * would hide the outage. */
-final_response_t final_response_held(uint64_t held_ms, const retry_news_t *news, bool has_backend);
+final_response_t final_response_held(uint64_t held_ms, const retry_after_input_t *input,
+                                     bool has_backend);
 const char *outcome_name(outcome_t outcome);
--- a/gateway/router.c
+++ b/gateway/router.c
@@ -27,7 +27,7 @@
         .region = topology_region_of(conf->topology, conf->hall),
         .started_ms = loop_now(loop),
         .live_instances = 1,
-        .news_interval_ms = HEARTBEAT_MIN_MS,
+        .heartbeat_ms = HEARTBEAT_MIN_MS,
     };
     xassert(name_set(&router->instance, conf->instance));
     xassert(name_set(&router->hall, conf->hall));
--- a/gateway/router.h
+++ b/gateway/router.h
@@ -50,7 +50,7 @@
     rng_t rng;
     uint64_t started_ms;
     uint64_t reads_store_at_ms; /* when it reads the store unless a peer has told it all before */
-    uint32_t news_interval_ms;  /* between two heartbeats of another instance */
+    uint32_t heartbeat_ms;      /* between two heartbeats of another instance */
     catalog_t catalog;
     services_t services;
     traffic_t traffic;
--- a/gateway/router_tick.c
+++ b/gateway/router_tick.c
@@ -103,7 +103,7 @@
 {
     const uint64_t now_ms = loop_now(router->loop);
     router->instances = (unsigned)members_total(members, router->region);
-    router->news_interval_ms = members_interval_ms(members, router->region, now_ms);
+    router->heartbeat_ms = members_interval_ms(members, router->region, now_ms);
     router->live_instances = (unsigned)members_count_alive(members, now_ms);
     for (size_t i = 0; i < router->topology->hall_count; i++)
         router->hall_meshes[i] = members_mesh_at(members, router->topology->halls[i].region, i);
--- a/test/gateway/test_final_response.c
+++ b/test/gateway/test_final_response.c
@@ -5,9 +5,9 @@
 #include "gateway/policy/slow.h"
 #include "test/suites.h"
 
-enum { INTERVAL_MS = 400 };
+enum { HEARTBEAT_MS = 400 };
 
-static const retry_news_t no_news = {.interval_ms = INTERVAL_MS};
+static const retry_after_input_t nothing_known = {.heartbeat_ms = HEARTBEAT_MS};
 
 START_TEST(retry_after_only_if_request_has_not_run)
 {
@@ -31,7 +31,7 @@
     };
     for (size_t i = 0; i < ALEN(rows); i++) {
         const final_response_t response =
-            final_response(rows[i].why, rows[i].may_have_run, &no_news);
+            final_response(rows[i].why, rows[i].may_have_run, &nothing_known);
         ck_assert_int_eq(response.status, rows[i].status);
         ck_assert(rows[i].come_back == (response.retry_after_ms > 0));
         ck_assert_int_eq(response.outcome, rows[i].outcome);
@@ -40,7 +40,7 @@
 END_TEST
 
 /* The reason for the refusal may be gone by then, and callers refused together come back spread. */
-START_TEST(retry_after_is_when_there_may_be_news)
+START_TEST(retry_after_is_when_the_reason_may_be_gone)
 {
     static const struct {
         outcome_t why;
@@ -49,30 +49,30 @@
         {OUTCOME_NO_BACKEND, 1700},      /* one is suspended until then */
         {OUTCOME_ALL_SKIPPED, 1700},     /* one asked for rest until then */
         {OUTCOME_NO_CONFIGURATION, 650}, /* its own read of the store, and one heartbeat */
-        {OUTCOME_CONFIGURATION_STALE, INTERVAL_MS},
-        {OUTCOME_NOT_RUN, INTERVAL_MS},
-        {OUTCOME_TIMEOUT, INTERVAL_MS},
+        {OUTCOME_CONFIGURATION_STALE, HEARTBEAT_MS},
+        {OUTCOME_NOT_RUN, HEARTBEAT_MS},
+        {OUTCOME_TIMEOUT, HEARTBEAT_MS},
     };
     for (size_t i = 0; i < ALEN(rows); i++) {
-        retry_news_t news = {
-            .interval_ms = INTERVAL_MS, .available_in_ms = 1700, .reads_in_ms = 250};
+        retry_after_input_t input = {
+            .heartbeat_ms = HEARTBEAT_MS, .available_in_ms = 1700, .reads_in_ms = 250};
         uint32_t last_ms = 0;
-        for (news.point = 0; news.point < 1; news.point += 0.25) {
-            const uint32_t after_ms = final_response(rows[i].why, false, &news).retry_after_ms;
+        for (input.point = 0; input.point < 1; input.point += 0.25) {
+            const uint32_t after_ms = final_response(rows[i].why, false, &input).retry_after_ms;
             ck_assert_uint_ge(after_ms, rows[i].from_ms);
-            ck_assert_uint_lt(after_ms, rows[i].from_ms + INTERVAL_MS);
+            ck_assert_uint_lt(after_ms, rows[i].from_ms + HEARTBEAT_MS);
             ck_assert_uint_gt(after_ms, last_ms);
             last_ms = after_ms;
         }
     }
-    ck_assert_uint_eq(final_response(OUTCOME_NO_BACKEND, false, &no_news).retry_after_ms,
-                      INTERVAL_MS);
+    ck_assert_uint_eq(final_response(OUTCOME_NO_BACKEND, false, &nothing_known).retry_after_ms,
+                      HEARTBEAT_MS);
 }
 END_TEST
 
 START_TEST(quarantined_request_gets_retry_after)
 {
-    const final_response_t response = final_response_held(2750, &no_news, true);
+    const final_response_t response = final_response_held(2750, &nothing_known, true);
     ck_assert_int_eq(response.status, 503);
     ck_assert_uint_eq(response.retry_after_ms, 2750);
     ck_assert_int_eq(response.outcome, OUTCOME_QUARANTINED);
@@ -82,12 +82,13 @@
 /* Callers must not be told to come back before either the quarantine or the outage can be over. */
 START_TEST(quarantined_request_without_backends_waits_for_both)
 {
-    const final_response_t held = final_response_held(2750, &no_news, false);
+    const final_response_t held = final_response_held(2750, &nothing_known, false);
     ck_assert_int_eq(held.status, 503);
     ck_assert_uint_eq(held.retry_after_ms, 2750);
     ck_assert_int_eq(held.outcome, OUTCOME_NO_BACKEND);
-    const uint32_t outage_ms = final_response(OUTCOME_NO_BACKEND, false, &no_news).retry_after_ms;
-    ck_assert_uint_eq(final_response_held(1, &no_news, false).retry_after_ms, outage_ms);
+    const uint32_t outage_ms =
+        final_response(OUTCOME_NO_BACKEND, false, &nothing_known).retry_after_ms;
+    ck_assert_uint_eq(final_response_held(1, &nothing_known, false).retry_after_ms, outage_ms);
 }
 END_TEST
 
@@ -165,7 +166,7 @@
     Suite *suite = suite_create("gateway: final answer");
     TCase *tests = tcase_create("final answer");
     tcase_add_test(tests, retry_after_only_if_request_has_not_run);
-    tcase_add_test(tests, retry_after_is_when_there_may_be_news);
+    tcase_add_test(tests, retry_after_is_when_the_reason_may_be_gone);
     tcase_add_test(tests, quarantined_request_gets_retry_after);
     tcase_add_test(tests, quarantined_request_without_backends_waits_for_both);
     tcase_add_test(tests, unknown_route_is_denied_only_by_current_configuration);
