Admission: of callers without time for a run, one a period finds out whether it still holds

What callers saw: where all callers of a route had less time than a run takes, each of them was sent to a free slot and held to its deadline from ten seconds after the last response on, since the shortest run was forgotten then and no run of theirs ever ended in time to be seen again.

Now the last known value stands, and one request in each five seconds without a response is sent all the same.

--- a/gateway/policy/admission.h
+++ b/gateway/policy/admission.h
@@ -3,6 +3,8 @@
  *
  *  - A request whose caller gives up before even the shortest run that was seen could end is
  *    refused at once, also while a slot is free: nothing that is sent for it can help its caller.
+ *    While no run is seen, one such request now and then finds out whether that still holds
+ *    (state/route_stats.h).
  *  - Any other request is admitted while a slot is free.
  *  - Without a free slot it queues if its response is expected before its caller gives up. A caller
  *    with more time may wait for longer; how long a queue may be follows from nothing else here.
--- a/gateway/router.c
+++ b/gateway/router.c
@@ -277,8 +277,10 @@
     input.request = (admission_request_t){
         .left_ms = request->left_ms,
         .median_ms = route_stats_median_ms(&router->routes, route->key),
-        .shortest_ms = route_stats_shortest_ms(&router->routes, route->key, input.now_ms),
     };
+    if (!request->tries_shorter)
+        input.request.shortest_ms =
+            route_stats_shortest_ms(&router->routes, route->key, input.now_ms);
     set_response_time(router, route, service, &input);
     return input;
 }
@@ -298,6 +300,12 @@
     return admission_has_time(&input.request);
 }
 
+bool
+router_tries_shorter(router_t *router, const config_route_t *route)
+{
+    return route_stats_try_shorter(&router->routes, route->key, loop_now(router->loop));
+}
+
 choice_t
 router_pick(router_t *router, const router_request_t *request)
 {
--- a/gateway/state/route_stats.h
+++ b/gateway/state/route_stats.h
@@ -14,7 +14,7 @@
 enum { ROUTE_STATS_SLOTS = 16384 };
 
 /* Period for which the shortest run is kept, and once more as the last one. After two without any
- * response nothing is known: a request is sent again and tells how long runs are by then. */
+ * response the last value stands, but one request a period may find out whether it still holds. */
 enum { SHORTEST_KEPT_MS = 5000 };
 
 typedef struct {
@@ -27,7 +27,9 @@
     /* Shortest response of the current and of the last full period; 0: none. */
     double shortest_ms;
     double shortest_before_ms;
-    uint64_t period; /* number of the current one */
+    double shortest_known_ms; /* when there was a response last; 0: never */
+    uint64_t period;          /* number of the current one */
+    uint64_t tried_period;    /* in which a request was sent to find out */
 } route_stat_t;
 
 typedef struct {
@@ -46,6 +48,9 @@
 /* Counts a complete response for the shortest run. */
 void route_stats_count_run(route_stats_t *stats, uint64_t route_key, double latency_ms,
                            uint64_t now_ms);
-/* Shortest run of the last one to two periods of SHORTEST_KEPT_MS in milliseconds; 0 without any.
- */
+/* Shortest run in milliseconds of the last one to two periods of SHORTEST_KEPT_MS; if there was
+ * none, of those before; 0 before the first response. */
 double route_stats_shortest_ms(const route_stats_t *stats, uint64_t route_key, uint64_t now_ms);
+/* True, and not again within the period, if the shortest run is of the time before the last two
+ * periods: a request that it leaves no time may be sent to find out whether it still holds. */
+bool route_stats_try_shorter(route_stats_t *stats, uint64_t route_key, uint64_t now_ms);
--- a/test/gateway/test_caller_time.c
+++ b/test/gateway/test_caller_time.c
@@ -323,16 +323,48 @@
 }
 END_TEST
 
-/* Without a run nothing would ever tell that runs have become shorter. */
-START_TEST(shortest_run_is_forgotten)
+/* Without a run nothing would ever tell that runs have become shorter; but callers without time
+ * must not all be sent for that. */
+START_TEST(one_request_a_period_tries_whether_runs_are_shorter)
 {
+    enum { AT_MS = 4 * SHORTEST_KEPT_MS };
     static route_stats_t stats;
-    route_stats_count_run(&stats, 7, 300, 1000);
-    route_stats_count_run(&stats, 7, 500, 1000 + SHORTEST_KEPT_MS - 1);
-    ck_assert_double_eq(route_stats_shortest_ms(&stats, 7, 1000 + SHORTEST_KEPT_MS), 300);
-    ck_assert_double_eq(route_stats_shortest_ms(&stats, 7, 1000 + 2 * SHORTEST_KEPT_MS), 500);
-    ck_assert_double_eq(route_stats_shortest_ms(&stats, 7, 1000 + 3 * SHORTEST_KEPT_MS), 0);
-    ck_assert_double_eq(route_stats_shortest_ms(&stats, 8, 1000), 0);
+    route_stats_count_run(&stats, 7, 300, AT_MS);
+    route_stats_count_run(&stats, 7, 500, AT_MS + SHORTEST_KEPT_MS);
+    ck_assert_double_eq(route_stats_shortest_ms(&stats, 7, AT_MS + SHORTEST_KEPT_MS), 300);
+    ck_assert_double_eq(route_stats_shortest_ms(&stats, 7, AT_MS + 2 * SHORTEST_KEPT_MS), 500);
+    ck_assert(!route_stats_try_shorter(&stats, 7, AT_MS + 2 * SHORTEST_KEPT_MS));
+    for (uint64_t at_ms = AT_MS + 3 * SHORTEST_KEPT_MS; at_ms < 20 * SHORTEST_KEPT_MS;
+         at_ms += SHORTEST_KEPT_MS) {
+        ck_assert_double_eq(route_stats_shortest_ms(&stats, 7, at_ms), 500);
+        ck_assert(route_stats_try_shorter(&stats, 7, at_ms));
+        ck_assert(!route_stats_try_shorter(&stats, 7, at_ms + SHORTEST_KEPT_MS - 1));
+    }
+    route_stats_count_run(&stats, 7, 50, 20 * SHORTEST_KEPT_MS);
+    ck_assert_double_eq(route_stats_shortest_ms(&stats, 7, 20 * SHORTEST_KEPT_MS), 50);
+    ck_assert_double_eq(route_stats_shortest_ms(&stats, 8, AT_MS), 0);
+}
+END_TEST
+
+/* Where all callers of a route have too little time, each of them was sent and held to its deadline
+ * once the last run was forgotten. */
+START_TEST(of_many_without_time_one_is_sent_to_find_out)
+{
+    enum { CALLERS = 10, LEFT_MS = 200, RUN_MS = 300 };
+    site_t *site = new_ready_site(2);
+    ck_assert_int_eq(ask_with(site, "/safe/x", 5000).status, 200);
+    show_runs_of(site, RUN_MS);
+    router_t *router = &site->gateway->router;
+    for (size_t i = 0; i < ROUTE_STATS_SLOTS; i++)
+        router->routes.slots[i].period -= router->routes.slots[i].period > 0 ? 3 : 0;
+    set_all_behaviours(site, DOES_HOLD);
+    const size_t runs = total_runs(site);
+    unsigned held = 0;
+    for (unsigned i = 0; i < CALLERS; i++)
+        held += ask_with(site, "/safe/x", LEFT_MS).status == 504;
+    ck_assert_uint_ge(held, 1);
+    ck_assert_uint_le(held, 2); /* the period may have changed */
+    ck_assert_uint_eq(total_runs(site), runs + held);
 }
 END_TEST
 
@@ -350,13 +382,14 @@
     tcase_add_loop_test(
         relations, request_is_taken_while_another_backend_server_can_respond_in_time, 0, SEEDS);
     tcase_add_test(relations, callers_wait_for_the_part_of_others_that_these_have);
-    tcase_add_test(relations, shortest_run_is_forgotten);
+    tcase_add_test(relations, one_request_a_period_tries_whether_runs_are_shorter);
     suite_add_tcase(suite, relations);
     TCase *path = tcase_create("request path");
     tcase_set_timeout(path, TIMEOUT_S);
     tcase_add_test(path, what_callers_usually_have_left_changes_nothing);
     tcase_add_test(path, repeats_are_held_back_like_first_tries_under_shortage);
     tcase_add_test(path, caller_is_told_when_a_suspended_backend_server_is_tried_again);
+    tcase_add_test(path, of_many_without_time_one_is_sent_to_find_out);
     tcase_add_test(path, request_without_time_for_a_run_is_refused_at_once);
     suite_add_tcase(suite, path);
     return suite;
