Store schedule: the start spread follows from heartbeats and requests for the views

It is now passed in as what it stands for, the time within which the others have what an early reader has read: the interval of heartbeats and that of requests for a view that is not known. It changes with them; today it comes out as before, so no instance starts sooner or later.

--- a/gateway/policy/store_schedule.c
+++ b/gateway/policy/store_schedule.c
@@ -10,13 +10,9 @@
      * refused, one of four is served in 79 of 80 cases. */
     PRIORITY_RANKS = 4,
     TAKEOVER_STEP_MS = 250, /* one more instance per step: all of a region of 98 within 24 s */
-    /* Longest startup delay: what an early reader has read reaches the others with its heartbeat
-     * (400 ms) and their request for it (200 ms). Few instances read the store early: one in 27
-     * after a third of the delay. */
-    START_SPREAD_MS = 400 + 200,
-    SEED_START_MS = 0,     /* seeds read at once; the others request views from them */
-    PROBE_MS = 1000,       /* interval of each of the first instances */
-    PROBE_OTHERS_MS = 500, /* between two probes of the others together */
+    SEED_START_MS = 0,      /* seeds read at once; the others request views from them */
+    PROBE_MS = 1000,        /* interval of each of the first instances */
+    PROBE_OTHERS_MS = 500,  /* between two probes of the others together */
     /* Pause between two watches. Entries change often in a large deployment and each change answers
      * a watch; the two watchers of a region alternate, which halves the delay. */
     WATCH_PAUSE_MS = 400,
@@ -52,12 +48,12 @@
 }
 
 uint64_t
-store_schedule_startup_delay_ms(uint64_t key, bool is_seed)
+store_schedule_startup_delay_ms(uint64_t key, bool is_seed, uint64_t told_ms)
 {
     if (is_seed)
         return SEED_START_MS;
     const double part = (double)(key % 1000) / 1000;
-    return (uint64_t)(START_SPREAD_MS * cbrt(part));
+    return (uint64_t)((double)told_ms * cbrt(part));
 }
 
 bool
--- a/gateway/policy/store_schedule.h
+++ b/gateway/policy/store_schedule.h
@@ -40,8 +40,9 @@
 /* True if the instance watches the store; `rank` among the instances that the store serves. */
 bool store_schedule_watches(size_t rank);
 /* Returns the time in milliseconds that a starting instance waits for its peers. `key`: hash of its
- * name; `is_seed`: others ask it first. */
-uint64_t store_schedule_startup_delay_ms(uint64_t key, bool is_seed);
+ * name; `is_seed`: others ask it first; `told_ms`: time within which the others have what an early
+ * one has read. No instance waits for longer; few wait much less: one in 27 up to a third of it. */
+uint64_t store_schedule_startup_delay_ms(uint64_t key, bool is_seed, uint64_t told_ms);
 /* True if the instance calls the store after no watcher was known for `unwatched_ms`; `rank` among
  * all instances of the region. */
 bool store_schedule_takes_over(size_t rank, uint64_t unwatched_ms);
--- a/gateway/state/store_state.c
+++ b/gateway/state/store_state.c
@@ -5,6 +5,7 @@
 #include "base/loop_time.h"
 #include "gateway/membership/members_store.h"
 #include "gateway/policy/store_schedule.h"
+#include "gateway/state/view_relay.h"
 
 enum {
     FAILING_THRESHOLD = 2, /* consecutive failures after which the store counts as failing */
@@ -31,8 +32,10 @@
 uint64_t
 store_state_start_at_ms(const store_watch_t *watch)
 {
+    /* What an early reader has read is told in its next heartbeat, and asked for after that. */
+    const uint64_t told_ms = HEARTBEAT_MIN_MS + VIEW_START_REQUEST_MS;
     const uint64_t key = str_hash(name_str(&watch->instance), START_DELAY_SEED);
-    return watch->started_ms + store_schedule_startup_delay_ms(key, watch->conf.is_seed);
+    return watch->started_ms + store_schedule_startup_delay_ms(key, watch->conf.is_seed, told_ms);
 }
 
 bool
--- a/gateway/state/view_relay.c
+++ b/gateway/state/view_relay.c
@@ -17,7 +17,6 @@
     /* A starting instance first requests views from peers of its own mesh, as whole views are
      * large. Exceeds the time in which those peers are discovered. */
     START_OWN_REGION_MS = 600,
-    START_REQUEST_INTERVAL_MS = 200, /* until the view is known */
     /* A peer that can read the store gets no whole view above this size: in large fleets whole
      * views make most of the bytes between instances. */
     WHOLE_MAX_BYTES = 200000,
@@ -213,7 +212,7 @@
 {
     const view_t *view = &relay->conf.views->items[kind];
     const uint64_t now_ms = loop_now(relay->conf.loop);
-    const uint64_t interval_ms = view->known ? REQUEST_INTERVAL_MS : START_REQUEST_INTERVAL_MS;
+    const uint64_t interval_ms = view->known ? REQUEST_INTERVAL_MS : VIEW_START_REQUEST_MS;
     if (relay->kinds[kind].requested_ms > 0 &&
         now_ms - relay->kinds[kind].requested_ms < interval_ms)
         return;
--- a/gateway/state/view_relay.h
+++ b/gateway/state/view_relay.h
@@ -19,6 +19,9 @@
 #include "gateway/state/view_push.h"
 #include "peer/link.h"
 
+/* Interval of requests for a view that is not known yet, in milliseconds. */
+enum { VIEW_START_REQUEST_MS = 200 };
+
 typedef struct {
     uv_loop_t *loop;
     peer_hub_t *hub;
--- a/test/gateway/test_store_schedule.c
+++ b/test/gateway/test_store_schedule.c
@@ -18,13 +18,13 @@
         char name[24];
         snprintf(name, sizeof(name), "front-hall-%u", i);
         const uint64_t wait_ms =
-            store_schedule_startup_delay_ms(str_hash(str_from(name), 1), false);
+            store_schedule_startup_delay_ms(str_hash(str_from(name), 1), false, LATEST_MS);
         ck_assert_uint_le(wait_ms, LATEST_MS);
         first += wait_ms <= FIRST_MS;
     }
     ck_assert_uint_gt(first, 0);
     ck_assert_uint_le(first, FIRST_MAX);
-    ck_assert_uint_eq(store_schedule_startup_delay_ms(7, true), 0);
+    ck_assert_uint_eq(store_schedule_startup_delay_ms(7, true, LATEST_MS), 0);
 }
 END_TEST
 
