Return time: the requests that arrive until then go first

What callers saw: told when the queue ahead of them would have drained if nothing else came, they came then and were refused again, 15 to 39 in 100 after a burst.

Cause: none of the requests that arrive meanwhile waits for callers who are to come back. The time left them out, though how much arrives is known: the offered work where it is counted, else the demand.

Now the time and the pace of returns count what arrives, at its present rate. Callers are still told the same for any time left.

--- a/gateway/policy/return_time.c
+++ b/gateway/policy/return_time.c
@@ -20,7 +20,7 @@
     const return_server_t *server = &input->server;
     if (server->slots <= 0)
         return (turn_t){(double)input->now_ms, 0};
-    const double each_ms = server->work_ms / server->slots;
+    const double each_ms = (1 + server->use) * server->work_ms / server->slots;
     const double ahead = fmax(0, server->load + 1 - server->slots);
     const double free_ms = (double)input->now_ms + ahead * each_ms;
     return (turn_t){fmax(free_ms, (double)server->told_until_ms), each_ms};
--- a/gateway/policy/return_time.h
+++ b/gateway/policy/return_time.h
@@ -5,8 +5,9 @@
  * short of slots for requests of this urgency.
  *
  *  - The time told is the first one at which the backend server is expected to have a free slot:
- *    after the requests that run and queue there, and after the callers that this instance has
- *    already told to come back there.
+ *    after the requests that run and queue there, after the callers that this instance has already
+ *    told to come back there, and after the requests that arrive until then, as many as arrive now:
+ *    none of them waits for callers who are to come back.
  *  - Where the region is short of slots for requests of this urgency (shortage.h), it is also after
  *    the callers of like urgency that were told before: one after the other, as fast as the slots
  *    that the urgency gets take the work of this instance's callers.
@@ -33,6 +34,7 @@
     double load;            /* requests running and queued */
     double slots;           /* 0: no backend server known */
     double work_ms;         /* mean run of the requests there; 0: not known */
+    double use;             /* slots that arriving requests keep busy, per slot; 0: not known */
     uint64_t told_until_ms; /* loop time until which callers were told to come back there */
 } return_server_t;
 
--- a/gateway/router_returns.c
+++ b/gateway/router_returns.c
@@ -10,10 +10,25 @@
     return choice_first_candidates(input, &first, 1) > 0 ? first : NULL;
 }
 
+/* Slots that requests for a region need, per slot; 0 if not known. Demand also counts requests that
+ * wait, so it only tells whether all slots are in use. */
+static double
+use_of(const service_t *service, size_t region)
+{
+    const bool is_counted = service->offered != NULL && region < TOPOLOGY_REGIONS_MAX;
+    double slots = 0;
+    for (size_t i = 0; i < service->plan.region_count; i++)
+        slots += !is_counted || i == region ? service->plan.slots[i] : 0;
+    if (slots <= 0)
+        return 0;
+    return is_counted ? offered_totals_slots(service->fleet_offered, region) / slots
+                      : fmin(service->fleet_demand / slots, 1);
+}
+
 /* `rejected`: the backend server has just turned the request away, so all of its slots are taken.
  */
 static return_server_t
-return_server(const choice_input_t *input, const backend_t *backend, bool rejected)
+return_server(const choice_input_t *input, const backend_t *backend, double use, bool rejected)
 {
     if (backend == NULL)
         return (return_server_t){0};
@@ -26,6 +41,7 @@
         .load = rejected ? fmax(load, slots) : load,
         .slots = slots,
         .work_ms = is_counted ? input->service_work_ms : own_ms,
+        .use = use,
         .told_until_ms = backend->told_until_ms,
     };
 }
@@ -70,7 +86,7 @@
     const unsigned urgency = router_request_urgency(request);
     backend_t *backend = refusing_backend(&choice);
     const return_input_t input = {
-        .server = return_server(&choice, backend, rejected),
+        .server = return_server(&choice, backend, use_of(service, region), rejected),
         .room = return_room(service, region, urgency),
         .own_share = own_share(router, service, region),
         .now_ms = choice.now_ms,
