--- a/gateway/policy/slow.h
+++ b/gateway/policy/slow.h
@@ -5,11 +5,11 @@
  * Load that this answers: backend servers that have become slow or silent while others respond as
  * usual.
  *
- * An attempt is overdue when it takes longer than a run without the object in memory, by the route's
- * median response time, of which a packet is lost on the way. Before any response of the route was
- * seen, nothing tells how long its runs are, and no attempt is overdue. It does not count as a
- * failure if the request had to queue or the backend is cold, since the time then does not indicate
- * a fault of the backend.
+ * An attempt is overdue when it takes longer than a run without the object in memory, by the
+ * route's median response time, of which a packet is lost on the way. Before any response of the
+ * route was seen, nothing tells how long its runs are, and no attempt is overdue. It does not count
+ * as a failure if the request had to queue or the backend is cold, since the time then does not
+ * indicate a fault of the backend.
  *
  * Stateless.
  */
