Choice: replicas of all halls of the region come before runs without the object

What callers saw: of a route with large responses, a request whose first backend server of the own data hall was full ran without its object on another one there, although the first of another hall of the region had room.

Cause: the search for a backend server without the object, made for callers who would be refused, was made hall by hall. It now follows after the replicas of all areas.

A request at a backend server without its object says so to the admission, which reckons the longer run, instead of a median that stands for it. What is searched is passed on as one argument.

Evidence: first_of_another_hall_comes_before_a_run_without_the_object, failed with the search of before.

--- a/gateway/policy/admission.c
+++ b/gateway/policy/admission.c
@@ -1,5 +1,7 @@
 #include "gateway/policy/admission.h"
 
+#include "gateway/policy/response_time.h"
+
 /* Time until a slot is free for one more request, in service times. The first running request ends
  * after half of the mean time between two completions. */
 static double
@@ -16,7 +18,8 @@
 {
     const bool use_median =
         request->median_ms > 0 && (backend->work_ms <= 0 || request->median_ms < backend->work_ms);
-    return use_median ? request->median_ms : backend->work_ms;
+    const double usual_ms = use_median ? request->median_ms : backend->work_ms;
+    return response_time_run_ms(usual_ms, request->lacks_object ? 0 : 1);
 }
 
 /* Run of a request that is ahead: the mean, as the wait is that for all of their work. */
--- a/gateway/policy/admission.h
+++ b/gateway/policy/admission.h
@@ -4,7 +4,7 @@
  *  - A request whose caller gives up before even the shortest run that was seen could end is
  *    refused at once, also while a slot is free: nothing that is sent for it can help its caller.
  *    While no run is seen, one such request now and then finds out whether that still holds
- *    (state/route_stats.h).
+ *    (state/shortest_run.h).
  *  - Any other request is admitted while a slot is free.
  *  - Without a free slot it queues if its response is expected before its caller gives up. A caller
  *    with more time may wait for longer; how long a queue may be follows from nothing else here.
@@ -30,6 +30,7 @@
     uint32_t left_ms;   /* time until the caller gives up */
     double median_ms;   /* median response time of the route; 0: not known */
     double shortest_ms; /* shortest run of the route seen lately; 0: not known */
+    bool lacks_object;  /* the backend does not have its object in memory */
 } admission_request_t;
 
 typedef struct {
--- a/gateway/policy/choice.c
+++ b/gateway/policy/choice.c
@@ -245,16 +245,14 @@
     return admission_decide(&input->request, &state);
 }
 
-/* Admission at a backend that does not have the object in memory. */
+/* Admission at a backend that does not have the object in memory: such a run takes a slot for
+ * longer, and only if it can end in time. */
 static admission_t
 admit_without_object(const choice_input_t *input, const backend_t *backend)
 {
+    const admission_backend_t state = admission_state(input, backend);
     admission_request_t request = input->request;
-    admission_backend_t state = admission_state(input, backend);
-    const double usual_ms = request.median_ms > 0 ? request.median_ms : state.work_ms;
-    request.median_ms = response_time_run_ms(usual_ms, 0);
-    state.queue_work_ms = state.queue_work_ms > 0 ? state.queue_work_ms : state.work_ms;
-    state.work_ms = 0; /* of runs that mostly have their object in memory */
+    request.lacks_object = true;
     return admission_is_in_time(&request, &state) ? admission_decide(&request, &state) : ADMIT_NOT;
 }
 
@@ -277,20 +275,6 @@
     return queue_at;
 }
 
-/* Returns the index of the candidate that admits the request without its object in memory, from
- * `kept` on; `count` if none does. */
-static size_t
-pick_without_object(const choice_input_t *input, const candidate_t *candidates, size_t kept,
-                    size_t count, admission_t *admission)
-{
-    for (size_t i = kept; i < count; i++) {
-        *admission = admit_without_object(input, candidates[i].backend);
-        if (*admission != ADMIT_NOT)
-            return i;
-    }
-    return count;
-}
-
 /* Truncates the candidates of an area to the object's replicas and moves the least loaded to the
  * front; returns their number. */
 static size_t
@@ -324,74 +308,97 @@
     return index > 0 ? CHOICE_FALLBACK : CHOICE_FIRST;
 }
 
-/* Candidates of an area that a request may try, in order. */
+/* What is searched for a backend. */
+typedef struct {
+    const choice_input_t *input;
+    const candidate_t *candidates;
+    size_t count;
+    const best_skipped_t *skipped;
+} search_t;
+
+/* Candidates of an area, by rank. */
 typedef struct {
     candidate_t items[REPLICAS_MAX];
-    size_t kept;  /* of these, which have the object in memory */
-    size_t count; /* the others are tried if none of these admits the request */
-    bool moved;   /* the first is not the usual one */
+    size_t replica_count; /* the first ones, which have the object in memory */
+    size_t count;
+    bool moved; /* the first is not the usual one */
 } area_candidates_t;
 
+/* Finds the candidate of an area that admits the request; returns its index, or their number if
+ * none does. */
+typedef size_t (*pick_cb)(const search_t *search, const choice_area_t *area,
+                          area_candidates_t *found, admission_t *admission);
+
 static void
-find_in_area(const choice_input_t *input, const candidate_t *candidates, size_t count,
-             const choice_area_t *area, area_candidates_t *out)
+find_in_area(const search_t *search, const choice_area_t *area, area_candidates_t *out)
 {
-    out->moved = false;
-    if (input->suspected) {
-        out->kept = out->count = find_least_loaded(input, candidates, count, area, out->items);
-        return;
-    }
+    const choice_input_t *input = search->input;
     const size_t max_count = input->has_object ? REPLICAS_MAX : REPLICAS_ANY;
-    out->kept = out->count = find_replicas(input, candidates, count, area, out->items, max_count);
-    if (!input->has_object)
+    out->moved = false;
+    if (input->suspected)
+        out->count = find_least_loaded(input, search->candidates, search->count, area, out->items);
+    else
+        out->count =
+            find_replicas(input, search->candidates, search->count, area, out->items, max_count);
+    out->replica_count = out->count;
+    if (!input->has_object || input->suspected)
         return;
-    out->kept = keep_replicas(input, out->items, out->count);
+    out->replica_count = keep_replicas(input, out->items, out->count);
     if (input->by_response_time)
-        out->kept = choice_put_fastest_first(input, out->items, out->kept, out->count, &out->moved);
+        out->replica_count = choice_put_fastest_first(input, out->items, out->replica_count,
+                                                      out->count, &out->moved);
+}
+
+static size_t
+pick_replica_in_area(const search_t *search, const choice_area_t *area, area_candidates_t *found,
+                     admission_t *admission)
+{
+    const size_t picked =
+        pick_replica(search->input, found->items, found->replica_count, admission);
+    return picked < found->replica_count ? picked : found->count;
 }
 
-/* Returns the index of the candidate that admits the request, their number if none does. Before
- * that the least loaded one of the whole area is asked, as the last of the list. */
+/* Those that follow the replicas in the ranking, and the least loaded one of the area. */
 static size_t
-pick_in_area(const choice_input_t *input, const candidate_t *candidates, size_t count,
-             const choice_area_t *where, area_candidates_t *area, admission_t *admission)
+pick_other_in_area(const search_t *search, const choice_area_t *area, area_candidates_t *found,
+                   admission_t *admission)
 {
-    const size_t picked = pick_replica(input, area->items, area->kept, admission);
-    if (picked < area->kept)
-        return picked;
-    const size_t other =
-        pick_without_object(input, area->items, area->kept, area->count, admission);
-    if (other < area->count || area->count < REPLICAS_MAX)
-        return other;
-    candidate_t *last = &area->items[area->count - 1];
-    find_least_loaded(input, candidates, count, where, last);
-    *admission = admit_without_object(input, last->backend);
-    return *admission != ADMIT_NOT ? area->count - 1 : area->count;
+    for (size_t i = found->replica_count; i < found->count; i++) {
+        *admission = admit_without_object(search->input, found->items[i].backend);
+        if (*admission != ADMIT_NOT)
+            return i;
+    }
+    if (found->count < REPLICAS_MAX)
+        return found->count;
+    candidate_t *last = &found->items[found->count - 1];
+    find_least_loaded(search->input, search->candidates, search->count, area, last);
+    *admission = admit_without_object(search->input, last->backend);
+    return *admission != ADMIT_NOT ? found->count - 1 : found->count;
 }
 
 /* Searches the areas in order for a backend that admits the request; false if none does. */
 static bool
-pick_backend(const choice_input_t *input, const candidate_t *candidates, size_t count,
-             const best_skipped_t *skipped, choice_t *choice)
+pick_in_areas(const search_t *search, pick_cb pick, choice_t *choice)
 {
+    const best_skipped_t *skipped = search->skipped;
     choice_area_t areas[CHOICE_AREAS_MAX];
-    area_candidates_t area;
-    const size_t area_count = choice_list_areas(input, areas);
+    area_candidates_t found;
+    const size_t area_count = choice_list_areas(search->input, areas);
     bool any = false;
     for (size_t i = 0; i < area_count; i++) {
         admission_t admission;
         const bool other_region = areas[i].region != areas[0].region;
         if (other_region && any)
             break;
-        find_in_area(input, candidates, count, &areas[i], &area);
-        const size_t picked = pick_in_area(input, candidates, count, &areas[i], &area, &admission);
-        any |= area.count > 0;
-        if (picked == area.count)
+        find_in_area(search, &areas[i], &found);
+        const size_t picked = pick(search, &areas[i], &found, &admission);
+        any |= found.count > 0;
+        if (picked == found.count)
             continue;
-        choice->reason = admitted_reason(other_region, admission, area.moved, picked);
-        choice->backend = area.items[picked].backend;
+        choice->reason = admitted_reason(other_region, admission, found.moved, picked);
+        choice->backend = found.items[picked].backend;
         if (skipped->region == areas[0].region &&
-            (other_region || skipped->score > area.items[picked].score))
+            (other_region || skipped->score > found.items[picked].score))
             choice->skip_reason = skipped->reason;
         return true;
     }
@@ -405,7 +412,9 @@
     best_skipped_t skipped = {0};
     choice_t choice = {0};
     const size_t count = collect_candidates(input, candidates, &skipped);
-    if (pick_backend(input, candidates, count, &skipped, &choice))
+    const search_t search = {input, candidates, count, &skipped};
+    if (pick_in_areas(&search, pick_replica_in_area, &choice) ||
+        pick_in_areas(&search, pick_other_in_area, &choice))
         return choice;
     choice.skip_reason = skipped.reason;
     choice.wait_ms = skipped.wait_ms;
--- a/test/gateway/test_choice.c
+++ b/test/gateway/test_choice.c
@@ -373,6 +373,32 @@
 }
 END_TEST
 
+/* The first of the own hall is full for longer than the caller waits. Another hall's first, which
+ * keeps objects of its own, comes before the run of another one of the own hall without the object.
+ */
+START_TEST(first_of_another_hall_comes_before_a_run_without_the_object)
+{
+    choice_fixture_t *fixture = new_choice();
+    choice_reason_t reason;
+    fixture->config->routes[0].large = true;
+    for (unsigned i = 0; i < 6; i++) {
+        char id[16];
+        snprintf(id, sizeof(id), "u%u", i);
+        add_backend(fixture, id, i < 3 ? "a1" : "a2")->service_time_ms = RUN_MS / 10.0;
+    }
+    for (uint64_t object = 1; object < 50; object++) {
+        fixture->input.object = object * 0x9e3779b97f4a7c15ULL;
+        backend_t *first = select_backend(&fixture->input, &reason);
+        ck_assert_str_eq(first->info.hall.ptr, "a1");
+        first->in_flight = 100;
+        const backend_t *next = select_backend(&fixture->input, &reason);
+        ck_assert_str_eq(next->info.hall.ptr, "a2");
+        first->in_flight = 0;
+    }
+    free_choice(fixture);
+}
+END_TEST
+
 START_TEST(choice_sends_large_responses_to_planned_region)
 {
     choice_fixture_t *fixture = new_choice();
@@ -572,6 +598,7 @@
     tcase_add_test(tests, choice_without_object_uses_any_free_backend);
     tcase_add_test(tests, choice_leaves_a_region_only_without_a_usable_backend);
     tcase_add_test(tests, choice_prefers_own_hall_for_large_responses);
+    tcase_add_test(tests, first_of_another_hall_comes_before_a_run_without_the_object);
     tcase_add_test(tests, choice_sends_large_responses_to_planned_region);
     tcase_add_test(tests, choice_respects_allowed_regions_and_tried_backends);
     tcase_add_test(tests, choice_uses_avoided_backends_without_spare_capacity);
