Route statistics: the shortest run is a module of its own

Five fields of a route and two rules about periods needed their comments to be told apart. They are a type with three functions now; nothing changes.

--- a/gateway/path/dispatch.c
+++ b/gateway/path/dispatch.c
@@ -30,7 +30,7 @@
         .tried = ex->tried,
         .tried_count = ex->tried_count,
         .is_first = !ex->choice_made,
-        .tries_shorter = ex->tries_shorter,
+        .ignores_shortest_run = ex->ignores_shortest_run,
     };
 }
 
@@ -244,8 +244,8 @@
     const router_request_t request = router_request(ex, true);
     if (router_has_time(ex->owner->router, &request))
         return false;
-    ex->tries_shorter = router_tries_shorter(ex->owner->router, ex->route);
-    if (ex->tries_shorter)
+    ex->ignores_shortest_run = router_may_test_run(ex->owner->router, ex->route);
+    if (ex->ignores_shortest_run)
         return false;
     ex->choice = (choice_t){.reason = CHOICE_NO_TIME};
     completion_refuse_no_time(ex);
--- a/gateway/path/exchange_state.h
+++ b/gateway/path/exchange_state.h
@@ -61,7 +61,7 @@
     bool may_have_run;         /* an attempt ended with unknown outcome */
     uint64_t required_version; /* use only backends of this software version; 0 for any */
     bool is_trial;             /* sent to test whether the request still crashes backend servers */
-    bool tries_shorter;        /* sent although the shortest known run leaves no time for it */
+    bool ignores_shortest_run; /* sent although the shortest known run leaves no time for it */
     bool done;
 };
 
--- a/gateway/router.c
+++ b/gateway/router.c
@@ -278,7 +278,7 @@
         .left_ms = request->left_ms,
         .median_ms = route_stats_median_ms(&router->routes, route->key),
     };
-    if (!request->tries_shorter)
+    if (!request->ignores_shortest_run)
         input.request.shortest_ms =
             route_stats_shortest_ms(&router->routes, route->key, input.now_ms);
     set_response_time(router, route, service, &input);
@@ -301,9 +301,9 @@
 }
 
 bool
-router_tries_shorter(router_t *router, const config_route_t *route)
+router_may_test_run(router_t *router, const config_route_t *route)
 {
-    return route_stats_try_shorter(&router->routes, route->key, loop_now(router->loop));
+    return route_stats_may_test_run(&router->routes, route->key, loop_now(router->loop));
 }
 
 choice_t
--- a/gateway/router.h
+++ b/gateway/router.h
@@ -84,8 +84,8 @@
                               */
     backend_t *const *tried;
     size_t tried_count;
-    bool is_first;      /* no backend was asked for before */
-    bool tries_shorter; /* sent although the shortest known run leaves no time for it */
+    bool is_first;             /* no backend was asked for before */
+    bool ignores_shortest_run; /* sent although the shortest known run leaves no time for it */
 } router_request_t;
 
 /* Objects referenced by `conf` must outlive the router. */
@@ -118,8 +118,9 @@
                                backend_t **out, size_t max);
 /* False if the caller gives up before the shortest known run of its route could end. */
 bool router_has_time(const router_t *router, const router_request_t *request);
-/* True if the request is to be sent all the same, as no run was seen lately. */
-bool router_tries_shorter(router_t *router, const config_route_t *route);
+/* True if a request without time is to be sent all the same, to find out whether runs of its route
+ * have become shorter (state/shortest_run.h). */
+bool router_may_test_run(router_t *router, const config_route_t *route);
 choice_t router_pick(router_t *router, const router_request_t *request);
 /* Returns the input for the decision that router_pick() would make, without side effects; for the
  * admin pages. */
--- a/gateway/state/route_stats.c
+++ b/gateway/state/route_stats.c
@@ -50,55 +50,21 @@
     *average += WORK_GAIN * (work_ms - *average);
 }
 
-static double
-shorter_ms(double a, double b)
-{
-    if (a == 0 || b == 0)
-        return a + b;
-    return a < b ? a : b;
-}
-
-/* Starts the period of `now_ms`, if it is another one. */
-static void
-advance_shortest(route_stat_t *slot, uint64_t now_ms)
-{
-    const uint64_t period = now_ms / SHORTEST_KEPT_MS;
-    if (period == slot->period)
-        return;
-    const double last_ms = shorter_ms(slot->shortest_ms, slot->shortest_before_ms);
-    if (last_ms > 0)
-        slot->shortest_known_ms = last_ms;
-    slot->shortest_before_ms = period == slot->period + 1 ? slot->shortest_ms : 0;
-    slot->shortest_ms = 0;
-    slot->period = period;
-}
-
 void
 route_stats_count_run(route_stats_t *stats, uint64_t route_key, double latency_ms, uint64_t now_ms)
 {
-    route_stat_t *slot = get_slot(stats, route_key);
-    advance_shortest(slot, now_ms);
-    slot->shortest_ms = shorter_ms(slot->shortest_ms, latency_measured_ms(latency_ms));
+    shortest_run_count(&get_slot(stats, route_key)->shortest, latency_ms, now_ms);
 }
 
 double
 route_stats_shortest_ms(const route_stats_t *stats, uint64_t route_key, uint64_t now_ms)
 {
-    route_stat_t slot = stats->slots[route_key % ROUTE_STATS_SLOTS];
-    if (slot.route_key != route_key)
-        return 0;
-    advance_shortest(&slot, now_ms);
-    const double shortest_ms = shorter_ms(slot.shortest_ms, slot.shortest_before_ms);
-    return shortest_ms > 0 ? shortest_ms : slot.shortest_known_ms;
+    const route_stat_t *slot = &stats->slots[route_key % ROUTE_STATS_SLOTS];
+    return slot->route_key == route_key ? shortest_run_ms(&slot->shortest, now_ms) : 0;
 }
 
 bool
-route_stats_try_shorter(route_stats_t *stats, uint64_t route_key, uint64_t now_ms)
+route_stats_may_test_run(route_stats_t *stats, uint64_t route_key, uint64_t now_ms)
 {
-    route_stat_t *slot = get_slot(stats, route_key);
-    advance_shortest(slot, now_ms);
-    if (slot->shortest_ms > 0 || slot->shortest_before_ms > 0 || slot->tried_period == slot->period)
-        return false;
-    slot->tried_period = slot->period;
-    return true;
+    return shortest_run_may_test(&get_slot(stats, route_key)->shortest, now_ms);
 }
--- a/gateway/state/route_stats.h
+++ b/gateway/state/route_stats.h
@@ -9,14 +9,12 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "gateway/state/shortest_run.h"
+
 /* With 10,000 routes in turn, about the maximum of a configuration, three quarters keep their slot.
  * Unused pages take no memory. */
 enum { ROUTE_STATS_SLOTS = 16384 };
 
-/* Period for which the shortest run is kept, and once more as the last one. After two without any
- * response the last value stands, but one request a period may find out whether it still holds. */
-enum { SHORTEST_KEPT_MS = 5000 };
-
 typedef struct {
     uint64_t route_key; /* config_route_t.key */
     /* Estimated median latency of complete responses; 0 before the first. */
@@ -24,12 +22,7 @@
     /* Moving average of the time that a backend worked on a request, without queueing and at the
      * usual pace; 0 before the first. */
     double work_ms;
-    /* Shortest response of the current and of the last full period; 0: none. */
-    double shortest_ms;
-    double shortest_before_ms;
-    double shortest_known_ms; /* when there was a response last; 0: never */
-    uint64_t period;          /* number of the current one */
-    uint64_t tried_period;    /* in which a request was sent to find out */
+    shortest_run_t shortest;
 } route_stat_t;
 
 typedef struct {
@@ -48,9 +41,7 @@
 /* Counts a complete response for the shortest run. */
 void route_stats_count_run(route_stats_t *stats, uint64_t route_key, double latency_ms,
                            uint64_t now_ms);
-/* Shortest run in milliseconds of the last one to two periods of SHORTEST_KEPT_MS; if there was
- * none, of those before; 0 before the first response. */
+/* Shortest run of the route in milliseconds; 0 before the first response. */
 double route_stats_shortest_ms(const route_stats_t *stats, uint64_t route_key, uint64_t now_ms);
-/* True, and not again within the period, if the shortest run is of the time before the last two
- * periods: a request that it leaves no time may be sent to find out whether it still holds. */
-bool route_stats_try_shorter(route_stats_t *stats, uint64_t route_key, uint64_t now_ms);
+/* shortest_run_may_test() of the route. */
+bool route_stats_may_test_run(route_stats_t *stats, uint64_t route_key, uint64_t now_ms);
--- a/test/gateway/test_caller_time.c
+++ b/test/gateway/test_caller_time.c
@@ -317,7 +317,7 @@
     for (size_t i = 0; i < config->route_count; i++) {
         route_stat_t *stat = &router->routes.slots[config->routes[i].key % ROUTE_STATS_SLOTS];
         stat->median_ms = 0; /* what else is known of the route stays */
-        stat->shortest_ms = stat->shortest_before_ms = 0;
+        stat->shortest = (shortest_run_t){0};
         for (unsigned k = 0; k < SEEN; k++)
             router_count_answer(router, &config->routes[i], service, run_ms);
     }
@@ -417,21 +417,22 @@
  * must not all be sent for that. */
 START_TEST(one_request_a_period_tries_whether_runs_are_shorter)
 {
-    enum { AT_MS = 4 * SHORTEST_KEPT_MS };
+    enum { AT_MS = 4 * SHORTEST_RUN_PERIOD_MS };
     static route_stats_t stats;
     route_stats_count_run(&stats, 7, 300, AT_MS);
-    route_stats_count_run(&stats, 7, 500, AT_MS + SHORTEST_KEPT_MS);
-    ck_assert_double_eq(route_stats_shortest_ms(&stats, 7, AT_MS + SHORTEST_KEPT_MS), 300);
-    ck_assert_double_eq(route_stats_shortest_ms(&stats, 7, AT_MS + 2 * SHORTEST_KEPT_MS), 500);
-    ck_assert(!route_stats_try_shorter(&stats, 7, AT_MS + 2 * SHORTEST_KEPT_MS));
-    for (uint64_t at_ms = AT_MS + 3 * SHORTEST_KEPT_MS; at_ms < 20 * SHORTEST_KEPT_MS;
-         at_ms += SHORTEST_KEPT_MS) {
+    route_stats_count_run(&stats, 7, 500, AT_MS + SHORTEST_RUN_PERIOD_MS);
+    ck_assert_double_eq(route_stats_shortest_ms(&stats, 7, AT_MS + SHORTEST_RUN_PERIOD_MS), 300);
+    ck_assert_double_eq(route_stats_shortest_ms(&stats, 7, AT_MS + 2 * SHORTEST_RUN_PERIOD_MS),
+                        500);
+    ck_assert(!route_stats_may_test_run(&stats, 7, AT_MS + 2 * SHORTEST_RUN_PERIOD_MS));
+    for (uint64_t at_ms = AT_MS + 3 * SHORTEST_RUN_PERIOD_MS; at_ms < 20 * SHORTEST_RUN_PERIOD_MS;
+         at_ms += SHORTEST_RUN_PERIOD_MS) {
         ck_assert_double_eq(route_stats_shortest_ms(&stats, 7, at_ms), 500);
-        ck_assert(route_stats_try_shorter(&stats, 7, at_ms));
-        ck_assert(!route_stats_try_shorter(&stats, 7, at_ms + SHORTEST_KEPT_MS - 1));
+        ck_assert(route_stats_may_test_run(&stats, 7, at_ms));
+        ck_assert(!route_stats_may_test_run(&stats, 7, at_ms + SHORTEST_RUN_PERIOD_MS - 1));
     }
-    route_stats_count_run(&stats, 7, 50, 20 * SHORTEST_KEPT_MS);
-    ck_assert_double_eq(route_stats_shortest_ms(&stats, 7, 20 * SHORTEST_KEPT_MS), 50);
+    route_stats_count_run(&stats, 7, 50, 20 * SHORTEST_RUN_PERIOD_MS);
+    ck_assert_double_eq(route_stats_shortest_ms(&stats, 7, 20 * SHORTEST_RUN_PERIOD_MS), 50);
     ck_assert_double_eq(route_stats_shortest_ms(&stats, 8, AT_MS), 0);
 }
 END_TEST
@@ -475,7 +476,8 @@
     show_runs_of(site, RUN_MS);
     router_t *router = &site->gateway->router;
     for (size_t i = 0; i < ROUTE_STATS_SLOTS; i++)
-        router->routes.slots[i].period -= router->routes.slots[i].period > 0 ? 3 : 0;
+        router->routes.slots[i].shortest.period -=
+            router->routes.slots[i].shortest.period > 0 ? 3 : 0;
     set_all_behaviours(site, DOES_HOLD);
     const size_t runs = total_runs(site);
     unsigned held = 0;
