Return time: names that say what the times are

A newcomer had to look up what a turn, a told time and others were. Free slots have a next one and an interval; what is kept for a backend server and a room is the time from which none was told yet. The rule on the most urgent level says first that it is not held back, then why it is among accounts.

--- a/gateway/policy/return_time.c
+++ b/gateway/policy/return_time.c
@@ -8,51 +8,60 @@
 /* Least part of the work that is counted as this instance's own. */
 #define OWN_SHARE_MIN 1e-4
 
-/* When callers can come back to a place, and how much later the next one. */
+/* Free slots that callers are told of, one after the other. */
 typedef struct {
-    double from_ms;
-    double each_ms;
-} turn_t;
+    double next_ms;     /* loop time of the next one */
+    double interval_ms; /* from one to the next; 0: not known */
+} free_slots_t;
 
-static turn_t
-turn_at_server(const return_input_t *input)
+/* Part of the told callers of all instances who are told by this one. */
+static double
+own_part(const return_input_t *input)
+{
+    return fmax(input->own_share, OWN_SHARE_MIN);
+}
+
+static free_slots_t
+free_slots_of_server(const return_input_t *input)
 {
     const return_server_t *server = &input->server;
     if (server->slots <= 0)
-        return (turn_t){(double)input->now_ms, 0};
-    const double each_ms = (1 + server->use) * server->work_ms / server->slots;
+        return (free_slots_t){.next_ms = (double)input->now_ms};
+    const double interval_ms = (1 + server->use) * server->work_ms / server->slots;
     const double ahead = fmax(0, server->load + 1 - server->slots);
-    const double free_ms = (double)input->now_ms + ahead * each_ms;
-    return (turn_t){fmax(free_ms, (double)server->told_until_ms), each_ms};
+    const double drained_ms = (double)input->now_ms + ahead * interval_ms;
+    return (free_slots_t){fmax(drained_ms, (double)server->next_free_ms), interval_ms};
 }
 
-static turn_t
-turn_in_room(const return_input_t *input)
+/* Of those that requests of the urgency get in the region, the part of this instance. */
+static free_slots_t
+free_slots_of_room(const return_input_t *input)
 {
     const return_room_t *room = &input->room;
     if (room->slots <= 0)
-        return (turn_t){(double)input->now_ms, 0};
-    const double own_slots = room->slots * fmax(input->own_share, OWN_SHARE_MIN);
-    const double from_ms = fmax((double)input->now_ms, (double)room->told_until_ms);
-    return (turn_t){from_ms, input->work_ms / own_slots};
+        return (free_slots_t){.next_ms = (double)input->now_ms};
+    return (free_slots_t){
+        .next_ms = fmax((double)input->now_ms, (double)room->next_free_ms),
+        .interval_ms = input->work_ms / (room->slots * own_part(input)),
+    };
 }
 
 return_time_t
 return_time_decide(const return_input_t *input)
 {
-    const turn_t server = turn_at_server(input);
-    const turn_t room = turn_in_room(input);
-    const double each_ms = fmax(server.each_ms, room.each_ms);
-    if (each_ms <= 0)
+    const free_slots_t server = free_slots_of_server(input);
+    const free_slots_t room = free_slots_of_room(input);
+    const double interval_ms = fmax(server.interval_ms, room.interval_ms);
+    if (interval_ms <= 0)
         return (return_time_t){0};
-    const double at_ms = fmax(server.from_ms, room.from_ms) + input->spread * each_ms;
+    const double at_ms = fmax(server.next_ms, room.next_ms) + input->spread * interval_ms;
     const double after_ms = fmax(ceil(at_ms - (double)input->now_ms), 1);
-    const double others = fmax(input->own_share, OWN_SHARE_MIN);
     return (return_time_t){
         .after_ms = after_ms < UINT32_MAX ? (uint32_t)after_ms : UINT32_MAX,
         .comes_back = after_ms <= HONOURED_PART * input->left_ms &&
                       after_ms + input->work_ms <= input->left_ms,
-        .server_told_ms = (uint64_t)(server.from_ms + server.each_ms / others),
-        .room_told_ms = (uint64_t)(room.from_ms + room.each_ms),
+        /* Other instances are taken to tell callers of theirs by their parts of the work. */
+        .server_next_ms = (uint64_t)(server.next_ms + server.interval_ms / own_part(input)),
+        .room_next_ms = (uint64_t)(room.next_ms + room.interval_ms),
     };
 }
--- a/gateway/policy/return_time.h
+++ b/gateway/policy/return_time.h
@@ -17,8 +17,8 @@
  *    refused together do not come back together.
  *  - How much time the caller has left changes nothing about when there is room. It decides whether
  *    the caller counts as one who comes back then: callers wait for up to a third of the time that
- *    they have left, and come only if the response can arrive before they give up. The time of a
- *    caller who will not come is not kept from others.
+ *    they have left, and come only if the response can arrive before they give up. Others are told
+ *    later times only because of callers who come.
  *
  * Nothing is known before a run was seen: the time is then 0.
  *
@@ -31,24 +31,23 @@
 
 /* The backend server that the request is to run on. */
 typedef struct {
-    double load;            /* requests running and queued */
-    double slots;           /* 0: no backend server known */
-    double work_ms;         /* mean run of the requests there; 0: not known */
-    double use;             /* slots that arriving requests keep busy, per slot; 0: not known */
-    uint64_t told_until_ms; /* loop time until which callers were told to come back there */
+    double load;           /* requests running and queued */
+    double slots;          /* 0: no backend server known */
+    double work_ms;        /* mean run of the requests there; 0: not known */
+    double use;            /* slots that arriving requests keep busy, per slot; 0: not known */
+    uint64_t next_free_ms; /* loop time from which no caller was told to come back there yet */
 } return_server_t;
 
 /* Requests of like urgency in the region that is to serve the request. */
 typedef struct {
-    double slots;           /* that they get while the region is short; 0: it is not short */
-    uint64_t told_until_ms; /* loop time until which callers were told to come back */
+    double slots;          /* that they get while the region is short; 0: it is not short */
+    uint64_t next_free_ms; /* loop time from which no caller was told to come back yet */
 } return_room_t;
 
 typedef struct {
     return_server_t server;
     return_room_t room;
-    double
-        own_share; /* part of the region's offered work that comes from this instance's callers */
+    double own_share; /* part of the region's work that this instance's callers offer */
     uint64_t now_ms;
     uint32_t left_ms; /* time until the caller gives up */
     double work_ms;   /* expected time that the request keeps a slot busy; 0: not known */
@@ -58,8 +57,8 @@
 typedef struct {
     uint32_t after_ms;       /* Retry-After; 0: not known */
     bool comes_back;         /* the caller is expected then: the next two are to be kept */
-    uint64_t server_told_ms; /* told_until_ms of the backend server from now on */
-    uint64_t room_told_ms;   /* and of the room */
+    uint64_t server_next_ms; /* next_free_ms of the backend server after this caller */
+    uint64_t room_next_ms;   /* the same of the room */
 } return_time_t;
 
 return_time_t return_time_decide(const return_input_t *input);
--- a/gateway/policy/shortage.h
+++ b/gateway/policy/shortage.h
@@ -16,9 +16,9 @@
  *    The admitted share of each level is at least 0.3 of that of the most urgent one: no kind of
  *    request may be served less than a quarter as often as the average, also after rejections by
  *    backend servers.
- *  - Requests are refused only for more urgent ones. The most urgent level that is offered is not
- *    held back, unless there are client accounts: of these, one that offers many times its usual
- *    must not take the room of the others (fair_share.h).
+ *  - Requests are refused only for more urgent ones: the most urgent level that is offered is not
+ *    held back. If there are client accounts it is, since accounts share the room of a level
+ *    (fair_share.h): one that offers many times its usual must not take that of the others.
  *  - The priority of a client account decides before that of the route. Within a level, the more
  *    urgent routes go first, and the share of each is at least 0.3 of that of its level, as above.
  *  - What became of an earlier try of the caller makes no difference: each try is a request.
--- a/gateway/router_returns.c
+++ b/gateway/router_returns.c
@@ -10,8 +10,9 @@
     return choice_first_candidates(input, &first, 1) > 0 ? first : NULL;
 }
 
-/* Slots that requests for a region need, per slot; 0 if not known. Demand also counts requests that
- * wait, so it only tells whether all slots are in use. */
+/* Slots that arriving requests for a region need, per slot; 0 if not known. Where work is not
+ * counted demand stands for it, which also counts requests that wait: it is no more than all slots.
+ */
 static double
 use_of(const service_t *service, size_t region)
 {
@@ -42,7 +43,7 @@
         .slots = slots,
         .work_ms = is_counted ? input->service_work_ms : own_ms,
         .use = use,
-        .told_until_ms = backend->told_until_ms,
+        .next_free_ms = backend->returns_next_ms,
     };
 }
 
@@ -72,7 +73,7 @@
         return (return_room_t){0};
     return (return_room_t){
         .slots = share * service->fleet_offered->slots[region][urgency],
-        .told_until_ms = service->told_until_ms[region][urgency],
+        .next_free_ms = service->returns_next_ms[region][urgency],
     };
 }
 
@@ -98,8 +99,8 @@
     if (!time.comes_back)
         return time;
     if (input.room.slots > 0)
-        service->told_until_ms[region][urgency] = time.room_told_ms;
+        service->returns_next_ms[region][urgency] = time.room_next_ms;
     if (backend != NULL)
-        backend->told_until_ms = time.server_told_ms;
+        backend->returns_next_ms = time.server_next_ms;
     return time;
 }
--- a/gateway/state/backend.h
+++ b/gateway/state/backend.h
@@ -78,7 +78,7 @@
     bool load_unsent;          /* it reported a queue since the last heartbeat */
     bool reports_pace;         /* backends of its service report the pace of their work */
     double drain_work_ms;      /* mean run of its service where work is counted; 0: not counted */
-    uint64_t told_until_ms;    /* time until which refused callers were told to come back to it */
+    uint64_t returns_next_ms;  /* next_free_ms of policy/return_time.h */
     double slowdown;           /* factor on service times, as of slowdown_ms; 0: never reported */
     uint64_t slowdown_ms;
     load_probe_record_t probes;
--- a/gateway/state/services.h
+++ b/gateway/state/services.h
@@ -37,10 +37,8 @@
     shortage_t *shortage;
     account_work_t *account_work;
     fair_share_t *fair_share;
-    /* Loop times until which refused callers of each urgency were told to come back
-     * (return_time.h).
-     */
-    uint64_t told_until_ms[TOPOLOGY_REGIONS_MAX][URGENCY_LEVELS];
+    /* next_free_ms of policy/return_time.h, by region and urgency. */
+    uint64_t returns_next_ms[TOPOLOGY_REGIONS_MAX][URGENCY_LEVELS];
     /* Times of the last report of a backend's pace, to this instance and, as its heartbeat says,
      * to a peer; 0: none. */
     uint64_t own_pace_report_ms;
--- a/test/gateway/test_caller_time.c
+++ b/test/gateway/test_caller_time.c
@@ -93,7 +93,7 @@
     const router_request_t request = request_in(test, situation, left_ms);
     test->router.rng.state = 11;
     for (unsigned i = 0; i < BACKENDS; i++)
-        test->router.catalog.backends.items[i]->told_until_ms = 0;
+        test->router.catalog.backends.items[i]->returns_next_ms = 0;
     return router_return_time(&test->router, &request, false).after_ms;
 }
 
@@ -179,14 +179,15 @@
         test_router_t *test = new_test_router(&one_urgency, i % 2 == 0);
         set_situation(test, &scaled);
         const bool taken = is_taken(test, &scaled, (uint32_t)needed_ms);
-        const bool almost = is_taken(test, &scaled, (uint32_t)(1.02 * needed_ms) + 2) != taken ||
-                            is_taken(test, &scaled, (uint32_t)(0.98 * needed_ms)) != taken;
+        const bool is_close_call =
+            is_taken(test, &scaled, (uint32_t)(1.02 * needed_ms) + 2) != taken ||
+            is_taken(test, &scaled, (uint32_t)(0.98 * needed_ms)) != taken;
         const double told_ms = told_after_ms(test, &scaled, (uint32_t)needed_ms);
         free_test_router(test);
         test = new_test_router(&one_urgency, i % 2 == 0);
         scaled.run_ms *= factor;
         set_situation(test, &scaled);
-        if (!almost) /* rounding decides there */
+        if (!is_close_call) /* rounding decides there */
             ck_assert(is_taken(test, &scaled, (uint32_t)(factor * needed_ms)) == taken);
         ck_assert_double_eq_tol(told_after_ms(test, &scaled, (uint32_t)(factor * needed_ms)),
                                 factor * told_ms, 0.02 * factor * told_ms + factor + 2);
@@ -269,7 +270,7 @@
     const router_request_t request = request_in(test, &situation, 20000);
     const return_time_t first = router_return_time(&test->router, &request, false);
     const return_time_t second = router_return_time(&test->router, &request, false);
-    const double between_ms = (double)(second.server_told_ms - first.server_told_ms);
+    const double between_ms = (double)(second.server_next_ms - first.server_next_ms);
     free_test_router(test);
     return between_ms;
 }
--- a/test/gateway/test_returns.c
+++ b/test/gateway/test_returns.c
@@ -138,8 +138,8 @@
 
 /* Times told by each of the instances to callers who were refused in the same moment. */
 typedef struct {
-    uint64_t server_told_ms[INSTANCES];
-    uint64_t room_told_ms[INSTANCES];
+    uint64_t server_next_ms[INSTANCES];
+    uint64_t room_next_ms[INSTANCES];
     unsigned coming[PERIODS];
     unsigned told;
 } told_t;
@@ -147,14 +147,14 @@
 static void
 refuse(told_t *told, return_input_t input, size_t instance)
 {
-    input.server.told_until_ms = told->server_told_ms[instance];
-    input.room.told_until_ms = told->room_told_ms[instance];
+    input.server.next_free_ms = told->server_next_ms[instance];
+    input.room.next_free_ms = told->room_next_ms[instance];
     input.own_share = 1.0 / INSTANCES;
     const return_time_t time = return_time_decide(&input);
     if (!time.comes_back)
         return;
-    told->server_told_ms[instance] = time.server_told_ms;
-    told->room_told_ms[instance] = time.room_told_ms;
+    told->server_next_ms[instance] = time.server_next_ms;
+    told->room_next_ms[instance] = time.room_next_ms;
     told->coming[time.after_ms / PERIOD_MS]++;
     told->told++;
 }
@@ -195,7 +195,7 @@
     for (unsigned i = 0; i < CALLERS; i++) {
         input.spread = rng_unit(&rng);
         input.server = (return_server_t){.load = 2, .slots = 9, .work_ms = 500};
-        told.server_told_ms[i % INSTANCES] = 0; /* another backend server for each */
+        told.server_next_ms[i % INSTANCES] = 0; /* another backend server for each */
         refuse(&told, input, i % INSTANCES);
     }
     ck_assert_spread(&told, input.room.slots, input.work_ms);
@@ -207,11 +207,11 @@
 {
     return_input_t input = usual_input();
     input.room.slots = 20;
-    input.room.told_until_ms = NOW_MS + 100;
-    const uint64_t alone_ms = return_time_decide(&input).room_told_ms;
+    input.room.next_free_ms = NOW_MS + 100;
+    const uint64_t alone_ms = return_time_decide(&input).room_next_ms;
     input.own_share = 0.1;
-    ck_assert_uint_eq(return_time_decide(&input).room_told_ms - input.room.told_until_ms,
-                      10 * (alone_ms - input.room.told_until_ms));
+    ck_assert_uint_eq(return_time_decide(&input).room_next_ms - input.room.next_free_ms,
+                      10 * (alone_ms - input.room.next_free_ms));
 }
 END_TEST
 
@@ -275,7 +275,7 @@
                    .slots = SERVER_SLOTS,
                    .work_ms = SERVER_RUN_MS,
                    .use = play->use,
-                   .told_until_ms = *told_ms},
+                   .next_free_ms = *told_ms},
         .own_share = 1.0 / INSTANCES,
         .now_ms = play->now_ms,
         .left_ms = SERVER_CALLER_MS,
@@ -285,7 +285,7 @@
     const return_time_t time = return_time_decide(&input);
     if (!time.comes_back)
         return;
-    *told_ms = time.server_told_ms;
+    *told_ms = time.server_next_ms;
     xassert(play->told < RETURNING_MAX);
     play->returning_ms[play->told++] = play->now_ms + time.after_ms;
 }
